--- /dev/null
+++ b/config/license-header.java
@@ -0,0 +1,6 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/lib/Incarnation.java
@@ -0,0 +1,28 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.lib;
+
+/**
+ * The number of one start of a process; a later start has a greater one.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param value the number
+ * @since 0.1
+ */
+public record Incarnation(long value) implements Comparable<Incarnation> {
+
+  @Override
+  public int compareTo(Incarnation other) {
+    return Long.compare(value, other.value);
+  }
+
+  @Override
+  public String toString() {
+    return Long.toString(value);
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/lib/package-info.java
@@ -0,0 +1,8 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Ids and small immutable values that every other package shares. */
+package org.larkkeel.lib;
