--- a/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
@@ -9,54 +9,159 @@
 /**
  * The closed list of error kinds, with the answer to each.
  *
- * <p>This table is the only place that maps a kind to a status, to what the caller may conclude, and
- * to a remedy. Immutable and safe for use by several threads.
+ * <p>This table is the only place that maps a kind to a status, to what the caller may conclude,
+ * and to a remedy. Immutable and safe for use by several threads.
  *
  * @since 0.1
  */
 public enum ErrorKind {
   /** The request can not be read. */
-  MALFORMED_REQUEST(400, Execution.NOT_RUN, Repeat.NEVER, "The request can not be read.", "Correct the named field."),
+  MALFORMED_REQUEST(
+      400,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "The request can not be read.",
+      "Correct the named field."),
   /** The bearer token is missing or unknown. */
-  UNAUTHENTICATED(401, Execution.NOT_RUN, Repeat.NEVER, "The bearer token is missing or unknown.", "Send a valid bearer token."),
+  UNAUTHENTICATED(
+      401,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "The bearer token is missing or unknown.",
+      "Send a valid bearer token."),
   /** The token does not allow this operation. */
-  FORBIDDEN(403, Execution.NOT_RUN, Repeat.NEVER, "The token does not allow this operation.", "Use a token with the needed role."),
+  FORBIDDEN(
+      403,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "The token does not allow this operation.",
+      "Use a token with the needed role."),
   /** No routing rule matches the request. */
-  NO_RULE(404, Execution.NOT_RUN, Repeat.NEVER, "No routing rule matches the request.", "Check the model or path, or ask the operator for a rule."),
+  NO_RULE(
+      404,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "No routing rule matches the request.",
+      "Check the model or path, or ask the operator for a rule."),
   /** The path does not take this method. */
-  METHOD_NOT_ALLOWED(405, Execution.NOT_RUN, Repeat.NEVER, "The path does not take this method.", "Use one of the methods in Allow."),
+  METHOD_NOT_ALLOWED(
+      405,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "The path does not take this method.",
+      "Use one of the methods in Allow."),
   /** Another change was accepted first. */
-  CONFLICT(409, Execution.NOT_RUN, Repeat.NEVER, "Another change was accepted first.", "Read the named change, then apply again."),
+  CONFLICT(
+      409,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "Another change was accepted first.",
+      "Read the named change, then apply again."),
   /** A request with the same key is still running. */
-  IN_PROGRESS(409, Execution.MAY_HAVE_RUN, Repeat.LATER, "A request with the same key is still running.", "Repeat with the same key later."),
+  IN_PROGRESS(
+      409,
+      Execution.MAY_HAVE_RUN,
+      Repeat.LATER,
+      "A request with the same key is still running.",
+      "Repeat with the same key later."),
   /** The body is larger than the limit. */
-  BODY_TOO_LARGE(413, Execution.NOT_RUN, Repeat.NEVER, "The body is larger than the limit.", "Send a smaller body."),
+  BODY_TOO_LARGE(
+      413,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "The body is larger than the limit.",
+      "Send a smaller body."),
   /** The idempotency key was used with another body. */
-  KEY_REUSED(422, Execution.NOT_RUN, Repeat.NEVER, "The idempotency key was used with another body.", "Use a new key for a new request."),
+  KEY_REUSED(
+      422,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "The idempotency key was used with another body.",
+      "Use a new key for a new request."),
   /** The configuration is not valid. */
-  INVALID_CONFIGURATION(422, Execution.NOT_RUN, Repeat.NEVER, "The configuration is not valid.", "Correct every problem listed."),
+  INVALID_CONFIGURATION(
+      422,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "The configuration is not valid.",
+      "Correct every problem listed."),
   /** The workspace has reached its limit. */
-  WORKSPACE_LIMIT(429, Execution.NOT_RUN, Repeat.LATER, "The workspace has reached its limit.", "Repeat after Retry-After."),
+  WORKSPACE_LIMIT(
+      429,
+      Execution.NOT_RUN,
+      Repeat.LATER,
+      "The workspace has reached its limit.",
+      "Repeat after Retry-After."),
   /** The request can not meet its deadline at the present load. */
-  OVERLOADED(503, Execution.NOT_RUN, Repeat.LATER, "The request can not meet its deadline at the present load.", "Repeat after Retry-After."),
+  OVERLOADED(
+      503,
+      Execution.NOT_RUN,
+      Repeat.LATER,
+      "The request can not meet its deadline at the present load.",
+      "Repeat after Retry-After."),
   /** No live upstream fits the request. */
-  NO_UPSTREAM(503, Execution.NOT_RUN, Repeat.LATER, "No live upstream fits the request.", "Repeat after Retry-After; operators check labels and upstreams."),
+  NO_UPSTREAM(
+      503,
+      Execution.NOT_RUN,
+      Repeat.LATER,
+      "No live upstream fits the request.",
+      "Repeat after Retry-After; operators check labels and upstreams."),
   /** This node takes no new requests. */
-  NOT_READY(503, Execution.NOT_RUN, Repeat.LATER, "This node takes no new requests.", "Repeat at once; the balancer chooses another node."),
+  NOT_READY(
+      503,
+      Execution.NOT_RUN,
+      Repeat.LATER,
+      "This node takes no new requests.",
+      "Repeat at once; the balancer chooses another node."),
   /** The run can not be recorded now. */
-  STORE_UNAVAILABLE(503, Execution.NOT_RUN, Repeat.LATER, "The run can not be recorded now.", "Repeat with the same key after Retry-After."),
+  STORE_UNAVAILABLE(
+      503,
+      Execution.NOT_RUN,
+      Repeat.LATER,
+      "The run can not be recorded now.",
+      "Repeat with the same key after Retry-After."),
   /** The upstream failed after the request was sent. */
-  UPSTREAM_FAILED(502, Execution.MAY_HAVE_RUN, Repeat.IF_IDEMPOTENT, "The upstream failed after the request was sent.", "Repeat only what may run twice."),
+  UPSTREAM_FAILED(
+      502,
+      Execution.MAY_HAVE_RUN,
+      Repeat.IF_IDEMPOTENT,
+      "The upstream failed after the request was sent.",
+      "Repeat only what may run twice."),
   /** The outcome of an earlier run with this key is unknown. */
-  UNKNOWN_OUTCOME(502, Execution.MAY_HAVE_RUN, Repeat.NEVER, "The outcome of an earlier run with this key is unknown.", "Find out at the service whether it ran; the key is never run again."),
+  UNKNOWN_OUTCOME(
+      502,
+      Execution.MAY_HAVE_RUN,
+      Repeat.NEVER,
+      "The outcome of an earlier run with this key is unknown.",
+      "Find out at the service whether it ran; the key is never run again."),
   /** The deadline passed before the answer was complete. */
-  DEADLINE_EXCEEDED(504, Execution.MAY_HAVE_RUN, Repeat.IF_IDEMPOTENT, "The deadline passed before the answer was complete.", "Repeat only what may run twice, with a later deadline."),
+  DEADLINE_EXCEEDED(
+      504,
+      Execution.MAY_HAVE_RUN,
+      Repeat.IF_IDEMPOTENT,
+      "The deadline passed before the answer was complete.",
+      "Repeat only what may run twice, with a later deadline."),
   /** The deadline passed while the request waited. */
-  EXPIRED_IN_QUEUE(504, Execution.NOT_RUN, Repeat.LATER, "The deadline passed while the request waited.", "Repeat after Retry-After."),
+  EXPIRED_IN_QUEUE(
+      504,
+      Execution.NOT_RUN,
+      Repeat.LATER,
+      "The deadline passed while the request waited.",
+      "Repeat after Retry-After."),
   /** The caller closed the connection. */
-  CALLER_GONE(499, Execution.MAY_HAVE_RUN, Repeat.IF_IDEMPOTENT, "The caller closed the connection.", "None."),
+  CALLER_GONE(
+      499,
+      Execution.MAY_HAVE_RUN,
+      Repeat.IF_IDEMPOTENT,
+      "The caller closed the connection.",
+      "None."),
   /** An unexpected failure. */
-  INTERNAL(500, Execution.MAY_HAVE_RUN, Repeat.IF_IDEMPOTENT, "An unexpected failure.", "Report the request id.");
+  INTERNAL(
+      500,
+      Execution.MAY_HAVE_RUN,
+      Repeat.IF_IDEMPOTENT,
+      "An unexpected failure.",
+      "Report the request id.");
 
   private final int status;
   private final Execution execution;
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/event/RecordOutcome.java
@@ -0,0 +1,19 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.event;
+
+/**
+ * The result of writing down how an at-most-once run ended.
+ *
+ * @since 0.1
+ */
+public enum RecordOutcome {
+  /** The outcome is durable. */
+  RECORDED,
+  /** The outcome could not be made durable; for later callers it is unknown. */
+  FAILED
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/lib/IdempotencyKey.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/lib/IdempotencyKey.java
@@ -21,9 +21,15 @@
 
   /** Checks the key. */
   public IdempotencyKey {
-    if (value.isEmpty() || value.length() > MAX_LENGTH || !value.chars().allMatch(IdempotencyKey::printable)) {
+    if (value.isEmpty()
+        || value.length() > MAX_LENGTH
+        || !value.chars().allMatch(IdempotencyKey::printable)) {
       throw new IllegalArgumentException(
-          "Idempotency-Key is \"" + value + "\": use 1 to " + MAX_LENGTH + " printable ASCII characters");
+          "Idempotency-Key is \""
+              + value
+              + "\": use 1 to "
+              + MAX_LENGTH
+              + " printable ASCII characters");
     }
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/lib/Labels.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/lib/Labels.java
@@ -13,8 +13,8 @@
 /**
  * The labels of an upstream, pool, rule or workspace.
  *
- * <p>Invariant: keys are valid names, values are valid names or empty. Immutable and safe for use by
- * several threads.
+ * <p>Invariant: keys are valid names, values are valid names or empty. Immutable and safe for use
+ * by several threads.
  *
  * @param entries values by key, never null
  * @since 0.1
--- a/org.larkkeel/src/main/java/org/larkkeel/lib/Names.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/lib/Names.java
@@ -19,7 +19,8 @@
   /** The longest name accepted, in characters. */
   public static final int MAX_LENGTH = 128;
 
-  private static final Pattern SYNTAX = Pattern.compile("[A-Za-z0-9]([A-Za-z0-9._/-]*[A-Za-z0-9])?");
+  private static final Pattern SYNTAX =
+      Pattern.compile("[A-Za-z0-9]([A-Za-z0-9._/-]*[A-Za-z0-9])?");
 
   private Names() {}
 
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/selector/SelectorSyntaxException.java
@@ -0,0 +1,27 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.selector;
+
+/**
+ * A selector that can't be parsed.
+ *
+ * @since 0.1
+ */
+public final class SelectorSyntaxException extends IllegalArgumentException {
+  private static final long serialVersionUID = 1L;
+
+  /**
+   * Creates the failure.
+   *
+   * @param text the selector
+   * @param position the offset of the offending character
+   * @param expected what was expected there
+   */
+  public SelectorSyntaxException(String text, int position, String expected) {
+    super("selector \"" + text + "\": at character " + (position + 1) + " expected " + expected);
+  }
+}
