--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/ObjectId.java
@@ -0,0 +1,48 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.config;
+
+import java.util.Comparator;
+import org.larkkeel.lib.Names;
+
+/**
+ * Names one configuration object over all kinds.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param kind the kind, never null
+ * @param name the name, unique within the kind
+ * @since 0.1
+ */
+public record ObjectId(ObjectKind kind, String name) implements Comparable<ObjectId> {
+  private static final Comparator<ObjectId> ORDER =
+      Comparator.comparing(ObjectId::kind).thenComparing(ObjectId::name);
+
+  /** Checks the name. */
+  public ObjectId {
+    Names.check("the " + kind.slug(), name);
+  }
+
+  /**
+   * The place of the object in a document.
+   *
+   * @return a JSON pointer
+   */
+  public JsonPath path() {
+    return JsonPath.ROOT.child(kind.section()).child(name);
+  }
+
+  @Override
+  public int compareTo(ObjectId other) {
+    return ORDER.compare(this, other);
+  }
+
+  @Override
+  public String toString() {
+    return kind.slug() + "/" + name;
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/ObjectReader.java
@@ -0,0 +1,189 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.config;
+
+import static org.larkkeel.config.ConfigurationKeys.ADDRESS;
+import static org.larkkeel.config.ConfigurationKeys.BETWEEN_TOKENS_MILLIS;
+import static org.larkkeel.config.ConfigurationKeys.CONCURRENCY;
+import static org.larkkeel.config.ConfigurationKeys.DEADLINE_MILLIS;
+import static org.larkkeel.config.ConfigurationKeys.FENCING;
+import static org.larkkeel.config.ConfigurationKeys.FIRST_TOKEN_MILLIS;
+import static org.larkkeel.config.ConfigurationKeys.LABELS;
+import static org.larkkeel.config.ConfigurationKeys.LIMITS;
+import static org.larkkeel.config.ConfigurationKeys.LINK_BYTES_PER_SECOND;
+import static org.larkkeel.config.ConfigurationKeys.MATCH;
+import static org.larkkeel.config.ConfigurationKeys.MAX_ATTEMPTS;
+import static org.larkkeel.config.ConfigurationKeys.MODEL;
+import static org.larkkeel.config.ConfigurationKeys.MODELS;
+import static org.larkkeel.config.ConfigurationKeys.PATH_PREFIX;
+import static org.larkkeel.config.ConfigurationKeys.POOLS;
+import static org.larkkeel.config.ConfigurationKeys.PRIORITY;
+import static org.larkkeel.config.ConfigurationKeys.PROMPT_TOKENS_PER_SECOND;
+import static org.larkkeel.config.ConfigurationKeys.REPEATABILITY;
+import static org.larkkeel.config.ConfigurationKeys.REQUESTS_PER_SECOND;
+import static org.larkkeel.config.ConfigurationKeys.ROLE;
+import static org.larkkeel.config.ConfigurationKeys.SLOTS;
+import static org.larkkeel.config.ConfigurationKeys.TARGETS;
+import static org.larkkeel.config.ConfigurationKeys.TOKEN_SHA256;
+import static org.larkkeel.config.ConfigurationKeys.UPSTREAMS;
+import static org.larkkeel.config.ConfigurationKeys.URGENCY;
+import static org.larkkeel.config.ConfigurationKeys.WORKSPACES;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.larkkeel.lib.ModelName;
+import org.larkkeel.lib.PoolName;
+import org.larkkeel.lib.RuleName;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.WorkspaceName;
+
+/** Reads single configuration objects. Not safe for use by several threads. */
+final class ObjectReader {
+  static final int MAX_SLOTS = 100_000;
+  static final int MAX_PRIORITY = 1_000_000;
+  static final int MAX_ATTEMPTS_LIMIT = 10;
+  static final long MAX_MILLIS = Duration.ofDays(1).toMillis();
+
+  private static final ImmutableSet<String> UPSTREAM_KEYS =
+      ImmutableSet.of(ADDRESS, LABELS, MODELS, SLOTS, FENCING, LINK_BYTES_PER_SECOND);
+  private static final ImmutableSet<String> POOL_KEYS = ImmutableSet.of(ROLE, LABELS, UPSTREAMS);
+  private static final ImmutableSet<String> RULE_KEYS =
+      ImmutableSet.of(
+          LABELS, PRIORITY, MATCH, POOLS, URGENCY, TARGETS, REPEATABILITY, MAX_ATTEMPTS);
+  private static final ImmutableSet<String> MATCH_KEYS =
+      ImmutableSet.of(MODEL, PATH_PREFIX, WORKSPACES);
+  private static final ImmutableSet<String> TARGET_KEYS =
+      ImmutableSet.of(FIRST_TOKEN_MILLIS, BETWEEN_TOKENS_MILLIS, DEADLINE_MILLIS);
+  private static final ImmutableSet<String> WORKSPACE_KEYS =
+      ImmutableSet.of(LABELS, LIMITS, TOKEN_SHA256);
+  private static final ImmutableSet<String> LIMIT_KEYS =
+      ImmutableSet.of(REQUESTS_PER_SECOND, PROMPT_TOKENS_PER_SECOND, CONCURRENCY);
+  private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
+  private static final String NO_ADDRESS = "";
+
+  private final ProblemCollector problems;
+
+  ObjectReader(ProblemCollector problems) {
+    this.problems = problems;
+  }
+
+  /**
+   * Reads one object. A faulty one is returned with defaults in the place of what is wrong, so that
+   * later checks can go on; it is empty if even that fails.
+   */
+  Optional<ConfigurationObject> read(ObjectId id, Located value, JsonPath path) {
+    return switch (id.kind()) {
+      case UPSTREAM -> Optional.of(upstream(id.name(), open(value, path, UPSTREAM_KEYS)));
+      case POOL -> pool(id.name(), open(value, path, POOL_KEYS));
+      case RULE -> Optional.of(rule(id.name(), open(value, path, RULE_KEYS)));
+      case WORKSPACE -> Optional.of(workspace(id.name(), open(value, path, WORKSPACE_KEYS)));
+    };
+  }
+
+  private FieldReader open(Located value, JsonPath path, ImmutableSet<String> keys) {
+    return FieldReader.open(value, path, keys, problems);
+  }
+
+  private ConfigurationObject upstream(String name, FieldReader fields) {
+    return new Upstream(
+        new UpstreamName(name),
+        address(fields),
+        fields.labels(LABELS),
+        models(fields),
+        (int) fields.whole(SLOTS, 1, MAX_SLOTS, Upstream.DEFAULT_SLOTS),
+        fields.choice(FENCING, FencingSupport.class, FencingSupport.IGNORED),
+        fields.whole(
+            LINK_BYTES_PER_SECOND, 1, Long.MAX_VALUE, Upstream.DEFAULT_LINK_BYTES_PER_SECOND));
+  }
+
+  private static String address(FieldReader fields) {
+    Optional<String> text = fields.requiredText(ADDRESS, Addresses.REMEDY);
+    if (text.isPresent() && !Addresses.isValid(text.get())) {
+      fields.report(ADDRESS, "not an IP number and port", Addresses.REMEDY);
+      return NO_ADDRESS;
+    }
+    return text.orElse(NO_ADDRESS);
+  }
+
+  private static ImmutableSet<ModelName> models(FieldReader fields) {
+    return fields.names(MODELS).stream().map(ModelName::new).collect(ImmutableSet.toImmutableSet());
+  }
+
+  private static Optional<ConfigurationObject> pool(String name, FieldReader fields) {
+    Optional<Role> role = fields.requiredChoice(ROLE, Role.class);
+    var labels = fields.labels(LABELS);
+    var upstreams = fields.requiredSelector(UPSTREAMS);
+    return role.map(r -> new Pool(new PoolName(name), r, labels, upstreams));
+  }
+
+  private static ConfigurationObject rule(String name, FieldReader fields) {
+    return new Rule(
+        new RuleName(name),
+        fields.labels(LABELS),
+        (int) fields.whole(PRIORITY, -MAX_PRIORITY, MAX_PRIORITY, 0),
+        match(fields.child(MATCH, MATCH_KEYS)),
+        fields.requiredSelector(POOLS),
+        fields.choice(URGENCY, Urgency.class, Urgency.INTERACTIVE),
+        targets(fields.child(TARGETS, TARGET_KEYS)),
+        fields.choice(REPEATABILITY, Repeatability.class, Repeatability.BY_METHOD),
+        (int) fields.whole(MAX_ATTEMPTS, 1, MAX_ATTEMPTS_LIMIT, Rule.DEFAULT_MAX_ATTEMPTS));
+  }
+
+  private static Match match(FieldReader fields) {
+    Optional<ModelName> model = fields.parsed(MODEL, ModelName::new, "write the name of a model");
+    Optional<String> prefix = fields.text(PATH_PREFIX);
+    if (prefix.isPresent() && !prefix.get().startsWith("/")) {
+      fields.report(PATH_PREFIX, "not a path", "begin it with /");
+    }
+    return new Match(model, prefix, fields.selector(WORKSPACES));
+  }
+
+  private static Targets targets(FieldReader fields) {
+    Duration deadline = millis(fields, DEADLINE_MILLIS, Targets.DEFAULT.deadline());
+    Duration firstToken = millis(fields, FIRST_TOKEN_MILLIS, Targets.DEFAULT.firstToken());
+    if (firstToken.compareTo(deadline) > 0) {
+      fields.report(
+          FIRST_TOKEN_MILLIS,
+          "the first token would be due after the deadline",
+          "use at most " + deadline.toMillis());
+    }
+    return new Targets(
+        firstToken,
+        millis(fields, BETWEEN_TOKENS_MILLIS, Targets.DEFAULT.betweenTokens()),
+        deadline);
+  }
+
+  private static Duration millis(FieldReader fields, String key, Duration absent) {
+    return Duration.ofMillis(fields.whole(key, 1, MAX_MILLIS, absent.toMillis()));
+  }
+
+  private static ConfigurationObject workspace(String name, FieldReader fields) {
+    return new Workspace(
+        new WorkspaceName(name),
+        fields.labels(LABELS),
+        limits(fields.child(LIMITS, LIMIT_KEYS)),
+        token(fields));
+  }
+
+  private static Limits limits(FieldReader fields) {
+    return new Limits(
+        fields.whole(REQUESTS_PER_SECOND, 0, Long.MAX_VALUE, 0),
+        fields.whole(PROMPT_TOKENS_PER_SECOND, 0, Long.MAX_VALUE, 0),
+        (int) fields.whole(CONCURRENCY, 0, Integer.MAX_VALUE, 0));
+  }
+
+  private static Optional<String> token(FieldReader fields) {
+    Optional<String> token = fields.text(TOKEN_SHA256);
+    if (token.isPresent() && !SHA256.matcher(token.get()).matches()) {
+      fields.report(
+          TOKEN_SHA256, "not a SHA-256", "write 64 hex digits in lower case, never the token");
+    }
+    return token;
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/config/Pool.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/Pool.java
@@ -21,4 +21,5 @@
  * @param upstreams chooses the members
  * @since 0.1
  */
-public record Pool(PoolName name, Role role, Labels labels, Selector upstreams) {}
+public record Pool(PoolName name, Role role, Labels labels, Selector upstreams)
+    implements ConfigurationObject {}
--- a/org.larkkeel/src/main/java/org/larkkeel/config/Rule.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/Rule.java
@@ -36,7 +36,8 @@
     Urgency urgency,
     Targets targets,
     Repeatability repeatability,
-    int maxAttempts) {
+    int maxAttempts)
+    implements ConfigurationObject {
   /** Attempts of a rule that names none. */
   public static final int DEFAULT_MAX_ATTEMPTS = 3;
 }
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/Severity.java
@@ -0,0 +1,19 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.config;
+
+/**
+ * How grave a problem is.
+ *
+ * @since 0.1
+ */
+public enum Severity {
+  /** The document or change is refused. */
+  ERROR,
+  /** The document or change is accepted, and the operator is told. */
+  WARNING
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/config/Targets.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/Targets.java
@@ -21,5 +21,5 @@
 public record Targets(Duration firstToken, Duration betweenTokens, Duration deadline) {
   /** Targets of a rule that names none. */
   public static final Targets DEFAULT =
-      new Targets(Duration.ofMillis(1600), Duration.ofMillis(68), Duration.ofSeconds(120));
+      new Targets(Duration.ofMillis(1600), Duration.ofMillis(68), Duration.ofMinutes(2));
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/config/Upstream.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/Upstream.java
@@ -32,7 +32,8 @@
     ImmutableSet<ModelName> models,
     int slots,
     FencingSupport fencing,
-    long linkBytesPerSecond) {
+    long linkBytesPerSecond)
+    implements ConfigurationObject {
   /** The label that names the data centre. */
   public static final String DATA_CENTRE_LABEL = "dc";
 
--- a/org.larkkeel/src/main/java/org/larkkeel/config/Workspace.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/Workspace.java
@@ -22,4 +22,5 @@
  * @since 0.1
  */
 public record Workspace(
-    WorkspaceName name, Labels labels, Limits limits, Optional<String> tokenSha256) {}
+    WorkspaceName name, Labels labels, Limits limits, Optional<String> tokenSha256)
+    implements ConfigurationObject {}
--- a/org.larkkeel/src/main/java/org/larkkeel/selector/SelectorSyntaxException.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/selector/SelectorSyntaxException.java
@@ -14,6 +14,12 @@
 public final class SelectorSyntaxException extends IllegalArgumentException {
   private static final long serialVersionUID = 1L;
 
+  /** The offset of the offending character. */
+  private final int position;
+
+  /** What was expected there. */
+  private final String expected;
+
   /**
    * Creates the failure.
    *
@@ -23,5 +29,25 @@
    */
   public SelectorSyntaxException(String text, int position, String expected) {
     super("selector \"" + text + "\": at character " + (position + 1) + " expected " + expected);
+    this.position = position;
+    this.expected = expected;
+  }
+
+  /**
+   * Where the selector is malformed.
+   *
+   * @return the offset of the offending character from 0
+   */
+  public int position() {
+    return position;
+  }
+
+  /**
+   * What to write there.
+   *
+   * @return the expected text
+   */
+  public String expected() {
+    return expected;
   }
 }
