Add stand-ins of the platform, the engines and the services

Cause: tests, demos and trials need the far side of the outside protocols, with faults on demand and a record of what was done there.

Change: PlatformStandin, EngineStandin and ServiceStandin run in one JVM or, by StandinMain, as processes; each has a ledger or call counts and takes faults from Java or over /control/. Engines batch continuously in slots, hold KV caches in pieces, evict, import over a shared link in simulated time, cancel, resume and take orders. Answers are pure functions that callers can check.

Conclusion: usable by the other modules; sustained load isn't measured yet.

--- /dev/null
+++ b/org.larkkeel.standin/src/main/java/org/larkkeel/standin/internal/EngineOrders.java
@@ -0,0 +1,118 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.standin.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.larkkeel.standin.EngineRole;
+import org.larkkeel.standin.EngineSettings;
+import org.larkkeel.standin.FencingHabit;
+import org.larkkeel.standin.internal.EngineMessages.Order;
+import org.larkkeel.standin.internal.EngineMessages.OrderRequest;
+import org.larkkeel.standin.internal.EngineMessages.OrdersInForce;
+
+/**
+ * The orders in force at an engine.
+ *
+ * <p>Invariant: with {@link FencingHabit#CHECK} the fencing number never falls within an
+ * incarnation. Safe for use by several threads.
+ *
+ * @since 0.1
+ */
+final class EngineOrders {
+  private final FencingHabit habit;
+  private final Map<String, String> versions = new TreeMap<>();
+  private final TreeSet<String> adapters = new TreeSet<>();
+  private EngineRole role;
+  private long fencing;
+
+  EngineOrders(EngineSettings settings) {
+    habit = settings.fencing();
+    role = settings.role();
+    settings.models().forEach(model -> versions.put(model, ""));
+  }
+
+  /** Checks an order before it is carried out. */
+  synchronized void accept(OrderRequest request) {
+    if (request.fencing() == null || request.order() == null || request.order().type() == null) {
+      throw RefusedException.malformed("fencing, order or order.type is missing: send all three");
+    }
+    check(request.order());
+    if (habit == FencingHabit.CHECK && request.fencing() < fencing) {
+      throw new RefusedException(
+          409, "stale_fencing", "fencing is " + request.fencing() + ", " + fencing + " was seen");
+    }
+    fencing = request.fencing();
+  }
+
+  /** Puts an accepted order in force, unless a newer number has been accepted since. */
+  synchronized void apply(OrderRequest request) {
+    if (habit == FencingHabit.CHECK && request.fencing() < fencing) {
+      throw new RefusedException(
+          409, "stale_fencing", "a newer order came while this one was under way");
+    }
+    Order order = request.order();
+    switch (order.type()) {
+      case "load_model" ->
+          versions.put(order.model(), order.version() == null ? "" : order.version());
+      case "unload_model" -> versions.remove(order.model());
+      case "load_adapter" -> adapters.add(order.adapter());
+      default -> role = roleOf(order.role());
+    }
+  }
+
+  synchronized OrdersInForce inForce() {
+    List<String> models = new ArrayList<>();
+    versions.forEach(
+        (model, version) -> models.add(version.isEmpty() ? model : model + "@" + version));
+    return new OrdersInForce(fencing, roleWord(), models, List.copyOf(adapters));
+  }
+
+  synchronized List<String> models() {
+    return List.copyOf(versions.keySet());
+  }
+
+  synchronized EngineRole role() {
+    return role;
+  }
+
+  synchronized String roleWord() {
+    return role.name().toLowerCase(Locale.ROOT);
+  }
+
+  private static void check(Order order) {
+    switch (order.type()) {
+      case "load_model", "unload_model" -> present("order.model", order.model());
+      case "load_adapter" -> present("order.adapter", order.adapter());
+      case "set_role" -> roleOf(order.role());
+      default ->
+          throw RefusedException.malformed(
+              "order.type is \""
+                  + order.type()
+                  + "\": use load_model, unload_model, load_adapter or set_role");
+    }
+  }
+
+  private static void present(String field, String value) {
+    if (value == null) {
+      throw RefusedException.malformed(field + " is missing: send a name");
+    }
+  }
+
+  private static EngineRole roleOf(String word) {
+    for (EngineRole role : EngineRole.values()) {
+      if (role.name().toLowerCase(Locale.ROOT).equals(word)) {
+        return role;
+      }
+    }
+    throw RefusedException.malformed("order.role is \"" + word + "\": use prefill or decode");
+  }
+}
--- /dev/null
+++ b/org.larkkeel.standin/src/main/java/org/larkkeel/standin/internal/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The workings of the stand-ins.
+ *
+ * @since 0.1
+ */
+package org.larkkeel.standin.internal;
