--- /dev/null
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/InMemoryObjectApi.java
@@ -0,0 +1,207 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** One process's client of an {@link InMemoryStore}, with delays and faults. */
+public final class InMemoryObjectApi implements ObjectApi {
+  private static final Duration LATE = Duration.ofMillis(700);
+
+  private final InMemoryStore store;
+  private final ManualScheduler.Process process;
+  private Duration oneWay = Duration.ofMillis(1);
+  private Duration watchLag = Duration.ZERO;
+  private Supplier<Fault> writeFaults = () -> Fault.NONE;
+  private Supplier<Fault> readFaults = () -> Fault.NONE;
+
+  /** Connects a process to a store. */
+  public InMemoryObjectApi(InMemoryStore store, ManualScheduler.Process process) {
+    this.store = store;
+    this.process = process;
+  }
+
+  /** Asked before each write. */
+  public InMemoryObjectApi setWriteFaults(Supplier<Fault> faults) {
+    writeFaults = faults;
+    return this;
+  }
+
+  /** Asked before each read. */
+  public InMemoryObjectApi setReadFaults(Supplier<Fault> faults) {
+    readFaults = faults;
+    return this;
+  }
+
+  /** How long a request or an answer travels. */
+  public InMemoryObjectApi setOneWay(Duration delay) {
+    oneWay = delay;
+    return this;
+  }
+
+  /** How late watch events come. */
+  public InMemoryObjectApi setWatchLag(Duration lag) {
+    watchLag = lag;
+    return this;
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> get(ObjectKey key) {
+    return call(readFaults.get(), new ObjectApiFailure.Unavailable(), () -> store.get(key));
+  }
+
+  @Override
+  public CompletableFuture<ObjectPage> list(ListQuery query) {
+    return call(readFaults.get(), new ObjectApiFailure.Unavailable(), () -> store.list(query));
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec) {
+    return write(() -> store.create(key, kind, spec));
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> update(
+      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+    return write(() -> store.update(key, kind, spec, resourceVersion));
+  }
+
+  @Override
+  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+    return write(() -> store.delete(key, resourceVersion));
+  }
+
+  private <T> CompletableFuture<T> write(Supplier<T> effect) {
+    return call(writeFaults.get(), new ObjectApiFailure.OutcomeUnknown(), effect);
+  }
+
+  private <T> CompletableFuture<T> call(Fault fault, ObjectApiFailure lost, Supplier<T> effect) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    Duration travel = fault == Fault.LATE_EFFECT ? LATE : oneWay;
+    store.process().schedule(travel, () -> arrive(fault, lost, effect, result));
+    if (fault == Fault.LATE_EFFECT) {
+      answer(result, null, exception(lost));
+    }
+    return result;
+  }
+
+  private <T> void arrive(
+      Fault fault, ObjectApiFailure lost, Supplier<T> effect, CompletableFuture<T> result) {
+    if (fault == Fault.REFUSE || store.isDown()) {
+      answer(result, null, exception(new ObjectApiFailure.Unavailable()));
+    } else if (fault == Fault.LOSE_REQUEST) {
+      answer(result, null, exception(lost));
+    } else {
+      perform(fault, lost, effect, result);
+    }
+  }
+
+  private <T> void perform(
+      Fault fault, ObjectApiFailure lost, Supplier<T> effect, CompletableFuture<T> result) {
+    T value = null;
+    ObjectApiException failure = null;
+    try {
+      value = effect.get();
+    } catch (ObjectApiException e) {
+      failure = e;
+    }
+    if (fault == Fault.LOSE_ANSWER) {
+      failure = exception(lost);
+    }
+    answer(result, value, failure);
+  }
+
+  private <T> void answer(CompletableFuture<T> result, T value, ObjectApiException failure) {
+    process.schedule(
+        oneWay,
+        () -> {
+          if (failure == null) {
+            result.complete(value);
+          } else {
+            result.completeExceptionally(failure);
+          }
+        });
+  }
+
+  private static ObjectApiException exception(ObjectApiFailure f) {
+    return new ObjectApiException(f, "injected");
+  }
+
+  @Override
+  public Watch watch(
+      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+    store.countWatch();
+    FakeWatch w = new FakeWatch(collection, resourceVersion, listener);
+    store.process().schedule(oneWay, w::begin);
+    process.schedule(timeout, () -> w.ended.complete(null));
+    return w;
+  }
+
+  /** A watch that tells the store's history. */
+  private final class FakeWatch implements Watch {
+    final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private final String collection;
+    private final Consumer<WatchEvent> listener;
+    private long told;
+
+    FakeWatch(String collection, long from, Consumer<WatchEvent> listener) {
+      this.collection = collection;
+      this.told = from;
+      this.listener = listener;
+    }
+
+    void begin() {
+      store.observe(this::tell);
+      tell();
+    }
+
+    private void tell() {
+      if (ended.isDone()) {
+        return;
+      }
+      if (store.isDown()) {
+        fail(new ObjectApiFailure.Unavailable());
+        return;
+      }
+      Optional<List<WatchEvent>> events = store.since(collection, told);
+      if (events.isEmpty()) {
+        fail(new ObjectApiFailure.Expired());
+        return;
+      }
+      told = store.version();
+      for (WatchEvent e : events.get()) {
+        process.schedule(oneWay.plus(watchLag), () -> deliver(e));
+      }
+    }
+
+    private void deliver(WatchEvent e) {
+      if (!ended.isDone()) {
+        listener.accept(e);
+      }
+    }
+
+    private void fail(ObjectApiFailure f) {
+      process.schedule(oneWay, () -> ended.completeExceptionally(exception(f)));
+    }
+
+    @Override
+    public CompletableFuture<Void> ended() {
+      return ended;
+    }
+
+    @Override
+    public void close() {
+      ended.complete(null);
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/InMemoryStore.java
@@ -0,0 +1,187 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** The state of the platform's store: objects, versions and the history that watches tell. */
+public final class InMemoryStore {
+  private final Map<String, TreeMap<String, StoredObject>> collections = new HashMap<>();
+  private final List<Change> history = new ArrayList<>();
+  private final List<Runnable> observers = new ArrayList<>();
+  private final ManualScheduler.Process process;
+  private long version = 1;
+  private long forgotten;
+  private boolean outage;
+  private int reads;
+  private int writes;
+  private int watches;
+
+  /** Creates an empty store with a process of its own. */
+  public InMemoryStore(ManualScheduler scheduler) {
+    this.process = scheduler.newProcess();
+  }
+
+  /** Begins or ends an outage. */
+  public void setOutage(boolean down) {
+    outage = down;
+  }
+
+  boolean isDown() {
+    return outage;
+  }
+
+  /** Makes watches from before now expire. */
+  public void forgetHistory() {
+    forgotten = version;
+    history.clear();
+  }
+
+  /** Calls counted so far: gets and lists. */
+  public int reads() {
+    return reads;
+  }
+
+  /** Calls counted so far: creates, updates and deletes. */
+  public int writes() {
+    return writes;
+  }
+
+  /** Calls counted so far: watches. */
+  public int watches() {
+    return watches;
+  }
+
+  /** All objects of a collection, ordered by name. */
+  public ImmutableList<StoredObject> all(String collection) {
+    return ImmutableList.copyOf(objects(collection).values());
+  }
+
+  ManualScheduler.Process process() {
+    return process;
+  }
+
+  StoredObject get(ObjectKey key) {
+    reads++;
+    return find(key).orElseThrow(() -> failure(new ObjectApiFailure.NotFound(), key));
+  }
+
+  ObjectPage list(ListQuery q) {
+    reads++;
+    ImmutableList.Builder<StoredObject> items = ImmutableList.builder();
+    int n = 0;
+    String last = "";
+    for (StoredObject o : objects(q.collection()).tailMap(q.continueToken(), false).values()) {
+      if (!o.key().name().startsWith(q.prefix())) {
+        continue;
+      }
+      if (n == q.limit()) {
+        return new ObjectPage(items.build(), version, last);
+      }
+      items.add(o);
+      last = o.key().name();
+      n++;
+    }
+    return new ObjectPage(items.build(), version, "");
+  }
+
+  StoredObject create(ObjectKey key, String kind, JsonNode spec) {
+    writes++;
+    if (find(key).isPresent()) {
+      throw failure(new ObjectApiFailure.AlreadyExists(), key);
+    }
+    return put(key, kind, spec);
+  }
+
+  StoredObject update(ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+    writes++;
+    checkVersion(key, resourceVersion);
+    return put(key, kind, spec);
+  }
+
+  Void delete(ObjectKey key, long resourceVersion) {
+    writes++;
+    StoredObject o = checkVersion(key, resourceVersion);
+    objects(key.collection()).remove(key.name());
+    version++;
+    record(
+        new Change(
+            version,
+            key.collection(),
+            new WatchEvent.Deleted(new StoredObject(key, o.kind(), version, o.spec()))));
+    return null;
+  }
+
+  void countWatch() {
+    watches++;
+  }
+
+  /** The changes of a collection after a version; empty if they are forgotten. */
+  Optional<List<WatchEvent>> since(String collection, long from) {
+    if (from < forgotten) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        history.stream()
+            .filter(c -> c.version > from && c.collection.equals(collection))
+            .map(c -> c.event)
+            .toList());
+  }
+
+  long version() {
+    return version;
+  }
+
+  void observe(Runnable observer) {
+    observers.add(observer);
+  }
+
+  private Optional<StoredObject> find(ObjectKey key) {
+    return Optional.ofNullable(objects(key.collection()).get(key.name()));
+  }
+
+  private TreeMap<String, StoredObject> objects(String collection) {
+    return collections.computeIfAbsent(collection, c -> new TreeMap<>());
+  }
+
+  private StoredObject checkVersion(ObjectKey key, long resourceVersion) {
+    StoredObject o = find(key).orElseThrow(() -> failure(new ObjectApiFailure.NotFound(), key));
+    if (o.resourceVersion() != resourceVersion) {
+      throw failure(new ObjectApiFailure.Conflict(), key);
+    }
+    return o;
+  }
+
+  private StoredObject put(ObjectKey key, String kind, JsonNode spec) {
+    if (spec.toString().length() > ObjectApi.MAX_OBJECT_BYTES) {
+      throw failure(new ObjectApiFailure.TooLarge(), key);
+    }
+    version++;
+    StoredObject o = new StoredObject(key, kind, version, spec.deepCopy());
+    objects(key.collection()).put(key.name(), o);
+    record(new Change(version, key.collection(), new WatchEvent.Changed(o)));
+    return o;
+  }
+
+  private void record(Change c) {
+    history.add(c);
+    List.copyOf(observers).forEach(Runnable::run);
+  }
+
+  static ObjectApiException failure(ObjectApiFailure f, ObjectKey key) {
+    return new ObjectApiException(f, key.toString());
+  }
+
+  private record Change(long version, String collection, WatchEvent event) {}
+}
--- /dev/null
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/ScriptedServer.java
@@ -0,0 +1,118 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** Answers each request with the next line of a script, byte by byte as told. */
+final class ScriptedServer implements AutoCloseable {
+  /** Closes the connection without an answer. */
+  static final String HANG_UP = "hang up";
+
+  /** Never answers. */
+  static final String SILENCE = "silence";
+
+  private final ServerSocket socket;
+  private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+
+  ScriptedServer() throws IOException {
+    socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  URI uri() {
+    return URI.create("http://127.0.0.1:" + socket.getLocalPort());
+  }
+
+  ScriptedServer then(String... answers) {
+    script.addAll(List.of(answers));
+    return this;
+  }
+
+  static String answer(int status, String headers, String body) {
+    return "HTTP/1.1 "
+        + status
+        + " X\r\n"
+        + headers
+        + "Content-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  String nextRequest() throws InterruptedException {
+    return requests.take();
+  }
+
+  private void accept() {
+    while (!socket.isClosed()) {
+      try {
+        Socket s = socket.accept();
+        Thread.ofVirtual().start(() -> serve(s));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket s) {
+    try (s) {
+      InputStream in = new BufferedInputStream(s.getInputStream());
+      while (true) {
+        requests.add(read(in));
+        String answer = script.take();
+        if (answer.equals(HANG_UP)) {
+          return;
+        }
+        if (!answer.equals(SILENCE)) {
+          s.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+          s.getOutputStream().flush();
+        }
+        if (answer.contains("Cut: yes")) {
+          return;
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      // The client hung up, or the test is over.
+    }
+  }
+
+  private static String read(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (!head.toString().endsWith("\r\n\r\n")) {
+      int b = in.read();
+      if (b < 0) {
+        throw new IOException("end");
+      }
+      head.append((char) b);
+    }
+    int length = 0;
+    for (String line : head.toString().toLowerCase(Locale.ROOT).split("\r\n")) {
+      if (line.startsWith("content-length:")) {
+        length = Integer.parseInt(line.substring(15).trim());
+      }
+    }
+    return head + new String(in.readNBytes(length), StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/CollectionMirror.java
@@ -0,0 +1,166 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.time.Duration;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a copy of a small collection by list and watch.
+ *
+ * <p>Invariant: an object never goes back to an older version. While the store can not be reached
+ * the last copy stays. Confined to the scheduler.
+ *
+ * @since 0.1
+ */
+public final class CollectionMirror implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(CollectionMirror.class);
+  private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(60);
+
+  private final ObjectApi api;
+  private final String collection;
+  private final Scheduler scheduler;
+  private final Backoff backoff;
+  private final Consumer<ImmutableSortedMap<String, StoredObject>> listener;
+  private TreeMap<String, StoredObject> objects = new TreeMap<>();
+  private TreeMap<String, StoredObject> listing;
+  private long version;
+  private Watch watch;
+  private boolean closed;
+
+  /**
+   * Creates a mirror that has not begun.
+   *
+   * @param api the object API
+   * @param collection the collection
+   * @param scheduler the API's scheduler
+   * @param backoff distances of attempts while the store can not be reached
+   * @param listener receives the whole copy after each change
+   */
+  public CollectionMirror(
+      ObjectApi api,
+      String collection,
+      Scheduler scheduler,
+      Backoff backoff,
+      Consumer<ImmutableSortedMap<String, StoredObject>> listener) {
+    this.api = api;
+    this.collection = collection;
+    this.scheduler = scheduler;
+    this.backoff = backoff;
+    this.listener = listener;
+  }
+
+  /** Begins; called once. */
+  public void start() {
+    listing = new TreeMap<>();
+    version = 0;
+    page(ListQuery.of(collection));
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    if (watch != null) {
+      watch.close();
+    }
+  }
+
+  private void page(ListQuery q) {
+    CompletableFuture<ObjectPage> f = api.list(q);
+    f.whenComplete(
+        (page, failure) -> {
+          if (closed) {
+            return;
+          }
+          if (failure != null) {
+            retry(failure);
+          } else {
+            received(q, page);
+          }
+        });
+  }
+
+  private void received(ListQuery q, ObjectPage page) {
+    page.items().forEach(o -> listing.put(o.key().name(), o));
+    if (version == 0) {
+      version = page.resourceVersion();
+    }
+    if (!page.isLast()) {
+      page(q.after(page.continueToken()));
+      return;
+    }
+    backoff.reset();
+    objects = listing;
+    publish();
+    watch();
+  }
+
+  private void watch() {
+    Watch w = api.watch(collection, version, WATCH_TIMEOUT, this::event);
+    watch = w;
+    w.ended().whenComplete((ok, failure) -> ended(failure));
+  }
+
+  private void ended(Throwable failure) {
+    if (closed) {
+      return;
+    }
+    if (failure == null) {
+      watch();
+    } else {
+      retry(failure);
+    }
+  }
+
+  private void event(WatchEvent e) {
+    if (closed) {
+      return;
+    }
+    version = Math.max(version, e.resourceVersion());
+    switch (e) {
+      case WatchEvent.Changed c -> change(c.object());
+      case WatchEvent.Deleted d -> remove(d.object());
+      case WatchEvent.Bookmark b -> {}
+    }
+  }
+
+  private void change(StoredObject o) {
+    StoredObject old = objects.get(o.key().name());
+    if (old == null || old.resourceVersion() < o.resourceVersion()) {
+      objects.put(o.key().name(), o);
+      publish();
+    }
+  }
+
+  private void remove(StoredObject o) {
+    StoredObject old = objects.get(o.key().name());
+    if (old != null && old.resourceVersion() <= o.resourceVersion()) {
+      objects.remove(o.key().name());
+      publish();
+    }
+  }
+
+  private void publish() {
+    listener.accept(ImmutableSortedMap.copyOf(objects));
+  }
+
+  private void retry(Throwable failure) {
+    LOG.debug("event=mirror-failed collection={} cause=\"{}\"", collection, failure.getMessage());
+    scheduler.schedule(backoff.next(), this::restart);
+  }
+
+  private void restart() {
+    if (!closed) {
+      start();
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/HttpObjectApi.java
@@ -0,0 +1,73 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.larkkeel.platform.internal.http.HttpObjectCalls;
+import org.xnio.XnioWorker;
+
+/**
+ * The object API over HTTP. Owns its connections; the worker and the scheduler belong to the
+ * caller. Safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class HttpObjectApi implements ObjectApi, AutoCloseable {
+  private final HttpObjectCalls calls;
+
+  /**
+   * Creates a client; nothing is connected before the first call.
+   *
+   * @param options where the service is, and limits
+   * @param worker runs the I/O
+   * @param scheduler completes the futures
+   */
+  public HttpObjectApi(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
+    this.calls = new HttpObjectCalls(options, worker, scheduler);
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> get(ObjectKey key) {
+    return calls.get(key);
+  }
+
+  @Override
+  public CompletableFuture<ObjectPage> list(ListQuery query) {
+    return calls.list(query);
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec) {
+    return calls.create(key, kind, spec);
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> update(
+      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+    return calls.update(key, kind, spec, resourceVersion);
+  }
+
+  @Override
+  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+    return calls.delete(key, resourceVersion);
+  }
+
+  @Override
+  public Watch watch(
+      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+    return calls.watch(collection, resourceVersion, timeout, listener);
+  }
+
+  /** Closes the idle connections; calls in progress end with their own answers. */
+  @Override
+  public void close() {
+    calls.close();
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/StoredObject.java
@@ -0,0 +1,22 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * One object as the platform keeps it.
+ *
+ * <p>Immutable by agreement: nobody changes {@code spec} after construction.
+ *
+ * @param key collection and name, never null
+ * @param kind the kind of object, never null
+ * @param resourceVersion the version of its last change, which grows over the whole store
+ * @param spec the content, never null
+ * @since 0.1
+ */
+public record StoredObject(ObjectKey key, String kind, long resourceVersion, JsonNode spec) {}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/Connector.java
@@ -0,0 +1,73 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.internal.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import org.larkkeel.platform.HttpClientOptions;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.xnio.OptionMap;
+import org.xnio.XnioWorker;
+
+/** Opens connections to one service. Safe for use by several threads. */
+final class Connector {
+  private static final int BUFFER_BYTES = 16 << 10;
+
+  private final HttpClientOptions options;
+  private final XnioWorker worker;
+  private final Scheduler scheduler;
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 0);
+
+  Connector(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
+    this.options = options;
+    this.worker = worker;
+    this.scheduler = scheduler;
+  }
+
+  /** Opens a connection; the future completes on the scheduler. */
+  CompletableFuture<ClientConnection> connect() {
+    CompletableFuture<ClientConnection> f = new CompletableFuture<>();
+    UndertowClient.getInstance()
+        .connect(
+            new ClientCallback<>() {
+              @Override
+              public void completed(ClientConnection c) {
+                scheduler.execute(() -> f.complete(c));
+              }
+
+              @Override
+              public void failed(IOException e) {
+                scheduler.execute(() -> f.completeExceptionally(notSent(e)));
+              }
+            },
+            null,
+            options.base(),
+            worker,
+            options.ssl().orElse(null),
+            buffers,
+            OptionMap.EMPTY);
+    return f;
+  }
+
+  HttpClientOptions options() {
+    return options;
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  private static HttpCallException notSent(IOException e) {
+    return new HttpCallException(Sent.NO, "connect: " + e.getMessage());
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/Failures.java
@@ -0,0 +1,83 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.internal.http;
+
+import io.undertow.util.StatusCodes;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.larkkeel.platform.ObjectApiException;
+import org.larkkeel.platform.ObjectApiFailure;
+import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+
+/** Maps answers and broken calls to failures. Stateless. */
+final class Failures {
+  private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
+  private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(60);
+  private static final int MAX_DETAIL_CHARS = 300;
+
+  private Failures() {}
+
+  static ObjectApiException of(Effect effect, String call, HttpReply reply) {
+    String body = new String(reply.body(), StandardCharsets.UTF_8);
+    String detail = call + ": " + reply.status() + " " + shorten(body);
+    return new ObjectApiException(failure(effect, reply, body), detail);
+  }
+
+  static ObjectApiException of(Effect effect, String call, Throwable broken) {
+    boolean sent = !(broken instanceof HttpCallException e) || e.sent() == Sent.MAYBE;
+    ObjectApiFailure f = sent ? lost(effect) : new ObjectApiFailure.Unavailable();
+    return new ObjectApiException(f, call + ": " + broken.getMessage());
+  }
+
+  private static ObjectApiFailure failure(Effect effect, HttpReply reply, String body) {
+    return switch (reply.status()) {
+      case StatusCodes.NOT_FOUND -> new ObjectApiFailure.NotFound();
+      case StatusCodes.CONFLICT ->
+          body.contains("\"AlreadyExists\"")
+              ? new ObjectApiFailure.AlreadyExists()
+              : new ObjectApiFailure.Conflict();
+      case StatusCodes.GONE -> new ObjectApiFailure.Expired();
+      case StatusCodes.REQUEST_ENTITY_TOO_LARGE -> new ObjectApiFailure.TooLarge();
+      case StatusCodes.TOO_MANY_REQUESTS ->
+          new ObjectApiFailure.Throttled(retryAfter(reply.retryAfter()));
+      case StatusCodes.SERVICE_UNAVAILABLE -> new ObjectApiFailure.Unavailable();
+      default ->
+          reply.status() >= StatusCodes.INTERNAL_SERVER_ERROR
+              ? lost(effect)
+              : new ObjectApiFailure.Refused(reply.status());
+    };
+  }
+
+  private static ObjectApiFailure lost(Effect effect) {
+    return switch (effect) {
+      case READ -> new ObjectApiFailure.Unavailable();
+      case WRITE -> new ObjectApiFailure.OutcomeUnknown();
+    };
+  }
+
+  private static Duration retryAfter(Optional<String> value) {
+    try {
+      Duration d = value.map(Long::parseLong).map(Duration::ofSeconds).orElse(DEFAULT_RETRY_AFTER);
+      return d.compareTo(LONGEST_RETRY_AFTER) > 0 ? LONGEST_RETRY_AFTER : d;
+    } catch (NumberFormatException e) {
+      return DEFAULT_RETRY_AFTER;
+    }
+  }
+
+  private static String shorten(String s) {
+    return s.length() <= MAX_DETAIL_CHARS ? s : s.substring(0, MAX_DETAIL_CHARS);
+  }
+
+  /** Whether a call may change anything. */
+  enum Effect {
+    /** It changes nothing. */
+    READ,
+    /** It may change an object. */
+    WRITE
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpCaller.java
@@ -0,0 +1,166 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.internal.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StringWriteChannelListener;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.larkkeel.platform.HttpClientOptions;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.xnio.IoUtils;
+import org.xnio.XnioWorker;
+
+/**
+ * Calls one HTTP service over a pool of connections. Safe for use by several threads; futures
+ * complete on the scheduler, with {@link HttpCallException} where there is no whole answer.
+ */
+final class HttpCaller implements AutoCloseable {
+  private final Connector connector;
+  private final ConnectionPool pool;
+  private final Scheduler scheduler;
+  private final HttpClientOptions options;
+
+  HttpCaller(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
+    this.options = options;
+    this.scheduler = scheduler;
+    this.connector = new Connector(options, worker, scheduler);
+    this.pool = new ConnectionPool(connector);
+  }
+
+  CompletableFuture<HttpReply> call(HttpRequestData request) {
+    Call c = new Call(request);
+    scheduler.execute(c::start);
+    return c.result;
+  }
+
+  /** The connector, for calls that keep a connection to themselves. */
+  Connector connector() {
+    return connector;
+  }
+
+  @Override
+  public void close() {
+    scheduler.execute(pool::close);
+  }
+
+  /** One call; its fields belong to the scheduler, the body to the I/O thread until the end. */
+  private final class Call implements ResponseReader.Sink {
+    final CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    private final HttpRequestData request;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private CompletableFuture<ClientConnection> acquiring;
+    private ClientConnection connection;
+    private Scheduler.Timer timer;
+    private int status;
+    private Optional<String> retryAfter = Optional.empty();
+
+    Call(HttpRequestData request) {
+      this.request = request;
+    }
+
+    void start() {
+      timer = scheduler.schedule(options.timeout(), this::timedOut);
+      acquiring = pool.acquire();
+      acquiring.whenComplete(this::acquired);
+    }
+
+    private void acquired(ClientConnection c, Throwable failure) {
+      if (failure != null) {
+        finish(null, failure);
+        return;
+      }
+      connection = c;
+      ClientCallback<ClientExchange> sent =
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange x) {
+              x.setResponseListener(Call.this.responseListener());
+              if (!request.body().isEmpty()) {
+                new StringWriteChannelListener(request.body(), StandardCharsets.UTF_8)
+                    .setup(x.getRequestChannel());
+              }
+            }
+
+            @Override
+            public void failed(IOException e) {
+              Call.this.failed(e);
+            }
+          };
+      c.sendRequest(request.toClientRequest(options), sent);
+    }
+
+    private ClientCallback<ClientExchange> responseListener() {
+      return new ClientCallback<>() {
+        @Override
+        public void completed(ClientExchange x) {
+          status = x.getResponse().getResponseCode();
+          retryAfter =
+              Optional.ofNullable(
+                  x.getResponse().getResponseHeaders().getFirst(Headers.RETRY_AFTER));
+          new ResponseReader(Call.this).start(x.getResponseChannel());
+        }
+
+        @Override
+        public void failed(IOException e) {
+          Call.this.failed(e);
+        }
+      };
+    }
+
+    @Override
+    public void bytes(ByteBuffer part) throws IOException {
+      if (body.size() + part.remaining() > options.maxBodyBytes()) {
+        throw new IOException("the answer is larger than " + options.maxBodyBytes() + " bytes");
+      }
+      body.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
+    }
+
+    @Override
+    public void end() {
+      scheduler.execute(() -> finish(new HttpReply(status, retryAfter, body.toByteArray()), null));
+    }
+
+    @Override
+    public void failed(IOException e) {
+      HttpCallException f = new HttpCallException(Sent.MAYBE, String.valueOf(e.getMessage()));
+      scheduler.execute(() -> finish(null, f));
+    }
+
+    private void timedOut() {
+      Sent sent = connection == null ? Sent.NO : Sent.MAYBE;
+      acquiring.cancel(false);
+      finish(null, new HttpCallException(sent, "no answer within " + options.timeout()));
+    }
+
+    private void finish(HttpReply reply, Throwable failure) {
+      if (result.isDone()) {
+        return;
+      }
+      timer.cancel();
+      if (connection != null) {
+        if (failure != null) {
+          IoUtils.safeClose(connection);
+        }
+        pool.release(connection, failure == null);
+      }
+      if (failure != null) {
+        result.completeExceptionally(failure);
+      } else {
+        result.complete(reply);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpLineStream.java
@@ -0,0 +1,157 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.internal.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.util.StatusCodes;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.xnio.IoUtils;
+
+/**
+ * A call whose answer comes a line at a time, on a connection of its own. Lines are delivered on
+ * the scheduler; none after {@link #close()}.
+ */
+final class HttpLineStream implements ResponseReader.Sink {
+  private static final int MAX_LINE_BYTES = 2 << 20;
+
+  private final Connector connector;
+  private final Scheduler scheduler;
+  private final HttpRequestData request;
+  private final Consumer<byte[]> listener;
+  private final CompletableFuture<HttpReply> ended = new CompletableFuture<>();
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private volatile int status;
+  private ClientConnection connection;
+  private Scheduler.Timer timer;
+
+  HttpLineStream(Connector connector, HttpRequestData request, Consumer<byte[]> listener) {
+    this.connector = connector;
+    this.scheduler = connector.scheduler();
+    this.request = request;
+    this.listener = listener;
+  }
+
+  /**
+   * Opens the stream.
+   *
+   * @param longest ends the stream by force after this time
+   * @return completes at the end; of a refusal, the reply holds status and body
+   */
+  CompletableFuture<HttpReply> start(Duration longest) {
+    scheduler.execute(
+        () -> {
+          timer = scheduler.schedule(longest, () -> fail(Sent.MAYBE, "no end within " + longest));
+          connector.connect().whenComplete(this::connected);
+        });
+    return ended;
+  }
+
+  void close() {
+    scheduler.execute(() -> finish(new HttpReply(StatusCodes.OK, Optional.empty(), new byte[0])));
+  }
+
+  private void connected(ClientConnection c, Throwable failure) {
+    if (failure != null) {
+      fail(Sent.NO, failure.getMessage());
+      return;
+    }
+    if (ended.isDone()) {
+      IoUtils.safeClose(c);
+      return;
+    }
+    connection = c;
+    c.sendRequest(request.toClientRequest(connector.options()), new Sending());
+  }
+
+  @Override
+  public void bytes(ByteBuffer part) throws IOException {
+    while (part.hasRemaining()) {
+      byte b = part.get();
+      if (b == '\n' && status == StatusCodes.OK) {
+        byte[] whole = line.toByteArray();
+        line.reset();
+        scheduler.execute(() -> deliver(whole));
+      } else {
+        line.write(b);
+      }
+    }
+    if (line.size() > MAX_LINE_BYTES) {
+      throw new IOException("a line is longer than " + MAX_LINE_BYTES + " bytes");
+    }
+  }
+
+  @Override
+  public void end() {
+    HttpReply reply = new HttpReply(status, Optional.empty(), line.toByteArray());
+    scheduler.execute(() -> finish(reply));
+  }
+
+  @Override
+  public void failed(IOException e) {
+    scheduler.execute(() -> fail(Sent.MAYBE, String.valueOf(e.getMessage())));
+  }
+
+  private void deliver(byte[] whole) {
+    if (!ended.isDone() && whole.length > 0) {
+      listener.accept(whole);
+    }
+  }
+
+  private void finish(HttpReply reply) {
+    release();
+    ended.complete(reply);
+  }
+
+  private void fail(Sent sent, String detail) {
+    release();
+    ended.completeExceptionally(new HttpCallException(sent, detail));
+  }
+
+  private void release() {
+    if (timer != null) {
+      timer.cancel();
+    }
+    IoUtils.safeClose(connection);
+  }
+
+  /** Passes the response on to the reader. */
+  private final class Sending implements ClientCallback<ClientExchange> {
+    @Override
+    public void completed(ClientExchange x) {
+      x.setResponseListener(new Receiving());
+    }
+
+    @Override
+    public void failed(IOException e) {
+      HttpLineStream.this.failed(e);
+    }
+  }
+
+  /** Begins to read the response. */
+  private final class Receiving implements ClientCallback<ClientExchange> {
+    @Override
+    public void completed(ClientExchange x) {
+      status = x.getResponse().getResponseCode();
+      new ResponseReader(HttpLineStream.this).start(x.getResponseChannel());
+    }
+
+    @Override
+    public void failed(IOException e) {
+      HttpLineStream.this.failed(e);
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpObjectCalls.java
@@ -0,0 +1,196 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.internal.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.larkkeel.platform.HttpClientOptions;
+import org.larkkeel.platform.ListQuery;
+import org.larkkeel.platform.ObjectApiException;
+import org.larkkeel.platform.ObjectKey;
+import org.larkkeel.platform.ObjectPage;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.StoredObject;
+import org.larkkeel.platform.Watch;
+import org.larkkeel.platform.WatchEvent;
+import org.larkkeel.platform.internal.http.Failures.Effect;
+import org.xnio.XnioWorker;
+
+/** The calls of the object API, one method each. Safe for use by several threads. */
+public final class HttpObjectCalls implements AutoCloseable {
+  private static final String BASE = "/apis/larkkeel.org/v1/";
+  private static final Duration WATCH_GRACE = Duration.ofSeconds(5);
+
+  private final HttpCaller caller;
+
+  /**
+   * Creates the calls.
+   *
+   * @param options where the service is, and limits
+   * @param worker runs the I/O
+   * @param scheduler completes the futures
+   */
+  public HttpObjectCalls(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
+    this.caller = new HttpCaller(options, worker, scheduler);
+  }
+
+  /** See {@link org.larkkeel.platform.ObjectApi#get}. */
+  public CompletableFuture<StoredObject> get(ObjectKey key) {
+    return call(Effect.READ, Methods.GET, path(key), "", object(key));
+  }
+
+  /** See {@link org.larkkeel.platform.ObjectApi#list}. */
+  public CompletableFuture<ObjectPage> list(ListQuery q) {
+    String path =
+        BASE
+            + q.collection()
+            + "?limit="
+            + q.limit()
+            + "&prefix="
+            + escape(q.prefix())
+            + "&continue="
+            + escape(q.continueToken());
+    return call(Effect.READ, Methods.GET, path, "", o -> ObjectCodec.page(q.collection(), o));
+  }
+
+  /** See {@link org.larkkeel.platform.ObjectApi#create}. */
+  public CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec) {
+    String body = ObjectCodec.toText(key, kind, spec, 0);
+    return call(Effect.WRITE, Methods.POST, BASE + key.collection(), body, object(key));
+  }
+
+  /** See {@link org.larkkeel.platform.ObjectApi#update}. */
+  public CompletableFuture<StoredObject> update(
+      ObjectKey key, String kind, JsonNode spec, long version) {
+    String body = ObjectCodec.toText(key, kind, spec, version);
+    return call(Effect.WRITE, Methods.PUT, path(key), body, object(key));
+  }
+
+  /** See {@link org.larkkeel.platform.ObjectApi#delete}. */
+  public CompletableFuture<Void> delete(ObjectKey key, long version) {
+    String path = path(key) + "?resourceVersion=" + version;
+    return call(Effect.WRITE, Methods.DELETE, path, "", o -> null);
+  }
+
+  /** See {@link org.larkkeel.platform.ObjectApi#watch}. */
+  public Watch watch(
+      String collection, long version, Duration timeout, Consumer<WatchEvent> listener) {
+    String path =
+        BASE
+            + collection
+            + "?watch=true&resourceVersion="
+            + version
+            + "&timeoutSeconds="
+            + Math.max(1, timeout.toSeconds());
+    HttpWatch w = new HttpWatch(collection, listener);
+    w.start(caller.connector(), new HttpRequestData(Methods.GET, path, ""), timeout);
+    return w;
+  }
+
+  @Override
+  public void close() {
+    caller.close();
+  }
+
+  private <T> CompletableFuture<T> call(
+      Effect effect, HttpString method, String path, String body, Function<JsonNode, T> read) {
+    String name = method + " " + path;
+    return caller
+        .call(new HttpRequestData(method, path, body))
+        .handle(
+            (reply, broken) -> {
+              if (broken != null) {
+                throw new CompletionException(Failures.of(effect, name, broken));
+              }
+              if (reply.status() / 100 != 2) {
+                throw new CompletionException(Failures.of(effect, name, reply));
+              }
+              return read(effect, name, reply, read);
+            });
+  }
+
+  /** Reads a success; a write whose answer can not be read has an unknown outcome. */
+  private static <T> T read(
+      Effect effect, String name, HttpReply reply, Function<JsonNode, T> read) {
+    try {
+      return read.apply(ObjectCodec.parse(reply.body()));
+    } catch (ObjectApiException e) {
+      throw new CompletionException(effect == Effect.READ ? e : Failures.of(effect, name, e));
+    }
+  }
+
+  private static Function<JsonNode, StoredObject> object(ObjectKey key) {
+    return o -> ObjectCodec.object(key.collection(), o);
+  }
+
+  private static String path(ObjectKey key) {
+    return BASE + key.collection() + "/" + key.name();
+  }
+
+  private static String escape(String s) {
+    return URLEncoder.encode(s, StandardCharsets.UTF_8);
+  }
+
+  /** A watch over one line stream. */
+  private static final class HttpWatch implements Watch {
+    private final String collection;
+    private final Consumer<WatchEvent> listener;
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private HttpLineStream stream;
+
+    HttpWatch(String collection, Consumer<WatchEvent> listener) {
+      this.collection = collection;
+      this.listener = listener;
+    }
+
+    void start(Connector connector, HttpRequestData request, Duration timeout) {
+      stream = new HttpLineStream(connector, request, this::line);
+      stream.start(timeout.plus(WATCH_GRACE)).whenComplete(this::end);
+    }
+
+    private void line(byte[] line) {
+      WatchEvent e;
+      try {
+        e = ObjectCodec.event(collection, ObjectCodec.parse(line));
+      } catch (ObjectApiException unreadable) {
+        ended.completeExceptionally(unreadable);
+        stream.close();
+        return;
+      }
+      listener.accept(e);
+    }
+
+    private void end(HttpReply reply, Throwable broken) {
+      String name = "watch " + collection;
+      if (broken != null) {
+        ended.completeExceptionally(Failures.of(Effect.READ, name, broken));
+      } else if (reply.status() / 100 != 2) {
+        ended.completeExceptionally(Failures.of(Effect.READ, name, reply));
+      } else {
+        ended.complete(null);
+      }
+    }
+
+    @Override
+    public CompletableFuture<Void> ended() {
+      return ended;
+    }
+
+    @Override
+    public void close() {
+      stream.close();
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/ObjectCodec.java
@@ -0,0 +1,103 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.internal.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import org.larkkeel.platform.ObjectApiException;
+import org.larkkeel.platform.ObjectApiFailure;
+import org.larkkeel.platform.ObjectKey;
+import org.larkkeel.platform.ObjectPage;
+import org.larkkeel.platform.StoredObject;
+import org.larkkeel.platform.WatchEvent;
+
+/** Objects and events as JSON. Stateless and safe for use by several threads. */
+public final class ObjectCodec {
+  /** The version of all objects. */
+  public static final String API_VERSION = "larkkeel.org/v1";
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ObjectCodec() {}
+
+  /** Writes an object; a version of 0 is left out. */
+  public static ObjectNode toJson(ObjectKey key, String kind, JsonNode spec, long version) {
+    ObjectNode o = JsonNodeFactory.instance.objectNode();
+    o.put("apiVersion", API_VERSION);
+    o.put("kind", kind);
+    ObjectNode metadata = o.putObject("metadata").put("name", key.name());
+    if (version != 0) {
+      metadata.put("resourceVersion", Long.toString(version));
+    }
+    o.set("spec", spec);
+    return o;
+  }
+
+  static String toText(ObjectKey key, String kind, JsonNode spec, long version) {
+    try {
+      return MAPPER.writeValueAsString(toJson(key, kind, spec, version));
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("the spec of " + key + " can not be written", e);
+    }
+  }
+
+  static JsonNode parse(byte[] body) {
+    try {
+      return MAPPER.readTree(body);
+    } catch (IOException e) {
+      throw unreadable(e.getMessage());
+    }
+  }
+
+  static StoredObject object(String collection, JsonNode o) {
+    String name = required(o.path("metadata").path("name"), "metadata.name").asText();
+    long version = version(o.path("metadata"));
+    JsonNode spec = required(o.path("spec"), "spec");
+    return new StoredObject(
+        new ObjectKey(collection, name), o.path("kind").asText(), version, spec);
+  }
+
+  static ObjectPage page(String collection, JsonNode o) {
+    ImmutableList.Builder<StoredObject> items = ImmutableList.builder();
+    required(o.path("items"), "items").forEach(i -> items.add(object(collection, i)));
+    JsonNode metadata = o.path("metadata");
+    return new ObjectPage(items.build(), version(metadata), metadata.path("continue").asText(""));
+  }
+
+  static WatchEvent event(String collection, JsonNode o) {
+    JsonNode object = required(o.path("object"), "object");
+    String type = o.path("type").asText();
+    return switch (type) {
+      case "ADDED", "MODIFIED" -> new WatchEvent.Changed(object(collection, object));
+      case "DELETED" -> new WatchEvent.Deleted(object(collection, object));
+      case "BOOKMARK" -> new WatchEvent.Bookmark(version(object.path("metadata")));
+      default -> throw unreadable("type is \"" + type + "\"");
+    };
+  }
+
+  private static long version(JsonNode metadata) {
+    JsonNode v = required(metadata.path("resourceVersion"), "metadata.resourceVersion");
+    return v.asLong();
+  }
+
+  private static JsonNode required(JsonNode node, String field) {
+    if (node.isMissingNode()) {
+      throw unreadable(field + " is missing");
+    }
+    return node;
+  }
+
+  private static ObjectApiException unreadable(String detail) {
+    return new ObjectApiException(
+        new ObjectApiFailure.Refused(0), "the store's answer can not be read: " + detail);
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP adapters of the ports to the platform, over Undertow's client. */
+package org.larkkeel.platform.internal.http;
