--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogCodec.java
@@ -0,0 +1,39 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import java.util.Locale;
+import org.larkkeel.errors.Slugs;
+
+/** Entries as JSON. Stateless. */
+final class LogCodec {
+  static final String KIND = "LogEntry";
+
+  private static final String CHANGE = "change";
+  private static final String TYPE = "type";
+  private static final String RECORDS = "records";
+
+  private LogCodec() {}
+
+  static JsonNode toSpec(LogEntry e) {
+    ObjectNode o = JsonNodeFactory.instance.objectNode();
+    o.put(CHANGE, e.change().toString());
+    o.put(TYPE, Slugs.of(e.type()));
+    o.putArray(RECORDS).addAll(e.records());
+    return o;
+  }
+
+  static LogEntry read(long number, JsonNode spec) {
+    ChangeId change = ChangeId.parse(spec.path(CHANGE).asText());
+    EntryType type = EntryType.valueOf(spec.path(TYPE).asText().toUpperCase(Locale.ROOT));
+    return new LogEntry(number, change, type, ImmutableList.copyOf(spec.path(RECORDS)));
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogEntry.java
@@ -0,0 +1,46 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+
+/**
+ * One entry of a log. Immutable by agreement: nobody changes the records.
+ *
+ * @param number its place, from 1
+ * @param change names the append, never null
+ * @param type what it holds, never null
+ * @param records the records, empty for a seal, never null
+ * @since 0.1
+ */
+public record LogEntry(
+    long number, ChangeId change, EntryType type, ImmutableList<JsonNode> records) {
+
+  /**
+   * Creates an entry with records.
+   *
+   * @param number its place
+   * @param change names the append
+   * @param records the records
+   * @return the entry
+   */
+  public static LogEntry records(long number, ChangeId change, Iterable<JsonNode> records) {
+    return new LogEntry(number, change, EntryType.RECORDS, ImmutableList.copyOf(records));
+  }
+
+  /**
+   * Creates a seal.
+   *
+   * @param number its place
+   * @param change names the append
+   * @return the entry
+   */
+  public static LogEntry seal(long number, ChangeId change) {
+    return new LogEntry(number, change, EntryType.SEAL, ImmutableList.of());
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogReads.java
@@ -0,0 +1,185 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.log;
+
+import com.google.common.collect.ImmutableList;
+import java.io.ByteArrayOutputStream;
+import java.util.Base64;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.larkkeel.platform.ListQuery;
+import org.larkkeel.platform.ObjectApi;
+import org.larkkeel.platform.ObjectApiException;
+import org.larkkeel.platform.ObjectApiFailure;
+import org.larkkeel.platform.ObjectKey;
+import org.larkkeel.platform.ObjectPage;
+import org.larkkeel.platform.StoredObject;
+
+/** Reads of one log. Confined to the scheduler. */
+final class LogReads {
+  static final String DATA = "data";
+
+  private static final int MAX_RESTARTS = 5;
+
+  private final ObjectApi api;
+  private final LogName name;
+
+  LogReads(ObjectApi api, LogName name) {
+    this.api = api;
+    this.name = name;
+  }
+
+  CompletableFuture<Optional<LogEntry>> entry(long number) {
+    return find(name.entry(number)).thenApply(o -> o.map(x -> LogCodec.read(number, x.spec())));
+  }
+
+  CompletableFuture<Manifest> manifest() {
+    return find(name.manifest())
+        .thenApply(
+            o -> o.map(x -> Manifest.read(x.resourceVersion(), x.spec())).orElse(Manifest.NONE));
+  }
+
+  CompletableFuture<LogView> read(long after) {
+    return read(after, MAX_RESTARTS);
+  }
+
+  private CompletableFuture<LogView> read(long after, int restarts) {
+    return manifest()
+        .thenCompose(m -> read(after, m))
+        .thenCompose(
+            view -> {
+              if (view.isPresent()) {
+                return CompletableFuture.completedFuture(view.get());
+              }
+              return restarts > 0
+                  ? read(after, restarts - 1)
+                  : CompletableFuture.failedFuture(torn());
+            });
+  }
+
+  /** Empty if the snapshot was replaced or entries were truncated under the read. */
+  private CompletableFuture<Optional<LogView>> read(long after, Manifest m) {
+    if (after >= m.truncated() && after > 0 || m.through() == 0) {
+      return entriesAfter(after, Optional.empty());
+    }
+    return content(m)
+        .thenCompose(
+            c -> {
+              if (c.isEmpty()) {
+                return CompletableFuture.completedFuture(Optional.empty());
+              }
+              LogSnapshot s = new LogSnapshot(m.through(), c.get());
+              return entriesAfter(s.through(), Optional.of(s));
+            });
+  }
+
+  private CompletableFuture<Optional<LogView>> entriesAfter(
+      long base, Optional<LogSnapshot> snapshot) {
+    Gathered g = new Gathered(base);
+    return pages(g, ListQuery.of(name.value()).withPrefix(name.entryPrefix()))
+        .thenApply(
+            done ->
+                g.torn
+                    ? Optional.empty()
+                    : Optional.of(new LogView(snapshot, g.entries.build(), g.last, g.version)));
+  }
+
+  private CompletableFuture<Void> pages(Gathered g, ListQuery q) {
+    ListQuery bounded =
+        new ListQuery(q.collection(), q.prefix(), LogOptions.PAGE_ENTRIES, q.continueToken());
+    return api.list(bounded)
+        .thenCompose(
+            page -> {
+              gather(g, page);
+              return page.isLast()
+                  ? CompletableFuture.completedFuture(null)
+                  : pages(g, q.after(page.continueToken()));
+            });
+  }
+
+  private void gather(Gathered g, ObjectPage page) {
+    if (g.version == 0) {
+      g.version = page.resourceVersion();
+    }
+    for (StoredObject o : page.items()) {
+      OptionalLong n = name.numberOf(o.key());
+      if (n.isPresent()) {
+        g.add(n.getAsLong(), o);
+      }
+    }
+  }
+
+  private CompletableFuture<Optional<byte[]>> content(Manifest m) {
+    return chunks(m.chunks(), 0, new ByteArrayOutputStream());
+  }
+
+  private CompletableFuture<Optional<byte[]>> chunks(
+      ImmutableList<String> names, int i, ByteArrayOutputStream out) {
+    if (i == names.size()) {
+      return CompletableFuture.completedFuture(Optional.of(out.toByteArray()));
+    }
+    return find(new ObjectKey(name.snapshotCollection(), names.get(i)))
+        .thenCompose(
+            o -> {
+              if (o.isEmpty()) {
+                return CompletableFuture.completedFuture(Optional.empty());
+              }
+              byte[] part = Base64.getDecoder().decode(o.get().spec().path(DATA).asText());
+              out.write(part, 0, part.length);
+              return chunks(names, i + 1, out);
+            });
+  }
+
+  private CompletableFuture<Optional<StoredObject>> find(ObjectKey key) {
+    return api.get(key)
+        .handle(
+            (o, failure) -> {
+              if (failure == null) {
+                return Optional.of(o);
+              }
+              if (isNotFound(failure)) {
+                return Optional.empty();
+              }
+              throw new CompletionException(failure);
+            });
+  }
+
+  static boolean isNotFound(Throwable failure) {
+    return ObjectApiException.failureOf(failure).orElse(null) instanceof ObjectApiFailure.NotFound;
+  }
+
+  private ObjectApiException torn() {
+    return new ObjectApiException(
+        new ObjectApiFailure.Unavailable(), "log " + name + " changed under each of several reads");
+  }
+
+  /** The entries of a read so far. */
+  private static final class Gathered {
+    final ImmutableList.Builder<LogEntry> entries = ImmutableList.builder();
+    long last;
+    long version;
+    boolean torn;
+
+    Gathered(long base) {
+      this.last = base;
+    }
+
+    void add(long n, StoredObject o) {
+      if (n <= last) {
+        return;
+      }
+      if (n != last + 1) {
+        torn = true;
+        return;
+      }
+      last = n;
+      entries.add(LogCodec.read(n, o.spec()));
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/Manifest.java
@@ -0,0 +1,48 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+
+/**
+ * Names the current snapshot of a log.
+ *
+ * <p>Invariant: {@code truncated <= through}; neither ever decreases. It is swapped before any
+ * entry is deleted. Immutable.
+ *
+ * @param version the object's version, 0 if there is none yet
+ * @param through the last entry that the snapshot covers, 0 for none
+ * @param truncated entries up to this one may be gone
+ * @param chunks the names of the objects that hold the snapshot, in order, never null
+ */
+record Manifest(long version, long through, long truncated, ImmutableList<String> chunks) {
+  static final String KIND = "LogManifest";
+  static final Manifest NONE = new Manifest(0, 0, 0, ImmutableList.of());
+
+  private static final String THROUGH = "through";
+  private static final String TRUNCATED = "truncated";
+  private static final String CHUNKS = "chunks";
+
+  static Manifest read(long version, JsonNode spec) {
+    ImmutableList.Builder<String> chunks = ImmutableList.builder();
+    spec.path(CHUNKS).forEach(c -> chunks.add(c.asText()));
+    return new Manifest(
+        version, spec.path(THROUGH).asLong(), spec.path(TRUNCATED).asLong(), chunks.build());
+  }
+
+  JsonNode toSpec() {
+    ObjectNode o = JsonNodeFactory.instance.objectNode();
+    o.put(THROUGH, through).put(TRUNCATED, truncated);
+    ArrayNode names = o.putArray(CHUNKS);
+    chunks.forEach(names::add);
+    return o;
+  }
+}
