Speak HTTP to callers and upstreams

The node had no way to take requests or to reach engines and services. Adds the listener towards callers (completions, chat, routed calls, problem bodies, departure watch), the table of requests in progress, the execution of effects on them, and a pooled upstream client which says how far a failed request got. Error kinds gain request-timeout (408) for half-sent requests.

--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP side over loopback, with scripted peers. */
+package org.larkkeel.http;
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
@@ -0,0 +1,303 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.larkkeel.effect.Effect;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.event.CancelOutcome;
+import org.larkkeel.event.Event;
+import org.larkkeel.event.Exposure;
+import org.larkkeel.event.FailureCause;
+import org.larkkeel.http.Json;
+import org.larkkeel.http.Node;
+import org.larkkeel.http.RawCaller;
+import org.larkkeel.http.ScriptedServer;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamName;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Effects on requests, from the caller's socket to the engine's. */
+public class EffectExecutorTest {
+  private static final String STREAMED =
+      "{\"model\":\"m\",\"prompt\":\"abcdefgh\",\"max_tokens\":3,\"stream\":true,\"seed\":5}";
+  private static final String WHOLE = "{\"model\":\"m\",\"prompt\":\"abcdefgh\",\"max_tokens\":3}";
+  private static final AttemptId PREFILL = new AttemptId(1);
+  private static final AttemptId FIRST = new AttemptId(2);
+  private static final AttemptId SECOND = new AttemptId(3);
+
+  /** A node that is started anew for each test. */
+  public abstract static class WithNode {
+    /** The node. */
+    protected Node node;
+
+    /** Starts the node. */
+    @BeforeMethod
+    public void start() {
+      node = new Node();
+    }
+
+    /** Stops the node. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+      node.close();
+    }
+
+    UpstreamName engine(String name, ScriptedServer server) {
+      return node.upstream(name, server.address());
+    }
+  }
+
+  /** The whole way of a completion. */
+  public static class Completions extends WithNode {
+    /** Prefill, transfer and decode carry what the protocol asks for. */
+    @Test
+    public void streamsThroughBothPools() throws Exception {
+      try (ScriptedServer prefill =
+              new ScriptedServer(
+                  (q, a) ->
+                      a.whole(
+                          200,
+                          "{\"id\":\"x\",\"usage\":{\"prompt_tokens\":2,"
+                              + "\"prompt_tokens_details\":{\"cached_tokens\":1}},"
+                              + "\"kv_transfer_params\":{\"remote_engine_id\":\"e1\","
+                              + "\"kv_bytes\":99}}"));
+          ScriptedServer decode =
+              new ScriptedServer(
+                  (q, a) -> {
+                    if (q.target().equals("/v1/kv/imports")) {
+                      a.whole(200, "{\"request_id\":\"n1/7/2\",\"kv_bytes\":99}");
+                    } else {
+                      a.startEvents().token(0, "a").token(1, "b").token(2, "c").done();
+                    }
+                  });
+          RawCaller caller = node.call()) {
+        caller.send("POST", "/v1/completions", "X-Request-Id: mine\r\n", STREAMED);
+        RequestId id = node.arrival();
+        UpstreamName from = engine("p", prefill);
+
+        node.prefill(PREFILL, id, from);
+        Event.PrefillDone prefilled = node.await(Event.PrefillDone.class);
+        assertEquals(prefilled.kvBytes(), 99);
+        assertEquals(prefilled.cachedTokens(), 1);
+        ScriptedServer.Request sent = prefill.next();
+        assertEquals(sent.header("x-request-id"), "n1/7/1");
+        JsonNode body = Json.parse(sent.body().getBytes(StandardCharsets.UTF_8));
+        assertEquals(body.path("priority").asInt(), 3);
+        assertEquals(body.path("seed").asInt(), 5, "fields of the caller are passed on");
+        assertTrue(body.path("kv_transfer_params").path("do_remote_decode").asBoolean());
+
+        UpstreamName to = engine("d", decode);
+        node.transfer(FIRST, id, PREFILL, from, to);
+        node.await(Event.TransferDone.class);
+        assertTrue(decode.next().body().contains("\"remote_engine_id\":\"e1\""));
+
+        node.decode(FIRST, id, to, 0);
+        node.await(Event.FirstToken.class);
+        assertEquals(node.await(Event.DecodeDone.class).tokens(), 3);
+        assertEquals(decode.next().header("x-request-id"), "n1/7/2");
+
+        node.execute(new Effect.Complete(id, FIRST));
+        RawCaller.Answer answer = caller.answer();
+        assertEquals(answer.status(), 200);
+        assertEquals(answer.header("x-request-id"), "mine");
+        assertEquals(Answers.texts(answer.body()), "abc");
+        assertTrue(answer.body().endsWith("data: [DONE]\n\n"));
+      }
+    }
+
+    /** A stream that breaks goes on elsewhere without a doubled or a lost token. */
+    @Test
+    public void resumesWithoutDoubledOrLostToken() throws Exception {
+      try (ScriptedServer dies =
+              new ScriptedServer(
+                  (q, a) -> a.startEvents().token(0, "a").token(1, "b").socket().close());
+          ScriptedServer lives =
+              new ScriptedServer((q, a) -> a.startEvents().token(1, "b").token(2, "c").done());
+          RawCaller caller = node.call()) {
+        caller.send("POST", "/v1/chat/completions", "", Answers.chat(true));
+        RequestId id = node.arrival();
+        node.decode(FIRST, id, engine("d1", dies), 0);
+        node.await(Event.FirstToken.class);
+        Event.AttemptFailed failed = node.await(Event.AttemptFailed.class);
+        assertEquals(failed.cause(), FailureCause.CONNECTION_LOST);
+        assertEquals(failed.exposure(), Exposure.MAY_HAVE_RUN);
+        assertEquals(failed.tokens(), 2);
+
+        node.decode(SECOND, id, engine("d2", lives), 2);
+        node.await(Event.FirstToken.class);
+        assertEquals(node.await(Event.DecodeDone.class).tokens(), 3);
+        node.execute(new Effect.Complete(id, SECOND));
+        assertEquals(Answers.texts(caller.answer().body()), "abc");
+      }
+    }
+
+    /** Tokens that an earlier attempt brings late are dropped. */
+    @Test
+    public void ignoresLateTokensOfStaleAttempt() throws Exception {
+      CountDownLatch late = new CountDownLatch(1);
+      try (ScriptedServer slow =
+              new ScriptedServer(
+                  (q, a) -> {
+                    a.startEvents().token(0, "a");
+                    late.await();
+                    a.token(1, "X").token(2, "Y").done();
+                  });
+          ScriptedServer quick =
+              new ScriptedServer((q, a) -> a.startEvents().token(1, "b").token(2, "c").done());
+          RawCaller caller = node.call()) {
+        caller.send("POST", "/v1/completions", "", WHOLE);
+        RequestId id = node.arrival();
+        node.decode(FIRST, id, engine("d1", slow), 0);
+        node.await(Event.FirstToken.class);
+        node.decode(SECOND, id, engine("d2", quick), 1);
+        late.countDown();
+        for (int i = 0; i < 3; i++) {
+          node.await(Event.OfAttempt.class);
+        }
+        node.execute(new Effect.Complete(id, SECOND));
+        assertEquals(Answers.texts(caller.answer().body()), "abc");
+      }
+    }
+
+    /** A token that skips an index is a bad answer, never a hole in the caller's text. */
+    @Test
+    public void refusesGap() throws Exception {
+      try (ScriptedServer gap =
+              new ScriptedServer((q, a) -> a.startEvents().token(0, "a").token(2, "c").done());
+          RawCaller caller = node.call()) {
+        caller.send("POST", "/v1/completions", "", STREAMED);
+        RequestId id = node.arrival();
+        node.decode(FIRST, id, engine("d", gap), 0);
+        node.await(Event.FirstToken.class);
+        assertEquals(node.await(Event.AttemptFailed.class).cause(), FailureCause.BAD_ANSWER);
+        node.execute(new Effect.Refuse(id, ErrorKind.UPSTREAM_FAILED, 0, "It failed."));
+        String body = caller.answer().body();
+        assertEquals(Answers.texts(body), "a");
+        assertTrue(body.contains("event: error\ndata: {\"type\":"), body);
+        assertTrue(body.contains("\"execution\":\"may-have-run\""), body);
+        assertFalse(body.contains("[DONE]"), body);
+      }
+    }
+
+    /** A cancelled attempt ends once, and the cancel goes to the engine. */
+    @Test
+    public void cancels() throws Exception {
+      CountDownLatch never = new CountDownLatch(1);
+      try (ScriptedServer engine =
+              new ScriptedServer(
+                  (q, a) -> {
+                    if (q.method().equals("DELETE")) {
+                      a.whole(200, "{\"state\":\"cancelled\"}");
+                    } else {
+                      never.await();
+                    }
+                  });
+          RawCaller caller = node.call()) {
+        caller.send("POST", "/v1/completions", "", WHOLE);
+        RequestId id = node.arrival();
+        UpstreamName at = engine("p", engine);
+        node.prefill(PREFILL, id, at);
+        engine.next();
+        node.execute(new Effect.Cancel(PREFILL, id, at));
+        Event.AttemptFailed failed = node.await(Event.AttemptFailed.class);
+        assertEquals(failed.exposure(), Exposure.MAY_HAVE_RUN);
+        assertEquals(node.await(Event.CancelSettled.class).outcome(), CancelOutcome.ACKNOWLEDGED);
+        assertEquals(engine.next().target(), "/v1/requests/n1%2F7%2F1");
+        assertEquals(node.waitingEvents(), 0);
+      }
+      never.countDown();
+      assertTrue(never.await(0, TimeUnit.SECONDS));
+    }
+  }
+
+  /** Plain calls. */
+  public static class PlainCalls extends WithNode {
+    /** Method, path, query, headers and body go through, the token does not. */
+    @Test
+    public void passesCallThrough() throws Exception {
+      try (ScriptedServer service =
+              new ScriptedServer(
+                  (q, a) ->
+                      a.raw("HTTP/1.1 201 Created\r\nX-Kind: k\r\nContent-Length: 2\r\n\r\nok"));
+          RawCaller caller = node.call()) {
+        caller.send(
+            "POST", "/orders/1?x=%20y", "Authorization: Bearer s3cret\r\nX-A: b\r\n", "body");
+        Event.RequestArrived arrived = node.await(Event.RequestArrived.class);
+        assertEquals(arrived.call().workspace().value(), "closed");
+        RequestId id = arrived.call().id();
+        node.plain(FIRST, id, engine("s", service));
+        node.await(Event.PlainDone.class);
+        ScriptedServer.Request sent = service.next();
+        assertEquals(sent.method(), "POST");
+        assertEquals(sent.target(), "/orders/1?x=%20y");
+        assertEquals(sent.body(), "body");
+        assertEquals(sent.header("x-a"), "b");
+        assertEquals(sent.header("authorization"), null);
+        assertEquals(sent.header("x-request-id"), "n1/7/2");
+
+        RecordedAnswer kept = node.table.answer(id, FIRST).orElseThrow();
+        assertEquals(RecordedAnswer.fromBytes(kept.toBytes()).body(), kept.body());
+        node.execute(new Effect.Complete(id, FIRST));
+        RawCaller.Answer answer = caller.answer();
+        assertEquals(answer.status(), 201);
+        assertEquals(answer.header("x-kind"), "k");
+        assertEquals(answer.body(), "ok");
+        assertEquals(node.table.size(), 0);
+      }
+    }
+
+    /** A recorded answer is given again. */
+    @Test
+    public void replays() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("POST", "/orders", "Idempotency-Key: k1\r\n", "x");
+        RequestId id = node.arrival();
+        byte[] body = "again".getBytes(StandardCharsets.UTF_8);
+        node.table.keepRecorded(id, new RecordedAnswer(200, ImmutableList.of(), body));
+        node.execute(new Effect.Replay(id, FIRST));
+        assertEquals(caller.answer().body(), "again");
+      }
+    }
+  }
+
+  /** Small readers of answers. */
+  private static final class Answers {
+    private Answers() {}
+
+    static String chat(boolean stream) {
+      return "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}],\"stream\":"
+          + stream
+          + "}";
+    }
+
+    /** The texts of all events or of the one body, joined. */
+    static String texts(String body) throws Exception {
+      StringBuilder all = new StringBuilder();
+      for (String line : body.split("\n")) {
+        String json = line.startsWith("data: ") ? line.substring("data: ".length()) : line;
+        if (json.startsWith("{")) {
+          JsonNode choice = Json.parse(json.getBytes(StandardCharsets.UTF_8)).path("choices");
+          all.append(choice.path(0).path("text").asText());
+          all.append(choice.path(0).path("delta").path("content").asText());
+        }
+      }
+      return all.toString();
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of requests in progress. */
+package org.larkkeel.http.request;
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/ParsedHead.java
@@ -0,0 +1,94 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.caller;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.larkkeel.call.RunKey;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.LarkkeelException;
+import org.larkkeel.http.HeaderNames;
+import org.larkkeel.lib.IdempotencyKey;
+
+/**
+ * The parts of a request that both kinds of calls share.
+ *
+ * @param target the path and query as sent
+ * @param runKey the key under which the request runs at most once
+ * @param deadlineMillis the caller's own deadline, 0 for none
+ */
+record ParsedHead(String target, Optional<RunKey> runKey, long deadlineMillis) {
+
+  static ParsedHead of(HttpServerExchange exchange, byte[] body) {
+    String target = target(exchange);
+    HeaderMap headers = exchange.getRequestHeaders();
+    Optional<RunKey> key =
+        Optional.ofNullable(headers.getFirst(HeaderNames.IDEMPOTENCY_KEY))
+            .map(k -> runKey(k, digest(exchange, target, body)));
+    return new ParsedHead(target, key, deadline(headers.getFirst(HeaderNames.DEADLINE_MILLIS)));
+  }
+
+  private static String target(HttpServerExchange exchange) {
+    String path = exchange.getRequestURI();
+    if (exchange.isHostIncludedInRequestURI()) {
+      path = rawPath(path);
+    }
+    String query = exchange.getQueryString();
+    return query.isEmpty() ? path : path + "?" + query;
+  }
+
+  private static String rawPath(String uri) {
+    try {
+      String path = URI.create(uri).getRawPath();
+      return path.isEmpty() ? "/" : path;
+    } catch (IllegalArgumentException e) {
+      throw new LarkkeelException(
+          ErrorKind.MALFORMED_REQUEST, "The request target can not be read.", e);
+    }
+  }
+
+  private static RunKey runKey(String key, long digest) {
+    try {
+      return new RunKey(new IdempotencyKey(key), digest);
+    } catch (IllegalArgumentException e) {
+      throw new LarkkeelException(ErrorKind.MALFORMED_REQUEST, e.getMessage(), e);
+    }
+  }
+
+  private static long digest(HttpServerExchange exchange, String target, byte[] body) {
+    Hasher hasher = Hashing.sha256().newHasher();
+    hasher.putString(exchange.getRequestMethod().toString(), StandardCharsets.UTF_8);
+    hasher.putByte((byte) 0);
+    hasher.putString(target, StandardCharsets.UTF_8);
+    hasher.putByte((byte) 0);
+    hasher.putBytes(body);
+    return ByteBuffer.wrap(hasher.hash().asBytes()).getLong();
+  }
+
+  private static long deadline(String value) {
+    if (value == null) {
+      return 0;
+    }
+    try {
+      long millis = Long.parseLong(value.strip());
+      if (millis > 0) {
+        return millis;
+      }
+    } catch (NumberFormatException e) {
+      // Told below like a number out of range.
+    }
+    throw new LarkkeelException(
+        ErrorKind.MALFORMED_REQUEST,
+        "X-Larkkeel-Deadline-Millis is \"" + value + "\": use a whole number of at least 1.");
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/Workspaces.java
@@ -0,0 +1,70 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.caller;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.Locale;
+import java.util.Optional;
+import org.larkkeel.config.Configuration;
+import org.larkkeel.config.Workspace;
+import org.larkkeel.http.BearerToken;
+import org.larkkeel.lib.WorkspaceName;
+
+/**
+ * Finds the workspace of a caller.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param byToken workspaces by the digest of their token
+ * @param open names of the workspaces that need no token
+ * @since 0.1
+ */
+public record Workspaces(
+    ImmutableMap<BearerToken, WorkspaceName> byToken, ImmutableSet<String> open) {
+  /**
+   * Indexes the workspaces of a configuration.
+   *
+   * @param configuration the configuration in force
+   * @return the index
+   */
+  public static Workspaces of(Configuration configuration) {
+    ImmutableMap.Builder<BearerToken, WorkspaceName> byToken = ImmutableMap.builder();
+    ImmutableSet.Builder<String> open = ImmutableSet.builder();
+    for (Workspace workspace : configuration.workspaces().values()) {
+      workspace
+          .tokenSha256()
+          .ifPresentOrElse(
+              digest ->
+                  byToken.put(new BearerToken(digest.toLowerCase(Locale.ROOT)), workspace.name()),
+              () -> open.add(workspace.name().value()));
+    }
+    return new Workspaces(byToken.buildKeepingLast(), open.build());
+  }
+
+  /**
+   * Finds the workspace of a token.
+   *
+   * @param token the token
+   * @return the workspace; empty if no workspace has this token
+   */
+  public Optional<WorkspaceName> of(BearerToken token) {
+    return Optional.ofNullable(byToken.get(token));
+  }
+
+  /**
+   * Finds a workspace that needs no token.
+   *
+   * @param name its name as the caller wrote it, may be null
+   * @return the workspace; empty if there is none or it has a token
+   */
+  public Optional<WorkspaceName> open(String name) {
+    return name != null && open.contains(name)
+        ? Optional.of(new WorkspaceName(name))
+        : Optional.empty();
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/PlainSender.java
@@ -0,0 +1,86 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.request;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
+import io.undertow.util.HttpString;
+import io.undertow.util.StatusCodes;
+import org.larkkeel.effect.Effect;
+import org.larkkeel.event.Event;
+import org.larkkeel.http.HeaderNames;
+import org.larkkeel.http.HopHeaders;
+import org.larkkeel.http.request.Attempts.Running;
+import org.larkkeel.http.upstream.AnswerTimeout;
+import org.larkkeel.http.upstream.ConnectionUse;
+import org.larkkeel.http.upstream.Refusals;
+import org.larkkeel.http.upstream.UpstreamAddress;
+import org.larkkeel.http.upstream.UpstreamRequest;
+import org.larkkeel.http.upstream.WholeAnswer;
+
+/**
+ * Sends plain calls and collects their answers.
+ *
+ * <p>Every answer of the service goes to the caller as it is, but for those which say that the
+ * service itself was not reached or not able. Safe for use by several threads.
+ */
+final class PlainSender {
+  private static final ImmutableSet<Integer> UNABLE =
+      ImmutableSet.of(
+          StatusCodes.BAD_GATEWAY, StatusCodes.SERVICE_UNAVAILABLE, StatusCodes.GATEWAY_TIME_OUT);
+
+  private final Attempts attempts;
+
+  PlainSender(Attempts attempts) {
+    this.attempts = attempts;
+  }
+
+  void send(Effect.SendPlain e, PlainRecord request, UpstreamAddress address) {
+    Running step = attempts.begin(e.attempt());
+    request.start(e.attempt());
+    WholeAnswer collector =
+        new WholeAnswer(
+            attempts.client().settings().maxAnswerBytes(),
+            a -> answered(e, step, request, a),
+            f -> attempts.fail(e.attempt(), step, f, 0));
+    step.started(
+        attempts
+            .client()
+            .send(
+                address,
+                withId(request.request(), attempts.wireId(e.attempt()).toString()),
+                AnswerTimeout.whole(e.timeoutNanos()),
+                ConnectionUse.REQUEST,
+                collector));
+  }
+
+  private void answered(
+      Effect.SendPlain e, Running step, PlainRecord request, WholeAnswer.Answer answer) {
+    if (UNABLE.contains(answer.status())) {
+      attempts.fail(e.attempt(), step, Refusals.ofService(answer), 0);
+      return;
+    }
+    ImmutableList.Builder<RecordedAnswer.Header> headers = ImmutableList.builder();
+    answer.headers().entries().stream()
+        .filter(h -> !HopHeaders.isHop(h.getKey()))
+        .filter(h -> !h.getKey().equals(HeaderNames.REQUEST_ID))
+        .forEach(h -> headers.add(new RecordedAnswer.Header(h.getKey().toString(), h.getValue())));
+    request.received(
+        e.attempt(), new RecordedAnswer(answer.status(), headers.build(), answer.body()));
+    attempts.end(e.attempt(), step, at -> new Event.PlainDone(at, e.attempt()));
+  }
+
+  private static UpstreamRequest withId(UpstreamRequest request, String id) {
+    ImmutableListMultimap<HttpString, String> headers =
+        ImmutableListMultimap.<HttpString, String>builder()
+            .putAll(request.headers())
+            .put(HeaderNames.REQUEST_ID, id)
+            .build();
+    return new UpstreamRequest(request.method(), request.target(), headers, request.body());
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/package-info.java
@@ -0,0 +1,2 @@
+/** The requests of callers while they are in progress, and the execution of effects on them. */
+package org.larkkeel.http.request;
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
@@ -0,0 +1,53 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.upstream;
+
+import io.undertow.client.ClientConnection;
+
+/**
+ * A connection of a pool.
+ *
+ * <p>Used by one request at a time; the time of idleness is guarded by the pool.
+ */
+final class PooledConnection {
+  private final ClientConnection connection;
+  private final ConnectionPool pool;
+  private long idleSince;
+  private boolean used;
+
+  PooledConnection(ClientConnection connection, ConnectionPool pool) {
+    this.connection = connection;
+    this.pool = pool;
+  }
+
+  ClientConnection connection() {
+    return connection;
+  }
+
+  boolean isOpen() {
+    return connection.isOpen();
+  }
+
+  /** Marks the connection as used and tells whether it was used before. */
+  boolean markUsed() {
+    boolean before = used;
+    used = true;
+    return before;
+  }
+
+  void idleSince(long now) {
+    idleSince = now;
+  }
+
+  long idleSince() {
+    return idleSince;
+  }
+
+  void release(boolean reusable) {
+    pool.release(this, reusable);
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/Refusals.java
@@ -0,0 +1,77 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import org.larkkeel.event.Exposure;
+import org.larkkeel.event.FailureCause;
+import org.larkkeel.http.HeaderNames;
+import org.larkkeel.http.Json;
+
+/**
+ * Reads what an upstream says when it does not answer a request with success.
+ *
+ * <p>Only the documented refusals count as not run. Stateless and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class Refusals {
+  private static final String TRUE = "true";
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private Refusals() {}
+
+  static UpstreamFailure ofEngine(WholeAnswer.Answer answer) {
+    String code = code(answer.body());
+    String detail = answer.status() + " " + code;
+    return switch (answer.status()) {
+      case StatusCodes.SERVICE_UNAVAILABLE -> unavailable(code, detail);
+      case StatusCodes.GONE ->
+          new UpstreamFailure(FailureCause.KV_EVICTED, Exposure.REFUSED, detail);
+      default ->
+          answer.status() < FIRST_SERVER_ERROR
+              ? UpstreamFailure.mayHaveRun(FailureCause.REJECTED, detail)
+              : UpstreamFailure.mayHaveRun(FailureCause.BAD_ANSWER, detail);
+    };
+  }
+
+  /**
+   * Reads the refusal of a service.
+   *
+   * @param answer an answer which says that the service was not able
+   * @return the failure
+   */
+  public static UpstreamFailure ofService(WholeAnswer.Answer answer) {
+    String detail = Integer.toString(answer.status());
+    boolean notRun =
+        answer.status() == StatusCodes.SERVICE_UNAVAILABLE
+            && answer.headers().get(HeaderNames.NOT_RUN).stream().anyMatch(TRUE::equalsIgnoreCase);
+    return notRun
+        ? new UpstreamFailure(FailureCause.BUSY, Exposure.REFUSED, detail)
+        : UpstreamFailure.mayHaveRun(FailureCause.BAD_ANSWER, detail);
+  }
+
+  private static UpstreamFailure unavailable(String code, String detail) {
+    return switch (code) {
+      case "no_slot" -> new UpstreamFailure(FailureCause.NO_SLOT, Exposure.REFUSED, detail);
+      case "busy" -> new UpstreamFailure(FailureCause.BUSY, Exposure.REFUSED, detail);
+      case "draining" -> new UpstreamFailure(FailureCause.DRAINING, Exposure.REFUSED, detail);
+      default -> UpstreamFailure.mayHaveRun(FailureCause.BAD_ANSWER, detail);
+    };
+  }
+
+  private static String code(byte[] body) {
+    try {
+      JsonNode root = Json.parse(body);
+      return root.path("error").path("code").asText("");
+    } catch (IOException e) {
+      return "";
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClient.java
@@ -0,0 +1,105 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.upstream;
+
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.larkkeel.http.HttpWorker;
+import org.xnio.XnioExecutor;
+
+/**
+ * Sends requests to upstreams over pooled connections.
+ *
+ * <p>A request is sent at most once: only if a pooled connection turns out to be closed before any
+ * byte was written is it sent on a new one. Safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class UpstreamClient implements AutoCloseable {
+  private final HttpWorker worker;
+  private final UpstreamClientSettings settings;
+  private final LongSupplier clock;
+  private final ConcurrentMap<UpstreamAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
+  private final XnioExecutor.Key idleTimer;
+
+  /**
+   * Creates a client.
+   *
+   * @param worker the I/O threads, which must outlive the client
+   * @param settings the limits
+   * @param clock the node's monotonic clock, nanoseconds
+   */
+  public UpstreamClient(HttpWorker worker, UpstreamClientSettings settings, LongSupplier clock) {
+    this.worker = worker;
+    this.settings = settings;
+    this.clock = clock;
+    long interval = Math.max(1, settings.idleMillis() / 2);
+    this.idleTimer =
+        worker
+            .worker()
+            .getIoThread()
+            .executeAtInterval(this::closeIdle, interval, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param address the upstream
+   * @param request the request
+   * @param timeout when to give up; applies as a whole to the wait for a connection
+   * @param urgency which connections may be used
+   * @param handler takes the answer
+   * @return a handle to give the request up
+   */
+  public InFlight send(
+      UpstreamAddress address,
+      UpstreamRequest request,
+      AnswerTimeout timeout,
+      ConnectionUse urgency,
+      ResponseHandler handler) {
+    ConnectionPool pool =
+        pools.computeIfAbsent(address, a -> new ConnectionPool(a, settings, worker, clock));
+    UpstreamExchange exchange =
+        new UpstreamExchange(worker, pool, address, request, timeout, urgency, clock, handler);
+    exchange.start();
+    return exchange;
+  }
+
+  /**
+   * The limits.
+   *
+   * @return the settings
+   */
+  public UpstreamClientSettings settings() {
+    return settings;
+  }
+
+  /**
+   * Counts the connections to an upstream.
+   *
+   * @param address the upstream
+   * @return connections that are open or being opened
+   */
+  public int openConnections(UpstreamAddress address) {
+    ConnectionPool pool = pools.get(address);
+    return pool == null ? 0 : pool.openConnections();
+  }
+
+  @Override
+  public void close() {
+    idleTimer.remove();
+    pools.values().forEach(p -> p.closeIdle(clock.getAsLong(), Long.MIN_VALUE));
+  }
+
+  private void closeIdle() {
+    long idleNanos = TimeUnit.MILLISECONDS.toNanos(settings.idleMillis());
+    long now = clock.getAsLong();
+    pools.values().forEach(p -> p.closeIdle(now, idleNanos));
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamRequest.java
@@ -0,0 +1,27 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.upstream;
+
+import com.google.common.collect.ImmutableListMultimap;
+import io.undertow.util.HttpString;
+
+/**
+ * A request to an upstream.
+ *
+ * <p>Safe for use by several threads as long as nobody writes to the body.
+ *
+ * @param method the method
+ * @param target path and query
+ * @param headers headers besides {@code Host} and {@code Content-Length}
+ * @param body the body, empty for none; not copied
+ * @since 0.1
+ */
+public record UpstreamRequest(
+    HttpString method,
+    String target,
+    ImmutableListMultimap<HttpString, String> headers,
+    byte[] body) {}
--- a/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
@@ -50,6 +50,13 @@
       Repeat.NEVER,
       "The path does not take this method.",
       "Use one of the methods in Allow."),
+  /** The request was not complete in time. */
+  REQUEST_TIMEOUT(
+      408,
+      Execution.NOT_RUN,
+      Repeat.LATER,
+      "The request was not complete in time.",
+      "Send the whole request without a pause."),
   /** Another change was accepted first. */
   CONFLICT(
       409,
