Add the membership state machine and its datagram codec

Nodes have to know which peers are live without a coordination service. Membership is a deterministic SWIM-family state machine: probes in random rounds, indirect probes, suspicion with refutation, bounded piggyback of members, configuration revision and load records, paged anti-entropy, leaving and restarts. Datagrams are Thrift compact with a truncated HMAC.

Each of restart and supersession failed before the record of another incarnation was sent along to the node that it contradicts.

--- /dev/null
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/membership/MembershipTest.java
@@ -0,0 +1,214 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.peer.membership;
+
+import static org.larkkeel.peer.membership.SimCluster.MILLI;
+import static org.larkkeel.peer.membership.SimCluster.SECOND;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.larkkeel.lib.Revision;
+import org.larkkeel.peer.membership.SimCluster.Change;
+import org.larkkeel.peer.membership.SimCluster.Node;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link Membership} in virtual time. */
+public class MembershipTest {
+  private static final int SIZE = 8;
+
+  private static SimCluster joined(int size, long seed) {
+    SimCluster cluster = new SimCluster(MembershipSettings.defaults(), seed);
+    cluster.start(size);
+    cluster.runUntil(cluster::hasConverged, 40 * SECOND, "no convergence");
+    return cluster;
+  }
+
+  private static boolean allHold(SimCluster cluster, Node subject, MemberState state) {
+    return cluster.running().stream()
+        .filter(node -> node != subject)
+        .allMatch(node -> node.stateOf(subject) == state);
+  }
+
+  /** Joining, leaving, and failing. */
+  public static class Lifecycle {
+    @DataProvider
+    public Object[][] losses() {
+      return new Object[][] {{0.0}, {0.05}, {0.2}};
+    }
+
+    @Test(dataProvider = "losses")
+    public void joinsAndDetectsDeadNode(double loss) {
+      SimCluster cluster = new SimCluster(MembershipSettings.defaults(), 1);
+      cluster.loss = loss;
+      cluster.duplication = 0.1;
+      cluster.start(SIZE);
+      cluster.run(20 * SECOND);
+      Node victim = cluster.nodes.get(3);
+      victim.killed = true;
+      cluster.runUntil(
+          () -> allHold(cluster, victim, MemberState.DEAD), 15 * SECOND, "death not seen");
+      for (Node node : cluster.running()) {
+        assertFalse(node.membership.owners().contains(victim.host()));
+      }
+    }
+
+    @Test
+    public void restartNamesEarlierIncarnationAsDead() {
+      SimCluster cluster = joined(SIZE, 2);
+      Node old = cluster.nodes.get(2);
+      old.killed = true;
+      Node restarted = cluster.start(old.host().value(), 2);
+      cluster.listHosts(Set.of());
+      cluster.runUntil(
+          () -> allHold(cluster, restarted, MemberState.LIVE), 10 * SECOND, "restart not seen");
+      for (Node node : cluster.running()) {
+        if (node != restarted) {
+          assertTrue(node.changes.stream().anyMatch(c -> isDeath(c, old)), "no death of " + old);
+        }
+      }
+      assertEquals(cluster.falseDeaths(), 0);
+    }
+
+    private static boolean isDeath(Change change, Node node) {
+      return change.member().state() == MemberState.DEAD
+          && change.member().id().equals(node.first.id());
+    }
+
+    @Test
+    public void leavingNodeOwnsNothingThenIsGoneWithoutDeath() {
+      SimCluster cluster = joined(SIZE, 3);
+      Node leaver = cluster.nodes.get(5);
+      leaver.on(new Event.Leave(cluster.now));
+      cluster.runUntil(
+          () ->
+              cluster.running().stream()
+                  .noneMatch(node -> node.membership.owners().contains(leaver.host())),
+          3 * SECOND,
+          "still an owner");
+      assertTrue(allHold(cluster, leaver, MemberState.LIVE));
+      leaver.on(new Event.Stop(cluster.now));
+      leaver.killed = true;
+      cluster.runUntil(
+          () -> allHold(cluster, leaver, MemberState.LEFT), 3 * SECOND, "stop not seen");
+    }
+
+    @Test
+    public void hostListedAsLeavingOwnsNothing() {
+      SimCluster cluster = joined(SIZE, 4);
+      Node leaver = cluster.nodes.get(1);
+      cluster.listHosts(Set.of(leaver.host()));
+      for (Node node : cluster.running()) {
+        assertFalse(node.membership.owners().contains(leaver.host()));
+      }
+      assertTrue(leaver.membership.self().leaving());
+    }
+
+    @Test
+    public void earlierProcessOfHostIsToldToStop() {
+      SimCluster cluster = joined(SIZE, 5);
+      Node old = cluster.nodes.get(0);
+      cluster.start(old.host().value(), 2, SIZE);
+      cluster.listHosts(Set.of());
+      cluster.runUntil(() -> old.superseded, 10 * SECOND, "not superseded");
+    }
+  }
+
+  /** Faults that must not cost a live node its place. */
+  public static class Faults {
+    @Test
+    public void lossOfFivePercentKillsNobody() {
+      SimCluster cluster = joined(SIZE, 11);
+      cluster.loss = 0.05;
+      cluster.run(600 * SECOND);
+      assertEquals(cluster.falseDeaths(), 0);
+    }
+
+    @Test
+    public void pausedNodeDoesNotAccuseOthers() {
+      SimCluster cluster = joined(SIZE, 12);
+      Node paused = cluster.nodes.get(4);
+      int before = paused.changes.size();
+      cluster.pause(paused, 30 * SECOND);
+      cluster.run(40 * SECOND);
+      assertTrue(cluster.hasConverged(), "the paused node is not back");
+      List<Change> since = paused.changes.subList(before, paused.changes.size());
+      assertTrue(
+          since.stream().allMatch(change -> change.member().state() == MemberState.LIVE),
+          "the paused node accused " + since);
+    }
+
+    @Test
+    public void partitionHealsWithoutRestart() {
+      SimCluster cluster = joined(SIZE, 13);
+      for (int i = 0; i < 3; i++) {
+        cluster.cutOff.add(cluster.nodes.get(i).host());
+      }
+      cluster.run(120 * SECOND);
+      assertEquals(cluster.nodes.get(0).membership.owners().size(), 3);
+      assertEquals(cluster.nodes.get(7).membership.owners().size(), 5);
+      cluster.cutOff.clear();
+      cluster.listHosts(Set.of());
+      cluster.runUntil(cluster::hasConverged, 30 * SECOND, "not healed");
+    }
+
+    @Test
+    public void isolatedNodeIsNotResurrectedByOldRecords() {
+      SimCluster cluster = joined(SIZE, 14);
+      Node victim = cluster.nodes.get(6);
+      victim.killed = true;
+      cluster.duplication = 0.5;
+      cluster.run(15 * SECOND);
+      int dead = (int) cluster.nodes.get(0).changes.stream().count();
+      cluster.run(120 * SECOND);
+      assertEquals(cluster.nodes.get(0).changes.size(), dead, "records about a dead node changed");
+    }
+  }
+
+  /** What rides on the probes. */
+  public static class Piggyback {
+    @Test
+    public void revisionAndLoadReachEveryNode() {
+      SimCluster cluster = joined(SIZE, 21);
+      Node source = cluster.nodes.get(0);
+      source.on(new Event.RevisionHeld(cluster.now, new Revision(42)));
+      source.on(new Event.LoadChanged(cluster.now, new LoadRecord("u1", 7, new byte[] {1})));
+      cluster.runUntil(
+          () ->
+              cluster.running().stream()
+                  .filter(node -> node != source)
+                  .allMatch(node -> heard(node)),
+          5 * SECOND,
+          "revision or load not heard");
+    }
+
+    private static boolean heard(Node node) {
+      return node.loads.containsKey("u1")
+          && node.revisions.stream().anyMatch(newer -> newer.revision().value() == 42);
+    }
+
+    @Test
+    public void messagesStayWithinBoundUnderChurnAndLoad() {
+      SimCluster cluster = joined(32, 22);
+      for (int i = 0; i < 100; i++) {
+        Node source = cluster.nodes.get(i % 32);
+        for (int k = 0; k < 20; k++) {
+          LoadRecord load = new LoadRecord("upstream-" + i + "-" + k, i, new byte[40]);
+          source.on(new Event.LoadChanged(cluster.now, load));
+        }
+        cluster.run(100 * MILLI);
+      }
+      // The codec of the cluster refuses longer datagrams; the sum stays within the budget too.
+      long sent = cluster.nodes.stream().mapToLong(node -> node.bytesSent).sum();
+      long seconds = cluster.now / SECOND;
+      assertTrue(sent / 32 / seconds < 2_500, "bytes a second: " + sent / 32 / seconds);
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/Message.java
@@ -0,0 +1,86 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.peer.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Revision;
+
+/**
+ * One datagram of the membership protocol.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public sealed interface Message {
+
+  /**
+   * What every message carries.
+   *
+   * @return the header, never null
+   */
+  Header header();
+
+  /**
+   * Sender and piggybacked records.
+   *
+   * @param sender the node that sent the message
+   * @param revision the newest configuration revision that the sender holds
+   * @param members records about members
+   * @param load load records
+   */
+  record Header(NodeId sender, Revision revision, List<Member> members, List<LoadRecord> load) {}
+
+  /**
+   * Asks a node for an {@link Ack}.
+   *
+   * @param header the header
+   * @param sequence returned in the answer
+   * @param target the node that is meant; another node at the address stays silent
+   */
+  record Ping(Header header, long sequence, NodeId target) implements Message {}
+
+  /**
+   * Asks a node to probe another one.
+   *
+   * @param header the header
+   * @param sequence returned in the answer
+   * @param target the node to probe
+   * @param address where the target listens
+   */
+  record PingRequest(Header header, long sequence, NodeId target, NodeAddress address)
+      implements Message {}
+
+  /**
+   * Says that a node is alive.
+   *
+   * @param header the header
+   * @param sequence the sequence of the ping or ping request
+   * @param target the node that is alive
+   */
+  record Ack(Header header, long sequence, NodeId target) implements Message {}
+
+  /**
+   * Asks for the members whose names follow a given one.
+   *
+   * @param header the header
+   * @param digest the digest of the sender's members
+   * @param after the last name received so far; empty at the start
+   */
+  record SyncRequest(Header header, long digest, Optional<HostName> after) implements Message {}
+
+  /**
+   * A page of members, ordered by name.
+   *
+   * @param header the header; its members are the page
+   * @param digest the digest of the sender's members
+   * @param more true if further pages follow
+   */
+  record SyncReply(Header header, long digest, boolean more) implements Message {}
+}
--- /dev/null
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/package-info.java
@@ -0,0 +1,11 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * How nodes send to each other: authenticated datagrams for the membership protocol, Thrift calls
+ * over TCP for everything else.
+ */
+package org.larkkeel.peer.transport;
