Add the transport between nodes and the node façade

Nodes send membership messages as authenticated datagrams and everything else as Thrift calls over TCP, plain or with TLS and client certificates.

--- /dev/null
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerSettings.java
@@ -0,0 +1,158 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.peer;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import javax.net.ssl.SSLContext;
+import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.peer.membership.MembershipSettings;
+import org.larkkeel.peer.membership.NodeAddress;
+import org.larkkeel.peer.membership.NodeId;
+import org.larkkeel.peer.transport.DatagramKey;
+import org.larkkeel.peer.transport.TransportSettings;
+
+/**
+ * Settings of a {@link PeerNode}, with fluent setters for what has a default.
+ *
+ * <p>Not safe for use by several threads; not read again after the start.
+ *
+ * @since 0.1
+ */
+public final class PeerSettings {
+  private final NodeId id;
+  private final DataCentreName dataCentre;
+  private final InetSocketAddress listen;
+  private List<NodeAddress> seeds = List.of();
+  private List<DatagramKey> keys = List.of();
+  private Optional<SSLContext> ssl = Optional.empty();
+  private MembershipSettings membership = MembershipSettings.defaults();
+  private TransportSettings transport = TransportSettings.defaults();
+  private long seed;
+
+  /**
+   * Creates settings.
+   *
+   * @param id host and incarnation; a later process of the host needs a greater incarnation
+   * @param dataCentre where the node runs
+   * @param listen the address that peers reach, not a wildcard; port 0 chooses a free one
+   * @throws IllegalArgumentException if the address is a wildcard
+   */
+  public PeerSettings(NodeId id, DataCentreName dataCentre, InetSocketAddress listen) {
+    if (listen.getAddress() == null || listen.getAddress().isAnyLocalAddress()) {
+      throw new IllegalArgumentException(
+          "listen is " + listen + ": use the IP address at which peers reach this node");
+    }
+    this.id = id;
+    this.dataCentre = dataCentre;
+    this.listen = listen;
+    this.seed = id.incarnation().value() ^ id.host().value().hashCode();
+  }
+
+  /**
+   * Sets addresses to join through before the host list is known.
+   *
+   * @param addresses the addresses, may include this node's
+   * @return this
+   */
+  public PeerSettings setSeeds(List<NodeAddress> addresses) {
+    this.seeds = List.copyOf(addresses);
+    return this;
+  }
+
+  /**
+   * Sets the keys of datagrams. The first one signs, all are accepted.
+   *
+   * @param datagramKeys the keys; empty for plain datagrams, as in tests
+   * @return this
+   */
+  public PeerSettings setKeys(List<DatagramKey> datagramKeys) {
+    this.keys = List.copyOf(datagramKeys);
+    return this;
+  }
+
+  /**
+   * Sets the TLS context of calls; both sides need a certificate that the other accepts.
+   *
+   * @param context the context
+   * @return this
+   */
+  public PeerSettings setSslContext(SSLContext context) {
+    this.ssl = Optional.of(context);
+    return this;
+  }
+
+  /**
+   * Sets periods and bounds of the membership protocol.
+   *
+   * @param settings the settings
+   * @return this
+   */
+  public PeerSettings setMembership(MembershipSettings settings) {
+    this.membership = settings;
+    return this;
+  }
+
+  /**
+   * Sets the bounds of calls.
+   *
+   * @param settings the settings
+   * @return this
+   */
+  public PeerSettings setTransport(TransportSettings settings) {
+    this.transport = settings;
+    return this;
+  }
+
+  /**
+   * Sets the seed of random choices.
+   *
+   * @param randomSeed the seed
+   * @return this
+   */
+  public PeerSettings setSeed(long randomSeed) {
+    this.seed = randomSeed;
+    return this;
+  }
+
+  NodeId id() {
+    return id;
+  }
+
+  DataCentreName dataCentre() {
+    return dataCentre;
+  }
+
+  InetSocketAddress listen() {
+    return listen;
+  }
+
+  List<NodeAddress> seeds() {
+    return seeds;
+  }
+
+  List<DatagramKey> keys() {
+    return keys;
+  }
+
+  Optional<SSLContext> ssl() {
+    return ssl;
+  }
+
+  MembershipSettings membership() {
+    return membership;
+  }
+
+  TransportSettings transport() {
+    return transport;
+  }
+
+  long seed() {
+    return seed;
+  }
+}
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/NodeAddress.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/NodeAddress.java
@@ -8,6 +8,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.Arrays;
 
 /**
@@ -73,7 +74,7 @@
    * @param socket a resolved address
    * @return the address
    */
-  public static NodeAddress of(InetSocketAddress socket) {
+  public static NodeAddress ofSocket(InetSocketAddress socket) {
     return of(socket.getAddress().getAddress(), socket.getPort());
   }
 
@@ -103,7 +104,7 @@
   public InetSocketAddress toSocketAddress() {
     try {
       return new InetSocketAddress(InetAddress.getByAddress(ip), port);
-    } catch (java.net.UnknownHostException e) {
+    } catch (UnknownHostException e) {
       throw new IllegalStateException("the length of ip was checked on creation", e);
     }
   }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/WireMessages.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/WireMessages.java
@@ -72,7 +72,7 @@
     wire.setIncarnation(header.sender().incarnation().value());
     wire.setRevision(header.revision().value());
     for (Member member : header.members()) {
-      wire.addToMembers(toWire(member));
+      wire.addToMembers(writeMember(member));
     }
     for (LoadRecord load : header.load()) {
       wire.addToLoad(new WireLoad(load.key(), load.version(), ByteBuffer.wrap(load.value())));
@@ -84,7 +84,7 @@
     wire.setTargetIncarnation(target.incarnation().value());
   }
 
-  private static WireMember toWire(Member member) {
+  private static WireMember writeMember(Member member) {
     return new WireMember(
         member.id().host().value(),
         member.id().incarnation().value(),
@@ -122,7 +122,7 @@
     List<Member> members = new ArrayList<>(wire.getMembersSize());
     if (wire.isSetMembers()) {
       for (WireMember member : wire.getMembers()) {
-        members.add(fromWire(member));
+        members.add(readMember(member));
       }
     }
     List<LoadRecord> load = new ArrayList<>(wire.getLoadSize());
@@ -139,7 +139,7 @@
     return nodeId(wire.getTarget(), wire.getTargetIncarnation());
   }
 
-  private static Member fromWire(WireMember wire) throws TProtocolException {
+  private static Member readMember(WireMember wire) throws TProtocolException {
     if (wire.getState() < 0 || wire.getState() >= STATES.length) {
       throw new TProtocolException(
           TProtocolException.INVALID_DATA,
