--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/membership/MembershipTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/membership/MembershipTest.java
@@ -39,6 +39,7 @@
 
   /** Joining, leaving, and failing. */
   public static class Lifecycle {
+    /** Shares of messages lost. */
     @DataProvider
     public Object[][] losses() {
       return new Object[][] {{0.0}, {0.05}, {0.2}};
@@ -135,7 +136,7 @@
     public void pausedNodeDoesNotAccuseOthers() {
       SimCluster cluster = joined(SIZE, 12);
       Node paused = cluster.nodes.get(4);
-      int before = paused.changes.size();
+      final int before = paused.changes.size();
       cluster.pause(paused, 30 * SECOND);
       cluster.run(40 * SECOND);
       assertTrue(cluster.hasConverged(), "the paused node is not back");
