--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Closer.java
@@ -0,0 +1,86 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Gathers resources and closes them in the reverse order of their opening.
+ *
+ * <p>Invariant: each resource is closed at most once, and a failure of one does not keep the others
+ * open. Safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class Closer implements AutoCloseable {
+  private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+  private boolean closed;
+
+  /** Creates a closer without resources. */
+  public Closer() {}
+
+  /**
+   * Takes charge of a resource.
+   *
+   * @param resource the resource; closed at once if this closer is already closed
+   * @param <T> the type of the resource
+   * @return the resource
+   * @throws IllegalStateException if this closer is already closed
+   */
+  public <T extends AutoCloseable> T add(T resource) {
+    if (push(resource)) {
+      return resource;
+    }
+    IllegalStateException late = new IllegalStateException("the closer is closed already");
+    try {
+      resource.close();
+    } catch (Exception e) {
+      late.addSuppressed(e);
+    }
+    throw late;
+  }
+
+  private synchronized boolean push(AutoCloseable resource) {
+    if (!closed) {
+      resources.push(resource);
+    }
+    return !closed;
+  }
+
+  private synchronized AutoCloseable pop() {
+    closed = true;
+    return resources.poll();
+  }
+
+  /**
+   * Closes everything, the last opened first.
+   *
+   * @throws Exception the first failure, with the others suppressed in it
+   */
+  @Override
+  public void close() throws Exception {
+    Exception first = null;
+    for (AutoCloseable next = pop(); next != null; next = pop()) {
+      try {
+        next.close();
+      } catch (Exception e) {
+        if (e instanceof InterruptedException) {
+          Thread.currentThread().interrupt();
+        }
+        if (first == null) {
+          first = e;
+        } else {
+          first.addSuppressed(e);
+        }
+      }
+    }
+    if (first != null) {
+      throw first;
+    }
+  }
+}
