Add the router: placement, queues, retries and endings as a pure reducer

Change: Router with named policies; rule, pool and candidate indexes; slot, link and prefill ledgers; learnt rates; lanes with workspace fairness; claims of at-most-once runs; cancels repeated until acknowledged; resume of a broken stream; ejection with a probe; limits by shares.

--- /dev/null
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/RouterTest.java
@@ -0,0 +1,90 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.router;
+
+import static org.larkkeel.router.Fixtures.completion;
+import static org.larkkeel.router.Fixtures.configuration;
+import static org.larkkeel.router.Fixtures.engine;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.larkkeel.effect.Effect;
+import org.larkkeel.effect.Fact;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.event.Event;
+import org.larkkeel.event.Exposure;
+import org.larkkeel.event.FailureCause;
+import org.testng.annotations.Test;
+
+/** The router as a whole, one request at a time. */
+public class RouterTest {
+  private static Script ready() {
+    return new Script()
+        .configure(
+            configuration(
+                1,
+                engine("p1", "prefill", 4),
+                engine("p2", "prefill", 4),
+                engine("d1", "decode", 2),
+                engine("d2", "decode", 2),
+                engine("s1", "service", 2),
+                engine("s2", "service", 2)));
+  }
+
+  /** Without failures. */
+  public static class UndisturbedTest {
+    @Test
+    public void completionRunsThroughBothPoolsAndEndsOnce() {
+      Script script = ready();
+      Effect.StartDecode decode = script.toDecode(completion(1));
+      script.apply(new Event.FirstToken(script.now, decode.attempt()));
+      assertEquals(script.facts(Fact.PrefillUsed.class).size(), 1);
+      script.apply(new Event.DecodeDone(script.now, decode.attempt(), 20));
+      assertTrue(script.ending(1) instanceof Effect.Complete);
+      script.assertIdle();
+    }
+
+    @Test
+    public void unknownModelIsRefusedWithoutTrace() {
+      Script script = new Script().configure(configuration(1));
+      script.arrive(completion(1));
+      assertEquals(script.refusal(1), ErrorKind.NO_UPSTREAM);
+      script.assertIdle();
+    }
+  }
+
+  /** Failures of decode engines. */
+  public static class DecodeFailureTest {
+    @Test
+    public void heldKvCacheGoesToAnotherEngineWithoutSecondPrefill() {
+      Script script = ready();
+      script.arrive(completion(1));
+      script.prefilled(script.only(Effect.StartPrefill.class).attempt());
+      Effect.StartTransfer first = script.only(Effect.StartTransfer.class);
+      script.fail(first.attempt(), FailureCause.CONNECTION_LOST, Exposure.MAY_HAVE_RUN);
+      Effect.StartTransfer second = script.only(Effect.StartTransfer.class);
+      assertEquals(second.prefill(), first.prefill());
+      assertTrue(!second.to().equals(first.to()), "the failed engine is avoided");
+      assertEquals(script.only(Effect.Cancel.class).attempt(), first.attempt());
+      assertTrue(script.all(Effect.StartPrefill.class).isEmpty());
+    }
+
+    @Test
+    public void brokenStreamIsResumedAtTheTokenReached() {
+      Script script = ready();
+      Effect.StartDecode decode = script.toDecode(completion(1));
+      script.apply(new Event.FirstToken(script.now, decode.attempt()));
+      script.fail(decode.attempt(), FailureCause.CONNECTION_LOST, Exposure.MAY_HAVE_RUN, 7);
+      script.pass(100);
+      Effect.StartPrefill again = script.only(Effect.StartPrefill.class);
+      assertEquals(again.resumeFrom(), 7);
+      script.prefilled(again.attempt());
+      script.transferred(script.only(Effect.StartTransfer.class).attempt());
+      assertEquals(script.only(Effect.StartDecode.class).resumeFrom(), 7);
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
@@ -0,0 +1,210 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.router;
+
+import org.larkkeel.call.Call;
+import org.larkkeel.config.Configuration;
+import org.larkkeel.effect.EffectSink;
+import org.larkkeel.effect.Fact;
+import org.larkkeel.event.Event;
+import org.larkkeel.event.LoadReport;
+import org.larkkeel.lib.Revision;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.router.internal.Attempt;
+import org.larkkeel.router.internal.AttemptTable.Former;
+import org.larkkeel.router.internal.Core;
+import org.larkkeel.router.internal.RequestState;
+import org.larkkeel.router.internal.Route;
+import org.larkkeel.router.internal.StatusView;
+import org.larkkeel.router.internal.UpstreamState;
+
+/**
+ * The reducer: takes every event of a node and decides the effects.
+ *
+ * <p>Has no clock, thread, socket, random source or logger: time comes with events, and random
+ * choices follow the seed, so the same events give the same effects. Invariants: each request that
+ * arrived gets exactly one last effect ({@code Complete}, {@code Replay}, {@code Refuse} or {@code
+ * Forget}); nothing is kept of a request after it. Not safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class Router {
+  private final Core core;
+  private final StatusView view;
+  private Revision revision = Revision.NONE;
+
+  /**
+   * Creates a router without upstreams and rules.
+   *
+   * @param settings the settings, never null
+   * @param seed the seed of every random choice
+   */
+  public Router(RouterSettings settings, long seed) {
+    core = new Core(settings, seed);
+    view = new StatusView(core);
+  }
+
+  /**
+   * Takes an event.
+   *
+   * @param event the event; its time is not before that of the last one
+   * @param sink takes the effects, in order
+   */
+  public void apply(Event event, EffectSink sink) {
+    core.context.begin(event.at(), sink);
+    core.context.timers().fireDue(core.context.now());
+    handle(event);
+    core.slotAsker.wake();
+    core.dispatcher.run();
+    core.context.end();
+  }
+
+  /**
+   * Tells why a request would go where; changes nothing.
+   *
+   * @param call the request
+   * @return the explanation
+   */
+  public Explanation explain(Call call) {
+    return view.explain(call);
+  }
+
+  /**
+   * Describes the router.
+   *
+   * @return a view of it as it is now
+   */
+  public RouterStatus status() {
+    return view.status(revision);
+  }
+
+  private void handle(Event event) {
+    switch (event) {
+      case Event.RequestArrived arrived -> core.arrivals.arrive(arrived.call());
+      case Event.CallerGone gone -> callerGone(gone);
+      case Event.OfAttempt ofAttempt -> handleAttempt(ofAttempt);
+      case Event.LoadReported reported -> loadReported(reported.upstream(), reported.report());
+      case Event.LoadUnavailable silent -> loadUnavailable(silent.upstream());
+      case Event.CacheChanged changed -> cacheChanged(changed);
+      case Event.ConfigurationAccepted accepted -> configure(accepted.configuration());
+      case Event.PeersChanged peers -> core.fleet.setNodes(peers.live().size());
+      case Event.SlotsGranted granted -> slotsGranted(granted);
+      case Event.LimitGranted granted ->
+          core.limiter.granted(granted.workspace(), granted.share(), granted.until());
+      case Event.StopRequested stop -> core.arrivals.stop();
+      case Event.Ticked tick -> {}
+    }
+  }
+
+  private void handleAttempt(Event.OfAttempt event) {
+    if (event instanceof Event.CancelSettled settled) {
+      core.cancels.settled(settled.attempt(), settled.outcome());
+      return;
+    }
+    Attempt attempt = core.attempts.get(event.attempt());
+    if (attempt == null) {
+      handleLate(event);
+      return;
+    }
+    switch (event) {
+      case Event.PrefillDone done ->
+          core.decodeFlow.prefillDone(attempt, done.kvBytes(), done.cachedTokens());
+      case Event.TransferDone done -> core.decodeFlow.transferDone(attempt);
+      case Event.FirstToken first -> core.decodeFlow.firstToken(attempt);
+      case Event.DecodeDone done -> core.decodeFlow.decodeDone(attempt, done.tokens());
+      case Event.PlainDone done -> core.plainFlow.done(attempt);
+      case Event.AttemptFailed failed ->
+          core.failures.failed(attempt, failed.cause(), failed.exposure(), failed.tokens());
+      case Event.ClaimSettled settled -> core.claims.settled(attempt, settled.outcome());
+      case Event.RecordSettled settled -> core.endings.recorded(attempt, settled.outcome());
+      case Event.CancelSettled settled -> throw new IllegalStateException("handled above");
+    }
+  }
+
+  /** An event of an attempt that ended may reveal that something is held for it after all. */
+  private void handleLate(Event.OfAttempt event) {
+    Former former = core.attempts.former(event.attempt());
+    if (former == null) {
+      return;
+    }
+    switch (event) {
+      case Event.PrefillDone done -> cancelLate(done, former);
+      case Event.TransferDone done -> cancelLate(done, former);
+      case Event.FirstToken first -> cancelLate(first, former);
+      case Event.ClaimSettled settled ->
+          core.claims.settledLate(settled.attempt(), former, settled.outcome());
+      case Event.DecodeDone done -> {}
+      case Event.PlainDone done -> {}
+      case Event.AttemptFailed failed -> {}
+      case Event.RecordSettled settled -> {}
+      case Event.CancelSettled settled -> {}
+    }
+  }
+
+  private void cancelLate(Event.OfAttempt event, Former former) {
+    core.cancels.cancel(event.attempt(), former.request(), former.upstream());
+  }
+
+  private void callerGone(Event.CallerGone gone) {
+    RequestState request = core.requests.get(gone.request());
+    if (request != null) {
+      core.endings.callerGone(request);
+    }
+  }
+
+  private void loadReported(UpstreamName name, LoadReport report) {
+    UpstreamState upstream = core.fleet.get(name);
+    if (upstream == null) {
+      return;
+    }
+    boolean sameModels = upstream.reportsModels(report);
+    if (upstream.reported(report)) {
+      core.cancels.restarted(upstream);
+    }
+    if (!sameModels) {
+      core.fleet.modelsChanged(upstream);
+    }
+    core.fleet.gained(upstream);
+  }
+
+  private void loadUnavailable(UpstreamName name) {
+    UpstreamState upstream = core.fleet.get(name);
+    if (upstream != null) {
+      core.fleet.silent(upstream);
+    }
+  }
+
+  private void cacheChanged(Event.CacheChanged event) {
+    UpstreamState upstream = core.fleet.get(event.upstream());
+    if (upstream != null) {
+      upstream.cache.changed(
+          event.incarnation(), event.sequence(), event.stored(), event.removed());
+    }
+  }
+
+  private void slotsGranted(Event.SlotsGranted event) {
+    UpstreamState upstream = core.fleet.get(event.upstream());
+    if (upstream != null) {
+      upstream.slots.grant(event.slots(), event.until());
+      core.fleet.gained(upstream);
+    }
+  }
+
+  private void configure(Configuration configuration) {
+    if (!configuration.revision().isAfter(revision)) {
+      return;
+    }
+    revision = configuration.revision();
+    core.limiter.apply(configuration);
+    core.fleet.apply(configuration);
+    for (Route gone : core.routes.apply(configuration)) {
+      core.arrivals.reroute(gone);
+    }
+    core.predictor.keepOnly(core.fleet);
+    core.context.report(new Fact.InForce(revision));
+  }
+}
