--- a/org.larkkeel.standin.test/src/test/java/org/larkkeel/standin/EngineStandinTest.java
+++ b/org.larkkeel.standin.test/src/test/java/org/larkkeel/standin/EngineStandinTest.java
@@ -17,6 +17,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -190,6 +192,32 @@
     }
   }
 
+  /** Moving a KV cache on from a decode engine. */
+  public static class Move extends WithEngines {
+    /** A third engine takes over a running decode; the slot here is freed and the text goes on. */
+    @Test
+    public void movesRunningDecode() throws Exception {
+      EngineSettings fast = decode.settings();
+      decode.close();
+      decode = EngineStandin.start(fast.withSpeeds(new EngineSpeeds(1, 200, 0)));
+      JsonNode first = prefill("h/1/1", PROMPT).body().get("kv_transfer_params");
+      JsonNode onward = importKv("h/1/1", first).body().get("kv_transfer_params");
+      Iterator<String> broken = stream("h/1/1", 400, 0);
+      String text = textOf(broken.next()) + textOf(broken.next());
+      EngineStandin source = decode;
+      try {
+        decode = EngineStandin.start(fast);
+        assertEquals(importKv("h/1/2", onward).status(), 200);
+        assertEquals(source.ledger().snapshot().slots().size(), 0);
+        assertEquals(text + rest(stream("h/1/2", 400, 2)), AnswerOracle.whole(MODEL, PROMPT, 400));
+        assertEquals(
+            source.ledger().snapshot().imports().getFirst().fate(), EngineLedger.Fate.IMPORTED);
+      } finally {
+        source.close();
+      }
+    }
+  }
+
   /** Slots, eviction and cancel. */
   public static class Capacity extends WithEngines {
     /** A third import is refused, until a cancel frees a slot. */
@@ -286,6 +314,45 @@
     }
   }
 
+  /** The queue of prefills. */
+  public static class Queue extends WithEngines {
+    /** A lower priority number goes first, however late it came. */
+    @Test
+    public void priority() throws Exception {
+      EngineSettings slow = prefill.settings().withSpeeds(new EngineSpeeds(1, 1, 1));
+      prefill.close();
+      prefill = EngineStandin.start(slow);
+      try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+        submit(threads, "h/1/1", 5, 1);
+        submit(threads, "h/1/2", 5, 2);
+        submit(threads, "h/1/3", 1, 3);
+        assertEquals(cancel(prefill, "h/1/1"), "cancelled");
+        awaitStarted(2);
+        assertEquals(prefill.ledger().snapshot().prefills().get(1).id(), "h/1/3");
+        prefill.kill();
+      }
+    }
+
+    private void submit(ExecutorService threads, String id, int priority, int known)
+        throws Exception {
+      String body = completion(PROMPT, 1, 0, "do_remote_decode");
+      String urgent = body.replace("{\"model\"", "{\"priority\":" + priority + ",\"model\"");
+      var unused =
+          threads.submit(
+              () -> http(prefill).call("POST", "/v1/completions", urgent, "X-Request-Id", id));
+      while (http(prefill).call("GET", "/v1/requests", "").body().get("requests").size() < known) {
+        Thread.onSpinWait();
+      }
+      awaitStarted(1);
+    }
+
+    private void awaitStarted(int count) {
+      while (prefill.ledger().snapshot().prefills().size() < count) {
+        Thread.onSpinWait();
+      }
+    }
+  }
+
   /** Orders. */
   public static class Orders extends WithEngines {
     /** One habit refuses an old number, the other carries the order out. */
--- /dev/null
+++ b/org.larkkeel.standin.test/src/test/java/org/larkkeel/standin/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the workings of the stand-ins. */
+package org.larkkeel.standin.internal;
--- a/org.larkkeel.standin/src/main/java/org/larkkeel/standin/internal/EngineRequest.java
+++ b/org.larkkeel.standin/src/main/java/org/larkkeel/standin/internal/EngineRequest.java
@@ -49,6 +49,7 @@
 
   Stage stage;
   boolean slot;
+  boolean memory;
   int cachedTokens;
   boolean prefilled;
   long evictAt = Long.MAX_VALUE;
--- a/org.larkkeel.standin/src/main/java/org/larkkeel/standin/internal/EngineState.java
+++ b/org.larkkeel.standin/src/main/java/org/larkkeel/standin/internal/EngineState.java
@@ -6,12 +6,9 @@
 
 package org.larkkeel.standin.internal;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -23,7 +20,6 @@
 import org.larkkeel.standin.EngineSettings;
 import org.larkkeel.standin.internal.EngineMessages.Completion;
 import org.larkkeel.standin.internal.EngineMessages.ExportAnswer;
-import org.larkkeel.standin.internal.EngineMessages.HeldRequest;
 import org.larkkeel.standin.internal.EngineMessages.HeldRequests;
 import org.larkkeel.standin.internal.EngineMessages.KvParams;
 import org.larkkeel.standin.internal.EngineMessages.Load;
@@ -39,34 +35,20 @@
  * @since 0.1
  */
 final class EngineState {
-  private static final int REMEMBERED = 10_000;
-
   final EngineSettings settings;
   final long incarnation;
   final EngineFaults faults;
   final EngineLedger ledger;
   final EngineOrders orders;
 
-  private final Map<String, EngineRequest> requests =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, EngineRequest> eldest) {
-          return size() > REMEMBERED && eldest.getValue().stage.isOver();
-        }
-      };
-
+  private final RequestTable table;
   private final PriorityQueue<EngineRequest> queue =
       new PriorityQueue<>(
           Comparator.<EngineRequest>comparingInt(r -> r.priority).thenComparingLong(r -> r.order));
-  private final Set<EngineRequest> live = new LinkedHashSet<>();
   private final Set<EngineRequest> batch = new LinkedHashSet<>();
   private final PrefixCache cache;
   private final ReportLog reports;
   private long nextOrder;
-  private int slotsUsed;
-  private int piecesUsed;
   private boolean dead;
 
   EngineState(EngineSettings settings, long incarnation, EngineFaults faults, EngineLedger ledger) {
@@ -75,6 +57,7 @@
     this.faults = faults;
     this.ledger = ledger;
     orders = new EngineOrders(settings);
+    table = new RequestTable(settings.memory(), ledger, incarnation);
     cache = new PrefixCache(settings.memory().prefixPieces());
     reports = new ReportLog(settings.reports());
     reports.sample(loadNow(), System.nanoTime());
@@ -93,7 +76,7 @@
   // Prefill.
 
   synchronized EngineRequest submitPrefill(String id, Completion message) {
-    EngineRequest known = requests.get(id);
+    EngineRequest known = table.find(id);
     if (known != null) {
       return known;
     }
@@ -116,8 +99,7 @@
             message.priority(),
             PrefixCache.keysOf(message.prompt()),
             Stage.QUEUED);
-    requests.put(id, request);
-    live.add(request);
+    table.add(request);
     queue.add(request);
     notifyAll();
     return request;
@@ -125,7 +107,7 @@
 
   /** Takes the first of the queue as soon as its KV cache fits; null once dead. */
   synchronized EngineRequest takePrefill() throws InterruptedException {
-    while (!dead && (queue.isEmpty() || queue.peek().pieces > memory().kvPieces() - piecesUsed)) {
+    while (!dead && (queue.isEmpty() || !table.fits(queue.peek().pieces))) {
       wait();
     }
     if (dead) {
@@ -133,7 +115,7 @@
     }
     EngineRequest request = queue.remove();
     request.stage = Stage.PREFILLING;
-    piecesUsed += request.pieces;
+    table.takePieces(request);
     request.cachedTokens =
         Math.min(cache.cachedTokens(request.prefixKeys), Math.max(0, request.promptTokens - 1));
     ledger.prefill(incarnation, request.id, request.promptTokens, 0);
@@ -175,7 +157,7 @@
   // Export and import.
 
   synchronized ExportAnswer beginExport(String block) {
-    EngineRequest request = exportable(block);
+    EngineRequest request = table.exportable(block);
     if (request.prefilled) {
       request.evictAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(memory().exportMillis());
     }
@@ -183,13 +165,13 @@
   }
 
   synchronized ExportAnswer finishExport(String block) {
-    EngineRequest request = exportable(block);
+    EngineRequest request = table.exportable(block);
     end(request, Stage.FINISHED, Fate.IMPORTED);
     return new ExportAnswer(request.promptTokens, kvBytes(request));
   }
 
   synchronized ExportAnswer abortExport(String block) {
-    EngineRequest request = exportable(block);
+    EngineRequest request = table.exportable(block);
     if (request.prefilled) {
       request.evictAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(memory().evictMillis());
     }
@@ -198,24 +180,21 @@
 
   /** Takes a slot for an import; an id that is known already is not taken again. */
   synchronized Taken beginImport(String id, long kvBytes) {
-    EngineRequest known = requests.get(id);
+    EngineRequest known = table.find(id);
     if (known != null) {
       return new Taken(known, false);
     }
     admit(null, EngineRole.DECODE);
     int tokens = (int) (kvBytes / memory().kvBytesPerToken());
     int pieces = piecesFor(tokens);
-    if (slotsUsed >= memory().slots() || pieces > memory().kvPieces() - piecesUsed) {
+    if (!table.hasSlot() || !table.fits(pieces)) {
       throw new RefusedException(503, "no_slot", "no slot or no memory is free");
     }
     EngineRequest request =
         new EngineRequest(id, nextOrder++, tokens, pieces, 0, List.of(), Stage.IMPORTING);
-    requests.put(id, request);
-    live.add(request);
-    request.slot = true;
-    slotsUsed++;
-    piecesUsed += pieces;
-    ledger.slot(id, true);
+    table.add(request);
+    table.takePieces(request);
+    table.takeSlot(request);
     ledger.startImport(incarnation, id, tokens);
     notifyAll();
     return new Taken(request, true);
@@ -229,7 +208,7 @@
   }
 
   synchronized int importing() {
-    return (int) live.stream().filter(r -> r.stage == Stage.IMPORTING).count();
+    return table.count(Stage.IMPORTING);
   }
 
   synchronized void finishImport(EngineRequest request) {
@@ -258,7 +237,7 @@
   // Decode.
 
   synchronized EngineRequest decode(String id, Completion message) {
-    EngineRequest request = requests.get(id);
+    EngineRequest request = table.find(id);
     if (request == null) {
       throw new RefusedException(410, "evicted", "no KV cache is held for " + id);
     }
@@ -332,7 +311,7 @@
   // Cancel, eviction, reports.
 
   synchronized String cancel(String id) {
-    EngineRequest request = requests.get(id);
+    EngineRequest request = table.find(id);
     if (request == null) {
       return "unknown";
     }
@@ -343,7 +322,7 @@
   }
 
   synchronized void evictAll() {
-    for (EngineRequest request : List.copyOf(live)) {
+    for (EngineRequest request : table.live()) {
       if (request.stage != Stage.QUEUED) {
         end(request, Stage.EVICTED, Fate.EVICTED);
       }
@@ -357,7 +336,7 @@
       return;
     }
     long now = System.nanoTime();
-    for (EngineRequest request : List.copyOf(live)) {
+    for (EngineRequest request : table.live()) {
       if (request.evictAt != Long.MAX_VALUE && request.evictAt - now <= 0) {
         end(request, Stage.EVICTED, Fate.EVICTED);
       }
@@ -374,9 +353,7 @@
   }
 
   synchronized HeldRequests held() {
-    List<HeldRequest> all = new ArrayList<>();
-    live.forEach(r -> all.add(new HeldRequest(r.id, r.stage.word, r.slot)));
-    return new HeldRequests(incarnation, all);
+    return new HeldRequests(incarnation, table.held());
   }
 
   long kvBytes(EngineRequest request) {
@@ -399,10 +376,10 @@
         0,
         orders.roleWord(),
         memory().slots(),
-        slotsUsed + (int) live.stream().filter(r -> r.stage == Stage.PREFILLING).count(),
+        table.slotsUsed() + table.count(Stage.PREFILLING),
         queue.size(),
         memory().kvPieces(),
-        memory().kvPieces() - piecesUsed,
+        table.piecesFree(),
         orders.models());
   }
 
@@ -418,30 +395,10 @@
     }
   }
 
-  private EngineRequest exportable(String block) {
-    for (EngineRequest request : live) {
-      boolean holds = request.stage == Stage.HELD || request.stage == Stage.DECODING;
-      if (holds && request.block.equals(block)) {
-        return request;
-      }
-    }
-    throw new RefusedException(410, "evicted", "the KV cache " + block + " is not held");
-  }
-
   private void end(EngineRequest request, Stage stage, Fate fate) {
-    if (request.stage != Stage.QUEUED) {
-      piecesUsed -= request.pieces;
-    }
-    request.stage = stage;
-    live.remove(request);
+    table.end(request, stage, fate);
     queue.remove(request);
     batch.remove(request);
-    if (request.slot) {
-      request.slot = false;
-      slotsUsed--;
-      ledger.slot(request.id, false);
-    }
-    ledger.end(incarnation, request.id, fate);
     notifyAll();
   }
 
