Add the experiment: policies against fakes in virtual time

Cause: the decisions under load have to be measured, side by side with plain balancers, on the same arrivals and faults. Change: org.larkkeel.bench.experiment reads a scenario (commented JSON, strictly checked), draws traffic and faults by seed, runs each policy against fakes of engines, links, services and the store, checks every promise (not run, once, whole, nothing held), and prints tables, JSON and a plot. The upper bound is a fluid relaxation with full knowledge, improved by Lagrangian weights. Two naive routers serve as baselines until the core router is connected.

--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/ExperimentCommand.java
@@ -0,0 +1,109 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.experiment;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.larkkeel.bench.experiment.policy.Subjects;
+import org.larkkeel.bench.experiment.scenario.Scenario;
+import org.larkkeel.bench.experiment.scenario.ScenarioException;
+import org.larkkeel.bench.experiment.scenario.ScenarioReader;
+
+/**
+ * The command {@code experiment --scenario FILE}.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class ExperimentCommand {
+  private static final int OK = 0;
+  private static final int BROKEN_PROMISE = 1;
+  private static final int USAGE = 2;
+
+  @Option(name = "--scenario", metaVar = "FILE", usage = "the scenario, JSON with comments")
+  private Path file;
+
+  @Option(name = "--output", metaVar = "FOLDER", usage = "writes result and plot there")
+  private Path output;
+
+  @Option(name = "--policies", metaVar = "A,B", usage = "runs these instead of the scenario's")
+  private String policies;
+
+  @Option(name = "--loads", metaVar = "X,Y", usage = "runs these instead of the scenario's")
+  private String loads;
+
+  @Option(name = "--seeds", metaVar = "N", usage = "runs only the first N seeds")
+  private int seeds;
+
+  @Option(name = "--threads", metaVar = "N", usage = "runs at once, default 2")
+  private int threads = 2;
+
+  @Option(name = "--list", usage = "prints the names of the policies")
+  private boolean list;
+
+  private final PrintStream out;
+
+  ExperimentCommand(PrintStream out) {
+    this.out = out;
+  }
+
+  /**
+   * Runs the command and exits with 0, 1 for a broken promise, or 2 for a wrong call.
+   *
+   * @param args the arguments
+   */
+  public static void main(String[] args) {
+    System.exit(new ExperimentCommand(System.out).run(args));
+  }
+
+  int run(String... args) {
+    CmdLineParser parser = new CmdLineParser(this);
+    try {
+      parser.parseArgument(args);
+      if (list) {
+        Subjects.names().forEach(out::println);
+        return OK;
+      }
+      if (file == null) {
+        throw new ScenarioException("--scenario is missing: name a scenario file");
+      }
+      Scenario scenario =
+          Overrides.apply(
+              ScenarioReader.read(Files.readString(file), Subjects.names()::contains),
+              policies,
+              loads,
+              seeds);
+      return run(scenario);
+    } catch (CmdLineException | ScenarioException e) {
+      out.println(e.getMessage());
+      return USAGE;
+    } catch (IOException e) {
+      out.println("can not read or write " + e.getMessage() + ": check the path");
+      return USAGE;
+    }
+  }
+
+  private int run(Scenario scenario) throws IOException {
+    Experiment experiment = new Experiment(scenario);
+    List<RunResult> results = experiment.call(Math.max(1, threads));
+    List<Summary> summaries = Summary.of(results);
+    new Report(scenario, experiment.capacity(), summaries).print(out);
+    if (output != null) {
+      ResultWriter.write(output, scenario, experiment.capacity(), summaries, results);
+      Plot.write(output, scenario, summaries);
+    }
+    boolean broken = results.stream().anyMatch(r -> !r.violations().isEmpty());
+    return broken ? BROKEN_PROMISE : OK;
+  }
+}
