--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/RawCaller.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/RawCaller.java
@@ -80,7 +80,7 @@
       headers.put(
           line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
     }
-    return new Answer(Integer.parseInt(first.split(" ")[1]), headers, "");
+    return new Answer(Integer.parseInt(first.substring(9, 12)), headers, "");
   }
 
   /** Reads a whole answer, chunked or not. */
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/ScriptedServer.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/ScriptedServer.java
@@ -63,9 +63,7 @@
 
     /** Starts a chunked stream of events. */
     public Reply startEvents() throws IOException {
-      return raw(
-          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-              + "Transfer-Encoding: chunked\r\n\r\n");
+      return raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     }
 
     /** Writes one chunk. */
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
@@ -0,0 +1,461 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.caller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.nio.charset.StandardCharsets;
+import org.larkkeel.call.Call;
+import org.larkkeel.effect.Effect;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.event.Event;
+import org.larkkeel.http.Json;
+import org.larkkeel.http.Node;
+import org.larkkeel.http.Problem;
+import org.larkkeel.http.RawCaller;
+import org.larkkeel.http.request.RecordedAnswer;
+import org.larkkeel.http.request.RequestRecord;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.RequestId;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What callers do to the listener, byte for byte. */
+public class CallerListenerTest {
+  private static final String WORKSPACE = "Host: t\r\nX-Larkkeel-Workspace: open\r\n";
+  private static final int MAX_BODY = 1_000;
+  private static final int MAX_PENDING = 64 << 10;
+  private static final int SHORT_MILLIS = 200;
+
+  /** A node that is started anew for each test. */
+  public abstract static class WithNode {
+    /** The node. */
+    protected Node node;
+
+    /** Starts the node. */
+    @BeforeMethod
+    public void start() {
+      node = new Node(this::settings);
+    }
+
+    /** Stops the node. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+      node.close();
+    }
+
+    /** Changes the settings. */
+    protected CallerSettings settings(CallerSettings defaults) {
+      return defaults.withSizes(MAX_BODY, 3 * MAX_BODY, MAX_PENDING);
+    }
+
+    void answer(RequestId id, String body) {
+      RequestRecord record = node.table.remove(id).orElseThrow();
+      record.replay(
+          new RecordedAnswer(200, ImmutableList.of(), body.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** Shows that the node still serves. */
+    void assertServes() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("GET", "/fine", "", "");
+        answer(node.arrival(), "fine");
+        assertEquals(caller.answer().body(), "fine");
+      }
+    }
+  }
+
+  /** Requests that can not be served. */
+  public static class BadRequests extends WithNode {
+    /** Bad requests, with status, slug and a word that the detail must have. */
+    @DataProvider
+    public Object[][] table() {
+      String complete = "POST /v1/completions HTTP/1.1\r\n" + WORKSPACE;
+      String chat = "POST /v1/chat/completions HTTP/1.1\r\n" + WORKSPACE;
+      return new Object[][] {
+        {with(complete, "{"), 400, "malformed-request", "not JSON"},
+        {with(complete, ""), 400, "malformed-request", "JSON object"},
+        {with(complete, "[1]"), 400, "malformed-request", "JSON object"},
+        {with(complete, "{\"model\":\"m\"} x"), 400, "malformed-request", "not JSON"},
+        {with(complete, "{\"prompt\":\"p\"}"), 400, "malformed-request", "model"},
+        {with(complete, "{\"model\":\"m\"}"), 400, "malformed-request", "prompt"},
+        {with(complete, "{\"model\":\"m\",\"prompt\":\"\"}"), 400, "malformed-request", "prompt"},
+        {with(complete, body("\"max_tokens\":0")), 400, "malformed-request", "max_tokens is 0"},
+        {with(complete, body("\"max_tokens\":1.5")), 400, "malformed-request", "max_tokens"},
+        {with(complete, body("\"stream\":\"yes\"")), 400, "malformed-request", "stream"},
+        {with(complete, body("\"n\":2")), 400, "malformed-request", "n is 2"},
+        {
+          with(complete, "{\"model\":\"m\",\"prompt\":\"\\ud800\"}"),
+          400,
+          "malformed-request",
+          "surrogate"
+        },
+        {with(complete, "{\"model\":\"a b\",\"prompt\":\"p\"}"), 400, "malformed-request", "a b"},
+        {with(chat, body("\"messages\":[]")), 400, "malformed-request", "messages"},
+        {
+          with(chat, body("\"messages\":[{\"role\":\"user\"}]")),
+          400,
+          "malformed-request",
+          "messages[0].content"
+        },
+        {
+          with(complete + "X-Larkkeel-Deadline-Millis: -5\r\n", body("\"n\":1")),
+          400,
+          "malformed-request",
+          "Deadline"
+        },
+        {
+          with("POST /x HTTP/1.1\r\n" + WORKSPACE + "Idempotency-Key: \r\n", ""),
+          400,
+          "malformed-request",
+          "Idempotency-Key"
+        },
+        {with("GET /a/../b HTTP/1.1\r\n" + WORKSPACE, ""), 400, "malformed-request", "dot"},
+        {with("GET /a/%2e%2e/b HTTP/1.1\r\n" + WORKSPACE, ""), 400, "malformed-request", "dot"},
+        {
+          with("GET /v1/completions HTTP/1.1\r\n" + WORKSPACE, ""),
+          405,
+          "method-not-allowed",
+          "POST"
+        },
+        {with("TRACE /x HTTP/1.1\r\n" + WORKSPACE, ""), 405, "method-not-allowed", "TRACE"},
+        {with("GET /x HTTP/1.1\r\nHost: t\r\n", ""), 401, "unauthenticated", "Bearer"},
+        {
+          with("GET /x HTTP/1.1\r\nHost: t\r\nX-Larkkeel-Workspace: closed\r\n", ""),
+          401,
+          "unauthenticated",
+          "Bearer"
+        },
+        {
+          with("GET /x HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer wrong\r\n", ""),
+          401,
+          "unauthenticated",
+          "Bearer"
+        },
+        {
+          with("POST /x HTTP/1.1\r\n" + WORKSPACE, "x".repeat(MAX_BODY + 1)),
+          413,
+          "body-too-large",
+          "1000 bytes"
+        },
+        {
+          with("POST /x HTTP/1.1\r\n" + WORKSPACE, "x".repeat(100 * MAX_BODY)),
+          413,
+          "body-too-large",
+          "1000 bytes"
+        },
+        {
+          "POST /x HTTP/1.1\r\n"
+              + WORKSPACE
+              + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n"
+              + "x".repeat(2_000)
+              + "\r\n0\r\n\r\n",
+          413,
+          "body-too-large",
+          "1000 bytes"
+        },
+      };
+    }
+
+    /** Each gets a clear problem, tells the reducer nothing and harms nobody else. */
+    @Test(dataProvider = "table")
+    public void getClearProblem(String request, int status, String slug, String word)
+        throws Exception {
+      try (RawCaller caller = node.call()) {
+        RawCaller.Answer answer = caller.raw(request).answer();
+        assertEquals(answer.status(), status, answer.body());
+        assertEquals(answer.header("content-type"), Problem.MEDIA_TYPE);
+        JsonNode problem = Json.parse(answer.body().getBytes(StandardCharsets.UTF_8));
+        assertEquals(problem.path("type").asText(), Problem.TYPE_PREFIX + slug);
+        assertEquals(problem.path("execution").asText(), "not-run");
+        assertEquals(problem.path("requestId").asText(), answer.header("x-request-id"));
+        assertTrue(problem.path("detail").asText().contains(word), answer.body());
+      }
+      assertServes();
+      assertEquals(node.waitingEvents(), 0);
+      assertEquals(node.table.size(), 0);
+    }
+
+    /** What is not HTTP ends its own connection only. */
+    @Test
+    public void closesOnNonsense() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.raw("\u0001\u0002 nonsense\r\n\r\n");
+        RawCaller.Answer answer = caller.answer();
+        assertEquals(answer.status(), 400);
+        assertEquals(caller.read(), -1);
+      }
+      assertServes();
+    }
+
+    private static String body(String field) {
+      return "{\"model\":\"m\",\"prompt\":\"p\"," + field + "}";
+    }
+
+    private static String with(String head, String body) {
+      return head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+  }
+
+  /** Requests that are not sent to the end. */
+  public static class HalfSent extends WithNode {
+    @Override
+    protected CallerSettings settings(CallerSettings defaults) {
+      return super.settings(defaults)
+          .withTimeouts(SHORT_MILLIS, SHORT_MILLIS, SHORT_MILLIS, SHORT_MILLIS);
+    }
+
+    /** A body that stops is refused and its connection closed. */
+    @Test
+    public void stoppedBodyTimesOut() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.raw("POST /x HTTP/1.1\r\n" + WORKSPACE + "Content-Length: 10\r\n\r\nabc");
+        RawCaller.Answer answer = caller.answer();
+        assertEquals(answer.status(), 408);
+        assertTrue(answer.body().contains("request-timeout"), answer.body());
+        assertEquals(caller.read(), -1);
+      }
+      assertServes();
+    }
+
+    /** Headers that stop end the connection. */
+    @Test
+    public void stoppedHeadersTimeOut() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.raw("POST /x HTTP/1.1\r\nHost: t\r\nX-Slow");
+        assertEquals(caller.read(), -1);
+      }
+      assertServes();
+    }
+
+    /** A caller that leaves in the middle of its body was never a request. */
+    @Test
+    public void leavesInBody() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.raw("POST /x HTTP/1.1\r\n" + WORKSPACE + "Content-Length: 10\r\n\r\nabc");
+      }
+      assertServes();
+      assertEquals(node.waitingEvents(), 0);
+    }
+
+    /** Half-sent bodies give back the memory that was kept for them. */
+    @Test
+    public void givesMemoryBack() throws Exception {
+      for (int i = 0; i < 5; i++) {
+        try (RawCaller caller = node.call()) {
+          caller.raw("POST /x HTTP/1.1\r\n" + WORKSPACE + "Content-Length: 1000\r\n\r\nabc");
+          assertEquals(caller.answer().status(), 408, "three bodies would fill the memory");
+        }
+      }
+    }
+  }
+
+  /** Callers that go away. */
+  public static class Departures extends WithNode {
+    /** The ways to go. */
+    @DataProvider
+    public Object[][] ways() {
+      return new Object[][] {{Way.CLOSE}, {Way.HALF_CLOSE}, {Way.RESET}};
+    }
+
+    /** A way to go. */
+    public enum Way {
+      /** An orderly close. */
+      CLOSE,
+      /** Only the sending side is closed. */
+      HALF_CLOSE,
+      /** The connection is reset. */
+      RESET;
+
+      void leave(RawCaller caller) throws Exception {
+        if (this == HALF_CLOSE) {
+          caller.socket().shutdownOutput();
+          return;
+        }
+        if (this == RESET) {
+          caller.socket().setSoLinger(true, 0);
+        }
+        caller.close();
+      }
+    }
+
+    /** A departure is told while the request is queued and nothing is written. */
+    @Test(dataProvider = "ways")
+    public void isToldWhileQueued(Way way) throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("POST", "/v1/completions", "", "{\"model\":\"m\",\"prompt\":\"p\"}");
+        RequestId id = node.arrival();
+        way.leave(caller);
+        assertEquals(node.await(Event.CallerGone.class).request(), id);
+        node.execute(new Effect.Forget(id));
+        assertEquals(node.table.size(), 0);
+      }
+      assertServes();
+      assertEquals(node.waitingEvents(), 0, "told once");
+    }
+
+    /** Bytes of a next request do not hide a departure. */
+    @Test
+    public void isToldBehindNextRequest() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("GET", "/a", "", "").send("GET", "/b", "", "");
+        RequestId id = node.arrival();
+        caller.close();
+        assertEquals(node.await(Event.CallerGone.class).request(), id);
+      }
+    }
+
+    /** A caller that leaves after its answer is not told as gone. */
+    @Test
+    public void isNotToldAfterAnswer() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("GET", "/a", "", "");
+        answer(node.arrival(), "A");
+        assertEquals(caller.answer().body(), "A");
+      }
+      assertServes();
+      assertEquals(node.waitingEvents(), 0);
+    }
+
+    /** A caller that reads nothing is cut off within its bound. */
+    @Test
+    public void slowReaderIsCutOff() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send(
+            "POST", "/v1/completions", "", "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":true}");
+        RequestId id = node.arrival();
+        RequestRecord record = node.table.find(id).orElseThrow();
+        byte[] part = new byte[4 << 10];
+        int most = (64 << 20) / part.length;
+        for (int i = 0; i < most && node.waitingEvents() == 0; i++) {
+          record.channel().stream(part);
+        }
+        assertEquals(node.await(Event.CallerGone.class).request(), id);
+      }
+      assertServes();
+    }
+  }
+
+  /** Requests in good order. */
+  public static class GoodRequests extends WithNode {
+    /** Requests that come together are answered in order. */
+    @Test
+    public void answersPipelined() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("GET", "/a", "", "").send("GET", "/b", "", "").send("GET", "/c", "", "");
+        for (String name : ImmutableList.of("A", "B", "C")) {
+          answer(node.arrival(), name);
+          assertEquals(caller.answer().body(), name);
+        }
+      }
+    }
+
+    /** A chat becomes one prompt, and headers become parts of the call. */
+    @Test
+    public void readsCall() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send(
+            "POST",
+            "/v1/chat/completions",
+            "Idempotency-Key: k\r\nX-Larkkeel-Deadline-Millis: 1500\r\n",
+            "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"abc\"}],"
+                + "\"max_completion_tokens\":9}");
+        Event.RequestArrived arrived = node.await(Event.RequestArrived.class);
+        Call.Completion call = (Call.Completion) arrived.call();
+        assertEquals(call.maxTokens(), 9);
+        assertEquals(call.deadlineMillis(), 1500);
+        assertEquals(call.runKey().orElseThrow().key().value(), "k");
+        assertEquals(call.prompt(), ("user: abc\nassistant:".length() + 3) / 4);
+      }
+    }
+
+    /** The same key with another body has another digest. */
+    @Test
+    public void digestCoversBody() throws Exception {
+      long[] digests = new long[3];
+      String[] bodies = {"a", "b", "a"};
+      for (int i = 0; i < bodies.length; i++) {
+        try (RawCaller caller = node.call()) {
+          caller.send("POST", "/x", "Idempotency-Key: k\r\n", bodies[i]);
+          Event.RequestArrived arrived = node.await(Event.RequestArrived.class);
+          digests[i] = arrived.call().runKey().orElseThrow().bodyDigest();
+          answer(arrived.call().id(), "");
+          assertNotNull(caller.answer());
+        }
+      }
+      assertFalse(digests[0] == digests[1]);
+      assertEquals(digests[2], digests[0]);
+    }
+
+    /** A refusal tells when to come back and what ran. */
+    @Test
+    public void refuses() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("GET", "/a", "X-Request-Id: has space\r\n", "");
+        RequestId id = node.arrival();
+        node.execute(new Effect.Refuse(id, ErrorKind.OVERLOADED, 1_200, "Too much."));
+        RawCaller.Answer answer = caller.answer();
+        assertEquals(answer.status(), 503);
+        assertEquals(answer.header("retry-after"), "2");
+        assertEquals(answer.header("x-request-id"), "n1/7/" + id);
+        assertTrue(answer.body().contains("\"detail\":\"Too much.\""));
+      }
+    }
+
+    /** A late answer for a request that has ended goes nowhere. */
+    @Test
+    public void dropsSecondEnd() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.send("GET", "/a", "", "");
+        RequestId id = node.arrival();
+        RequestRecord record = node.table.find(id).orElseThrow();
+        answer(id, "A");
+        record.refuse(Problem.of(ErrorKind.INTERNAL, "late", ""));
+        node.execute(new Effect.Complete(id, new AttemptId(1)));
+        assertEquals(caller.answer().body(), "A");
+        caller.send("GET", "/b", "", "");
+        answer(node.arrival(), "B");
+        assertEquals(caller.answer().body(), "B");
+      }
+    }
+
+    /** Health, readiness and metrics need no workspace. */
+    @Test
+    public void servesHealth() throws Exception {
+      try (RawCaller caller = node.call()) {
+        String get = " HTTP/1.1\r\nHost: t\r\n\r\n";
+        assertEquals(caller.raw("GET /healthz" + get).answer().status(), 200);
+        assertEquals(caller.raw("GET /readyz" + get).answer().status(), 200);
+        assertEquals(caller.raw("GET /metrics" + get).answer().body(), "metric 1\n");
+        node.ready.set(false);
+        assertEquals(caller.raw("GET /readyz" + get).answer().status(), 503);
+      }
+    }
+
+    /** A caller that asks before it sends its body is told to go on. */
+    @Test
+    public void continues() throws Exception {
+      try (RawCaller caller = node.call()) {
+        caller.raw(
+            "POST /x HTTP/1.1\r\n"
+                + WORKSPACE
+                + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        assertEquals(caller.head().status(), 100);
+        caller.raw("ab");
+        answer(node.arrival(), "A");
+        assertEquals(caller.answer().body(), "A");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the listener towards callers. */
+package org.larkkeel.http.caller;
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the meters. */
+package org.larkkeel.http.metrics;
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
@@ -289,7 +289,7 @@
     /** The texts of all events or of the one body, joined. */
     static String texts(String body) throws Exception {
       StringBuilder all = new StringBuilder();
-      for (String line : body.split("\n")) {
+      for (String line : body.lines().toList()) {
         String json = line.startsWith("data: ") ? line.substring("data: ".length()) : line;
         if (json.startsWith("{")) {
           JsonNode choice = Json.parse(json.getBytes(StandardCharsets.UTF_8)).path("choices");
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of requests to upstreams. */
+package org.larkkeel.http.upstream;
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
@@ -8,6 +8,7 @@
 
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -34,6 +35,7 @@
   }
 
   /** A whole body, and what gives its memory back. */
+  @SuppressWarnings("ArrayRecordComponent") // The bytes are handed on and never changed.
   record Body(byte[] bytes, Runnable release) {}
 
   void read(HttpServerExchange exchange, String wireId, Consumer<Body> then) {
@@ -94,7 +96,8 @@
   }
 
   private void failed(HttpServerExchange exchange, String wireId, IOException failure) {
-    if (failure instanceof Receiver.RequestToLargeException) {
+    if (failure instanceof Receiver.RequestToLargeException
+        || failure instanceof RequestTooBigException) {
       closeAfter(exchange, Problem.of(ErrorKind.BODY_TOO_LARGE, limit(), wireId));
     } else {
       IoUtils.safeClose(exchange.getConnection());
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/CallerHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/CallerHandler.java
@@ -119,7 +119,8 @@
                   body.bytes(),
                   channel);
     } catch (LarkkeelException e) {
-      channel.refuse(Problem.of(e.kind(), e.getMessage(), wireId));
+      Problem problem = Problem.of(e.kind(), e.getMessage(), wireId);
+      exchange.dispatch(SameThreadExecutor.INSTANCE, () -> channel.refuse(problem));
       return;
     }
     services.table().add(request);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/CallerListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/CallerListener.java
@@ -26,6 +26,13 @@
  */
 public final class CallerListener implements AutoCloseable {
   private static final int MAX_HEADER_BYTES = 32 << 10;
+
+  /**
+   * How much of an oversized body is read away, in multiples of the limit. A caller that is still
+   * sending would lose the answer if its connection were closed at once.
+   */
+  private static final long DRAINED = 8;
+
   private static final int BACKLOG = 1024;
 
   private final CallerSettings settings;
@@ -55,7 +62,7 @@
             .setSocketOption(Options.BACKLOG, BACKLOG)
             .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) settings.maxBodyBytes())
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, DRAINED * settings.maxBodyBytes())
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.headerMillis())
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleMillis());
     InetSocketAddress bind = settings.bind();
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/DisconnectWatch.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/DisconnectWatch.java
@@ -12,6 +12,7 @@
 import io.undertow.util.AttachmentKey;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
@@ -26,10 +27,9 @@
   private static final AttachmentKey<DisconnectWatch> KEY =
       AttachmentKey.create(DisconnectWatch.class);
   private static final int MAX_EARLY_BYTES = 16 * 1024;
-  private static final Runnable NOTHING = () -> {};
 
   private final AbstractServerConnection connection;
-  private Runnable gone = NOTHING;
+  private Optional<Runnable> gone = Optional.empty();
 
   private DisconnectWatch(AbstractServerConnection connection) {
     this.connection = connection;
@@ -50,10 +50,10 @@
   }
 
   private void begin(HttpServerExchange exchange, Runnable action) {
-    gone = action;
+    gone = Optional.of(action);
     exchange.addExchangeCompleteListener(
         (e, next) -> {
-          gone = NOTHING;
+          gone = Optional.empty();
           next.proceed();
         });
     if (!connection.isOpen()) {
@@ -66,13 +66,13 @@
   }
 
   private void fire() {
-    Runnable action = gone;
-    gone = NOTHING;
-    action.run();
+    Optional<Runnable> action = gone;
+    gone = Optional.empty();
+    action.ifPresent(Runnable::run);
   }
 
   private void readable() {
-    if (gone == NOTHING) {
+    if (gone.isEmpty()) {
       return;
     }
     try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The meters of a node. */
+package org.larkkeel.http.metrics;
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/request/RecordedAnswer.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/RecordedAnswer.java
@@ -24,6 +24,7 @@
  * @param body the body, not to be changed
  * @since 0.1
  */
+@SuppressWarnings("ArrayRecordComponent") // The bytes are handed on and never changed.
 public record RecordedAnswer(int status, ImmutableList<Header> headers, byte[] body) {
   /**
    * A header.
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.http.upstream;
 
+import com.google.common.collect.ImmutableSet;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
@@ -13,6 +14,8 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -35,6 +38,9 @@
  * failure is {@code MAY_HAVE_RUN}. Once a connection is had, everything happens on its I/O thread.
  */
 final class UpstreamExchange implements InFlight, ConnectionPool.Waiter {
+  private static final ImmutableSet<HttpString> BODYLESS =
+      ImmutableSet.of(Methods.GET, Methods.HEAD, Methods.DELETE);
+
   private final ConnectionPool pool;
   private final HttpWorker worker;
   private final UpstreamAddress address;
@@ -144,7 +150,9 @@
     HeaderMap headers = wire.getRequestHeaders();
     request.headers().forEach(headers::add);
     headers.put(Headers.HOST, address.hostHeader());
-    headers.put(Headers.CONTENT_LENGTH, request.body().length);
+    if (request.body().length > 0 || !BODYLESS.contains(request.method())) {
+      headers.put(Headers.CONTENT_LENGTH, request.body().length);
+    }
     return wire;
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamRequest.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamRequest.java
@@ -20,6 +20,7 @@
  * @param body the body, empty for none; not copied
  * @since 0.1
  */
+@SuppressWarnings("ArrayRecordComponent") // The bytes are handed on and never changed.
 public record UpstreamRequest(
     HttpString method,
     String target,
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/WholeAnswer.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/WholeAnswer.java
@@ -51,6 +51,7 @@
    * @param headers the headers
    * @param body the body, not to be changed
    */
+  @SuppressWarnings("ArrayRecordComponent") // The bytes are handed on and never changed.
   public record Answer(
       int status, ImmutableListMultimap<HttpString, String> headers, byte[] body) {}
 
