--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/AuditPage.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/AuditPage.java
@@ -6,7 +6,7 @@
 
 package org.larkkeel.http.operator;
 
-import com.google.common.collect.ImmutableList;
+import java.util.List;
 import org.larkkeel.config.Change;
 import org.larkkeel.lib.Revision;
 
@@ -19,7 +19,12 @@
  * @param next where the next page begins; {@link Revision#NONE} if this is the last
  * @since 0.1
  */
-public record AuditPage(ImmutableList<Entry> entries, Revision next) {
+public record AuditPage(List<Entry> entries, Revision next) {
+  /** Copies the list. */
+  public AuditPage {
+    entries = List.copyOf(entries);
+  }
+
   /**
    * One accepted change.
    *
--- a/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
@@ -43,6 +43,13 @@
       Repeat.NEVER,
       "No routing rule matches the request.",
       "Check the model or path, or ask the operator for a rule."),
+  /** There is no such resource. */
+  NOT_FOUND(
+      404,
+      Execution.NOT_RUN,
+      Repeat.NEVER,
+      "There is no such resource.",
+      "Correct the path or the name."),
   /** The path does not take this method. */
   METHOD_NOT_ALLOWED(
       405,
