Wire a node and show the whole path in ./demo

Cause: nothing ran end to end yet. Change: settings in commented JSON with every problem told at once (the located reader of the configuration is public for it), the node's wiring (callers, reducer, upstreams, peers, host list, readiness, drain) and the demo with stand-ins, faults and a verdict against the oracle and the ledgers. The run log and the configuration store are not wired yet: orders are refused as not run, and the demo hands its configuration to the nodes directly.

--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Caller.java
@@ -0,0 +1,104 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.demo;
+
+import com.google.common.collect.ImmutableList;
+import java.net.URI;
+import java.time.Duration;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.standin.AnswerOracle;
+import org.larkkeel.standin.ServiceOracle;
+
+/**
+ * A caller that stays until its request is answered or finally refused.
+ *
+ * <p>It goes to another node after a broken connection or a refusal that may be repeated; a call
+ * that runs at most once keeps its key. Safe for use by several threads; calls block.
+ */
+final class Caller {
+  private static final int MAX_ATTEMPTS = 12;
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(50);
+  private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
+  private static final int ORDER_RUN = 1;
+
+  private final CallerClient client;
+  private final ImmutableList<URI> nodes;
+  private final Tally tally;
+
+  Caller(CallerClient client, ImmutableList<URI> nodes, Tally tally) {
+    this.client = client;
+    this.nodes = nodes;
+    this.tally = tally;
+  }
+
+  /** Sends a request until it ends. */
+  void run(DemoRequest request, int firstNode) {
+    tally.sent();
+    try {
+      settle(request, firstNode);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      tally.ended(request, Outcome.LOST, "interrupted");
+    }
+  }
+
+  private void settle(DemoRequest request, int firstNode) throws InterruptedException {
+    long arrived = System.nanoTime();
+    AttemptResult last = null;
+    for (int i = 0; i < MAX_ATTEMPTS; i++) {
+      if (i > 0) {
+        tally.retried();
+        Thread.sleep(pause(i));
+      }
+      long before = System.nanoTime() - arrived;
+      last = client.send(nodes.get((firstNode + i) % nodes.size()), request);
+      if (last instanceof AttemptResult.Answer answer) {
+        answered(request, answer, before);
+        return;
+      }
+      if (last instanceof AttemptResult.Refused refused && !refused.repeatable()) {
+        break;
+      }
+    }
+    switch (last) {
+      case AttemptResult.Refused r -> refused(request, r);
+      case AttemptResult.Broken b -> tally.ended(request, Outcome.LOST, b.cause());
+      case null, default -> throw new IllegalStateException("no attempt was made");
+    }
+  }
+
+  private static Duration pause(int attempt) {
+    Duration grown = FIRST_PAUSE.multipliedBy(1L << Math.min(attempt, 5));
+    return grown.compareTo(LONGEST_PAUSE) < 0 ? grown : LONGEST_PAUSE;
+  }
+
+  private void answered(DemoRequest request, AttemptResult.Answer answer, long before) {
+    if (answer.body().equals(expected(request))) {
+      tally.times(request, answer, before);
+      tally.ended(request, Outcome.ANSWERED, "");
+    } else {
+      tally.ended(request, Outcome.WRONG, answer.body());
+    }
+  }
+
+  private void refused(DemoRequest request, AttemptResult.Refused refused) {
+    boolean internal = refused.kind().equals(ErrorKind.INTERNAL.slug());
+    if (request instanceof DemoRequest.Order order && refused.notRun()) {
+      tally.toldNotRun(order.reference());
+    }
+    tally.ended(request, internal ? Outcome.LOST : Outcome.REFUSED, refused.kind());
+  }
+
+  private static String expected(DemoRequest request) {
+    return switch (request) {
+      case DemoRequest.Dossier d ->
+          AnswerOracle.whole(DemoCluster.MODEL, d.prompt(), d.maxTokens());
+      case DemoRequest.Lookup l -> ServiceOracle.lookup(l.path());
+      case DemoRequest.Order o -> ServiceOracle.change(o.path(), o.reference(), ORDER_RUN);
+    };
+  }
+}
--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoRequest.java
@@ -0,0 +1,19 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.demo;
+
+/** One request of the load. Immutable and safe for use by several threads. */
+sealed interface DemoRequest {
+  /** A streamed completion of a long prompt. */
+  record Dossier(String prompt, int maxTokens) implements DemoRequest {}
+
+  /** A lookup, which may be repeated. */
+  record Lookup(String path) implements DemoRequest {}
+
+  /** A call that runs at most once, with an idempotency key. */
+  record Order(String path, String reference, String key) implements DemoRequest {}
+}
--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Tally.java
@@ -0,0 +1,119 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.demo;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Counts what callers saw. Safe for use by several threads. */
+final class Tally {
+  private static final Logger log = LoggerFactory.getLogger(Tally.class);
+  private static final long LONGEST_MICROS = TimeUnit.MINUTES.toMicros(10);
+  private static final int DIGITS = 3;
+  private static final int SHOWN = 200;
+  private static final long FIRST_TARGET = Duration.ofSeconds(4).toNanos();
+  private static final long BETWEEN_TARGET = Duration.ofMillis(100).toNanos();
+
+  private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
+  private final Map<String, Long> refusals = new TreeMap<>();
+  private final Set<String> toldNotRun = new HashSet<>();
+  private final Histogram first = new Histogram(LONGEST_MICROS, DIGITS);
+  private final Histogram between = new Histogram(LONGEST_MICROS, DIGITS);
+  private final Histogram plain = new Histogram(LONGEST_MICROS, DIGITS);
+  private long sent;
+  private long retried;
+  private long withinTargets;
+
+  /** A consistent view of the counts. */
+  record Snapshot(
+      long sent,
+      long retried,
+      long withinTargets,
+      Map<Outcome, Long> outcomes,
+      Map<String, Long> refusals,
+      Set<String> toldNotRun,
+      Histogram first,
+      Histogram between,
+      Histogram plain) {
+    long count(Outcome outcome) {
+      return outcomes.getOrDefault(outcome, 0L);
+    }
+
+    long ended() {
+      return outcomes.values().stream().mapToLong(Long::longValue).sum();
+    }
+  }
+
+  synchronized void sent() {
+    sent++;
+  }
+
+  synchronized void retried() {
+    retried++;
+  }
+
+  /** An order was finally refused with the word that it did not run. */
+  synchronized void toldNotRun(String reference) {
+    toldNotRun.add(reference);
+  }
+
+  synchronized void ended(DemoRequest request, Outcome outcome, String detail) {
+    outcomes.merge(outcome, 1L, Long::sum);
+    if (outcome == Outcome.REFUSED) {
+      refusals.merge(detail, 1L, Long::sum);
+    } else if (outcome != Outcome.ANSWERED) {
+      log.error(
+          "event=request_failed outcome={} type={} detail=\"{}\"",
+          outcome,
+          request.getClass().getSimpleName(),
+          detail.substring(0, Math.min(detail.length(), SHOWN)));
+    }
+  }
+
+  /** Counts the times of an answer; those of earlier attempts count towards the first token. */
+  synchronized void times(DemoRequest request, AttemptResult.Answer answer, long before) {
+    long firstNanos = before + answer.firstNanos();
+    if (!(request instanceof DemoRequest.Dossier)) {
+      record(plain, firstNanos);
+      withinTargets += firstNanos <= FIRST_TARGET ? 1 : 0;
+      return;
+    }
+    record(first, firstNanos);
+    long gap = 0;
+    if (answer.tokens() > 1) {
+      gap = (answer.lastNanos() - answer.firstNanos()) / (answer.tokens() - 1);
+      record(between, gap);
+    }
+    withinTargets += firstNanos <= FIRST_TARGET && gap <= BETWEEN_TARGET ? 1 : 0;
+  }
+
+  private static void record(Histogram histogram, long nanos) {
+    histogram.recordValue(Math.min(LONGEST_MICROS, TimeUnit.NANOSECONDS.toMicros(nanos)));
+  }
+
+  synchronized Snapshot snapshot() {
+    return new Snapshot(
+        sent,
+        retried,
+        withinTargets,
+        Collections.unmodifiableMap(new EnumMap<>(outcomes)),
+        Collections.unmodifiableMap(new TreeMap<>(refusals)),
+        Set.copyOf(toldNotRun),
+        first.copy(),
+        between.copy(),
+        plain.copy());
+  }
+}
--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Workload.java
@@ -0,0 +1,53 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.demo;
+
+import java.util.SplittableRandom;
+
+/** Makes the mixed load of the demo from a seed. Used by one thread. */
+final class Workload {
+  private static final double DOSSIER_SHARE = 0.12;
+  private static final double ORDER_SHARE = 0.18;
+  private static final int SHARED_CLAUSES = 4;
+  private static final int MIN_WORDS = 400;
+  private static final int MAX_WORDS = 6_000;
+  private static final int MIN_TOKENS = 24;
+  private static final int MAX_TOKENS = 96;
+  private static final String[] WORDS = {
+    "lana", "telar", "cesta", "barro", "precio", "feria", "andamio", "carga", "plano", "norma"
+  };
+
+  private final SplittableRandom random;
+  private long next;
+
+  Workload(long seed) {
+    random = new SplittableRandom(seed);
+  }
+
+  DemoRequest next() {
+    next++;
+    double share = random.nextDouble();
+    if (share < DOSSIER_SHARE) {
+      return new DemoRequest.Dossier(prompt(), random.nextInt(MIN_TOKENS, MAX_TOKENS + 1));
+    }
+    if (share < DOSSIER_SHARE + ORDER_SHARE) {
+      return new DemoRequest.Order("/orders", "order-" + next, "key-" + next);
+    }
+    return new DemoRequest.Lookup("/catalogue/item-" + random.nextInt(1_000) + "?n=" + next);
+  }
+
+  /** Some prompts begin with the same clauses, so that prefix caches matter. */
+  private String prompt() {
+    StringBuilder text = new StringBuilder();
+    text.append("clauses ").append(random.nextInt(SHARED_CLAUSES)).append('\n');
+    int words = random.nextInt(MIN_WORDS, MAX_WORDS);
+    for (int i = 0; i < words; i++) {
+      text.append(WORDS[random.nextInt(WORDS.length)]).append(' ');
+    }
+    return text.append("dossier ").append(next).toString();
+  }
+}
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ObservedObjectApi.java
@@ -0,0 +1,85 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.larkkeel.platform.ListQuery;
+import org.larkkeel.platform.ObjectApi;
+import org.larkkeel.platform.ObjectApiException;
+import org.larkkeel.platform.ObjectApiFailure;
+import org.larkkeel.platform.ObjectKey;
+import org.larkkeel.platform.ObjectPage;
+import org.larkkeel.platform.StoredObject;
+import org.larkkeel.platform.Watch;
+import org.larkkeel.platform.WatchEvent;
+
+/** Tells the readiness whether the store answers. Safe for use by several threads. */
+final class ObservedObjectApi implements ObjectApi {
+  private final ObjectApi target;
+  private final Readiness readiness;
+
+  ObservedObjectApi(ObjectApi target, Readiness readiness) {
+    this.target = target;
+    this.readiness = readiness;
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> get(ObjectKey key) {
+    return observe(target.get(key));
+  }
+
+  @Override
+  public CompletableFuture<ObjectPage> list(ListQuery query) {
+    return observe(target.list(query));
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec) {
+    return observe(target.create(key, kind, spec));
+  }
+
+  @Override
+  public CompletableFuture<StoredObject> update(
+      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+    return observe(target.update(key, kind, spec, resourceVersion));
+  }
+
+  @Override
+  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+    return observe(target.delete(key, resourceVersion));
+  }
+
+  @Override
+  public Watch watch(
+      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+    return target.watch(
+        collection,
+        resourceVersion,
+        timeout,
+        event -> {
+          readiness.storeAnswered();
+          listener.accept(event);
+        });
+  }
+
+  private <T> CompletableFuture<T> observe(CompletableFuture<T> call) {
+    return call.whenComplete((value, failure) -> settled(failure));
+  }
+
+  private void settled(Throwable failure) {
+    ObjectApiFailure kind =
+        failure == null ? null : ObjectApiException.failureOf(failure).orElse(null);
+    switch (kind) {
+      case ObjectApiFailure.Unavailable f -> readiness.storeSilent();
+      case ObjectApiFailure.OutcomeUnknown f -> readiness.storeSilent();
+      case null, default -> readiness.storeAnswered();
+    }
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/config/FieldReader.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/FieldReader.java
@@ -21,9 +21,13 @@
 
 /**
  * Reads the members of one JSON object and gathers every problem on the way; a faulty member gives
- * its default, so that reading goes on. Not safe for use by several threads.
+ * its default, so that reading goes on.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.1
  */
-final class FieldReader {
+public final class FieldReader {
   private static final String REQUIRED = "the key is missing";
   private static final String NAME_REMEDY =
       "use letters, digits and . _ / -, beginning and ending with a letter or a digit";
@@ -38,6 +42,21 @@
     this.problems = problems;
   }
 
+  /**
+   * Reads a document of JSON with comments that must be an object.
+   *
+   * @param text the document
+   * @param known the keys that it may have; others are reported
+   * @param problems takes every problem
+   * @return a reader of its members; empty after a syntax error
+   */
+  public static Optional<FieldReader> document(
+      String text, ImmutableSet<String> known, ProblemCollector problems) {
+    return new LocatedParser(problems)
+        .parse(text)
+        .map(root -> open(root, JsonPath.ROOT, known, problems));
+  }
+
   /** Opens a value that must be an object and reports keys other than the known. */
   static FieldReader open(
       Located value, JsonPath path, ImmutableSet<String> known, ProblemCollector problems) {
@@ -69,8 +88,14 @@
     return path;
   }
 
-  /** Opens a member that is an object; a missing one is empty. */
-  FieldReader child(String key, ImmutableSet<String> known) {
+  /**
+   * Opens a member that is an object; a missing one is empty.
+   *
+   * @param key the key
+   * @param known the keys that it may have; others are reported
+   * @return a reader of its members
+   */
+  public FieldReader child(String key, ImmutableSet<String> known) {
     return open(member(key).orElse(empty()), path.child(key), known, problems);
   }
 
@@ -90,6 +115,21 @@
     return named.buildOrThrow();
   }
 
+  /**
+   * Opens the members of a member that maps names to objects.
+   *
+   * @param key the key
+   * @param known the keys that each of the objects may have; others are reported
+   * @return readers by name; names that are not valid are reported and left out
+   */
+  public ImmutableMap<String, FieldReader> children(String key, ImmutableSet<String> known) {
+    ImmutableMap.Builder<String, FieldReader> children = ImmutableMap.builder();
+    JsonPath at = path.child(key);
+    named(key)
+        .forEach((name, value) -> children.put(name, open(value, at.child(name), known, problems)));
+    return children.buildOrThrow();
+  }
+
   private void addNamed(
       String name, Located.Field field, ImmutableMap.Builder<String, Located> named) {
     if (Names.isValid(name)) {
@@ -100,7 +140,13 @@
     }
   }
 
-  Optional<String> text(String key) {
+  /**
+   * Reads a string.
+   *
+   * @param key the key
+   * @return the value; empty if it is missing or faulty
+   */
+  public Optional<String> text(String key) {
     return member(key).flatMap(value -> text(value, path.child(key)));
   }
 
@@ -112,15 +158,30 @@
     return Optional.empty();
   }
 
-  Optional<String> requiredText(String key, String remedy) {
+  /**
+   * Reads a string that must be there.
+   *
+   * @param key the key
+   * @param remedy what to write if it is missing
+   * @return the value; empty if it is missing or faulty
+   */
+  public Optional<String> requiredText(String key, String remedy) {
     if (member(key).isEmpty()) {
       missing(key, remedy);
     }
     return text(key);
   }
 
-  /** A text that a parser refuses with {@link IllegalArgumentException}. */
-  <T> Optional<T> parsed(String key, Function<String, T> parser, String remedy) {
+  /**
+   * Reads a string that a parser refuses with {@link IllegalArgumentException}.
+   *
+   * @param key the key
+   * @param parser the parser
+   * @param remedy what to write if it is refused
+   * @param <T> the type of the value
+   * @return the value; empty if it is missing or faulty
+   */
+  public <T> Optional<T> parsed(String key, Function<String, T> parser, String remedy) {
     return text(key).flatMap(text -> parse(text, key, parser, remedy));
   }
 
@@ -134,7 +195,16 @@
     }
   }
 
-  long whole(String key, long min, long max, long absent) {
+  /**
+   * Reads a whole number.
+   *
+   * @param key the key
+   * @param min the least accepted
+   * @param max the greatest accepted
+   * @param absent the value if it is missing or faulty
+   * @return the value
+   */
+  public long whole(String key, long min, long max, long absent) {
     Optional<Located> value = member(key);
     if (value.isEmpty()) {
       return absent;
@@ -150,7 +220,16 @@
     return whole.value();
   }
 
-  <E extends Enum<E>> E choice(String key, Class<E> type, E absent) {
+  /**
+   * Reads one of the choices of an enum, written in lower case with hyphens.
+   *
+   * @param key the key
+   * @param type the enum
+   * @param absent the value if it is missing or faulty
+   * @param <E> the enum
+   * @return the value
+   */
+  public <E extends Enum<E>> E choice(String key, Class<E> type, E absent) {
     return text(key).flatMap(text -> choose(key, text, type)).orElse(absent);
   }
 
@@ -252,12 +331,24 @@
     return byPath.buildOrThrow();
   }
 
-  void missing(String key, String remedy) {
+  /**
+   * Reports a member that is missing.
+   *
+   * @param key the key
+   * @param remedy what to write
+   */
+  public void missing(String key, String remedy) {
     problems.error(fields.at(), path.child(key), "", REQUIRED, remedy);
   }
 
-  /** Reports a member that is there. */
-  void report(String key, String message, String remedy) {
+  /**
+   * Reports a member that is there.
+   *
+   * @param key the key
+   * @param message what is wrong
+   * @param remedy what to write instead
+   */
+  public void report(String key, String message, String remedy) {
     Located value = member(key).orElse(fields);
     problems.error(value.at(), path.child(key), value.show(), message, remedy);
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/config/ProblemCollector.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/ProblemCollector.java
@@ -8,13 +8,25 @@
 
 import com.google.common.collect.ImmutableList;
 
-/** Gathers the problems of one source. Not safe for use by several threads. */
-final class ProblemCollector {
+/**
+ * Gathers the problems of one source.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class ProblemCollector {
   private final String source;
   private final Severity unknownKeys;
   private final ImmutableList.Builder<Problem> problems = ImmutableList.builder();
 
-  ProblemCollector(String source, Severity unknownKeys) {
+  /**
+   * Creates a collector without problems.
+   *
+   * @param source the file or other origin
+   * @param unknownKeys how grave an unknown key is
+   */
+  public ProblemCollector(String source, Severity unknownKeys) {
     this.source = source;
     this.unknownKeys = unknownKeys;
   }
@@ -31,7 +43,12 @@
     problems.add(Problem.error(path, value, message, remedy).at(source, at));
   }
 
-  Problems build() {
+  /**
+   * What was gathered.
+   *
+   * @return the problems, never null
+   */
+  public Problems build() {
     return new Problems(problems.build());
   }
 }
