Make the test of stalled imports fail when nothing stalls

Cause: of 14 mechanisms taken out one at a time in a scratch copy, one (the stall) was missed by every test, and one (eviction by time) made the tests wait for ever.

Change: the stalled import runs over a link so fast that it would be done at once, while other calls are answered; tests that wait for an event give up after 20 s.

--- a/org.larkkeel.standin.test/src/test/java/org/larkkeel/standin/EngineStandinTest.java
+++ b/org.larkkeel.standin.test/src/test/java/org/larkkeel/standin/EngineStandinTest.java
@@ -25,6 +25,9 @@
 
 /** Tests of {@link EngineStandin}. */
 public class EngineStandinTest {
+  private static final long GIVE_UP_MILLIS = 20_000;
+  private static final int WHILE_CALLS = 20;
+  private static final long INSTANT_LINK = 1_000_000_000_000_000L;
   private static final String MODEL = "pricing";
   private static final String PROMPT = "dossier ".repeat(3_000);
 
@@ -247,7 +250,7 @@
     }
 
     /** What nobody imports is evicted when its time is over. */
-    @Test
+    @Test(timeOut = GIVE_UP_MILLIS)
     public void evictionByTime() throws Exception {
       EngineSettings brief =
           prefill.settings().withMemory(EngineMemory.DEFAULTS.withEvictMillis(1));
@@ -264,8 +267,13 @@
     /**
      * A stalled import holds its slot until it is cancelled; the source still holds the KV cache.
      */
-    @Test
+    @Test(timeOut = GIVE_UP_MILLIS)
     public void stalledImport() throws Exception {
+      EngineSettings settings = decode.settings();
+      decode.close();
+      decode =
+          EngineStandin.start(
+              settings.withMemory(settings.memory().withLinkBytesPerSecond(INSTANT_LINK)));
       decode.stallTransfers(true);
       JsonNode params = prefill("h/1/1", PROMPT).body().get("kv_transfer_params");
       final Thread importing =
@@ -273,6 +281,9 @@
       while (decode.ledger().snapshot().slots().isEmpty()) {
         Thread.onSpinWait();
       }
+      for (int i = 0; i < WHILE_CALLS; i++) {
+        http(decode).call("GET", "/v1/load", "");
+      }
       JsonNode held = http(decode).call("GET", "/v1/requests", "").body().at("/requests/0");
       assertEquals(held.get("stage").asText(), "importing");
       assertEquals(cancel(decode, "h/1/1"), "cancelled");
@@ -283,7 +294,7 @@
     }
 
     /** A decode goes on when its connection breaks, until it is cancelled. */
-    @Test
+    @Test(timeOut = GIVE_UP_MILLIS)
     public void orphan() throws Exception {
       place("h/1/1");
       stream("h/1/1", 20, 0).next();
@@ -317,7 +328,7 @@
   /** The queue of prefills. */
   public static class Queue extends WithEngines {
     /** A lower priority number goes first, however late it came. */
-    @Test
+    @Test(timeOut = GIVE_UP_MILLIS)
     public void priority() throws Exception {
       EngineSettings slow = prefill.settings().withSpeeds(new EngineSpeeds(1, 1, 1));
       prefill.close();
