Record the runs of non-idempotent requests in a sharded log

A request that may not be repeated must run at most once across nodes and restarts. A claim is durable before it is reported; the token of the claimant, not the owner of the shard, decides whether an open run is in progress or unknown, so a claimant may report to a new owner. A claim that was told as unknown and turns out to be in the log later is recorded as lost and never run.

ChangeId of the log is now AppendId, since the configuration has a ChangeId.

--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/InMemoryStore.java
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/InMemoryStore.java
@@ -19,6 +19,7 @@
 public final class InMemoryStore {
   private final Map<String, TreeMap<String, StoredObject>> collections = new HashMap<>();
   private final List<Change> history = new ArrayList<>();
+  private final List<StoredObject> created = new ArrayList<>();
   private final List<Runnable> observers = new ArrayList<>();
   private final ManualScheduler.Process process;
   private long version = 1;
@@ -68,6 +69,11 @@
     return ImmutableList.copyOf(objects(collection).values());
   }
 
+  /** All objects ever created, deleted ones included. */
+  public ImmutableList<StoredObject> created() {
+    return ImmutableList.copyOf(created);
+  }
+
   ManualScheduler.Process process() {
     return process;
   }
@@ -101,7 +107,9 @@
     if (find(key).isPresent()) {
       throw failure(new ObjectApiFailure.AlreadyExists(), key);
     }
-    return put(key, kind, spec);
+    StoredObject o = put(key, kind, spec);
+    created.add(o);
+    return o;
   }
 
   StoredObject update(ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/log/LogRig.java
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/log/LogRig.java
@@ -56,7 +56,7 @@
     }
 
     LogEntry entry(long number, int value) {
-      return LogEntry.records(number, log.nextChange(), List.of(IntNode.valueOf(value)));
+      return LogEntry.records(number, log.nextAppend(), List.of(IntNode.valueOf(value)));
     }
 
     List<Integer> read() {
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/log/ObjectLogTest.java
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/log/ObjectLogTest.java
@@ -154,7 +154,7 @@
     public void newestSealsOutliveTruncation() {
       LogRig rig = new LogRig();
       LogRig.Node a = rig.node("a");
-      rig.await(a.log.append(LogEntry.seal(1, a.log.nextChange())).call());
+      rig.await(a.log.append(LogEntry.seal(1, a.log.nextAppend())).call());
       for (int n = 2; n <= 9; n++) {
         a.append(n, n);
       }
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/AppendCommand.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/AppendCommand.java
@@ -20,7 +20,7 @@
 
 /**
  * Appends one entry. A lost answer is resolved by creating the same entry again: if the place is
- * taken, the entry there is read back and its change compared.
+ * taken, the entry there is read back and its id compared.
  *
  * <p>Used once, on the scheduler.
  *
@@ -122,7 +122,7 @@
   private void compare(Optional<LogEntry> found) {
     if (found.isEmpty()) {
       result.complete(prior == Prior.NONE ? new Lost(found) : new Forgotten());
-    } else if (found.get().change().equals(entry.change())) {
+    } else if (found.get().id().equals(entry.id())) {
       result.complete(new Appended(entry));
     } else {
       result.complete(new Lost(found));
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/ChangeId.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/AppendId.java
@@ -7,15 +7,15 @@
 package org.larkkeel.platform.log;
 
 /**
- * Names one attempt to change a log, so that its writer knows it again after a lost answer.
+ * Names one append, so that its writer knows it again after a lost answer.
  *
  * <p>Invariant: a writer never uses a sequence number twice in one log. Immutable.
  *
  * @param writer the writer, never null
- * @param sequence counts the writer's changes
+ * @param sequence counts the appends of this writer
  * @since 0.1
  */
-public record ChangeId(WriterId writer, long sequence) {
+public record AppendId(WriterId writer, long sequence) {
   private static final char SEPARATOR = '/';
 
   /**
@@ -25,13 +25,13 @@
    * @return the id
    * @throws IllegalArgumentException if the text is malformed
    */
-  public static ChangeId parse(String text) {
+  public static AppendId parse(String text) {
     int i = text.lastIndexOf(SEPARATOR);
     if (i < 0) {
       throw new IllegalArgumentException(
-          "the change is \"" + text + "\": expected host/incarnation/sequence");
+          "the append is \"" + text + "\": expected host/incarnation/sequence");
     }
-    return new ChangeId(
+    return new AppendId(
         WriterId.parse(text.substring(0, i)), Long.parseLong(text.substring(i + 1)));
   }
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogCodec.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogCodec.java
@@ -17,7 +17,7 @@
 final class LogCodec {
   static final String KIND = "LogEntry";
 
-  private static final String CHANGE = "change";
+  private static final String APPEND = "append";
   private static final String TYPE = "type";
   private static final String RECORDS = "records";
 
@@ -25,15 +25,15 @@
 
   static JsonNode toSpec(LogEntry e) {
     ObjectNode o = JsonNodeFactory.instance.objectNode();
-    o.put(CHANGE, e.change().toString());
+    o.put(APPEND, e.id().toString());
     o.put(TYPE, Slugs.of(e.type()));
     o.putArray(RECORDS).addAll(e.records());
     return o;
   }
 
   static LogEntry read(long number, JsonNode spec) {
-    ChangeId change = ChangeId.parse(spec.path(CHANGE).asText());
+    AppendId id = AppendId.parse(spec.path(APPEND).asText());
     EntryType type = EntryType.valueOf(spec.path(TYPE).asText().toUpperCase(Locale.ROOT));
-    return new LogEntry(number, change, type, ImmutableList.copyOf(spec.path(RECORDS)));
+    return new LogEntry(number, id, type, ImmutableList.copyOf(spec.path(RECORDS)));
   }
 }
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogEntry.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogEntry.java
@@ -13,34 +13,33 @@
  * One entry of a log. Immutable by agreement: nobody changes the records.
  *
  * @param number its place, from 1
- * @param change names the append, never null
+ * @param id names the append, never null
  * @param type what it holds, never null
  * @param records the records, empty for a seal, never null
  * @since 0.1
  */
-public record LogEntry(
-    long number, ChangeId change, EntryType type, ImmutableList<JsonNode> records) {
+public record LogEntry(long number, AppendId id, EntryType type, ImmutableList<JsonNode> records) {
 
   /**
    * Creates an entry with records.
    *
    * @param number its place
-   * @param change names the append
+   * @param id names the append
    * @param records the records
    * @return the entry
    */
-  public static LogEntry records(long number, ChangeId change, Iterable<JsonNode> records) {
-    return new LogEntry(number, change, EntryType.RECORDS, ImmutableList.copyOf(records));
+  public static LogEntry records(long number, AppendId id, Iterable<JsonNode> records) {
+    return new LogEntry(number, id, EntryType.RECORDS, ImmutableList.copyOf(records));
   }
 
   /**
    * Creates a seal.
    *
    * @param number its place
-   * @param change names the append
+   * @param id names the append
    * @return the entry
    */
-  public static LogEntry seal(long number, ChangeId change) {
-    return new LogEntry(number, change, EntryType.SEAL, ImmutableList.of());
+  public static LogEntry seal(long number, AppendId id) {
+    return new LogEntry(number, id, EntryType.SEAL, ImmutableList.of());
   }
 }
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogSnapshots.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogSnapshots.java
@@ -44,7 +44,7 @@
     this.reads = reads;
   }
 
-  CompletableFuture<SnapshotResult> write(LogSnapshot s, ChangeId change) {
+  CompletableFuture<SnapshotResult> write(LogSnapshot s, AppendId id) {
     return reads
         .manifest()
         .thenCompose(
@@ -52,12 +52,12 @@
               if (old.through() >= s.through()) {
                 return CompletableFuture.completedFuture(SnapshotResult.SUPERSEDED);
               }
-              return createChunks(s, change).thenCompose(names -> swap(old, s, names));
+              return createChunks(s, id).thenCompose(names -> swap(old, s, names));
             });
   }
 
-  private CompletableFuture<ImmutableList<String>> createChunks(LogSnapshot s, ChangeId change) {
-    String unique = change.toString().replace('/', '_');
+  private CompletableFuture<ImmutableList<String>> createChunks(LogSnapshot s, AppendId id) {
+    String unique = id.toString().replace('/', '_');
     ImmutableList.Builder<String> names = ImmutableList.builder();
     CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
     int count = Math.max(1, Math.ceilDiv(s.content().length, options.chunkBytes()));
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/ObjectLog.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/ObjectLog.java
@@ -65,13 +65,13 @@
   }
 
   /**
-   * Names the next change of this process.
+   * Names the next append of this process.
    *
    * @return an id that was not used before
    */
-  public ChangeId nextChange() {
+  public AppendId nextAppend() {
     sequence++;
-    return new ChangeId(writer, sequence);
+    return new AppendId(writer, sequence);
   }
 
   /**
@@ -116,7 +116,7 @@
    * @return what came of it; fails with {@link org.larkkeel.platform.ObjectApiException}
    */
   public CompletableFuture<SnapshotResult> writeSnapshot(LogSnapshot snapshot) {
-    return snapshots.write(snapshot, nextChange());
+    return snapshots.write(snapshot, nextAppend());
   }
 
   /**
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunShard.java
@@ -0,0 +1,164 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.run;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.log.CommitResult;
+import org.larkkeel.platform.log.LogWriter;
+import org.larkkeel.platform.log.LogWriterOptions;
+import org.larkkeel.platform.log.ObjectLog;
+import org.larkkeel.platform.log.Submission;
+import org.larkkeel.platform.log.WriterId;
+
+/**
+ * One shard of the run log on the host that owns it.
+ *
+ * <p>Invariant: a claim is answered {@link ClaimResult.Claimed} only while its record is in the log
+ * and no other token has the key. Confined to the scheduler.
+ */
+final class RunShard implements AutoCloseable {
+  private final Scheduler scheduler;
+  private final RunLimits limits;
+  private final RunTable table;
+  private final LogWriter writer;
+  private final Map<RunId, Pending> pending = new HashMap<>();
+
+  RunShard(ObjectLog log, Scheduler scheduler, RunLimits limits, LogWriterOptions writerOptions) {
+    this.scheduler = scheduler;
+    this.limits = limits;
+    this.table = new RunTable(limits);
+    this.writer = new LogWriter(log, writerOptions, table);
+  }
+
+  CompletableFuture<Void> open() {
+    return writer.open();
+  }
+
+  CompletableFuture<Void> deposed() {
+    return writer.deposed();
+  }
+
+  boolean isOwner() {
+    return writer.isOwner();
+  }
+
+  CompletableFuture<ClaimResult> claim(ClaimRequest q, Predicate<WriterId> alive) {
+    table.expire(scheduler.wallMillis());
+    Optional<ClaimResult> known = table.lookup(q, alive);
+    if (known.isPresent()) {
+      return CompletableFuture.completedFuture(known.get());
+    }
+    Pending other = pending.get(q.key());
+    if (other != null) {
+      return other.join(q);
+    }
+    if (table.size() + pending.size() >= limits.maxRuns()) {
+      return CompletableFuture.completedFuture(new ClaimResult.Unavailable());
+    }
+    Pending p = new Pending(q);
+    pending.put(q.key(), p);
+    p.start();
+    return p.result;
+  }
+
+  CompletableFuture<RecordResult> record(RunId key, RunToken token, RunOutcome outcome) {
+    if (!table.isCurrent(key, token)) {
+      return CompletableFuture.completedFuture(RecordResult.NO_SUCH_RUN);
+    }
+    if (table.isDone(key)) {
+      return CompletableFuture.completedFuture(RecordResult.RECORDED);
+    }
+    return submit(toRecord(key, token, outcome)).result().thenApply(RunShard::recordResult);
+  }
+
+  private RunRecord toRecord(RunId key, RunToken token, RunOutcome outcome) {
+    return switch (outcome) {
+      case RunOutcome.Answered a -> new RunRecord.Done(key, token, bounded(a.answer()));
+      case RunOutcome.NotRun n -> new RunRecord.Release(key, token);
+      case RunOutcome.Unknown u -> new RunRecord.Lost(key, token);
+    };
+  }
+
+  private Optional<RecordedAnswer> bounded(RecordedAnswer a) {
+    return a.body().length <= limits.maxAnswerBytes() ? Optional.of(a) : Optional.empty();
+  }
+
+  private static RecordResult recordResult(CommitResult r) {
+    return switch (r) {
+      case COMMITTED -> RecordResult.RECORDED;
+      case DEPOSED -> RecordResult.NOT_OWNER;
+      case NOT_COMMITTED, UNKNOWN -> RecordResult.UNAVAILABLE;
+    };
+  }
+
+  private Submission submit(RunRecord r) {
+    return writer.submit(RunRecord.Codec.write(r));
+  }
+
+  @Override
+  public void close() {
+    writer.close();
+  }
+
+  /** A claim that is not durable yet. */
+  private final class Pending {
+    final CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+    private final ClaimRequest request;
+    private Submission submission;
+    private Scheduler.Timer timer;
+
+    Pending(ClaimRequest request) {
+      this.request = request;
+    }
+
+    void start() {
+      RunRecord claim =
+          new RunRecord.Claim(
+              request.key(), request.token(), request.bodyDigest(), scheduler.wallMillis());
+      timer = scheduler.schedule(limits.claimTimeout(), this::timedOut);
+      submission = submit(claim);
+      submission.result().thenAccept(this::settled);
+    }
+
+    CompletableFuture<ClaimResult> join(ClaimRequest q) {
+      if (!q.bodyDigest().equals(request.bodyDigest())) {
+        return CompletableFuture.completedFuture(new ClaimResult.KeyReused());
+      }
+      if (q.token().equals(request.token())) {
+        return result;
+      }
+      return CompletableFuture.completedFuture(new ClaimResult.InProgress());
+    }
+
+    private void timedOut() {
+      if (!writer.withdraw(submission)) {
+        result.complete(new ClaimResult.Unknown());
+      }
+    }
+
+    private void settled(CommitResult r) {
+      timer.cancel();
+      pending.remove(request.key(), this);
+      boolean late = result.isDone();
+      result.complete(
+          switch (r) {
+            case COMMITTED -> new ClaimResult.Claimed(request.token());
+            case NOT_COMMITTED, DEPOSED -> new ClaimResult.Unavailable();
+            case UNKNOWN -> new ClaimResult.Unknown();
+          });
+      if (late && r == CommitResult.COMMITTED) {
+        // The claimant was told that the outcome is unknown, so nobody will report one.
+        submit(new RunRecord.Lost(request.key(), request.token()));
+      }
+    }
+  }
+}
