--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/run/RunHistoryTest.java
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/run/RunHistoryTest.java
@@ -282,12 +282,12 @@
     private void heal() {
       rig.store.setOutage(false);
       faultsLeft = 0;
-      ImmutableSet<HostName> all = subset(0);
       hosts.forEach(h -> h.process.resume());
       rig.time.advance(Duration.ofSeconds(30));
       // A host that was deposed takes its shards back with a change of members.
       hosts.forEach(h -> h.log.setMembers(ImmutableSet.of()));
       rig.time.advance(Duration.ofSeconds(5));
+      ImmutableSet<HostName> all = subset(0);
       hosts.forEach(h -> h.log.setMembers(all));
       rig.time.advance(Duration.ofSeconds(30));
       for (String key : KEYS) {
