--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
@@ -6,17 +6,15 @@
 
 package org.larkkeel.daemon;
 
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.larkkeel.config.Configuration;
 import org.larkkeel.daemon.settings.LimitSettings;
-import org.larkkeel.daemon.settings.ListenerSettings;
 import org.larkkeel.daemon.settings.Settings;
 import org.larkkeel.effect.Effect;
 import org.larkkeel.errors.ErrorKind;
@@ -28,27 +26,15 @@
 import org.larkkeel.http.caller.CallerListener;
 import org.larkkeel.http.caller.CallerServices;
 import org.larkkeel.http.caller.CallerSettings;
-import org.larkkeel.http.request.EffectExecutor;
+import org.larkkeel.http.metrics.FactMeters;
 import org.larkkeel.http.request.RequestTable;
 import org.larkkeel.http.upstream.EngineRequestId;
-import org.larkkeel.http.upstream.UpstreamClient;
-import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.peer.ConfigContent;
 import org.larkkeel.peer.PeerNode;
-import org.larkkeel.peer.PeerSettings;
-import org.larkkeel.peer.membership.HostEntry;
 import org.larkkeel.peer.membership.NodeAddress;
-import org.larkkeel.peer.membership.NodeId;
-import org.larkkeel.platform.BudgetedObjectApi;
-import org.larkkeel.platform.CallBudget;
 import org.larkkeel.platform.ExecutorScheduler;
-import org.larkkeel.platform.HostList;
-import org.larkkeel.platform.HostPhase;
-import org.larkkeel.platform.HttpClientOptions;
-import org.larkkeel.platform.HttpObjectApi;
-import org.larkkeel.platform.ObjectApi;
 import org.larkkeel.router.Router;
 import org.larkkeel.router.RouterStatus;
 import org.slf4j.Logger;
@@ -63,7 +49,6 @@
  */
 public final class Daemon implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(Daemon.class);
-  private static final Duration DRAIN_GRACE = Duration.ofMillis(500);
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
   private final LongSupplier clock = System::nanoTime;
@@ -72,61 +57,55 @@
   private final EngineRequestId.Origin origin;
   private final RequestTable table = new RequestTable();
   private final NodeConfiguration configuration = new NodeConfiguration(this::publish, clock);
+  private final PrometheusMeterRegistry meters =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final FactMeters facts = new FactMeters(meters);
   private final PeerAdapter peerAdapter;
   private final Readiness readiness;
   private final ExecutorScheduler scheduler;
+  private final UpstreamSide upstreams;
+  private final Orphans orphans;
   private final Router router;
   private final ReducerLoop loop;
   private final PeerNode peers;
-  private final CallerListener callers;
   private final Drain drain;
+  private final CallerListener callers;
+  private final OperatorListener operators;
 
   private Daemon(Settings settings, Closer closer) throws IOException {
     this.settings = settings;
     this.closer = closer;
     Incarnation incarnation =
         settings.incarnation().orElseGet(() -> new Incarnation(System.currentTimeMillis()));
-    String name = settings.host().value();
-    final long seed = incarnation.value() ^ name.hashCode();
+    final long seed = incarnation.value() ^ settings.host().hashCode();
     origin = new EngineRequestId.Origin(settings.host(), incarnation);
-    scheduler = closer.add(new ExecutorScheduler(name + "-platform"));
-    HttpWorker worker = closer.add(new HttpWorker(settings.limits().ioThreads()));
-    final UpstreamClient client =
-        closer.add(new UpstreamClient(worker, UpstreamClientSettings.DEFAULT, clock));
-    peerAdapter = new PeerAdapter(settings.host(), this::publish, clock);
-    readiness =
-        new Readiness(
-            () -> configuration.revision().isAfter(Revision.NONE),
-            peerAdapter::hasPeers,
-            clock,
-            settings.limits().cutOff().toNanos());
+    scheduler = closer.add(new ExecutorScheduler(threadName("scheduler")));
+    final HttpWorker worker = closer.add(new HttpWorker(settings.limits().ioThreads()));
+    peerAdapter = new PeerAdapter(origin, this::publish, clock);
+    readiness = readiness();
+    upstreams = closer.add(upstreamSide(worker, seed));
     router = new Router(settings.router(), seed);
-    Timers timers = closer.add(new Timers(name + "-timers", this::publish, clock));
-    EffectExecutor executor =
-        new EffectExecutor(origin, table, client, configuration, this::publish, clock);
-    EffectDispatcher dispatcher =
-        new EffectDispatcher(ports(executor, timers), this::publish, clock);
-    loop =
-        closer.add(
-            new ReducerLoop(
-                name + "-reducer",
-                settings.limits().queuedEvents(),
-                router::apply,
-                dispatcher,
-                this::refuse));
+    loop = closer.add(reducerLoop());
     loop.start();
-    ObjectApi store = store(worker, new SplittableRandom(seed));
-    peers = closer.add(PeerNode.start(peerSettings(incarnation, seed), peerAdapter, this::page));
-    HostList hosts =
-        closer.add(new HostList(store, scheduler, new SplittableRandom(seed + 1), this::hosts));
-    hosts.start();
-    drain = new Drain(scheduler, drainSteps(), DRAIN_GRACE, settings.limits().drain());
+    peers =
+        closer.add(
+            PeerNode.start(
+                PeerSide.settings(settings, incarnation, seed), peerAdapter, this::page));
+    orphans = closer.add(orphans());
+    listen();
+    final StoreSide store = closer.add(storeSide(worker, seed));
+    drain = new Drain(scheduler, drainSteps(), settings.limits());
+    operators = closer.add(OperatorListener.start(settings, worker, operations(incarnation)));
     callers = closer.add(CallerListener.start(callerSettings(), worker, callerServices()));
+    reloadCertificates();
+    orphans.start();
+    store.start();
     log.info(
-        "event=started host={} incarnation={} caller={} peer={}",
-        name,
+        "event=started host={} incarnation={} caller={} operator={} peer={}",
+        settings.host(),
         incarnation,
         callers.address(),
+        operators.address(),
         peers.address());
   }
 
@@ -155,18 +134,52 @@
     }
   }
 
+  private String threadName(String part) {
+    return settings.host() + "-" + part;
+  }
+
   private void publish(Event event) {
     loop.publish(event);
   }
 
-  private EffectPorts ports(EffectExecutor executor, Timers timers) {
-    return new EffectPorts(
-        executor::execute,
-        executor::execute,
-        this::runsUnavailable,
-        effect -> {},
-        timers,
-        effect -> FactLog.write(((Effect.Report) effect).fact()));
+  private Readiness readiness() {
+    return new Readiness(
+        () -> configuration.revision().isAfter(Revision.NONE),
+        peerAdapter::hasPeers,
+        clock,
+        settings.limits().cutOff().toNanos());
+  }
+
+  private UpstreamSide upstreamSide(HttpWorker worker, long seed) {
+    UpstreamSide.Parts parts =
+        new UpstreamSide.Parts(
+            origin, table, configuration, worker, scheduler, this::publish, clock);
+    return new UpstreamSide(parts, settings.limits(), seed);
+  }
+
+  private ReducerLoop reducerLoop() {
+    Timers timers = closer.add(new Timers(threadName("timers"), this::publish, clock));
+    EffectPorts ports =
+        new EffectPorts(
+            upstreams.executor()::execute,
+            upstreams.executor()::execute,
+            this::runsUnavailable,
+            effect -> {},
+            timers,
+            this::report);
+    return new ReducerLoop(
+        threadName("reducer"),
+        settings.limits().queuedEvents(),
+        router::apply,
+        new EffectDispatcher(ports, this::publish, clock),
+        this::refuse);
+  }
+
+  private void report(Effect effect) {
+    if (effect instanceof Effect.Report report) {
+      facts.record(report.fact());
+      FactLog.write(report.fact());
+    }
   }
 
   private void runsUnavailable(Effect effect) {
@@ -193,49 +206,72 @@
                         RETRY_AFTER_MILLIS)));
   }
 
-  private ObjectApi store(HttpWorker worker, SplittableRandom random) {
-    HttpClientOptions options =
-        HttpClientOptions.of(settings.platform().url())
-            .withTimeout(settings.platform().timeout())
-            .withToken(new TokenFile(settings.platform().token()));
-    HttpObjectApi http = closer.add(new HttpObjectApi(options, worker.worker(), scheduler));
-    CallBudget usual = CallBudget.DEFAULT;
-    CallBudget budget =
-        new CallBudget(
-            settings.platform().readsPerSecond(),
-            settings.platform().writesPerSecond(),
-            usual.burst(),
-            usual.longestWait(),
-            usual.firstProbe(),
-            usual.longestProbe());
-    ObservedObjectApi observed = new ObservedObjectApi(http, readiness);
-    return new BudgetedObjectApi(observed, budget, scheduler, random);
-  }
-
-  private PeerSettings peerSettings(Incarnation incarnation, long seed) throws IOException {
-    NodeId id = new NodeId(settings.host(), incarnation);
-    ListenerSettings listener = settings.peer();
-    PeerSettings result =
-        new PeerSettings(id, settings.dataCentre(), listener.address()).setSeed(seed);
-    listener.tls().ifPresent(files -> result.setSslContext(PemTls.context(files)));
-    if (settings.peerSecret().isPresent()) {
-      result.setKeys(List.of(PeerSecret.read(settings.peerSecret().get())));
-    }
-    return result;
-  }
-
   private ConfigContent page(Revision from) {
     return new ConfigContent(from, new byte[0], false);
   }
 
-  private void hosts(List<org.larkkeel.platform.HostEntry> list) {
-    peers.updateHosts(
-        list.stream()
-            .map(
-                h ->
-                    new HostEntry(
-                        h.name(), NodeAddress.parse(h.address()), h.phase() == HostPhase.LEAVING))
-            .toList());
+  private Orphans orphans() {
+    return new Orphans(
+        upstreams.sweep(), configuration, name -> true, peerAdapter::isDead, scheduler);
+  }
+
+  /** Lets the parts hear of each other. */
+  private void listen() {
+    configuration.setListener(this::configured);
+    peerAdapter.setNews(
+        new PeerAdapter.PeerNews() {
+          @Override
+          public void died(EngineRequestId.Origin ended) {
+            orphans.nodeDied();
+          }
+
+          @Override
+          public void superseded() {
+            var unused = drain();
+          }
+        });
+  }
+
+  private void configured(Configuration accepted) {
+    upstreams.configured(accepted);
+    peers.advertise(accepted.revision());
+  }
+
+  private StoreSide storeSide(HttpWorker worker, long seed) {
+    StoreSide.Parts parts =
+        new StoreSide.Parts(
+            settings.host(),
+            worker,
+            scheduler,
+            readiness,
+            settings.limits().cutOff(),
+            list -> peers.updateHosts(PeerSide.hosts(list)));
+    return new StoreSide(parts, settings.platform(), seed);
+  }
+
+  private Drain.Steps drainSteps() {
+    return new Drain.Steps(
+        () -> {
+          readiness.drain();
+          peers.leave();
+        },
+        () -> publish(new Event.StopRequested(clock.getAsLong())),
+        () -> table.size() == 0);
+  }
+
+  private NodeOperations operations(Incarnation incarnation) {
+    return new NodeOperations(
+        new NodeOperations.Parts(
+            settings,
+            incarnation,
+            router,
+            loop,
+            configuration,
+            readiness,
+            peerAdapter,
+            peers::view,
+            ChangeLog.UNAVAILABLE,
+            drain::begin));
   }
 
   private CallerSettings callerSettings() {
@@ -262,19 +298,18 @@
         this::publish,
         configuration::workspaces,
         readiness::isReady,
-        () -> "",
+        meters::scrape,
         clock,
         InstantSource.system());
   }
 
-  private Drain.Steps drainSteps() {
-    return new Drain.Steps(
-        () -> {
-          readiness.drain();
-          peers.leave();
-        },
-        () -> publish(new Event.StopRequested(clock.getAsLong())),
-        () -> table.size() == 0);
+  private void reloadCertificates() {
+    settings.caller().tls().ifPresent(f -> closer.add(reload(f, callers::reloadTls)).start());
+    settings.operator().tls().ifPresent(f -> closer.add(reload(f, operators::reloadTls)).start());
+  }
+
+  private TlsReload reload(org.larkkeel.daemon.settings.TlsFiles files, Runnable reload) {
+    return new TlsReload(files, reload, scheduler, settings.limits().reload());
   }
 
   /**
@@ -296,6 +331,15 @@
     return callers.address();
   }
 
+  /**
+   * Where operators reach the node.
+   *
+   * @return IP number and port
+   */
+  public InetSocketAddress operatorAddress() {
+    return operators.address();
+  }
+
   /**
    * Where peers reach the node.
    *
@@ -333,6 +377,15 @@
     return drain.begin();
   }
 
+  /**
+   * Tells when a graceful stop is complete, whoever began it.
+   *
+   * @return done then; cancelling it has no effect on the stop
+   */
+  public CompletableFuture<Void> drained() {
+    return drain.done();
+  }
+
   /** Ends a drain at once. */
   public void hurry() {
     drain.hurry();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Drain.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Drain.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.larkkeel.daemon.settings.LimitSettings;
 import org.larkkeel.platform.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,14 +49,22 @@
    *
    * @param scheduler runs the steps
    * @param steps what to do
-   * @param grace how long requests are taken after the node turned unready
-   * @param limit the longest wait for requests in progress
+   * @param limits how long requests are still taken, and how long the wait is at most
    */
-  public Drain(Scheduler scheduler, Steps steps, Duration grace, Duration limit) {
+  public Drain(Scheduler scheduler, Steps steps, LimitSettings limits) {
     this.scheduler = scheduler;
     this.steps = steps;
-    this.grace = grace;
-    this.limit = limit;
+    this.grace = limits.grace();
+    this.limit = limits.drain();
+  }
+
+  /**
+   * Tells when the drain is over.
+   *
+   * @return done then
+   */
+  public CompletableFuture<Void> done() {
+    return done.copy();
   }
 
   /**
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/NodeConfiguration.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/NodeConfiguration.java
@@ -6,14 +6,13 @@
 
 package org.larkkeel.daemon;
 
-import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.larkkeel.config.Configuration;
-import org.larkkeel.config.Upstream;
 import org.larkkeel.event.Event;
 import org.larkkeel.http.caller.Workspaces;
+import org.larkkeel.http.upstream.ConfiguredUpstreams;
 import org.larkkeel.http.upstream.UpstreamAddress;
 import org.larkkeel.http.upstream.UpstreamDirectory;
 import org.larkkeel.lib.Revision;
@@ -38,15 +37,10 @@
 
   /** One configuration with what is looked up in it. */
   private record View(
-      Configuration configuration,
-      ImmutableMap<UpstreamName, UpstreamAddress> addresses,
-      Workspaces workspaces) {
+      Configuration configuration, ConfiguredUpstreams upstreams, Workspaces workspaces) {
     static View of(Configuration configuration) {
-      ImmutableMap.Builder<UpstreamName, UpstreamAddress> addresses = ImmutableMap.builder();
-      for (Upstream upstream : configuration.upstreams().values()) {
-        addresses.put(upstream.name(), UpstreamAddress.parse(upstream.address()));
-      }
-      return new View(configuration, addresses.buildOrThrow(), Workspaces.of(configuration));
+      return new View(
+          configuration, ConfiguredUpstreams.of(configuration), Workspaces.of(configuration));
     }
   }
 
@@ -116,6 +110,6 @@
 
   @Override
   public Optional<UpstreamAddress> find(UpstreamName name) {
-    return Optional.ofNullable(view.addresses.get(name));
+    return view.upstreams.find(name);
   }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerAdapter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerAdapter.java
@@ -7,6 +7,7 @@
 package org.larkkeel.daemon;
 
 import com.google.common.collect.ImmutableSortedSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -14,6 +15,7 @@
 import org.larkkeel.event.Event;
 import org.larkkeel.http.upstream.EngineRequestId;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.peer.PeerListener;
 import org.larkkeel.peer.membership.Member;
@@ -38,6 +40,7 @@
   private final LongSupplier clock;
   private final Set<HostName> present = ConcurrentHashMap.newKeySet();
   private final Set<EngineRequestId.Origin> dead = ConcurrentHashMap.newKeySet();
+  private final Map<HostName, Incarnation> newest = new ConcurrentHashMap<>();
   private volatile PeerNews news = new PeerNews() {};
 
   /** What the node does besides when its view of the peers changes. */
@@ -71,15 +74,16 @@
   /**
    * Creates an adapter that knows this node only.
    *
-   * @param self this node
+   * @param origin this start of this node
    * @param events takes the events
    * @param clock the node's monotonic clock, nanoseconds
    */
-  public PeerAdapter(HostName self, Consumer<Event> events, LongSupplier clock) {
-    this.self = self;
+  public PeerAdapter(EngineRequestId.Origin origin, Consumer<Event> events, LongSupplier clock) {
+    this.self = origin.host();
     this.events = events;
     this.clock = clock;
     present.add(self);
+    newest.put(self, origin.incarnation());
   }
 
   /**
@@ -110,13 +114,16 @@
   }
 
   /**
-   * Tells whether a start of a node has ended for certain.
+   * Tells whether a start of a node has ended for certain: it was found dead, or a later start of
+   * the same host is known.
    *
    * @param origin the start
    * @return true if it is known as dead
    */
   public boolean isDead(EngineRequestId.Origin origin) {
-    return dead.contains(origin);
+    Incarnation last = newest.get(origin.host());
+    boolean replaced = last != null && last.compareTo(origin.incarnation()) > 0;
+    return replaced || dead.contains(origin);
   }
 
   @Override
@@ -126,6 +133,9 @@
     if (!host.equals(self)) {
       changed = member.state().isPresent() ? present.add(host) : present.remove(host);
     }
+    if (!host.equals(self)) {
+      noteStart(host, member.id().incarnation());
+    }
     if (member.state() == MemberState.DEAD || member.state() == MemberState.LEFT) {
       died(new EngineRequestId.Origin(host, member.id().incarnation()));
     }
@@ -136,6 +146,17 @@
     }
   }
 
+  /** A later start of a host is the end of the start before. */
+  private void noteStart(HostName host, Incarnation incarnation) {
+    Incarnation before = newest.get(host);
+    if (before == null || incarnation.compareTo(before) > 0) {
+      newest.put(host, incarnation);
+      if (before != null) {
+        died(new EngineRequestId.Origin(host, before));
+      }
+    }
+  }
+
   private void died(EngineRequestId.Origin origin) {
     if (dead.add(origin)) {
       log.info("event=node_ended host={} incarnation={}", origin.host(), origin.incarnation());
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/StoreSide.java
@@ -0,0 +1,128 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon;
+
+import io.undertow.protocols.ssl.UndertowXnioSsl;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import javax.net.ssl.SSLContext;
+import org.larkkeel.daemon.settings.PlatformSettings;
+import org.larkkeel.http.HttpWorker;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.platform.BudgetedObjectApi;
+import org.larkkeel.platform.CallBudget;
+import org.larkkeel.platform.HostEntry;
+import org.larkkeel.platform.HostList;
+import org.larkkeel.platform.HttpClientOptions;
+import org.larkkeel.platform.HttpObjectApi;
+import org.larkkeel.platform.ObjectApi;
+import org.larkkeel.platform.ObjectKey;
+import org.larkkeel.platform.Scheduler;
+import org.xnio.OptionMap;
+import org.xnio.Xnio;
+import org.xnio.ssl.XnioSsl;
+
+/**
+ * Everything of a node that talks to the platform.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class StoreSide implements AutoCloseable {
+  private final Closer closer = new Closer();
+  private final ObjectApi api;
+  private final Parts parts;
+  private final HostList hosts;
+  private volatile boolean closed;
+
+  /** What this side needs from the rest of the node. */
+  record Parts(
+      HostName self,
+      HttpWorker worker,
+      Scheduler scheduler,
+      Readiness readiness,
+      Duration cutOff,
+      Consumer<com.google.common.collect.ImmutableList<HostEntry>> hosts) {}
+
+  StoreSide(Parts parts, PlatformSettings settings, long seed) {
+    this.parts = parts;
+    HttpObjectApi http =
+        closer.add(
+            new HttpObjectApi(options(settings), parts.worker().worker(), parts.scheduler()));
+    api =
+        new BudgetedObjectApi(
+            new ObservedObjectApi(http, parts.readiness()),
+            budget(settings),
+            parts.scheduler(),
+            new SplittableRandom(seed));
+    hosts =
+        closer.add(
+            new HostList(api, parts.scheduler(), new SplittableRandom(seed + 1), parts.hosts()));
+  }
+
+  void start() {
+    hosts.start();
+    probeLater();
+  }
+
+  ObjectApi api() {
+    return api;
+  }
+
+  private static HttpClientOptions options(PlatformSettings settings) {
+    HttpClientOptions usual = HttpClientOptions.of(settings.url());
+    return new HttpClientOptions(
+        settings.url(),
+        new TokenFile(settings.token()),
+        settings.url().getScheme().equals("https") ? Optional.of(ssl()) : Optional.empty(),
+        usual.maxConnections(),
+        settings.timeout(),
+        usual.maxBodyBytes());
+  }
+
+  private static XnioSsl ssl() {
+    try {
+      return new UndertowXnioSsl(Xnio.getInstance(), OptionMap.EMPTY, SSLContext.getDefault());
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has a default TLS context", e);
+    }
+  }
+
+  private static CallBudget budget(PlatformSettings settings) {
+    CallBudget usual = CallBudget.DEFAULT;
+    return new CallBudget(
+        settings.readsPerSecond(),
+        settings.writesPerSecond(),
+        usual.burst(),
+        usual.longestWait(),
+        usual.firstProbe(),
+        usual.longestProbe());
+  }
+
+  /** Asks the store for something small if nothing else has reached anybody for a while. */
+  private void probe() {
+    if (closed) {
+      return;
+    }
+    if (parts.readiness().silentNanos() > parts.cutOff().toNanos() / 3) {
+      var unused = api.get(new ObjectKey(HostList.COLLECTION, parts.self().value()));
+    }
+    probeLater();
+  }
+
+  private void probeLater() {
+    parts.scheduler().schedule(parts.cutOff().dividedBy(6), this::probe);
+  }
+
+  @Override
+  public void close() throws Exception {
+    closed = true;
+    closer.close();
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/LimitSettings.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/LimitSettings.java
@@ -23,6 +23,7 @@
  * @param idle a connection without a request is closed after this
  * @param stall a caller that reads nothing for this long is cut off
  * @param cutOff a node that reaches neither the store nor a peer for this long turns unready
+ * @param grace how long a node that is to stop takes requests after it turned unready
  * @param drain the longest that a stop waits for requests in progress
  * @param reload how often certificates are looked at for a change
  * @param poll how often engines are asked for their load
@@ -39,6 +40,7 @@
     Duration idle,
     Duration stall,
     Duration cutOff,
+    Duration grace,
     Duration drain,
     Duration reload,
     Duration poll) {
@@ -52,6 +54,7 @@
   static final long IDLE_MILLIS = 60_000;
   static final long STALL_MILLIS = 10_000;
   static final long CUT_OFF_MILLIS = 30_000;
+  static final long GRACE_MILLIS = 1_000;
   static final long DRAIN_MILLIS = 600_000;
   static final long RELOAD_MILLIS = 10_000;
   static final long POLL_MILLIS = 250;
@@ -69,6 +72,7 @@
           Duration.ofMillis(IDLE_MILLIS),
           Duration.ofMillis(STALL_MILLIS),
           Duration.ofMillis(CUT_OFF_MILLIS),
+          Duration.ofMillis(GRACE_MILLIS),
           Duration.ofMillis(DRAIN_MILLIS),
           Duration.ofMillis(RELOAD_MILLIS),
           Duration.ofMillis(POLL_MILLIS));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsKeys.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsKeys.java
@@ -46,6 +46,7 @@
   public static final String IDLE_MILLIS = "idleMillis";
   public static final String STALL_MILLIS = "stallMillis";
   public static final String CUT_OFF_MILLIS = "cutOffMillis";
+  public static final String GRACE_MILLIS = "graceMillis";
   public static final String DRAIN_MILLIS = "drainMillis";
   public static final String RELOAD_MILLIS = "reloadMillis";
   public static final String POLL_MILLIS = "pollMillis";
@@ -89,6 +90,7 @@
           IDLE_MILLIS,
           STALL_MILLIS,
           CUT_OFF_MILLIS,
+          GRACE_MILLIS,
           DRAIN_MILLIS,
           RELOAD_MILLIS,
           POLL_MILLIS);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsReader.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsReader.java
@@ -214,6 +214,7 @@
         millis(f, SettingsKeys.IDLE_MILLIS, LimitSettings.IDLE_MILLIS),
         millis(f, SettingsKeys.STALL_MILLIS, LimitSettings.STALL_MILLIS),
         millis(f, SettingsKeys.CUT_OFF_MILLIS, LimitSettings.CUT_OFF_MILLIS),
+        millis(f, SettingsKeys.GRACE_MILLIS, LimitSettings.GRACE_MILLIS),
         millis(f, SettingsKeys.DRAIN_MILLIS, LimitSettings.DRAIN_MILLIS),
         millis(f, SettingsKeys.RELOAD_MILLIS, LimitSettings.RELOAD_MILLIS),
         millis(f, SettingsKeys.POLL_MILLIS, LimitSettings.POLL_MILLIS));
