--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/PeerNodeTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/PeerNodeTest.java
@@ -8,15 +8,25 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.lib.Revision;
+import org.larkkeel.lib.WorkspaceName;
+import org.larkkeel.peer.limits.RateLimit;
 import org.larkkeel.peer.membership.Member;
 import org.larkkeel.peer.membership.MemberState;
 import org.testng.annotations.Test;
@@ -91,4 +101,87 @@
       }
     }
   }
+
+  /** Slots and limits between real nodes. */
+  public static class Leases {
+    private static final Duration PATIENCE = Duration.ofSeconds(PATIENCE_SECONDS);
+
+    private static PeerNode ownerOf(List<PeerNode> nodes, String key) {
+      return nodes.stream().filter(node -> node.owns(key)).findFirst().orElseThrow();
+    }
+
+    private static void awaitAgreement(List<PeerNode> nodes) throws InterruptedException {
+      long deadline = System.nanoTime() + PATIENCE.toNanos();
+      while (!nodes.stream().allMatch(node -> node.view().owners().size() == nodes.size())) {
+        assertTrue(System.nanoTime() < deadline, "the nodes do not know each other");
+        Thread.sleep(5);
+      }
+    }
+
+    @Test
+    public void slotsAreCountedOverAllNodes() throws Exception {
+      List<PeerNode> nodes = TestNodes.startAll(3, new PeerListener() {});
+      awaitAgreement(nodes);
+      ownerOf(nodes, "u1").updateCapacity("u1", 2, 0);
+      SlotLease first = nodes.get(0).acquireSlot("u1", 0, PATIENCE).get();
+      SlotLease second = nodes.get(1).acquireSlot("u1", 0, PATIENCE).get();
+      var third = nodes.get(2).acquireSlot("u1", 0, Duration.ofMillis(300));
+      ExecutionException failure = expectThrows(ExecutionException.class, third::get);
+      assertEquals(((LarkkeelException) failure.getCause()).kind(), ErrorKind.OVERLOADED);
+      var fourth = nodes.get(2).acquireSlot("u1", 0, PATIENCE);
+      nodes.get(0).releaseSlot(first);
+      fourth.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      nodes.get(1).releaseSlot(second);
+      nodes.forEach(PeerNode::close);
+    }
+
+    @Test
+    public void newOwnerTakesOverWhenOwnerStops() throws Exception {
+      List<PeerNode> nodes = new ArrayList<>(TestNodes.startAll(3, new PeerListener() {}));
+      awaitAgreement(nodes);
+      PeerNode owner = ownerOf(nodes, "u1");
+      owner.updateCapacity("u1", 1, 0);
+      nodes.remove(owner);
+      nodes.get(0).acquireSlot("u1", 0, PATIENCE).get();
+      owner.close();
+      awaitAgreement(nodes);
+      ownerOf(nodes, "u1").updateCapacity("u1", 2, 1);
+      nodes.get(1).acquireSlot("u1", 0, PATIENCE).get();
+      var tooMany = nodes.get(1).acquireSlot("u1", 0, Duration.ofMillis(500));
+      expectThrows(ExecutionException.class, tooMany::get);
+      nodes.forEach(PeerNode::close);
+    }
+
+    @Test
+    public void limitHoldsOverAllNodes() throws Exception {
+      List<PeerNode> nodes = TestNodes.startAll(3, new PeerListener() {});
+      awaitAgreement(nodes);
+      WorkspaceName team = new WorkspaceName("clause-team");
+      nodes.forEach(node -> node.setLimits(Map.of(team, new RateLimit(2, 1_000)), Map.of()));
+      long start = System.nanoTime();
+      List<CompletableFuture<LimitDecision>> decisions = new ArrayList<>();
+      for (int i = 0; i < 30; i++) {
+        decisions.add(nodes.get(i % 3).acquireLimit(team, 10, Duration.ofMillis(300)));
+      }
+      int admitted = 0;
+      for (CompletableFuture<LimitDecision> decision : decisions) {
+        admitted += decision.get(PATIENCE_SECONDS, TimeUnit.SECONDS).admitted() ? 1 : 0;
+      }
+      double seconds = (System.nanoTime() - start) / 1e9;
+      assertTrue(admitted >= 1, "nothing admitted");
+      assertTrue(admitted <= 2 + 2 * seconds, "admitted " + admitted + " in " + seconds + " s");
+      var other = nodes.get(0).acquireLimit(new WorkspaceName("free"), 10, PATIENCE);
+      assertTrue(other.get().admitted());
+      nodes.forEach(PeerNode::close);
+    }
+
+    @Test
+    public void waitsFailWhenNodeCloses() throws Exception {
+      PeerNode node = TestNodes.startAll(1, new PeerListener() {}).getFirst();
+      var wait = node.acquireSlot("u1", 0, PATIENCE);
+      node.close();
+      ExecutionException failure = expectThrows(ExecutionException.class, wait::get);
+      assertEquals(((LarkkeelException) failure.getCause()).kind(), ErrorKind.NOT_READY);
+    }
+  }
 }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
@@ -9,20 +9,28 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.thrift.TException;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Revision;
+import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.peer.gen.Batch;
 import org.larkkeel.peer.gen.ConfigPage;
 import org.larkkeel.peer.gen.PeerService;
+import org.larkkeel.peer.limits.RateLimit;
 import org.larkkeel.peer.membership.Effect;
 import org.larkkeel.peer.membership.Event;
 import org.larkkeel.peer.membership.HostEntry;
@@ -31,8 +39,10 @@
 import org.larkkeel.peer.membership.Membership;
 import org.larkkeel.peer.membership.Message;
 import org.larkkeel.peer.membership.NodeAddress;
+import org.larkkeel.peer.ownership.Ownership;
 import org.larkkeel.peer.transport.DatagramCodec;
 import org.larkkeel.peer.transport.DatagramTransport;
+import org.larkkeel.peer.transport.Leases;
 import org.larkkeel.peer.transport.PeerClient;
 import org.larkkeel.peer.transport.PeerServer;
 import org.slf4j.Logger;
@@ -51,6 +61,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(PeerNode.class);
   private static final int MAX_QUEUED = 8_192;
   private static final int BIND_ATTEMPTS = 32;
+  private static final long EXCHANGE_SECONDS = 2;
   private static final long VIEW_PERIOD = TimeUnit.MILLISECONDS.toNanos(250);
   private static final long IDLE_PERIOD = TimeUnit.SECONDS.toNanos(1);
 
@@ -61,6 +72,8 @@
   private final PeerClient client;
   private final DatagramTransport datagrams;
   private final Membership membership;
+  private final LeaseDesk desk;
+  private final AtomicLong requestIds = new AtomicLong();
   private final Thread core;
   private volatile PeerView view;
   private volatile boolean closed;
@@ -82,6 +95,7 @@
         new Membership(
             settings.membership(), self, settings.seeds(), settings.seed(), System.nanoTime());
     publishView();
+    this.desk = new LeaseDesk(settings.id(), settings.leases());
     this.core = Thread.ofPlatform().daemon().name("peer-core").unstarted(this::run);
   }
 
@@ -189,7 +203,7 @@
    *
    * @param peer a member, such as one named by {@link PeerListener#newerRevision}
    * @param from what this node holds
-   * @return the next page; fails with {@link org.larkkeel.errors.LarkkeelException}
+   * @return the next page; fails with {@link LarkkeelException}
    */
   public CompletableFuture<ConfigContent> pullConfig(NodeAddress peer, Revision from) {
     return client
@@ -200,6 +214,100 @@
                     new Revision(page.getRevision()), page.getContent(), page.isMore()));
   }
 
+  /**
+   * Tells whether this node owns a key, as far as it knows. The owner of an upstream tells {@link
+   * #updateCapacity} of its load and cancels its orphans.
+   *
+   * @param key names what is owned
+   * @return true if this node is the owner
+   */
+  public boolean owns(String key) {
+    HostName host = view.self().id().host();
+    return view.ownership().ownerOf(key).filter(host::equals).isPresent();
+  }
+
+  /**
+   * Takes the load of something leased; ignored unless this node owns it.
+   *
+   * @param key names what is leased, such as an upstream
+   * @param slots how many slots there are
+   * @param running how many were in use when the report was made
+   */
+  public void updateCapacity(String key, int slots, int running) {
+    submit(() -> desk.updateCapacity(System.nanoTime(), key, slots, running));
+  }
+
+  /**
+   * Takes the limits of all workspaces, as configured.
+   *
+   * @param rates the rate limits by workspace; workspaces that are absent have none
+   * @param capacities slots of keys with a fixed number of them, such as concurrency limits
+   */
+  public void setLimits(Map<WorkspaceName, RateLimit> rates, Map<String, Integer> capacities) {
+    Map<String, RateLimit> byName = new HashMap<>();
+    rates.forEach((workspace, limit) -> byName.put(workspace.value(), limit));
+    submit(() -> desk.setLimits(System.nanoTime(), byName, capacities));
+  }
+
+  /**
+   * Asks for a slot.
+   *
+   * @param key names what is leased
+   * @param priority greater goes first
+   * @param patience how long to wait
+   * @return the lease; fails with {@link LarkkeelException} of kind OVERLOADED if none became free
+   */
+  public CompletableFuture<SlotLease> acquireSlot(String key, int priority, Duration patience) {
+    CompletableFuture<SlotLease> result = new CompletableFuture<>();
+    SlotLease lease = new SlotLease(key, requestIds.incrementAndGet());
+    submitOrFail(
+        result,
+        () -> {
+          long now = System.nanoTime();
+          desk.acquireSlot(now, lease, priority, now + patience.toNanos(), result);
+        });
+    return result;
+  }
+
+  /**
+   * Gives a slot back. Repeated calls do nothing.
+   *
+   * @param lease the lease
+   */
+  public void releaseSlot(SlotLease lease) {
+    submit(() -> desk.releaseSlot(System.nanoTime(), lease));
+  }
+
+  /**
+   * Counts a request against the limits of its workspace.
+   *
+   * @param workspace the workspace
+   * @param promptTokens the prompt tokens of the request
+   * @param patience how long to wait
+   * @return whether it may run
+   */
+  public CompletableFuture<LimitDecision> acquireLimit(
+      WorkspaceName workspace, long promptTokens, Duration patience) {
+    CompletableFuture<LimitDecision> result = new CompletableFuture<>();
+    long id = requestIds.incrementAndGet();
+    submitOrFail(
+        result,
+        () -> {
+          long now = System.nanoTime();
+          long until = now + patience.toNanos();
+          desk.acquireLimit(now, workspace.value(), id, promptTokens, until, result);
+        });
+    return result;
+  }
+
+  private void submitOrFail(CompletableFuture<?> result, Runnable command) {
+    if (closed || !queue.offer(command)) {
+      result.completeExceptionally(
+          new LarkkeelException(
+              ErrorKind.NOT_READY, closed ? "this node is stopping" : "too many calls wait"));
+    }
+  }
+
   private void received(NodeAddress source, Message message) {
     // A full queue drops the datagram, as the network may do as well.
     queue.offer(() -> apply(new Event.Received(System.nanoTime(), source, message)));
@@ -224,7 +332,7 @@
   }
 
   private void step() throws InterruptedException {
-    long wait = membership.nextDeadline() - System.nanoTime();
+    long wait = Math.min(membership.nextDeadline(), desk.nextDeadline()) - System.nanoTime();
     Runnable command = queue.poll(Math.max(0, wait), TimeUnit.NANOSECONDS);
     if (command != null) {
       command.run();
@@ -233,6 +341,9 @@
     if (membership.nextDeadline() - now <= 0) {
       apply(new Event.Tick(now));
     }
+    if (desk.nextDeadline() <= now) {
+      desk.tick(now).forEach(this::exchange);
+    }
     if (viewChanged || nextView - now <= 0) {
       publishView();
       nextView = now + VIEW_PERIOD;
@@ -270,9 +381,43 @@
         member.refutation());
     viewChanged = true;
     publishView();
+    long now = System.nanoTime();
+    desk.ownersChanged(now, view.owners());
+    if (!member.state().isPresent()) {
+      desk.nodeGone(now, member.id());
+    }
     listener.memberChanged(member, change.leaving());
   }
 
+  private void exchange(HostName peer, Leases batch) {
+    Optional<Member> member =
+        view.members().stream()
+            .filter(known -> known.id().host().equals(peer) && known.state().isPresent())
+            .findFirst();
+    if (member.isEmpty()) {
+      desk.undeliverable(System.nanoTime(), peer, batch);
+      return;
+    }
+    client
+        .exchange(member.get().address(), batch.toWire())
+        .whenComplete((reply, failure) -> submit(() -> exchanged(peer, batch, reply, failure)));
+  }
+
+  private void exchanged(HostName peer, Leases sent, Batch reply, Throwable failure) {
+    long now = System.nanoTime();
+    if (failure != null) {
+      LOG.debug("event=peer_exchange_failed peer={} error=\"{}\"", peer, failure.toString());
+      desk.failed(now, peer, sent);
+      return;
+    }
+    try {
+      desk.replied(now, peer, sent, Leases.fromWire(reply));
+    } catch (IllegalArgumentException e) {
+      LOG.warn("event=peer_reply_invalid peer={} error=\"{}\"", peer, e.getMessage());
+      desk.failed(now, peer, sent);
+    }
+  }
+
   private void publishView() {
     viewChanged = false;
     List<Member> members = membership.members();
@@ -281,11 +426,15 @@
       HostName host = member.id().host();
       membership.revisionOf(host).ifPresent(revision -> revisions.put(host, revision));
     }
+    Set<HostName> owners = Set.copyOf(membership.owners());
+    PeerView before = view;
+    boolean sameOwners = before != null && before.owners().equals(owners);
     view =
         new PeerView(
             membership.self(),
             List.copyOf(members),
-            Set.copyOf(membership.owners()),
+            owners,
+            sameOwners ? before.ownership() : new Ownership(owners),
             Map.copyOf(revisions),
             membership.isJoined());
   }
@@ -293,8 +442,18 @@
   /** Answers the calls of peers. */
   private final class Handler implements PeerService.Iface {
     @Override
-    public Batch exchange(Batch batch) {
-      return new Batch();
+    public Batch exchange(Batch batch) throws TException {
+      Leases received = Leases.fromWire(batch);
+      CompletableFuture<Leases> reply = new CompletableFuture<>();
+      submitOrFail(reply, () -> reply.complete(desk.received(System.nanoTime(), received)));
+      try {
+        return reply.get(EXCHANGE_SECONDS, TimeUnit.SECONDS).toWire();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new TException("interrupted", e);
+      } catch (ExecutionException | TimeoutException e) {
+        throw new TException("the core did not answer", e);
+      }
     }
 
     @Override
@@ -315,6 +474,7 @@
     submit(
         () -> {
           apply(new Event.Stop(System.nanoTime()));
+          desk.close();
           said.complete(null);
         });
     try {
@@ -326,8 +486,21 @@
     }
     closed = true;
     core.interrupt();
+    endQueue();
     server.close();
     datagrams.close();
     client.close();
   }
+
+  /** Runs what came after the stop, so that no caller waits for ever. */
+  private void endQueue() {
+    try {
+      core.join(TimeUnit.SECONDS.toMillis(1));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    for (Runnable command = queue.poll(); command != null; command = queue.poll()) {
+      command.run();
+    }
+  }
 }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerSettings.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerSettings.java
@@ -33,6 +33,7 @@
   private Optional<SSLContext> ssl = Optional.empty();
   private MembershipSettings membership = MembershipSettings.defaults();
   private TransportSettings transport = TransportSettings.defaults();
+  private LeaseSettings leases = LeaseSettings.perRequest();
   private long seed;
 
   /**
@@ -109,6 +110,17 @@
     return this;
   }
 
+  /**
+   * Sets the times of leases and limits.
+   *
+   * @param settings the settings
+   * @return this
+   */
+  public PeerSettings setLeases(LeaseSettings settings) {
+    this.leases = settings;
+    return this;
+  }
+
   /**
    * Sets the seed of random choices.
    *
@@ -152,6 +164,10 @@
     return transport;
   }
 
+  LeaseSettings leases() {
+    return leases;
+  }
+
   long seed() {
     return seed;
   }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/Batch.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/Batch.java
@@ -11,39 +11,27 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("Batch");
 
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
-  private static final org.apache.thrift.protocol.TField SLOT_ASKS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotAsks", org.apache.thrift.protocol.TType.LIST, (short)2);
-  private static final org.apache.thrift.protocol.TField SLOT_RETURNS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotReturns", org.apache.thrift.protocol.TType.LIST, (short)3);
-  private static final org.apache.thrift.protocol.TField SLOT_KEEPS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotKeeps", org.apache.thrift.protocol.TType.LIST, (short)4);
-  private static final org.apache.thrift.protocol.TField SLOT_GRANTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotGrants", org.apache.thrift.protocol.TType.LIST, (short)5);
-  private static final org.apache.thrift.protocol.TField SLOT_REFUSALS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotRefusals", org.apache.thrift.protocol.TType.LIST, (short)6);
-  private static final org.apache.thrift.protocol.TField SLOT_RECALLS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotRecalls", org.apache.thrift.protocol.TType.LIST, (short)7);
-  private static final org.apache.thrift.protocol.TField LIMIT_ASKS_FIELD_DESC = new org.apache.thrift.protocol.TField("limitAsks", org.apache.thrift.protocol.TType.LIST, (short)8);
-  private static final org.apache.thrift.protocol.TField LIMIT_GRANTS_FIELD_DESC = new org.apache.thrift.protocol.TField("limitGrants", org.apache.thrift.protocol.TType.LIST, (short)9);
+  private static final org.apache.thrift.protocol.TField SLOT_REPORTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotReports", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField SLOT_GRANTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slotGrants", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField LIMIT_ASKS_FIELD_DESC = new org.apache.thrift.protocol.TField("limitAsks", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField LIMIT_GRANTS_FIELD_DESC = new org.apache.thrift.protocol.TField("limitGrants", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new BatchStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new BatchTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable WireNode sender; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<SlotAsk> slotAsks; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<SlotReturn> slotReturns; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<SlotKeep> slotKeeps; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<SlotGrant> slotGrants; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<SlotRefusal> slotRefusals; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<SlotRecall> slotRecalls; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<LimitAsk> limitAsks; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<LimitGrant> limitGrants; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireSlotReport> slotReports; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireSlotGrant> slotGrants; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireLimitAsk> limitAsks; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireLimitGrant> limitGrants; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
-    SLOT_ASKS((short)2, "slotAsks"),
-    SLOT_RETURNS((short)3, "slotReturns"),
-    SLOT_KEEPS((short)4, "slotKeeps"),
-    SLOT_GRANTS((short)5, "slotGrants"),
-    SLOT_REFUSALS((short)6, "slotRefusals"),
-    SLOT_RECALLS((short)7, "slotRecalls"),
-    LIMIT_ASKS((short)8, "limitAsks"),
-    LIMIT_GRANTS((short)9, "limitGrants");
+    SLOT_REPORTS((short)2, "slotReports"),
+    SLOT_GRANTS((short)3, "slotGrants"),
+    LIMIT_ASKS((short)4, "limitAsks"),
+    LIMIT_GRANTS((short)5, "limitGrants");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,21 +49,13 @@
       switch(fieldId) {
         case 1: // SENDER
           return SENDER;
-        case 2: // SLOT_ASKS
-          return SLOT_ASKS;
-        case 3: // SLOT_RETURNS
-          return SLOT_RETURNS;
-        case 4: // SLOT_KEEPS
-          return SLOT_KEEPS;
-        case 5: // SLOT_GRANTS
+        case 2: // SLOT_REPORTS
+          return SLOT_REPORTS;
+        case 3: // SLOT_GRANTS
           return SLOT_GRANTS;
-        case 6: // SLOT_REFUSALS
-          return SLOT_REFUSALS;
-        case 7: // SLOT_RECALLS
-          return SLOT_RECALLS;
-        case 8: // LIMIT_ASKS
+        case 4: // LIMIT_ASKS
           return LIMIT_ASKS;
-        case 9: // LIMIT_GRANTS
+        case 5: // LIMIT_GRANTS
           return LIMIT_GRANTS;
         default:
           return null;
@@ -120,36 +100,24 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.SLOT_ASKS,_Fields.SLOT_RETURNS,_Fields.SLOT_KEEPS,_Fields.SLOT_GRANTS,_Fields.SLOT_REFUSALS,_Fields.SLOT_RECALLS,_Fields.LIMIT_ASKS,_Fields.LIMIT_GRANTS};
+  private static final _Fields optionals[] = {_Fields.SLOT_REPORTS,_Fields.SLOT_GRANTS,_Fields.LIMIT_ASKS,_Fields.LIMIT_GRANTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireNode.class)));
-    tmpMap.put(_Fields.SLOT_ASKS, new org.apache.thrift.meta_data.FieldMetaData("slotAsks", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+    tmpMap.put(_Fields.SLOT_REPORTS, new org.apache.thrift.meta_data.FieldMetaData("slotReports", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotAsk.class))));
-    tmpMap.put(_Fields.SLOT_RETURNS, new org.apache.thrift.meta_data.FieldMetaData("slotReturns", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotReturn.class))));
-    tmpMap.put(_Fields.SLOT_KEEPS, new org.apache.thrift.meta_data.FieldMetaData("slotKeeps", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotKeep.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSlotReport.class))));
     tmpMap.put(_Fields.SLOT_GRANTS, new org.apache.thrift.meta_data.FieldMetaData("slotGrants", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotGrant.class))));
-    tmpMap.put(_Fields.SLOT_REFUSALS, new org.apache.thrift.meta_data.FieldMetaData("slotRefusals", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotRefusal.class))));
-    tmpMap.put(_Fields.SLOT_RECALLS, new org.apache.thrift.meta_data.FieldMetaData("slotRecalls", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SlotRecall.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSlotGrant.class))));
     tmpMap.put(_Fields.LIMIT_ASKS, new org.apache.thrift.meta_data.FieldMetaData("limitAsks", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitAsk.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireLimitAsk.class))));
     tmpMap.put(_Fields.LIMIT_GRANTS, new org.apache.thrift.meta_data.FieldMetaData("limitGrants", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitGrant.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireLimitGrant.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Batch.class, metaDataMap);
   }
@@ -171,59 +139,31 @@
     if (other.isSetSender()) {
       this.sender = new WireNode(other.sender);
     }
-    if (other.isSetSlotAsks()) {
-      java.util.List<SlotAsk> __this__slotAsks = new java.util.ArrayList<SlotAsk>(other.slotAsks.size());
-      for (SlotAsk other_element : other.slotAsks) {
-        __this__slotAsks.add(new SlotAsk(other_element));
-      }
-      this.slotAsks = __this__slotAsks;
-    }
-    if (other.isSetSlotReturns()) {
-      java.util.List<SlotReturn> __this__slotReturns = new java.util.ArrayList<SlotReturn>(other.slotReturns.size());
-      for (SlotReturn other_element : other.slotReturns) {
-        __this__slotReturns.add(new SlotReturn(other_element));
+    if (other.isSetSlotReports()) {
+      java.util.List<WireSlotReport> __this__slotReports = new java.util.ArrayList<WireSlotReport>(other.slotReports.size());
+      for (WireSlotReport other_element : other.slotReports) {
+        __this__slotReports.add(new WireSlotReport(other_element));
       }
-      this.slotReturns = __this__slotReturns;
-    }
-    if (other.isSetSlotKeeps()) {
-      java.util.List<SlotKeep> __this__slotKeeps = new java.util.ArrayList<SlotKeep>(other.slotKeeps.size());
-      for (SlotKeep other_element : other.slotKeeps) {
-        __this__slotKeeps.add(new SlotKeep(other_element));
-      }
-      this.slotKeeps = __this__slotKeeps;
+      this.slotReports = __this__slotReports;
     }
     if (other.isSetSlotGrants()) {
-      java.util.List<SlotGrant> __this__slotGrants = new java.util.ArrayList<SlotGrant>(other.slotGrants.size());
-      for (SlotGrant other_element : other.slotGrants) {
-        __this__slotGrants.add(new SlotGrant(other_element));
+      java.util.List<WireSlotGrant> __this__slotGrants = new java.util.ArrayList<WireSlotGrant>(other.slotGrants.size());
+      for (WireSlotGrant other_element : other.slotGrants) {
+        __this__slotGrants.add(new WireSlotGrant(other_element));
       }
       this.slotGrants = __this__slotGrants;
     }
-    if (other.isSetSlotRefusals()) {
-      java.util.List<SlotRefusal> __this__slotRefusals = new java.util.ArrayList<SlotRefusal>(other.slotRefusals.size());
-      for (SlotRefusal other_element : other.slotRefusals) {
-        __this__slotRefusals.add(new SlotRefusal(other_element));
-      }
-      this.slotRefusals = __this__slotRefusals;
-    }
-    if (other.isSetSlotRecalls()) {
-      java.util.List<SlotRecall> __this__slotRecalls = new java.util.ArrayList<SlotRecall>(other.slotRecalls.size());
-      for (SlotRecall other_element : other.slotRecalls) {
-        __this__slotRecalls.add(new SlotRecall(other_element));
-      }
-      this.slotRecalls = __this__slotRecalls;
-    }
     if (other.isSetLimitAsks()) {
-      java.util.List<LimitAsk> __this__limitAsks = new java.util.ArrayList<LimitAsk>(other.limitAsks.size());
-      for (LimitAsk other_element : other.limitAsks) {
-        __this__limitAsks.add(new LimitAsk(other_element));
+      java.util.List<WireLimitAsk> __this__limitAsks = new java.util.ArrayList<WireLimitAsk>(other.limitAsks.size());
+      for (WireLimitAsk other_element : other.limitAsks) {
+        __this__limitAsks.add(new WireLimitAsk(other_element));
       }
       this.limitAsks = __this__limitAsks;
     }
     if (other.isSetLimitGrants()) {
-      java.util.List<LimitGrant> __this__limitGrants = new java.util.ArrayList<LimitGrant>(other.limitGrants.size());
-      for (LimitGrant other_element : other.limitGrants) {
-        __this__limitGrants.add(new LimitGrant(other_element));
+      java.util.List<WireLimitGrant> __this__limitGrants = new java.util.ArrayList<WireLimitGrant>(other.limitGrants.size());
+      for (WireLimitGrant other_element : other.limitGrants) {
+        __this__limitGrants.add(new WireLimitGrant(other_element));
       }
       this.limitGrants = __this__limitGrants;
     }
@@ -237,12 +177,8 @@
   @Override
   public void clear() {
     this.sender = null;
-    this.slotAsks = null;
-    this.slotReturns = null;
-    this.slotKeeps = null;
+    this.slotReports = null;
     this.slotGrants = null;
-    this.slotRefusals = null;
-    this.slotRecalls = null;
     this.limitAsks = null;
     this.limitGrants = null;
   }
@@ -272,126 +208,44 @@
     }
   }
 
-  public int getSlotAsksSize() {
-    return (this.slotAsks == null) ? 0 : this.slotAsks.size();
+  public int getSlotReportsSize() {
+    return (this.slotReports == null) ? 0 : this.slotReports.size();
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<SlotAsk> getSlotAsksIterator() {
-    return (this.slotAsks == null) ? null : this.slotAsks.iterator();
+  public java.util.Iterator<WireSlotReport> getSlotReportsIterator() {
+    return (this.slotReports == null) ? null : this.slotReports.iterator();
   }
 
-  public void addToSlotAsks(SlotAsk elem) {
-    if (this.slotAsks == null) {
-      this.slotAsks = new java.util.ArrayList<SlotAsk>();
+  public void addToSlotReports(WireSlotReport elem) {
+    if (this.slotReports == null) {
+      this.slotReports = new java.util.ArrayList<WireSlotReport>();
     }
-    this.slotAsks.add(elem);
+    this.slotReports.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<SlotAsk> getSlotAsks() {
-    return this.slotAsks;
+  public java.util.List<WireSlotReport> getSlotReports() {
+    return this.slotReports;
   }
 
-  public Batch setSlotAsks(@org.apache.thrift.annotation.Nullable java.util.List<SlotAsk> slotAsks) {
-    this.slotAsks = slotAsks;
+  public Batch setSlotReports(@org.apache.thrift.annotation.Nullable java.util.List<WireSlotReport> slotReports) {
+    this.slotReports = slotReports;
     return this;
   }
 
-  public void unsetSlotAsks() {
-    this.slotAsks = null;
+  public void unsetSlotReports() {
+    this.slotReports = null;
   }
 
-  /** Returns true if field slotAsks is set (has been assigned a value) and false otherwise */
-  public boolean isSetSlotAsks() {
-    return this.slotAsks != null;
+  /** Returns true if field slotReports is set (has been assigned a value) and false otherwise */
+  public boolean isSetSlotReports() {
+    return this.slotReports != null;
   }
 
-  public void setSlotAsksIsSet(boolean value) {
+  public void setSlotReportsIsSet(boolean value) {
     if (!value) {
-      this.slotAsks = null;
-    }
-  }
-
-  public int getSlotReturnsSize() {
-    return (this.slotReturns == null) ? 0 : this.slotReturns.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<SlotReturn> getSlotReturnsIterator() {
-    return (this.slotReturns == null) ? null : this.slotReturns.iterator();
-  }
-
-  public void addToSlotReturns(SlotReturn elem) {
-    if (this.slotReturns == null) {
-      this.slotReturns = new java.util.ArrayList<SlotReturn>();
-    }
-    this.slotReturns.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<SlotReturn> getSlotReturns() {
-    return this.slotReturns;
-  }
-
-  public Batch setSlotReturns(@org.apache.thrift.annotation.Nullable java.util.List<SlotReturn> slotReturns) {
-    this.slotReturns = slotReturns;
-    return this;
-  }
-
-  public void unsetSlotReturns() {
-    this.slotReturns = null;
-  }
-
-  /** Returns true if field slotReturns is set (has been assigned a value) and false otherwise */
-  public boolean isSetSlotReturns() {
-    return this.slotReturns != null;
-  }
-
-  public void setSlotReturnsIsSet(boolean value) {
-    if (!value) {
-      this.slotReturns = null;
-    }
-  }
-
-  public int getSlotKeepsSize() {
-    return (this.slotKeeps == null) ? 0 : this.slotKeeps.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<SlotKeep> getSlotKeepsIterator() {
-    return (this.slotKeeps == null) ? null : this.slotKeeps.iterator();
-  }
-
-  public void addToSlotKeeps(SlotKeep elem) {
-    if (this.slotKeeps == null) {
-      this.slotKeeps = new java.util.ArrayList<SlotKeep>();
-    }
-    this.slotKeeps.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<SlotKeep> getSlotKeeps() {
-    return this.slotKeeps;
-  }
-
-  public Batch setSlotKeeps(@org.apache.thrift.annotation.Nullable java.util.List<SlotKeep> slotKeeps) {
-    this.slotKeeps = slotKeeps;
-    return this;
-  }
-
-  public void unsetSlotKeeps() {
-    this.slotKeeps = null;
-  }
-
-  /** Returns true if field slotKeeps is set (has been assigned a value) and false otherwise */
-  public boolean isSetSlotKeeps() {
-    return this.slotKeeps != null;
-  }
-
-  public void setSlotKeepsIsSet(boolean value) {
-    if (!value) {
-      this.slotKeeps = null;
+      this.slotReports = null;
     }
   }
 
@@ -400,23 +254,23 @@
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<SlotGrant> getSlotGrantsIterator() {
+  public java.util.Iterator<WireSlotGrant> getSlotGrantsIterator() {
     return (this.slotGrants == null) ? null : this.slotGrants.iterator();
   }
 
-  public void addToSlotGrants(SlotGrant elem) {
+  public void addToSlotGrants(WireSlotGrant elem) {
     if (this.slotGrants == null) {
-      this.slotGrants = new java.util.ArrayList<SlotGrant>();
+      this.slotGrants = new java.util.ArrayList<WireSlotGrant>();
     }
     this.slotGrants.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<SlotGrant> getSlotGrants() {
+  public java.util.List<WireSlotGrant> getSlotGrants() {
     return this.slotGrants;
   }
 
-  public Batch setSlotGrants(@org.apache.thrift.annotation.Nullable java.util.List<SlotGrant> slotGrants) {
+  public Batch setSlotGrants(@org.apache.thrift.annotation.Nullable java.util.List<WireSlotGrant> slotGrants) {
     this.slotGrants = slotGrants;
     return this;
   }
@@ -436,110 +290,28 @@
     }
   }
 
-  public int getSlotRefusalsSize() {
-    return (this.slotRefusals == null) ? 0 : this.slotRefusals.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<SlotRefusal> getSlotRefusalsIterator() {
-    return (this.slotRefusals == null) ? null : this.slotRefusals.iterator();
-  }
-
-  public void addToSlotRefusals(SlotRefusal elem) {
-    if (this.slotRefusals == null) {
-      this.slotRefusals = new java.util.ArrayList<SlotRefusal>();
-    }
-    this.slotRefusals.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<SlotRefusal> getSlotRefusals() {
-    return this.slotRefusals;
-  }
-
-  public Batch setSlotRefusals(@org.apache.thrift.annotation.Nullable java.util.List<SlotRefusal> slotRefusals) {
-    this.slotRefusals = slotRefusals;
-    return this;
-  }
-
-  public void unsetSlotRefusals() {
-    this.slotRefusals = null;
-  }
-
-  /** Returns true if field slotRefusals is set (has been assigned a value) and false otherwise */
-  public boolean isSetSlotRefusals() {
-    return this.slotRefusals != null;
-  }
-
-  public void setSlotRefusalsIsSet(boolean value) {
-    if (!value) {
-      this.slotRefusals = null;
-    }
-  }
-
-  public int getSlotRecallsSize() {
-    return (this.slotRecalls == null) ? 0 : this.slotRecalls.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<SlotRecall> getSlotRecallsIterator() {
-    return (this.slotRecalls == null) ? null : this.slotRecalls.iterator();
-  }
-
-  public void addToSlotRecalls(SlotRecall elem) {
-    if (this.slotRecalls == null) {
-      this.slotRecalls = new java.util.ArrayList<SlotRecall>();
-    }
-    this.slotRecalls.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<SlotRecall> getSlotRecalls() {
-    return this.slotRecalls;
-  }
-
-  public Batch setSlotRecalls(@org.apache.thrift.annotation.Nullable java.util.List<SlotRecall> slotRecalls) {
-    this.slotRecalls = slotRecalls;
-    return this;
-  }
-
-  public void unsetSlotRecalls() {
-    this.slotRecalls = null;
-  }
-
-  /** Returns true if field slotRecalls is set (has been assigned a value) and false otherwise */
-  public boolean isSetSlotRecalls() {
-    return this.slotRecalls != null;
-  }
-
-  public void setSlotRecallsIsSet(boolean value) {
-    if (!value) {
-      this.slotRecalls = null;
-    }
-  }
-
   public int getLimitAsksSize() {
     return (this.limitAsks == null) ? 0 : this.limitAsks.size();
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<LimitAsk> getLimitAsksIterator() {
+  public java.util.Iterator<WireLimitAsk> getLimitAsksIterator() {
     return (this.limitAsks == null) ? null : this.limitAsks.iterator();
   }
 
-  public void addToLimitAsks(LimitAsk elem) {
+  public void addToLimitAsks(WireLimitAsk elem) {
     if (this.limitAsks == null) {
-      this.limitAsks = new java.util.ArrayList<LimitAsk>();
+      this.limitAsks = new java.util.ArrayList<WireLimitAsk>();
     }
     this.limitAsks.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<LimitAsk> getLimitAsks() {
+  public java.util.List<WireLimitAsk> getLimitAsks() {
     return this.limitAsks;
   }
 
-  public Batch setLimitAsks(@org.apache.thrift.annotation.Nullable java.util.List<LimitAsk> limitAsks) {
+  public Batch setLimitAsks(@org.apache.thrift.annotation.Nullable java.util.List<WireLimitAsk> limitAsks) {
     this.limitAsks = limitAsks;
     return this;
   }
@@ -564,23 +336,23 @@
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<LimitGrant> getLimitGrantsIterator() {
+  public java.util.Iterator<WireLimitGrant> getLimitGrantsIterator() {
     return (this.limitGrants == null) ? null : this.limitGrants.iterator();
   }
 
-  public void addToLimitGrants(LimitGrant elem) {
+  public void addToLimitGrants(WireLimitGrant elem) {
     if (this.limitGrants == null) {
-      this.limitGrants = new java.util.ArrayList<LimitGrant>();
+      this.limitGrants = new java.util.ArrayList<WireLimitGrant>();
     }
     this.limitGrants.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<LimitGrant> getLimitGrants() {
+  public java.util.List<WireLimitGrant> getLimitGrants() {
     return this.limitGrants;
   }
 
-  public Batch setLimitGrants(@org.apache.thrift.annotation.Nullable java.util.List<LimitGrant> limitGrants) {
+  public Batch setLimitGrants(@org.apache.thrift.annotation.Nullable java.util.List<WireLimitGrant> limitGrants) {
     this.limitGrants = limitGrants;
     return this;
   }
@@ -611,27 +383,11 @@
       }
       break;
 
-    case SLOT_ASKS:
-      if (value == null) {
-        unsetSlotAsks();
-      } else {
-        setSlotAsks((java.util.List<SlotAsk>)value);
-      }
-      break;
-
-    case SLOT_RETURNS:
-      if (value == null) {
-        unsetSlotReturns();
-      } else {
-        setSlotReturns((java.util.List<SlotReturn>)value);
-      }
-      break;
-
-    case SLOT_KEEPS:
+    case SLOT_REPORTS:
       if (value == null) {
-        unsetSlotKeeps();
+        unsetSlotReports();
       } else {
-        setSlotKeeps((java.util.List<SlotKeep>)value);
+        setSlotReports((java.util.List<WireSlotReport>)value);
       }
       break;
 
@@ -639,23 +395,7 @@
       if (value == null) {
         unsetSlotGrants();
       } else {
-        setSlotGrants((java.util.List<SlotGrant>)value);
-      }
-      break;
-
-    case SLOT_REFUSALS:
-      if (value == null) {
-        unsetSlotRefusals();
-      } else {
-        setSlotRefusals((java.util.List<SlotRefusal>)value);
-      }
-      break;
-
-    case SLOT_RECALLS:
-      if (value == null) {
-        unsetSlotRecalls();
-      } else {
-        setSlotRecalls((java.util.List<SlotRecall>)value);
+        setSlotGrants((java.util.List<WireSlotGrant>)value);
       }
       break;
 
@@ -663,7 +403,7 @@
       if (value == null) {
         unsetLimitAsks();
       } else {
-        setLimitAsks((java.util.List<LimitAsk>)value);
+        setLimitAsks((java.util.List<WireLimitAsk>)value);
       }
       break;
 
@@ -671,7 +411,7 @@
       if (value == null) {
         unsetLimitGrants();
       } else {
-        setLimitGrants((java.util.List<LimitGrant>)value);
+        setLimitGrants((java.util.List<WireLimitGrant>)value);
       }
       break;
 
@@ -685,24 +425,12 @@
     case SENDER:
       return getSender();
 
-    case SLOT_ASKS:
-      return getSlotAsks();
-
-    case SLOT_RETURNS:
-      return getSlotReturns();
-
-    case SLOT_KEEPS:
-      return getSlotKeeps();
+    case SLOT_REPORTS:
+      return getSlotReports();
 
     case SLOT_GRANTS:
       return getSlotGrants();
 
-    case SLOT_REFUSALS:
-      return getSlotRefusals();
-
-    case SLOT_RECALLS:
-      return getSlotRecalls();
-
     case LIMIT_ASKS:
       return getLimitAsks();
 
@@ -723,18 +451,10 @@
     switch (field) {
     case SENDER:
       return isSetSender();
-    case SLOT_ASKS:
-      return isSetSlotAsks();
-    case SLOT_RETURNS:
-      return isSetSlotReturns();
-    case SLOT_KEEPS:
-      return isSetSlotKeeps();
+    case SLOT_REPORTS:
+      return isSetSlotReports();
     case SLOT_GRANTS:
       return isSetSlotGrants();
-    case SLOT_REFUSALS:
-      return isSetSlotRefusals();
-    case SLOT_RECALLS:
-      return isSetSlotRecalls();
     case LIMIT_ASKS:
       return isSetLimitAsks();
     case LIMIT_GRANTS:
@@ -765,30 +485,12 @@
         return false;
     }
 
-    boolean this_present_slotAsks = true && this.isSetSlotAsks();
-    boolean that_present_slotAsks = true && that.isSetSlotAsks();
-    if (this_present_slotAsks || that_present_slotAsks) {
-      if (!(this_present_slotAsks && that_present_slotAsks))
-        return false;
-      if (!this.slotAsks.equals(that.slotAsks))
-        return false;
-    }
-
-    boolean this_present_slotReturns = true && this.isSetSlotReturns();
-    boolean that_present_slotReturns = true && that.isSetSlotReturns();
-    if (this_present_slotReturns || that_present_slotReturns) {
-      if (!(this_present_slotReturns && that_present_slotReturns))
-        return false;
-      if (!this.slotReturns.equals(that.slotReturns))
-        return false;
-    }
-
-    boolean this_present_slotKeeps = true && this.isSetSlotKeeps();
-    boolean that_present_slotKeeps = true && that.isSetSlotKeeps();
-    if (this_present_slotKeeps || that_present_slotKeeps) {
-      if (!(this_present_slotKeeps && that_present_slotKeeps))
+    boolean this_present_slotReports = true && this.isSetSlotReports();
+    boolean that_present_slotReports = true && that.isSetSlotReports();
+    if (this_present_slotReports || that_present_slotReports) {
+      if (!(this_present_slotReports && that_present_slotReports))
         return false;
-      if (!this.slotKeeps.equals(that.slotKeeps))
+      if (!this.slotReports.equals(that.slotReports))
         return false;
     }
 
@@ -801,24 +503,6 @@
         return false;
     }
 
-    boolean this_present_slotRefusals = true && this.isSetSlotRefusals();
-    boolean that_present_slotRefusals = true && that.isSetSlotRefusals();
-    if (this_present_slotRefusals || that_present_slotRefusals) {
-      if (!(this_present_slotRefusals && that_present_slotRefusals))
-        return false;
-      if (!this.slotRefusals.equals(that.slotRefusals))
-        return false;
-    }
-
-    boolean this_present_slotRecalls = true && this.isSetSlotRecalls();
-    boolean that_present_slotRecalls = true && that.isSetSlotRecalls();
-    if (this_present_slotRecalls || that_present_slotRecalls) {
-      if (!(this_present_slotRecalls && that_present_slotRecalls))
-        return false;
-      if (!this.slotRecalls.equals(that.slotRecalls))
-        return false;
-    }
-
     boolean this_present_limitAsks = true && this.isSetLimitAsks();
     boolean that_present_limitAsks = true && that.isSetLimitAsks();
     if (this_present_limitAsks || that_present_limitAsks) {
@@ -848,30 +532,14 @@
     if (isSetSender())
       hashCode = hashCode * 8191 + sender.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetSlotAsks()) ? 131071 : 524287);
-    if (isSetSlotAsks())
-      hashCode = hashCode * 8191 + slotAsks.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetSlotReturns()) ? 131071 : 524287);
-    if (isSetSlotReturns())
-      hashCode = hashCode * 8191 + slotReturns.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetSlotKeeps()) ? 131071 : 524287);
-    if (isSetSlotKeeps())
-      hashCode = hashCode * 8191 + slotKeeps.hashCode();
+    hashCode = hashCode * 8191 + ((isSetSlotReports()) ? 131071 : 524287);
+    if (isSetSlotReports())
+      hashCode = hashCode * 8191 + slotReports.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetSlotGrants()) ? 131071 : 524287);
     if (isSetSlotGrants())
       hashCode = hashCode * 8191 + slotGrants.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetSlotRefusals()) ? 131071 : 524287);
-    if (isSetSlotRefusals())
-      hashCode = hashCode * 8191 + slotRefusals.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetSlotRecalls()) ? 131071 : 524287);
-    if (isSetSlotRecalls())
-      hashCode = hashCode * 8191 + slotRecalls.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetLimitAsks()) ? 131071 : 524287);
     if (isSetLimitAsks())
       hashCode = hashCode * 8191 + limitAsks.hashCode();
@@ -901,32 +569,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetSlotAsks(), other.isSetSlotAsks());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetSlotAsks()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slotAsks, other.slotAsks);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetSlotReturns(), other.isSetSlotReturns());
+    lastComparison = java.lang.Boolean.compare(isSetSlotReports(), other.isSetSlotReports());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetSlotReturns()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slotReturns, other.slotReturns);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetSlotKeeps(), other.isSetSlotKeeps());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetSlotKeeps()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slotKeeps, other.slotKeeps);
+    if (isSetSlotReports()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slotReports, other.slotReports);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -941,26 +589,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetSlotRefusals(), other.isSetSlotRefusals());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetSlotRefusals()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slotRefusals, other.slotRefusals);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetSlotRecalls(), other.isSetSlotRecalls());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetSlotRecalls()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slotRecalls, other.slotRecalls);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetLimitAsks(), other.isSetLimitAsks());
     if (lastComparison != 0) {
       return lastComparison;
@@ -1012,33 +640,13 @@
       sb.append(this.sender);
     }
     first = false;
-    if (isSetSlotAsks()) {
+    if (isSetSlotReports()) {
       if (!first) sb.append(", ");
-      sb.append("slotAsks:");
-      if (this.slotAsks == null) {
+      sb.append("slotReports:");
+      if (this.slotReports == null) {
         sb.append("null");
       } else {
-        sb.append(this.slotAsks);
-      }
-      first = false;
-    }
-    if (isSetSlotReturns()) {
-      if (!first) sb.append(", ");
-      sb.append("slotReturns:");
-      if (this.slotReturns == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.slotReturns);
-      }
-      first = false;
-    }
-    if (isSetSlotKeeps()) {
-      if (!first) sb.append(", ");
-      sb.append("slotKeeps:");
-      if (this.slotKeeps == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.slotKeeps);
+        sb.append(this.slotReports);
       }
       first = false;
     }
@@ -1052,26 +660,6 @@
       }
       first = false;
     }
-    if (isSetSlotRefusals()) {
-      if (!first) sb.append(", ");
-      sb.append("slotRefusals:");
-      if (this.slotRefusals == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.slotRefusals);
-      }
-      first = false;
-    }
-    if (isSetSlotRecalls()) {
-      if (!first) sb.append(", ");
-      sb.append("slotRecalls:");
-      if (this.slotRecalls == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.slotRecalls);
-      }
-      first = false;
-    }
     if (isSetLimitAsks()) {
       if (!first) sb.append(", ");
       sb.append("limitAsks:");
@@ -1149,74 +737,36 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // SLOT_ASKS
+          case 2: // SLOT_REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.slotAsks = new java.util.ArrayList<SlotAsk>(_list16.size);
-                @org.apache.thrift.annotation.Nullable SlotAsk _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.slotReports = new java.util.ArrayList<WireSlotReport>(_list24.size);
+                @org.apache.thrift.annotation.Nullable WireSlotReport _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new SlotAsk();
-                  _elem17.read(iprot);
-                  struct.slotAsks.add(_elem17);
+                  _elem25 = new WireSlotReport();
+                  _elem25.read(iprot);
+                  struct.slotReports.add(_elem25);
                 }
                 iprot.readListEnd();
               }
-              struct.setSlotAsksIsSet(true);
+              struct.setSlotReportsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // SLOT_RETURNS
+          case 3: // SLOT_GRANTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
-                struct.slotReturns = new java.util.ArrayList<SlotReturn>(_list19.size);
-                @org.apache.thrift.annotation.Nullable SlotReturn _elem20;
-                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.slotGrants = new java.util.ArrayList<WireSlotGrant>(_list27.size);
+                @org.apache.thrift.annotation.Nullable WireSlotGrant _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
                 {
-                  _elem20 = new SlotReturn();
-                  _elem20.read(iprot);
-                  struct.slotReturns.add(_elem20);
-                }
-                iprot.readListEnd();
-              }
-              struct.setSlotReturnsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 4: // SLOT_KEEPS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list22 = iprot.readListBegin();
-                struct.slotKeeps = new java.util.ArrayList<SlotKeep>(_list22.size);
-                @org.apache.thrift.annotation.Nullable SlotKeep _elem23;
-                for (int _i24 = 0; _i24 < _list22.size; ++_i24)
-                {
-                  _elem23 = new SlotKeep();
-                  _elem23.read(iprot);
-                  struct.slotKeeps.add(_elem23);
-                }
-                iprot.readListEnd();
-              }
-              struct.setSlotKeepsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 5: // SLOT_GRANTS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list25 = iprot.readListBegin();
-                struct.slotGrants = new java.util.ArrayList<SlotGrant>(_list25.size);
-                @org.apache.thrift.annotation.Nullable SlotGrant _elem26;
-                for (int _i27 = 0; _i27 < _list25.size; ++_i27)
-                {
-                  _elem26 = new SlotGrant();
-                  _elem26.read(iprot);
-                  struct.slotGrants.add(_elem26);
+                  _elem28 = new WireSlotGrant();
+                  _elem28.read(iprot);
+                  struct.slotGrants.add(_elem28);
                 }
                 iprot.readListEnd();
               }
@@ -1225,55 +775,17 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // SLOT_REFUSALS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list28 = iprot.readListBegin();
-                struct.slotRefusals = new java.util.ArrayList<SlotRefusal>(_list28.size);
-                @org.apache.thrift.annotation.Nullable SlotRefusal _elem29;
-                for (int _i30 = 0; _i30 < _list28.size; ++_i30)
-                {
-                  _elem29 = new SlotRefusal();
-                  _elem29.read(iprot);
-                  struct.slotRefusals.add(_elem29);
-                }
-                iprot.readListEnd();
-              }
-              struct.setSlotRefusalsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 7: // SLOT_RECALLS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list31 = iprot.readListBegin();
-                struct.slotRecalls = new java.util.ArrayList<SlotRecall>(_list31.size);
-                @org.apache.thrift.annotation.Nullable SlotRecall _elem32;
-                for (int _i33 = 0; _i33 < _list31.size; ++_i33)
-                {
-                  _elem32 = new SlotRecall();
-                  _elem32.read(iprot);
-                  struct.slotRecalls.add(_elem32);
-                }
-                iprot.readListEnd();
-              }
-              struct.setSlotRecallsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 8: // LIMIT_ASKS
+          case 4: // LIMIT_ASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list34 = iprot.readListBegin();
-                struct.limitAsks = new java.util.ArrayList<LimitAsk>(_list34.size);
-                @org.apache.thrift.annotation.Nullable LimitAsk _elem35;
-                for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+                org.apache.thrift.protocol.TList _list30 = iprot.readListBegin();
+                struct.limitAsks = new java.util.ArrayList<WireLimitAsk>(_list30.size);
+                @org.apache.thrift.annotation.Nullable WireLimitAsk _elem31;
+                for (int _i32 = 0; _i32 < _list30.size; ++_i32)
                 {
-                  _elem35 = new LimitAsk();
-                  _elem35.read(iprot);
-                  struct.limitAsks.add(_elem35);
+                  _elem31 = new WireLimitAsk();
+                  _elem31.read(iprot);
+                  struct.limitAsks.add(_elem31);
                 }
                 iprot.readListEnd();
               }
@@ -1282,17 +794,17 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 9: // LIMIT_GRANTS
+          case 5: // LIMIT_GRANTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list37 = iprot.readListBegin();
-                struct.limitGrants = new java.util.ArrayList<LimitGrant>(_list37.size);
-                @org.apache.thrift.annotation.Nullable LimitGrant _elem38;
-                for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+                org.apache.thrift.protocol.TList _list33 = iprot.readListBegin();
+                struct.limitGrants = new java.util.ArrayList<WireLimitGrant>(_list33.size);
+                @org.apache.thrift.annotation.Nullable WireLimitGrant _elem34;
+                for (int _i35 = 0; _i35 < _list33.size; ++_i35)
                 {
-                  _elem38 = new LimitGrant();
-                  _elem38.read(iprot);
-                  struct.limitGrants.add(_elem38);
+                  _elem34 = new WireLimitGrant();
+                  _elem34.read(iprot);
+                  struct.limitGrants.add(_elem34);
                 }
                 iprot.readListEnd();
               }
@@ -1322,42 +834,14 @@
         struct.sender.write(oprot);
         oprot.writeFieldEnd();
       }
-      if (struct.slotAsks != null) {
-        if (struct.isSetSlotAsks()) {
-          oprot.writeFieldBegin(SLOT_ASKS_FIELD_DESC);
+      if (struct.slotReports != null) {
+        if (struct.isSetSlotReports()) {
+          oprot.writeFieldBegin(SLOT_REPORTS_FIELD_DESC);
           {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.slotAsks.size()));
-            for (SlotAsk _iter40 : struct.slotAsks)
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.slotReports.size()));
+            for (WireSlotReport _iter36 : struct.slotReports)
             {
-              _iter40.write(oprot);
-            }
-            oprot.writeListEnd();
-          }
-          oprot.writeFieldEnd();
-        }
-      }
-      if (struct.slotReturns != null) {
-        if (struct.isSetSlotReturns()) {
-          oprot.writeFieldBegin(SLOT_RETURNS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.slotReturns.size()));
-            for (SlotReturn _iter41 : struct.slotReturns)
-            {
-              _iter41.write(oprot);
-            }
-            oprot.writeListEnd();
-          }
-          oprot.writeFieldEnd();
-        }
-      }
-      if (struct.slotKeeps != null) {
-        if (struct.isSetSlotKeeps()) {
-          oprot.writeFieldBegin(SLOT_KEEPS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.slotKeeps.size()));
-            for (SlotKeep _iter42 : struct.slotKeeps)
-            {
-              _iter42.write(oprot);
+              _iter36.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1369,37 +853,9 @@
           oprot.writeFieldBegin(SLOT_GRANTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.slotGrants.size()));
-            for (SlotGrant _iter43 : struct.slotGrants)
-            {
-              _iter43.write(oprot);
-            }
-            oprot.writeListEnd();
-          }
-          oprot.writeFieldEnd();
-        }
-      }
-      if (struct.slotRefusals != null) {
-        if (struct.isSetSlotRefusals()) {
-          oprot.writeFieldBegin(SLOT_REFUSALS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.slotRefusals.size()));
-            for (SlotRefusal _iter44 : struct.slotRefusals)
-            {
-              _iter44.write(oprot);
-            }
-            oprot.writeListEnd();
-          }
-          oprot.writeFieldEnd();
-        }
-      }
-      if (struct.slotRecalls != null) {
-        if (struct.isSetSlotRecalls()) {
-          oprot.writeFieldBegin(SLOT_RECALLS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.slotRecalls.size()));
-            for (SlotRecall _iter45 : struct.slotRecalls)
+            for (WireSlotGrant _iter37 : struct.slotGrants)
             {
-              _iter45.write(oprot);
+              _iter37.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1411,9 +867,9 @@
           oprot.writeFieldBegin(LIMIT_ASKS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.limitAsks.size()));
-            for (LimitAsk _iter46 : struct.limitAsks)
+            for (WireLimitAsk _iter38 : struct.limitAsks)
             {
-              _iter46.write(oprot);
+              _iter38.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1425,9 +881,9 @@
           oprot.writeFieldBegin(LIMIT_GRANTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.limitGrants.size()));
-            for (LimitGrant _iter47 : struct.limitGrants)
+            for (WireLimitGrant _iter39 : struct.limitGrants)
             {
-              _iter47.write(oprot);
+              _iter39.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1456,103 +912,55 @@
       if (struct.isSetSender()) {
         optionals.set(0);
       }
-      if (struct.isSetSlotAsks()) {
+      if (struct.isSetSlotReports()) {
         optionals.set(1);
       }
-      if (struct.isSetSlotReturns()) {
-        optionals.set(2);
-      }
-      if (struct.isSetSlotKeeps()) {
-        optionals.set(3);
-      }
       if (struct.isSetSlotGrants()) {
-        optionals.set(4);
-      }
-      if (struct.isSetSlotRefusals()) {
-        optionals.set(5);
-      }
-      if (struct.isSetSlotRecalls()) {
-        optionals.set(6);
+        optionals.set(2);
       }
       if (struct.isSetLimitAsks()) {
-        optionals.set(7);
+        optionals.set(3);
       }
       if (struct.isSetLimitGrants()) {
-        optionals.set(8);
+        optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 9);
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
-      if (struct.isSetSlotAsks()) {
-        {
-          oprot.writeI32(struct.slotAsks.size());
-          for (SlotAsk _iter48 : struct.slotAsks)
-          {
-            _iter48.write(oprot);
-          }
-        }
-      }
-      if (struct.isSetSlotReturns()) {
-        {
-          oprot.writeI32(struct.slotReturns.size());
-          for (SlotReturn _iter49 : struct.slotReturns)
-          {
-            _iter49.write(oprot);
-          }
-        }
-      }
-      if (struct.isSetSlotKeeps()) {
+      if (struct.isSetSlotReports()) {
         {
-          oprot.writeI32(struct.slotKeeps.size());
-          for (SlotKeep _iter50 : struct.slotKeeps)
+          oprot.writeI32(struct.slotReports.size());
+          for (WireSlotReport _iter40 : struct.slotReports)
           {
-            _iter50.write(oprot);
+            _iter40.write(oprot);
           }
         }
       }
       if (struct.isSetSlotGrants()) {
         {
           oprot.writeI32(struct.slotGrants.size());
-          for (SlotGrant _iter51 : struct.slotGrants)
-          {
-            _iter51.write(oprot);
-          }
-        }
-      }
-      if (struct.isSetSlotRefusals()) {
-        {
-          oprot.writeI32(struct.slotRefusals.size());
-          for (SlotRefusal _iter52 : struct.slotRefusals)
-          {
-            _iter52.write(oprot);
-          }
-        }
-      }
-      if (struct.isSetSlotRecalls()) {
-        {
-          oprot.writeI32(struct.slotRecalls.size());
-          for (SlotRecall _iter53 : struct.slotRecalls)
+          for (WireSlotGrant _iter41 : struct.slotGrants)
           {
-            _iter53.write(oprot);
+            _iter41.write(oprot);
           }
         }
       }
       if (struct.isSetLimitAsks()) {
         {
           oprot.writeI32(struct.limitAsks.size());
-          for (LimitAsk _iter54 : struct.limitAsks)
+          for (WireLimitAsk _iter42 : struct.limitAsks)
           {
-            _iter54.write(oprot);
+            _iter42.write(oprot);
           }
         }
       }
       if (struct.isSetLimitGrants()) {
         {
           oprot.writeI32(struct.limitGrants.size());
-          for (LimitGrant _iter55 : struct.limitGrants)
+          for (WireLimitGrant _iter43 : struct.limitGrants)
           {
-            _iter55.write(oprot);
+            _iter43.write(oprot);
           }
         }
       }
@@ -1561,7 +969,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Batch struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(9);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.sender = new WireNode();
         struct.sender.read(iprot);
@@ -1569,112 +977,56 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list56 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.slotAsks = new java.util.ArrayList<SlotAsk>(_list56.size);
-          @org.apache.thrift.annotation.Nullable SlotAsk _elem57;
-          for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+          org.apache.thrift.protocol.TList _list44 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.slotReports = new java.util.ArrayList<WireSlotReport>(_list44.size);
+          @org.apache.thrift.annotation.Nullable WireSlotReport _elem45;
+          for (int _i46 = 0; _i46 < _list44.size; ++_i46)
           {
-            _elem57 = new SlotAsk();
-            _elem57.read(iprot);
-            struct.slotAsks.add(_elem57);
+            _elem45 = new WireSlotReport();
+            _elem45.read(iprot);
+            struct.slotReports.add(_elem45);
           }
         }
-        struct.setSlotAsksIsSet(true);
+        struct.setSlotReportsIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list59 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.slotReturns = new java.util.ArrayList<SlotReturn>(_list59.size);
-          @org.apache.thrift.annotation.Nullable SlotReturn _elem60;
-          for (int _i61 = 0; _i61 < _list59.size; ++_i61)
-          {
-            _elem60 = new SlotReturn();
-            _elem60.read(iprot);
-            struct.slotReturns.add(_elem60);
-          }
-        }
-        struct.setSlotReturnsIsSet(true);
-      }
-      if (incoming.get(3)) {
-        {
-          org.apache.thrift.protocol.TList _list62 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.slotKeeps = new java.util.ArrayList<SlotKeep>(_list62.size);
-          @org.apache.thrift.annotation.Nullable SlotKeep _elem63;
-          for (int _i64 = 0; _i64 < _list62.size; ++_i64)
-          {
-            _elem63 = new SlotKeep();
-            _elem63.read(iprot);
-            struct.slotKeeps.add(_elem63);
-          }
-        }
-        struct.setSlotKeepsIsSet(true);
-      }
-      if (incoming.get(4)) {
-        {
-          org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.slotGrants = new java.util.ArrayList<SlotGrant>(_list65.size);
-          @org.apache.thrift.annotation.Nullable SlotGrant _elem66;
-          for (int _i67 = 0; _i67 < _list65.size; ++_i67)
+          org.apache.thrift.protocol.TList _list47 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.slotGrants = new java.util.ArrayList<WireSlotGrant>(_list47.size);
+          @org.apache.thrift.annotation.Nullable WireSlotGrant _elem48;
+          for (int _i49 = 0; _i49 < _list47.size; ++_i49)
           {
-            _elem66 = new SlotGrant();
-            _elem66.read(iprot);
-            struct.slotGrants.add(_elem66);
+            _elem48 = new WireSlotGrant();
+            _elem48.read(iprot);
+            struct.slotGrants.add(_elem48);
           }
         }
         struct.setSlotGrantsIsSet(true);
       }
-      if (incoming.get(5)) {
-        {
-          org.apache.thrift.protocol.TList _list68 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.slotRefusals = new java.util.ArrayList<SlotRefusal>(_list68.size);
-          @org.apache.thrift.annotation.Nullable SlotRefusal _elem69;
-          for (int _i70 = 0; _i70 < _list68.size; ++_i70)
-          {
-            _elem69 = new SlotRefusal();
-            _elem69.read(iprot);
-            struct.slotRefusals.add(_elem69);
-          }
-        }
-        struct.setSlotRefusalsIsSet(true);
-      }
-      if (incoming.get(6)) {
-        {
-          org.apache.thrift.protocol.TList _list71 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.slotRecalls = new java.util.ArrayList<SlotRecall>(_list71.size);
-          @org.apache.thrift.annotation.Nullable SlotRecall _elem72;
-          for (int _i73 = 0; _i73 < _list71.size; ++_i73)
-          {
-            _elem72 = new SlotRecall();
-            _elem72.read(iprot);
-            struct.slotRecalls.add(_elem72);
-          }
-        }
-        struct.setSlotRecallsIsSet(true);
-      }
-      if (incoming.get(7)) {
+      if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.limitAsks = new java.util.ArrayList<LimitAsk>(_list74.size);
-          @org.apache.thrift.annotation.Nullable LimitAsk _elem75;
-          for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.limitAsks = new java.util.ArrayList<WireLimitAsk>(_list50.size);
+          @org.apache.thrift.annotation.Nullable WireLimitAsk _elem51;
+          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
           {
-            _elem75 = new LimitAsk();
-            _elem75.read(iprot);
-            struct.limitAsks.add(_elem75);
+            _elem51 = new WireLimitAsk();
+            _elem51.read(iprot);
+            struct.limitAsks.add(_elem51);
           }
         }
         struct.setLimitAsksIsSet(true);
       }
-      if (incoming.get(8)) {
+      if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.limitGrants = new java.util.ArrayList<LimitGrant>(_list77.size);
-          @org.apache.thrift.annotation.Nullable LimitGrant _elem78;
-          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.limitGrants = new java.util.ArrayList<WireLimitGrant>(_list53.size);
+          @org.apache.thrift.annotation.Nullable WireLimitGrant _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem78 = new LimitGrant();
-            _elem78.read(iprot);
-            struct.limitGrants.add(_elem78);
+            _elem54 = new WireLimitGrant();
+            _elem54.read(iprot);
+            struct.limitGrants.add(_elem54);
           }
         }
         struct.setLimitGrantsIsSet(true);
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/LimitAsk.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/WireLimitGrant.java
@@ -7,31 +7,31 @@
 package org.larkkeel.peer.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class LimitAsk implements org.apache.thrift.TBase<LimitAsk, LimitAsk._Fields>, java.io.Serializable, Cloneable, Comparable<LimitAsk> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LimitAsk");
+public class WireLimitGrant implements org.apache.thrift.TBase<WireLimitGrant, WireLimitGrant._Fields>, java.io.Serializable, Cloneable, Comparable<WireLimitGrant> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("WireLimitGrant");
 
   private static final org.apache.thrift.protocol.TField WORKSPACE_FIELD_DESC = new org.apache.thrift.protocol.TField("workspace", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField REQUESTS_MILLI_FIELD_DESC = new org.apache.thrift.protocol.TField("requestsMilli", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField TOKENS_MILLI_FIELD_DESC = new org.apache.thrift.protocol.TField("tokensMilli", org.apache.thrift.protocol.TType.I64, (short)3);
-  private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)4);
-  private static final org.apache.thrift.protocol.TField CONCURRENCY_FIELD_DESC = new org.apache.thrift.protocol.TField("concurrency", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("requests", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("tokens", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField RETRY_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryMillis", org.apache.thrift.protocol.TType.I64, (short)5);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LimitAskStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LimitAskTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireLimitGrantStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireLimitGrantTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String workspace; // required
-  private long requestsMilli; // required
-  private long tokensMilli; // required
-  private int running; // required
-  private int concurrency; // required
+  private long sequence; // required
+  private long requests; // required
+  private long tokens; // required
+  private long retryMillis; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     WORKSPACE((short)1, "workspace"),
-    REQUESTS_MILLI((short)2, "requestsMilli"),
-    TOKENS_MILLI((short)3, "tokensMilli"),
-    RUNNING((short)4, "running"),
-    CONCURRENCY((short)5, "concurrency");
+    SEQUENCE((short)2, "sequence"),
+    REQUESTS((short)3, "requests"),
+    TOKENS((short)4, "tokens"),
+    RETRY_MILLIS((short)5, "retryMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -49,14 +49,14 @@
       switch(fieldId) {
         case 1: // WORKSPACE
           return WORKSPACE;
-        case 2: // REQUESTS_MILLI
-          return REQUESTS_MILLI;
-        case 3: // TOKENS_MILLI
-          return TOKENS_MILLI;
-        case 4: // RUNNING
-          return RUNNING;
-        case 5: // CONCURRENCY
-          return CONCURRENCY;
+        case 2: // SEQUENCE
+          return SEQUENCE;
+        case 3: // REQUESTS
+          return REQUESTS;
+        case 4: // TOKENS
+          return TOKENS;
+        case 5: // RETRY_MILLIS
+          return RETRY_MILLIS;
         default:
           return null;
       }
@@ -100,80 +100,80 @@
   }
 
   // isset id assignments
-  private static final int __REQUESTSMILLI_ISSET_ID = 0;
-  private static final int __TOKENSMILLI_ISSET_ID = 1;
-  private static final int __RUNNING_ISSET_ID = 2;
-  private static final int __CONCURRENCY_ISSET_ID = 3;
+  private static final int __SEQUENCE_ISSET_ID = 0;
+  private static final int __REQUESTS_ISSET_ID = 1;
+  private static final int __TOKENS_ISSET_ID = 2;
+  private static final int __RETRYMILLIS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.WORKSPACE, new org.apache.thrift.meta_data.FieldMetaData("workspace", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.REQUESTS_MILLI, new org.apache.thrift.meta_data.FieldMetaData("requestsMilli", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.SEQUENCE, new org.apache.thrift.meta_data.FieldMetaData("sequence", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.TOKENS_MILLI, new org.apache.thrift.meta_data.FieldMetaData("tokensMilli", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.REQUESTS, new org.apache.thrift.meta_data.FieldMetaData("requests", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TOKENS, new org.apache.thrift.meta_data.FieldMetaData("tokens", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RETRY_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("retryMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.CONCURRENCY, new org.apache.thrift.meta_data.FieldMetaData("concurrency", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LimitAsk.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireLimitGrant.class, metaDataMap);
   }
 
-  public LimitAsk() {
+  public WireLimitGrant() {
   }
 
-  public LimitAsk(
+  public WireLimitGrant(
     java.lang.String workspace,
-    long requestsMilli,
-    long tokensMilli,
-    int running,
-    int concurrency)
+    long sequence,
+    long requests,
+    long tokens,
+    long retryMillis)
   {
     this();
     this.workspace = workspace;
-    this.requestsMilli = requestsMilli;
-    setRequestsMilliIsSet(true);
-    this.tokensMilli = tokensMilli;
-    setTokensMilliIsSet(true);
-    this.running = running;
-    setRunningIsSet(true);
-    this.concurrency = concurrency;
-    setConcurrencyIsSet(true);
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+    this.requests = requests;
+    setRequestsIsSet(true);
+    this.tokens = tokens;
+    setTokensIsSet(true);
+    this.retryMillis = retryMillis;
+    setRetryMillisIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public LimitAsk(LimitAsk other) {
+  public WireLimitGrant(WireLimitGrant other) {
     __isset_bitfield = other.__isset_bitfield;
     if (other.isSetWorkspace()) {
       this.workspace = other.workspace;
     }
-    this.requestsMilli = other.requestsMilli;
-    this.tokensMilli = other.tokensMilli;
-    this.running = other.running;
-    this.concurrency = other.concurrency;
+    this.sequence = other.sequence;
+    this.requests = other.requests;
+    this.tokens = other.tokens;
+    this.retryMillis = other.retryMillis;
   }
 
   @Override
-  public LimitAsk deepCopy() {
-    return new LimitAsk(this);
+  public WireLimitGrant deepCopy() {
+    return new WireLimitGrant(this);
   }
 
   @Override
   public void clear() {
     this.workspace = null;
-    setRequestsMilliIsSet(false);
-    this.requestsMilli = 0;
-    setTokensMilliIsSet(false);
-    this.tokensMilli = 0;
-    setRunningIsSet(false);
-    this.running = 0;
-    setConcurrencyIsSet(false);
-    this.concurrency = 0;
+    setSequenceIsSet(false);
+    this.sequence = 0;
+    setRequestsIsSet(false);
+    this.requests = 0;
+    setTokensIsSet(false);
+    this.tokens = 0;
+    setRetryMillisIsSet(false);
+    this.retryMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -181,7 +181,7 @@
     return this.workspace;
   }
 
-  public LimitAsk setWorkspace(@org.apache.thrift.annotation.Nullable java.lang.String workspace) {
+  public WireLimitGrant setWorkspace(@org.apache.thrift.annotation.Nullable java.lang.String workspace) {
     this.workspace = workspace;
     return this;
   }
@@ -201,96 +201,96 @@
     }
   }
 
-  public long getRequestsMilli() {
-    return this.requestsMilli;
+  public long getSequence() {
+    return this.sequence;
   }
 
-  public LimitAsk setRequestsMilli(long requestsMilli) {
-    this.requestsMilli = requestsMilli;
-    setRequestsMilliIsSet(true);
+  public WireLimitGrant setSequence(long sequence) {
+    this.sequence = sequence;
+    setSequenceIsSet(true);
     return this;
   }
 
-  public void unsetRequestsMilli() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTSMILLI_ISSET_ID);
+  public void unsetSequence() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
   }
 
-  /** Returns true if field requestsMilli is set (has been assigned a value) and false otherwise */
-  public boolean isSetRequestsMilli() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTSMILLI_ISSET_ID);
+  /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
+  public boolean isSetSequence() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
   }
 
-  public void setRequestsMilliIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTSMILLI_ISSET_ID, value);
+  public void setSequenceIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
   }
 
-  public long getTokensMilli() {
-    return this.tokensMilli;
+  public long getRequests() {
+    return this.requests;
   }
 
-  public LimitAsk setTokensMilli(long tokensMilli) {
-    this.tokensMilli = tokensMilli;
-    setTokensMilliIsSet(true);
+  public WireLimitGrant setRequests(long requests) {
+    this.requests = requests;
+    setRequestsIsSet(true);
     return this;
   }
 
-  public void unsetTokensMilli() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENSMILLI_ISSET_ID);
+  public void unsetRequests() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTS_ISSET_ID);
   }
 
-  /** Returns true if field tokensMilli is set (has been assigned a value) and false otherwise */
-  public boolean isSetTokensMilli() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENSMILLI_ISSET_ID);
+  /** Returns true if field requests is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequests() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTS_ISSET_ID);
   }
 
-  public void setTokensMilliIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENSMILLI_ISSET_ID, value);
+  public void setRequestsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTS_ISSET_ID, value);
   }
 
-  public int getRunning() {
-    return this.running;
+  public long getTokens() {
+    return this.tokens;
   }
 
-  public LimitAsk setRunning(int running) {
-    this.running = running;
-    setRunningIsSet(true);
+  public WireLimitGrant setTokens(long tokens) {
+    this.tokens = tokens;
+    setTokensIsSet(true);
     return this;
   }
 
-  public void unsetRunning() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RUNNING_ISSET_ID);
+  public void unsetTokens() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENS_ISSET_ID);
   }
 
-  /** Returns true if field running is set (has been assigned a value) and false otherwise */
-  public boolean isSetRunning() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RUNNING_ISSET_ID);
+  /** Returns true if field tokens is set (has been assigned a value) and false otherwise */
+  public boolean isSetTokens() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENS_ISSET_ID);
   }
 
-  public void setRunningIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUNNING_ISSET_ID, value);
+  public void setTokensIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENS_ISSET_ID, value);
   }
 
-  public int getConcurrency() {
-    return this.concurrency;
+  public long getRetryMillis() {
+    return this.retryMillis;
   }
 
-  public LimitAsk setConcurrency(int concurrency) {
-    this.concurrency = concurrency;
-    setConcurrencyIsSet(true);
+  public WireLimitGrant setRetryMillis(long retryMillis) {
+    this.retryMillis = retryMillis;
+    setRetryMillisIsSet(true);
     return this;
   }
 
-  public void unsetConcurrency() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CONCURRENCY_ISSET_ID);
+  public void unsetRetryMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RETRYMILLIS_ISSET_ID);
   }
 
-  /** Returns true if field concurrency is set (has been assigned a value) and false otherwise */
-  public boolean isSetConcurrency() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CONCURRENCY_ISSET_ID);
+  /** Returns true if field retryMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetRetryMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RETRYMILLIS_ISSET_ID);
   }
 
-  public void setConcurrencyIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONCURRENCY_ISSET_ID, value);
+  public void setRetryMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETRYMILLIS_ISSET_ID, value);
   }
 
   @Override
@@ -304,35 +304,35 @@
       }
       break;
 
-    case REQUESTS_MILLI:
+    case SEQUENCE:
       if (value == null) {
-        unsetRequestsMilli();
+        unsetSequence();
       } else {
-        setRequestsMilli((java.lang.Long)value);
+        setSequence((java.lang.Long)value);
       }
       break;
 
-    case TOKENS_MILLI:
+    case REQUESTS:
       if (value == null) {
-        unsetTokensMilli();
+        unsetRequests();
       } else {
-        setTokensMilli((java.lang.Long)value);
+        setRequests((java.lang.Long)value);
       }
       break;
 
-    case RUNNING:
+    case TOKENS:
       if (value == null) {
-        unsetRunning();
+        unsetTokens();
       } else {
-        setRunning((java.lang.Integer)value);
+        setTokens((java.lang.Long)value);
       }
       break;
 
-    case CONCURRENCY:
+    case RETRY_MILLIS:
       if (value == null) {
-        unsetConcurrency();
+        unsetRetryMillis();
       } else {
-        setConcurrency((java.lang.Integer)value);
+        setRetryMillis((java.lang.Long)value);
       }
       break;
 
@@ -346,17 +346,17 @@
     case WORKSPACE:
       return getWorkspace();
 
-    case REQUESTS_MILLI:
-      return getRequestsMilli();
+    case SEQUENCE:
+      return getSequence();
 
-    case TOKENS_MILLI:
-      return getTokensMilli();
+    case REQUESTS:
+      return getRequests();
 
-    case RUNNING:
-      return getRunning();
+    case TOKENS:
+      return getTokens();
 
-    case CONCURRENCY:
-      return getConcurrency();
+    case RETRY_MILLIS:
+      return getRetryMillis();
 
     }
     throw new java.lang.IllegalStateException();
@@ -372,26 +372,26 @@
     switch (field) {
     case WORKSPACE:
       return isSetWorkspace();
-    case REQUESTS_MILLI:
-      return isSetRequestsMilli();
-    case TOKENS_MILLI:
-      return isSetTokensMilli();
-    case RUNNING:
-      return isSetRunning();
-    case CONCURRENCY:
-      return isSetConcurrency();
+    case SEQUENCE:
+      return isSetSequence();
+    case REQUESTS:
+      return isSetRequests();
+    case TOKENS:
+      return isSetTokens();
+    case RETRY_MILLIS:
+      return isSetRetryMillis();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof LimitAsk)
-      return this.equals((LimitAsk)that);
+    if (that instanceof WireLimitGrant)
+      return this.equals((WireLimitGrant)that);
     return false;
   }
 
-  public boolean equals(LimitAsk that) {
+  public boolean equals(WireLimitGrant that) {
     if (that == null)
       return false;
     if (this == that)
@@ -406,39 +406,39 @@
         return false;
     }
 
-    boolean this_present_requestsMilli = true;
-    boolean that_present_requestsMilli = true;
-    if (this_present_requestsMilli || that_present_requestsMilli) {
-      if (!(this_present_requestsMilli && that_present_requestsMilli))
+    boolean this_present_sequence = true;
+    boolean that_present_sequence = true;
+    if (this_present_sequence || that_present_sequence) {
+      if (!(this_present_sequence && that_present_sequence))
         return false;
-      if (this.requestsMilli != that.requestsMilli)
+      if (this.sequence != that.sequence)
         return false;
     }
 
-    boolean this_present_tokensMilli = true;
-    boolean that_present_tokensMilli = true;
-    if (this_present_tokensMilli || that_present_tokensMilli) {
-      if (!(this_present_tokensMilli && that_present_tokensMilli))
+    boolean this_present_requests = true;
+    boolean that_present_requests = true;
+    if (this_present_requests || that_present_requests) {
+      if (!(this_present_requests && that_present_requests))
         return false;
-      if (this.tokensMilli != that.tokensMilli)
+      if (this.requests != that.requests)
         return false;
     }
 
-    boolean this_present_running = true;
-    boolean that_present_running = true;
-    if (this_present_running || that_present_running) {
-      if (!(this_present_running && that_present_running))
+    boolean this_present_tokens = true;
+    boolean that_present_tokens = true;
+    if (this_present_tokens || that_present_tokens) {
+      if (!(this_present_tokens && that_present_tokens))
         return false;
-      if (this.running != that.running)
+      if (this.tokens != that.tokens)
         return false;
     }
 
-    boolean this_present_concurrency = true;
-    boolean that_present_concurrency = true;
-    if (this_present_concurrency || that_present_concurrency) {
-      if (!(this_present_concurrency && that_present_concurrency))
+    boolean this_present_retryMillis = true;
+    boolean that_present_retryMillis = true;
+    if (this_present_retryMillis || that_present_retryMillis) {
+      if (!(this_present_retryMillis && that_present_retryMillis))
         return false;
-      if (this.concurrency != that.concurrency)
+      if (this.retryMillis != that.retryMillis)
         return false;
     }
 
@@ -453,19 +453,19 @@
     if (isSetWorkspace())
       hashCode = hashCode * 8191 + workspace.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestsMilli);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokensMilli);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requests);
 
-    hashCode = hashCode * 8191 + running;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokens);
 
-    hashCode = hashCode * 8191 + concurrency;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(retryMillis);
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(LimitAsk other) {
+  public int compareTo(WireLimitGrant other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -482,42 +482,42 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetRequestsMilli(), other.isSetRequestsMilli());
+    lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetRequestsMilli()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestsMilli, other.requestsMilli);
+    if (isSetSequence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetTokensMilli(), other.isSetTokensMilli());
+    lastComparison = java.lang.Boolean.compare(isSetRequests(), other.isSetRequests());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetTokensMilli()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokensMilli, other.tokensMilli);
+    if (isSetRequests()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requests, other.requests);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetRunning(), other.isSetRunning());
+    lastComparison = java.lang.Boolean.compare(isSetTokens(), other.isSetTokens());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetRunning()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.running, other.running);
+    if (isSetTokens()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokens, other.tokens);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetConcurrency(), other.isSetConcurrency());
+    lastComparison = java.lang.Boolean.compare(isSetRetryMillis(), other.isSetRetryMillis());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetConcurrency()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.concurrency, other.concurrency);
+    if (isSetRetryMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.retryMillis, other.retryMillis);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -543,7 +543,7 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("LimitAsk(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("WireLimitGrant(");
     boolean first = true;
 
     sb.append("workspace:");
@@ -554,20 +554,20 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("requestsMilli:");
-    sb.append(this.requestsMilli);
+    sb.append("sequence:");
+    sb.append(this.sequence);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("tokensMilli:");
-    sb.append(this.tokensMilli);
+    sb.append("requests:");
+    sb.append(this.requests);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("running:");
-    sb.append(this.running);
+    sb.append("tokens:");
+    sb.append(this.tokens);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("concurrency:");
-    sb.append(this.concurrency);
+    sb.append("retryMillis:");
+    sb.append(this.retryMillis);
     first = false;
     sb.append(")");
     return sb.toString();
@@ -596,17 +596,17 @@
     }
   }
 
-  private static class LimitAskStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class WireLimitGrantStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public LimitAskStandardScheme getScheme() {
-      return new LimitAskStandardScheme();
+    public WireLimitGrantStandardScheme getScheme() {
+      return new WireLimitGrantStandardScheme();
     }
   }
 
-  private static class LimitAskStandardScheme extends org.apache.thrift.scheme.StandardScheme<LimitAsk> {
+  private static class WireLimitGrantStandardScheme extends org.apache.thrift.scheme.StandardScheme<WireLimitGrant> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, LimitAsk struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, WireLimitGrant struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -624,34 +624,34 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // REQUESTS_MILLI
+          case 2: // SEQUENCE
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.requestsMilli = iprot.readI64();
-              struct.setRequestsMilliIsSet(true);
+              struct.sequence = iprot.readI64();
+              struct.setSequenceIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // TOKENS_MILLI
+          case 3: // REQUESTS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.tokensMilli = iprot.readI64();
-              struct.setTokensMilliIsSet(true);
+              struct.requests = iprot.readI64();
+              struct.setRequestsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // RUNNING
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.running = iprot.readI32();
-              struct.setRunningIsSet(true);
+          case 4: // TOKENS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.tokens = iprot.readI64();
+              struct.setTokensIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // CONCURRENCY
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.concurrency = iprot.readI32();
-              struct.setConcurrencyIsSet(true);
+          case 5: // RETRY_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.retryMillis = iprot.readI64();
+              struct.setRetryMillisIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -668,7 +668,7 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, LimitAsk struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, WireLimitGrant struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
@@ -677,17 +677,17 @@
         oprot.writeString(struct.workspace);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(REQUESTS_MILLI_FIELD_DESC);
-      oprot.writeI64(struct.requestsMilli);
+      oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
+      oprot.writeI64(struct.sequence);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(TOKENS_MILLI_FIELD_DESC);
-      oprot.writeI64(struct.tokensMilli);
+      oprot.writeFieldBegin(REQUESTS_FIELD_DESC);
+      oprot.writeI64(struct.requests);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(RUNNING_FIELD_DESC);
-      oprot.writeI32(struct.running);
+      oprot.writeFieldBegin(TOKENS_FIELD_DESC);
+      oprot.writeI64(struct.tokens);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(CONCURRENCY_FIELD_DESC);
-      oprot.writeI32(struct.concurrency);
+      oprot.writeFieldBegin(RETRY_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.retryMillis);
       oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
@@ -695,54 +695,54 @@
 
   }
 
-  private static class LimitAskTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class WireLimitGrantTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public LimitAskTupleScheme getScheme() {
-      return new LimitAskTupleScheme();
+    public WireLimitGrantTupleScheme getScheme() {
+      return new WireLimitGrantTupleScheme();
     }
   }
 
-  private static class LimitAskTupleScheme extends org.apache.thrift.scheme.TupleScheme<LimitAsk> {
+  private static class WireLimitGrantTupleScheme extends org.apache.thrift.scheme.TupleScheme<WireLimitGrant> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, LimitAsk struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, WireLimitGrant struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetWorkspace()) {
         optionals.set(0);
       }
-      if (struct.isSetRequestsMilli()) {
+      if (struct.isSetSequence()) {
         optionals.set(1);
       }
-      if (struct.isSetTokensMilli()) {
+      if (struct.isSetRequests()) {
         optionals.set(2);
       }
-      if (struct.isSetRunning()) {
+      if (struct.isSetTokens()) {
         optionals.set(3);
       }
-      if (struct.isSetConcurrency()) {
+      if (struct.isSetRetryMillis()) {
         optionals.set(4);
       }
       oprot.writeBitSet(optionals, 5);
       if (struct.isSetWorkspace()) {
         oprot.writeString(struct.workspace);
       }
-      if (struct.isSetRequestsMilli()) {
-        oprot.writeI64(struct.requestsMilli);
+      if (struct.isSetSequence()) {
+        oprot.writeI64(struct.sequence);
       }
-      if (struct.isSetTokensMilli()) {
-        oprot.writeI64(struct.tokensMilli);
+      if (struct.isSetRequests()) {
+        oprot.writeI64(struct.requests);
       }
-      if (struct.isSetRunning()) {
-        oprot.writeI32(struct.running);
+      if (struct.isSetTokens()) {
+        oprot.writeI64(struct.tokens);
       }
-      if (struct.isSetConcurrency()) {
-        oprot.writeI32(struct.concurrency);
+      if (struct.isSetRetryMillis()) {
+        oprot.writeI64(struct.retryMillis);
       }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, LimitAsk struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, WireLimitGrant struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
@@ -750,20 +750,20 @@
         struct.setWorkspaceIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.requestsMilli = iprot.readI64();
-        struct.setRequestsMilliIsSet(true);
+        struct.sequence = iprot.readI64();
+        struct.setSequenceIsSet(true);
       }
       if (incoming.get(2)) {
-        struct.tokensMilli = iprot.readI64();
-        struct.setTokensMilliIsSet(true);
+        struct.requests = iprot.readI64();
+        struct.setRequestsIsSet(true);
       }
       if (incoming.get(3)) {
-        struct.running = iprot.readI32();
-        struct.setRunningIsSet(true);
+        struct.tokens = iprot.readI64();
+        struct.setTokensIsSet(true);
       }
       if (incoming.get(4)) {
-        struct.concurrency = iprot.readI32();
-        struct.setConcurrencyIsSet(true);
+        struct.retryMillis = iprot.readI64();
+        struct.setRetryMillisIsSet(true);
       }
     }
   }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/SlotRecall.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/WireSlotWait.java
@@ -7,22 +7,22 @@
 package org.larkkeel.peer.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class SlotRecall implements org.apache.thrift.TBase<SlotRecall, SlotRecall._Fields>, java.io.Serializable, Cloneable, Comparable<SlotRecall> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SlotRecall");
+public class WireSlotWait implements org.apache.thrift.TBase<WireSlotWait, WireSlotWait._Fields>, java.io.Serializable, Cloneable, Comparable<WireSlotWait> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("WireSlotWait");
 
-  private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)2);
+  private static final org.apache.thrift.protocol.TField PRIORITY_FIELD_DESC = new org.apache.thrift.protocol.TField("priority", org.apache.thrift.protocol.TType.I32, (short)1);
+  private static final org.apache.thrift.protocol.TField COUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("count", org.apache.thrift.protocol.TType.I32, (short)2);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SlotRecallStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SlotRecallTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSlotWaitStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSlotWaitTupleSchemeFactory();
 
-  private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
-  private int slots; // required
+  private int priority; // required
+  private int count; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    UPSTREAM((short)1, "upstream"),
-    SLOTS((short)2, "slots");
+    PRIORITY((short)1, "priority"),
+    COUNT((short)2, "count");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -38,10 +38,10 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // UPSTREAM
-          return UPSTREAM;
-        case 2: // SLOTS
-          return SLOTS;
+        case 1: // PRIORITY
+          return PRIORITY;
+        case 2: // COUNT
+          return COUNT;
         default:
           return null;
       }
@@ -85,119 +85,118 @@
   }
 
   // isset id assignments
-  private static final int __SLOTS_ISSET_ID = 0;
+  private static final int __PRIORITY_ISSET_ID = 0;
+  private static final int __COUNT_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.UPSTREAM, new org.apache.thrift.meta_data.FieldMetaData("upstream", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.SLOTS, new org.apache.thrift.meta_data.FieldMetaData("slots", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.PRIORITY, new org.apache.thrift.meta_data.FieldMetaData("priority", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.COUNT, new org.apache.thrift.meta_data.FieldMetaData("count", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SlotRecall.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSlotWait.class, metaDataMap);
   }
 
-  public SlotRecall() {
+  public WireSlotWait() {
   }
 
-  public SlotRecall(
-    java.lang.String upstream,
-    int slots)
+  public WireSlotWait(
+    int priority,
+    int count)
   {
     this();
-    this.upstream = upstream;
-    this.slots = slots;
-    setSlotsIsSet(true);
+    this.priority = priority;
+    setPriorityIsSet(true);
+    this.count = count;
+    setCountIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public SlotRecall(SlotRecall other) {
+  public WireSlotWait(WireSlotWait other) {
     __isset_bitfield = other.__isset_bitfield;
-    if (other.isSetUpstream()) {
-      this.upstream = other.upstream;
-    }
-    this.slots = other.slots;
+    this.priority = other.priority;
+    this.count = other.count;
   }
 
   @Override
-  public SlotRecall deepCopy() {
-    return new SlotRecall(this);
+  public WireSlotWait deepCopy() {
+    return new WireSlotWait(this);
   }
 
   @Override
   public void clear() {
-    this.upstream = null;
-    setSlotsIsSet(false);
-    this.slots = 0;
+    setPriorityIsSet(false);
+    this.priority = 0;
+    setCountIsSet(false);
+    this.count = 0;
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getUpstream() {
-    return this.upstream;
+  public int getPriority() {
+    return this.priority;
   }
 
-  public SlotRecall setUpstream(@org.apache.thrift.annotation.Nullable java.lang.String upstream) {
-    this.upstream = upstream;
+  public WireSlotWait setPriority(int priority) {
+    this.priority = priority;
+    setPriorityIsSet(true);
     return this;
   }
 
-  public void unsetUpstream() {
-    this.upstream = null;
+  public void unsetPriority() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PRIORITY_ISSET_ID);
   }
 
-  /** Returns true if field upstream is set (has been assigned a value) and false otherwise */
-  public boolean isSetUpstream() {
-    return this.upstream != null;
+  /** Returns true if field priority is set (has been assigned a value) and false otherwise */
+  public boolean isSetPriority() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PRIORITY_ISSET_ID);
   }
 
-  public void setUpstreamIsSet(boolean value) {
-    if (!value) {
-      this.upstream = null;
-    }
+  public void setPriorityIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PRIORITY_ISSET_ID, value);
   }
 
-  public int getSlots() {
-    return this.slots;
+  public int getCount() {
+    return this.count;
   }
 
-  public SlotRecall setSlots(int slots) {
-    this.slots = slots;
-    setSlotsIsSet(true);
+  public WireSlotWait setCount(int count) {
+    this.count = count;
+    setCountIsSet(true);
     return this;
   }
 
-  public void unsetSlots() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SLOTS_ISSET_ID);
+  public void unsetCount() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COUNT_ISSET_ID);
   }
 
-  /** Returns true if field slots is set (has been assigned a value) and false otherwise */
-  public boolean isSetSlots() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SLOTS_ISSET_ID);
+  /** Returns true if field count is set (has been assigned a value) and false otherwise */
+  public boolean isSetCount() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COUNT_ISSET_ID);
   }
 
-  public void setSlotsIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SLOTS_ISSET_ID, value);
+  public void setCountIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COUNT_ISSET_ID, value);
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case UPSTREAM:
+    case PRIORITY:
       if (value == null) {
-        unsetUpstream();
+        unsetPriority();
       } else {
-        setUpstream((java.lang.String)value);
+        setPriority((java.lang.Integer)value);
       }
       break;
 
-    case SLOTS:
+    case COUNT:
       if (value == null) {
-        unsetSlots();
+        unsetCount();
       } else {
-        setSlots((java.lang.Integer)value);
+        setCount((java.lang.Integer)value);
       }
       break;
 
@@ -208,11 +207,11 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case UPSTREAM:
-      return getUpstream();
+    case PRIORITY:
+      return getPriority();
 
-    case SLOTS:
-      return getSlots();
+    case COUNT:
+      return getCount();
 
     }
     throw new java.lang.IllegalStateException();
@@ -226,42 +225,42 @@
     }
 
     switch (field) {
-    case UPSTREAM:
-      return isSetUpstream();
-    case SLOTS:
-      return isSetSlots();
+    case PRIORITY:
+      return isSetPriority();
+    case COUNT:
+      return isSetCount();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof SlotRecall)
-      return this.equals((SlotRecall)that);
+    if (that instanceof WireSlotWait)
+      return this.equals((WireSlotWait)that);
     return false;
   }
 
-  public boolean equals(SlotRecall that) {
+  public boolean equals(WireSlotWait that) {
     if (that == null)
       return false;
     if (this == that)
       return true;
 
-    boolean this_present_upstream = true && this.isSetUpstream();
-    boolean that_present_upstream = true && that.isSetUpstream();
-    if (this_present_upstream || that_present_upstream) {
-      if (!(this_present_upstream && that_present_upstream))
+    boolean this_present_priority = true;
+    boolean that_present_priority = true;
+    if (this_present_priority || that_present_priority) {
+      if (!(this_present_priority && that_present_priority))
         return false;
-      if (!this.upstream.equals(that.upstream))
+      if (this.priority != that.priority)
         return false;
     }
 
-    boolean this_present_slots = true;
-    boolean that_present_slots = true;
-    if (this_present_slots || that_present_slots) {
-      if (!(this_present_slots && that_present_slots))
+    boolean this_present_count = true;
+    boolean that_present_count = true;
+    if (this_present_count || that_present_count) {
+      if (!(this_present_count && that_present_count))
         return false;
-      if (this.slots != that.slots)
+      if (this.count != that.count)
         return false;
     }
 
@@ -272,39 +271,37 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetUpstream()) ? 131071 : 524287);
-    if (isSetUpstream())
-      hashCode = hashCode * 8191 + upstream.hashCode();
+    hashCode = hashCode * 8191 + priority;
 
-    hashCode = hashCode * 8191 + slots;
+    hashCode = hashCode * 8191 + count;
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(SlotRecall other) {
+  public int compareTo(WireSlotWait other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetUpstream(), other.isSetUpstream());
+    lastComparison = java.lang.Boolean.compare(isSetPriority(), other.isSetPriority());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetUpstream()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.upstream, other.upstream);
+    if (isSetPriority()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.priority, other.priority);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetSlots(), other.isSetSlots());
+    lastComparison = java.lang.Boolean.compare(isSetCount(), other.isSetCount());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetSlots()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slots, other.slots);
+    if (isSetCount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.count, other.count);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -330,19 +327,15 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("SlotRecall(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("WireSlotWait(");
     boolean first = true;
 
-    sb.append("upstream:");
-    if (this.upstream == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.upstream);
-    }
+    sb.append("priority:");
+    sb.append(this.priority);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("slots:");
-    sb.append(this.slots);
+    sb.append("count:");
+    sb.append(this.count);
     first = false;
     sb.append(")");
     return sb.toString();
@@ -371,17 +364,17 @@
     }
   }
 
-  private static class SlotRecallStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class WireSlotWaitStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public SlotRecallStandardScheme getScheme() {
-      return new SlotRecallStandardScheme();
+    public WireSlotWaitStandardScheme getScheme() {
+      return new WireSlotWaitStandardScheme();
     }
   }
 
-  private static class SlotRecallStandardScheme extends org.apache.thrift.scheme.StandardScheme<SlotRecall> {
+  private static class WireSlotWaitStandardScheme extends org.apache.thrift.scheme.StandardScheme<WireSlotWait> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, SlotRecall struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, WireSlotWait struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -391,18 +384,18 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // UPSTREAM
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.upstream = iprot.readString();
-              struct.setUpstreamIsSet(true);
+          case 1: // PRIORITY
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.priority = iprot.readI32();
+              struct.setPriorityIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // SLOTS
+          case 2: // COUNT
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.slots = iprot.readI32();
-              struct.setSlotsIsSet(true);
+              struct.count = iprot.readI32();
+              struct.setCountIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -419,17 +412,15 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, SlotRecall struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, WireSlotWait struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.upstream != null) {
-        oprot.writeFieldBegin(UPSTREAM_FIELD_DESC);
-        oprot.writeString(struct.upstream);
-        oprot.writeFieldEnd();
-      }
-      oprot.writeFieldBegin(SLOTS_FIELD_DESC);
-      oprot.writeI32(struct.slots);
+      oprot.writeFieldBegin(PRIORITY_FIELD_DESC);
+      oprot.writeI32(struct.priority);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(COUNT_FIELD_DESC);
+      oprot.writeI32(struct.count);
       oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
@@ -437,45 +428,45 @@
 
   }
 
-  private static class SlotRecallTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class WireSlotWaitTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public SlotRecallTupleScheme getScheme() {
-      return new SlotRecallTupleScheme();
+    public WireSlotWaitTupleScheme getScheme() {
+      return new WireSlotWaitTupleScheme();
     }
   }
 
-  private static class SlotRecallTupleScheme extends org.apache.thrift.scheme.TupleScheme<SlotRecall> {
+  private static class WireSlotWaitTupleScheme extends org.apache.thrift.scheme.TupleScheme<WireSlotWait> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, SlotRecall struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, WireSlotWait struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetUpstream()) {
+      if (struct.isSetPriority()) {
         optionals.set(0);
       }
-      if (struct.isSetSlots()) {
+      if (struct.isSetCount()) {
         optionals.set(1);
       }
       oprot.writeBitSet(optionals, 2);
-      if (struct.isSetUpstream()) {
-        oprot.writeString(struct.upstream);
+      if (struct.isSetPriority()) {
+        oprot.writeI32(struct.priority);
       }
-      if (struct.isSetSlots()) {
-        oprot.writeI32(struct.slots);
+      if (struct.isSetCount()) {
+        oprot.writeI32(struct.count);
       }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, SlotRecall struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, WireSlotWait struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
-        struct.upstream = iprot.readString();
-        struct.setUpstreamIsSet(true);
+        struct.priority = iprot.readI32();
+        struct.setPriorityIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.slots = iprot.readI32();
-        struct.setSlotsIsSet(true);
+        struct.count = iprot.readI32();
+        struct.setCountIsSet(true);
       }
     }
   }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/slots/SlotOwner.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/slots/SlotOwner.java
@@ -172,7 +172,7 @@
       holder.unconfirmed.clear();
       holder.number = 0;
     }
-    int before = holder.leased();
+    final int before = holder.leased();
     holder.sequence = report.sequence();
     holder.seen = report.seen();
     holder.number = Math.max(holder.number, report.seen());
--- a/org.larkkeel.peer/src/main/thrift/peer.thrift
+++ b/org.larkkeel.peer/src/main/thrift/peer.thrift
@@ -44,76 +44,55 @@
   2: i64 incarnation
 }
 
-struct SlotAsk {
-  1: i64 ask
-  2: string upstream
-  3: i32 slots
-  4: i64 holdMillis
-  5: i32 priority
-  6: i64 waitMillis
+struct WireSlotWait {
+  1: i32 priority
+  2: i32 count
 }
 
-struct SlotReturn {
-  1: i64 lease
-  2: string upstream
-  3: i32 slots
-}
-
-// A lease that a holder had from an earlier owner of the upstream, or keeps beyond its hold time.
-struct SlotKeep {
-  1: i64 lease
-  2: string upstream
-  3: i32 slots
-  4: i64 holdMillis
-}
-
-struct SlotGrant {
-  1: i64 ask
-  2: string upstream
-  3: i64 lease
-  4: i32 slots
-  5: i64 holdMillis
-}
-
-struct SlotRefusal {
-  1: i64 ask
-  2: string upstream
-  3: i8 reason
+// What a holder has and wants: asks, returns and renews at once.
+struct WireSlotReport {
+  1: string key
+  2: i64 epoch
+  3: i64 sequence
+  4: i64 seen
+  5: i32 held
+  6: optional list<WireSlotWait> waits
 }
 
-// The owner asks a holder to return slots that it does not use.
-struct SlotRecall {
-  1: string upstream
-  2: i32 slots
+struct WireSlotGrant {
+  1: string key
+  2: i64 epoch
+  3: i64 sequence
+  4: i64 base
+  5: i64 number
+  6: i32 added
+  7: bool contended
 }
 
-struct LimitAsk {
+struct WireLimitAsk {
   1: string workspace
-  2: i64 requestsMilli
-  3: i64 tokensMilli
-  4: i32 running
-  5: i32 concurrency
+  2: i64 sequence
+  3: i64 requestsWanted
+  4: i64 tokensWanted
+  5: i64 requestsReturned
+  6: i64 tokensReturned
 }
 
-struct LimitGrant {
+struct WireLimitGrant {
   1: string workspace
-  2: i64 requestsMilli
-  3: i64 tokensMilli
-  4: i32 concurrency
-  5: i64 ttlMillis
+  2: i64 sequence
+  3: i64 requests
+  4: i64 tokens
+  5: i64 retryMillis
 }
 
 // Everything that one node has to say to another since the last flush.
 struct Batch {
   1: WireNode sender
-  2: optional list<SlotAsk> slotAsks
-  3: optional list<SlotReturn> slotReturns
-  4: optional list<SlotKeep> slotKeeps
-  5: optional list<SlotGrant> slotGrants
-  6: optional list<SlotRefusal> slotRefusals
-  7: optional list<SlotRecall> slotRecalls
-  8: optional list<LimitAsk> limitAsks
-  9: optional list<LimitGrant> limitGrants
+  2: optional list<WireSlotReport> slotReports
+  3: optional list<WireSlotGrant> slotGrants
+  4: optional list<WireLimitAsk> limitAsks
+  5: optional list<WireLimitGrant> limitGrants
 }
 
 struct ConfigPage {
