Add the operators' command line

Exit codes stand in one enum, messages in one class; the page of commands is the help itself. OperatorCodec also writes differences.

--- /dev/null
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/AuditCommand.java
@@ -0,0 +1,65 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.cli.command;
+
+import java.time.Instant;
+import java.util.stream.Collectors;
+import org.kohsuke.args4j.Option;
+import org.larkkeel.cli.errors.ExitCode;
+import org.larkkeel.cli.output.Table;
+import org.larkkeel.config.Change;
+import org.larkkeel.config.Operation;
+import org.larkkeel.http.operator.AuditPage;
+import org.larkkeel.lib.Revision;
+
+/** Lists accepted changes. */
+@CommandInfo(
+    name = "audit",
+    summary = "Lists accepted changes: who changed what, when and why.",
+    example = "larkkeel audit --since 40 --limit 10")
+final class AuditCommand extends Command {
+  private static final int DEFAULT_LIMIT = 100;
+
+  @Option(
+      name = "--since",
+      metaVar = "REVISION",
+      usage = "the first revision to list; 1 by default")
+  private long since = 1;
+
+  @Option(name = "--limit", metaVar = "N", usage = "the most changes to list; 100 by default")
+  private int limit = DEFAULT_LIMIT;
+
+  @Override
+  protected ExitCode run() {
+    AuditPage page = client().audit(new Revision(since), limit);
+    print(page, () -> table(page).print(out()));
+    return ExitCode.OK;
+  }
+
+  private static Table table(AuditPage page) {
+    Table table = new Table("REVISION", "TIME", "AUTHOR", "CHANGE", "OPERATIONS", "REASON");
+    for (AuditPage.Entry entry : page.entries()) {
+      Change change = entry.change();
+      table.row(
+          entry.revision(),
+          Instant.ofEpochMilli(change.atMillis()),
+          change.author(),
+          change.id(),
+          change.operations().stream().map(AuditCommand::text).collect(Collectors.joining(", ")),
+          change.reason());
+    }
+    return table;
+  }
+
+  private static String text(Operation operation) {
+    return switch (operation) {
+      case Operation.Put put -> "put " + put.target();
+      case Operation.Delete delete -> "delete " + delete.target();
+      case Operation.Label label -> "label " + label.target();
+    };
+  }
+}
--- /dev/null
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/CommandInfo.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.cli.command;
+
+import java.lang.annotation.ElementType;
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
+import java.lang.annotation.Target;
+
+/**
+ * Names a subcommand and says what it does.
+ *
+ * @since 0.1
+ */
+@Retention(RetentionPolicy.RUNTIME)
+@Target(ElementType.TYPE)
+public @interface CommandInfo {
+  /**
+   * The name on the command line.
+   *
+   * @return the name
+   */
+  String name();
+
+  /**
+   * What the command does.
+   *
+   * @return one sentence
+   */
+  String summary();
+
+  /**
+   * A command line to begin with.
+   *
+   * @return the example
+   */
+  String example();
+}
--- /dev/null
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The subcommands, one class each.
+ *
+ * @since 0.1
+ */
+package org.larkkeel.cli.command;
--- /dev/null
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/errors/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Exit codes, failures and messages of the command line.
+ *
+ * @since 0.1
+ */
+package org.larkkeel.cli.errors;
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorCodec.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorCodec.java
@@ -25,7 +25,9 @@
 import org.larkkeel.config.ChangeCodec;
 import org.larkkeel.config.Configuration;
 import org.larkkeel.config.ConfigurationDocument;
+import org.larkkeel.config.Diff;
 import org.larkkeel.config.JsonPath;
+import org.larkkeel.config.ObjectId;
 import org.larkkeel.config.ObjectWriter;
 import org.larkkeel.config.Problem;
 import org.larkkeel.config.Problems;
@@ -104,10 +106,12 @@
     addText(module, PoolName.class, PoolName::value, PoolName::new);
     addText(module, UpstreamName.class, UpstreamName::value, UpstreamName::new);
     addText(module, JsonPath.class, JsonPath::pointer, JsonPath::new);
+    addText(module, ObjectId.class, ObjectId::toString, ObjectId::parse);
     addNumber(module, Revision.class, Revision::value, Revision::new);
     addNumber(module, Incarnation.class, Incarnation::value, Incarnation::new);
     addEnum(module, Role.class);
     addEnum(module, Severity.class);
+    addEnum(module, Diff.Type.class);
     addEnum(module, NodeStatus.Phase.class);
     addEnum(module, NodeStatus.StoreState.class);
     addEnum(module, NodeStatus.UpstreamPhase.class);
@@ -126,9 +130,20 @@
     module.addDeserializer(
         Problems.class,
         reader(in -> new Problems(ImmutableList.copyOf(in.readValueAs(Problem[].class)))));
+    module.addSerializer(Diff.FieldDiff.class, writer(OperatorCodec::writeField));
     return module;
   }
 
+  private static void writeField(Diff.FieldDiff field, JsonGenerator out) throws IOException {
+    out.writeStartObject();
+    out.writeStringField("path", field.path().pointer());
+    out.writeFieldName("before");
+    out.writeRawValue(field.before().orElse("null"));
+    out.writeFieldName("after");
+    out.writeRawValue(field.after().orElse("null"));
+    out.writeEndObject();
+  }
+
   private static <T> void addText(
       SimpleModule module, Class<T> type, Function<T, String> write, Function<String, T> read) {
     module.addSerializer(type, writer((value, out) -> out.writeString(write.apply(value))));
--- a/org.larkkeel/src/main/java/org/larkkeel/config/ObjectId.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/ObjectId.java
@@ -27,6 +27,24 @@
     Names.check("the " + kind.slug(), name);
   }
 
+  /**
+   * Reads an id as {@link #toString()} writes it.
+   *
+   * @param text kind and name, as {@code pool/p}
+   * @return the id
+   * @throws IllegalArgumentException if the text is not an id
+   */
+  public static ObjectId parse(String text) {
+    int slash = text.indexOf('/');
+    ObjectKind kind =
+        ObjectKind.parse(text.substring(0, Math.max(slash, 0)))
+            .orElseThrow(
+                () ->
+                    new IllegalArgumentException(
+                        "the object \"" + text + "\": write kind and name, as pool/p"));
+    return new ObjectId(kind, text.substring(slash + 1));
+  }
+
   /**
    * The place of the object in a document.
    *
