--- a/org.larkkeel.test/src/test/java/org/larkkeel/config/ConfigurationDocumentTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/config/ConfigurationDocumentTest.java
@@ -9,10 +9,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.lib.RuleName;
 import org.testng.annotations.DataProvider;
@@ -76,6 +79,37 @@
     }
   }
 
+  /** The reference page. */
+  public static class Reference {
+    private static final Path PAGE = Path.of("..", "docs", "CONFIGURATION.md");
+
+    /** Keys whose members are documented one by one with their prefix. */
+    private static final ImmutableSet<String> NESTED =
+        ImmutableSet.of("match", "targets", "limits");
+
+    @Test
+    public void everyKeyOfTheCanonicalFormIsDocumented() throws IOException {
+      String page = Files.readString(PAGE);
+      Configuration example = ConfigurationDocument.read("f", Files.readString(EXAMPLE)).orThrow();
+      ConfigurationObjects.all(example)
+          .values()
+          .forEach(object -> assertDocumented(page, "", ObjectWriter.toJson(object)));
+      assertDocumented(page, "", ObjectWriter.toJson(Configuration.EMPTY));
+      assertTrue(page.contains("| `tokenSha256` |") && page.contains("| `revision` |"));
+    }
+
+    private static void assertDocumented(String page, String prefix, JsonNode node) {
+      for (Map.Entry<String, JsonNode> member : node.properties()) {
+        String key = prefix + member.getKey();
+        if (NESTED.contains(key)) {
+          assertDocumented(page, key + ".", member.getValue());
+        } else {
+          assertTrue(page.contains("| `" + key + "` |"), key);
+        }
+      }
+    }
+  }
+
   /** Documents with faults. */
   public static class Invalid {
     /** A faulty document and its one problem. */
