--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/Relations.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/Relations.java
@@ -31,8 +31,7 @@
     return switch (object) {
       case Upstream upstream ->
           ImmutableSortedMap.of(
-              ObjectKind.POOL,
-              names(configuration.pools(), p -> p.contains(upstream)));
+              ObjectKind.POOL, names(configuration.pools(), p -> p.contains(upstream)));
       case Pool pool ->
           ImmutableSortedMap.of(
               ObjectKind.UPSTREAM,
