Complete names in Bash, test TLS, and drop what stood twice

The digest of tokens and the media type of problems stood twice once the callers' side had landed; the operators' side now uses theirs. A server's unavailability is told also where something between answers it.

--- a/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
+++ b/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
@@ -15,17 +15,22 @@
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import javax.net.ssl.KeyManagerFactory;
+import javax.net.ssl.SSLContext;
 import org.larkkeel.cli.command.CommandCatalog;
 import org.larkkeel.cli.command.Environment;
 import org.larkkeel.cli.command.HelpPages;
@@ -90,6 +95,25 @@
     }
 
     String startServer() {
+      return "127.0.0.1:" + listen(Undertow.builder().addHttpListener(0, "127.0.0.1"));
+    }
+
+    String startTlsServer() throws IOException, GeneralSecurityException {
+      char[] password = "test-only".toCharArray();
+      KeyStore store = KeyStore.getInstance("PKCS12");
+      try (InputStream in = CliTest.class.getResourceAsStream("node.p12")) {
+        store.load(in, password);
+      }
+      KeyManagerFactory keys =
+          KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm());
+      keys.init(store, password);
+      SSLContext tls = SSLContext.getInstance("TLS");
+      tls.init(keys.getKeyManagers(), null, null);
+      return "https://127.0.0.1:"
+          + listen(Undertow.builder().addHttpsListener(0, "127.0.0.1", tls));
+    }
+
+    private int listen(Undertow.Builder builder) {
       OperatorTokens tokens =
           new OperatorTokens(
               ImmutableMap.of(
@@ -99,16 +123,14 @@
                   new Principal("vera", OperatorRole.VIEWER)));
       InstantSource clock = InstantSource.fixed(Instant.ofEpochMilli(0));
       Undertow server =
-          Undertow.builder()
+          builder
               .setIoThreads(1)
               .setWorkerThreads(1)
-              .addHttpListener(0, "127.0.0.1", new OperatorApi(service, tokens, clock))
+              .setHandler(new OperatorApi(service, tokens, clock))
               .build();
       server.start();
       servers.add(server);
-      InetSocketAddress address =
-          (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
-      return "127.0.0.1:" + address.getPort();
+      return ((InetSocketAddress) server.getListenerInfo().getFirst().getAddress()).getPort();
     }
 
     ExitCode runWithInput(String text, String... arguments) {
@@ -252,6 +274,14 @@
       assertTrue(err().contains("the answer of the log is lost"), err());
     }
 
+    @Test
+    public void encryptedServerIsTrustedByItsAuthorityOnly() throws Exception {
+      useServers(startTlsServer());
+      assertEquals(run("status"), ExitCode.UNREACHABLE);
+      String file = Path.of(CliTest.class.getResource("node.pem").toURI()).toString();
+      assertEquals(run("status", "--ca-file", file), ExitCode.OK, err());
+    }
+
     @Test
     public void everyDeadServerIsNamed() {
       useServers("127.0.0.1:1,127.0.0.1:2");
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/client/OperatorClient.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/client/OperatorClient.java
@@ -171,7 +171,7 @@
         if (!isUnavailable(answer)) {
           return reply;
         }
-        reasons.add(server + ": " + read(reply, ProblemDocument.class).detail());
+        reasons.add(server + ": " + reason(reply));
       } catch (IOException e) {
         reasons.add(server + ": " + e.getMessage());
       }
@@ -185,6 +185,15 @@
         || answer.status() == ErrorKind.DEADLINE_EXCEEDED.status();
   }
 
+  /** What a server, or something between, says about not being available. */
+  private static String reason(Reply reply) {
+    try {
+      return read(reply, ProblemDocument.class).detail();
+    } catch (CommandFailure e) {
+      return "status " + reply.answer().status();
+    }
+  }
+
   private static <T> T read(Reply reply, Class<T> type) {
     try {
       return OperatorCodec.read(reply.answer().body().getBytes(StandardCharsets.UTF_8), type);
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/HelpPages.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/HelpPages.java
@@ -31,8 +31,7 @@
       Tokens are read from a file, never from the command line. Where several servers are named, the
       next is tried if one does not answer; a change is accepted once, however often it is sent.
 
-      To complete names in Bash, put `complete -C 'larkkeel complete commands "$2"' larkkeel` or a
-      function over `larkkeel complete KIND PREFIX` into the shell's start file.
+      In Bash, `. bin/larkkeel-completion.bash` completes commands, kinds and names.
 
       """;
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorApi.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorApi.java
@@ -27,6 +27,7 @@
 import org.larkkeel.config.Checked;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
+import org.larkkeel.http.Problem;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -215,7 +216,7 @@
   }
 
   private static void send(HttpServerExchange exchange, String principal, ProblemDocument problem) {
-    send(exchange, principal, problem.status(), ProblemDocument.MEDIA_TYPE, problem);
+    send(exchange, principal, problem.status(), Problem.MEDIA_TYPE, problem);
   }
 
   private static void send(
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorTokens.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorTokens.java
@@ -7,11 +7,9 @@
 package org.larkkeel.http.operator;
 
 import com.google.common.collect.ImmutableMap;
-import com.google.common.hash.Hashing;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.larkkeel.http.BearerToken;
 
 /**
  * The bearer tokens that operators may use, known by their digests only.
@@ -22,8 +20,6 @@
  * @since 0.1
  */
 public record OperatorTokens(ImmutableMap<String, Principal> bySha256) {
-  private static final String SCHEME = "Bearer ";
-
   /**
    * Finds who sent a request.
    *
@@ -31,12 +27,7 @@
    * @return the holder of its token, empty if the token is missing or unknown
    */
   public Optional<Principal> find(HeaderMap headers) {
-    String value = headers.getFirst(Headers.AUTHORIZATION);
-    if (value == null || !value.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
-      return Optional.empty();
-    }
-    String token = value.substring(SCHEME.length()).strip();
-    return Optional.ofNullable(bySha256.get(sha256(token)));
+    return BearerToken.of(headers).map(token -> bySha256.get(token.sha256()));
   }
 
   /**
@@ -46,7 +37,7 @@
    * @return its SHA-256 in lower case hex
    */
   public static String sha256(String token) {
-    return Hashing.sha256().hashString(token, StandardCharsets.UTF_8).toString();
+    return BearerToken.digest(token).sha256();
   }
 
   @Override
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/ProblemDocument.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/ProblemDocument.java
@@ -10,6 +10,7 @@
 import org.larkkeel.config.Problems;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.Slugs;
+import org.larkkeel.http.Problem;
 
 /**
  * The body of a failure, after RFC 9457.
@@ -35,11 +36,6 @@
     String execution,
     List<AuditPage.Entry> conflicts,
     Problems problems) {
-  /** The media type of the body. */
-  public static final String MEDIA_TYPE = "application/problem+json";
-
-  private static final String TYPE_PREFIX = "https://larkkeel.org/problems/";
-
   /** Replaces missing members, which a body may lack, by empty ones. */
   public ProblemDocument {
     conflicts = conflicts == null ? List.of() : List.copyOf(conflicts);
@@ -90,7 +86,7 @@
   private static ProblemDocument of(
       ErrorKind kind, String detail, List<AuditPage.Entry> conflicts, Problems problems) {
     return new ProblemDocument(
-        TYPE_PREFIX + kind.slug(),
+        Problem.TYPE_PREFIX + kind.slug(),
         kind.title(),
         kind.status(),
         detail,
