--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/capacity/CapacityCommand.java
@@ -0,0 +1,84 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.capacity;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Prints every sample and the slope of every series as one line of key=value pairs each.
+ *
+ * @since 0.1
+ */
+public final class CapacityCommand {
+  private final PrintStream out;
+  private final List<Sample> samples = new ArrayList<>();
+
+  private CapacityCommand(PrintStream out) {
+    this.out = out;
+  }
+
+  /**
+   * Runs the command.
+   *
+   * @param args none
+   * @throws Exception if a node can't be started
+   */
+  public static void main(String[] args) throws Exception {
+    if (args.length > 0) {
+      System.err.println("capacity takes no arguments, and got \"" + args[0] + "\"; leave it out");
+      System.exit(2);
+    }
+    new CapacityCommand(System.out).run();
+  }
+
+  private void run() throws Exception {
+    add(new RouterSlopes().measure());
+    slopes().forEach(this::print);
+  }
+
+  private void add(Collection<Sample> measured) {
+    measured.forEach(this::print);
+    samples.addAll(measured);
+  }
+
+  private List<Slope> slopes() {
+    Map<String, List<Sample>> series = new LinkedHashMap<>();
+    for (Sample sample : samples) {
+      series.computeIfAbsent(sample.series() + sample.by(), k -> new ArrayList<>()).add(sample);
+    }
+    return series.values().stream().map(Slope::of).toList();
+  }
+
+  private void print(Sample sample) {
+    out.printf(
+        Locale.ROOT,
+        "sample series=%s by=%s size=%.0f value=%.3f unit=%s%n",
+        sample.series(),
+        sample.by(),
+        sample.size(),
+        sample.value(),
+        sample.unit());
+  }
+
+  private void print(Slope slope) {
+    out.printf(
+        Locale.ROOT,
+        "slope series=%s by=%s base=%.3f per_one=%.5f r2=%.3f unit=%s%n",
+        slope.series(),
+        slope.by(),
+        slope.base(),
+        slope.perOne(),
+        slope.fit(),
+        slope.unit());
+  }
+}
