Plan decode slots over all engines and serve by size before the target

Cause: at full load a slot held idle through each prefill cost goodput, and none held wasted prefill; requests that could no longer meet their target still took slots; a broken transfer was repeated before its source was free, which lost the KV cache; an engine that came back stayed ejected. Change: releases predicted from how long each request has generated, summed over the decode engines, with a caution that follows the losses; lanes by prompt size; a check of the target and the deadline at dispatch; late requests only into spare slots; a repeated transfer waits for the cancel of the first; a load report after silence or of a new start ends an ejection; slots asked for by need.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/router/RouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/RouterTest.java
@@ -15,6 +15,7 @@
 import org.larkkeel.effect.Effect;
 import org.larkkeel.effect.Fact;
 import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.event.CancelOutcome;
 import org.larkkeel.event.Event;
 import org.larkkeel.event.Exposure;
 import org.larkkeel.event.FailureCause;
@@ -66,10 +67,12 @@
       script.prefilled(script.only(Effect.StartPrefill.class).attempt());
       Effect.StartTransfer first = script.only(Effect.StartTransfer.class);
       script.fail(first.attempt(), FailureCause.CONNECTION_LOST, Exposure.MAY_HAVE_RUN);
+      assertEquals(script.only(Effect.Cancel.class).attempt(), first.attempt());
+      assertTrue(script.all(Effect.StartTransfer.class).isEmpty(), "the cancel comes first");
+      script.cancelSettled(first.attempt(), CancelOutcome.FAILED);
       Effect.StartTransfer second = script.only(Effect.StartTransfer.class);
       assertEquals(second.prefill(), first.prefill());
       assertTrue(!second.to().equals(first.to()), "the failed engine is avoided");
-      assertEquals(script.only(Effect.Cancel.class).attempt(), first.attempt());
       assertTrue(script.all(Effect.StartPrefill.class).isEmpty());
     }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/router/ReservationPolicy.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/ReservationPolicy.java
@@ -21,11 +21,15 @@
   record Strict() implements ReservationPolicy {}
 
   /**
-   * A slot is free, or is expected to be by the time that prefill and transfer are complete.
+   * A slot is free, or slots enough of all decode engines together are expected to come free while
+   * the prefill runs and its KV cache is held.
    *
-   * @param share share of the expected releases that is counted on, from 0 to 1
+   * @param holdShare share of the time that a KV cache is held that is counted on, from 0 to 1
+   * @param caution standard deviations by which fewer slots may come free than expected, to start
+   *     with
    * @param overbooking the most slots of one upstream promised beyond those free, as a share of its
    *     slots, from 0 to 1
    */
-  record PredictedRelease(double share, double overbooking) implements ReservationPolicy {}
+  record PredictedRelease(double holdShare, double caution, double overbooking)
+      implements ReservationPolicy {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
@@ -103,6 +103,7 @@
   private void handleAttempt(Event.OfAttempt event) {
     if (event instanceof Event.CancelSettled settled) {
       core.cancels.settled(settled.attempt(), settled.outcome());
+      core.decodeFlow.cancelSettled(settled.attempt());
       return;
     }
     Attempt attempt = core.attempts.get(event.attempt());
@@ -162,8 +163,12 @@
       return;
     }
     boolean sameModels = upstream.reportsModels(report);
+    boolean wasSilent = upstream.isSilent();
     if (upstream.reported(report)) {
       core.cancels.restarted(upstream);
+      core.fleet.back(upstream);
+    } else if (wasSilent) {
+      core.fleet.back(upstream);
     }
     if (!sameModels) {
       core.fleet.modelsChanged(upstream);
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Arrivals.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Arrivals.java
@@ -142,6 +142,7 @@
       return;
     }
     core.requests.put(request.id(), request);
+    request.route.arrived(request.call.promptTokens());
     core.budget.earn();
     if (request.once && request.call.runKey().isPresent()) {
       core.claims.claim(request);
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/CandidateSet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/CandidateSet.java
@@ -29,6 +29,10 @@
   private final List<Membership> roomy = new ArrayList<>();
   private final Set<Route> routes = new LinkedHashSet<>();
   private List<UpstreamState> all = List.of();
+  private int spare;
+  private int others;
+  private int usable;
+  private double releaseRate;
 
   /**
    * Creates an empty set.
@@ -59,6 +63,7 @@
         members.remove(member.upstream);
         member.upstream.leave(member);
         setRoomy(member, false);
+        count(member, 0, 0, 0, 0);
       }
     }
     for (UpstreamState upstream : upstreams) {
@@ -136,6 +141,55 @@
     }
   }
 
+  /**
+   * Free slots of all members less those promised.
+   *
+   * @return a number; negative if overbooked
+   */
+  public int spare() {
+    return spare;
+  }
+
+  /**
+   * Slots of all members that this node may use, those in use included.
+   *
+   * @return a number
+   */
+  public int usable() {
+    return usable;
+  }
+
+  /**
+   * Slots of all members that other nodes hold, as far as known.
+   *
+   * @return a number
+   */
+  public int others() {
+    return others;
+  }
+
+  /**
+   * Slots of all members that come free a nanosecond, as predicted.
+   *
+   * @return a rate
+   */
+  public double releaseRate() {
+    return releaseRate;
+  }
+
+  /** Replaces what a member adds to the sums over all members. */
+  void count(
+      Membership member, int memberSpare, int memberUsable, int memberOthers, double memberRate) {
+    others += memberOthers - member.others;
+    member.others = memberOthers;
+    usable += memberUsable - member.usable;
+    member.usable = memberUsable;
+    spare += memberSpare - member.spare;
+    releaseRate = Math.max(0, releaseRate + memberRate - member.releaseRate);
+    member.spare = memberSpare;
+    member.releaseRate = memberRate;
+  }
+
   Set<Route> routes() {
     return routes;
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/DecodeFlow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/DecodeFlow.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.larkkeel.effect.Effect;
 import org.larkkeel.effect.Fact;
+import org.larkkeel.lib.AttemptId;
 import org.larkkeel.router.internal.Holdings.Remains;
 
 /**
@@ -19,8 +20,8 @@
  * @since 0.1
  */
 public final class DecodeFlow {
-  private static final long MIN_TRANSFER_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(100);
-  private static final int TRANSFER_FACTOR = 4;
+  private static final long MIN_TRANSFER_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final int TRANSFER_FACTOR = 8;
   private static final long MIN_SILENCE = TimeUnit.SECONDS.toNanos(2);
   private static final int SILENCE_FACTOR = 20;
 
@@ -75,12 +76,46 @@
     core.fleet.ready(request.route);
   }
 
+  /**
+   * Keeps a request waiting until a broken transfer is cancelled: its source hands the KV cache
+   * over to one engine at a time.
+   */
+  void holdUntilCancelled(RequestState request, Attempt decode) {
+    request.stage = RequestStage.PLACED;
+    request.settling = decode.id;
+    core.queueing.arm(request);
+  }
+
+  /**
+   * A cancel ended, so a request that waited for it may move its KV cache again.
+   *
+   * @param attempt the attempt that was cancelled
+   */
+  public void cancelSettled(AttemptId attempt) {
+    AttemptTable.Former former = core.attempts.former(attempt);
+    RequestState request = former == null ? null : core.requests.get(former.request());
+    if (request != null && attempt.equals(request.settling)) {
+      request.settling = null;
+      if (request.stage == RequestStage.PLACED) {
+        hold(request);
+      }
+    }
+  }
+
   /** The KV cache of a request that waits for a decode slot can't be counted on any longer. */
   void holdEnded(RequestState request) {
+    lostKv();
     core.holdings.dropPrefill(request, Remains.MAYBE);
     core.failures.startAgain(request, null);
   }
 
+  /** A KV cache was lost while it waited for a slot; tells nothing about guesses after a fault. */
+  void lostKv() {
+    if (!core.fleet.isDisturbed()) {
+      core.placement.caution().lost();
+    }
+  }
+
   /**
    * A KV cache has arrived.
    *
@@ -91,6 +126,7 @@
     if (request.decode != attempt || request.stage != RequestStage.TRANSFERRING) {
       return;
     }
+    core.placement.caution().used();
     core.holdings.endMove(attempt);
     core.holdings.prefillMoved(request);
     request.stage = RequestStage.DECODING;
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Dispatcher.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Dispatcher.java
@@ -25,8 +25,8 @@
   private static final LaneKind[] KINDS = LaneKind.values();
   private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long LATE_OFFSET = TimeUnit.HOURS.toNanos(1);
-  private static final int LATE_EVERY = 20;
-  private static final int SMALL_TARGET_DIVISOR = 4;
+  private static final int LATE_EVERY = 50;
+  private static final double LATE_SPARE = 0.1;
   private static final int PRIORITY_AGAIN = 0;
   private static final int PRIORITY_SMALL = 1;
   private static final int PRIORITY_INTERACTIVE = 2;
@@ -37,6 +37,7 @@
   private final Core core;
   private final Timer sweep;
   private final List<Route> routes = new ArrayList<>();
+  private final List<Route> full = new ArrayList<>();
   private boolean[] blocked = new boolean[KINDS.length];
 
   Dispatcher(Core core) {
@@ -56,9 +57,7 @@
       }
     }
     core.fleet.ready().clear();
-    for (int i = 0; i < routes.size(); i++) {
-      serveHeld(routes.get(i));
-    }
+    serveHeld();
     serveLanes();
     watch();
   }
@@ -79,15 +78,32 @@
     return request.route.isInteractive() ? PRIORITY_INTERACTIVE : PRIORITY_PATIENT;
   }
 
-  private void serveHeld(Route route) {
-    while (!route.held.isEmpty()) {
-      RequestState request = route.held.values().iterator().next();
-      if (!core.decodeFlow.tryTransfer(request)) {
-        return;
+  private void serveHeld() {
+    full.clear();
+    RequestState oldest = oldestHeld();
+    while (oldest != null) {
+      if (!core.decodeFlow.tryTransfer(oldest)) {
+        full.add(oldest.route);
       }
+      oldest = oldestHeld();
     }
   }
 
+  private RequestState oldestHeld() {
+    RequestState oldest = null;
+    for (int i = 0; i < routes.size(); i++) {
+      Route route = routes.get(i);
+      if (route.held.isEmpty() || full.contains(route)) {
+        continue;
+      }
+      RequestState head = route.held.values().iterator().next();
+      if (oldest == null || head.heldSince < oldest.heldSince) {
+        oldest = head;
+      }
+    }
+    return oldest;
+  }
+
   private void serveLanes() {
     int places = routes.size() * KINDS.length;
     if (blocked.length < places) {
@@ -127,20 +143,28 @@
 
   private static long key(RequestState head, LaneKind kind, Route route) {
     return switch (kind) {
-      case AGAIN -> head.arrivedAt;
-      case SMALL -> head.arrivedAt + (head.firstTarget - head.arrivedAt) / SMALL_TARGET_DIVISOR;
-      case LONG -> head.firstTarget;
       case LATE -> route.isTurnOfLate(LATE_EVERY) ? head.arrivedAt : head.deadline + LATE_OFFSET;
+      default -> head.arrivedAt + (long) (kind.patience() * (head.firstTarget - head.arrivedAt));
     };
   }
 
   private boolean start(Route route, LaneKind kind) {
     Lane lane = route.lane(kind);
     RequestState request = lane.head();
-    Choice choice = core.placement.choose(request);
+    Choice choice = mayStart(route, kind) ? core.placement.choose(request) : null;
     if (choice == null) {
       return false;
     }
+    switch (core.queueing.prospect(request, choice)) {
+      case IN_TIME -> {}
+      case LATER -> {
+        return false;
+      }
+      default -> {
+        core.queueing.missed(request);
+        return true;
+      }
+    }
     lane.serve(request);
     route.served(kind);
     if (kind != LaneKind.LATE) {
@@ -156,6 +180,15 @@
     return true;
   }
 
+  /** A late request must not take what the next one in time needs. */
+  private static boolean mayStart(Route route, LaneKind kind) {
+    if (kind != LaneKind.LATE || route.isTurnOfLate(LATE_EVERY)) {
+      return true;
+    }
+    CandidateSet decode = route.decode();
+    return decode.spare() >= LATE_SPARE * decode.usable();
+  }
+
   private void startPrefill(RequestState request, Choice choice) {
     UpstreamState engine = choice.first();
     long now = core.context.now();
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Failures.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Failures.java
@@ -125,6 +125,7 @@
       return;
     }
     if (cause == FailureCause.KV_EVICTED) {
+      core.decodeFlow.lostKv();
       core.holdings.dropPrefill(request, Remains.NOTHING);
       another(attempt, cause, exposure);
       return;
@@ -133,15 +134,19 @@
       giveUp(request, cause);
       return;
     }
-    useHeld(attempt, cause);
+    useHeld(attempt, cause, remains);
   }
 
-  private void useHeld(Attempt attempt, FailureCause cause) {
+  private void useHeld(Attempt attempt, FailureCause cause, Remains remains) {
     RequestState request = attempt.request;
     request.transfers++;
     request.avoid = attempt.upstream;
     core.context.report(new Fact.Retried(request.id(), attempt.id, attempt.upstream.name, cause));
-    core.decodeFlow.hold(request);
+    if (remains == Remains.MAYBE) {
+      core.decodeFlow.holdUntilCancelled(request, attempt);
+    } else {
+      core.decodeFlow.hold(request);
+    }
   }
 
   private void another(Attempt attempt, FailureCause cause, Exposure exposure) {
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Fleet.java
@@ -37,6 +37,7 @@
  */
 public final class Fleet {
   private static final String GENERATION_LABEL = "gen";
+  private static final long DISTURBANCE_NANOS = 3_000_000_000L;
 
   /**
    * What identifies a candidate set.
@@ -58,6 +59,7 @@
   private ImmutableSet<ModelName> models = ImmutableSet.of();
   private Configuration current = Configuration.EMPTY;
   private int nodes = 1;
+  private long lastEjection = Long.MIN_VALUE / 2;
 
   /**
    * Creates an empty fleet.
@@ -231,8 +233,8 @@
    * @param state the upstream
    */
   public void lost(UpstreamState state) {
-    for (Membership member : state.memberships) {
-      member.set.setRoomy(member, hasRoom(state, member.set.role()));
+    for (int i = 0; i < state.memberships.size(); i++) {
+      update(state, state.memberships.get(i));
     }
   }
 
@@ -243,15 +245,26 @@
    * @param state the upstream
    */
   public void gained(UpstreamState state) {
-    for (Membership member : state.memberships) {
-      boolean room = hasRoom(state, member.set.role());
-      member.set.setRoomy(member, room);
-      if (room) {
+    for (int i = 0; i < state.memberships.size(); i++) {
+      Membership member = state.memberships.get(i);
+      if (update(state, member)) {
         ready.addAll(member.set.routes());
       }
     }
   }
 
+  private boolean update(UpstreamState state, Membership member) {
+    boolean room = hasRoom(state, member.set.role());
+    member.set.setRoomy(member, room);
+    if (member.set.role() == Role.DECODE) {
+      boolean takes = takesRequests(state);
+      double rate = takes ? state.releaseRate(context.now()) : 0;
+      int usable = takes ? free(state) + state.slots.active() : 0;
+      member.set.count(member, takes ? unpromised(state) : 0, usable, state.slots.others(), rate);
+    }
+    return room;
+  }
+
   /**
    * Makes a route ready to be served.
    *
@@ -351,6 +364,19 @@
     lost(state);
   }
 
+  /**
+   * An upstream that was silent or has started anew reports its load, so it is back.
+   *
+   * @param state the upstream
+   */
+  public void back(UpstreamState state) {
+    if (state.health.restore()) {
+      context.timers().clear(state.probeTimer);
+      context.report(new Fact.Restored(state.name));
+      gained(state);
+    }
+  }
+
   /**
    * Counts a load report that did not come.
    *
@@ -363,10 +389,20 @@
     }
   }
 
+  /**
+   * Tells whether an upstream was lost so lately that its requests still press on the others.
+   *
+   * @return true if so
+   */
+  public boolean isDisturbed() {
+    return context.now() - lastEjection < DISTURBANCE_NANOS;
+  }
+
   private void eject(UpstreamState state, long nanos) {
     if (nanos <= 0 || !context.settings().ejection()) {
       return;
     }
+    lastEjection = context.now();
     context.timers().set(state.probeTimer, context.now() + nanos);
     context.report(new Fact.Ejected(state.name, nanos));
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Health.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Health.java
@@ -80,6 +80,19 @@
     return true;
   }
 
+  /**
+   * The upstream answers again, or has started anew.
+   *
+   * @return true if this ends an ejection
+   */
+  public boolean restore() {
+    boolean wasOut = state != State.UP;
+    state = State.UP;
+    failures = 0;
+    ejections = 0;
+    return wasOut;
+  }
+
   /** The ejection is over; one request probes the upstream. */
   public void probe() {
     if (state == State.EJECTED) {
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Holdings.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Holdings.java
@@ -91,6 +91,7 @@
     final int wasted = prefill.computing ? doneSoFar(prefill) : prefill.tokens;
     request.prefill = null;
     request.kvBytes = 0;
+    request.settling = null;
     end(prefill, remains);
     reportWaste(prefill, wasted);
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Membership.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Membership.java
@@ -19,6 +19,10 @@
   final CandidateSet set;
   final UpstreamState upstream;
   int index = ABSENT;
+  int spare;
+  int others;
+  int usable;
+  double releaseRate;
 
   Membership(CandidateSet set, UpstreamState upstream) {
     this.set = set;
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Placement.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Placement.java
@@ -29,6 +29,7 @@
   private final Context context;
   private final Fleet fleet;
   private final Predictor predictor;
+  private final Caution caution;
   private final List<UpstreamState> prefills = new ArrayList<>();
   private final List<UpstreamState> decodes = new ArrayList<>();
 
@@ -43,6 +44,21 @@
     this.context = context;
     this.fleet = fleet;
     this.predictor = predictor;
+    this.caution =
+        switch (context.settings().reservation()) {
+          case ReservationPolicy.PredictedRelease release -> new Caution(release.caution());
+          case ReservationPolicy.None none -> new Caution(0);
+          case ReservationPolicy.Strict strict -> new Caution(0);
+        };
+  }
+
+  /**
+   * What is learnt from KV caches that were lost or used.
+   *
+   * @return the caution
+   */
+  public Caution caution() {
+    return caution;
   }
 
   /**
@@ -99,7 +115,7 @@
     CandidateSet set = request.route.service();
     if (!(context.settings().placement() instanceof PlacementPolicy.PredictedFinish policy)) {
       UpstreamState picked = pickBaseline(set);
-      return picked == null ? null : new Choice(picked, null, 0);
+      return picked == null ? null : new Choice(picked, null, 0, 0);
     }
     prefills.clear();
     set.sample(policy.sample(), context.random(), prefills);
@@ -112,13 +128,13 @@
         bestEnd = end;
       }
     }
-    return best == null ? null : new Choice(best, null, bestEnd - context.now());
+    return best == null ? null : of(best, bestEnd - context.now());
   }
 
   private Choice choosePair(RequestState request) {
     if (!(context.settings().placement() instanceof PlacementPolicy.PredictedFinish policy)) {
       UpstreamState picked = pickBaseline(request.route.prefill());
-      return picked == null ? null : new Choice(picked, null, 0);
+      return picked == null ? null : new Choice(picked, null, 0, 0);
     }
     gatherPrefills(request, policy.sample());
     boolean reserves = !(context.settings().reservation() instanceof ReservationPolicy.None);
@@ -199,7 +215,7 @@
     for (UpstreamState prefill : prefills) {
       long ready = predictor.prefillEnd(request, prefill);
       for (UpstreamState decode : decodes) {
-        if (!isPromisable(decode, ready - context.now())) {
+        if (!isPromisable(request.route.decode(), decode, ready - context.now())) {
           continue;
         }
         double cost = decodeCost(request, prefill, decode, ready) + avoidance(request, prefill);
@@ -214,8 +230,23 @@
   }
 
   private Choice choiceOf(RequestState request, UpstreamState prefill, UpstreamState decode) {
-    long end = predictor.prefillEnd(request, prefill);
-    return new Choice(prefill, decode, end - context.now());
+    long now = context.now();
+    long ready = predictor.prefillEnd(request, prefill);
+    UpstreamState to = decode == null ? anyDecode(request, prefill) : decode;
+    long there = predictor.transferEnd(predictor.kvBytes(request), prefill, to, ready);
+    double perToken = predictor.decodeNanos(to);
+    long first = there - now + (long) perToken;
+    return new Choice(
+        prefill, decode, first, first + (long) (perToken * predictor.remainingTokens(request)));
+  }
+
+  private static UpstreamState anyDecode(RequestState request, UpstreamState otherwise) {
+    List<UpstreamState> all = request.route.decode().all();
+    return all.isEmpty() ? otherwise : all.getFirst();
+  }
+
+  private static Choice of(UpstreamState service, long nanos) {
+    return new Choice(service, null, nanos, nanos);
   }
 
   private double decodeCost(
@@ -224,30 +255,46 @@
     long there = predictor.transferEnd(bytes, prefill, decode, ready);
     double perToken = predictor.decodeNanos(decode);
     double cost = there + perToken * predictor.remainingTokens(request);
-    if (perToken > request.route.rule().targets().betweenTokens().toNanos()) {
+    if (isTooSlow(request, there, perToken)) {
       cost += SLOW_PENALTY_NANOS;
     }
     return cost + avoidance(request, decode);
   }
 
-  private boolean isPromisable(UpstreamState decode, long horizon) {
+  /** Whether the mean time between tokens would miss its target, an interruption included. */
+  private boolean isTooSlow(RequestState request, long there, double perToken) {
+    long target = request.route.rule().targets().betweenTokens().toNanos();
+    if (request.firstTokenAt == 0) {
+      return perToken > target;
+    }
+    double left = predictor.remainingTokens(request);
+    double span = there + perToken * left - request.firstTokenAt;
+    return span > target * (request.tokens + left);
+  }
+
+  private boolean isPromisable(CandidateSet set, UpstreamState decode, long horizon) {
     int unpromised = fleet.unpromised(decode);
     return switch (context.settings().reservation()) {
       case ReservationPolicy.None none -> true;
       case ReservationPolicy.Strict strict -> unpromised > 0;
       case ReservationPolicy.PredictedRelease release ->
-          unpromised > 0 || unpromised + releases(decode, horizon, release) >= 1;
+          isUnseen(set)
+              ? releases(set, horizon, release) + set.spare() >= 1 + caution.margin()
+              : unpromised > 0 || releases(set, horizon, release) + set.spare() >= 1;
     };
   }
 
-  private static double releases(
-      UpstreamState decode, long horizon, ReservationPolicy.PredictedRelease policy) {
-    double stay = decode.rates.heldNanos();
-    if (stay <= 0) {
-      return 0;
-    }
-    double expected = decode.slots.active() * horizon / stay * policy.share();
-    return Math.min(expected, policy.overbooking() * decode.slots.limit());
+  /** Whether other nodes use the same engines. */
+  private boolean isUnseen(CandidateSet set) {
+    return set.others() > 0;
+  }
+
+  /** Slots of all decode engines that come free, almost certainly, while the KV cache is held. */
+  private double releases(
+      CandidateSet set, long horizon, ReservationPolicy.PredictedRelease policy) {
+    double window = horizon + policy.holdShare() * context.settings().kvHoldNanos();
+    double expected = set.releaseRate() * window;
+    return expected - caution.deviations() * Math.sqrt(expected);
   }
 
   private long avoidance(RequestState request, UpstreamState state) {
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Predictor.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Predictor.java
@@ -170,6 +170,23 @@
     return count == 0 ? 0 : (long) best;
   }
 
+  /**
+   * Predicts the time to the last token if nothing is in the way.
+   *
+   * @param request the request
+   * @return nanoseconds
+   */
+  public long bestCaseToEnd(RequestState request) {
+    double decode = Double.MAX_VALUE;
+    CandidateSet set = request.route.decode();
+    int count = Math.min(ESTIMATE_SAMPLE, set.all().size());
+    for (int i = 0; i < count; i++) {
+      decode = Math.min(decode, set.all().get(i).rates.decodeNanos(1));
+    }
+    long first = bestCase(request);
+    return count == 0 ? first : first + (long) (decode * remainingTokens(request));
+  }
+
   private static long distance(String from, String to) {
     return from.isEmpty() || from.equals(to) ? 0 : OTHER_DATA_CENTRE_NANOS;
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Queueing.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Queueing.java
@@ -20,6 +20,9 @@
 final class Queueing {
   private static final long HOPELESS_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** The KV cache may be there a little longer than is counted on. */
+  private static final double HOLD_LIMIT = 1.4;
+
   private final Core core;
 
   Queueing(Core core) {
@@ -74,20 +77,56 @@
     return request.firstTarget - core.predictor.bestCase(request);
   }
 
+  /** What a choice promises a request that waits. */
+  enum Prospect {
+    /** It meets its target, or has none to meet any more. */
+    IN_TIME,
+    /** It would meet its target only at an upstream that has no room now. */
+    LATER,
+    /** It can't meet its target, or not even its deadline. */
+    MISSED
+  }
+
+  /** Tells whether a request is in time at the upstreams chosen for it. */
+  Prospect prospect(RequestState request, Choice choice) {
+    if (!(core.context.settings().queue() instanceof QueuePolicy.ByDeadline)) {
+      return Prospect.IN_TIME;
+    }
+    long now = core.context.now();
+    if (request.tokens == 0 && now + choice.lastNanos() > request.deadline) {
+      return now > latestToEnd(request) ? Prospect.MISSED : Prospect.LATER;
+    }
+    if (!sheds(request) || now + choice.firstNanos() <= request.firstTarget) {
+      return Prospect.IN_TIME;
+    }
+    return now > latestStart(request) ? Prospect.MISSED : Prospect.LATER;
+  }
+
+  /** When an unplaced request must be placed to be answered before its deadline. */
+  private long latestToEnd(RequestState request) {
+    return request.deadline - core.predictor.bestCaseToEnd(request);
+  }
+
   private void dueInQueue(RequestState request) {
     if (request.delayedUntil != 0) {
       enqueue(request);
       return;
     }
-    if (sheds(request) && core.context.now() >= latestStart(request)) {
+    long now = core.context.now();
+    if (now >= latestToEnd(request) || (sheds(request) && now >= latestStart(request))) {
       missed(request);
       return;
     }
     arm(request);
   }
 
-  private void missed(RequestState request) {
-    if (request.route.isInteractive()) {
+  /** A request that waits can't meet its target any more. */
+  void missed(RequestState request) {
+    if (core.context.now() >= latestToEnd(request)) {
+      expire(request);
+      return;
+    }
+    if (request.route.isInteractive() && request.attempts == 0) {
       long wait = request.route.pace.wait(request.route.queued());
       core.endings.giveUp(
           request,
@@ -115,7 +154,8 @@
   private long nextMoment(RequestState request) {
     return switch (request.stage) {
       case QUEUED -> nextMomentInQueue(request);
-      case PLACED -> request.heldSince + core.context.settings().kvHoldNanos();
+      case PLACED ->
+          request.heldSince + (long) (HOLD_LIMIT * core.context.settings().kvHoldNanos());
       default -> request.deadline;
     };
   }
@@ -124,7 +164,8 @@
     if (request.delayedUntil != 0) {
       return request.delayedUntil;
     }
-    return sheds(request) ? latestStart(request) : request.deadline;
+    long last = latestToEnd(request);
+    return sheds(request) ? Math.min(last, latestStart(request)) : last;
   }
 
   /** Whether a request that waits is refused or served late once it misses its target. */
@@ -141,7 +182,10 @@
     if (request.late) {
       return LaneKind.LATE;
     }
-    boolean small = request.contextTokens() <= core.context.settings().smallPromptTokens();
-    return small ? LaneKind.SMALL : LaneKind.LONG;
+    int tokens = request.contextTokens();
+    if (tokens <= core.context.settings().smallPromptTokens()) {
+      return LaneKind.SMALL;
+    }
+    return LaneKind.ofSize(tokens, request.route.usualPrompt());
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/RequestState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/RequestState.java
@@ -8,6 +8,7 @@
 
 import org.larkkeel.call.Call;
 import org.larkkeel.call.PrefixKeys;
+import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
 
 /**
@@ -76,6 +77,9 @@
   /** Decode engines tried with the KV cache that is held. */
   public int transfers;
 
+  /** The broken transfer whose cancel has to end before the next; null if none. */
+  public AttemptId settling;
+
   /** Tokens of the answer passed on. */
   public int tokens;
 
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Route.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Route.java
@@ -32,6 +32,8 @@
    */
   public record Key(RuleName rule, Optional<ModelName> model) {}
 
+  private static final double PROMPT_STEP = 0.02;
+
   /** What identifies it. */
   public final Key key;
 
@@ -52,6 +54,7 @@
   private CandidateSet decode;
   private CandidateSet service;
   private int sinceLate;
+  private double usualPrompt;
   boolean listed;
 
   /**
@@ -181,6 +184,24 @@
     return count;
   }
 
+  /**
+   * Learns from the prompt of a request that arrived.
+   *
+   * @param tokens its size
+   */
+  void arrived(int tokens) {
+    usualPrompt = usualPrompt == 0 ? tokens : usualPrompt + PROMPT_STEP * (tokens - usualPrompt);
+  }
+
+  /**
+   * The mean size of its prompts.
+   *
+   * @return tokens
+   */
+  double usualPrompt() {
+    return usualPrompt;
+  }
+
   /**
    * Counts a request served, so that late ones get their small share.
    *
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/SlotAsker.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/SlotAsker.java
@@ -62,21 +62,19 @@
   }
 
   private static int wanted(UpstreamState state) {
-    boolean backlog = false;
+    int waiting = 0;
     boolean takesSlots = false;
     for (Membership member : state.memberships) {
       takesSlots |= member.set.role() != Role.PREFILL;
       for (Route route : member.set.routes()) {
-        backlog |= route.queued() > 0 || !route.held.isEmpty();
+        waiting += route.queued() + route.held.size();
       }
     }
     if (!takesSlots) {
       return 0;
     }
     int used = state.slots.active() + state.slots.reserved();
-    if (backlog) {
-      return state.slots.limit();
-    }
-    return used == 0 ? 0 : Math.min(state.slots.limit(), used + HEADROOM);
+    int wanted = used + waiting;
+    return wanted == 0 ? 0 : Math.min(state.slots.limit(), wanted + HEADROOM);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/SlotLedger.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/SlotLedger.java
@@ -121,13 +121,14 @@
    * @return a number not below 0
    */
   public int usable(long now, boolean shared, int nodes) {
+    int left = Math.max(0, limit - others - refusals(now));
     if (!shared) {
-      return Math.max(0, limit - others - refusals(now));
+      return left;
     }
     if (granted >= 0 && now < grantedUntil) {
-      return Math.max(0, granted - refusals(now));
+      return Math.min(granted, left);
     }
-    return Math.max(1, limit / Math.max(1, nodes));
+    return Math.min(left, Math.max(1, limit / Math.max(1, nodes)));
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
@@ -25,6 +25,8 @@
  * @since 0.1
  */
 public final class UpstreamState {
+  private static final long RELEASE_RATE_NANOS = 50_000_000L;
+
   /** The name. */
   public final UpstreamName name;
 
@@ -59,6 +61,8 @@
   private Incarnation incarnation;
   private LoadReport report;
   private int unanswered;
+  private double releaseRate;
+  private long releaseRateUntil;
 
   /**
    * Creates the state of an upstream.
@@ -206,6 +210,20 @@
     return configured && health.takes(attempts.size());
   }
 
+  /**
+   * Predicts the rate at which slots come free; at most some time old.
+   *
+   * @param now the time
+   * @return slots a nanosecond
+   */
+  double releaseRate(long now) {
+    if (now >= releaseRateUntil) {
+      releaseRateUntil = now + RELEASE_RATE_NANOS;
+      releaseRate = Releases.rate(this, now);
+    }
+    return releaseRate;
+  }
+
   void join(Membership member) {
     memberships.add(member);
   }
