--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Health.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Health.java
@@ -86,7 +86,7 @@
    * @return true if this ends an ejection
    */
   public boolean restore() {
-    boolean wasOut = state != State.UP;
+    final boolean wasOut = state != State.UP;
     state = State.UP;
     failures = 0;
     ejections = 0;
