--- a/org.larkkeel.test/src/test/java/org/larkkeel/router/Script.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/Script.java
@@ -13,6 +13,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.larkkeel.call.Call;
+import org.larkkeel.config.Configuration;
 import org.larkkeel.effect.Effect;
 import org.larkkeel.effect.Fact;
 import org.larkkeel.errors.ErrorKind;
@@ -78,11 +80,11 @@
         .toList();
   }
 
-  Script configure(org.larkkeel.config.Configuration configuration) {
+  Script configure(Configuration configuration) {
     return apply(new Event.ConfigurationAccepted(now, configuration));
   }
 
-  Script arrive(org.larkkeel.call.Call call) {
+  Script arrive(Call call) {
     return apply(new Event.RequestArrived(now, call));
   }
 
@@ -107,7 +109,7 @@
   }
 
   /** Brings a completion to its decode. */
-  Effect.StartDecode toDecode(org.larkkeel.call.Call.Completion call) {
+  Effect.StartDecode toDecode(Call.Completion call) {
     arrive(call);
     prefilled(only(Effect.StartPrefill.class).attempt());
     transferred(only(Effect.StartTransfer.class).attempt());
--- a/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
@@ -11,6 +11,7 @@
 import org.larkkeel.effect.EffectSink;
 import org.larkkeel.effect.Fact;
 import org.larkkeel.event.Event;
+import org.larkkeel.event.Exposure;
 import org.larkkeel.event.LoadReport;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.lib.UpstreamName;
@@ -140,13 +141,20 @@
           core.claims.settledLate(settled.attempt(), former, settled.outcome());
       case Event.DecodeDone done -> {}
       case Event.PlainDone done -> {}
-      case Event.AttemptFailed failed -> {}
+      case Event.AttemptFailed failed -> {
+        if (failed.exposure() == Exposure.MAY_HAVE_RUN) {
+          cancelLate(failed, former);
+        }
+      }
       case Event.RecordSettled settled -> {}
       case Event.CancelSettled settled -> {}
     }
   }
 
   private void cancelLate(Event.OfAttempt event, Former former) {
+    if (former.upstream() == null) {
+      return;
+    }
     core.cancels.cancel(event.attempt(), former.request(), former.upstream());
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Arrivals.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Arrivals.java
@@ -82,7 +82,7 @@
    * @param gone the route
    */
   public void reroute(Route gone) {
-    for (Lane lane : gone.lanes) {
+    for (Lane lane : gone.lanes.values()) {
       while (lane.head() != null) {
         RequestState request = lane.head();
         lane.remove(request);
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Pace.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Pace.java
@@ -29,7 +29,7 @@
    */
   public void left(long now, int others) {
     if (backlogged) {
-      double gap = Math.min(now - lastAt, NANOS_PER_SECOND * 10);
+      double gap = Math.min((double) (now - lastAt), NANOS_PER_SECOND * 10);
       interval = interval == 0 ? gap : interval + STEP * (gap - interval);
     }
     lastAt = now;
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/PoolIndex.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/PoolIndex.java
@@ -51,7 +51,7 @@
     }
     for (Upstream upstream : next.upstreams().values()) {
       Upstream before = current.upstreams().get(upstream.name());
-      if (upstream != before && !upstream.equals(before)) {
+      if (!upstream.equals(before)) {
         place(upstream, before, next, touched);
       }
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Rates.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Rates.java
@@ -43,7 +43,7 @@
    * @param nanos time taken
    */
   public void prefilled(int tokens, long nanos) {
-    prefill.add(tokens, nanos);
+    prefill.add(tokens, (double) nanos);
     if (prior != null) {
       prior.prefilled(tokens, nanos);
     }
@@ -68,7 +68,7 @@
    * @param nanos time from the start of the transfer to the end
    */
   public void held(long nanos) {
-    stay.add(1, nanos);
+    stay.add(1, (double) nanos);
     if (prior != null) {
       prior.held(nanos);
     }
@@ -80,7 +80,7 @@
    * @param nanos time taken
    */
   public void served(long nanos) {
-    service.add(1, nanos);
+    service.add(1, (double) nanos);
     if (prior != null) {
       prior.served(nanos);
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Route.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Route.java
@@ -6,7 +6,9 @@
 
 package org.larkkeel.router.internal;
 
-import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -37,8 +39,8 @@
   /** What identifies it. */
   public final Key key;
 
-  /** Lanes in the order of {@link LaneKind}. */
-  final ImmutableList<Lane> lanes;
+  /** A lane of each kind. */
+  final ImmutableMap<LaneKind, Lane> lanes;
 
   /** Requests whose KV cache is held and that wait for a decode slot, oldest first. */
   final Map<RequestId, RequestState> held = new LinkedHashMap<>();
@@ -68,11 +70,7 @@
     this.key = key;
     this.rule = rule;
     this.lengths = new OutputLengths(guess);
-    ImmutableList.Builder<Lane> builder = ImmutableList.builder();
-    for (int i = 0; i < LaneKind.values().length; i++) {
-      builder.add(new Lane());
-    }
-    lanes = builder.build();
+    lanes = Maps.toMap(EnumSet.allOf(LaneKind.class), kind -> new Lane());
   }
 
   /**
@@ -168,7 +166,7 @@
    * @return the lane
    */
   public Lane lane(LaneKind kind) {
-    return lanes.get(kind.ordinal());
+    return lanes.get(kind);
   }
 
   /**
@@ -178,8 +176,8 @@
    */
   public int queued() {
     int count = 0;
-    for (int i = 0; i < lanes.size(); i++) {
-      count += lanes.get(i).size();
+    for (Lane lane : lanes.values()) {
+      count += lane.size();
     }
     return count;
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/TokenBucket.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/TokenBucket.java
@@ -7,7 +7,7 @@
 package org.larkkeel.router.internal;
 
 /**
- * A rate limit that saves up a second's worth; something larger than that leaves a debt.
+ * A rate limit that saves up for a short burst; something larger than that leaves a debt.
  *
  * <p>Not safe for use by several threads.
  *
@@ -15,6 +15,7 @@
  */
 public final class TokenBucket {
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final double BURST_SECONDS = 0.2;
 
   private double rate;
   private double saved;
@@ -71,6 +72,6 @@
   }
 
   private double capacity() {
-    return Math.max(1, rate);
+    return Math.max(1, rate * BURST_SECONDS);
   }
 }
