Keep the configuration and its audit trail on the log

The entry number is the one revision that every node compares. A change is judged on the newest revision, is appended at the place after it, and is judged again when another change takes that place, so that each accepted change was valid on exactly the revision before it. Changes of other objects do not conflict; a conflict names the other change. Proposing the same id again returns the revision that it made. A replica stops at an entry that it can not read rather than differ from the others.

--- /dev/null
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/config/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the configuration on the log. */
+package org.larkkeel.platform.config;
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/config/AuditEntry.java
@@ -0,0 +1,19 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.config;
+
+import org.larkkeel.config.Change;
+import org.larkkeel.lib.Revision;
+
+/**
+ * One accepted change: who, when, what and why. Immutable.
+ *
+ * @param revision the revision that it made, never null
+ * @param change the change, never null
+ * @since 0.1
+ */
+public record AuditEntry(Revision revision, Change change) {}
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/config/ConfigStore.java
@@ -0,0 +1,270 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.larkkeel.config.Change;
+import org.larkkeel.config.ChangeCodec;
+import org.larkkeel.config.Changes;
+import org.larkkeel.config.Checked;
+import org.larkkeel.config.Configuration;
+import org.larkkeel.config.Problems;
+import org.larkkeel.lib.Revision;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.log.AppendResult;
+import org.larkkeel.platform.log.LogEntry;
+import org.larkkeel.platform.log.LogFollower;
+import org.larkkeel.platform.log.LogSnapshot;
+import org.larkkeel.platform.log.ObjectLog;
+import org.larkkeel.platform.log.Prior;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The configuration on an append-only log. The entry's number is the revision, the log is the audit
+ * trail.
+ *
+ * <p>Invariants: the revision in force on this node never decreases; a change is accepted at most
+ * once, however often it is proposed with the same id (within the audit trail); each accepted
+ * change was valid on exactly the revision before it. Safe for use by several threads: the state is
+ * confined to the scheduler.
+ *
+ * @since 0.1
+ */
+public final class ConfigStore implements AutoCloseable {
+  /** The name of the log. */
+  public static final String LOG_NAME = "configlog";
+
+  /** Changes between snapshots. */
+  public static final int SNAPSHOT_ENTRIES = 64;
+
+  private static final Logger LOG = LoggerFactory.getLogger(ConfigStore.class);
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+  private final ObjectLog log;
+  private final Scheduler scheduler;
+  private final Consumer<Configuration> listener;
+  private final ConfigReplica replica = new ConfigReplica();
+  private LogFollower follower;
+
+  /**
+   * Creates a store that has not begun.
+   *
+   * @param log the log named {@link #LOG_NAME}
+   * @param scheduler the log's scheduler
+   * @param listener receives each configuration that comes into force, on the scheduler
+   */
+  public ConfigStore(ObjectLog log, Scheduler scheduler, Consumer<Configuration> listener) {
+    this.log = log;
+    this.scheduler = scheduler;
+    this.listener = listener;
+  }
+
+  /** Begins to follow the log; called once, before anything else. */
+  public void start() {
+    scheduler.execute(() -> follower = log.follow(0, new Following()));
+  }
+
+  /**
+   * Proposes a change. Changes of other objects accepted since its base do not stand against it.
+   *
+   * @param change the change, signed by its author
+   * @return the answer; never fails
+   */
+  public CompletableFuture<ProposeResult> propose(Change change) {
+    CompletableFuture<ProposeResult> result = new CompletableFuture<>();
+    scheduler.execute(() -> new Proposal(change, result).refresh());
+    return result;
+  }
+
+  /**
+   * Lists accepted changes.
+   *
+   * @param after only changes after this revision
+   * @return the changes in order
+   */
+  public CompletableFuture<ImmutableList<AuditEntry>> audit(Revision after) {
+    return onScheduler(() -> replica.audit(after));
+  }
+
+  /**
+   * Saves the state for a peer that can not reach the store.
+   *
+   * @return the state after the revision in force
+   */
+  public CompletableFuture<LogSnapshot> save() {
+    return onScheduler(
+        () -> new LogSnapshot(replica.configuration().revision().value(), replica.save()));
+  }
+
+  /**
+   * Takes a state over from a peer; an older one than that in force changes nothing.
+   *
+   * @param snapshot what {@link #save} returned there
+   */
+  public void offer(LogSnapshot snapshot) {
+    scheduler.execute(() -> follower.offer(snapshot));
+  }
+
+  /**
+   * When the store last answered.
+   *
+   * @return the scheduler's time in nanoseconds
+   */
+  public CompletableFuture<Long> contactNanos() {
+    return onScheduler(() -> follower.contactNanos());
+  }
+
+  @Override
+  public void close() {
+    scheduler.execute(() -> follower.close());
+  }
+
+  private <T> CompletableFuture<T> onScheduler(Supplier<T> read) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    scheduler.execute(() -> result.complete(read.get()));
+    return result;
+  }
+
+  private void changed(Revision before) {
+    if (replica.configuration().revision().isAfter(before)) {
+      listener.accept(replica.configuration());
+    }
+    replica.unreadable().ifPresent(r -> LOG.error("event=configuration-unreadable revision={}", r));
+  }
+
+  private void snapshotIfDue(LogEntry e) {
+    if (e.number() % SNAPSHOT_ENTRIES == 0) {
+      log.writeSnapshot(new LogSnapshot(e.number(), replica.save()))
+          .exceptionally(
+              t -> {
+                LOG.warn("event=snapshot-failed log={} cause=\"{}\"", LOG_NAME, t.getMessage());
+                return null;
+              });
+    }
+  }
+
+  /** Applies what the follower delivers. */
+  private final class Following implements LogFollower.Listener {
+    @Override
+    public void snapshot(LogSnapshot s) {
+      Revision before = replica.configuration().revision();
+      replica.restore(s);
+      changed(before);
+    }
+
+    @Override
+    public void entry(LogEntry e) {
+      Revision before = replica.configuration().revision();
+      replica.apply(e);
+      changed(before);
+    }
+  }
+
+  /** One change on its way. */
+  private final class Proposal {
+    private final Change change;
+    private final CompletableFuture<ProposeResult> result;
+    private Problems warnings = Problems.NONE;
+    private ProposeResult ofFailure = new ProposeResult.Unavailable();
+    private final long deadline = scheduler.nanoTime() + PATIENCE.toNanos();
+
+    Proposal(Change change, CompletableFuture<ProposeResult> result) {
+      this.change = change;
+      this.result = result;
+    }
+
+    /** Reads what was accepted meanwhile, so that the change is judged on the newest revision. */
+    void refresh() {
+      log.read(follower.last())
+          .whenComplete(
+              (view, failure) -> {
+                if (failure != null) {
+                  result.complete(ofFailure);
+                  return;
+                }
+                ofFailure = new ProposeResult.Unavailable();
+                view.snapshot().ifPresent(follower::offer);
+                view.entries().forEach(follower::offer);
+                judge();
+              });
+    }
+
+    private void judge() {
+      Optional<AuditEntry> accepted = replica.find(change.id());
+      if (accepted.isPresent()) {
+        accept(accepted.get().revision());
+        return;
+      }
+      Optional<AuditEntry> conflict = conflict();
+      if (conflict.isPresent()) {
+        result.complete(new ProposeResult.Conflict(conflict.get()));
+        return;
+      }
+      switch (Changes.apply(replica.configuration(), change)) {
+        case Checked.Invalid<Configuration> i ->
+            result.complete(new ProposeResult.Invalid(i.problems()));
+        case Checked.Valid<Configuration> v -> {
+          warnings = v.warnings();
+          append(next(), Prior.NONE);
+        }
+      }
+    }
+
+    private Optional<AuditEntry> conflict() {
+      List<AuditEntry> since = replica.audit(change.base());
+      List<Change> changes = since.stream().map(AuditEntry::change).toList();
+      return Changes.findConflict(change, changes).flatMap(c -> replica.find(c.id()));
+    }
+
+    private LogEntry next() {
+      List<JsonNode> records = List.of(ChangeCodec.toJson(change));
+      return LogEntry.records(follower.last() + 1, log.nextAppend(), records);
+    }
+
+    private void append(LogEntry e, Prior prior) {
+      log.append(e).setPrior(prior).call().thenAccept(r -> appended(e, r));
+    }
+
+    private void appended(LogEntry e, AppendResult r) {
+      switch (r) {
+        case AppendResult.Appended a -> {
+          follower.offer(e);
+          accept(new Revision(e.number()));
+          snapshotIfDue(e);
+        }
+        case AppendResult.Lost l -> again(new ProposeResult.Unavailable(), this::refresh);
+        case AppendResult.Forgotten f -> {
+          ofFailure = new ProposeResult.OutcomeUnknown();
+          again(ofFailure, this::refresh);
+        }
+        case AppendResult.NotAppended n -> result.complete(new ProposeResult.Unavailable());
+        case AppendResult.Unresolved u ->
+            again(new ProposeResult.OutcomeUnknown(), () -> append(e, Prior.UNRESOLVED));
+      }
+    }
+
+    private void again(ProposeResult afterDeadline, Runnable step) {
+      if (scheduler.nanoTime() - deadline >= 0) {
+        result.complete(afterDeadline);
+      } else {
+        step.run();
+      }
+    }
+
+    private void accept(Revision revision) {
+      result.complete(new ProposeResult.Accepted(revision, warnings));
+    }
+  }
+}
