Test against the stand-ins and in a crowd; cancel at services by closing

A cancel after the end of a plain call went to the service as an engine's cancel; now an upstream that has taken plain calls gets none. A replayed stream carried the body of a whole answer; it now carries one chunk.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/Node.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/Node.java
@@ -163,6 +163,11 @@
     return await(Event.RequestArrived.class).call().id();
   }
 
+  /** Waits for the next event, of whatever type. */
+  public Event next() throws InterruptedException {
+    return await(Event.class);
+  }
+
   /** Events that nobody has taken yet. */
   public int waitingEvents() {
     return events.size();
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import org.larkkeel.call.Call;
 import org.larkkeel.effect.Effect;
 import org.larkkeel.errors.ErrorKind;
@@ -37,6 +38,7 @@
   private static final int MAX_BODY = 1_000;
   private static final int MAX_PENDING = 64 << 10;
   private static final int SHORT_MILLIS = 200;
+  private static final int LONG_MILLIS = 60_000;
 
   /** A node that is started anew for each test. */
   public abstract static class WithNode {
@@ -249,6 +251,30 @@
       assertEquals(node.waitingEvents(), 0);
     }
 
+    /** Callers that do not take their answers are cut off and give back what they held. */
+    @Test
+    public void stalledReadersAreCutOff() throws Exception {
+      String body = "x".repeat(MAX_BODY);
+      try (RawCaller one = node.call();
+          RawCaller two = node.call();
+          RawCaller three = node.call()) {
+        for (RawCaller caller : ImmutableList.of(one, two, three)) {
+          caller.send("POST", "/large", "", body);
+          RequestRecord record = node.table.remove(node.arrival()).orElseThrow();
+          record.replay(new RecordedAnswer(200, ImmutableList.of(), new byte[32 << 20]));
+        }
+        int status = 503;
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Node.PATIENCE_SECONDS);
+        while (status == 503 && System.nanoTime() < end) {
+          try (RawCaller next = node.call()) {
+            next.send("POST", "/next", "Idempotency-Key: \r\n", body);
+            status = next.head().status();
+          }
+        }
+        assertEquals(status, 400, "memory is free again, so the request is looked at");
+      }
+    }
+
     /** Half-sent bodies give back the memory that was kept for them. */
     @Test
     public void givesMemoryBack() throws Exception {
@@ -263,6 +289,12 @@
 
   /** Callers that go away. */
   public static class Departures extends WithNode {
+    @Override
+    protected CallerSettings settings(CallerSettings defaults) {
+      return super.settings(defaults)
+          .withTimeouts(LONG_MILLIS, LONG_MILLIS, LONG_MILLIS, LONG_MILLIS);
+    }
+
     /** The ways to go. */
     @DataProvider
     public Object[][] ways() {
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/CrowdTest.java
@@ -0,0 +1,155 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ConcurrentHashMultiset;
+import com.google.common.collect.Multiset;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.larkkeel.effect.Effect;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.event.Event;
+import org.larkkeel.http.Node;
+import org.larkkeel.http.RawCaller;
+import org.larkkeel.http.ScriptedServer;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamName;
+import org.testng.annotations.Test;
+
+/** Many callers at once, some of which leave, at an upstream of which some answers break. */
+public class CrowdTest {
+  private static final int CALLERS = 12;
+  private static final int REQUESTS_EACH = 40;
+  private static final long TIMEOUT = TimeUnit.SECONDS.toNanos(Node.PATIENCE_SECONDS);
+  private static final long SEED = 42;
+
+  /** What holds whatever happens. */
+  public static class Invariants {
+    private final Multiset<AttemptId> outcomes = ConcurrentHashMultiset.create();
+    private final Map<AttemptId, RequestId> requests = new HashMap<>();
+    private final AtomicLong lastAttempt = new AtomicLong();
+    private final ConcurrentLinkedQueue<String> wrong = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger answered = new AtomicInteger();
+    private int ended;
+
+    /**
+     * Each attempt has one outcome, each request one end, each caller its own answer, and nothing
+     * is left over.
+     */
+    @Test
+    public void holdInCrowd() throws Exception {
+      AtomicInteger served = new AtomicInteger();
+      try (Node node = new Node();
+          ScriptedServer service =
+              new ScriptedServer(
+                  (q, a) -> {
+                    int n = served.incrementAndGet();
+                    if (n % 7 == 0) {
+                      a.raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab").socket().close();
+                    } else if (n % 11 == 0) {
+                      a.socket().close();
+                    } else {
+                      a.whole(200, "for " + q.target());
+                    }
+                  })) {
+        UpstreamName at = node.upstream("s", service.address());
+        CountDownLatch callers = new CountDownLatch(CALLERS);
+        for (int i = 0; i < CALLERS; i++) {
+          int caller = i;
+          Thread.ofVirtual().start(() -> run(node, caller, callers));
+        }
+        reduce(node, at);
+        assertTrue(callers.await(Node.PATIENCE_SECONDS, TimeUnit.SECONDS));
+        assertEquals(wrong.toString(), "[]");
+        assertEquals(node.table.size(), 0);
+        assertEquals(outcomes.size(), requests.size());
+        assertEquals(outcomes.elementSet(), requests.keySet());
+        assertTrue(answered.get() > CALLERS * REQUESTS_EACH / 2, answered + " answered");
+      }
+    }
+
+    /** Plays the reducer until every request has ended. */
+    private void reduce(Node node, UpstreamName at) throws Exception {
+      while (ended < CALLERS * REQUESTS_EACH || outcomes.size() < requests.size()) {
+        switch (node.next()) {
+          case Event.RequestArrived e -> {
+            AttemptId attempt = new AttemptId(lastAttempt.incrementAndGet());
+            requests.put(attempt, e.call().id());
+            node.execute(new Effect.SendPlain(attempt, e.call().id(), at, TIMEOUT));
+          }
+          case Event.PlainDone e -> {
+            outcomes.add(e.attempt());
+            end(node, new Effect.Complete(requests.get(e.attempt()), e.attempt()), e.attempt());
+          }
+          case Event.AttemptFailed e -> {
+            outcomes.add(e.attempt());
+            RequestId request = requests.get(e.attempt());
+            end(
+                node,
+                new Effect.Refuse(request, ErrorKind.UPSTREAM_FAILED, 0, "It failed."),
+                e.attempt());
+          }
+          case Event.CallerGone e -> {
+            if (node.table.find(e.request()).isPresent()) {
+              node.execute(new Effect.Forget(e.request()));
+              ended++;
+            }
+          }
+          default -> throw new AssertionError("unexpected event");
+        }
+      }
+    }
+
+    private void end(Node node, Effect last, AttemptId attempt) {
+      if (node.table.find(requests.get(attempt)).isPresent()) {
+        node.execute(last);
+        ended++;
+      }
+    }
+
+    private void run(Node node, int number, CountDownLatch done) {
+      Random random = new Random(SEED + number);
+      try {
+        for (int i = 0; i < REQUESTS_EACH; i++) {
+          String target = "/" + number + "/" + i;
+          try (RawCaller caller = node.call()) {
+            caller.send("GET", target, "", "");
+            if (random.nextInt(5) > 0) {
+              check(target, caller.answer());
+            }
+          }
+        }
+      } catch (Exception e) {
+        wrong.add(e.toString());
+      } finally {
+        done.countDown();
+      }
+    }
+
+    private void check(String target, RawCaller.Answer answer) throws IOException {
+      answered.incrementAndGet();
+      boolean right =
+          answer.status() == 200
+              ? answer.body().equals("for " + target)
+              : answer.status() == 502 && answer.body().contains("may-have-run");
+      if (!right) {
+        wrong.add(target + " got " + answer.status() + " " + answer.body());
+      }
+    }
+  }
+}
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
@@ -25,6 +25,7 @@
 import org.larkkeel.http.Node;
 import org.larkkeel.http.RawCaller;
 import org.larkkeel.http.ScriptedServer;
+import org.larkkeel.http.upstream.UpstreamAddress;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamName;
@@ -262,6 +263,59 @@
       }
     }
 
+    /** Answers without a body end, and their connection can be used again. */
+    @Test
+    public void passesBodylessAnswers() throws Exception {
+      try (ScriptedServer service =
+              new ScriptedServer(
+                  (q, a) -> {
+                    if (q.method().equals("HEAD")) {
+                      a.raw("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
+                    } else {
+                      a.raw("HTTP/1.1 " + q.target().substring(1) + " X\r\n\r\n");
+                    }
+                  });
+          RawCaller caller = node.call()) {
+        UpstreamName at = engine("s", service);
+        int attempt = 0;
+        for (String request : ImmutableList.of("HEAD /a", "DELETE /204", "GET /304", "HEAD /b")) {
+          String[] parts = request.split(" ", 2);
+          caller.send(parts[0], parts[1], "", "");
+          RequestId id = node.arrival();
+          AttemptId next = new AttemptId(++attempt);
+          node.plain(next, id, at);
+          node.await(Event.PlainDone.class);
+          node.execute(new Effect.Complete(id, next));
+          String status = parts[1].length() == 4 ? parts[1].substring(1) : "200";
+          assertEquals(Integer.toString(caller.head().status()), status);
+        }
+        assertEquals(node.client.openConnections(new UpstreamAddress(service.address())), 1);
+      }
+    }
+
+    /** A service gets no engine's cancel, also when the request has ended before. */
+    @Test
+    public void cancelsByClosing() throws Exception {
+      CountDownLatch never = new CountDownLatch(1);
+      try (ScriptedServer service = new ScriptedServer((q, a) -> never.await());
+          RawCaller caller = node.call()) {
+        caller.send("GET", "/slow", "", "");
+        RequestId id = node.arrival();
+        UpstreamName at = engine("s", service);
+        node.plain(FIRST, id, at);
+        service.next();
+        node.execute(new Effect.Refuse(id, ErrorKind.DEADLINE_EXCEEDED, 0, "Late."));
+        assertEquals(caller.answer().status(), 504);
+        node.execute(new Effect.Cancel(FIRST, id, at));
+        for (int i = 0; i < 2; i++) {
+          Event.OfAttempt outcome = node.await(Event.OfAttempt.class);
+          assertEquals(outcome.attempt(), FIRST);
+        }
+        assertEquals(service.waitingRequests(), 0);
+      }
+      never.countDown();
+    }
+
     /** A recorded answer is given again. */
     @Test
     public void replays() throws Exception {
@@ -274,6 +328,25 @@
         assertEquals(caller.answer().body(), "again");
       }
     }
+
+    /** A recorded completion is given again in the form that was asked for. */
+    @Test
+    public void replaysStream() throws Exception {
+      byte[] body =
+          ("{\"choices\":[{\"message\":{\"role\":\"assistant\",\"content\":\"abc\"},"
+                  + "\"finish_reason\":\"stop\"}]}")
+              .getBytes(StandardCharsets.UTF_8);
+      try (RawCaller caller = node.call()) {
+        caller.send("POST", "/v1/chat/completions", "Idempotency-Key: k\r\n", Answers.chat(true));
+        RequestId id = node.arrival();
+        node.table.keepRecorded(id, new RecordedAnswer(200, ImmutableList.of(), body));
+        node.execute(new Effect.Replay(id, FIRST));
+        String answer = caller.answer().body();
+        assertEquals(Answers.texts(answer), "abc");
+        assertTrue(answer.contains("chat.completion.chunk"), answer);
+        assertTrue(answer.endsWith("data: [DONE]\n\n"), answer);
+      }
+    }
   }
 
   /** Small readers of answers. */
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/request/Canceller.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/Canceller.java
@@ -37,7 +37,7 @@
       completion.stop(e.attempt());
     }
     attempts.abort(e.attempt());
-    if (request instanceof PlainRecord) {
+    if (attempts.addresses().isService(e.upstream())) {
       settle(e.attempt(), CancelOutcome.ACKNOWLEDGED);
       return;
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/request/CompletionFormat.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/CompletionFormat.java
@@ -6,9 +6,12 @@
 
 package org.larkkeel.http.request;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import org.larkkeel.http.Json;
 import org.larkkeel.http.upstream.Token;
@@ -71,7 +74,20 @@
         Json.bytes(root));
   }
 
-  static byte[] sse(byte[] data) {
+  /** The one event of a stream that repeats a recorded body. */
+  byte[] replayed(byte[] body) {
+    JsonNode choice;
+    try {
+      choice = Json.parse(body).path("choices").path(0);
+    } catch (IOException e) {
+      throw new UncheckedIOException("a recorded answer is not JSON", e);
+    }
+    JsonNode text = choice.path(style == CompletionStyle.CHAT ? "message" : "text");
+    String content = text.isObject() ? text.path("content").asText() : text.asText();
+    return event(new Token(0, content, choice.path("finish_reason").asText()));
+  }
+
+  private static byte[] sse(byte[] data) {
     byte[] before = "data: ".getBytes(StandardCharsets.UTF_8);
     byte[] event = new byte[before.length + data.length + 2];
     System.arraycopy(before, 0, event, 0, before.length);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/request/CompletionRecord.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/CompletionRecord.java
@@ -182,7 +182,7 @@
       channel.answer(recorded);
       return;
     }
-    channel.stream(CompletionFormat.sse(recorded.body()));
+    channel.stream(format.replayed(recorded.body()));
     channel.stream(CompletionFormat.END);
     channel.endStream();
   }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/request/PlainSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/PlainSender.java
@@ -41,6 +41,7 @@
   }
 
   void send(Effect.SendPlain e, PlainRecord request, UpstreamAddress address) {
+    attempts.addresses().markService(e.upstream());
     Running step = attempts.begin(e.attempt());
     request.start(e.attempt());
     WholeAnswer collector =
