--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/Node.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/Node.java
@@ -106,6 +106,16 @@
                 InstantSource.system()));
   }
 
+  /** Where callers connect. */
+  public InetSocketAddress address() {
+    return listener.address();
+  }
+
+  /** Takes the certificate anew. */
+  public void reloadTls() {
+    listener.reloadTls();
+  }
+
   /** Connects a caller. */
   public RawCaller call() throws Exception {
     return new RawCaller(listener.address());
