Give the tests of stalled readers long timeouts for all but the stall

On a busy machine a caller needed longer than 200 ms between connecting and sending, so that its connection was closed as idle and no request arrived.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
@@ -215,7 +215,7 @@
     @Override
     protected CallerSettings settings(CallerSettings defaults) {
       return super.settings(defaults)
-          .withTimeouts(SHORT_MILLIS, SHORT_MILLIS, SHORT_MILLIS, SHORT_MILLIS);
+          .withTimeouts(SHORT_MILLIS, SHORT_MILLIS, LONG_MILLIS, LONG_MILLIS);
     }
 
     /** A body that stops is refused and its connection closed. */
@@ -251,6 +251,26 @@
       assertEquals(node.waitingEvents(), 0);
     }
 
+    /** Half-sent bodies give back the memory that was kept for them. */
+    @Test
+    public void givesMemoryBack() throws Exception {
+      for (int i = 0; i < 5; i++) {
+        try (RawCaller caller = node.call()) {
+          caller.raw("POST /x HTTP/1.1\r\n" + WORKSPACE + "Content-Length: 1000\r\n\r\nabc");
+          assertEquals(caller.answer().status(), 408, "three bodies would fill the memory");
+        }
+      }
+    }
+  }
+
+  /** Callers that do not read. */
+  public static class Stalled extends WithNode {
+    @Override
+    protected CallerSettings settings(CallerSettings defaults) {
+      return super.settings(defaults)
+          .withTimeouts(LONG_MILLIS, LONG_MILLIS, LONG_MILLIS, SHORT_MILLIS);
+    }
+
     /** Callers that do not take their answers are cut off and give back what they held. */
     @Test
     public void stalledReadersAreCutOff() throws Exception {
@@ -274,17 +294,6 @@
         assertEquals(status, 400, "memory is free again, so the request is looked at");
       }
     }
-
-    /** Half-sent bodies give back the memory that was kept for them. */
-    @Test
-    public void givesMemoryBack() throws Exception {
-      for (int i = 0; i < 5; i++) {
-        try (RawCaller caller = node.call()) {
-          caller.raw("POST /x HTTP/1.1\r\n" + WORKSPACE + "Content-Length: 1000\r\n\r\nabc");
-          assertEquals(caller.answer().status(), 408, "three bodies would fill the memory");
-        }
-      }
-    }
   }
 
   /** Callers that go away. */
