Keep limits, load and slots steady under contention; add trials

Only a single prompt larger than the bucket may go into debt now.

Slots: slots that run without a lease fall by a tenth a report, since two owners that saw room filled it at once again and again.

--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/TestNodes.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/TestNodes.java
@@ -52,10 +52,15 @@
   }
 
   static List<PeerNode> startAll(int count, PeerListener listener) throws IOException {
+    return startAll(count, listener, fast());
+  }
+
+  static List<PeerNode> startAll(int count, PeerListener listener, MembershipSettings membership)
+      throws IOException {
     List<PeerNode> nodes = new ArrayList<>();
     List<NodeAddress> seeds = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      PeerSettings settings = settings("host-" + i, 1, seeds);
+      PeerSettings settings = settings("host-" + i, 1, seeds).setMembership(membership);
       PeerNode node = PeerNode.start(settings, listener, TestNodes::noConfig);
       nodes.add(node);
       seeds.add(node.address());
--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/limits/LimitTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/limits/LimitTest.java
@@ -150,13 +150,22 @@
     public void repeatedAskGetsSameGrant() {
       LimitOwner owner = new LimitOwner(new RateLimit(10, 10), 0);
       NodeId holder = new NodeId(new HostName("host-1"), new Incarnation(1));
-      LimitAsk ask = new LimitAsk("w", 1, 4, 4, 0, 0);
+      LimitAsk ask = new LimitAsk("w", 1, 4, 4, 0, 0, 0);
       LimitGrant first = owner.ask(0, holder, ask);
       assertEquals(owner.ask(0, holder, ask), first);
-      LimitGrant next = owner.ask(0, holder, new LimitAsk("w", 2, 100, 0, 0, 0));
+      LimitGrant next = owner.ask(0, holder, new LimitAsk("w", 2, 100, 0, 0, 0, 0));
       assertEquals(next.requests(), 3, "the repeated ask was counted twice");
     }
 
+    @Test
+    public void manyRequestsAtOnceGetNoMoreThanTheLimit() {
+      LimitOwner owner = new LimitOwner(new RateLimit(2, 1_000), 0);
+      NodeId holder = new NodeId(new HostName("host-1"), new Incarnation(1));
+      LimitGrant grant = owner.ask(0, holder, new LimitAsk("w", 1, 10, 2_000, 0, 0, 200));
+      assertTrue(grant.requests() <= 2, "requests: " + grant.requests());
+      assertTrue(grant.tokens() <= 1_000, "tokens: " + grant.tokens());
+    }
+
     @Test
     public void promptLargerThanOneSecondIsAdmittedOnce() {
       Sim sim = new Sim(1, new RateLimit(10, 100));
--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/slots/SlotSim.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/slots/SlotSim.java
@@ -30,6 +30,8 @@
   private final SlotSettings settings;
   final List<SlotOwner> owners = new ArrayList<>();
   final List<Node> nodes = new ArrayList<>();
+  long shortest = 20 * MILLI;
+  long longest = 100 * MILLI;
   double loss;
   double duplication;
   long now;
@@ -79,7 +81,8 @@
         waiting.remove(outcome.id());
         if (outcome.result() == SlotHolder.Result.ACQUIRED) {
           acquired++;
-          finishAt.put(outcome.id(), now + 20 * MILLI + (long) (random.nextDouble() * 80 * MILLI));
+          finishAt.put(
+              outcome.id(), now + shortest + (long) (random.nextDouble() * (longest - shortest)));
         } else {
           timedOut++;
         }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/WireLimitAsk.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/WireLimitAsk.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField TOKENS_WANTED_FIELD_DESC = new org.apache.thrift.protocol.TField("tokensWanted", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField REQUESTS_RETURNED_FIELD_DESC = new org.apache.thrift.protocol.TField("requestsReturned", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField TOKENS_RETURNED_FIELD_DESC = new org.apache.thrift.protocol.TField("tokensReturned", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField TOKENS_OF_NEXT_FIELD_DESC = new org.apache.thrift.protocol.TField("tokensOfNext", org.apache.thrift.protocol.TType.I64, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireLimitAskStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireLimitAskTupleSchemeFactory();
@@ -26,6 +27,7 @@
   private long tokensWanted; // required
   private long requestsReturned; // required
   private long tokensReturned; // required
+  private long tokensOfNext; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     REQUESTS_WANTED((short)3, "requestsWanted"),
     TOKENS_WANTED((short)4, "tokensWanted"),
     REQUESTS_RETURNED((short)5, "requestsReturned"),
-    TOKENS_RETURNED((short)6, "tokensReturned");
+    TOKENS_RETURNED((short)6, "tokensReturned"),
+    TOKENS_OF_NEXT((short)7, "tokensOfNext");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -62,6 +65,8 @@
           return REQUESTS_RETURNED;
         case 6: // TOKENS_RETURNED
           return TOKENS_RETURNED;
+        case 7: // TOKENS_OF_NEXT
+          return TOKENS_OF_NEXT;
         default:
           return null;
       }
@@ -110,6 +115,7 @@
   private static final int __TOKENSWANTED_ISSET_ID = 2;
   private static final int __REQUESTSRETURNED_ISSET_ID = 3;
   private static final int __TOKENSRETURNED_ISSET_ID = 4;
+  private static final int __TOKENSOFNEXT_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -126,6 +132,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.TOKENS_RETURNED, new org.apache.thrift.meta_data.FieldMetaData("tokensReturned", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TOKENS_OF_NEXT, new org.apache.thrift.meta_data.FieldMetaData("tokensOfNext", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireLimitAsk.class, metaDataMap);
   }
@@ -139,7 +147,8 @@
     long requestsWanted,
     long tokensWanted,
     long requestsReturned,
-    long tokensReturned)
+    long tokensReturned,
+    long tokensOfNext)
   {
     this();
     this.workspace = workspace;
@@ -153,6 +162,8 @@
     setRequestsReturnedIsSet(true);
     this.tokensReturned = tokensReturned;
     setTokensReturnedIsSet(true);
+    this.tokensOfNext = tokensOfNext;
+    setTokensOfNextIsSet(true);
   }
 
   /**
@@ -168,6 +179,7 @@
     this.tokensWanted = other.tokensWanted;
     this.requestsReturned = other.requestsReturned;
     this.tokensReturned = other.tokensReturned;
+    this.tokensOfNext = other.tokensOfNext;
   }
 
   @Override
@@ -188,6 +200,8 @@
     this.requestsReturned = 0;
     setTokensReturnedIsSet(false);
     this.tokensReturned = 0;
+    setTokensOfNextIsSet(false);
+    this.tokensOfNext = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -330,6 +344,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENSRETURNED_ISSET_ID, value);
   }
 
+  public long getTokensOfNext() {
+    return this.tokensOfNext;
+  }
+
+  public WireLimitAsk setTokensOfNext(long tokensOfNext) {
+    this.tokensOfNext = tokensOfNext;
+    setTokensOfNextIsSet(true);
+    return this;
+  }
+
+  public void unsetTokensOfNext() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENSOFNEXT_ISSET_ID);
+  }
+
+  /** Returns true if field tokensOfNext is set (has been assigned a value) and false otherwise */
+  public boolean isSetTokensOfNext() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENSOFNEXT_ISSET_ID);
+  }
+
+  public void setTokensOfNextIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENSOFNEXT_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -381,6 +418,14 @@
       }
       break;
 
+    case TOKENS_OF_NEXT:
+      if (value == null) {
+        unsetTokensOfNext();
+      } else {
+        setTokensOfNext((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -406,6 +451,9 @@
     case TOKENS_RETURNED:
       return getTokensReturned();
 
+    case TOKENS_OF_NEXT:
+      return getTokensOfNext();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -430,6 +478,8 @@
       return isSetRequestsReturned();
     case TOKENS_RETURNED:
       return isSetTokensReturned();
+    case TOKENS_OF_NEXT:
+      return isSetTokensOfNext();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -501,6 +551,15 @@
         return false;
     }
 
+    boolean this_present_tokensOfNext = true;
+    boolean that_present_tokensOfNext = true;
+    if (this_present_tokensOfNext || that_present_tokensOfNext) {
+      if (!(this_present_tokensOfNext && that_present_tokensOfNext))
+        return false;
+      if (this.tokensOfNext != that.tokensOfNext)
+        return false;
+    }
+
     return true;
   }
 
@@ -522,6 +581,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokensReturned);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokensOfNext);
+
     return hashCode;
   }
 
@@ -593,6 +654,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTokensOfNext(), other.isSetTokensOfNext());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTokensOfNext()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokensOfNext, other.tokensOfNext);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -644,6 +715,10 @@
     sb.append("tokensReturned:");
     sb.append(this.tokensReturned);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("tokensOfNext:");
+    sb.append(this.tokensOfNext);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -739,6 +814,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // TOKENS_OF_NEXT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.tokensOfNext = iprot.readI64();
+              struct.setTokensOfNextIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -775,6 +858,9 @@
       oprot.writeFieldBegin(TOKENS_RETURNED_FIELD_DESC);
       oprot.writeI64(struct.tokensReturned);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TOKENS_OF_NEXT_FIELD_DESC);
+      oprot.writeI64(struct.tokensOfNext);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -812,7 +898,10 @@
       if (struct.isSetTokensReturned()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetTokensOfNext()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetWorkspace()) {
         oprot.writeString(struct.workspace);
       }
@@ -831,12 +920,15 @@
       if (struct.isSetTokensReturned()) {
         oprot.writeI64(struct.tokensReturned);
       }
+      if (struct.isSetTokensOfNext()) {
+        oprot.writeI64(struct.tokensOfNext);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireLimitAsk struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.workspace = iprot.readString();
         struct.setWorkspaceIsSet(true);
@@ -861,6 +953,10 @@
         struct.tokensReturned = iprot.readI64();
         struct.setTokensReturnedIsSet(true);
       }
+      if (incoming.get(6)) {
+        struct.tokensOfNext = iprot.readI64();
+        struct.setTokensOfNextIsSet(true);
+      }
     }
   }
 
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/Bucket.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/Bucket.java
@@ -37,14 +37,14 @@
    * Takes up to what is wanted. One need is met in full or in part, but nobody gets more than half
    * of what is there beyond a first unit, so that others get some as well.
    */
-  long take(long wanted, long now) {
+  long take(long wanted, long single, long now) {
     refill(now);
     if (wanted <= 0) {
       return 0;
     }
-    if (level >= rate && wanted > rate) {
-      level -= wanted;
-      return wanted;
+    if (level >= rate && single > rate) {
+      level -= single;
+      return single;
     }
     long most = (long) Math.max(Math.min(1, level), level / 2);
     long taken = Math.max(0, Math.min(wanted, most));
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitAsk.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitAsk.java
@@ -17,6 +17,7 @@
  * @param tokensWanted units of prompt tokens
  * @param requestsReturned units given back
  * @param tokensReturned units given back
+ * @param tokensOfNext prompt tokens of the request that is next; 0 if none waits
  * @since 0.1
  */
 public record LimitAsk(
@@ -25,4 +26,5 @@
     long requestsWanted,
     long tokensWanted,
     long requestsReturned,
-    long tokensReturned) {}
+    long tokensReturned,
+    long tokensOfNext) {}
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitHolder.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitHolder.java
@@ -161,6 +161,7 @@
     long returnedTokens = giveBack ? tokens : 0;
     requests -= returnedRequests;
     tokens -= returnedTokens;
+    long next = waiting.isEmpty() ? 0 : waiting.peekFirst().tokens();
     sequence++;
     open =
         Optional.of(
@@ -170,7 +171,8 @@
                 wantedRequests,
                 wantedTokens,
                 returnedRequests,
-                returnedTokens));
+                returnedTokens,
+                next));
     return open;
   }
 
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitOwner.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitOwner.java
@@ -8,6 +8,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.larkkeel.peer.membership.NodeId;
 
 /**
@@ -20,9 +21,12 @@
  * @since 0.1
  */
 public final class LimitOwner {
+  private static final long CONTENTION_TIME = TimeUnit.SECONDS.toNanos(1);
+
   private final Bucket requests;
   private final Bucket tokens;
   private final Map<NodeId, LimitGrant> lastGrants = new HashMap<>();
+  private final Map<NodeId, Long> contenders = new HashMap<>();
   private long usedAt;
 
   /**
@@ -64,11 +68,14 @@
     usedAt = now;
     requests.giveBack(ask.requestsReturned(), now);
     tokens.giveBack(ask.tokensReturned(), now);
-    long gotRequests = requests.take(ask.requestsWanted(), now);
-    long gotTokens = tokens.take(ask.tokensWanted(), now);
+    long gotRequests = requests.take(ask.requestsWanted(), 1, now);
+    long gotTokens = tokens.take(ask.tokensWanted(), ask.tokensOfNext(), now);
     long wait = 0;
+    boolean unmet = gotRequests < ask.requestsWanted() || gotTokens < ask.tokensWanted();
+    noteContender(now, holder, unmet);
     if (gotRequests < ask.requestsWanted()) {
-      wait = requests.timeUntil(1, now);
+      // Each contender waits for its turn, so that asks do not grow with their number.
+      wait = requests.timeUntil(contenders.size(), now);
     }
     if (gotTokens < ask.tokensWanted()) {
       wait = Math.max(wait, tokens.timeUntil(ask.tokensWanted() - gotTokens, now));
@@ -79,6 +86,15 @@
     return grant;
   }
 
+  private void noteContender(long now, NodeId holder, boolean unmet) {
+    contenders.values().removeIf(since -> now - since > CONTENTION_TIME);
+    if (unmet) {
+      contenders.put(holder, now);
+    } else {
+      contenders.remove(holder);
+    }
+  }
+
   /**
    * Forgets a dead node. What it held is lost, which errs on the safe side.
    *
@@ -86,6 +102,7 @@
    */
   public void forget(NodeId holder) {
     lastGrants.remove(holder);
+    contenders.remove(holder);
   }
 
   /**
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/MembershipSettings.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/MembershipSettings.java
@@ -45,6 +45,9 @@
     long tombstoneTime,
     int loadKeys) {
 
+  /** In small clusters few messages go out, and each may go to a node that knows already. */
+  private static final int MIN_RETRANSMITS = 8;
+
   /**
    * The settings for nodes some milliseconds apart, within 5 KB a second at 330 nodes.
    *
@@ -60,7 +63,7 @@
         4,
         4,
         440,
-        1_400,
+        1_800,
         1_150,
         TimeUnit.SECONDS.toNanos(30),
         TimeUnit.SECONDS.toNanos(5),
@@ -86,7 +89,7 @@
    * @return at least 1
    */
   int retransmits(int size) {
-    return (int) Math.ceil(retransmitFactor * powersOfTen(size));
+    return Math.max(MIN_RETRANSMITS, (int) Math.ceil(retransmitFactor * powersOfTen(size)));
   }
 
   private static double powersOfTen(int size) {
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/slots/SlotOwner.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/slots/SlotOwner.java
@@ -29,6 +29,9 @@
 public final class SlotOwner {
   private static final int MAX_WAITS = 1_024;
 
+  /** The part of the capacity by which slots that run without a lease may fall a report. */
+  private static final int UNLEASED_DECAY = 10;
+
   private final String key;
   private final SlotSettings settings;
   private final long grantFrom;
@@ -215,7 +218,10 @@
   private void capacity(SlotEvent.Capacity load) {
     capacity = load.slots();
     // The report lags: what was leased since the one before may still have been counted in it.
-    unleased = Math.max(0, load.running() - Math.max(peakLeased, leased()));
+    int observed = load.running() - Math.max(peakLeased, leased());
+    // Falls slowly, since two owners that both saw room would fill it at once, again and again.
+    int lowest = unleased - Math.max(1, capacity / UNLEASED_DECAY);
+    unleased = Math.max(0, Math.max(observed, lowest));
     peakLeased = leased();
   }
 
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/Leases.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/Leases.java
@@ -92,7 +92,8 @@
               ask.requestsWanted(),
               ask.tokensWanted(),
               ask.requestsReturned(),
-              ask.tokensReturned()));
+              ask.tokensReturned(),
+              ask.tokensOfNext()));
     }
     for (LimitGrant grant : limits) {
       batch.addToLimitGrants(
@@ -152,7 +153,8 @@
               ask.getRequestsWanted(),
               ask.getTokensWanted(),
               ask.getRequestsReturned(),
-              ask.getTokensReturned()));
+              ask.getTokensReturned(),
+              ask.getTokensOfNext()));
     }
     for (WireLimitGrant grant : orEmpty(batch.getLimitGrants())) {
       leases.limits.add(
--- a/org.larkkeel.peer/src/main/thrift/peer.thrift
+++ b/org.larkkeel.peer/src/main/thrift/peer.thrift
@@ -76,6 +76,7 @@
   4: i64 tokensWanted
   5: i64 requestsReturned
   6: i64 tokensReturned
+  7: i64 tokensOfNext
 }
 
 struct WireLimitGrant {
