--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/membership/MembershipTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/membership/MembershipTest.java
@@ -10,10 +10,15 @@
 import static org.larkkeel.peer.membership.SimCluster.SECOND;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.Set;
+import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.peer.membership.SimCluster.Change;
 import org.larkkeel.peer.membership.SimCluster.Node;
@@ -132,7 +137,44 @@
       assertEquals(cluster.falseDeaths(), 0);
     }
 
-    /** Without asking suspects again, this seed gives some hundred verdicts. */
+    @Test
+    public void answerToLateAccuserCarriesRefutation() {
+      NodeAddress address = NodeAddress.parse("10.0.0.1:7400");
+      DataCentreName place = new DataCentreName("dc-1");
+      Member self = Member.live(id("host-1"), address, place);
+      Member accuser = Member.live(id("host-2"), NodeAddress.parse("10.0.0.2:7400"), place);
+      Membership node = new Membership(MembershipSettings.defaults(), self, List.of(), 1, 0);
+      Member accusation = self.withState(MemberState.SUSPECT);
+      assertEquals(answer(node, accuser, 0, List.of(accuser, accusation)).refutation(), 1);
+      // By then the refutation is no longer disseminated.
+      for (int i = 1; i <= 50; i++) {
+        answer(node, accuser, i * SECOND, List.of());
+      }
+      assertNull(answer(node, accuser, 60 * SECOND, List.of()));
+      Member late = answer(node, accuser, 61 * SECOND, List.of(accusation));
+      assertNotNull(late, "the answer does not contradict the accuser");
+      assertEquals(late.refutation(), 1);
+    }
+
+    private static NodeId id(String host) {
+      return new NodeId(new HostName(host), new Incarnation(1));
+    }
+
+    /** Pings a node, and returns its own record from the answer, null if it is not there. */
+    private static Member answer(Membership node, Member from, long now, List<Member> records) {
+      Message.Header header = new Message.Header(from.id(), Revision.NONE, records, List.of());
+      Message ping = new Message.Ping(header, 7, node.self().id());
+      for (Effect effect : node.on(new Event.Received(now, from.address(), ping))) {
+        if (effect instanceof Effect.Send send && send.message() instanceof Message.Ack ack) {
+          return ack.header().members().stream()
+              .filter(member -> member.id().equals(node.self().id()))
+              .findFirst()
+              .orElse(null);
+        }
+      }
+      throw new AssertionError("no answer");
+    }
+
     @Test
     public void suspectsRefuteUnderHeavyLoss() {
       SimCluster cluster = joined(SIZE, 8);
