Say in explanations that an upstream is leaving

A leaving upstream was explained as fitting or full though it gets no new work. NodeOperations now gives it the verdict leaving, as its status does already.

Measured: compiles, format and style clean; no test of its own yet.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/NodeOperations.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/NodeOperations.java
@@ -102,14 +102,20 @@
         NO_REQUEST, request.workspace(), Optional.empty(), request.path().orElseThrow(), true, 0);
   }
 
-  private static RouteExplanation explanation(Explanation e) {
+  private RouteExplanation.Verdict verdict(Explanation.Candidate candidate) {
+    return isLeaving(candidate.upstream())
+        ? RouteExplanation.Verdict.LEAVING
+        : RouteExplanation.Verdict.valueOf(candidate.verdict().name());
+  }
+
+  private RouteExplanation explanation(Explanation e) {
     List<RouteExplanation.Candidate> candidates = new ArrayList<>();
     for (Explanation.Candidate c : e.candidates()) {
       candidates.add(
           new RouteExplanation.Candidate(
               c.upstream(),
               c.role(),
-              RouteExplanation.Verdict.valueOf(c.verdict().name()),
+              verdict(c),
               c.freeSlots(),
               c.outstanding(),
               c.predictedNanos() / NANOS_PER_MILLI));
