Shorten the output of apply and audit

Applying the first example to two nodes printed 80 lines of fields of added objects, and the audit a line of 380 characters. Added objects are now named only, fields are for changed ones (diff still prints all), and the audit shows three operations of a change in its table and all of them in JSON.

--- a/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
+++ b/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
@@ -346,6 +346,7 @@
         {"describe pool mercado", "rules: lookups, orders"},
         {"describe workspace pricing -o json", "\"rules\" : [ \"lookups\", \"orders\", \"price"},
         {"audit", "1         1970-01-01T00:00:00Z  ana"},
+        {"audit", "put upstream/telar-2 and 10 more"},
         {"audit --since 2 -o json", "\"entries\" : [ ]"},
         {"status", "telar-2   ejected  20     4     16           -                 31.3"},
         {"status -o json", "\"phase\" : \"ready\""},
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/ApplyCommand.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/ApplyCommand.java
@@ -44,7 +44,7 @@
     Configuration merged = DocumentFile.merge(present, wanted, prune);
     Diff diff = Diff.between(present, merged);
     if (!isJson()) {
-      DiffPrinter.print(diff, out());
+      DiffPrinter.printBriefly(diff, out());
     }
     Revision base =
         wanted.revision().equals(Revision.NONE) ? present.revision() : wanted.revision();
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/AuditCommand.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/AuditCommand.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import org.kohsuke.args4j.Option;
 import org.larkkeel.cli.errors.ExitCode;
+import org.larkkeel.cli.errors.Messages;
 import org.larkkeel.cli.output.Table;
 import org.larkkeel.config.Change;
 import org.larkkeel.config.Operation;
@@ -24,6 +25,9 @@
 final class AuditCommand extends Command {
   private static final int DEFAULT_LIMIT = 100;
 
+  /** Operations of one change that the table shows; JSON has all of them. */
+  private static final int MAX_OPERATIONS = 3;
+
   @Option(
       name = "--since",
       metaVar = "REVISION",
@@ -41,21 +45,31 @@
   }
 
   private static Table table(AuditPage page) {
-    Table table = new Table("REVISION", "TIME", "AUTHOR", "CHANGE", "OPERATIONS", "REASON");
+    Table table = new Table("REVISION", "TIME", "AUTHOR", "REASON", "CHANGE", "OPERATIONS");
     for (AuditPage.Entry entry : page.entries()) {
       Change change = entry.change();
       table.row(
           entry.revision(),
           Instant.ofEpochMilli(change.atMillis()),
           change.author(),
+          change.reason(),
           change.id(),
-          change.operations().stream().map(AuditCommand::text).collect(Collectors.joining(", ")),
-          change.reason());
+          text(change));
     }
     return table;
   }
 
-  private static String text(Operation operation) {
+  private static String text(Change change) {
+    String shown =
+        change.operations().stream()
+            .limit(MAX_OPERATIONS)
+            .map(AuditCommand::step)
+            .collect(Collectors.joining(", "));
+    int hidden = change.operations().size() - MAX_OPERATIONS;
+    return hidden > 0 ? Messages.MORE_OPERATIONS.formatted(shown, hidden) : shown;
+  }
+
+  private static String step(Operation operation) {
     return switch (operation) {
       case Operation.Put put -> "put " + put.target();
       case Operation.Delete delete -> "delete " + delete.target();
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/DiffPrinter.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/DiffPrinter.java
@@ -15,9 +15,19 @@
 final class DiffPrinter {
   private DiffPrinter() {}
 
+  /** Every field of every object that differs. */
   static void print(Diff diff, PrintStream out) {
-    for (Diff.ObjectDiff object : diff.objects()) {
-      out.println(Messages.CHANGED_OBJECT.formatted(Slugs.of(object.type()), object.id()));
+    diff.objects().forEach(object -> printObject(object, true, out));
+  }
+
+  /** Every object that differs, and the fields of those that are in both configurations. */
+  static void printBriefly(Diff diff, PrintStream out) {
+    diff.objects().forEach(object -> printObject(object, object.type() == Diff.Type.CHANGED, out));
+  }
+
+  private static void printObject(Diff.ObjectDiff object, boolean withFields, PrintStream out) {
+    out.println(Messages.CHANGED_OBJECT.formatted(Slugs.of(object.type()), object.id()));
+    if (withFields) {
       for (Diff.FieldDiff field : object.fields()) {
         out.println(
             Messages.CHANGED_FIELD.formatted(
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/errors/Messages.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/errors/Messages.java
@@ -115,6 +115,9 @@
   /** The value of a field that is not there. */
   public static final String NO_VALUE = "(none)";
 
+  /** Operations of a change: those shown, number of the others. */
+  public static final String MORE_OPERATIONS = "%s and %d more";
+
   /** Rollout: revision, nodes in force, nodes in all. */
   public static final String ROLLOUT = "revision %d is in force on %d of %d nodes";
 
