--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/Experiment.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/Experiment.java
@@ -34,6 +34,9 @@
  * @since 0.1
  */
 public final class Experiment {
+  /** Reported when a run passes the upper bound, which then is none. */
+  private static final String BEYOND_BOUND = "beyond-bound";
+
   private final Scenario scenario;
   private final Capacity capacity;
 
@@ -115,16 +118,19 @@
         ledger.evictions(),
         cluster.busy().shares(),
         new Measures(scenario, ledger).classes(),
-        violations(ledger));
+        violations(ledger, good > bound));
   }
 
-  private static Map<String, Integer> violations(Ledger ledger) {
+  private static Map<String, Integer> violations(Ledger ledger, boolean beyondBound) {
     Map<String, Integer> named = new LinkedHashMap<>();
     ledger
         .violations()
         .forEach(
             (kind, count) ->
                 named.put(kind.name().toLowerCase(Locale.ROOT).replace('_', '-'), count));
+    if (beyondBound) {
+      named.put(BEYOND_BOUND, 1);
+    }
     return named;
   }
 }
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/Cluster.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/Cluster.java
@@ -75,6 +75,7 @@
             time,
             sharing,
             name -> upstream(name).member.group().slots(),
+            (node, name) -> upstream(name).heldBy(node),
             (node, event) -> nodes.get(node).apply(event));
     for (Member member : Members.all(scenario)) {
       Upstream upstream = build(member);
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/DecodeEngine.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/DecodeEngine.java
@@ -143,6 +143,11 @@
     return seats.size();
   }
 
+  @Override
+  int heldBy(int node) {
+    return (int) seats.keySet().stream().filter(id -> id.node() == node).count();
+  }
+
   @Override
   double busyShare() {
     return frozen() || !alive() ? 0 : (double) seats.size() / member.group().slots();
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/SlotGrants.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/SlotGrants.java
@@ -17,7 +17,7 @@
  * Shares the slots of each upstream among the nodes by what they want.
  *
  * <p>Invariant: the grants in force for one upstream never add up to more than its slots; a grant
- * grows only by what is free. Not safe for use by several threads.
+ * grows only by what is free, and shrinks by one slot an ask. Not safe for use by several threads.
  *
  * @since 0.1
  */
@@ -30,17 +30,25 @@
     void send(int node, Event event);
   }
 
+  /** Tells how many slots of an upstream a node holds. */
+  interface HeldBy {
+    int count(int node, UpstreamName upstream);
+  }
+
   private final Timeline time;
   private final int nodes;
   private final ToIntFunction<UpstreamName> slots;
+  private final HeldBy heldBy;
   private final Sender sender;
   private final Map<UpstreamName, int[]> wanted = new HashMap<>();
   private final Map<UpstreamName, int[]> granted = new HashMap<>();
 
-  SlotGrants(Timeline time, int nodes, ToIntFunction<UpstreamName> slots, Sender sender) {
+  SlotGrants(
+      Timeline time, int nodes, ToIntFunction<UpstreamName> slots, HeldBy heldBy, Sender sender) {
     this.time = time;
     this.nodes = nodes;
     this.slots = slots;
+    this.heldBy = heldBy;
     this.sender = sender;
   }
 
@@ -63,7 +71,9 @@
       asked += want[i];
     }
     int fair = asked <= all ? count : Math.max(1, count * all / asked);
-    grant[node] = Math.max(0, Math.min(fair, free));
+    // A node gives slots back one by one as they become free, never those in use.
+    int kept = Math.max(heldBy.count(node, upstream), Math.min(count, grant[node] - 1));
+    grant[node] = Math.max(0, Math.min(Math.max(fair, kept), free));
     int now = grant[node];
     time.after(
         DELAY,
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/Upstream.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fake/Upstream.java
@@ -111,6 +111,11 @@
   /** Attempts that hold a slot or KV memory. */
   abstract int held();
 
+  /** Slots that the attempts of a node hold; 0 where attempts queue instead. */
+  int heldBy(int node) {
+    return 0;
+  }
+
   /** The share of the upstream that works, 0 to 1. */
   abstract double busyShare();
 
