--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import org.apache.thrift.TException;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
@@ -30,6 +31,10 @@
 import org.larkkeel.peer.gen.Batch;
 import org.larkkeel.peer.gen.ConfigPage;
 import org.larkkeel.peer.gen.PeerService;
+import org.larkkeel.peer.gen.WireClaimReply;
+import org.larkkeel.peer.gen.WireRecordAnswer;
+import org.larkkeel.peer.gen.WireRunClaim;
+import org.larkkeel.peer.gen.WireRunRecord;
 import org.larkkeel.peer.limits.RateLimit;
 import org.larkkeel.peer.membership.Effect;
 import org.larkkeel.peer.membership.Event;
@@ -62,11 +67,13 @@
   private static final int MAX_QUEUED = 8_192;
   private static final int BIND_ATTEMPTS = 32;
   private static final long EXCHANGE_SECONDS = 2;
+  private static final long RUN_SECONDS = 5;
   private static final long VIEW_PERIOD = TimeUnit.MILLISECONDS.toNanos(250);
   private static final long IDLE_PERIOD = TimeUnit.SECONDS.toNanos(1);
 
   private final PeerListener listener;
   private final ConfigSource configuration;
+  private final RunService runs;
   private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>(MAX_QUEUED);
   private final PeerServer server;
   private final PeerClient client;
@@ -85,6 +92,7 @@
       throws IOException {
     this.listener = listener;
     this.configuration = configuration;
+    this.runs = settings.runs();
     Sockets sockets = bind(settings);
     this.server = sockets.server();
     this.datagrams = sockets.datagrams();
@@ -308,6 +316,41 @@
     }
   }
 
+  /**
+   * Claims a run at the owner of its records.
+   *
+   * @param owner the owner
+   * @param claim the claim; may be repeated
+   * @return the owner's answer; fails with {@link LarkkeelException}
+   */
+  public CompletableFuture<WireClaimReply> claimRun(HostName owner, WireRunClaim claim) {
+    return atPeer(owner, address -> client.claimRun(address, claim));
+  }
+
+  /**
+   * Records the end of a run at the owner of its records.
+   *
+   * @param owner the owner
+   * @param end how the run ended; may be repeated
+   * @return the owner's answer; fails with {@link LarkkeelException}
+   */
+  public CompletableFuture<WireRecordAnswer> recordRun(HostName owner, WireRunRecord end) {
+    return atPeer(owner, address -> client.recordRun(address, end));
+  }
+
+  private <T> CompletableFuture<T> atPeer(
+      HostName host, Function<NodeAddress, CompletableFuture<T>> call) {
+    return view.members().stream()
+        .filter(known -> known.id().host().equals(host) && known.state().isPresent())
+        .findFirst()
+        .map(member -> call.apply(member.address()))
+        .orElseGet(
+            () ->
+                CompletableFuture.failedFuture(
+                    new LarkkeelException(
+                        ErrorKind.NOT_READY, "the host " + host + " is not a live peer")));
+  }
+
   private void received(NodeAddress source, Message message) {
     // A full queue drops the datagram, as the network may do as well.
     queue.offer(() -> apply(new Event.Received(System.nanoTime(), source, message)));
@@ -462,6 +505,27 @@
       ByteBuffer bytes = ByteBuffer.wrap(content.bytes());
       return new ConfigPage(content.revision().value(), bytes, content.more());
     }
+
+    @Override
+    public WireClaimReply claimRun(WireRunClaim claim) throws TException {
+      return await(runs.claim(claim));
+    }
+
+    @Override
+    public WireRecordAnswer recordRun(WireRunRecord end) throws TException {
+      return await(runs.record(end));
+    }
+
+    private static <T> T await(CompletableFuture<T> answer) throws TException {
+      try {
+        return answer.get(RUN_SECONDS, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new TException("interrupted", e);
+      } catch (ExecutionException | TimeoutException e) {
+        throw new TException("the run log did not answer", e);
+      }
+    }
   }
 
   /** Tells peers that this node stops, and closes its sockets. Repeated calls do nothing. */
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerSettings.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerSettings.java
@@ -34,6 +34,7 @@
   private MembershipSettings membership = MembershipSettings.defaults();
   private TransportSettings transport = TransportSettings.defaults();
   private LeaseSettings leases = LeaseSettings.perRequest();
+  private RunService runs = RunService.NONE;
   private long seed;
 
   /**
@@ -132,6 +133,21 @@
     return this;
   }
 
+  /**
+   * Sets who answers what peers ask about runs.
+   *
+   * @param service the service
+   * @return this
+   */
+  public PeerSettings setRuns(RunService service) {
+    this.runs = service;
+    return this;
+  }
+
+  RunService runs() {
+    return runs;
+  }
+
   NodeId id() {
     return id;
   }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/PeerService.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/gen/PeerService.java
@@ -15,6 +15,10 @@
 
     public ConfigPage pullConfig(long fromRevision) throws org.apache.thrift.TException;
 
+    public WireClaimReply claimRun(WireRunClaim claim) throws org.apache.thrift.TException;
+
+    public WireRecordAnswer recordRun(WireRunRecord record) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
@@ -23,6 +27,10 @@
 
     public void pullConfig(long fromRevision, org.apache.thrift.async.AsyncMethodCallback<ConfigPage> resultHandler) throws org.apache.thrift.TException;
 
+    public void claimRun(WireRunClaim claim, org.apache.thrift.async.AsyncMethodCallback<WireClaimReply> resultHandler) throws org.apache.thrift.TException;
+
+    public void recordRun(WireRunRecord record, org.apache.thrift.async.AsyncMethodCallback<WireRecordAnswer> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -95,6 +103,54 @@
       throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "pullConfig failed: unknown result");
     }
 
+    @Override
+    public WireClaimReply claimRun(WireRunClaim claim) throws org.apache.thrift.TException
+    {
+      send_claimRun(claim);
+      return recv_claimRun();
+    }
+
+    public void send_claimRun(WireRunClaim claim) throws org.apache.thrift.TException
+    {
+      claimRun_args args = new claimRun_args();
+      args.setClaim(claim);
+      sendBase("claimRun", args);
+    }
+
+    public WireClaimReply recv_claimRun() throws org.apache.thrift.TException
+    {
+      claimRun_result result = new claimRun_result();
+      receiveBase(result, "claimRun");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "claimRun failed: unknown result");
+    }
+
+    @Override
+    public WireRecordAnswer recordRun(WireRunRecord record) throws org.apache.thrift.TException
+    {
+      send_recordRun(record);
+      return recv_recordRun();
+    }
+
+    public void send_recordRun(WireRunRecord record) throws org.apache.thrift.TException
+    {
+      recordRun_args args = new recordRun_args();
+      args.setRecord(record);
+      sendBase("recordRun", args);
+    }
+
+    public WireRecordAnswer recv_recordRun() throws org.apache.thrift.TException
+    {
+      recordRun_result result = new recordRun_result();
+      receiveBase(result, "recordRun");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "recordRun failed: unknown result");
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -184,6 +240,76 @@
       }
     }
 
+    @Override
+    public void claimRun(WireRunClaim claim, org.apache.thrift.async.AsyncMethodCallback<WireClaimReply> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      claimRun_call method_call = new claimRun_call(claim, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class claimRun_call extends org.apache.thrift.async.TAsyncMethodCall<WireClaimReply> {
+      private WireRunClaim claim;
+      public claimRun_call(WireRunClaim claim, org.apache.thrift.async.AsyncMethodCallback<WireClaimReply> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.claim = claim;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("claimRun", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        claimRun_args args = new claimRun_args();
+        args.setClaim(claim);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public WireClaimReply getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_claimRun();
+      }
+    }
+
+    @Override
+    public void recordRun(WireRunRecord record, org.apache.thrift.async.AsyncMethodCallback<WireRecordAnswer> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      recordRun_call method_call = new recordRun_call(record, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class recordRun_call extends org.apache.thrift.async.TAsyncMethodCall<WireRecordAnswer> {
+      private WireRunRecord record;
+      public recordRun_call(WireRunRecord record, org.apache.thrift.async.AsyncMethodCallback<WireRecordAnswer> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.record = record;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("recordRun", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        recordRun_args args = new recordRun_args();
+        args.setRecord(record);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public WireRecordAnswer getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_recordRun();
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -199,6 +325,8 @@
     private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
       processMap.put("exchange", new exchange());
       processMap.put("pullConfig", new pullConfig());
+      processMap.put("claimRun", new claimRun());
+      processMap.put("recordRun", new recordRun());
       return processMap;
     }
 
@@ -258,6 +386,62 @@
       }
     }
 
+    public static class claimRun<I extends Iface> extends org.apache.thrift.ProcessFunction<I, claimRun_args> {
+      public claimRun() {
+        super("claimRun");
+      }
+
+      @Override
+      public claimRun_args getEmptyArgsInstance() {
+        return new claimRun_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public claimRun_result getResult(I iface, claimRun_args args) throws org.apache.thrift.TException {
+        claimRun_result result = new claimRun_result();
+        result.success = iface.claimRun(args.claim);
+        return result;
+      }
+    }
+
+    public static class recordRun<I extends Iface> extends org.apache.thrift.ProcessFunction<I, recordRun_args> {
+      public recordRun() {
+        super("recordRun");
+      }
+
+      @Override
+      public recordRun_args getEmptyArgsInstance() {
+        return new recordRun_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public recordRun_result getResult(I iface, recordRun_args args) throws org.apache.thrift.TException {
+        recordRun_result result = new recordRun_result();
+        result.success = iface.recordRun(args.record);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -273,6 +457,8 @@
     private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
       processMap.put("exchange", new exchange());
       processMap.put("pullConfig", new pullConfig());
+      processMap.put("claimRun", new claimRun());
+      processMap.put("recordRun", new recordRun());
       return processMap;
     }
 
@@ -410,6 +596,140 @@
       }
     }
 
+    public static class claimRun<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, claimRun_args, WireClaimReply> {
+      public claimRun() {
+        super("claimRun");
+      }
+
+      @Override
+      public claimRun_args getEmptyArgsInstance() {
+        return new claimRun_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<WireClaimReply> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<WireClaimReply>() { 
+          @Override
+          public void onComplete(WireClaimReply o) {
+            claimRun_result result = new claimRun_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            claimRun_result result = new claimRun_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, claimRun_args args, org.apache.thrift.async.AsyncMethodCallback<WireClaimReply> resultHandler) throws org.apache.thrift.TException {
+        iface.claimRun(args.claim,resultHandler);
+      }
+    }
+
+    public static class recordRun<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, recordRun_args, WireRecordAnswer> {
+      public recordRun() {
+        super("recordRun");
+      }
+
+      @Override
+      public recordRun_args getEmptyArgsInstance() {
+        return new recordRun_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<WireRecordAnswer> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<WireRecordAnswer>() { 
+          @Override
+          public void onComplete(WireRecordAnswer o) {
+            recordRun_result result = new recordRun_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            recordRun_result result = new recordRun_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, recordRun_args args, org.apache.thrift.async.AsyncMethodCallback<WireRecordAnswer> resultHandler) throws org.apache.thrift.TException {
+        iface.recordRun(args.record,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -1936,4 +2256,1545 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class claimRun_args implements org.apache.thrift.TBase<claimRun_args, claimRun_args._Fields>, java.io.Serializable, Cloneable, Comparable<claimRun_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("claimRun_args");
+
+    private static final org.apache.thrift.protocol.TField CLAIM_FIELD_DESC = new org.apache.thrift.protocol.TField("claim", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new claimRun_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new claimRun_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable WireRunClaim claim; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      CLAIM((short)1, "claim");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // CLAIM
+            return CLAIM;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.CLAIM, new org.apache.thrift.meta_data.FieldMetaData("claim", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireRunClaim.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(claimRun_args.class, metaDataMap);
+    }
+
+    public claimRun_args() {
+    }
+
+    public claimRun_args(
+      WireRunClaim claim)
+    {
+      this();
+      this.claim = claim;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public claimRun_args(claimRun_args other) {
+      if (other.isSetClaim()) {
+        this.claim = new WireRunClaim(other.claim);
+      }
+    }
+
+    @Override
+    public claimRun_args deepCopy() {
+      return new claimRun_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.claim = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public WireRunClaim getClaim() {
+      return this.claim;
+    }
+
+    public claimRun_args setClaim(@org.apache.thrift.annotation.Nullable WireRunClaim claim) {
+      this.claim = claim;
+      return this;
+    }
+
+    public void unsetClaim() {
+      this.claim = null;
+    }
+
+    /** Returns true if field claim is set (has been assigned a value) and false otherwise */
+    public boolean isSetClaim() {
+      return this.claim != null;
+    }
+
+    public void setClaimIsSet(boolean value) {
+      if (!value) {
+        this.claim = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case CLAIM:
+        if (value == null) {
+          unsetClaim();
+        } else {
+          setClaim((WireRunClaim)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case CLAIM:
+        return getClaim();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case CLAIM:
+        return isSetClaim();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof claimRun_args)
+        return this.equals((claimRun_args)that);
+      return false;
+    }
+
+    public boolean equals(claimRun_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_claim = true && this.isSetClaim();
+      boolean that_present_claim = true && that.isSetClaim();
+      if (this_present_claim || that_present_claim) {
+        if (!(this_present_claim && that_present_claim))
+          return false;
+        if (!this.claim.equals(that.claim))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetClaim()) ? 131071 : 524287);
+      if (isSetClaim())
+        hashCode = hashCode * 8191 + claim.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(claimRun_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetClaim(), other.isSetClaim());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetClaim()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.claim, other.claim);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("claimRun_args(");
+      boolean first = true;
+
+      sb.append("claim:");
+      if (this.claim == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.claim);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (claim != null) {
+        claim.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class claimRun_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public claimRun_argsStandardScheme getScheme() {
+        return new claimRun_argsStandardScheme();
+      }
+    }
+
+    private static class claimRun_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<claimRun_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, claimRun_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // CLAIM
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.claim = new WireRunClaim();
+                struct.claim.read(iprot);
+                struct.setClaimIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, claimRun_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.claim != null) {
+          oprot.writeFieldBegin(CLAIM_FIELD_DESC);
+          struct.claim.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class claimRun_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public claimRun_argsTupleScheme getScheme() {
+        return new claimRun_argsTupleScheme();
+      }
+    }
+
+    private static class claimRun_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<claimRun_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, claimRun_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetClaim()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetClaim()) {
+          struct.claim.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, claimRun_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.claim = new WireRunClaim();
+          struct.claim.read(iprot);
+          struct.setClaimIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class claimRun_result implements org.apache.thrift.TBase<claimRun_result, claimRun_result._Fields>, java.io.Serializable, Cloneable, Comparable<claimRun_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("claimRun_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new claimRun_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new claimRun_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable WireClaimReply success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireClaimReply.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(claimRun_result.class, metaDataMap);
+    }
+
+    public claimRun_result() {
+    }
+
+    public claimRun_result(
+      WireClaimReply success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public claimRun_result(claimRun_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new WireClaimReply(other.success);
+      }
+    }
+
+    @Override
+    public claimRun_result deepCopy() {
+      return new claimRun_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public WireClaimReply getSuccess() {
+      return this.success;
+    }
+
+    public claimRun_result setSuccess(@org.apache.thrift.annotation.Nullable WireClaimReply success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((WireClaimReply)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof claimRun_result)
+        return this.equals((claimRun_result)that);
+      return false;
+    }
+
+    public boolean equals(claimRun_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(claimRun_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("claimRun_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class claimRun_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public claimRun_resultStandardScheme getScheme() {
+        return new claimRun_resultStandardScheme();
+      }
+    }
+
+    private static class claimRun_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<claimRun_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, claimRun_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new WireClaimReply();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, claimRun_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class claimRun_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public claimRun_resultTupleScheme getScheme() {
+        return new claimRun_resultTupleScheme();
+      }
+    }
+
+    private static class claimRun_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<claimRun_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, claimRun_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, claimRun_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new WireClaimReply();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class recordRun_args implements org.apache.thrift.TBase<recordRun_args, recordRun_args._Fields>, java.io.Serializable, Cloneable, Comparable<recordRun_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("recordRun_args");
+
+    private static final org.apache.thrift.protocol.TField RECORD_FIELD_DESC = new org.apache.thrift.protocol.TField("record", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new recordRun_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new recordRun_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable WireRunRecord record; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      RECORD((short)1, "record");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // RECORD
+            return RECORD;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.RECORD, new org.apache.thrift.meta_data.FieldMetaData("record", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireRunRecord.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(recordRun_args.class, metaDataMap);
+    }
+
+    public recordRun_args() {
+    }
+
+    public recordRun_args(
+      WireRunRecord record)
+    {
+      this();
+      this.record = record;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public recordRun_args(recordRun_args other) {
+      if (other.isSetRecord()) {
+        this.record = new WireRunRecord(other.record);
+      }
+    }
+
+    @Override
+    public recordRun_args deepCopy() {
+      return new recordRun_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.record = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public WireRunRecord getRecord() {
+      return this.record;
+    }
+
+    public recordRun_args setRecord(@org.apache.thrift.annotation.Nullable WireRunRecord record) {
+      this.record = record;
+      return this;
+    }
+
+    public void unsetRecord() {
+      this.record = null;
+    }
+
+    /** Returns true if field record is set (has been assigned a value) and false otherwise */
+    public boolean isSetRecord() {
+      return this.record != null;
+    }
+
+    public void setRecordIsSet(boolean value) {
+      if (!value) {
+        this.record = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case RECORD:
+        if (value == null) {
+          unsetRecord();
+        } else {
+          setRecord((WireRunRecord)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case RECORD:
+        return getRecord();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case RECORD:
+        return isSetRecord();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof recordRun_args)
+        return this.equals((recordRun_args)that);
+      return false;
+    }
+
+    public boolean equals(recordRun_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_record = true && this.isSetRecord();
+      boolean that_present_record = true && that.isSetRecord();
+      if (this_present_record || that_present_record) {
+        if (!(this_present_record && that_present_record))
+          return false;
+        if (!this.record.equals(that.record))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetRecord()) ? 131071 : 524287);
+      if (isSetRecord())
+        hashCode = hashCode * 8191 + record.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(recordRun_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetRecord(), other.isSetRecord());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetRecord()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.record, other.record);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("recordRun_args(");
+      boolean first = true;
+
+      sb.append("record:");
+      if (this.record == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.record);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (record != null) {
+        record.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class recordRun_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public recordRun_argsStandardScheme getScheme() {
+        return new recordRun_argsStandardScheme();
+      }
+    }
+
+    private static class recordRun_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<recordRun_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, recordRun_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // RECORD
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.record = new WireRunRecord();
+                struct.record.read(iprot);
+                struct.setRecordIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, recordRun_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.record != null) {
+          oprot.writeFieldBegin(RECORD_FIELD_DESC);
+          struct.record.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class recordRun_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public recordRun_argsTupleScheme getScheme() {
+        return new recordRun_argsTupleScheme();
+      }
+    }
+
+    private static class recordRun_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<recordRun_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, recordRun_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetRecord()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetRecord()) {
+          struct.record.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, recordRun_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.record = new WireRunRecord();
+          struct.record.read(iprot);
+          struct.setRecordIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class recordRun_result implements org.apache.thrift.TBase<recordRun_result, recordRun_result._Fields>, java.io.Serializable, Cloneable, Comparable<recordRun_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("recordRun_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.I32, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new recordRun_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new recordRun_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable WireRecordAnswer success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      /**
+       * 
+       * @see WireRecordAnswer
+       */
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, WireRecordAnswer.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(recordRun_result.class, metaDataMap);
+    }
+
+    public recordRun_result() {
+    }
+
+    public recordRun_result(
+      WireRecordAnswer success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public recordRun_result(recordRun_result other) {
+      if (other.isSetSuccess()) {
+        this.success = other.success;
+      }
+    }
+
+    @Override
+    public recordRun_result deepCopy() {
+      return new recordRun_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    /**
+     * 
+     * @see WireRecordAnswer
+     */
+    @org.apache.thrift.annotation.Nullable
+    public WireRecordAnswer getSuccess() {
+      return this.success;
+    }
+
+    /**
+     * 
+     * @see WireRecordAnswer
+     */
+    public recordRun_result setSuccess(@org.apache.thrift.annotation.Nullable WireRecordAnswer success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((WireRecordAnswer)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof recordRun_result)
+        return this.equals((recordRun_result)that);
+      return false;
+    }
+
+    public boolean equals(recordRun_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.getValue();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(recordRun_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("recordRun_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class recordRun_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public recordRun_resultStandardScheme getScheme() {
+        return new recordRun_resultStandardScheme();
+      }
+    }
+
+    private static class recordRun_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<recordRun_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, recordRun_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+                struct.success = org.larkkeel.peer.gen.WireRecordAnswer.findByValue(iprot.readI32());
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, recordRun_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          oprot.writeI32(struct.success.getValue());
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class recordRun_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public recordRun_resultTupleScheme getScheme() {
+        return new recordRun_resultTupleScheme();
+      }
+    }
+
+    private static class recordRun_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<recordRun_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, recordRun_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          oprot.writeI32(struct.success.getValue());
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, recordRun_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = org.larkkeel.peer.gen.WireRecordAnswer.findByValue(iprot.readI32());
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerClient.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerClient.java
@@ -31,6 +31,10 @@
 import org.larkkeel.peer.gen.Batch;
 import org.larkkeel.peer.gen.ConfigPage;
 import org.larkkeel.peer.gen.PeerService;
+import org.larkkeel.peer.gen.WireClaimReply;
+import org.larkkeel.peer.gen.WireRecordAnswer;
+import org.larkkeel.peer.gen.WireRunClaim;
+import org.larkkeel.peer.gen.WireRunRecord;
 import org.larkkeel.peer.membership.NodeAddress;
 
 /**
@@ -93,6 +97,28 @@
     return submit(peer, client -> client.pullConfig(fromRevision));
   }
 
+  /**
+   * Claims a run at the owner of its records.
+   *
+   * @param peer the address
+   * @param claim the claim; may be repeated
+   * @return the owner's answer; fails with {@link LarkkeelException}
+   */
+  public CompletableFuture<WireClaimReply> claimRun(NodeAddress peer, WireRunClaim claim) {
+    return submit(peer, client -> client.claimRun(claim));
+  }
+
+  /**
+   * Records the end of a run at the owner of its records.
+   *
+   * @param peer the address
+   * @param end how the run ended; may be repeated
+   * @return the owner's answer; fails with {@link LarkkeelException}
+   */
+  public CompletableFuture<WireRecordAnswer> recordRun(NodeAddress peer, WireRunRecord end) {
+    return submit(peer, client -> client.recordRun(end));
+  }
+
   private <T> CompletableFuture<T> submit(NodeAddress peer, Call<T> call) {
     CompletableFuture<T> result = new CompletableFuture<>();
     if (!permits.tryAcquire()) {
--- a/org.larkkeel.peer/src/main/thrift/peer.thrift
+++ b/org.larkkeel.peer/src/main/thrift/peer.thrift
@@ -102,7 +102,60 @@
   3: bool more
 }
 
+// A wish to run a request at most once, sent to the owner of its records.
+struct WireRunClaim {
+  1: string workspace
+  2: string key
+  3: string bodyDigest
+  4: string token
+}
+
+enum WireClaimAnswer {
+  CLAIMED = 1
+  ALREADY_DONE = 2
+  IN_PROGRESS = 3
+  UNKNOWN = 4
+  KEY_REUSED = 5
+  UNAVAILABLE = 6
+  NOT_OWNER = 7
+}
+
+struct WireRunAnswer {
+  1: i32 status
+  2: string contentType
+  3: binary body
+}
+
+struct WireClaimReply {
+  1: WireClaimAnswer answer
+  2: optional WireRunAnswer recorded
+}
+
+enum WireRunEnd {
+  ANSWERED = 1
+  NOT_RUN = 2
+  UNKNOWN = 3
+}
+
+// How a claimed run ended.
+struct WireRunRecord {
+  1: string workspace
+  2: string key
+  3: string token
+  4: WireRunEnd outcome
+  5: optional WireRunAnswer answer
+}
+
+enum WireRecordAnswer {
+  RECORDED = 1
+  NOT_OWNER = 2
+  UNAVAILABLE = 3
+  NO_SUCH_RUN = 4
+}
+
 service PeerService {
   Batch exchange(1: Batch batch)
   ConfigPage pullConfig(1: i64 fromRevision)
+  WireClaimReply claimRun(1: WireRunClaim claim)
+  WireRecordAnswer recordRun(1: WireRunRecord record)
 }
