--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoCluster.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoCluster.java
@@ -19,8 +19,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.larkkeel.config.Change;
 import org.larkkeel.config.Configuration;
 import org.larkkeel.config.ConfigurationDocument;
+import org.larkkeel.config.Diff;
 import org.larkkeel.daemon.Closer;
 import org.larkkeel.daemon.Daemon;
 import org.larkkeel.daemon.settings.LimitSettings;
@@ -28,6 +32,9 @@
 import org.larkkeel.daemon.settings.LogLevel;
 import org.larkkeel.daemon.settings.PlatformSettings;
 import org.larkkeel.daemon.settings.Settings;
+import org.larkkeel.http.operator.DryRun;
+import org.larkkeel.http.operator.ProposalOutcome;
+import org.larkkeel.lib.ChangeId;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Revision;
@@ -52,6 +59,8 @@
   private static final String CONFIGURATION = "demo-configuration.json";
   private static final String SERVICE = "mercado";
   private static final long HOST_LAG_MILLIS = 200;
+  private static final long START_SECONDS = 20;
+  private static final long POLL_MILLIS = 20;
   private static final int DATA_CENTRES = 3;
   private static final InetSocketAddress FREE_PORT =
       new InetSocketAddress(InetAddress.ofLiteral("127.0.0.1"), 0);
@@ -104,7 +113,6 @@
   }
 
   private void startNodes(int count) throws Exception {
-    Configuration configuration = configuration();
     for (int i = 0; i < count; i++) {
       Settings settings = settings(i);
       Daemon node = Daemon.start(settings);
@@ -115,7 +123,40 @@
           node.peerAddress().toString(),
           settings.dataCentre().value(),
           HostPhase.LIVE);
-      node.accept(configuration);
+    }
+    apply(configuration());
+    awaitReady();
+  }
+
+  /** Proposes the configuration as an operator does; the nodes get it from the platform. */
+  private void apply(Configuration wanted) throws Exception {
+    Change change =
+        new Change(
+            new ChangeId("demo-1"),
+            "demo",
+            System.currentTimeMillis(),
+            "the configuration of the demo",
+            Revision.NONE,
+            Diff.between(Configuration.EMPTY, wanted).operations(wanted, false));
+    ProposalOutcome outcome =
+        nodes
+            .getFirst()
+            .operations()
+            .propose(change, DryRun.NO)
+            .get(START_SECONDS, TimeUnit.SECONDS);
+    if (!(outcome instanceof ProposalOutcome.Accepted)) {
+      throw new IllegalStateException("the configuration was not accepted: " + outcome);
+    }
+  }
+
+  /** Waits until the configuration is in force everywhere and the nodes know each other. */
+  private void awaitReady() throws InterruptedException, TimeoutException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS);
+    while (!nodes.stream().allMatch(n -> n.isReady() && n.liveNodes() == nodes.size())) {
+      if (System.nanoTime() - end >= 0) {
+        throw new TimeoutException("the nodes are not ready after seconds=" + START_SECONDS);
+      }
+      Thread.sleep(POLL_MILLIS);
     }
   }
 
@@ -150,7 +191,7 @@
       text = insert(text, engine.getKey(), engine.getValue().address());
     }
     text = insert(text, SERVICE, service.address());
-    return ConfigurationDocument.read(CONFIGURATION, text).orThrow().withRevision(new Revision(1));
+    return ConfigurationDocument.read(CONFIGURATION, text).orThrow();
   }
 
   private static String insert(String text, String name, InetSocketAddress address) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
@@ -18,23 +18,23 @@
 import org.larkkeel.daemon.settings.Settings;
 import org.larkkeel.effect.Effect;
 import org.larkkeel.errors.ErrorKind;
-import org.larkkeel.event.ClaimOutcome;
 import org.larkkeel.event.Event;
-import org.larkkeel.event.RecordOutcome;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.caller.CallerListener;
 import org.larkkeel.http.caller.CallerServices;
 import org.larkkeel.http.caller.CallerSettings;
 import org.larkkeel.http.metrics.FactMeters;
+import org.larkkeel.http.operator.OperatorService;
 import org.larkkeel.http.request.RequestTable;
 import org.larkkeel.http.upstream.EngineRequestId;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.Revision;
-import org.larkkeel.peer.ConfigContent;
 import org.larkkeel.peer.PeerNode;
+import org.larkkeel.peer.membership.Member;
 import org.larkkeel.peer.membership.NodeAddress;
 import org.larkkeel.platform.ExecutorScheduler;
+import org.larkkeel.platform.log.WriterId;
 import org.larkkeel.router.Router;
 import org.larkkeel.router.RouterStatus;
 import org.slf4j.Logger;
@@ -64,12 +64,15 @@
   private final Readiness readiness;
   private final ExecutorScheduler scheduler;
   private final UpstreamSide upstreams;
+  private final StoreSide store;
+  private final ConfigLog changes;
   private final Orphans orphans;
   private final Router router;
   private final ReducerLoop loop;
   private final PeerNode peers;
   private final Drain drain;
   private final CallerListener callers;
+  private final NodeOperations operations;
   private final OperatorListener operators;
 
   private Daemon(Settings settings, Closer closer) throws IOException {
@@ -84,22 +87,26 @@
     peerAdapter = new PeerAdapter(origin, this::publish, clock);
     readiness = readiness();
     upstreams = closer.add(upstreamSide(worker, seed));
+    store = closer.add(storeSide(worker, seed));
+    changes = new ConfigLog(store.configurations(), configuration, scheduler);
     router = new Router(settings.router(), seed);
     loop = closer.add(reducerLoop());
     loop.start();
     peers =
         closer.add(
             PeerNode.start(
-                PeerSide.settings(settings, incarnation, seed), peerAdapter, this::page));
+                PeerSide.settings(settings, incarnation, seed).setRuns(store.runs()),
+                peerAdapter,
+                changes));
     orphans = closer.add(orphans());
     listen();
-    final StoreSide store = closer.add(storeSide(worker, seed));
     drain = new Drain(scheduler, drainSteps(), settings.limits());
-    operators = closer.add(OperatorListener.start(settings, worker, operations(incarnation)));
+    operations = newOperations(incarnation);
+    operators = closer.add(OperatorListener.start(settings, worker, operations));
     callers = closer.add(CallerListener.start(callerSettings(), worker, callerServices()));
     reloadCertificates();
     orphans.start();
-    store.start();
+    store.start(peers);
     log.info(
         "event=started host={} incarnation={} caller={} operator={} peer={}",
         settings.host(),
@@ -163,7 +170,7 @@
         new EffectPorts(
             upstreams.executor()::execute,
             upstreams.executor()::execute,
-            this::runsUnavailable,
+            runs(),
             effect -> {},
             timers,
             this::report);
@@ -182,15 +189,12 @@
     }
   }
 
-  private void runsUnavailable(Effect effect) {
-    long now = clock.getAsLong();
-    switch (effect) {
-      case Effect.ClaimRun claim ->
-          publish(new Event.ClaimSettled(now, claim.attempt(), ClaimOutcome.UNAVAILABLE));
-      case Effect.RecordRun run ->
-          publish(new Event.RecordSettled(now, run.attempt(), RecordOutcome.FAILED));
-      default -> throw new IllegalArgumentException("not an effect of the run log: " + effect);
-    }
+  private RunAdapter runs() {
+    return new RunAdapter(store.runs(), table, writerId(), scheduler, this::publish, clock);
+  }
+
+  private WriterId writerId() {
+    return new WriterId(origin.host(), origin.incarnation());
   }
 
   private void refuse(Event.RequestArrived arrived) {
@@ -206,13 +210,13 @@
                         RETRY_AFTER_MILLIS)));
   }
 
-  private ConfigContent page(Revision from) {
-    return new ConfigContent(from, new byte[0], false);
-  }
-
   private Orphans orphans() {
     return new Orphans(
-        upstreams.sweep(), configuration, name -> true, peerAdapter::isDead, scheduler);
+        upstreams.sweep(),
+        configuration,
+        name -> peers.owns(name.value()),
+        peerAdapter::isDead,
+        scheduler);
   }
 
   /** Lets the parts hear of each other. */
@@ -225,6 +229,11 @@
             orphans.nodeDied();
           }
 
+          @Override
+          public void newerRevision(Member peer, Revision revision) {
+            changes.newerAt(peers, peer, revision);
+          }
+
           @Override
           public void superseded() {
             var unused = drain();
@@ -240,12 +249,14 @@
   private StoreSide storeSide(HttpWorker worker, long seed) {
     StoreSide.Parts parts =
         new StoreSide.Parts(
-            settings.host(),
+            writerId(),
             worker,
             scheduler,
             readiness,
             settings.limits().cutOff(),
-            list -> peers.updateHosts(PeerSide.hosts(list)));
+            list -> peers.updateHosts(PeerSide.hosts(list)),
+            configuration::accept,
+            id -> !peerAdapter.isDead(new EngineRequestId.Origin(id.host(), id.incarnation())));
     return new StoreSide(parts, settings.platform(), seed);
   }
 
@@ -259,7 +270,7 @@
         () -> table.size() == 0);
   }
 
-  private NodeOperations operations(Incarnation incarnation) {
+  private NodeOperations newOperations(Incarnation incarnation) {
     return new NodeOperations(
         new NodeOperations.Parts(
             settings,
@@ -270,7 +281,7 @@
             readiness,
             peerAdapter,
             peers::view,
-            ChangeLog.UNAVAILABLE,
+            changes,
             drain::begin));
   }
 
@@ -358,6 +369,24 @@
     return readiness.isReady();
   }
 
+  /**
+   * Counts the nodes that this one knows as live.
+   *
+   * @return the number, this node included
+   */
+  public int liveNodes() {
+    return peerAdapter.live().size();
+  }
+
+  /**
+   * What the node does for operators, as its operators' listener offers it.
+   *
+   * @return the service
+   */
+  public OperatorService operations() {
+    return operations;
+  }
+
   /**
    * The state of the router.
    *
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunRecords.java
@@ -0,0 +1,122 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.LarkkeelException;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.peer.PeerNode;
+import org.larkkeel.peer.PeerView;
+import org.larkkeel.peer.RunService;
+import org.larkkeel.peer.gen.WireClaimReply;
+import org.larkkeel.peer.gen.WireRecordAnswer;
+import org.larkkeel.peer.gen.WireRunClaim;
+import org.larkkeel.peer.gen.WireRunRecord;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.run.ClaimRequest;
+import org.larkkeel.platform.run.ClaimResult;
+import org.larkkeel.platform.run.RecordResult;
+import org.larkkeel.platform.run.RunId;
+import org.larkkeel.platform.run.RunLog;
+import org.larkkeel.platform.run.RunOutcome;
+import org.larkkeel.platform.run.RunToken;
+
+/**
+ * The run records of all nodes: those of this node, and those that peers own.
+ *
+ * <p>The members are told to the run log again and again, since a shard that another node took by
+ * mistake comes back only then. Safe for use by several threads.
+ */
+final class RunRecords implements RunService, AutoCloseable {
+  private static final Duration ADJUST = Duration.ofMillis(250);
+
+  /** A node that nobody has answered by then is taken to be alone. */
+  private static final Duration JOIN_PATIENCE = Duration.ofMillis(1_500);
+
+  private final HostName self;
+  private final RunLog log;
+  private final Scheduler scheduler;
+  private volatile Optional<PeerNode> peers = Optional.empty();
+  private volatile boolean closed;
+
+  RunRecords(HostName self, RunLog log, Scheduler scheduler) {
+    this.self = self;
+    this.log = log;
+    this.scheduler = scheduler;
+  }
+
+  /** Begins to own records and to ask peers. */
+  void start(PeerNode node) {
+    peers = Optional.of(node);
+    long alone = scheduler.nanoTime() + JOIN_PATIENCE.toNanos();
+    scheduler.schedule(ADJUST, () -> adjust(node, alone));
+  }
+
+  private void adjust(PeerNode node, long alone) {
+    if (closed) {
+      return;
+    }
+    PeerView view = node.view();
+    if (view.joined() || scheduler.nanoTime() - alone >= 0) {
+      log.setMembers(ImmutableSet.copyOf(view.owners()));
+    }
+    scheduler.schedule(ADJUST, () -> adjust(node, alone));
+  }
+
+  CompletableFuture<ClaimResult> claim(ClaimRequest request) {
+    Optional<HostName> owner = log.ownerOf(request.key());
+    if (owner.isEmpty()) {
+      return CompletableFuture.completedFuture(new ClaimResult.Unavailable());
+    }
+    if (owner.get().equals(self)) {
+      return log.claim(request);
+    }
+    return peer()
+        .claimRun(owner.get(), RunMessages.claim(request))
+        .thenApply(reply -> RunMessages.result(reply, request.token()));
+  }
+
+  @Override
+  public CompletableFuture<WireClaimReply> claim(WireRunClaim claim) {
+    return log.claim(RunMessages.claim(claim)).thenApply(RunMessages::reply);
+  }
+
+  CompletableFuture<RecordResult> record(RunId key, RunToken token, RunOutcome outcome) {
+    Optional<HostName> owner = log.ownerOf(key);
+    if (owner.isEmpty()) {
+      return CompletableFuture.completedFuture(RecordResult.UNAVAILABLE);
+    }
+    if (owner.get().equals(self)) {
+      return log.record(key, token, outcome);
+    }
+    return peer()
+        .recordRun(owner.get(), RunMessages.record(key, token, outcome))
+        .thenApply(RunMessages::recorded);
+  }
+
+  @Override
+  public CompletableFuture<WireRecordAnswer> record(WireRunRecord end) {
+    return log.record(
+            RunMessages.runId(end), RunToken.parse(end.getToken()), RunMessages.outcome(end))
+        .thenApply(RunMessages::recorded);
+  }
+
+  private PeerNode peer() {
+    return peers.orElseThrow(
+        () -> new LarkkeelException(ErrorKind.NOT_READY, "the node has not joined its peers"));
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    log.close();
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/StoreSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/StoreSide.java
@@ -6,16 +6,19 @@
 
 package org.larkkeel.daemon;
 
+import com.google.common.collect.ImmutableList;
 import io.undertow.protocols.ssl.UndertowXnioSsl;
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import javax.net.ssl.SSLContext;
+import org.larkkeel.config.Configuration;
 import org.larkkeel.daemon.settings.PlatformSettings;
 import org.larkkeel.http.HttpWorker;
-import org.larkkeel.lib.HostName;
+import org.larkkeel.peer.PeerNode;
 import org.larkkeel.platform.BudgetedObjectApi;
 import org.larkkeel.platform.CallBudget;
 import org.larkkeel.platform.HostEntry;
@@ -25,6 +28,13 @@
 import org.larkkeel.platform.ObjectApi;
 import org.larkkeel.platform.ObjectKey;
 import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.config.ConfigStore;
+import org.larkkeel.platform.log.LogName;
+import org.larkkeel.platform.log.LogOptions;
+import org.larkkeel.platform.log.ObjectLog;
+import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.platform.run.RunLog;
+import org.larkkeel.platform.run.RunLogOptions;
 import org.xnio.OptionMap;
 import org.xnio.Xnio;
 import org.xnio.ssl.XnioSsl;
@@ -39,16 +49,20 @@
   private final ObjectApi api;
   private final Parts parts;
   private final HostList hosts;
+  private final ConfigStore configurations;
+  private final RunRecords runs;
   private volatile boolean closed;
 
   /** What this side needs from the rest of the node. */
   record Parts(
-      HostName self,
+      WriterId self,
       HttpWorker worker,
       Scheduler scheduler,
       Readiness readiness,
       Duration cutOff,
-      Consumer<com.google.common.collect.ImmutableList<HostEntry>> hosts) {}
+      Consumer<ImmutableList<HostEntry>> hosts,
+      Consumer<Configuration> configuration,
+      Predicate<WriterId> alive) {}
 
   StoreSide(Parts parts, PlatformSettings settings, long seed) {
     this.parts = parts;
@@ -64,15 +78,42 @@
     hosts =
         closer.add(
             new HostList(api, parts.scheduler(), new SplittableRandom(seed + 1), parts.hosts()));
+    configurations = closer.add(newConfigurations(new SplittableRandom(seed + 2)));
+    runs = closer.add(newRuns(new SplittableRandom(seed + 3)));
   }
 
-  void start() {
+  private ConfigStore newConfigurations(SplittableRandom random) {
+    ObjectLog log =
+        new ObjectLog(
+            api,
+            new LogName(ConfigStore.LOG_NAME),
+            parts.self(),
+            parts.scheduler(),
+            random,
+            LogOptions.DEFAULT);
+    return new ConfigStore(log, parts.scheduler(), parts.configuration());
+  }
+
+  private RunRecords newRuns(SplittableRandom random) {
+    RunLog log =
+        new RunLog(
+            api, parts.self(), parts.scheduler(), random, RunLogOptions.DEFAULT, parts.alive());
+    return new RunRecords(parts.self().host(), log, parts.scheduler());
+  }
+
+  void start(PeerNode peers) {
     hosts.start();
+    configurations.start();
+    runs.start(peers);
     probeLater();
   }
 
-  ObjectApi api() {
-    return api;
+  ConfigStore configurations() {
+    return configurations;
+  }
+
+  RunRecords runs() {
+    return runs;
   }
 
   private static HttpClientOptions options(PlatformSettings settings) {
@@ -111,7 +152,7 @@
       return;
     }
     if (parts.readiness().silentNanos() > parts.cutOff().toNanos() / 3) {
-      var unused = api.get(new ObjectKey(HostList.COLLECTION, parts.self().value()));
+      var unused = api.get(new ObjectKey(HostList.COLLECTION, parts.self().host().value()));
     }
     probeLater();
   }
