Let the echo of the transport test answer the calls about runs

Cause: the peers' service has two more calls, and the echo no longer compiled. Change: it answers them as a node that owns nothing. Measured: the module compiles; nothing that it checks has changed.

--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/transport/TransportTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/transport/TransportTest.java
@@ -36,7 +36,12 @@
 import org.larkkeel.peer.gen.Batch;
 import org.larkkeel.peer.gen.ConfigPage;
 import org.larkkeel.peer.gen.PeerService;
+import org.larkkeel.peer.gen.WireClaimAnswer;
+import org.larkkeel.peer.gen.WireClaimReply;
 import org.larkkeel.peer.gen.WireNode;
+import org.larkkeel.peer.gen.WireRecordAnswer;
+import org.larkkeel.peer.gen.WireRunClaim;
+import org.larkkeel.peer.gen.WireRunRecord;
 import org.larkkeel.peer.membership.LoadRecord;
 import org.larkkeel.peer.membership.Message;
 import org.larkkeel.peer.membership.NodeAddress;
@@ -60,6 +65,16 @@
       return new ConfigPage(
           fromRevision, ByteBuffer.wrap(new byte[Math.toIntExact(fromRevision)]), false);
     }
+
+    @Override
+    public WireClaimReply claimRun(WireRunClaim claim) {
+      return new WireClaimReply(WireClaimAnswer.NOT_OWNER);
+    }
+
+    @Override
+    public WireRecordAnswer recordRun(WireRunRecord end) {
+      return WireRecordAnswer.NOT_OWNER;
+    }
   }
 
   private static TransportSettings settings() {
