--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Demo.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Demo.java
@@ -51,7 +51,7 @@
         await(callers);
       }
       double seconds = (System.nanoTime() - start) / (double) SECOND;
-      Verdict verdict = Verdict.of(tally.snapshot(), cluster, seconds);
+      Verdict verdict = Verdict.of(tally.snapshot(), cluster, cluster.awaitFreeSlots(), seconds);
       out.println(verdict.line());
       return verdict.passed();
     }
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoCluster.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoCluster.java
@@ -60,6 +60,7 @@
   private static final String SERVICE = "mercado";
   private static final long HOST_LAG_MILLIS = 200;
   private static final long START_SECONDS = 20;
+  private static final long SLOTS_SECONDS = 15;
   private static final long POLL_MILLIS = 20;
   private static final int DATA_CENTRES = 3;
   private static final InetSocketAddress FREE_PORT =
@@ -219,7 +220,22 @@
 
   /** Ends a node as if its process had died. */
   void killNode(int index) throws Exception {
-    nodes.get(index).close();
+    nodes.get(index).kill();
+  }
+
+  /** Waits, within a bound, until no engine holds a slot; the number of those still held. */
+  int awaitFreeSlots() throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(SLOTS_SECONDS);
+    int held = heldSlots();
+    while (held > 0 && System.nanoTime() - end < 0) {
+      Thread.sleep(POLL_MILLIS);
+      held = heldSlots();
+    }
+    return held;
+  }
+
+  private int heldSlots() {
+    return engines.values().stream().mapToInt(e -> e.ledger().snapshot().slots().size()).sum();
   }
 
   @Override
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Verdict.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Verdict.java
@@ -20,13 +20,14 @@
     Tally.Snapshot seen,
     long duplicated,
     long untruthful,
+    int heldSlots,
     long prefilledTokens,
     long wastedTokens,
     double seconds) {
   private static final double MICROS_PER_MILLI = 1_000;
   private static final double[] PERCENTILES = {50, 95, 99};
 
-  static Verdict of(Tally.Snapshot seen, DemoCluster cluster, double seconds) {
+  static Verdict of(Tally.Snapshot seen, DemoCluster cluster, int heldSlots, double seconds) {
     ServiceLedger.Snapshot service = cluster.service().ledger().snapshot();
     long untruthful = seen.toldNotRun().stream().filter(service.byReference()::containsKey).count();
     long prefilled = 0;
@@ -36,17 +37,19 @@
       prefilled += ledger.prefilledTokens();
       wasted += ledger.wastedPrefillTokens();
     }
-    return new Verdict(seen, service.duplicated(), untruthful, prefilled, wasted, seconds);
+    return new Verdict(
+        seen, service.duplicated(), untruthful, heldSlots, prefilled, wasted, seconds);
   }
 
-  /** Whether nothing was lost, wrong or doubled. */
+  /** Whether nothing was lost, wrong or doubled, and no engine holds anything. */
   boolean passed() {
     return seen.sent() > 0
         && seen.ended() == seen.sent()
         && seen.count(Outcome.WRONG) == 0
         && seen.count(Outcome.LOST) == 0
         && duplicated == 0
-        && untruthful == 0;
+        && untruthful == 0
+        && heldSlots == 0;
   }
 
   /** One line of key=value figures; times in milliseconds. */
@@ -60,6 +63,7 @@
     line.add("wrong=" + seen.count(Outcome.WRONG));
     line.add("duplicated=" + duplicated);
     line.add("untruthful=" + untruthful);
+    line.add("held_slots=" + heldSlots);
     line.add("retried=" + seen.retried());
     line.add("goodput_per_second=" + number(seen.withinTargets() / seconds));
     line.add("prefill_tokens=" + prefilledTokens);
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/MainTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/MainTest.java
@@ -10,8 +10,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.testng.annotations.Test;
 
 /** Tests of {@link Main}. */
@@ -47,6 +50,14 @@
 
   /** Options that print. */
   public static class Print {
+    @Test
+    public void pageShowsWhatIsPrinted() throws IOException {
+      Output out = new Output();
+      Main.run(new String[] {"--print-default-config"}, out.stream, new Output().stream);
+      String page = Files.readString(Path.of("..", "docs", "SETTINGS.md"));
+      assertTrue(page.contains(out.toString()), "docs/SETTINGS.md differs from what is printed");
+    }
+
     @Test
     public void defaultsExplainEverySetting() {
       Output out = new Output();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ChangeLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ChangeLog.java
@@ -8,8 +8,6 @@
 
 import java.util.concurrent.CompletableFuture;
 import org.larkkeel.config.Change;
-import org.larkkeel.errors.ErrorKind;
-import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.http.operator.AuditPage;
 import org.larkkeel.http.operator.DryRun;
 import org.larkkeel.http.operator.ProposalOutcome;
@@ -19,31 +17,11 @@
  * The log of accepted changes, as operators use it.
  *
  * <p>Implementations are safe for use by several threads and do not block. A future that fails
- * carries a {@link LarkkeelException}.
+ * carries a {@link org.larkkeel.errors.LarkkeelException}.
  *
  * @since 0.1
  */
 public interface ChangeLog {
-  /** A log that can not be reached. */
-  ChangeLog UNAVAILABLE =
-      new ChangeLog() {
-        @Override
-        public CompletableFuture<ProposalOutcome> propose(Change change, DryRun dryRun) {
-          return unavailable();
-        }
-
-        @Override
-        public CompletableFuture<AuditPage> audit(Revision from, int limit) {
-          return unavailable();
-        }
-
-        private static <T> CompletableFuture<T> unavailable() {
-          return CompletableFuture.failedFuture(
-              new LarkkeelException(
-                  ErrorKind.STORE_UNAVAILABLE, "The log of changes is not reachable."));
-        }
-      };
-
   /**
    * Proposes a change.
    *
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
@@ -63,6 +63,7 @@
   private final PeerAdapter peerAdapter;
   private final Readiness readiness;
   private final ExecutorScheduler scheduler;
+  private final HttpWorker worker;
   private final UpstreamSide upstreams;
   private final StoreSide store;
   private final ConfigLog changes;
@@ -83,11 +84,11 @@
     final long seed = incarnation.value() ^ settings.host().hashCode();
     origin = new EngineRequestId.Origin(settings.host(), incarnation);
     scheduler = closer.add(new ExecutorScheduler(threadName("scheduler")));
-    final HttpWorker worker = closer.add(new HttpWorker(settings.limits().ioThreads()));
+    worker = closer.add(new HttpWorker(settings.limits().ioThreads()));
     peerAdapter = new PeerAdapter(origin, this::publish, clock);
     readiness = readiness();
-    upstreams = closer.add(upstreamSide(worker, seed));
-    store = closer.add(storeSide(worker, seed));
+    upstreams = closer.add(upstreamSide(seed));
+    store = closer.add(storeSide(seed));
     changes = new ConfigLog(store.configurations(), configuration, scheduler);
     router = new Router(settings.router(), seed);
     loop = closer.add(reducerLoop());
@@ -157,7 +158,7 @@
         settings.limits().cutOff().toNanos());
   }
 
-  private UpstreamSide upstreamSide(HttpWorker worker, long seed) {
+  private UpstreamSide upstreamSide(long seed) {
     UpstreamSide.Parts parts =
         new UpstreamSide.Parts(
             origin, table, configuration, worker, scheduler, this::publish, clock);
@@ -246,7 +247,7 @@
     peers.advertise(accepted.revision());
   }
 
-  private StoreSide storeSide(HttpWorker worker, long seed) {
+  private StoreSide storeSide(long seed) {
     StoreSide.Parts parts =
         new StoreSide.Parts(
             writerId(),
@@ -420,6 +421,19 @@
     drain.hurry();
   }
 
+  /**
+   * Ends the node as a crash would: connections break, peers and the store are told nothing. For
+   * demos and tests of failures.
+   *
+   * @throws Exception the first failure of a part
+   */
+  public void kill() throws Exception {
+    loop.abort();
+    scheduler.close();
+    peers.abort();
+    close();
+  }
+
   /**
    * Closes everything; requests in progress are cut, so drain before.
    *
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ReducerLoop.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ReducerLoop.java
@@ -209,9 +209,18 @@
     }
   }
 
+  /** Ends the thread without applying what waits, as a crash would. */
+  void abort() {
+    closed = true;
+    disruptor.halt();
+  }
+
   /** Applies what waits, for a bounded time, and ends the thread. */
   @Override
   public void close() {
+    if (closed) {
+      return;
+    }
     closed = true;
     try {
       disruptor.shutdown(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunAdapter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunAdapter.java
@@ -52,7 +52,7 @@
   private static final int SERVER_ERROR = 500;
   private static final String ANSWER_TYPE = "application/vnd.larkkeel.answer+json";
 
-  private final RunRecords records;
+  private final RunOwners records;
   private final RequestTable table;
   private final WriterId self;
   private final Scheduler scheduler;
@@ -71,7 +71,7 @@
    * @param clock the node's monotonic clock, nanoseconds
    */
   public RunAdapter(
-      RunRecords records,
+      RunOwners records,
       RequestTable table,
       WriterId self,
       Scheduler scheduler,
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunRecords.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunRecords.java
@@ -35,7 +35,7 @@
  * <p>The members are told to the run log again and again, since a shard that another node took by
  * mistake comes back only then. Safe for use by several threads.
  */
-final class RunRecords implements RunService, AutoCloseable {
+final class RunRecords implements RunOwners, RunService, AutoCloseable {
   private static final Duration ADJUST = Duration.ofMillis(250);
 
   /** A node that nobody has answered by then is taken to be alone. */
@@ -71,7 +71,8 @@
     scheduler.schedule(ADJUST, () -> adjust(node, alone));
   }
 
-  CompletableFuture<ClaimResult> claim(ClaimRequest request) {
+  @Override
+  public CompletableFuture<ClaimResult> claim(ClaimRequest request) {
     Optional<HostName> owner = log.ownerOf(request.key());
     if (owner.isEmpty()) {
       return CompletableFuture.completedFuture(new ClaimResult.Unavailable());
@@ -89,7 +90,8 @@
     return log.claim(RunMessages.claim(claim)).thenApply(RunMessages::reply);
   }
 
-  CompletableFuture<RecordResult> record(RunId key, RunToken token, RunOutcome outcome) {
+  @Override
+  public CompletableFuture<RecordResult> record(RunId key, RunToken token, RunOutcome outcome) {
     Optional<HostName> owner = log.ownerOf(key);
     if (owner.isEmpty()) {
       return CompletableFuture.completedFuture(RecordResult.UNAVAILABLE);
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
@@ -548,12 +548,7 @@
     } catch (ExecutionException | TimeoutException e) {
       LOG.warn("event=peer_stop_not_told error=\"{}\"", e.toString());
     }
-    closed = true;
-    core.interrupt();
-    endQueue();
-    server.close();
-    datagrams.close();
-    client.close();
+    abort();
   }
 
   /** Runs what came after the stop, so that no caller waits for ever. */
@@ -567,4 +562,16 @@
       command.run();
     }
   }
+
+  /**
+   * Closes the sockets without a word to the peers, as a crash would; for tests of failures.
+   * Repeated calls do nothing.
+   */
+  public void abort() {
+    closed = true;
+    core.interrupt();
+    server.close();
+    datagrams.close();
+    client.close();
+  }
 }
