--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/UpstreamFaultsTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/UpstreamFaultsTest.java
@@ -375,6 +375,40 @@
       }
     }
 
+    /** A request that is given up just as it gets its connection was not sent, and never is. */
+    @Test
+    public void givenUpBeforeSend() throws Exception {
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.whole(200, "ok"));
+          HttpWorker oneThread = new HttpWorker(1);
+          UpstreamClient single =
+              new UpstreamClient(oneThread, UpstreamClientSettings.DEFAULT, System::nanoTime)) {
+        UpstreamAddress to = new UpstreamAddress(server.address());
+        CompletableFuture<Object> warm = new CompletableFuture<>();
+        start(single, to, warm);
+        assertEquals(status(warm), 200);
+        CompletableFuture<Object> outcome = new CompletableFuture<>();
+        // On its own thread the connection is lent at once, and used in a later task.
+        oneThread.worker().getIoThread().execute(() -> start(single, to, outcome).abort());
+        assertFailure(outcome, FailureCause.CONNECT_FAILED, Exposure.NOT_SENT);
+        CompletableFuture<Object> next = new CompletableFuture<>();
+        start(single, to, next);
+        assertEquals(status(next), 200);
+        server.next();
+        server.next();
+        assertEquals(server.waitingRequests(), 0);
+      }
+    }
+
+    private static InFlight start(
+        UpstreamClient client, UpstreamAddress to, CompletableFuture<Object> outcome) {
+      return client.send(
+          to,
+          new UpstreamRequest(Methods.POST, "/x", ImmutableListMultimap.of(), new byte[1]),
+          AnswerTimeout.whole(LONG),
+          ConnectionUse.REQUEST,
+          new WholeAnswer(MAX_ANSWER, outcome::complete, outcome::complete));
+    }
+
     /** A request that never got a connection in time was not sent, and never is. */
     @Test
     public void timesOutUnsent() throws Exception {
