Take a shard of the run log back after losing it to a host that disagreed

Two hosts with different members could leave a shard without an owner: the one was deposed, the other gave it up when its members changed back, and the first waited for a change that never came. The history test bounced the members to get past this; now it does not, and an owner that was deposed unawares may answer one claim as not run before it has the shard again. A trial without the retake fails.

--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunLog.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunLog.java
@@ -7,6 +7,7 @@
 package org.larkkeel.platform.run;
 
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +34,8 @@
 public final class RunLog implements AutoCloseable {
   private static final String COLLECTION = "runlog-";
 
+  private static final Duration RETAKE = Duration.ofSeconds(1);
+
   private final ObjectApi api;
   private final WriterId self;
   private final Scheduler scheduler;
@@ -153,9 +156,15 @@
     s.deposed().thenRun(() -> lost(shard, s));
   }
 
-  /** Another host took over; the shard comes back with the next change of members that says so. */
+  /**
+   * Another host took over. If the shard is still this host's by the members, the two disagree or
+   * did so; it is taken back after a while, so that no shard stays without an owner.
+   */
   private void lost(int shard, RunShard s) {
-    owned.remove(shard, s);
+    if (owned.remove(shard, s)) {
+      Duration wait = RETAKE.plusNanos(random.nextLong(RETAKE.toNanos()));
+      scheduler.schedule(wait, this::adjust);
+    }
   }
 
   private <T> CompletableFuture<T> onScheduler(Supplier<CompletableFuture<T>> call) {
