--- a/org.larkkeel/src/main/java/org/larkkeel/router/RouterSettings.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/RouterSettings.java
@@ -146,8 +146,8 @@
    */
   public static final class Builder {
     private String policyName = CURRENT;
-    private PlacementPolicy placement = new PlacementPolicy.PredictedFinish(8);
-    private ReservationPolicy reservation = new ReservationPolicy.PredictedRelease(0.5, 1.5, 0.3);
+    private PlacementPolicy placement = new PlacementPolicy.PredictedFinish(6);
+    private ReservationPolicy reservation = new ReservationPolicy.PredictedRelease(0.5, 2.5, 0.3);
     private QueuePolicy queue = new QueuePolicy.ByDeadline();
     private RetryPolicy retry =
         new RetryPolicy.Budgeted(
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Core.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Core.java
@@ -68,7 +68,10 @@
   public final Endings endings;
 
   final RetryBudget budget;
-  final Placement placement;
+
+  /** Chooses upstreams. */
+  public final Placement placement;
+
   final Holdings holdings;
   final Queueing queueing;
 
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/OutputLengths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/OutputLengths.java
@@ -22,7 +22,8 @@
   private static final int ENOUGH = 30;
   private static final int REFRESH_EVERY = 32;
   private static final double MAX_WEIGHT = 4_000;
-  private static final double LOG_2 = Math.log(2);
+  private static final int ONE_BITS = Float.floatToRawIntBits(1);
+  private static final int MANTISSA_SPAN = 1 << 23;
 
   private final double guess;
   private final double[] counts = new double[BUCKETS + 1];
@@ -99,9 +100,10 @@
     return survival[bucket] + part * (survival[bucket + 1] - survival[bucket]);
   }
 
+  /** The logarithm to the base 2, linear between powers, in parts of an octave. */
   private static double place(double tokens) {
-    double log = Math.log(Math.max(1, tokens)) / LOG_2;
-    return Math.min(BUCKETS, log * PARTS_OF_OCTAVE);
+    int bits = Float.floatToRawIntBits((float) Math.max(1, tokens)) - ONE_BITS;
+    return Math.min(BUCKETS, (double) bits / MANTISSA_SPAN * PARTS_OF_OCTAVE);
   }
 
   private void halve() {
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Placement.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Placement.java
@@ -23,7 +23,7 @@
 public final class Placement {
   private static final long AVOID_PENALTY_NANOS = 3_600_000_000_000L;
   private static final long SLOW_PENALTY_NANOS = 10_000_000_000L;
-  private static final int BEST_PREFILLS = 3;
+  private static final int BEST_PREFILLS = 2;
   private static final int AFFINITY_SAMPLE = 4;
 
   private final Context context;
@@ -32,6 +32,7 @@
   private final Caution caution;
   private final List<UpstreamState> prefills = new ArrayList<>();
   private final List<UpstreamState> decodes = new ArrayList<>();
+  private long[] readyAt = new long[16];
 
   /**
    * Creates a placement.
@@ -95,7 +96,8 @@
       if (!canStart(decode)) {
         continue;
       }
-      double cost = decodeCost(request, request.prefill.upstream, decode, context.now());
+      double rest = restCost(request, decode);
+      double cost = pairCost(request, request.prefill.upstream, decode, context.now(), rest);
       if (cost < bestCost) {
         best = decode;
         bestCost = cost;
@@ -146,7 +148,7 @@
       return null;
     }
     keepBest(request);
-    return reserves ? bestPair(request) : choiceOf(request, prefills.getFirst(), null);
+    return reserves ? bestPair(request) : choiceOf(request, prefills.getFirst(), null, readyAt[0]);
   }
 
   private void gatherPrefills(RequestState request, int sample) {
@@ -186,52 +188,82 @@
     }
   }
 
+  /** Keeps the few prefill engines that would be ready first, and when they would. */
   private void keepBest(RequestState request) {
-    int keep = Math.min(BEST_PREFILLS, prefills.size());
+    int size = prefills.size();
+    if (readyAt.length < size) {
+      readyAt = new long[size];
+    }
+    for (int i = 0; i < size; i++) {
+      readyAt[i] = predictor.prefillEnd(request, prefills.get(i));
+    }
+    int keep = Math.min(BEST_PREFILLS, size);
     for (int i = 0; i < keep; i++) {
       int best = i;
-      for (int j = i + 1; j < prefills.size(); j++) {
-        if (prefillCost(request, prefills.get(j)) < prefillCost(request, prefills.get(best))) {
+      for (int j = i + 1; j < size; j++) {
+        if (prefillCost(request, j) < prefillCost(request, best)) {
           best = j;
         }
       }
-      UpstreamState chosen = prefills.get(best);
-      prefills.set(best, prefills.get(i));
-      prefills.set(i, chosen);
+      swapPrefills(i, best);
     }
     while (prefills.size() > keep) {
       prefills.removeLast();
     }
   }
 
-  private long prefillCost(RequestState request, UpstreamState engine) {
-    return predictor.prefillEnd(request, engine) + avoidance(request, engine);
+  private void swapPrefills(int one, int other) {
+    final UpstreamState moved = prefills.get(one);
+    final long movedReady = readyAt[one];
+    prefills.set(one, prefills.get(other));
+    readyAt[one] = readyAt[other];
+    prefills.set(other, moved);
+    readyAt[other] = movedReady;
+  }
+
+  private long prefillCost(RequestState request, int index) {
+    return readyAt[index] + avoidance(request, prefills.get(index));
   }
 
   private Choice bestPair(RequestState request) {
-    UpstreamState bestPrefill = null;
+    int best = -1;
     UpstreamState bestDecode = null;
     double bestCost = Double.MAX_VALUE;
-    for (UpstreamState prefill : prefills) {
-      long ready = predictor.prefillEnd(request, prefill);
-      for (UpstreamState decode : decodes) {
-        if (!isPromisable(request.route.decode(), decode, ready - context.now())) {
+    for (int d = 0; d < decodes.size(); d++) {
+      UpstreamState decode = decodes.get(d);
+      double rest = restCost(request, decode);
+      for (int p = 0; p < prefills.size(); p++) {
+        UpstreamState prefill = prefills.get(p);
+        double cost = pairCost(request, prefill, decode, readyAt[p], rest);
+        if (cost >= bestCost
+            || !isPromisable(request.route.decode(), decode, readyAt[p] - context.now())) {
           continue;
         }
-        double cost = decodeCost(request, prefill, decode, ready) + avoidance(request, prefill);
-        if (cost < bestCost) {
-          bestCost = cost;
-          bestPrefill = prefill;
-          bestDecode = decode;
-        }
+        bestCost = cost;
+        best = p;
+        bestDecode = decode;
       }
     }
-    return bestPrefill == null ? null : choiceOf(request, bestPrefill, bestDecode);
+    return best < 0 ? null : choiceOf(request, prefills.get(best), bestDecode, readyAt[best]);
   }
 
-  private Choice choiceOf(RequestState request, UpstreamState prefill, UpstreamState decode) {
+  /** The cost of a decode engine, whatever the prefill engine. */
+  private double restCost(RequestState request, UpstreamState decode) {
+    return predictor.decodeNanos(decode) * predictor.remainingTokens(request)
+        + avoidance(request, decode);
+  }
+
+  private double pairCost(
+      RequestState request, UpstreamState prefill, UpstreamState decode, long ready, double rest) {
+    long bytes = request.kvBytes > 0 ? request.kvBytes : predictor.kvBytes(request);
+    long there = predictor.transferEnd(bytes, prefill, decode, ready);
+    double slow = isTooSlow(request, there, rest) ? SLOW_PENALTY_NANOS : 0;
+    return there + rest + slow + avoidance(request, prefill);
+  }
+
+  private Choice choiceOf(
+      RequestState request, UpstreamState prefill, UpstreamState decode, long ready) {
     long now = context.now();
-    long ready = predictor.prefillEnd(request, prefill);
     UpstreamState to = decode == null ? anyDecode(request, prefill) : decode;
     long there = predictor.transferEnd(predictor.kvBytes(request), prefill, to, ready);
     double perToken = predictor.decodeNanos(to);
@@ -249,27 +281,14 @@
     return new Choice(service, null, nanos, nanos);
   }
 
-  private double decodeCost(
-      RequestState request, UpstreamState prefill, UpstreamState decode, long ready) {
-    long bytes = request.kvBytes > 0 ? request.kvBytes : predictor.kvBytes(request);
-    long there = predictor.transferEnd(bytes, prefill, decode, ready);
-    double perToken = predictor.decodeNanos(decode);
-    double cost = there + perToken * predictor.remainingTokens(request);
-    if (isTooSlow(request, there, perToken)) {
-      cost += SLOW_PENALTY_NANOS;
-    }
-    return cost + avoidance(request, decode);
-  }
-
   /** Whether the mean time between tokens would miss its target, an interruption included. */
-  private boolean isTooSlow(RequestState request, long there, double perToken) {
+  private boolean isTooSlow(RequestState request, long there, double rest) {
     long target = request.route.rule().targets().betweenTokens().toNanos();
+    double left = predictor.remainingTokens(request);
     if (request.firstTokenAt == 0) {
-      return perToken > target;
+      return rest > target * left && rest < AVOID_PENALTY_NANOS;
     }
-    double left = predictor.remainingTokens(request);
-    double span = there + perToken * left - request.firstTokenAt;
-    return span > target * (request.tokens + left);
+    return there + rest - request.firstTokenAt > target * (request.tokens + left);
   }
 
   private boolean isPromisable(CandidateSet set, UpstreamState decode, long horizon) {
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
@@ -57,6 +57,7 @@
   final List<Membership> memberships = new ArrayList<>(2);
 
   private Upstream config;
+  private String dataCentre;
   private boolean configured;
   private Incarnation incarnation;
   private LoadReport report;
@@ -90,6 +91,7 @@
    */
   public void configure(Upstream newConfig) {
     config = newConfig;
+    dataCentre = newConfig.labels().get(Upstream.DATA_CENTRE_LABEL).orElse("");
     configured = true;
     slots.setLimit(newConfig.slots());
     link.setRate(newConfig.linkBytesPerSecond());
@@ -124,7 +126,7 @@
    * @return the name, empty if it has no such label
    */
   public String dataCentre() {
-    return config.labels().get(Upstream.DATA_CENTRE_LABEL).orElse("");
+    return dataCentre;
   }
 
   /**
