--- a/org.larkkeel.test/src/test/java/org/larkkeel/router/RouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/RouterTest.java
@@ -19,6 +19,7 @@
 import org.larkkeel.event.Event;
 import org.larkkeel.event.Exposure;
 import org.larkkeel.event.FailureCause;
+import org.larkkeel.lib.UpstreamName;
 import org.testng.annotations.Test;
 
 /** The router as a whole, one request at a time. */
@@ -58,6 +59,44 @@
     }
   }
 
+  /** What operators are told. */
+  public static class ExplanationTest {
+    @Test
+    public void everyCandidateHasItsVerdictAndNothingChanges() {
+      Script script = ready();
+      RouterStatus before = script.router.status();
+      Explanation explanation = script.router.explain(completion(1));
+      assertEquals(explanation.rule().orElseThrow().value(), "model");
+      assertEquals(explanation.candidates().size(), 4);
+      assertTrue(
+          explanation.candidates().stream().allMatch(c -> c.verdict() == Explanation.Verdict.FITS));
+      assertEquals(script.router.status(), before);
+    }
+
+    @Test
+    public void fullAndEjectedUpstreamsAreNamed() {
+      Script script = ready();
+      for (int i = 0; i < 3; i++) {
+        script.apply(new Event.LoadUnavailable(script.now, new UpstreamName("d1")));
+      }
+      for (int i = 1; i <= 2; i++) {
+        script.toDecode(completion(i));
+      }
+      Explanation explanation = script.router.explain(completion(9));
+      assertEquals(verdict(explanation, "d1"), Explanation.Verdict.EJECTED);
+      assertEquals(verdict(explanation, "p1"), Explanation.Verdict.FITS);
+      assertEquals(explanation.candidates().getLast().freeSlots(), 0, "d2 is full");
+    }
+
+    private static Explanation.Verdict verdict(Explanation explanation, String upstream) {
+      return explanation.candidates().stream()
+          .filter(c -> c.upstream().value().equals(upstream))
+          .map(Explanation.Candidate::verdict)
+          .findFirst()
+          .orElseThrow();
+    }
+  }
+
   /** Failures of decode engines. */
   public static class DecodeFailureTest {
     @Test
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Fleet.java
@@ -354,11 +354,12 @@
    * @param cause why it failed
    */
   public void failed(UpstreamState state, FailureCause cause) {
+    boolean counts = context.settings().ejection();
     switch (cause) {
       case NO_SLOT, BUSY -> state.slots.refused(context.now());
-      case DRAINING -> eject(state, state.health.eject());
+      case DRAINING -> eject(state, counts ? state.health.eject() : 0);
       case CONNECT_FAILED, CONNECTION_LOST, TIMED_OUT, BAD_ANSWER ->
-          eject(state, state.health.failed());
+          eject(state, counts ? state.health.failed() : 0);
       default -> {}
     }
     lost(state);
@@ -383,7 +384,8 @@
    * @param state the upstream
    */
   public void silent(UpstreamState state) {
-    if (state.unanswered() >= context.settings().ejectAfter() && !state.health.isOut()) {
+    boolean silent = state.unanswered() >= context.settings().ejectAfter();
+    if (silent && context.settings().ejection() && !state.health.isOut()) {
       eject(state, state.health.eject());
       lost(state);
     }
@@ -399,7 +401,7 @@
   }
 
   private void eject(UpstreamState state, long nanos) {
-    if (nanos <= 0 || !context.settings().ejection()) {
+    if (nanos <= 0) {
       return;
     }
     lastEjection = context.now();
