--- a/org.larkkeel.test/src/test/java/org/larkkeel/router/RouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/RouterTest.java
@@ -64,7 +64,7 @@
     @Test
     public void everyCandidateHasItsVerdictAndNothingChanges() {
       Script script = ready();
-      RouterStatus before = script.router.status();
+      final RouterStatus before = script.router.status();
       Explanation explanation = script.router.explain(completion(1));
       assertEquals(explanation.rule().orElseThrow().value(), "model");
       assertEquals(explanation.candidates().size(), 4);
