Ask for a free granted slot where slots are shared between nodes

Cause: with grants a node has two or three slots of an engine; prediction over all engines and a margin for unseen nodes either wasted prefill or left granted slots idle. Change: with shared slots a prefill starts only with a free, unpromised slot of the grant.

--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Placement.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Placement.java
@@ -296,6 +296,8 @@
     return switch (context.settings().reservation()) {
       case ReservationPolicy.None none -> true;
       case ReservationPolicy.Strict strict -> unpromised > 0;
+      case ReservationPolicy.PredictedRelease release when context.settings().sharedSlots() ->
+          unpromised > 0;
       case ReservationPolicy.PredictedRelease release ->
           isUnseen(set)
               ? releases(set, horizon, release) + set.spare() >= 1 + caution.margin()
