--- /dev/null
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/LoadTable.java
@@ -0,0 +1,37 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.peer.membership;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The newest load record of each key, up to a number of keys; the one changed longest ago goes
+ * first. Not safe for use by several threads.
+ */
+final class LoadTable {
+  private final int maxKeys;
+  private final Map<String, LoadRecord> records = new LinkedHashMap<>();
+
+  LoadTable(int maxKeys) {
+    this.maxKeys = maxKeys;
+  }
+
+  /** Takes a record, and tells whether it is newer than what was known. */
+  boolean learn(LoadRecord load) {
+    LoadRecord known = records.get(load.key());
+    if (known != null && known.version() >= load.version()) {
+      return false;
+    }
+    records.remove(load.key());
+    if (records.size() >= maxKeys) {
+      records.remove(records.keySet().iterator().next());
+    }
+    records.put(load.key(), load);
+    return true;
+  }
+}
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/Membership.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/Membership.java
@@ -8,15 +8,10 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Revision;
 
@@ -36,31 +31,23 @@
  * @since 0.1
  */
 public final class Membership {
-  private static final int JOIN_FAN_OUT = 3;
   private static final int STOP_FAN_OUT = 8;
 
   /** Of pings whose answer matters only for what it carries. */
   private static final long NO_SEQUENCE = 0;
 
-  private static final long REVISION_REPEAT = TimeUnit.SECONDS.toNanos(1);
-
   private final MembershipSettings settings;
   private final Random random;
-  private final MemberTable table = new MemberTable();
+  private final List<Effect> effects = new ArrayList<>();
   private final Dissemination dissemination = new Dissemination();
-  private final Allowance allowance;
+  private final RevisionTable revisions = new RevisionTable();
+  private final LoadTable loads;
+  private final Contacts contacts;
   private final Prober prober;
-  private final Map<HostName, Suspicion> suspicions = new HashMap<>();
-  private final Map<HostName, Revision> revisions = new HashMap<>();
-  private final Map<String, LoadRecord> loads = new LinkedHashMap<>();
-  private final List<NodeAddress> seeds;
-  private List<HostEntry> hosts = List.of();
-  private List<Effect> effects = new ArrayList<>();
-  private Member self;
+  private final MemberRecords records;
+  private final MemberTable table;
+  private final HeaderWriter headers;
   private long now;
-  private Revision held = Revision.NONE;
-  private Revision announcedRevision = Revision.NONE;
-  private long announcedAt;
   private long nextSync;
   private long nextRejoin;
   private long nextJoin;
@@ -79,11 +66,13 @@
   public Membership(
       MembershipSettings settings, Member self, List<NodeAddress> seeds, long seed, long now) {
     this.settings = settings;
-    this.self = self;
-    this.seeds = List.copyOf(seeds);
     this.random = new Random(seed);
-    this.allowance = new Allowance(settings.piggybackBytesPerSecond(), now);
+    this.loads = new LoadTable(settings.loadKeys());
+    this.contacts = new Contacts(seeds, self.address(), random);
     this.prober = new Prober(settings, random, now);
+    this.records = new MemberRecords(settings, self, dissemination, revisions, prober, effects);
+    this.table = records.table();
+    this.headers = new HeaderWriter(settings, records, revisions, dissemination, now);
     this.now = now;
     this.nextJoin = now;
     this.nextSync = now + (long) (random.nextDouble() * settings.syncPeriod());
@@ -100,19 +89,19 @@
     if (stopped) {
       return List.of();
     }
-    effects = new ArrayList<>();
+    effects.clear();
     now = event.now();
     forgivePause(event.now());
     switch (event) {
       case Event.Tick tick -> onTick(tick.now());
       case Event.Received received -> onReceived(received);
-      case Event.HostList list -> onHostList(list);
-      case Event.RevisionHeld revision -> onRevisionHeld(revision.revision());
+      case Event.HostList list -> onHostList(list.hosts());
+      case Event.RevisionHeld revision -> revisions.hold(revision.revision());
       case Event.LoadChanged change -> learnLoad(change.load());
-      case Event.Leave ignored -> announce(MemberState.LIVE, true);
+      case Event.Leave ignored -> records.announce(MemberState.LIVE, true);
       case Event.Stop ignored -> onStop();
     }
-    return effects;
+    return List.copyOf(effects);
   }
 
   /**
@@ -125,10 +114,7 @@
     if (!joined) {
       deadline = Math.min(deadline, nextJoin);
     }
-    for (Suspicion suspicion : suspicions.values()) {
-      deadline = Math.min(deadline, suspicion.nextDeadline());
-    }
-    return deadline;
+    return Math.min(deadline, records.suspicions().nextDeadline());
   }
 
   /**
@@ -137,7 +123,7 @@
    * @return the record in force
    */
   public Member self() {
-    return self;
+    return records.self();
   }
 
   /**
@@ -155,9 +141,7 @@
    * @return a new list
    */
   public List<Member> members() {
-    List<Member> all = table.all();
-    all.add(self);
-    return all;
+    return records.all();
   }
 
   /**
@@ -166,16 +150,7 @@
    * @return a new set
    */
   public Set<HostName> owners() {
-    Set<HostName> owners = new HashSet<>();
-    for (Member member : table.present()) {
-      if (!table.isLeaving(member)) {
-        owners.add(member.id().host());
-      }
-    }
-    if (!self.leaving()) {
-      owners.add(self.id().host());
-    }
-    return owners;
+    return records.owners();
   }
 
   /**
@@ -185,16 +160,14 @@
    * @return the revision, empty if it was never heard from directly
    */
   public Optional<Revision> revisionOf(HostName host) {
-    return host.equals(self.id().host())
-        ? Optional.of(held)
-        : Optional.ofNullable(revisions.get(host));
+    return records.isSelf(host) ? Optional.of(revisions.held()) : revisions.of(host);
   }
 
   private void forgivePause(long now) {
     long late = now - nextDeadline();
     if (late > settings.directTimeout()) {
       prober.shift(late);
-      suspicions.replaceAll((host, suspicion) -> suspicion.shift(late));
+      records.suspicions().shift(late);
     }
   }
 
@@ -202,7 +175,7 @@
     table.forgetTombstones(now);
     followSuspicions(now);
     for (Prober.Probe probe : prober.takeFailed(now)) {
-      suspect(probe.target(), now);
+      records.suspect(probe.target(), now);
     }
     for (Prober.Probe probe : prober.takeHelpDue(now)) {
       askForHelp(probe);
@@ -212,112 +185,69 @@
     }
     if (!joined && nextJoin <= now) {
       nextJoin = now + settings.probePeriod();
-      join();
+      contacts.toJoin().forEach(this::requestSync);
     }
     if (nextSync <= now) {
       nextSync = now + settings.syncPeriod();
-      randomPresent(1, self.id()).forEach(member -> requestSync(member.address()));
+      randomPresent(1).forEach(member -> requestSync(member.address()));
     }
     if (nextRejoin <= now) {
       nextRejoin = now + settings.rejoinPeriod();
-      rejoin();
+      contacts.toRejoin(table.present()).ifPresent(this::requestSync);
     }
   }
 
   private void ping(Prober.Probe probe) {
     Member target = probe.target();
-    send(target.address(), new Message.Ping(headerFor(target), probe.sequence(), target.id()));
+    send(
+        target.address(),
+        new Message.Ping(headers.headerFor(target, now), probe.sequence(), target.id()));
   }
 
   private void askForHelp(Prober.Probe probe) {
     ping(probe);
     Member target = probe.target();
     for (Member helper : randomPresent(settings.helpers(), target.id())) {
-      Message.Header header = headerFor(helper);
+      Message.Header header = headers.headerFor(helper, now);
       send(
           helper.address(),
           new Message.PingRequest(header, probe.sequence(), target.id(), target.address()));
     }
   }
 
-  private void suspect(Member target, long now) {
-    Member known = table.find(target.id().host()).orElse(target);
-    if (known.id().equals(target.id()) && known.state() == MemberState.LIVE) {
-      learn(known.withState(MemberState.SUSPECT), now, false);
-    }
-  }
-
   /** Asks each suspect several times before the verdict, then calls the silent ones dead. */
   private void followSuspicions(long now) {
-    List<HostName> silent = new ArrayList<>();
-    List<HostName> asked = new ArrayList<>();
-    suspicions.replaceAll(
-        (host, suspicion) -> {
-          if (suspicion.deadline() <= now) {
-            silent.add(host);
-          } else if (suspicion.askAt() <= now) {
-            asked.add(host);
-            return suspicion.asked();
-          }
-          return suspicion;
-        });
-    for (HostName host : asked) {
+    Suspicions.Due due = records.suspicions().takeDue(now);
+    for (HostName host : due.asked()) {
       table.find(host).ifPresent(this::askSuspect);
     }
-    for (HostName host : silent) {
-      table.find(host).ifPresent(known -> learn(known.withState(MemberState.DEAD), now, false));
-      suspicions.remove(host);
+    for (HostName host : due.silent()) {
+      records.declareDead(host, now);
     }
   }
 
   private void askSuspect(Member suspect) {
-    send(suspect.address(), new Message.Ping(headerFor(suspect), NO_SEQUENCE, suspect.id()));
-  }
-
-  private void join() {
-    List<NodeAddress> known = new ArrayList<>(seeds);
-    for (HostEntry entry : hosts) {
-      known.add(entry.address());
-    }
-    known.removeIf(self.address()::equals);
-    Collections.shuffle(known, random);
-    for (NodeAddress address : known.subList(0, Math.min(JOIN_FAN_OUT, known.size()))) {
-      requestSync(address);
-    }
-  }
-
-  private void rejoin() {
-    Set<NodeAddress> present = new HashSet<>();
-    for (Member member : table.present()) {
-      present.add(member.address());
-    }
-    List<NodeAddress> lost = new ArrayList<>();
-    for (HostEntry entry : hosts) {
-      lost.add(entry.address());
-    }
-    lost.addAll(seeds);
-    lost.removeIf(address -> present.contains(address) || address.equals(self.address()));
-    if (!lost.isEmpty()) {
-      requestSync(lost.get(random.nextInt(lost.size())));
-    }
+    send(
+        suspect.address(),
+        new Message.Ping(headers.headerFor(suspect, now), NO_SEQUENCE, suspect.id()));
   }
 
   private void requestSync(NodeAddress address) {
-    send(
-        address,
-        new Message.SyncRequest(header(List.of(self)), table.digest(self), Optional.empty()));
+    Member self = records.self();
+    Message.Header header = headers.header(List.of(self), now);
+    send(address, new Message.SyncRequest(header, table.digest(self), Optional.empty()));
   }
 
   private void onReceived(Event.Received received) {
     Message message = received.message();
     Message.Header header = message.header();
-    if (header.sender().host().equals(self.id().host())) {
-      defendAgainst(header.sender());
+    if (records.isSelf(header.sender().host())) {
+      records.defendAgainst(header.sender());
       return;
     }
     boolean page = message instanceof Message.SyncReply;
     for (Member member : header.members()) {
-      learn(member, received.now(), page);
+      records.learn(member, received.now(), page);
     }
     header.load().forEach(this::learnRemoteLoad);
     hearRevision(header, received.now());
@@ -331,34 +261,26 @@
   }
 
   private void onPing(NodeAddress source, Message.Ping ping) {
-    if (!ping.target().host().equals(self.id().host())) {
+    if (!records.isSelf(ping.target().host())) {
       return;
     }
+    Member self = records.self();
     NodeId sender = ping.header().sender();
-    List<Member> forced = new ArrayList<>(contradictions(sender));
-    if (!ping.target().equals(self.id()) || contradictsSelf(ping.header())) {
+    List<Member> forced = new ArrayList<>(records.contradictions(sender));
+    if (!ping.target().equals(self.id()) || records.contradictSelf(ping.header().members())) {
+      // The sender has yet to hear a refutation, perhaps one that is no longer disseminated.
       forced.add(self);
     }
-    send(source, new Message.Ack(header(forced), ping.sequence(), self.id()));
+    send(source, new Message.Ack(headers.header(forced, now), ping.sequence(), self.id()));
     if (table.find(sender.host()).isEmpty()) {
       requestSync(source);
     }
   }
 
-  /** The sender has yet to hear a refutation, perhaps one that is no longer disseminated. */
-  private boolean contradictsSelf(Message.Header header) {
-    for (Member member : header.members()) {
-      if (member.id().host().equals(self.id().host()) && !member.equals(self)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private void onPingRequest(Event.Received received, Message.PingRequest request) {
     NodeId target = request.target();
     long sequence = prober.relay(received.source(), request.sequence(), target, received.now());
-    Message.Header header = header(contradictions(target));
+    Message.Header header = headers.header(records.contradictions(target), now);
     send(request.address(), new Message.Ping(header, sequence, target));
   }
 
@@ -370,18 +292,19 @@
             relay ->
                 send(
                     relay.requester(),
-                    new Message.Ack(header(List.of()), relay.sequence(), relay.target())));
+                    new Message.Ack(
+                        headers.header(List.of(), now), relay.sequence(), relay.target())));
   }
 
   private void onSyncRequest(NodeAddress source, Message.SyncRequest request) {
+    Member self = records.self();
     long digest = table.digest(self);
     boolean equal = request.after().isEmpty() && digest == request.digest();
     MemberTable.Page page =
         equal
             ? new MemberTable.Page(List.of(self), false)
             : table.page(self, request.after(), settings.pageBytes());
-    Message.Header header = new Message.Header(self.id(), held, page.members(), List.of());
-    send(source, new Message.SyncReply(header, digest, page.more()));
+    send(source, new Message.SyncReply(headers.page(page.members()), digest, page.more()));
   }
 
   private void onSyncReply(NodeAddress source, Message.SyncReply reply) {
@@ -389,142 +312,33 @@
     List<Member> page = reply.header().members();
     if (reply.more() && !page.isEmpty()) {
       Optional<HostName> last = Optional.of(page.getLast().id().host());
-      send(source, new Message.SyncRequest(header(List.of()), table.digest(self), last));
+      Message.Header header = headers.header(List.of(), now);
+      send(source, new Message.SyncRequest(header, table.digest(records.self()), last));
     }
   }
 
-  private void onHostList(Event.HostList list) {
-    hosts = list.hosts();
-    Set<HostName> leaving = new HashSet<>();
-    for (HostEntry entry : hosts) {
-      if (entry.leaving()) {
-        leaving.add(entry.host());
-      }
-    }
-    if (leaving.remove(self.id().host()) && !self.leaving()) {
-      announce(MemberState.LIVE, true);
-    }
-    for (HostName host : table.replaceListedAsLeaving(leaving)) {
-      table.find(host).ifPresent(this::changed);
-    }
-  }
-
-  private void onRevisionHeld(Revision revision) {
-    if (revision.isAfter(held)) {
-      held = revision;
-    }
+  private void onHostList(List<HostEntry> hosts) {
+    contacts.setHosts(hosts);
+    records.listAsLeaving(contacts.leaving());
   }
 
   private void hearRevision(Message.Header header, long now) {
     HostName host = header.sender().host();
     Optional<Member> sender = table.find(host);
-    if (sender.isEmpty()) {
-      return;
-    }
-    revisions.put(host, header.revision());
-    boolean fresh = header.revision().isAfter(announcedRevision);
-    boolean due = fresh || now - announcedAt >= REVISION_REPEAT;
-    if (header.revision().isAfter(held) && due) {
-      announcedRevision = header.revision();
-      announcedAt = now;
+    if (sender.isPresent() && revisions.hear(host, header.revision(), now)) {
       effects.add(new Effect.NewerRevision(sender.get(), header.revision()));
     }
   }
 
   private void onStop() {
-    announce(MemberState.LEFT, true);
-    for (Member member : randomPresent(STOP_FAN_OUT, self.id())) {
-      send(member.address(), new Message.Ping(header(List.of(self)), NO_SEQUENCE, member.id()));
+    records.announce(MemberState.LEFT, true);
+    for (Member member : randomPresent(STOP_FAN_OUT)) {
+      Message.Header header = headers.header(List.of(records.self()), now);
+      send(member.address(), new Message.Ping(header, NO_SEQUENCE, member.id()));
     }
     stopped = true;
   }
 
-  private void announce(MemberState state, boolean leaving) {
-    self = self.announce(self.refutation() + 1, state, leaving);
-    dissemination.add(self);
-    effects.add(new Effect.MemberChanged(self, leaving));
-  }
-
-  private void learn(Member heard, long now, boolean fromPage) {
-    HostName host = heard.id().host();
-    if (host.equals(self.id().host())) {
-      defend(heard);
-      return;
-    }
-    Optional<Member> known = table.find(host);
-    if (known.isEmpty()) {
-      // A page may hold what all others have forgotten already.
-      if (!fromPage || heard.state().isPresent()) {
-        accept(heard, now);
-        prober.include(host);
-      }
-      return;
-    }
-    Member member = known.get();
-    Member next = fromPage ? softened(heard, member) : heard;
-    if (!next.supersedes(member)) {
-      return;
-    }
-    boolean restarted = !member.id().equals(next.id());
-    if (restarted && member.state().isPresent()) {
-      changed(member.withState(MemberState.DEAD));
-    }
-    accept(next, now);
-    if (!member.state().isPresent() && next.state().isPresent()) {
-      prober.include(host);
-    }
-  }
-
-  /** After a partition both sides hold the other as dead; each gets the chance to refute. */
-  private static Member softened(Member heard, Member known) {
-    boolean refutable =
-        heard.state() == MemberState.DEAD
-            && known.state().isPresent()
-            && heard.id().equals(known.id());
-    return refutable ? heard.withState(MemberState.SUSPECT) : heard;
-  }
-
-  private void accept(Member member, long now) {
-    HostName host = member.id().host();
-    table.put(member, now + settings.tombstoneTime());
-    dissemination.add(member);
-    if (member.state() == MemberState.SUSPECT) {
-      suspicions.put(host, Suspicion.start(now, settings.suspicionTime(table.size())));
-    } else {
-      suspicions.remove(host);
-    }
-    if (!member.state().isPresent()) {
-      revisions.remove(host);
-    }
-    changed(member);
-  }
-
-  private void changed(Member member) {
-    effects.add(new Effect.MemberChanged(member, table.isLeaving(member)));
-  }
-
-  private void defend(Member heard) {
-    int order = heard.id().incarnation().compareTo(self.id().incarnation());
-    if (order > 0) {
-      effects.add(new Effect.Superseded(heard.id()));
-      return;
-    }
-    boolean contradicted =
-        order == 0 && heard.refutation() >= self.refutation() && heard.state() != self.state();
-    if (order < 0) {
-      dissemination.add(self);
-    } else if (contradicted || heard.refutation() > self.refutation()) {
-      self = self.announce(heard.refutation() + 1, self.state(), self.leaving());
-      dissemination.add(self);
-    }
-  }
-
-  private void defendAgainst(NodeId sender) {
-    if (sender.incarnation().compareTo(self.id().incarnation()) > 0) {
-      effects.add(new Effect.Superseded(sender));
-    }
-  }
-
   private void learnRemoteLoad(LoadRecord load) {
     if (learnLoad(load)) {
       effects.add(new Effect.LoadLearned(load));
@@ -532,17 +346,15 @@
   }
 
   private boolean learnLoad(LoadRecord load) {
-    LoadRecord known = loads.get(load.key());
-    if (known != null && known.version() >= load.version()) {
-      return false;
-    }
-    loads.remove(load.key());
-    if (loads.size() >= settings.loadKeys()) {
-      loads.remove(loads.keySet().iterator().next());
+    boolean newer = loads.learn(load);
+    if (newer) {
+      dissemination.add(load);
     }
-    loads.put(load.key(), load);
-    dissemination.add(load);
-    return true;
+    return newer;
+  }
+
+  private List<Member> randomPresent(int count) {
+    return randomPresent(count, records.self().id());
   }
 
   private List<Member> randomPresent(int count, NodeId except) {
@@ -552,27 +364,6 @@
     return present.subList(0, Math.min(count, present.size()));
   }
 
-  private Message.Header headerFor(Member target) {
-    return header(contradictions(target.id()));
-  }
-
-  /** The record about a node that it has to contradict, if this node holds one. */
-  private List<Member> contradictions(NodeId target) {
-    Optional<Member> known = table.find(target.host());
-    boolean contradicted =
-        known.isPresent()
-            && (known.get().state() != MemberState.LIVE || !known.get().id().equals(target));
-    return contradicted ? List.of(known.get()) : List.of();
-  }
-
-  private Message.Header header(List<Member> forced) {
-    int limit = settings.retransmits(table.size());
-    int bytes = Math.min(settings.piggybackBytes(), allowance.available(now));
-    Dissemination.Payload payload = dissemination.take(bytes, limit, forced);
-    allowance.spend(payload.bytes());
-    return new Message.Header(self.id(), held, payload.members(), payload.load());
-  }
-
   private void send(NodeAddress to, Message message) {
     effects.add(new Effect.Send(to, message));
   }
