Split the lease desk into slots, limits and owners

SlotDesk now holds the slots, LimitDesk the rate limits, Owners who owns a key, and LeaseDesk only joins them into the batches that peers exchange. The two ways of counting a report as lost are one. No caller changed.

The 64 tests of the module pass, before and after.

--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/LeaseDesk.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/LeaseDesk.java
@@ -6,64 +6,41 @@
 
 package org.larkkeel.peer;
 
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.peer.limits.LimitAsk;
-import org.larkkeel.peer.limits.LimitGrant;
-import org.larkkeel.peer.limits.LimitHolder;
-import org.larkkeel.peer.limits.LimitOwner;
 import org.larkkeel.peer.limits.RateLimit;
 import org.larkkeel.peer.membership.NodeId;
-import org.larkkeel.peer.ownership.Ownership;
-import org.larkkeel.peer.slots.SlotEvent;
-import org.larkkeel.peer.slots.SlotGrant;
-import org.larkkeel.peer.slots.SlotHolder;
-import org.larkkeel.peer.slots.SlotOwner;
-import org.larkkeel.peer.slots.SlotReport;
 import org.larkkeel.peer.transport.Leases;
 
 /**
- * Slots and limits of one node, as holder and as owner, and what they have to say to peers.
+ * Slots and limits of one node, and the batches in which peers are told of both.
  *
  * <p>Runs on the core thread only. Times are nanoseconds.
  */
 final class LeaseDesk {
   private final NodeId self;
-  private final LeaseSettings settings;
+  private final long flushPeriod;
   private final Outbox outbox;
-  private final Map<String, SlotHolder> slotHolders = new HashMap<>();
-  private final Map<String, SlotOwner> slotOwners = new HashMap<>();
-  private final Map<String, LimitHolder> limitHolders = new HashMap<>();
-  private final Map<String, LimitOwner> limitOwners = new HashMap<>();
-  private final Map<String, LimitOwner> fallbackOwners = new HashMap<>();
-  private final Map<Long, CompletableFuture<SlotLease>> slotWaits = new HashMap<>();
-  private final Map<Long, CompletableFuture<LimitDecision>> limitWaits = new HashMap<>();
-  private Map<String, RateLimit> rates = Map.of();
-  private Map<String, Integer> fixedCapacities = Map.of();
-  private Ownership ownership;
-  private int nodes = 1;
+  private final Owners owners;
+  private final SlotDesk slots;
+  private final LimitDesk limits;
   private boolean closed;
   private long nextFlush = Long.MIN_VALUE;
 
   LeaseDesk(NodeId self, LeaseSettings settings) {
     this.self = self;
-    this.settings = settings;
+    this.flushPeriod = settings.flush();
     this.outbox = new Outbox(self, settings.failurePause());
-    this.ownership = new Ownership(Set.of(self.host()));
-  }
-
-  boolean owns(String key) {
-    return ownership.ownerOf(key).filter(self.host()::equals).isPresent();
+    this.owners = new Owners(self);
+    this.slots = new SlotDesk(self, settings.slots(), owners, outbox);
+    this.limits = new LimitDesk(self, flushPeriod, owners, outbox);
   }
 
   void acquireSlot(
@@ -72,18 +49,11 @@
       result.completeExceptionally(stopping());
       return;
     }
-    slotWaits.put(lease.id(), result);
-    SlotHolder holder =
-        slotHolders.computeIfAbsent(lease.key(), key -> new SlotHolder(key, settings.slots(), now));
-    finishSlots(lease.key(), holder.acquire(now, lease.id(), priority, until));
+    slots.acquire(now, lease, priority, until, result);
   }
 
   void releaseSlot(long now, SlotLease lease) {
-    slotWaits.remove(lease.id());
-    SlotHolder holder = slotHolders.get(lease.key());
-    if (holder != null) {
-      finishSlots(lease.key(), holder.release(now, lease.id()));
-    }
+    slots.release(now, lease);
   }
 
   void acquireLimit(
@@ -97,183 +67,63 @@
       result.completeExceptionally(stopping());
       return;
     }
-    if (!rates.containsKey(workspace)) {
-      result.complete(new LimitDecision(true, Duration.ZERO));
-      return;
-    }
-    limitWaits.put(id, result);
-    LimitHolder holder = limitHolders.computeIfAbsent(workspace, key -> new LimitHolder(key, now));
-    finishLimits(holder.acquire(now, id, tokens, until));
+    limits.acquire(now, workspace, id, tokens, until, result);
   }
 
-  void updateCapacity(long now, String key, int slots, int running) {
-    if (owns(key)) {
-      deliver(now, key, owner(key, now).on(new SlotEvent.Capacity(now, slots, running)));
-    }
+  void updateCapacity(long now, String key, int count, int running) {
+    slots.updateCapacity(now, key, count, running);
   }
 
-  void setLimits(long now, Map<String, RateLimit> nextRates, Map<String, Integer> capacities) {
-    rates = Map.copyOf(nextRates);
-    fixedCapacities = Map.copyOf(capacities);
-    limitOwners.keySet().retainAll(rates.keySet());
-    limitOwners.forEach((workspace, owner) -> owner.setLimit(rates.get(workspace), now));
-    fallbackOwners.clear();
-    fixedCapacities.forEach(
-        (key, slots) -> {
-          if (slotOwners.containsKey(key)) {
-            updateCapacity(now, key, slots, 0);
-          }
-        });
+  void setLimits(long now, Map<String, RateLimit> rates, Map<String, Integer> capacities) {
+    limits.setRates(now, rates);
+    slots.setFixedCapacities(now, capacities);
   }
 
   /** Takes a new set of owners; holders turn to the new owners of what they hold. */
-  void ownersChanged(long now, Set<HostName> owners) {
-    final Ownership before = ownership;
-    ownership = new Ownership(owners);
-    nodes = Math.max(1, owners.size());
-    fallbackOwners.clear();
-    slotHolders.forEach(
-        (key, holder) -> {
-          if (!before.ownerOf(key).equals(ownership.ownerOf(key))) {
-            holder.ownerChanged(now);
-          }
-        });
-    limitHolders.forEach(
-        (key, holder) -> {
-          if (!before.ownerOf(key).equals(ownership.ownerOf(key))) {
-            holder.ownerChanged();
-          }
-        });
-    slotOwners.keySet().removeIf(key -> !owns(key));
-    limitOwners.keySet().removeIf(key -> !owns(key));
+  void ownersChanged(long now, Set<HostName> next) {
+    Predicate<String> changed = owners.change(next);
+    slots.ownersChanged(now, changed);
+    limits.ownersChanged(changed);
   }
 
   void nodeGone(long now, NodeId node) {
-    for (String key : List.copyOf(slotOwners.keySet())) {
-      deliver(now, key, slotOwners.get(key).on(new SlotEvent.HolderDead(now, node)));
-    }
-    limitOwners.values().forEach(owner -> owner.forget(node));
+    slots.nodeGone(now, node);
+    limits.nodeGone(node);
     outbox.forget(node.host());
   }
 
   long nextDeadline() {
-    long deadline = Long.MAX_VALUE;
-    if (!slotHolders.isEmpty() || !limitHolders.isEmpty() || outbox.hasPending()) {
-      deadline = nextFlush;
-    }
-    for (SlotOwner owner : slotOwners.values()) {
-      deadline = Math.min(deadline, owner.nextDeadline());
-    }
-    return deadline;
+    boolean flushes = slots.hasHolders() || limits.hasHolders() || outbox.hasPending();
+    return Math.min(flushes ? nextFlush : Long.MAX_VALUE, slots.nextDeadline());
   }
 
   /** Does what is due, and returns the batches to send. */
   Map<HostName, Leases> tick(long now) {
-    for (String key : List.copyOf(slotOwners.keySet())) {
-      if (slotOwners.get(key).nextDeadline() <= now) {
-        deliver(now, key, slotOwners.get(key).on(new SlotEvent.Tick(now)));
-      }
-    }
+    slots.tick(now);
     if (nextFlush > now) {
       return Map.of();
     }
-    nextFlush = now + settings.flush();
-    for (String key : List.copyOf(slotHolders.keySet())) {
-      flushSlots(now, key);
-    }
-    for (String workspace : List.copyOf(limitHolders.keySet())) {
-      flushLimits(now, workspace);
-    }
+    nextFlush = now + flushPeriod;
+    slots.flush(now);
+    limits.flush(now);
     return outbox.take(now);
   }
 
-  private void flushSlots(long now, String key) {
-    SlotHolder holder = slotHolders.get(key);
-    finishSlots(key, holder.tick(now));
-    HostName owner = ownership.ownerOf(key).orElse(self.host());
-    if (!outbox.isReady(owner, now)) {
-      return;
-    }
-    Optional<SlotReport> report = holder.report(now);
-    if (report.isEmpty()) {
-      if (holder.isIdle()) {
-        slotHolders.remove(key);
-      }
-    } else if (owner.equals(self.host())) {
-      deliver(now, key, reported(now, self, report.get()));
-    } else {
-      outbox.pending(owner).reports().add(report.get());
-    }
-  }
-
-  private void flushLimits(long now, String workspace) {
-    LimitHolder holder = limitHolders.get(workspace);
-    finishLimits(holder.tick(now));
-    HostName owner = ownership.ownerOf(workspace).orElse(self.host());
-    if (!outbox.isReady(owner, now)) {
-      return;
-    }
-    Optional<LimitAsk> ask = holder.ask(now, settings.flush());
-    if (ask.isEmpty()) {
-      if (holder.isIdle()) {
-        limitHolders.remove(workspace);
-      }
-    } else if (owner.equals(self.host())) {
-      finishLimits(holder.granted(now, asked(now, self, ask.get())));
-    } else {
-      outbox.pending(owner).asks().add(ask.get());
-    }
-  }
-
   /** Answers a batch of a peer; grants for third nodes go out with the next flush. */
   Leases received(long now, Leases batch) {
     Leases reply = Leases.of(self);
     NodeId sender = batch.sender();
-    batch.grants().forEach(grant -> slotGranted(now, sender, grant));
-    for (SlotReport report : batch.reports()) {
-      if (owns(report.key())) {
-        for (SlotOwner.Answer answer : reported(now, sender, report)) {
-          if (answer.holder().equals(sender)) {
-            reply.grants().add(answer.grant());
-          } else {
-            deliver(now, report.key(), List.of(answer));
-          }
-        }
-      }
-    }
-    for (LimitAsk ask : batch.asks()) {
-      if (owns(ask.workspace())) {
-        reply.limits().add(asked(now, sender, ask));
-      }
-    }
+    batch.grants().forEach(grant -> slots.granted(now, sender, grant));
+    slots.answerReports(now, sender, batch.reports(), reply.grants());
+    limits.answerAsks(now, sender, batch.asks(), reply.limits());
     return reply;
   }
 
   void replied(long now, HostName peer, Leases sent, Leases reply) {
     outbox.delivered(peer);
-    reply.grants().forEach(grant -> slotGranted(now, reply.sender(), grant));
-    Set<String> answered = new HashSet<>();
-    for (LimitGrant grant : reply.limits()) {
-      answered.add(grant.workspace());
-      LimitHolder holder = limitHolders.get(grant.workspace());
-      if (holder != null) {
-        finishLimits(holder.granted(now, grant));
-      }
-    }
-    // A peer that does not see itself as the owner does not answer.
-    for (LimitAsk ask : sent.asks()) {
-      LimitHolder holder = limitHolders.get(ask.workspace());
-      if (holder != null && !answered.contains(ask.workspace())) {
-        holder.askLost();
-      }
-    }
-    Set<String> granted = new HashSet<>();
-    reply.grants().forEach(grant -> granted.add(grant.key()));
-    for (SlotReport report : sent.reports()) {
-      if (!granted.contains(report.key()) && slotHolders.containsKey(report.key())) {
-        slotHolders.get(report.key()).reportLost();
-      }
-    }
+    reply.grants().forEach(grant -> slots.granted(now, reply.sender(), grant));
+    limits.asksAnswered(now, sent.asks(), reply.limits());
+    slots.reportsAnswered(sent.reports(), reply.grants());
   }
 
   /** The peer is not there any more; another node owns what it owned. */
@@ -287,120 +137,15 @@
     if (!sent.grants().isEmpty()) {
       outbox.pending(peer).grants().addAll(sent.grants());
     }
-    for (SlotReport report : sent.reports()) {
-      SlotHolder holder = slotHolders.get(report.key());
-      if (holder != null) {
-        holder.reportLost();
-      }
-    }
-    // An unreachable owner must not stop a workspace: each node has its share until another owns
-    // it.
-    for (LimitAsk ask : sent.asks()) {
-      LimitHolder holder = limitHolders.get(ask.workspace());
-      if (holder != null) {
-        finishLimits(holder.granted(now, fallback(now, ask)));
-      }
-    }
-  }
-
-  private LimitGrant fallback(long now, LimitAsk ask) {
-    RateLimit limit = rates.get(ask.workspace());
-    if (limit == null) {
-      return unlimited(ask);
-    }
-    RateLimit share =
-        new RateLimit(
-            Math.max(1, limit.requestsPerSecond() / nodes),
-            Math.max(1, limit.tokensPerSecond() / nodes));
-    return fallbackOwners
-        .computeIfAbsent(ask.workspace(), key -> new LimitOwner(share, now))
-        .ask(now, self, ask);
-  }
-
-  private LimitGrant asked(long now, NodeId holder, LimitAsk ask) {
-    RateLimit limit = rates.get(ask.workspace());
-    if (limit == null) {
-      return unlimited(ask);
-    }
-    return limitOwners
-        .computeIfAbsent(ask.workspace(), key -> new LimitOwner(limit, now))
-        .ask(now, holder, ask);
-  }
-
-  private static LimitGrant unlimited(LimitAsk ask) {
-    return new LimitGrant(
-        ask.workspace(), ask.sequence(), ask.requestsWanted(), ask.tokensWanted(), 0);
-  }
-
-  private List<SlotOwner.Answer> reported(long now, NodeId holder, SlotReport report) {
-    return owner(report.key(), now).on(new SlotEvent.Reported(now, holder, report));
-  }
-
-  private SlotOwner owner(String key, long now) {
-    SlotOwner known = slotOwners.get(key);
-    if (known != null) {
-      return known;
-    }
-    SlotOwner owner = new SlotOwner(key, settings.slots(), now);
-    Integer fixed = fixedCapacities.get(key);
-    if (fixed != null) {
-      owner.on(new SlotEvent.Capacity(now, fixed, 0));
-    }
-    slotOwners.put(key, owner);
-    return owner;
-  }
-
-  private void deliver(long now, String key, List<SlotOwner.Answer> answers) {
-    for (SlotOwner.Answer answer : answers) {
-      if (answer.holder().equals(self)) {
-        slotGranted(now, self, answer.grant());
-      } else {
-        outbox.pending(answer.holder().host()).grants().add(answer.grant());
-      }
-    }
-  }
-
-  private void slotGranted(long now, NodeId from, SlotGrant grant) {
-    SlotHolder holder = slotHolders.get(grant.key());
-    boolean current = ownership.ownerOf(grant.key()).filter(from.host()::equals).isPresent();
-    if (holder != null && current) {
-      finishSlots(grant.key(), holder.granted(now, grant));
-    }
-  }
-
-  private void finishSlots(String key, List<SlotHolder.Outcome> outcomes) {
-    for (SlotHolder.Outcome outcome : outcomes) {
-      CompletableFuture<SlotLease> wait = slotWaits.remove(outcome.id());
-      if (wait == null) {
-        continue;
-      }
-      if (outcome.result() == SlotHolder.Result.ACQUIRED) {
-        wait.complete(new SlotLease(key, outcome.id()));
-      } else {
-        wait.completeExceptionally(
-            new LarkkeelException(
-                ErrorKind.OVERLOADED, "no slot of " + key + " became free in time"));
-      }
-    }
-  }
-
-  private void finishLimits(List<LimitHolder.Outcome> outcomes) {
-    for (LimitHolder.Outcome outcome : outcomes) {
-      CompletableFuture<LimitDecision> wait = limitWaits.remove(outcome.id());
-      if (wait != null) {
-        Duration retryAfter = Duration.ofNanos(outcome.retryAfter());
-        wait.complete(new LimitDecision(outcome.admitted(), retryAfter));
-      }
-    }
+    slots.reportsLost(sent.reports());
+    limits.asksLost(now, sent.asks());
   }
 
   /** Fails all that waits. */
   void close() {
     closed = true;
-    List<CompletableFuture<?>> waits = new ArrayList<>(slotWaits.values());
-    waits.addAll(limitWaits.values());
-    slotWaits.clear();
-    limitWaits.clear();
+    List<CompletableFuture<?>> waits = new ArrayList<>(slots.takeWaits());
+    waits.addAll(limits.takeWaits());
     for (CompletableFuture<?> wait : waits) {
       wait.completeExceptionally(stopping());
     }
