--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerAdapter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerAdapter.java
@@ -19,7 +19,6 @@
 import org.larkkeel.lib.Revision;
 import org.larkkeel.peer.PeerListener;
 import org.larkkeel.peer.membership.Member;
-import org.larkkeel.peer.membership.MemberState;
 import org.larkkeel.peer.membership.NodeId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -132,12 +131,10 @@
     boolean changed = false;
     if (!host.equals(self)) {
       changed = member.state().isPresent() ? present.add(host) : present.remove(host);
-    }
-    if (!host.equals(self)) {
       noteStart(host, member.id().incarnation());
-    }
-    if (member.state() == MemberState.DEAD || member.state() == MemberState.LEFT) {
-      died(new EngineRequestId.Origin(host, member.id().incarnation()));
+      if (!member.state().isPresent()) {
+        died(new EngineRequestId.Origin(host, member.id().incarnation()));
+      }
     }
     if (changed) {
       ImmutableSortedSet<HostName> live = live();
