--- a/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
@@ -174,9 +174,9 @@
     boolean wasSilent = upstream.isSilent();
     if (upstream.reported(report)) {
       core.cancels.restarted(upstream);
-      core.fleet.back(upstream);
+      core.fleet.ejections().back(upstream);
     } else if (wasSilent) {
-      core.fleet.back(upstream);
+      core.fleet.ejections().back(upstream);
     }
     if (!sameModels) {
       core.fleet.modelsChanged(upstream);
@@ -187,7 +187,7 @@
   private void loadUnavailable(UpstreamName name) {
     UpstreamState upstream = core.fleet.get(name);
     if (upstream != null) {
-      core.fleet.silent(upstream);
+      core.fleet.ejections().silent(upstream);
     }
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/DecodeFlow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/DecodeFlow.java
@@ -111,7 +111,7 @@
 
   /** A KV cache was lost while it waited for a slot; tells nothing about guesses after a fault. */
   void lostKv() {
-    if (!core.fleet.isDisturbed()) {
+    if (!core.fleet.ejections().isDisturbed()) {
       core.placement.caution().lost();
     }
   }
@@ -164,7 +164,7 @@
     if (request.firstTokenAt == 0) {
       request.firstTokenAt = attempt.firstTokenAt;
     }
-    core.fleet.succeeded(attempt.upstream);
+    core.fleet.ejections().succeeded(attempt.upstream);
     reportUsed(request);
   }
 
@@ -222,7 +222,7 @@
     }
     engine.cache.used(request.prefixes(), attempt.believed, cachedTokens);
     attempt.tokens = computed;
-    core.fleet.succeeded(engine);
+    core.fleet.ejections().succeeded(engine);
   }
 
   private void learnDecode(Attempt attempt, int tokens) {
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Failures.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Failures.java
@@ -49,7 +49,7 @@
     request.tokens = Math.max(request.tokens, tokens);
     request.reached |= exposure != Exposure.NOT_SENT;
     request.mayHaveRun |= exposure == Exposure.MAY_HAVE_RUN;
-    core.fleet.failed(attempt.upstream, cause);
+    core.fleet.ejections().failed(attempt.upstream, cause);
     Remains remains = exposure == Exposure.MAY_HAVE_RUN ? Remains.MAYBE : Remains.NOTHING;
     switch (attempt.kind) {
       case PREFILL -> prefillFailed(attempt, cause, exposure, remains);
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Fleet.java
@@ -19,7 +19,6 @@
 import org.larkkeel.config.Role;
 import org.larkkeel.config.Upstream;
 import org.larkkeel.effect.Fact;
-import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.Labels;
 import org.larkkeel.lib.ModelName;
 import org.larkkeel.lib.PoolName;
@@ -37,7 +36,6 @@
  */
 public final class Fleet {
   private static final String GENERATION_LABEL = "gen";
-  private static final long DISTURBANCE_NANOS = 3_000_000_000L;
 
   /**
    * What identifies a candidate set.
@@ -49,6 +47,7 @@
   private record SetKey(Role role, ImmutableSet<PoolName> pools, Optional<ModelName> model) {}
 
   private final Context context;
+  private final Ejections ejections;
   private final PrefixIndex prefixes = new PrefixIndex();
   private final PoolIndex pools = new PoolIndex();
   private final Map<UpstreamName, UpstreamState> states = new TreeMap<>();
@@ -59,7 +58,6 @@
   private ImmutableSet<ModelName> models = ImmutableSet.of();
   private Configuration current = Configuration.EMPTY;
   private int nodes = 1;
-  private long lastEjection = Long.MIN_VALUE / 2;
 
   /**
    * Creates an empty fleet.
@@ -68,6 +66,7 @@
    */
   public Fleet(Context context) {
     this.context = context;
+    this.ejections = new Ejections(context, this);
   }
 
   /**
@@ -163,6 +162,15 @@
     return models.contains(model);
   }
 
+  /**
+   * Which upstreams get no requests because they failed.
+   *
+   * @return the ejections
+   */
+  public Ejections ejections() {
+    return ejections;
+  }
+
   /**
    * The index of prompt prefixes.
    *
@@ -334,90 +342,6 @@
     gained(state);
   }
 
-  /**
-   * Counts a success of an upstream.
-   *
-   * @param state the upstream
-   */
-  public void succeeded(UpstreamState state) {
-    if (state.health.succeeded()) {
-      context.timers().clear(state.probeTimer);
-      context.report(new Fact.Restored(state.name));
-      gained(state);
-    }
-  }
-
-  /**
-   * Counts a failure of an upstream.
-   *
-   * @param state the upstream
-   * @param cause why it failed
-   */
-  public void failed(UpstreamState state, FailureCause cause) {
-    boolean counts = context.settings().ejection();
-    switch (cause) {
-      case NO_SLOT, BUSY -> state.slots.refused(context.now());
-      case DRAINING -> eject(state, counts ? state.health.eject() : 0);
-      case CONNECT_FAILED, CONNECTION_LOST, TIMED_OUT, BAD_ANSWER ->
-          eject(state, counts ? state.health.failed() : 0);
-      default -> {}
-    }
-    lost(state);
-  }
-
-  /**
-   * An upstream that was silent or has started anew reports its load, so it is back.
-   *
-   * @param state the upstream
-   */
-  public void back(UpstreamState state) {
-    if (state.health.restore()) {
-      context.timers().clear(state.probeTimer);
-      context.report(new Fact.Restored(state.name));
-      gained(state);
-    }
-  }
-
-  /**
-   * Counts a load report that did not come.
-   *
-   * @param state the upstream
-   */
-  public void silent(UpstreamState state) {
-    boolean silent = state.unanswered() >= context.settings().ejectAfter();
-    if (silent && context.settings().ejection() && !state.health.isOut()) {
-      eject(state, state.health.eject());
-      lost(state);
-    }
-  }
-
-  /**
-   * Tells whether an upstream was lost so lately that its requests still press on the others.
-   *
-   * @return true if so
-   */
-  public boolean isDisturbed() {
-    return context.now() - lastEjection < DISTURBANCE_NANOS;
-  }
-
-  private void eject(UpstreamState state, long nanos) {
-    if (nanos <= 0) {
-      return;
-    }
-    lastEjection = context.now();
-    context.timers().set(state.probeTimer, context.now() + nanos);
-    context.report(new Fact.Ejected(state.name, nanos));
-  }
-
-  private void probe(UpstreamState state) {
-    if (state.isSilent()) {
-      eject(state, state.health.eject());
-      return;
-    }
-    state.health.probe();
-    gained(state);
-  }
-
   private boolean hasRoom(UpstreamState state, Role role) {
     if (!takesRequests(state)) {
       return false;
@@ -461,7 +385,7 @@
     Rates prior = priors.computeIfAbsent(kindOf(upstream.labels()), k -> new Rates(overall));
     Health health = new Health(context.settings().ejectAfter(), context.settings().ejectNanos());
     UpstreamState[] self = new UpstreamState[1];
-    self[0] = new UpstreamState(upstream, prior, prefixes, health, () -> probe(self[0]));
+    self[0] = new UpstreamState(upstream, prior, prefixes, health, () -> ejections.probe(self[0]));
     return self[0];
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/PlainFlow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/PlainFlow.java
@@ -52,7 +52,7 @@
       return;
     }
     attempt.upstream.rates.served(core.context.now() - attempt.startedAt);
-    core.fleet.succeeded(attempt.upstream);
+    core.fleet.ejections().succeeded(attempt.upstream);
     request.plain = null;
     request.mayHaveRun = true;
     core.fleet.detach(attempt);
