Grant decode slots between nodes by their owner

Cause: the router asked for slots (WantSlots) and nobody answered, so each of several nodes counted on all that an engine last reported as free. Change: SlotGrants holds leases of the peers' slot owners, as many as the router wants, and tells it how many it has; the polling node tells the owner what the engine reports. A setting, router.slots, chooses between this and reports.

--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Demo.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Demo.java
@@ -40,7 +40,7 @@
             + options.seconds()
             + " rate="
             + options.rate());
-    try (DemoCluster cluster = DemoCluster.start(options.nodes());
+    try (DemoCluster cluster = DemoCluster.start(options.nodes(), options.slots());
         CallerClient client = new CallerClient()) {
       out.println("started millis=" + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin));
       ImmutableList<URI> addresses = cluster.callerAddresses();
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoCluster.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoCluster.java
@@ -32,6 +32,7 @@
 import org.larkkeel.daemon.settings.LogLevel;
 import org.larkkeel.daemon.settings.PlatformSettings;
 import org.larkkeel.daemon.settings.Settings;
+import org.larkkeel.daemon.settings.SlotSharing;
 import org.larkkeel.http.operator.DryRun;
 import org.larkkeel.http.operator.ProposalOutcome;
 import org.larkkeel.lib.ChangeId;
@@ -67,13 +68,15 @@
       new InetSocketAddress(InetAddress.ofLiteral("127.0.0.1"), 0);
 
   private final Closer closer;
+  private final SlotSharing slots;
   private final PlatformStandin platform;
   private final ServiceStandin service;
   private final ImmutableMap<String, EngineStandin> engines;
   private final List<Daemon> nodes = new ArrayList<>();
 
-  private DemoCluster(Closer closer) {
+  private DemoCluster(Closer closer, SlotSharing slots) {
     this.closer = closer;
+    this.slots = slots;
     platform =
         closer.add(
             PlatformStandin.start(
@@ -87,10 +90,10 @@
   }
 
   /** Starts everything; the nodes are ready when this returns. */
-  static DemoCluster start(int nodeCount) throws Exception {
+  static DemoCluster start(int nodeCount, SlotSharing slots) throws Exception {
     Closer closer = new Closer();
     try {
-      DemoCluster cluster = new DemoCluster(closer);
+      DemoCluster cluster = new DemoCluster(closer, slots);
       cluster.startNodes(nodeCount);
       return cluster;
     } catch (Exception e) {
@@ -180,7 +183,10 @@
             50),
         ImmutableList.of(),
         LimitSettings.DEFAULT,
-        RouterSettings.builder().dataCentre(Optional.of(place)).build(),
+        RouterSettings.builder()
+            .dataCentre(Optional.of(place))
+            .sharedSlots(slots == SlotSharing.GRANTED)
+            .build(),
         LogLevel.INFO);
   }
 
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoOptions.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/DemoOptions.java
@@ -10,6 +10,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.larkkeel.daemon.settings.SlotSharing;
 
 /** The options of the demo. Set by the parser, then only read. */
 final class DemoOptions {
@@ -44,6 +45,11 @@
       usage = "the platform's store is down between these seconds")
   private String storeOutage;
 
+  @Option(
+      name = "--slots",
+      usage = "how nodes share decode slots: each counts on reports, or their owner grants them")
+  private SlotSharing slots = SlotSharing.GRANTED;
+
   @Option(name = "--seed", metaVar = "N", usage = "chooses the requests")
   private long seed = 1;
 
@@ -85,6 +91,10 @@
         new Outage(Integer.parseInt(parts[0].strip()), Integer.parseInt(parts[1].strip())));
   }
 
+  SlotSharing slots() {
+    return slots;
+  }
+
   long seed() {
     return seed;
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
@@ -31,6 +32,7 @@
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.peer.PeerNode;
+import org.larkkeel.peer.SlotLease;
 import org.larkkeel.peer.membership.Member;
 import org.larkkeel.peer.membership.NodeAddress;
 import org.larkkeel.platform.ExecutorScheduler;
@@ -61,6 +63,7 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final FactMeters facts = new FactMeters(meters);
   private final PeerAdapter peerAdapter;
+  private final SlotGrants slots = new SlotGrants(slotLeases(), this::publish, clock);
   private final Readiness readiness;
   private final ExecutorScheduler scheduler;
   private final HttpWorker worker;
@@ -161,10 +164,36 @@
   private UpstreamSide upstreamSide(long seed) {
     UpstreamSide.Parts parts =
         new UpstreamSide.Parts(
-            origin, table, configuration, worker, scheduler, this::publish, clock);
+            origin, table, configuration, worker, scheduler, this::upstreamSaid, clock);
     return new UpstreamSide(parts, settings.limits(), seed);
   }
 
+  private void upstreamSaid(Event event) {
+    if (event instanceof Event.LoadReported reported) {
+      slots.reported(reported.upstream(), reported.report());
+    }
+    publish(event);
+  }
+
+  private SlotGrants.Leases slotLeases() {
+    return new SlotGrants.Leases() {
+      @Override
+      public CompletableFuture<SlotLease> acquire(String key, int priority, Duration patience) {
+        return peers.acquireSlot(key, priority, patience);
+      }
+
+      @Override
+      public void release(SlotLease lease) {
+        peers.releaseSlot(lease);
+      }
+
+      @Override
+      public void updateCapacity(String key, int count, int running) {
+        peers.updateCapacity(key, count, running);
+      }
+    };
+  }
+
   private ReducerLoop reducerLoop() {
     Timers timers = closer.add(new Timers(threadName("timers"), this::publish, clock));
     EffectPorts ports =
@@ -172,7 +201,7 @@
             upstreams.executor()::execute,
             upstreams.executor()::execute,
             runs(),
-            effect -> {},
+            slots,
             timers,
             this::report);
     return new ReducerLoop(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsKeys.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsKeys.java
@@ -51,6 +51,7 @@
   public static final String RELOAD_MILLIS = "reloadMillis";
   public static final String POLL_MILLIS = "pollMillis";
   public static final String ROUTER = "router";
+  public static final String SLOTS = "slots";
   public static final String POLICY = "policy";
   public static final String SMALL_PROMPT_TOKENS = "smallPromptTokens";
   public static final String PREFILL_DEPTH = "prefillDepth";
@@ -97,6 +98,7 @@
   static final ImmutableSet<String> IN_ROUTER =
       ImmutableSet.of(
           POLICY,
+          SLOTS,
           SMALL_PROMPT_TOKENS,
           PREFILL_DEPTH,
           MAX_QUEUED,
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsReader.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SettingsReader.java
@@ -238,6 +238,9 @@
             .orElseGet(RouterSettings::builder);
     return builder
         .dataCentre(Optional.ofNullable(place))
+        .sharedSlots(
+            f.choice(SettingsKeys.SLOTS, SlotSharing.class, SlotSharing.GRANTED)
+                == SlotSharing.GRANTED)
         .smallPromptTokens(
             count(f, SettingsKeys.SMALL_PROMPT_TOKENS, MAX_TOKENS, defaults.smallPromptTokens()))
         .prefillDepth(count(f, SettingsKeys.PREFILL_DEPTH, 1_000, defaults.prefillDepth()))
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/settings/SlotSharing.java
@@ -0,0 +1,19 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.settings;
+
+/**
+ * How nodes share the decode slots of an upstream.
+ *
+ * @since 0.1
+ */
+public enum SlotSharing {
+  /** Each node counts on what the upstream reports as free. */
+  REPORTED,
+  /** The node that owns the upstream grants slots to the others. */
+  GRANTED
+}
