Hold peers over TLS to the names in their certificates

Any node with a certificate of the peers' authority could send or answer a batch in the name of another, and so take or return its leases. Over TLS the sender of a batch, and of the answer to one, must now equal the common name or a DNS name of the certificate that the connection showed.

Tests on loopback: a node with a valid certificate of the name "node" that claims "host-1" is refused as caller and as answerer, is let through with the check off, and may claim its own name. The existing TLS tests keep their assertions; they run with the check off, since their certificate names "node" while they claim "host-1".

What it does not cover: the calls that carry no name (pulls of the configuration, claims and records of runs), and datagrams, by which nodes join and which are authenticated by the shared secret alone.

--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/transport/TransportTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/transport/TransportTest.java
@@ -10,6 +10,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -91,7 +92,12 @@
   }
 
   private static PeerServer serve(Optional<SSLContext> ssl) throws IOException {
-    return PeerServer.open(settings(), loopback(), ssl, new Echo());
+    return serve(ssl, NameCheck.OFF);
+  }
+
+  private static PeerServer serve(Optional<SSLContext> ssl, NameCheck nameCheck)
+      throws IOException {
+    return PeerServer.open(settings(), loopback(), ssl, nameCheck, new Echo());
   }
 
   private static void assertAnswers(PeerClient client, PeerServer server) throws Exception {
@@ -109,7 +115,7 @@
     @Test
     public void oneConnectionCarriesManyTimesTheFrameBound() throws Exception {
       try (PeerServer server = serve(Optional.empty());
-          PeerClient client = new PeerClient(settings(), Optional.empty())) {
+          PeerClient client = new PeerClient(settings(), Optional.empty(), NameCheck.OFF)) {
         for (int i = 0; i < 2_000; i++) {
           assertAnswers(client, server);
         }
@@ -120,7 +126,7 @@
     public void hostileFramesDoNoHarm() throws Exception {
       Random random = new Random(5);
       try (PeerServer server = serve(Optional.empty());
-          PeerClient client = new PeerClient(settings(), Optional.empty())) {
+          PeerClient client = new PeerClient(settings(), Optional.empty(), NameCheck.OFF)) {
         for (int i = 0; i < 200; i++) {
           byte[] noise = new byte[random.nextInt(200)];
           random.nextBytes(noise);
@@ -146,7 +152,7 @@
     @Test
     public void oversizedAnswerFailsCallOnly() throws Exception {
       try (PeerServer server = serve(Optional.empty());
-          PeerClient client = new PeerClient(settings(), Optional.empty())) {
+          PeerClient client = new PeerClient(settings(), Optional.empty(), NameCheck.OFF)) {
         var large = client.pullConfig(addressOf(server), 100_000);
         assertThrows(ExecutionException.class, () -> large.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
         assertAnswers(client, server);
@@ -156,12 +162,13 @@
     @Test
     public void brokenIdleConnectionIsReplaced() throws Exception {
       PeerServer first = serve(Optional.empty());
-      try (PeerClient client = new PeerClient(settings(), Optional.empty())) {
+      try (PeerClient client = new PeerClient(settings(), Optional.empty(), NameCheck.OFF)) {
         assertAnswers(client, first);
         first.close();
         InetSocketAddress same =
             new InetSocketAddress(InetAddress.getLoopbackAddress(), first.port());
-        try (PeerServer second = PeerServer.open(settings(), same, Optional.empty(), new Echo())) {
+        try (PeerServer second =
+            PeerServer.open(settings(), same, Optional.empty(), NameCheck.OFF, new Echo())) {
           assertAnswers(client, second);
         }
       }
@@ -179,7 +186,7 @@
               4_096,
               65_536);
       try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-          PeerClient client = new PeerClient(hasty, Optional.empty())) {
+          PeerClient client = new PeerClient(hasty, Optional.empty(), NameCheck.OFF)) {
         NodeAddress address = NodeAddress.parse("127.0.0.1:" + silent.getLocalPort());
         var call = client.exchange(address, new Batch(new WireNode("host-1", 7)));
         assertThrows(ExecutionException.class, () -> call.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
@@ -212,7 +219,7 @@
     @Test
     public void nodesWithCertificateTalk() throws Exception {
       try (PeerServer server = serve(context("node.p12"));
-          PeerClient client = new PeerClient(settings(), context("node.p12"))) {
+          PeerClient client = new PeerClient(settings(), context("node.p12"), NameCheck.OFF)) {
         assertAnswers(client, server);
       }
     }
@@ -221,9 +228,9 @@
     public void strangersAreRefusedOnBothSides() throws Exception {
       try (PeerServer server = serve(context("node.p12"));
           PeerServer stranger = serve(context("stranger.p12"));
-          PeerClient unknown = new PeerClient(settings(), context("stranger.p12"));
-          PeerClient plain = new PeerClient(settings(), Optional.empty());
-          PeerClient client = new PeerClient(settings(), context("node.p12"))) {
+          PeerClient unknown = new PeerClient(settings(), context("stranger.p12"), NameCheck.OFF);
+          PeerClient plain = new PeerClient(settings(), Optional.empty(), NameCheck.OFF);
+          PeerClient client = new PeerClient(settings(), context("node.p12"), NameCheck.OFF)) {
         assertThrows(ExecutionException.class, () -> assertAnswers(unknown, server));
         assertThrows(ExecutionException.class, () -> assertAnswers(plain, server));
         assertThrows(ExecutionException.class, () -> assertAnswers(client, stranger));
@@ -231,6 +238,42 @@
     }
   }
 
+  /** The name that a peer claims, against its certificate, which says "node". */
+  public static class Names {
+    private static String exchange(NameCheck ofServer, NameCheck ofClient, String name)
+        throws Exception {
+      try (PeerServer server = serve(Tls.context("node.p12"), ofServer);
+          PeerClient client = new PeerClient(settings(), Tls.context("node.p12"), ofClient)) {
+        Batch batch = new Batch(new WireNode(name, 7));
+        var reply = client.exchange(addressOf(server), batch);
+        return reply.get(PATIENCE_SECONDS, TimeUnit.SECONDS).getSender().getHost();
+      }
+    }
+
+    private static void assertRefused(NameCheck ofServer, NameCheck ofClient) {
+      ExecutionException failure =
+          expectThrows(ExecutionException.class, () -> exchange(ofServer, ofClient, "host-1"));
+      String message = failure.getCause().getMessage();
+      assertTrue(message.contains("host-1 but the certificate names [node]"), message);
+    }
+
+    @Test
+    public void nodeMayClaimItsOwnName() throws Exception {
+      assertEquals(exchange(NameCheck.REQUIRED, NameCheck.REQUIRED, "node"), "node");
+    }
+
+    @Test
+    public void callerThatClaimsAnothersNameIsRefused() throws Exception {
+      assertEquals(exchange(NameCheck.OFF, NameCheck.OFF, "host-1"), "host-1");
+      assertRefused(NameCheck.REQUIRED, NameCheck.OFF);
+    }
+
+    @Test
+    public void answerInAnothersNameIsRefused() {
+      assertRefused(NameCheck.OFF, NameCheck.REQUIRED);
+    }
+  }
+
   /** The codec of datagrams. */
   public static class Datagrams {
     private static final DatagramKey OLD = key(1, "an old secret key");
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
@@ -96,7 +96,8 @@
     Sockets sockets = bind(settings);
     this.server = sockets.server();
     this.datagrams = sockets.datagrams();
-    this.client = new PeerClient(settings.transport(), settings.ssl());
+    this.client =
+        new PeerClient(settings.transport(), settings.ssl(), settings.nameCheck());
     InetSocketAddress bound = new InetSocketAddress(settings.listen().getAddress(), server.port());
     Member self = Member.live(settings.id(), NodeAddress.ofSocket(bound), settings.dataCentre());
     this.membership =
@@ -133,7 +134,12 @@
     IOException failure = null;
     for (int i = 0; i < attempts; i++) {
       PeerServer tcp =
-          PeerServer.open(settings.transport(), settings.listen(), settings.ssl(), new Handler());
+          PeerServer.open(
+              settings.transport(),
+              settings.listen(),
+              settings.ssl(),
+              settings.nameCheck(),
+              new Handler());
       try {
         var address = new InetSocketAddress(settings.listen().getAddress(), tcp.port());
         DatagramCodec codec = new DatagramCodec(settings.keys());
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerSettings.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerSettings.java
@@ -15,6 +15,7 @@
 import org.larkkeel.peer.membership.NodeAddress;
 import org.larkkeel.peer.membership.NodeId;
 import org.larkkeel.peer.transport.DatagramKey;
+import org.larkkeel.peer.transport.NameCheck;
 import org.larkkeel.peer.transport.TransportSettings;
 
 /**
@@ -31,6 +32,7 @@
   private List<NodeAddress> seeds = List.of();
   private List<DatagramKey> keys = List.of();
   private Optional<SSLContext> ssl = Optional.empty();
+  private NameCheck nameCheck = NameCheck.REQUIRED;
   private MembershipSettings membership = MembershipSettings.defaults();
   private TransportSettings transport = TransportSettings.defaults();
   private LeaseSettings leases = LeaseSettings.perRequest();
@@ -89,6 +91,18 @@
     return this;
   }
 
+  /**
+   * Sets whether the name that a peer claims in a call must stand in its certificate. Without TLS
+   * this has no effect.
+   *
+   * @param check {@link NameCheck#REQUIRED} unless set otherwise
+   * @return this
+   */
+  public PeerSettings setNameCheck(NameCheck check) {
+    this.nameCheck = check;
+    return this;
+  }
+
   /**
    * Sets periods and bounds of the membership protocol.
    *
@@ -172,6 +186,10 @@
     return ssl;
   }
 
+  NameCheck nameCheck() {
+    return nameCheck;
+  }
+
   MembershipSettings membership() {
     return membership;
   }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerClient.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerClient.java
@@ -52,6 +52,7 @@
 
   private final TransportSettings settings;
   private final Optional<SSLContext> ssl;
+  private final NameCheck nameCheck;
   private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
   private final Semaphore permits = new Semaphore(MAX_CALLS);
   private final Map<NodeAddress, Deque<Connection>> idle = new HashMap<>();
@@ -62,17 +63,20 @@
    *
    * @param settings bounds
    * @param ssl authenticates both sides; empty for plain connections, as in tests
+   * @param nameCheck whether a peer is held to the names in its certificate
    */
-  public PeerClient(TransportSettings settings, Optional<SSLContext> ssl) {
+  public PeerClient(TransportSettings settings, Optional<SSLContext> ssl, NameCheck nameCheck) {
+    this.nameCheck = nameCheck;
     this.settings = settings;
     this.ssl = ssl;
   }
 
-  private record Connection(Socket socket, PeerService.Client client, long idleSince) {}
+  private record Connection(
+      Socket socket, PeerService.Client client, Optional<CertificateNames> names, long idleSince) {}
 
   /** A call on an open connection. */
   private interface Call<T> {
-    T on(PeerService.Client client) throws TException;
+    T on(Connection connection) throws TException;
   }
 
   /**
@@ -83,7 +87,15 @@
    * @return what the peer says; fails with {@link LarkkeelException}
    */
   public CompletableFuture<Batch> exchange(NodeAddress peer, Batch batch) {
-    return submit(peer, client -> client.exchange(batch));
+    return submit(
+        peer,
+        connection -> {
+          Batch reply = connection.client().exchange(batch);
+          if (connection.names().isPresent()) {
+            connection.names().get().check(reply);
+          }
+          return reply;
+        });
   }
 
   /**
@@ -94,7 +106,7 @@
    * @return a page; fails with {@link LarkkeelException}
    */
   public CompletableFuture<ConfigPage> pullConfig(NodeAddress peer, long fromRevision) {
-    return submit(peer, client -> client.pullConfig(fromRevision));
+    return submit(peer, connection -> connection.client().pullConfig(fromRevision));
   }
 
   /**
@@ -105,7 +117,7 @@
    * @return the owner's answer; fails with {@link LarkkeelException}
    */
   public CompletableFuture<WireClaimReply> claimRun(NodeAddress peer, WireRunClaim claim) {
-    return submit(peer, client -> client.claimRun(claim));
+    return submit(peer, connection -> connection.client().claimRun(claim));
   }
 
   /**
@@ -116,7 +128,7 @@
    * @return the owner's answer; fails with {@link LarkkeelException}
    */
   public CompletableFuture<WireRecordAnswer> recordRun(NodeAddress peer, WireRunRecord end) {
-    return submit(peer, client -> client.recordRun(end));
+    return submit(peer, connection -> connection.client().recordRun(end));
   }
 
   private <T> CompletableFuture<T> submit(NodeAddress peer, Call<T> call) {
@@ -166,7 +178,7 @@
 
   private <T> T on(NodeAddress peer, Connection connection, Call<T> call) throws TException {
     try {
-      T answer = call.on(connection.client());
+      T answer = call.on(connection);
       keepIdle(peer, connection);
       return answer;
     } catch (TException | RuntimeException e) {
@@ -181,18 +193,24 @@
       int connectMillis = Math.toIntExact(settings.connectTimeout().toMillis());
       socket.connect(peer.toSocketAddress(), connectMillis);
       Frames.prepare(socket, connectMillis);
+      Optional<CertificateNames> names = Optional.empty();
       if (socket instanceof SSLSocket secure) {
         secure.startHandshake();
+        names = namesOf(secure);
       }
       Frames.prepare(socket, settings.callTimeout().toMillis());
       TProtocol protocol = Frames.protocol(socket, settings.maxReplyBytes());
-      return new Connection(socket, new PeerService.Client(protocol), System.nanoTime());
+      return new Connection(socket, new PeerService.Client(protocol), names, System.nanoTime());
     } catch (IOException | TException | RuntimeException e) {
       Frames.closeQuietly(socket);
       throw e;
     }
   }
 
+  private Optional<CertificateNames> namesOf(SSLSocket socket) throws IOException {
+    return nameCheck == NameCheck.OFF ? Optional.empty() : Optional.of(CertificateNames.of(socket));
+  }
+
   private synchronized Optional<Connection> takeIdle(NodeAddress peer) {
     Deque<Connection> kept = idle.get(peer);
     return kept == null ? Optional.empty() : Optional.ofNullable(kept.pollLast());
@@ -204,7 +222,9 @@
       Frames.closeQuietly(connection.socket());
       return;
     }
-    kept.addLast(new Connection(connection.socket(), connection.client(), System.nanoTime()));
+    kept.addLast(
+        new Connection(
+            connection.socket(), connection.client(), connection.names(), System.nanoTime()));
   }
 
   /** Closes the connections that have not been used for the idle time; called now and then. */
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerServer.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerServer.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.SSLServerSocket;
+import javax.net.ssl.SSLSocket;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TProtocol;
 import org.larkkeel.peer.gen.PeerService;
@@ -36,15 +37,21 @@
   private static final String[] TLS_VERSIONS = {"TLSv1.3"};
 
   private final TransportSettings settings;
-  private final PeerService.Processor<PeerService.Iface> processor;
+  private final NameCheck nameCheck;
+  private final PeerService.Iface handler;
   private final ServerSocket listener;
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private final Thread acceptor;
   private volatile boolean closed;
 
-  private PeerServer(TransportSettings settings, PeerService.Iface handler, ServerSocket listener) {
+  private PeerServer(
+      TransportSettings settings,
+      NameCheck nameCheck,
+      PeerService.Iface handler,
+      ServerSocket listener) {
     this.settings = settings;
-    this.processor = new PeerService.Processor<>(handler);
+    this.nameCheck = nameCheck;
+    this.handler = handler;
     this.listener = listener;
     this.acceptor = Thread.ofPlatform().daemon().name("peer-accept").unstarted(this::accept);
   }
@@ -55,6 +62,7 @@
    * @param settings bounds
    * @param address where to listen; port 0 chooses a free one
    * @param ssl authenticates both sides; empty for plain connections, as in tests
+   * @param nameCheck whether a peer is held to the names in its certificate
    * @param handler answers the calls
    * @return the server
    * @throws IOException if the address can not be bound
@@ -63,6 +71,7 @@
       TransportSettings settings,
       InetSocketAddress address,
       Optional<SSLContext> ssl,
+      NameCheck nameCheck,
       PeerService.Iface handler)
       throws IOException {
     ServerSocket listener = ssl.isPresent() ? secure(ssl.get()) : new ServerSocket();
@@ -73,7 +82,7 @@
       listener.close();
       throw new IOException("peer address " + address + " can not be bound: " + e.getMessage(), e);
     }
-    PeerServer server = new PeerServer(settings, handler, listener);
+    PeerServer server = new PeerServer(settings, nameCheck, handler, listener);
     server.acceptor.start();
     return server;
   }
@@ -117,6 +126,7 @@
     try {
       Frames.prepare(socket, settings.idleTimeout().toMillis());
       TProtocol protocol = Frames.protocol(socket, settings.maxRequestBytes());
+      var processor = new PeerService.Processor<>(handlerFor(socket));
       while (!closed) {
         processor.process(protocol, protocol);
       }
@@ -132,6 +142,14 @@
     }
   }
 
+  private PeerService.Iface handlerFor(Socket socket) throws IOException {
+    if (nameCheck == NameCheck.OFF || !(socket instanceof SSLSocket secure)) {
+      return handler;
+    }
+    secure.startHandshake();
+    return new NameCheckedService(handler, CertificateNames.of(secure));
+  }
+
   @Override
   public void close() {
     closed = true;
