Split PeerNode, and fail calls that come during its close again

Since abort() was added, close() no longer ran the commands that were queued after the stop, so their callers waited for ever. It does again; abort() stays without. A test that calls during the close fails without it ("callsDuringClose Fail", a call without an answer within a second) and passes with it.

--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/PeerNodeTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/PeerNodeTest.java
@@ -7,6 +7,8 @@
 package org.larkkeel.peer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -16,9 +18,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -183,5 +187,27 @@
       ExecutionException failure = expectThrows(ExecutionException.class, wait::get);
       assertEquals(((LarkkeelException) failure.getCause()).kind(), ErrorKind.NOT_READY);
     }
+
+    @Test
+    public void callsDuringCloseFail() throws Exception {
+      Queue<CompletableFuture<SlotLease>> late = new ConcurrentLinkedQueue<>();
+      CompletableFuture<PeerNode> started = new CompletableFuture<>();
+      PeerListener listener =
+          new PeerListener() {
+            @Override
+            public void memberChanged(Member member, boolean leaving) {
+              // More calls than the core gets through before it is stopped.
+              for (int i = 0; i < 5_000; i++) {
+                late.add(started.join().acquireSlot("u1", 0, PATIENCE));
+              }
+            }
+          };
+      started.complete(TestNodes.startAll(1, listener).getFirst());
+      started.join().close();
+      assertFalse(late.isEmpty());
+      for (CompletableFuture<SlotLease> call : late) {
+        assertThrows(ExecutionException.class, () -> call.get(1, TimeUnit.SECONDS));
+      }
+    }
   }
 }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerNode.java
@@ -7,30 +7,20 @@
 package org.larkkeel.peer;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Function;
-import org.apache.thrift.TException;
-import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.lib.WorkspaceName;
-import org.larkkeel.peer.gen.Batch;
-import org.larkkeel.peer.gen.ConfigPage;
-import org.larkkeel.peer.gen.PeerService;
 import org.larkkeel.peer.gen.WireClaimReply;
 import org.larkkeel.peer.gen.WireRecordAnswer;
 import org.larkkeel.peer.gen.WireRunClaim;
@@ -44,12 +34,9 @@
 import org.larkkeel.peer.membership.Membership;
 import org.larkkeel.peer.membership.Message;
 import org.larkkeel.peer.membership.NodeAddress;
-import org.larkkeel.peer.ownership.Ownership;
-import org.larkkeel.peer.transport.DatagramCodec;
 import org.larkkeel.peer.transport.DatagramTransport;
 import org.larkkeel.peer.transport.Leases;
 import org.larkkeel.peer.transport.PeerClient;
-import org.larkkeel.peer.transport.PeerServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -64,26 +51,18 @@
  */
 public final class PeerNode implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(PeerNode.class);
-  private static final int MAX_QUEUED = 8_192;
-  private static final int BIND_ATTEMPTS = 32;
-  private static final long EXCHANGE_SECONDS = 2;
-  private static final long RUN_SECONDS = 5;
   private static final long VIEW_PERIOD = TimeUnit.MILLISECONDS.toNanos(250);
   private static final long IDLE_PERIOD = TimeUnit.SECONDS.toNanos(1);
 
   private final PeerListener listener;
-  private final ConfigSource configuration;
-  private final RunService runs;
-  private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>(MAX_QUEUED);
-  private final PeerServer server;
+  private final PeerSockets sockets;
   private final PeerClient client;
-  private final DatagramTransport datagrams;
   private final Membership membership;
   private final LeaseDesk desk;
+  private final BatchSender batches;
   private final AtomicLong requestIds = new AtomicLong();
-  private final Thread core;
+  private final CoreThread core;
   private volatile PeerView view;
-  private volatile boolean closed;
   private boolean viewChanged;
   private long nextView;
   private long nextIdleCheck;
@@ -91,25 +70,20 @@
   private PeerNode(PeerSettings settings, PeerListener listener, ConfigSource configuration)
       throws IOException {
     this.listener = listener;
-    this.configuration = configuration;
-    this.runs = settings.runs();
-    Sockets sockets = bind(settings);
-    this.server = sockets.server();
-    this.datagrams = sockets.datagrams();
-    this.client =
-        new PeerClient(settings.transport(), settings.ssl(), settings.nameCheck());
-    InetSocketAddress bound = new InetSocketAddress(settings.listen().getAddress(), server.port());
-    Member self = Member.live(settings.id(), NodeAddress.ofSocket(bound), settings.dataCentre());
+    this.core = new CoreThread(this::nextDeadline, this::doDue);
+    PeerCallHandler handler =
+        new PeerCallHandler(this::answerBatch, configuration, settings.runs());
+    this.sockets = PeerSockets.open(settings, handler, this::received);
+    this.client = sockets.client();
+    Member self = Member.live(settings.id(), sockets.address(settings), settings.dataCentre());
     this.membership =
         new Membership(
             settings.membership(), self, settings.seeds(), settings.seed(), System.nanoTime());
     publishView();
     this.desk = new LeaseDesk(settings.id(), settings.leases());
-    this.core = Thread.ofPlatform().daemon().name("peer-core").unstarted(this::run);
+    this.batches = new BatchSender(core, client, desk);
   }
 
-  private record Sockets(PeerServer server, DatagramTransport datagrams) {}
-
   /**
    * Opens the sockets and joins the cluster in the background.
    *
@@ -123,35 +97,11 @@
       PeerSettings settings, PeerListener listener, ConfigSource configuration) throws IOException {
     PeerNode node = new PeerNode(settings, listener, configuration);
     node.core.start();
-    node.datagrams.start();
+    node.sockets.datagrams().start();
     LOG.info("event=peer_started node={} address={}", settings.id(), node.address());
     return node;
   }
 
-  /** Binds TCP and UDP to one port; a free TCP port may be taken for UDP, so port 0 tries again. */
-  private Sockets bind(PeerSettings settings) throws IOException {
-    int attempts = settings.listen().getPort() == 0 ? BIND_ATTEMPTS : 1;
-    IOException failure = null;
-    for (int i = 0; i < attempts; i++) {
-      PeerServer tcp =
-          PeerServer.open(
-              settings.transport(),
-              settings.listen(),
-              settings.ssl(),
-              settings.nameCheck(),
-              new Handler());
-      try {
-        var address = new InetSocketAddress(settings.listen().getAddress(), tcp.port());
-        DatagramCodec codec = new DatagramCodec(settings.keys());
-        return new Sockets(tcp, DatagramTransport.open(address, codec, this::received));
-      } catch (IOException e) {
-        tcp.close();
-        failure = e;
-      }
-    }
-    throw new IOException("peer address " + settings.listen() + " can not be bound", failure);
-  }
-
   /**
    * Where this node listens.
    *
@@ -177,7 +127,7 @@
    * @return the transport
    */
   public DatagramTransport datagrams() {
-    return datagrams;
+    return sockets.datagrams();
   }
 
   /**
@@ -186,7 +136,7 @@
    * @param hosts the whole list
    */
   public void updateHosts(List<HostEntry> hosts) {
-    submit(() -> apply(new Event.HostList(System.nanoTime(), List.copyOf(hosts))));
+    core.submit(() -> apply(new Event.HostList(System.nanoTime(), List.copyOf(hosts))));
   }
 
   /**
@@ -195,7 +145,7 @@
    * @param revision what {@link ConfigSource} now returns
    */
   public void advertise(Revision revision) {
-    submit(() -> apply(new Event.RevisionHeld(System.nanoTime(), revision)));
+    core.submit(() -> apply(new Event.RevisionHeld(System.nanoTime(), revision)));
   }
 
   /**
@@ -204,12 +154,12 @@
    * @param load the record
    */
   public void spread(LoadRecord load) {
-    submit(() -> apply(new Event.LoadChanged(System.nanoTime(), load)));
+    core.submit(() -> apply(new Event.LoadChanged(System.nanoTime(), load)));
   }
 
   /** Announces that this node takes no new ownership; it goes on to answer until closed. */
   public void leave() {
-    submit(() -> apply(new Event.Leave(System.nanoTime())));
+    core.submit(() -> apply(new Event.Leave(System.nanoTime())));
   }
 
   /**
@@ -248,7 +198,7 @@
    * @param running how many were in use when the report was made
    */
   public void updateCapacity(String key, int slots, int running) {
-    submit(() -> desk.updateCapacity(System.nanoTime(), key, slots, running));
+    core.submit(() -> desk.updateCapacity(System.nanoTime(), key, slots, running));
   }
 
   /**
@@ -260,7 +210,7 @@
   public void setLimits(Map<WorkspaceName, RateLimit> rates, Map<String, Integer> capacities) {
     Map<String, RateLimit> byName = new HashMap<>();
     rates.forEach((workspace, limit) -> byName.put(workspace.value(), limit));
-    submit(() -> desk.setLimits(System.nanoTime(), byName, capacities));
+    core.submit(() -> desk.setLimits(System.nanoTime(), byName, capacities));
   }
 
   /**
@@ -274,7 +224,7 @@
   public CompletableFuture<SlotLease> acquireSlot(String key, int priority, Duration patience) {
     CompletableFuture<SlotLease> result = new CompletableFuture<>();
     SlotLease lease = new SlotLease(key, requestIds.incrementAndGet());
-    submitOrFail(
+    core.submitOrFail(
         result,
         () -> {
           long now = System.nanoTime();
@@ -289,7 +239,7 @@
    * @param lease the lease
    */
   public void releaseSlot(SlotLease lease) {
-    submit(() -> desk.releaseSlot(System.nanoTime(), lease));
+    core.submit(() -> desk.releaseSlot(System.nanoTime(), lease));
   }
 
   /**
@@ -304,7 +254,7 @@
       WorkspaceName workspace, long promptTokens, Duration patience) {
     CompletableFuture<LimitDecision> result = new CompletableFuture<>();
     long id = requestIds.incrementAndGet();
-    submitOrFail(
+    core.submitOrFail(
         result,
         () -> {
           long now = System.nanoTime();
@@ -314,14 +264,6 @@
     return result;
   }
 
-  private void submitOrFail(CompletableFuture<?> result, Runnable command) {
-    if (closed || !queue.offer(command)) {
-      result.completeExceptionally(
-          new LarkkeelException(
-              ErrorKind.NOT_READY, closed ? "this node is stopping" : "too many calls wait"));
-    }
-  }
-
   /**
    * Claims a run at the owner of its records.
    *
@@ -330,7 +272,7 @@
    * @return the owner's answer; fails with {@link LarkkeelException}
    */
   public CompletableFuture<WireClaimReply> claimRun(HostName owner, WireRunClaim claim) {
-    return atPeer(owner, address -> client.claimRun(address, claim));
+    return view.callAt(owner, address -> client.claimRun(address, claim));
   }
 
   /**
@@ -341,57 +283,31 @@
    * @return the owner's answer; fails with {@link LarkkeelException}
    */
   public CompletableFuture<WireRecordAnswer> recordRun(HostName owner, WireRunRecord end) {
-    return atPeer(owner, address -> client.recordRun(address, end));
-  }
-
-  private <T> CompletableFuture<T> atPeer(
-      HostName host, Function<NodeAddress, CompletableFuture<T>> call) {
-    return view.members().stream()
-        .filter(known -> known.id().host().equals(host) && known.state().isPresent())
-        .findFirst()
-        .map(member -> call.apply(member.address()))
-        .orElseGet(
-            () ->
-                CompletableFuture.failedFuture(
-                    new LarkkeelException(
-                        ErrorKind.NOT_READY, "the host " + host + " is not a live peer")));
+    return view.callAt(owner, address -> client.recordRun(address, end));
   }
 
   private void received(NodeAddress source, Message message) {
     // A full queue drops the datagram, as the network may do as well.
-    queue.offer(() -> apply(new Event.Received(System.nanoTime(), source, message)));
+    core.offer(() -> apply(new Event.Received(System.nanoTime(), source, message)));
   }
 
-  private void submit(Runnable command) {
-    if (!queue.offer(command)) {
-      LOG.warn("event=peer_command_dropped queued={}", queue.size());
-    }
+  private CompletableFuture<Leases> answerBatch(Leases batch) {
+    CompletableFuture<Leases> reply = new CompletableFuture<>();
+    core.submitOrFail(reply, () -> reply.complete(desk.received(System.nanoTime(), batch)));
+    return reply;
   }
 
-  private void run() {
-    while (!closed) {
-      try {
-        step();
-      } catch (InterruptedException e) {
-        return;
-      } catch (RuntimeException e) {
-        LOG.error("event=peer_core_failed", e);
-      }
-    }
+  private long nextDeadline() {
+    return Math.min(membership.nextDeadline(), desk.nextDeadline());
   }
 
-  private void step() throws InterruptedException {
-    long wait = Math.min(membership.nextDeadline(), desk.nextDeadline()) - System.nanoTime();
-    Runnable command = queue.poll(Math.max(0, wait), TimeUnit.NANOSECONDS);
-    if (command != null) {
-      command.run();
-    }
+  private void doDue() {
     long now = System.nanoTime();
     if (membership.nextDeadline() - now <= 0) {
       apply(new Event.Tick(now));
     }
     if (desk.nextDeadline() <= now) {
-      desk.tick(now).forEach(this::exchange);
+      desk.tick(now).forEach((peer, batch) -> batches.send(view, peer, batch));
     }
     if (viewChanged || nextView - now <= 0) {
       publishView();
@@ -409,7 +325,7 @@
 
   private void execute(Effect effect) {
     switch (effect) {
-      case Effect.Send send -> datagrams.send(send.to(), send.message());
+      case Effect.Send send -> sockets.datagrams().send(send.to(), send.message());
       case Effect.MemberChanged change -> memberChanged(change);
       case Effect.NewerRevision newer -> listener.newerRevision(newer.peer(), newer.revision());
       case Effect.LoadLearned learned -> listener.loadLearned(learned.load());
@@ -438,110 +354,19 @@
     listener.memberChanged(member, change.leaving());
   }
 
-  private void exchange(HostName peer, Leases batch) {
-    Optional<Member> member =
-        view.members().stream()
-            .filter(known -> known.id().host().equals(peer) && known.state().isPresent())
-            .findFirst();
-    if (member.isEmpty()) {
-      desk.undeliverable(System.nanoTime(), peer, batch);
-      return;
-    }
-    client
-        .exchange(member.get().address(), batch.toWire())
-        .whenComplete((reply, failure) -> submit(() -> exchanged(peer, batch, reply, failure)));
-  }
-
-  private void exchanged(HostName peer, Leases sent, Batch reply, Throwable failure) {
-    long now = System.nanoTime();
-    if (failure != null) {
-      LOG.debug("event=peer_exchange_failed peer={} error=\"{}\"", peer, failure.toString());
-      desk.failed(now, peer, sent);
-      return;
-    }
-    try {
-      desk.replied(now, peer, sent, Leases.fromWire(reply));
-    } catch (IllegalArgumentException e) {
-      LOG.warn("event=peer_reply_invalid peer={} error=\"{}\"", peer, e.getMessage());
-      desk.failed(now, peer, sent);
-    }
-  }
-
   private void publishView() {
     viewChanged = false;
-    List<Member> members = membership.members();
-    Map<HostName, Revision> revisions = new HashMap<>();
-    for (Member member : members) {
-      HostName host = member.id().host();
-      membership.revisionOf(host).ifPresent(revision -> revisions.put(host, revision));
-    }
-    Set<HostName> owners = Set.copyOf(membership.owners());
-    PeerView before = view;
-    boolean sameOwners = before != null && before.owners().equals(owners);
-    view =
-        new PeerView(
-            membership.self(),
-            List.copyOf(members),
-            owners,
-            sameOwners ? before.ownership() : new Ownership(owners),
-            Map.copyOf(revisions),
-            membership.isJoined());
-  }
-
-  /** Answers the calls of peers. */
-  private final class Handler implements PeerService.Iface {
-    @Override
-    public Batch exchange(Batch batch) throws TException {
-      Leases received = Leases.fromWire(batch);
-      CompletableFuture<Leases> reply = new CompletableFuture<>();
-      submitOrFail(reply, () -> reply.complete(desk.received(System.nanoTime(), received)));
-      try {
-        return reply.get(EXCHANGE_SECONDS, TimeUnit.SECONDS).toWire();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new TException("interrupted", e);
-      } catch (ExecutionException | TimeoutException e) {
-        throw new TException("the core did not answer", e);
-      }
-    }
-
-    @Override
-    public ConfigPage pullConfig(long fromRevision) {
-      ConfigContent content = configuration.after(new Revision(fromRevision));
-      ByteBuffer bytes = ByteBuffer.wrap(content.bytes());
-      return new ConfigPage(content.revision().value(), bytes, content.more());
-    }
-
-    @Override
-    public WireClaimReply claimRun(WireRunClaim claim) throws TException {
-      return await(runs.claim(claim));
-    }
-
-    @Override
-    public WireRecordAnswer recordRun(WireRunRecord end) throws TException {
-      return await(runs.record(end));
-    }
-
-    private static <T> T await(CompletableFuture<T> answer) throws TException {
-      try {
-        return answer.get(RUN_SECONDS, TimeUnit.SECONDS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new TException("interrupted", e);
-      } catch (ExecutionException | TimeoutException e) {
-        throw new TException("the run log did not answer", e);
-      }
-    }
+    view = PeerView.of(membership, Optional.ofNullable(view));
   }
 
   /** Tells peers that this node stops, and closes its sockets. Repeated calls do nothing. */
   @Override
   public void close() {
-    if (closed) {
+    if (core.isStopped()) {
       return;
     }
     CompletableFuture<Void> said = new CompletableFuture<>();
-    submit(
+    core.submit(
         () -> {
           apply(new Event.Stop(System.nanoTime()));
           desk.close();
@@ -554,19 +379,9 @@
     } catch (ExecutionException | TimeoutException e) {
       LOG.warn("event=peer_stop_not_told error=\"{}\"", e.toString());
     }
-    abort();
-  }
-
-  /** Runs what came after the stop, so that no caller waits for ever. */
-  private void endQueue() {
-    try {
-      core.join(TimeUnit.SECONDS.toMillis(1));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-    for (Runnable command = queue.poll(); command != null; command = queue.poll()) {
-      command.run();
-    }
+    core.stop();
+    core.runRest();
+    sockets.close();
   }
 
   /**
@@ -574,10 +389,7 @@
    * Repeated calls do nothing.
    */
   public void abort() {
-    closed = true;
-    core.interrupt();
-    server.close();
-    datagrams.close();
-    client.close();
+    core.stop();
+    sockets.close();
   }
 }
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerView.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/PeerView.java
@@ -6,12 +6,20 @@
 
 package org.larkkeel.peer;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.peer.membership.Member;
+import org.larkkeel.peer.membership.Membership;
+import org.larkkeel.peer.membership.NodeAddress;
 import org.larkkeel.peer.ownership.Ownership;
 
 /**
@@ -33,4 +41,56 @@
     Set<HostName> owners,
     Ownership ownership,
     Map<HostName, Revision> revisions,
-    boolean joined) {}
+    boolean joined) {
+
+  /**
+   * Takes the view of a membership.
+   *
+   * @param membership not changed meanwhile
+   * @param before the view before, whose ownership is kept if the owners are the same
+   */
+  static PeerView of(Membership membership, Optional<PeerView> before) {
+    List<Member> members = membership.members();
+    Map<HostName, Revision> revisions = new HashMap<>();
+    for (Member member : members) {
+      HostName host = member.id().host();
+      membership.revisionOf(host).ifPresent(revision -> revisions.put(host, revision));
+    }
+    Set<HostName> owners = Set.copyOf(membership.owners());
+    Ownership ownership =
+        before
+            .filter(view -> view.owners().equals(owners))
+            .map(PeerView::ownership)
+            .orElseGet(() -> new Ownership(owners));
+    return new PeerView(
+        membership.self(),
+        List.copyOf(members),
+        owners,
+        ownership,
+        Map.copyOf(revisions),
+        membership.isJoined());
+  }
+
+  /**
+   * Finds a host that is present.
+   *
+   * @param host the host
+   * @return its record, empty if it is unknown, dead or has left
+   */
+  public Optional<Member> present(HostName host) {
+    return members.stream()
+        .filter(known -> known.id().host().equals(host) && known.state().isPresent())
+        .findFirst();
+  }
+
+  /** Calls a host at its address, or fails with {@link LarkkeelException} if it is not present. */
+  <T> CompletableFuture<T> callAt(HostName host, Function<NodeAddress, CompletableFuture<T>> call) {
+    return present(host)
+        .map(member -> call.apply(member.address()))
+        .orElseGet(
+            () ->
+                CompletableFuture.failedFuture(
+                    new LarkkeelException(
+                        ErrorKind.NOT_READY, "the host " + host + " is not a live peer")));
+  }
+}
