Place no new work on leaving upstreams

Change: an upstream that is leaving takes no new requests. Conclusion: the label now does what its comment says.

--- /dev/null
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/LeavingUpstreamTest.java
@@ -0,0 +1,76 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.router;
+
+import static org.larkkeel.router.Fixtures.completion;
+import static org.larkkeel.router.Fixtures.configuration;
+import static org.larkkeel.router.Fixtures.engine;
+import static org.larkkeel.router.Fixtures.plain;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Optional;
+import org.larkkeel.config.Upstream;
+import org.larkkeel.effect.Effect;
+import org.larkkeel.event.Event;
+import org.larkkeel.lib.Labels;
+import org.testng.annotations.Test;
+
+/** An upstream whose label says that it leaves gets no new work. */
+public class LeavingUpstreamTest {
+  private static Upstream leaving(String name, String role) {
+    Upstream u = engine(name, role, 4);
+    Labels labels =
+        Labels.of(
+            ImmutableSortedMap.of("role", role, Upstream.PHASE_LABEL, Upstream.PHASE_LEAVING));
+    return new Upstream(
+        u.name(), u.address(), labels, u.models(), u.slots(), u.fencing(), u.linkBytesPerSecond());
+  }
+
+  /** New work. */
+  public static class NewWork {
+    @Test
+    public void goesElsewhere() {
+      Script script =
+          new Script()
+              .configure(
+                  configuration(
+                      1,
+                      engine("p1", "prefill", 4),
+                      leaving("p2", "prefill"),
+                      engine("d1", "decode", 4),
+                      leaving("d2", "decode"),
+                      engine("s1", "service", 4),
+                      leaving("s2", "service")));
+      for (int i = 1; i <= 2; i++) {
+        script.arrive(completion(i));
+        Effect.StartPrefill prefill = script.only(Effect.StartPrefill.class);
+        assertEquals(prefill.upstream().value(), "p1");
+        script.prefilled(prefill.attempt());
+        assertEquals(script.only(Effect.StartTransfer.class).to().value(), "d1");
+        script.arrive(plain(10 + i, "/read", Optional.empty()));
+        assertEquals(script.only(Effect.SendPlain.class).upstream().value(), "s1");
+      }
+    }
+  }
+
+  /** Work in progress. */
+  public static class WorkInProgress {
+    @Test
+    public void comesToItsEnd() {
+      Script script =
+          new Script()
+              .configure(configuration(1, engine("p1", "prefill", 4), engine("d1", "decode", 4)));
+      Effect.StartDecode decode = script.toDecode(completion(1));
+      script.configure(configuration(2, engine("p1", "prefill", 4), leaving("d1", "decode")));
+      assertTrue(script.all(Effect.Cancel.class).isEmpty());
+      script.apply(new Event.DecodeDone(script.now, decode.attempt(), 20));
+      assertTrue(script.ending(1) instanceof Effect.Complete);
+    }
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
@@ -206,10 +206,10 @@
   /**
    * Tells whether a new request may be sent to it.
    *
-   * @return true if so
+   * @return true if it is configured, not leaving, and healthy enough
    */
   public boolean takesRequests() {
-    return configured && health.takes(attempts.size());
+    return configured && !config.isLeaving() && health.takes(attempts.size());
   }
 
   /**
