Prove the promises under every fault at every step

Cause: nothing showed that the promises hold when a fault meets a step. Change: three nodes with the real router, run log, configuration log and membership run in virtual time against fakes. The steps are the sealed events and effects that a scenario reaches; each has its moments, and every fault that means something comes at each of them. Orders to engines, their fencing and slot owners are not in the matrix yet; planted defects are still to be added.

--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/NodeConfig.java
@@ -0,0 +1,109 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.proof.world;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.larkkeel.event.Event;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Revision;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.platform.log.LogEntry;
+import org.larkkeel.platform.log.LogFollower;
+import org.larkkeel.platform.log.LogName;
+import org.larkkeel.platform.log.LogOptions;
+import org.larkkeel.platform.log.LogSnapshot;
+import org.larkkeel.platform.log.ObjectLog;
+import org.larkkeel.platform.log.WriterId;
+
+/**
+ * Follows the log of configurations and brings each into force at one node.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.1
+ */
+final class NodeConfig implements LogFollower.Listener {
+  static final LogName LOG = new LogName("configlog");
+  static final String LEAVING = "leaving";
+
+  private final World world;
+  private final Node node;
+  private final ObjectLog log;
+  private final List<LogEntry> entries = new ArrayList<>();
+  private LogFollower follower;
+
+  NodeConfig(World world, Node node, long seed) {
+    this.world = world;
+    this.node = node;
+    WriterId writer = new WriterId(node.host, node.incarnation);
+    StoreClient client = new StoreClient(world, node.process);
+    this.log =
+        new ObjectLog(client, LOG, writer, node.process, new Random(seed), LogOptions.DEFAULT);
+  }
+
+  void start() {
+    follower = log.follow(0, this);
+  }
+
+  ObjectLog log() {
+    return log;
+  }
+
+  long last() {
+    return entries.size();
+  }
+
+  /** Takes an entry of this node's own append without waiting for the watch. */
+  void offer(LogEntry entry) {
+    follower.offer(entry);
+  }
+
+  /** Asks a peer for what this node lacks. */
+  void pullFrom(HostName peer) {
+    long after = last();
+    world
+        .nodeOn(peer)
+        .ifPresent(
+            to -> world.peerFaults().send(to.process, () -> to.config().answerPull(after, node)));
+  }
+
+  private void answerPull(long after, Node asker) {
+    List<LogEntry> missing = entries.stream().filter(entry -> entry.number() > after).toList();
+    world
+        .peerFaults()
+        .send(asker.process, () -> missing.forEach(entry -> asker.config().offer(entry)));
+  }
+
+  @Override
+  public void snapshot(LogSnapshot snapshot) {
+    throw new IllegalStateException("the log of the proof has no snapshots");
+  }
+
+  @Override
+  public void entry(LogEntry entry) {
+    entries.add(entry);
+    List<UpstreamName> leaving = new ArrayList<>();
+    entries.forEach(e -> leaving(e).ifPresent(leaving::add));
+    Revision revision = new Revision(entry.number());
+    node.apply(
+        new Event.ConfigurationAccepted(
+            world.time().now(), Configurations.withLeaving(leaving).withRevision(revision)));
+    node.peers().holds(revision);
+  }
+
+  /** The upstream that an entry takes out of use. */
+  static Optional<UpstreamName> leaving(LogEntry entry) {
+    return entry.records().stream()
+        .map(record -> record.path(LEAVING).asText())
+        .filter(name -> !name.isEmpty())
+        .map(UpstreamName::new)
+        .findFirst();
+  }
+}
--- /dev/null
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/NodePeers.java
@@ -0,0 +1,131 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.bench.proof.world;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import org.larkkeel.daemon.PeerAdapter;
+import org.larkkeel.http.upstream.EngineRequestId;
+import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Revision;
+import org.larkkeel.peer.membership.Effect;
+import org.larkkeel.peer.membership.Event;
+import org.larkkeel.peer.membership.HostEntry;
+import org.larkkeel.peer.membership.Member;
+import org.larkkeel.peer.membership.Membership;
+import org.larkkeel.peer.membership.MembershipSettings;
+import org.larkkeel.peer.membership.Message;
+import org.larkkeel.peer.membership.NodeAddress;
+import org.larkkeel.peer.membership.NodeId;
+
+/**
+ * Runs the membership of one node and tells the node of changes.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.1
+ */
+final class NodePeers {
+  private static final long MIN_TICK = 20 * VirtualTime.MILLI;
+
+  private final World world;
+  private final Node node;
+  private final Membership membership;
+  private final PeerAdapter adapter;
+
+  NodePeers(World world, Node node, long seed) {
+    this.world = world;
+    this.node = node;
+    NodeId id = new NodeId(node.host, node.incarnation);
+    Member self = Member.live(id, world.address(node.host), new DataCentreName("manizales"));
+    this.membership =
+        new Membership(MembershipSettings.defaults(), self, List.of(), seed, world.time().now());
+    EngineRequestId.Origin origin = new EngineRequestId.Origin(node.host, node.incarnation);
+    this.adapter = new PeerAdapter(origin, node::apply, () -> world.time().now());
+    adapter.setNews(
+        new PeerAdapter.PeerNews() {
+          @Override
+          public void newerRevision(Member peer, Revision revision) {
+            node.config().pullFrom(peer.id().host());
+          }
+
+          @Override
+          public void superseded() {
+            node.kill();
+          }
+        });
+  }
+
+  void start() {
+    tick();
+  }
+
+  void hostList(List<HostEntry> hosts) {
+    on(new Event.HostList(world.time().now(), hosts));
+  }
+
+  void holds(Revision revision) {
+    on(new Event.RevisionHeld(world.time().now(), revision));
+  }
+
+  void leave() {
+    on(new Event.Leave(world.time().now()));
+  }
+
+  void stop() {
+    on(new Event.Stop(world.time().now()));
+  }
+
+  boolean isDead(EngineRequestId.Origin origin) {
+    return adapter.isDead(origin);
+  }
+
+  ImmutableSet<HostName> owners() {
+    return ImmutableSet.copyOf(membership.owners());
+  }
+
+  private void receive(NodeAddress source, Message message) {
+    on(new Event.Received(world.time().now(), source, message));
+  }
+
+  private void tick() {
+    on(new Event.Tick(world.time().now()));
+    long next = Math.max(membership.nextDeadline(), world.time().now() + MIN_TICK);
+    node.process.at(next, this::tick);
+  }
+
+  private void on(Event event) {
+    for (Effect effect : membership.on(event)) {
+      perform(effect);
+    }
+  }
+
+  private void perform(Effect effect) {
+    switch (effect) {
+      case Effect.Send send -> send(send);
+      case Effect.MemberChanged changed -> {
+        adapter.memberChanged(changed.member(), changed.leaving());
+        node.runs().ownersChanged();
+      }
+      case Effect.NewerRevision newer -> adapter.newerRevision(newer.peer(), newer.revision());
+      case Effect.LoadLearned learned -> {}
+      case Effect.Superseded superseded -> adapter.superseded(superseded.later());
+    }
+  }
+
+  private void send(Effect.Send send) {
+    NodeAddress source = world.address(node.host);
+    world
+        .nodeAt(send.to())
+        .ifPresent(
+            to ->
+                world
+                    .peerFaults()
+                    .send(to.process, () -> to.peers().receive(source, send.message())));
+  }
+}
