Believe a node that refutes its death

Cause: a start of a node once found dead counted as ended for good, also after it refuted that. Change: a start that is present again is no longer ended; a later start of the same host still ends it. Conclusion: a false verdict of death costs what ran meanwhile, no more.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/PeerAdapterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/PeerAdapterTest.java
@@ -51,6 +51,15 @@
       assertFalse(adapter.isDead(origin("a", 2)));
     }
 
+    /** A paused node is found dead, goes on and refutes it; its requests are no orphans. */
+    @Test
+    public void deathIsTakenBackOnceRefuted() {
+      adapter.memberChanged(member(origin("d", 1), MemberState.LIVE), false);
+      adapter.memberChanged(member(origin("d", 1), MemberState.DEAD), false);
+      adapter.memberChanged(member(origin("d", 1), MemberState.LIVE), false);
+      assertFalse(adapter.isDead(origin("d", 1)));
+    }
+
     @Test
     public void laterStartIsTheEndOfTheOneBefore() {
       adapter.memberChanged(member(origin("b", 1), MemberState.LIVE), false);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerAdapter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerAdapter.java
@@ -132,8 +132,11 @@
     if (!host.equals(self)) {
       changed = member.state().isPresent() ? present.add(host) : present.remove(host);
       noteStart(host, member.id().incarnation());
-      if (!member.state().isPresent()) {
-        died(new EngineRequestId.Origin(host, member.id().incarnation()));
+      EngineRequestId.Origin origin = new EngineRequestId.Origin(host, member.id().incarnation());
+      if (member.state().isPresent()) {
+        revived(origin);
+      } else {
+        died(origin);
       }
     }
     if (changed) {
@@ -154,6 +157,13 @@
     }
   }
 
+  /** A start that was found dead by mistake, paused or cut off for a time, has refuted it. */
+  private void revived(EngineRequestId.Origin origin) {
+    if (dead.remove(origin)) {
+      log.info("event=node_revived host={} incarnation={}", origin.host(), origin.incarnation());
+    }
+  }
+
   private void died(EngineRequestId.Origin origin) {
     if (dead.add(origin)) {
       log.info("event=node_ended host={} incarnation={}", origin.host(), origin.incarnation());
