Let one token bucket count for the router, the platform, limits and membership

Four classes refilled a level at a rate up to a capacity and worked out the time until something is there: the router's, the platform's, that of the limit owners, and the allowance of membership's headers. That logic is the same and is now org.larkkeel.lib.TokenBucket, which is pure and documented.

What was not the same stays where it belongs, as a thin rule over it: the router saves up a fifth of a second (ShareBucket), the platform reserves one call ahead within a longest wait (CallBucket), and a limit owner gives nobody more than half (FairBucket). The allowance needed no rule and is gone.

The platform's bucket divided by a rate a nanosecond and now by one a second, which may round a wait differently by a nanosecond.

--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitOwner.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/limits/LimitOwner.java
@@ -23,8 +23,8 @@
 public final class LimitOwner {
   private static final long CONTENTION_TIME = TimeUnit.SECONDS.toNanos(1);
 
-  private final Bucket requests;
-  private final Bucket tokens;
+  private final FairBucket requests;
+  private final FairBucket tokens;
   private final Map<NodeId, LimitGrant> lastGrants = new HashMap<>();
   private final Map<NodeId, Long> contenders = new HashMap<>();
   private long usedAt;
@@ -36,8 +36,8 @@
    * @param now nanoseconds
    */
   public LimitOwner(RateLimit limit, long now) {
-    this.requests = new Bucket(limit.requestsPerSecond(), now);
-    this.tokens = new Bucket(limit.tokensPerSecond(), now);
+    this.requests = new FairBucket(limit.requestsPerSecond(), now);
+    this.tokens = new FairBucket(limit.tokensPerSecond(), now);
     this.usedAt = now;
   }
 
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/HeaderWriter.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/membership/HeaderWriter.java
@@ -7,9 +7,11 @@
 package org.larkkeel.peer.membership;
 
 import java.util.List;
+import org.larkkeel.lib.TokenBucket;
 
 /**
- * Writes the headers of messages, with as many records as the bounds of bytes allow.
+ * Writes the headers of messages, with as many records as the bounds of bytes allow. The bound over
+ * time keeps lost messages and their repetitions from multiplying records.
  *
  * <p>Times are nanoseconds. Not safe for use by several threads.
  */
@@ -18,7 +20,7 @@
   private final MemberRecords records;
   private final RevisionTable revisions;
   private final Dissemination dissemination;
-  private final Allowance allowance;
+  private final TokenBucket allowance;
 
   HeaderWriter(
       MembershipSettings settings,
@@ -30,7 +32,8 @@
     this.records = records;
     this.revisions = revisions;
     this.dissemination = dissemination;
-    this.allowance = new Allowance(settings.piggybackBytesPerSecond(), now);
+    int rate = settings.piggybackBytesPerSecond();
+    this.allowance = new TokenBucket(rate, rate, now);
   }
 
   /** A header for a member, with what it has to contradict. */
@@ -41,9 +44,9 @@
   /** A header with news, and with some records in any case. */
   Message.Header header(List<Member> forced, long now) {
     int limit = settings.retransmits(records.table().size());
-    int bytes = Math.min(settings.piggybackBytes(), allowance.available(now));
+    int bytes = Math.min(settings.piggybackBytes(), (int) allowance.level(now));
     Dissemination.Payload payload = dissemination.take(bytes, limit, forced);
-    allowance.spend(payload.bytes());
+    allowance.take(payload.bytes());
     return withRecords(payload.members(), payload.load());
   }
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/BudgetedObjectApi.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/BudgetedObjectApi.java
@@ -31,8 +31,8 @@
   private final ObjectApi target;
   private final Scheduler scheduler;
   private final CallBudget budget;
-  private final TokenBucket reads;
-  private final TokenBucket writes;
+  private final CallBucket reads;
+  private final CallBucket writes;
   private final StoreGate gate;
 
   /**
@@ -49,8 +49,8 @@
     this.scheduler = scheduler;
     this.budget = budget;
     long now = scheduler.nanoTime();
-    this.reads = new TokenBucket(budget.readsPerSecond(), budget.burst(), now);
-    this.writes = new TokenBucket(budget.writesPerSecond(), budget.burst(), now);
+    this.reads = new CallBucket(budget.readsPerSecond(), budget.burst(), now);
+    this.writes = new CallBucket(budget.writesPerSecond(), budget.burst(), now);
     this.gate = new StoreGate(new Backoff(budget.firstProbe(), budget.longestProbe(), random));
   }
 
@@ -90,18 +90,18 @@
     return w;
   }
 
-  private <T> CompletableFuture<T> submit(TokenBucket bucket, Supplier<CompletableFuture<T>> call) {
+  private <T> CompletableFuture<T> submit(CallBucket bucket, Supplier<CompletableFuture<T>> call) {
     return submit(bucket, () -> gate.admit(scheduler.nanoTime()), call);
   }
 
   private <T> CompletableFuture<T> submit(
-      TokenBucket bucket, Supplier<Admission> admission, Supplier<CompletableFuture<T>> call) {
+      CallBucket bucket, Supplier<Admission> admission, Supplier<CompletableFuture<T>> call) {
     CompletableFuture<T> result = new CompletableFuture<>();
     scheduler.execute(() -> admit(bucket, new Call<>(admission, call, result)));
     return result;
   }
 
-  private <T> void admit(TokenBucket bucket, Call<T> call) {
+  private <T> void admit(CallBucket bucket, Call<T> call) {
     long now = scheduler.nanoTime();
     if (gate.isShut(now)) {
       refuse(call);
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/TokenBucket.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/CallBucket.java
@@ -6,6 +6,8 @@
 
 package org.larkkeel.platform;
 
+import org.larkkeel.lib.TokenBucket;
+
 /**
  * A budget of calls: a rate and a burst. Pure; not safe for use by several threads.
  *
@@ -13,13 +15,8 @@
  *
  * @since 0.1
  */
-public final class TokenBucket {
-  private static final double NANOS_PER_SECOND = 1e9;
-
-  private final double perNano;
-  private final double burst;
-  private double tokens;
-  private long updated;
+public final class CallBucket {
+  private final TokenBucket bucket;
 
   /**
    * Creates a full bucket.
@@ -28,7 +25,7 @@
    * @param burst calls at once, at least 1
    * @param now the time in nanoseconds
    */
-  public TokenBucket(double perSecond, double burst, long now) {
+  public CallBucket(double perSecond, double burst, long now) {
     if (perSecond <= 0 || burst < 1) {
       throw new IllegalArgumentException(
           "the call budget is "
@@ -37,10 +34,7 @@
               + burst
               + ": use a positive rate and a burst of at least 1");
     }
-    this.perNano = perSecond / NANOS_PER_SECOND;
-    this.burst = burst;
-    this.tokens = burst;
-    this.updated = now;
+    this.bucket = new TokenBucket(perSecond, burst, now);
   }
 
   /**
@@ -52,12 +46,11 @@
    *     and then nothing is taken
    */
   public long take(long now, long longest) {
-    refill(now);
-    long wait = tokens >= 1 ? 0 : (long) Math.ceil((1 - tokens) / perNano);
+    long wait = bucket.timeUntil(1, now);
     if (wait > longest) {
       return -1;
     }
-    tokens -= 1;
+    bucket.take(1);
     return wait;
   }
 
@@ -67,12 +60,6 @@
    * @param now the time in nanoseconds
    */
   public void drain(long now) {
-    refill(now);
-    tokens = Math.min(tokens, 0);
-  }
-
-  private void refill(long now) {
-    tokens = Math.min(burst, tokens + (now - updated) * perNano);
-    updated = now;
+    bucket.take(Math.max(0, bucket.level(now)));
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Limiter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Limiter.java
@@ -34,8 +34,8 @@
   private static final class Share {
     final WorkspaceName workspace;
     Limits limits;
-    final TokenBucket requests = new TokenBucket();
-    final TokenBucket tokens = new TokenBucket();
+    final ShareBucket requests = new ShareBucket();
+    final ShareBucket tokens = new ShareBucket();
     LimitShare granted;
     long grantedUntil;
     int running;
