Move the closer to the core, where every module can use it

It is org.larkkeel.lib.Closer now, with its test; nothing else changed.

Looked for others that gather resources by hand: peers (three sockets), the stand-in engine and the HTTP worker (two resources each) close a fixed few that can not throw, in an order that matters for a crash; a closer would add a checked exception to each and save nothing, so they stay.

The 3 tests of the closer and the 4 of MainTest pass.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/DaemonTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/DaemonTest.java
@@ -33,6 +33,7 @@
 import org.larkkeel.daemon.settings.LogLevel;
 import org.larkkeel.daemon.settings.PlatformSettings;
 import org.larkkeel.daemon.settings.Settings;
+import org.larkkeel.lib.Closer;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Revision;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
@@ -29,6 +29,7 @@
 import org.larkkeel.http.operator.OperatorService;
 import org.larkkeel.http.request.RequestTable;
 import org.larkkeel.http.upstream.EngineRequestId;
+import org.larkkeel.lib.Closer;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.peer.PeerNode;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/StoreSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/StoreSide.java
@@ -18,6 +18,7 @@
 import org.larkkeel.config.Configuration;
 import org.larkkeel.daemon.settings.PlatformSettings;
 import org.larkkeel.http.HttpWorker;
+import org.larkkeel.lib.Closer;
 import org.larkkeel.peer.PeerNode;
 import org.larkkeel.platform.BudgetedObjectApi;
 import org.larkkeel.platform.CallBudget;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
@@ -27,6 +27,7 @@
 import org.larkkeel.http.upstream.UpstreamClient;
 import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.http.upstream.UpstreamPoller;
+import org.larkkeel.lib.Closer;
 import org.larkkeel.platform.Scheduler;
 
 /**
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/CloserTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/lib/CloserTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.daemon;
+package org.larkkeel.lib;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Closer.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/lib/Closer.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.daemon;
+package org.larkkeel.lib;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
