Hand a lease over when it is closed

A lease that its holder closed lapsed, so the next one waited 8.8 s. Now the record is marked as released on condition that it has not changed; the next one takes it over at its next look with a higher number. A renewal on its way is released by its answer. A lease can be released and sought again. The fault test of leases now releases and seeks at random too; it and the rest of LeaseTest pass.

--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/lease/LeaseTest.java
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/lease/LeaseTest.java
@@ -93,6 +93,29 @@
     }
   }
 
+  /** Handing over. */
+  public static class Releasing {
+
+    @Test
+    public void releaseDuringRenewalHandsOverAtOnceAndTheLeaseCanBeSoughtAgain() {
+      Rig rig = new Rig();
+      final Rig.Node a = rig.node("a");
+      rig.time.advance(Duration.ofSeconds(1));
+      final Rig.Node b = rig.node("b");
+      rig.time.advance(Duration.ofSeconds(1));
+      int before = rig.store.writes();
+      rig.time.until(() -> rig.store.writes() > before, DURATION);
+      a.lease.release();
+      rig.time.advance(DURATION.dividedBy(3));
+      assertTrue(a.lease.tenure().isEmpty());
+      assertEquals(b.lease.tenure().orElseThrow().fencing().value(), 2);
+      a.lease.start();
+      b.lease.close();
+      rig.time.advance(DURATION.dividedBy(3));
+      assertEquals(rig.held(), List.of(3L));
+    }
+  }
+
   /** Faults of all sorts. */
   public static class Faults {
 
@@ -118,6 +141,8 @@
           case 0 -> n.process.pause();
           case 1 -> rig.store.setOutage(random.nextBoolean());
           case 2, 3, 4 -> n.process.resume();
+          case 5 -> n.lease.release();
+          case 6, 7, 8 -> n.lease.start();
           default -> {}
         }
         List<Long> held = rig.held();
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/lease/Lease.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/lease/Lease.java
@@ -29,7 +29,7 @@
  * of their own monotonic time. Invariants: the fencing number grows with each take-over; while
  * clocks run at rates that differ by less than the margin, two processes do not hold the lease at
  * once. A process that is paused may still act after its lease has lapsed: what it does must carry
- * the fencing number. Confined to the scheduler.
+ * the fencing number. Confined to the scheduler, but for its public methods.
  *
  * @since 0.1
  */
@@ -47,12 +47,16 @@
   private final Scheduler scheduler;
   private final RandomGenerator random;
   private final Duration duration;
-  private Optional<Tenure> tenure = Optional.empty();
+  private volatile Optional<Tenure> tenure = Optional.empty();
   private long observedVersion;
   private long observedAt;
   private long writes;
   private Optional<Attempt> unresolved = Optional.empty();
+  private boolean seeking;
+  private boolean running;
+  private boolean writing;
   private boolean closed;
+  private Optional<LeaseRecord> last = Optional.empty();
 
   private record Attempt(LeaseRecord record, long sentAt) {}
 
@@ -81,9 +85,46 @@
     this.duration = duration;
   }
 
-  /** Seeks the lease, and renews it while held, until closed. */
+  /** Seeks the lease, and renews it while held, until released or closed. */
   public void start() {
-    scheduler.execute(this::read);
+    scheduler.execute(this::seek);
+  }
+
+  private void seek() {
+    if (closed) {
+      return;
+    }
+    seeking = true;
+    if (!running) {
+      running = true;
+      read();
+    }
+  }
+
+  /**
+   * Seeks and renews no more, and marks the lease as released so that another takes it over at
+   * once; if that write fails, the lease lapses. What was begun under the lease must still carry
+   * its number.
+   */
+  public void release() {
+    scheduler.execute(this::handOver);
+  }
+
+  private void handOver() {
+    boolean held = tenure().isPresent();
+    seeking = false;
+    tenure = Optional.empty();
+    if (held && !writing) {
+      markReleased(observedVersion);
+    }
+  }
+
+  private void markReleased(long version) {
+    LeaseRecord held = last.orElseThrow();
+    writes++;
+    LeaseRecord r = new LeaseRecord(self, held.fencing(), new AppendId(self, writes), true);
+    LOG.info("event=lease-released lease={} fencing={}", key.name(), r.fencing());
+    var unused = api.update(key, LeaseRecord.KIND, r.toSpec(), version);
   }
 
   /**
@@ -95,15 +136,16 @@
     return tenure.filter(t -> t.isHeld(scheduler.nanoTime()));
   }
 
-  /** Seeks and renews no more; the lease lapses. */
+  /** Releases the lease for good. */
   @Override
   public void close() {
-    closed = true;
-    tenure = Optional.empty();
+    release();
+    scheduler.execute(() -> closed = true);
   }
 
   private void read() {
-    if (closed) {
+    if (!seeking) {
+      running = false;
       return;
     }
     api.get(key)
@@ -126,9 +168,14 @@
       observedVersion = o.resourceVersion();
       observedAt = now;
     }
+    if (!r.holder().equals(self)) {
+      tenure = Optional.empty();
+    }
     unresolved.filter(a -> a.record.equals(r)).ifPresent(a -> granted(a, o));
     unresolved = Optional.empty();
-    if (r.holder().equals(self)) {
+    if (r.released()) {
+      write(Optional.of(o), new FencingNumber(r.fencing().value() + 1));
+    } else if (r.holder().equals(self)) {
       write(Optional.of(o), r.fencing());
     } else if (now - observedAt >= patience()) {
       write(Optional.of(o), new FencingNumber(r.fencing().value() + 1));
@@ -142,11 +189,13 @@
   }
 
   private void write(Optional<StoredObject> old, FencingNumber fencing) {
-    if (closed) {
+    if (!seeking) {
+      running = false;
       return;
     }
     writes++;
-    LeaseRecord r = new LeaseRecord(self, fencing, new AppendId(self, writes));
+    writing = true;
+    LeaseRecord r = new LeaseRecord(self, fencing, new AppendId(self, writes), false);
     Attempt a = new Attempt(r, scheduler.nanoTime());
     old.map(o -> api.update(key, LeaseRecord.KIND, r.toSpec(), o.resourceVersion()))
         .orElseGet(() -> api.create(key, LeaseRecord.KIND, r.toSpec()))
@@ -154,6 +203,7 @@
   }
 
   private void written(Attempt a, StoredObject o, Throwable failure) {
+    writing = false;
     if (failure == null) {
       granted(a, o);
     } else if (isUnknown(failure)) {
@@ -163,7 +213,9 @@
   }
 
   private void granted(Attempt a, StoredObject o) {
-    if (closed) {
+    last = Optional.of(a.record);
+    if (!seeking) {
+      markReleased(o.resourceVersion());
       return;
     }
     observedVersion = o.resourceVersion();
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/lease/LeaseRecord.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/lease/LeaseRecord.java
@@ -19,18 +19,20 @@
  * @param fencing grows by one with each take-over, never null
  * @param write names the write, so that its writer knows it again after a lost answer
  */
-record LeaseRecord(WriterId holder, FencingNumber fencing, AppendId write) {
+record LeaseRecord(WriterId holder, FencingNumber fencing, AppendId write, boolean released) {
   static final String KIND = "Lease";
 
   private static final String HOLDER = "holder";
   private static final String FENCING = "fencing";
   private static final String WRITE = "write";
+  private static final String RELEASED = "released";
 
   static LeaseRecord read(JsonNode spec) {
     return new LeaseRecord(
         WriterId.parse(spec.path(HOLDER).asText()),
         new FencingNumber(spec.path(FENCING).asLong()),
-        AppendId.parse(spec.path(WRITE).asText()));
+        AppendId.parse(spec.path(WRITE).asText()),
+        spec.path(RELEASED).asBoolean());
   }
 
   JsonNode toSpec() {
@@ -38,6 +40,7 @@
         .objectNode()
         .put(HOLDER, holder.toString())
         .put(FENCING, fencing.value())
-        .put(WRITE, write.toString());
+        .put(WRITE, write.toString())
+        .put(RELEASED, released);
   }
 }
