Order engines to do what their labels declare, under a lease

Versions and adapters join the shapes, a pull goes by version, and the weight store is asked at its pace.

The planner took an engine that an earlier holder's late order could still change for one that remains; it now counts only engines that have taken an order of this holder, or were read after the wait. EngineView therefore carries the number read back; the planner's tests state it and are otherwise unchanged.

--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/order/OrderPlannerTest.java
+++ b/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/order/OrderPlannerTest.java
@@ -35,6 +35,10 @@
   private static final long QUIET =
       OrderLimits.DEFAULT.leaseDuration().plus(OrderLimits.DEFAULT.longestPause()).toNanos();
 
+  private static ModelVersion weights(ModelName model) {
+    return new ModelVersion(model, ModelVersion.ANY);
+  }
+
   private static EngineShape shape(Role role, ModelName... models) {
     return new EngineShape(role, ImmutableSet.copyOf(models));
   }
@@ -46,10 +50,11 @@
         fencing,
         Optional.of(declared),
         Optional.of(is),
+        FENCING,
         readAt,
         true,
         false,
-        ImmutableSet.of(A, B));
+        ImmutableSet.of(weights(A), weights(B)));
   }
 
   private static List<OrderStep> plan(long now, List<EngineView> engines) {
@@ -117,6 +122,7 @@
                 FencingSupport.CHECKED,
                 Optional.of(want),
                 Optional.of(i == 0 ? shape(Role.DECODE, A) : shape(Role.DECODE)),
+                FENCING,
                 0,
                 true,
                 false,
@@ -125,8 +131,8 @@
       assertEquals(
           plan(0, engines),
           List.of(
-              new OrderStep.Pull(new UpstreamName("u4"), B),
-              new OrderStep.Pull(new UpstreamName("u1"), A)));
+              new OrderStep.Pull(new UpstreamName("u4"), weights(B)),
+              new OrderStep.Pull(new UpstreamName("u1"), weights(A))));
     }
   }
 
@@ -217,11 +223,12 @@
       ImmutableSet.Builder<ModelName> models = ImmutableSet.builder();
       return switch (order) {
         case Order.LoadModel l ->
-            new EngineShape(s.role(), models.addAll(s.models()).add(l.model()).build());
+            new EngineShape(s.role(), models.addAll(s.models()).add(l.model().model()).build());
         case Order.UnloadModel u -> {
           s.models().stream().filter(m -> !m.equals(u.model())).forEach(models::add);
           yield new EngineShape(s.role(), models.build());
         }
+        case Order.LoadAdapter a -> s;
         case Order.SetRole r -> new EngineShape(r.role(), s.models());
       };
     }
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/HttpWeightStore.java
@@ -0,0 +1,48 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import java.util.concurrent.CompletableFuture;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.platform.internal.http.HttpWeightCalls;
+import org.larkkeel.platform.order.ModelVersion;
+import org.larkkeel.platform.order.PullResult;
+import org.larkkeel.platform.order.WeightStore;
+import org.xnio.XnioWorker;
+
+/**
+ * The weight store over HTTP.
+ *
+ * <p>Safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class HttpWeightStore implements WeightStore, AutoCloseable {
+  private final HttpWeightCalls calls;
+
+  /**
+   * Creates a client; nothing is connected before the first call.
+   *
+   * @param options where the store is, and limits
+   * @param worker runs the I/O
+   * @param scheduler completes the futures
+   */
+  public HttpWeightStore(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
+    this.calls = new HttpWeightCalls(options, worker, scheduler);
+  }
+
+  @Override
+  public CompletableFuture<PullResult> pull(UpstreamName upstream, ModelVersion model) {
+    return calls.pull(upstream, model);
+  }
+
+  /** Closes the idle connections; calls in progress end with their own answers. */
+  @Override
+  public void close() {
+    calls.close();
+  }
+}
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/Failures.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/Failures.java
@@ -60,7 +60,7 @@
     };
   }
 
-  private static Duration retryAfter(Optional<String> value) {
+  static Duration retryAfter(Optional<String> value) {
     try {
       Duration d = value.map(Long::parseLong).map(Duration::ofSeconds).orElse(DEFAULT_RETRY_AFTER);
       return d.compareTo(LONGEST_RETRY_AFTER) > 0 ? LONGEST_RETRY_AFTER : d;
--- /dev/null
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpWeightCalls.java
@@ -0,0 +1,93 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform.internal.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.platform.HttpClientOptions;
+import org.larkkeel.platform.Scheduler;
+import org.larkkeel.platform.order.ModelVersion;
+import org.larkkeel.platform.order.PullResult;
+import org.xnio.XnioWorker;
+
+/** The calls of the weight store. Safe for use by several threads. */
+public final class HttpWeightCalls implements AutoCloseable {
+  private static final String BASE = "/weights/v1/";
+  private static final String PULLS = "/pulls";
+  private static final String NO_VERSION = "latest";
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final HttpCaller caller;
+
+  /**
+   * Creates the calls.
+   *
+   * @param options where the store is, and limits
+   * @param worker runs the I/O
+   * @param scheduler completes the futures
+   */
+  public HttpWeightCalls(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
+    this.caller = new HttpCaller(options, worker, scheduler);
+  }
+
+  /** See {@link org.larkkeel.platform.order.WeightStore#pull}. */
+  public CompletableFuture<PullResult> pull(UpstreamName upstream, ModelVersion model) {
+    String body =
+        JsonNodeFactory.instance.objectNode().put("upstream", upstream.value()).toString();
+    return caller
+        .call(new HttpRequestData(Methods.POST, path(model), body))
+        .handle((reply, broken) -> broken == null ? result(reply) : new PullResult.Failed());
+  }
+
+  private static String path(ModelVersion model) {
+    String version = model.version().equals(ModelVersion.ANY) ? NO_VERSION : model.version();
+    return BASE + escape(model.model().value()) + "/" + escape(version) + PULLS;
+  }
+
+  private static String escape(String name) {
+    return URLEncoder.encode(name, StandardCharsets.UTF_8);
+  }
+
+  private static PullResult result(HttpReply reply) {
+    return switch (reply.status()) {
+      case StatusCodes.ACCEPTED -> started(reply);
+      case StatusCodes.TOO_MANY_REQUESTS ->
+          new PullResult.Throttled(Failures.retryAfter(reply.retryAfter()));
+      default -> new PullResult.Failed();
+    };
+  }
+
+  private static PullResult started(HttpReply reply) {
+    try {
+      JsonNode pull = JSON.readTree(reply.body());
+      long rate = pull.path("bytesPerSecond").asLong();
+      if (rate <= 0) {
+        return new PullResult.Failed();
+      }
+      double seconds = pull.path("bytes").asLong() / (double) rate;
+      return new PullResult.Started(
+          Duration.ofNanos((long) (seconds * TimeUnit.SECONDS.toNanos(1))));
+    } catch (IOException e) {
+      return new PullResult.Failed();
+    }
+  }
+
+  @Override
+  public void close() {
+    caller.close();
+  }
+}
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/EngineView.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/EngineView.java
@@ -9,7 +9,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.larkkeel.config.FencingSupport;
-import org.larkkeel.lib.ModelName;
+import org.larkkeel.lib.FencingNumber;
 import org.larkkeel.lib.UpstreamName;
 
 /**
@@ -20,10 +20,11 @@
  * @param declared what it should do; empty if it is not in a pool, or leaving: then it gets no
  *     orders
  * @param readBack what it last said that it does; empty if unknown
+ * @param readFencing the number of the last order that it took, by what it said; 0 if unknown
  * @param readSentAt when that was asked, in nanoseconds
  * @param live whether it answers, and takes work
  * @param inProgress whether an order to it is in progress
- * @param pulled models whose weights are there
+ * @param pulled weights that are there
  * @since 0.1
  */
 public record EngineView(
@@ -31,7 +32,8 @@
     FencingSupport fencing,
     Optional<EngineShape> declared,
     Optional<EngineShape> readBack,
+    FencingNumber readFencing,
     long readSentAt,
     boolean live,
     boolean inProgress,
-    ImmutableSet<ModelName> pulled) {}
+    ImmutableSet<ModelVersion> pulled) {}
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/Order.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/Order.java
@@ -17,11 +17,20 @@
 public sealed interface Order {
 
   /**
-   * Serve a model.
+   * Serve a model in a version, in place of any other version of it.
    *
-   * @param model the model, never null
+   * @param model the model and its version, never null
    */
-  record LoadModel(ModelName model) implements Order {}
+  record LoadModel(ModelVersion model) implements Order {
+    /**
+     * An order for whichever version there is.
+     *
+     * @param model the model, never null
+     */
+    public LoadModel(ModelName model) {
+      this(new ModelVersion(model, ModelVersion.ANY));
+    }
+  }
 
   /**
    * Serve a model no more.
@@ -30,6 +39,13 @@
    */
   record UnloadModel(ModelName model) implements Order {}
 
+  /**
+   * Have an adapter.
+   *
+   * @param adapter the adapter, never null
+   */
+  record LoadAdapter(AdapterName adapter) implements Order {}
+
   /**
    * Change the role.
    *
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/OrderPlanner.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/OrderPlanner.java
@@ -27,7 +27,8 @@
  * ignores old fencing numbers gets no order before the lease of any earlier holder and the longest
  * pause are over and its state has been read after that. An order that takes a model or a role away
  * leaves another live engine that serves the model in that role and that no order in this plan or
- * in progress takes away. At most one order for an engine is in progress.
+ * in progress takes away: also none of an earlier holder, which may still arrive at an engine that
+ * has not yet taken an order of this one. At most one order for an engine is in progress.
  *
  * @since 0.1
  */
@@ -111,20 +112,31 @@
       }
       EngineShape is = e.readBack().get();
       EngineShape should = e.declared().get();
-      if (is.equals(should) || !mayOrder(e)) {
+      if (is.satisfies(should) || !mayOrder(e)) {
         return;
       }
-      Sets.SetView<ModelName> missing = Sets.difference(should.models(), is.models());
-      Optional<ModelName> loadable = missing.stream().filter(e.pulled()::contains).findFirst();
-      if (loadable.isPresent()) {
-        send(e, new Order.LoadModel(loadable.get()));
-      } else if (!missing.isEmpty()) {
-        pull(e, missing.iterator().next());
+      Set<ModelName> missing = Sets.difference(should.models(), is.models());
+      Set<AdapterName> adapters = Sets.difference(should.adapters(), is.adapters());
+      if (!missing.isEmpty()) {
+        load(e, should, missing);
+      } else if (is.role() != should.role()) {
+        changeRole(e, is, should);
+      } else if (!adapters.isEmpty()) {
+        send(e, new Order.LoadAdapter(adapters.iterator().next()));
       } else {
-        takeAway(e, is, should);
+        changeModels(e, is, should);
       }
     }
 
+    private void load(EngineView e, EngineShape should, Set<ModelName> models) {
+      List<ModelVersion> versions = models.stream().map(should::version).toList();
+      versions.stream()
+          .filter(e.pulled()::contains)
+          .findFirst()
+          .ifPresentOrElse(
+              m -> send(e, new Order.LoadModel(m)), () -> pull(e, versions.getFirst()));
+    }
+
     private boolean mayOrder(EngineView e) {
       if (e.fencing() == FencingSupport.CHECKED) {
         return true;
@@ -140,18 +152,28 @@
       return true;
     }
 
-    private void pull(EngineView e, ModelName m) {
+    private void pull(EngineView e, ModelVersion m) {
       if (pullsLeft > 0) {
         pullsLeft--;
         steps.add(new OrderStep.Pull(e.upstream(), m));
       }
     }
 
-    private void takeAway(EngineView e, EngineShape is, EngineShape should) {
-      if (is.role() != should.role()) {
-        if (is.models().stream().allMatch(m -> remainsWithout(e, m, is.role()))) {
-          send(e, new Order.SetRole(should.role()));
-        }
+    private void changeRole(EngineView e, EngineShape is, EngineShape should) {
+      if (is.models().stream().allMatch(m -> remainsWithout(e, m, is.role()))) {
+        send(e, new Order.SetRole(should.role()));
+      }
+    }
+
+    /** A model is not served while its version changes, so that takes it away as well. */
+    private void changeModels(EngineView e, EngineShape is, EngineShape should) {
+      List<ModelName> outdated =
+          Sets.intersection(is.models(), should.models()).stream()
+              .filter(m -> !is.version(m).satisfies(should.version(m)))
+              .filter(m -> remainsWithout(e, m, is.role()))
+              .toList();
+      if (!outdated.isEmpty()) {
+        load(e, should, Set.copyOf(outdated));
         return;
       }
       Sets.difference(is.models(), should.models()).stream()
@@ -161,7 +183,15 @@
     }
 
     private boolean remainsWithout(EngineView e, ModelName m, Role role) {
-      return !isWanted(m, role) || engines.stream().anyMatch(o -> o != e && serves(o, m, role));
+      return !isWanted(m, role)
+          || engines.stream().anyMatch(o -> o != e && isSettled(o) && serves(o, m, role));
+    }
+
+    /** Whether no order of an earlier holder can change the engine any more. */
+    private boolean isSettled(EngineView e) {
+      boolean raised =
+          e.fencing() == FencingSupport.CHECKED && e.readFencing().equals(tenure.fencing());
+      return raised || e.readSentAt() - quietAt(tenure) >= 0;
     }
 
     /** A model that no pool declares in a role may lose its last engine there. */
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/OrderStep.java
+++ b/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/OrderStep.java
@@ -7,7 +7,6 @@
 package org.larkkeel.platform.order;
 
 import org.larkkeel.lib.FencingNumber;
-import org.larkkeel.lib.ModelName;
 import org.larkkeel.lib.UpstreamName;
 
 /**
@@ -16,6 +15,12 @@
  * @since 0.1
  */
 public sealed interface OrderStep {
+  /**
+   * The engine.
+   *
+   * @return its name, never null
+   */
+  UpstreamName upstream();
 
   /**
    * Send an order.
@@ -37,7 +42,7 @@
    * Have the weight store send a model.
    *
    * @param upstream the engine, never null
-   * @param model the model, never null
+   * @param model the weights, never null
    */
-  record Pull(UpstreamName upstream, ModelName model) implements OrderStep {}
+  record Pull(UpstreamName upstream, ModelVersion model) implements OrderStep {}
 }
