Give orders from the node, and tell operators of them

The engine client speaks about orders; a request can be refused its first byte. Three hosts by rendezvous hash seek the lease; a drain hands it over.

--- /dev/null
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/OrderSideTest.java
@@ -0,0 +1,226 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.larkkeel.config.Configuration;
+import org.larkkeel.config.ConfigurationDocument;
+import org.larkkeel.config.FencingSupport;
+import org.larkkeel.config.Role;
+import org.larkkeel.config.Upstream;
+import org.larkkeel.http.HttpWorker;
+import org.larkkeel.http.upstream.EngineClient;
+import org.larkkeel.http.upstream.UpstreamClient;
+import org.larkkeel.http.upstream.UpstreamClientSettings;
+import org.larkkeel.lib.Closer;
+import org.larkkeel.lib.FencingNumber;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
+import org.larkkeel.lib.Labels;
+import org.larkkeel.lib.ModelName;
+import org.larkkeel.lib.Revision;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.platform.ExecutorScheduler;
+import org.larkkeel.platform.HttpClientOptions;
+import org.larkkeel.platform.HttpObjectApi;
+import org.larkkeel.platform.HttpWeightStore;
+import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.platform.order.EngineReport;
+import org.larkkeel.platform.order.ModelVersion;
+import org.larkkeel.platform.order.Order;
+import org.larkkeel.platform.order.OrderLimits;
+import org.larkkeel.platform.order.OrderResult;
+import org.larkkeel.standin.EngineRole;
+import org.larkkeel.standin.EngineSettings;
+import org.larkkeel.standin.EngineStandin;
+import org.larkkeel.standin.FencingHabit;
+import org.larkkeel.standin.PlatformSettings;
+import org.larkkeel.standin.PlatformStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link OrderSide} with stand-ins on the loopback address. */
+public class OrderSideTest {
+  private static final OrderLimits SHORT =
+      new OrderLimits(Duration.ofSeconds(2), Duration.ofSeconds(1), Duration.ofMillis(200), 2);
+
+  private static final PlatformSettings QUICK =
+      new PlatformSettings(
+          PlatformSettings.DEFAULTS.bind(), 1_000, 10_000, 1_000_000L, 2_000_000_000L, 2);
+
+  /** A platform and clients. */
+  public abstract static class Rig {
+    Closer closer;
+    ExecutorScheduler scheduler;
+    HttpWorker worker;
+    PlatformStandin platform;
+    EngineClient engines;
+
+    /** Starts them. */
+    @BeforeMethod
+    public void start() {
+      closer = new Closer();
+      scheduler = closer.add(new ExecutorScheduler("orders-test"));
+      worker = closer.add(new HttpWorker(1));
+      platform = closer.add(PlatformStandin.start(QUICK));
+      engines =
+          new EngineClient(
+              closer.add(
+                  new UpstreamClient(worker, UpstreamClientSettings.DEFAULT, System::nanoTime)));
+    }
+
+    /** Stops them. */
+    @AfterMethod(alwaysRun = true)
+    public void close() throws Exception {
+      closer.close();
+    }
+
+    EngineStandin engine(FencingHabit habit) {
+      return closer.add(
+          EngineStandin.start(
+              EngineSettings.of("u", EngineRole.PREFILL, "old")
+                  .withFencing(habit)
+                  .withLoadMillis(1)));
+    }
+
+    HttpClientOptions options() {
+      return HttpClientOptions.of(URI.create("http:/" + platform.address()));
+    }
+  }
+
+  /** Orders and their answers. */
+  public static class Protocol extends Rig {
+
+    /** Each habit with what becomes of an old number. */
+    @DataProvider
+    public Object[][] habits() {
+      return new Object[][] {
+        {FencingHabit.CHECK, OrderResult.STALE_FENCING},
+        {FencingHabit.IGNORE, OrderResult.IN_FORCE},
+      };
+    }
+
+    @Test(dataProvider = "habits")
+    public void oldNumberIsRefusedOnlyByCheckingEngine(FencingHabit habit, OrderResult expected)
+        throws Exception {
+      EngineOrders orders = new EngineOrders(engines);
+      Upstream u = upstream(engine(habit));
+      ModelVersion second = ModelVersion.parse("m@v2");
+      assertEquals(send(orders, u, 7, new Order.LoadModel(second), true), OrderResult.IN_FORCE);
+      EngineReport report = orders.read(u).get(30, TimeUnit.SECONDS);
+      assertEquals(report.fencing(), new FencingNumber(7));
+      assertEquals(report.shape().version(second.model()), second);
+      assertEquals(send(orders, u, 6, new Order.SetRole(Role.DECODE), true), expected);
+      Order unload = new Order.UnloadModel(second.model());
+      assertEquals(send(orders, u, 8, unload, false), OrderResult.NOT_SENT);
+      report = orders.read(u).get(30, TimeUnit.SECONDS);
+      assertTrue(report.shape().models().contains(second.model()), "sent without leave");
+    }
+
+    private static OrderResult send(
+        EngineOrders orders, Upstream u, long number, Order order, boolean allowed)
+        throws Exception {
+      return orders
+          .order(u, new FencingNumber(number), order, () -> allowed, Duration.ofSeconds(10))
+          .get(30, TimeUnit.SECONDS);
+    }
+
+    private static Upstream upstream(EngineStandin engine) {
+      return new Upstream(
+          new UpstreamName("u"),
+          address(engine),
+          Labels.of(Map.of()),
+          ImmutableSet.of(new ModelName("m")),
+          1,
+          FencingSupport.CHECKED,
+          1);
+    }
+  }
+
+  /** From the labels to the engine. */
+  public static class Controller extends Rig {
+
+    /** Each habit with the word of the configuration. */
+    @DataProvider
+    public Object[][] habits() {
+      return new Object[][] {
+        {FencingHabit.CHECK, "checked"}, {FencingHabit.IGNORE, "ignored"},
+      };
+    }
+
+    @Test(dataProvider = "habits")
+    public void engineTakesTheDeclaredShape(FencingHabit habit, String fencing) throws Exception {
+      EngineStandin engine = engine(habit);
+      String text =
+          """
+          {"upstreams": {"u": {
+            "address": "@u@", "models": ["m"], "fencing": "@f@",
+            "labels": {"role": "decode", "version": "v2", "adapter": "fair"}}}}
+          """
+              .replace("@u@", address(engine))
+              .replace("@f@", fencing);
+      Configuration configuration =
+          ConfigurationDocument.read("test", text).orThrow().withRevision(new Revision(1));
+      SimpleMeterRegistry meters = new SimpleMeterRegistry();
+      WriterId self = new WriterId(new HostName("entry-1"), new Incarnation(1));
+      OrderSide side =
+          closer.add(
+              new OrderSide(
+                  new OrderSide.Parts(
+                      self,
+                      closer.add(new HttpObjectApi(options(), worker.worker(), scheduler)),
+                      scheduler,
+                      engines,
+                      closer.add(new HttpWeightStore(options(), worker.worker(), scheduler)),
+                      () -> configuration,
+                      () -> ImmutableSortedSet.of(self.host()),
+                      meters),
+                  SHORT,
+                  1));
+      side.start();
+      EngineOrders orders = new EngineOrders(engines);
+      Upstream u = configuration.upstreams().get(new UpstreamName("u"));
+      long deadline = System.nanoTime() + Duration.ofSeconds(60).toNanos();
+      String shape = "";
+      while (!shape.equals("DECODE [m] {m=v2} [fair]") && System.nanoTime() < deadline) {
+        var is = orders.read(u).get(30, TimeUnit.SECONDS).shape();
+        shape = is.role() + " " + is.models() + " " + is.versions() + " " + is.adapters();
+        TimeUnit.MILLISECONDS.sleep(20);
+      }
+      assertEquals(shape, "DECODE [m] {m=v2} [fair]");
+    }
+  }
+
+  /** Who seeks the lease. */
+  public static class Candidates {
+
+    @Test
+    public void threeOfManyHosts() {
+      ImmutableSortedSet<HostName> live =
+          IntStream.range(0, 330)
+              .mapToObj(i -> new HostName("entry-" + i))
+              .collect(ImmutableSortedSet.toImmutableSortedSet(HostName::compareTo));
+      assertEquals(live.stream().filter(h -> OrderSide.isCandidate(live, h)).count(), 3);
+    }
+  }
+
+  private static String address(EngineStandin engine) {
+    return engine.address().getAddress().getHostAddress() + ":" + engine.address().getPort();
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
@@ -38,6 +38,7 @@
 import org.larkkeel.peer.membership.NodeAddress;
 import org.larkkeel.platform.ExecutorScheduler;
 import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.platform.order.OrderLimits;
 import org.larkkeel.router.Router;
 import org.larkkeel.router.RouterStatus;
 import org.slf4j.Logger;
@@ -72,6 +73,7 @@
   private final StoreSide store;
   private final ConfigLog changes;
   private final Orphans orphans;
+  private final OrderSide orders;
   private final Router router;
   private final ReducerLoop loop;
   private final PeerNode peers;
@@ -104,6 +106,7 @@
                 peerAdapter,
                 changes));
     orphans = closer.add(orphans());
+    orders = closer.add(orderSide(seed));
     listen();
     drain = new Drain(scheduler, drainSteps(), settings.limits());
     operations = newOperations(incarnation);
@@ -111,6 +114,7 @@
     callers = closer.add(CallerListener.start(callerSettings(), worker, callerServices()));
     reloadCertificates();
     orphans.start();
+    orders.start();
     store.start(peers);
     log.info(
         "event=started host={} incarnation={} caller={} operator={} peer={}",
@@ -250,6 +254,20 @@
         scheduler);
   }
 
+  private OrderSide orderSide(long seed) {
+    OrderSide.Parts parts =
+        new OrderSide.Parts(
+            writerId(),
+            store.api(),
+            scheduler,
+            upstreams.engines(),
+            store.weights(),
+            configuration::current,
+            peerAdapter::live,
+            meters);
+    return new OrderSide(parts, OrderLimits.DEFAULT, seed);
+  }
+
   /** Lets the parts hear of each other. */
   private void listen() {
     configuration.setListener(this::configured);
@@ -295,6 +313,7 @@
     return new Drain.Steps(
         () -> {
           readiness.drain();
+          orders.release();
           peers.leave();
         },
         () -> publish(new Event.StopRequested(clock.getAsLong())),
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/StoreSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/StoreSide.java
@@ -26,6 +26,7 @@
 import org.larkkeel.platform.HostList;
 import org.larkkeel.platform.HttpClientOptions;
 import org.larkkeel.platform.HttpObjectApi;
+import org.larkkeel.platform.HttpWeightStore;
 import org.larkkeel.platform.ObjectApi;
 import org.larkkeel.platform.ObjectKey;
 import org.larkkeel.platform.Scheduler;
@@ -34,6 +35,7 @@
 import org.larkkeel.platform.log.LogOptions;
 import org.larkkeel.platform.log.ObjectLog;
 import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.platform.order.WeightStore;
 import org.larkkeel.platform.run.RunLog;
 import org.larkkeel.platform.run.RunLogOptions;
 import org.xnio.OptionMap;
@@ -49,6 +51,7 @@
   private final Closer closer = new Closer();
   private final ObjectApi api;
   private final Parts parts;
+  private final HttpWeightStore weights;
   private final HostList hosts;
   private final ConfigStore configurations;
   private final RunRecords runs;
@@ -76,6 +79,9 @@
             budget(settings),
             parts.scheduler(),
             new SplittableRandom(seed));
+    weights =
+        closer.add(
+            new HttpWeightStore(options(settings), parts.worker().worker(), parts.scheduler()));
     hosts =
         closer.add(
             new HostList(api, parts.scheduler(), new SplittableRandom(seed + 1), parts.hosts()));
@@ -109,6 +115,14 @@
     probeLater();
   }
 
+  ObjectApi api() {
+    return api;
+  }
+
+  WeightStore weights() {
+    return weights;
+  }
+
   ConfigStore configurations() {
     return configurations;
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
@@ -39,6 +39,7 @@
   private static final long SWEEP_TIMEOUT_NANOS = Duration.ofSeconds(2).toNanos();
 
   private final Closer closer = new Closer();
+  private final EngineClient engines;
   private final EffectExecutor executor;
   private final UpstreamPoller poller;
   private final OrphanSweep sweep;
@@ -57,7 +58,7 @@
     UpstreamClient client =
         closer.add(
             new UpstreamClient(parts.worker(), UpstreamClientSettings.DEFAULT, parts.clock()));
-    EngineClient engines = new EngineClient(client);
+    engines = new EngineClient(client);
     executor =
         new EffectExecutor(
             parts.origin(),
@@ -98,6 +99,10 @@
     return executor;
   }
 
+  EngineClient engines() {
+    return engines;
+  }
+
   OrphanSweep sweep() {
     return sweep;
   }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/EngineClient.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/EngineClient.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.http.HeaderNames;
@@ -33,6 +34,7 @@
   private static final String REQUESTS = "/v1/requests";
   private static final String LOAD = "/v1/load";
   private static final String CACHE_EVENTS = "/v1/cache/events?after=";
+  private static final String ORDERS = "/v1/orders";
   private static final String KV_PARAMS = "kv_transfer_params";
   private static final HttpString CONTENT_TYPE = new HttpString("Content-Type");
   private static final byte[] NO_BODY = {};
@@ -175,6 +177,49 @@
     control(address, Methods.GET, CACHE_EVENTS + after, timeoutNanos, callback);
   }
 
+  /**
+   * Asks which orders are in force.
+   *
+   * @param address the engine
+   * @param timeoutNanos limit of the whole call
+   * @param callback takes the answer
+   */
+  public void orders(UpstreamAddress address, long timeoutNanos, JsonCallback callback) {
+    control(address, Methods.GET, ORDERS, timeoutNanos, callback);
+  }
+
+  /**
+   * Sends an order.
+   *
+   * @param address the engine
+   * @param body fencing number and order
+   * @param allowed asked immediately before the first byte; if it says no, nothing is sent
+   * @param timeoutNanos limit of the whole call
+   * @param done takes the answer, whatever its status
+   * @param failed takes the failure if there is no answer
+   */
+  public void order(
+      UpstreamAddress address,
+      ObjectNode body,
+      BooleanSupplier allowed,
+      long timeoutNanos,
+      Consumer<WholeAnswer.Answer> done,
+      Consumer<UpstreamFailure> failed) {
+    UpstreamRequest request =
+        new UpstreamRequest(
+            Methods.POST,
+            ORDERS,
+            ImmutableListMultimap.of(CONTENT_TYPE, "application/json"),
+            Json.bytes(body),
+            allowed);
+    client.send(
+        address,
+        request,
+        AnswerTimeout.whole(timeoutNanos),
+        ConnectionUse.CONTROL,
+        new WholeAnswer(client.settings().maxAnswerBytes(), done, failed));
+  }
+
   private InFlight post(
       UpstreamAddress address,
       String target,
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -118,6 +118,9 @@
   }
 
   private void send(PooledConnection connection) {
+    if (!request.allowed().getAsBoolean()) {
+      unavailable("no longer allowed");
+    }
     if (!lend(connection)) {
       connection.release(true);
       return;
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamRequest.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamRequest.java
@@ -8,6 +8,7 @@
 
 import com.google.common.collect.ImmutableListMultimap;
 import io.undertow.util.HttpString;
+import java.util.function.BooleanSupplier;
 
 /**
  * A request to an upstream.
@@ -18,6 +19,8 @@
  * @param target path and query
  * @param headers headers besides {@code Host} and {@code Content-Length}
  * @param body the body, empty for none; not copied
+ * @param allowed asked on an I/O thread immediately before the first byte; if it says no, nothing
+ *     is sent
  * @since 0.1
  */
 @SuppressWarnings("ArrayRecordComponent") // The bytes are handed on and never changed.
@@ -25,4 +28,21 @@
     HttpString method,
     String target,
     ImmutableListMultimap<HttpString, String> headers,
-    byte[] body) {}
+    byte[] body,
+    BooleanSupplier allowed) {
+  /**
+   * A request that may be sent at any time.
+   *
+   * @param method the method
+   * @param target path and query
+   * @param headers headers besides {@code Host} and {@code Content-Length}
+   * @param body the body, empty for none; not copied
+   */
+  public UpstreamRequest(
+      HttpString method,
+      String target,
+      ImmutableListMultimap<HttpString, String> headers,
+      byte[] body) {
+    this(method, target, headers, body, () -> true);
+  }
+}
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/ownership/Ownership.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/ownership/Ownership.java
@@ -6,9 +6,12 @@
 
 package org.larkkeel.peer.ownership;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.peer.membership.Hashes;
 
@@ -38,6 +41,28 @@
     }
   }
 
+  /**
+   * Finds the hosts that come first for a key; each next one follows if those before it go.
+   *
+   * @param key names what is owned, never null
+   * @param count how many
+   * @return the owner first; fewer than asked for only if there are not as many hosts
+   */
+  public ImmutableList<HostName> ownersOf(String key, int count) {
+    long keyHash = Hashes.of(key);
+    Comparator<Integer> heaviest = (a, b) -> compareWeights(b, a, keyHash);
+    return IntStream.range(0, hosts.length)
+        .boxed()
+        .sorted(heaviest)
+        .limit(count)
+        .map(i -> hosts[i])
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private int compareWeights(int a, int b, long keyHash) {
+    return Long.compareUnsigned(weight(a, keyHash), weight(b, keyHash));
+  }
+
   /**
    * Finds the owner of a key.
    *
