--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/capacity/CapacityCommand.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/capacity/CapacityCommand.java
@@ -43,6 +43,7 @@
 
   private void run() throws Exception {
     add(new RouterSlopes().measure());
+    add(new NodeSlopes().measure());
     slopes().forEach(this::print);
   }
 
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/capacity/Meter.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/capacity/Meter.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.bench.capacity;
 
+import com.sun.management.OperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
 
 /**
@@ -26,6 +27,12 @@
     return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
   }
 
+  /** Nanoseconds that all threads of this process have run. */
+  static long processNanos() {
+    return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+        .getProcessCpuTime();
+  }
+
   /** Nanoseconds that this thread has run. */
   static long threadNanos() {
     return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
@@ -36,6 +36,7 @@
  * <p>Safe for use by several threads.
  */
 final class UpstreamSide implements AutoCloseable {
+  private static final int IDLE_STRETCH = 8;
   private static final long SWEEP_TIMEOUT_NANOS = Duration.ofSeconds(2).toNanos();
 
   private final Closer closer = new Closer();
@@ -72,13 +73,25 @@
             new UpstreamPoller(
                 engines,
                 pollSettings(limits),
-                (nanos, task) -> parts.scheduler().schedule(Duration.ofNanos(nanos), task),
+                (nanos, task) ->
+                    parts.scheduler().schedule(pollDelay(nanos, parts.table().size()), task),
                 parts.clock(),
                 jitter(seed),
                 parts.events()));
     sweep = new OrphanSweep(engines, SWEEP_TIMEOUT_NANOS);
   }
 
+  /**
+   * The time to the next poll: a node without requests asks seldom, since its next request is
+   * placed by grants and its first answers bring the reports up to date.
+   *
+   * @param nanos the time of a node with requests
+   * @param inProgress requests in progress at this node
+   */
+  static Duration pollDelay(long nanos, int inProgress) {
+    return Duration.ofNanos(inProgress == 0 ? IDLE_STRETCH * nanos : nanos);
+  }
+
   /** Numbers from a seed, for pollers that share one scheduler thread. */
   private static java.util.function.DoubleSupplier jitter(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
