--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/AttemptResult.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/AttemptResult.java
@@ -15,6 +15,6 @@
   /** An error that the node told. */
   record Refused(String kind, boolean notRun, boolean repeatable) implements AttemptResult {}
 
-  /** The connection failed before or during the answer. */
-  record Broken(String cause) implements AttemptResult {}
+  /** The connection failed, before it was made if not reached, else before the whole answer. */
+  record Broken(String cause, boolean reached) implements AttemptResult {}
 }
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Caller.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Caller.java
@@ -60,6 +60,7 @@
         answered(request, answer, before);
         return;
       }
+      tally.failed(failure(request, last));
       if (last instanceof AttemptResult.Refused refused && !refused.repeatable()) {
         break;
       }
@@ -71,6 +72,18 @@
     }
   }
 
+  private static FailedAttempt failure(DemoRequest request, AttemptResult result) {
+    return switch (result) {
+      case AttemptResult.Broken b when b.reached() -> FailedAttempt.BROKEN;
+      case AttemptResult.Broken b -> FailedAttempt.UNREACHED;
+      case AttemptResult.Refused r when request instanceof DemoRequest.Order ->
+          r.notRun() ? FailedAttempt.ORDER_NOT_RUN : FailedAttempt.ORDER_MAY_HAVE_RUN;
+      case AttemptResult.Refused r ->
+          r.notRun() ? FailedAttempt.REPEATABLE_NOT_RUN : FailedAttempt.REPEATABLE_MAY_HAVE_RUN;
+      case AttemptResult.Answer a -> throw new IllegalArgumentException("an answer is no failure");
+    };
+  }
+
   private static Duration pause(int attempt) {
     Duration grown = FIRST_PAUSE.multipliedBy(1L << Math.min(attempt, 5));
     return grown.compareTo(LONGEST_PAUSE) < 0 ? grown : LONGEST_PAUSE;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/CallerClient.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/CallerClient.java
@@ -13,8 +13,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
@@ -52,8 +54,10 @@
         }
         return request instanceof DemoRequest.Dossier ? stream(body, start) : whole(body, start);
       }
+    } catch (ConnectException | HttpConnectTimeoutException e) {
+      return new AttemptResult.Broken(e.getClass().getSimpleName(), false);
     } catch (IOException e) {
-      return new AttemptResult.Broken(e.getClass().getSimpleName());
+      return new AttemptResult.Broken(e.getClass().getSimpleName(), true);
     }
   }
 
@@ -116,7 +120,7 @@
       tokens++;
       text.append(event.path("choices").path(0).path("text").asText());
     }
-    return new AttemptResult.Broken("stream-ended-early");
+    return new AttemptResult.Broken("stream-ended-early", true);
   }
 
   private static AttemptResult refused(byte[] body) throws IOException {
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Tally.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Tally.java
@@ -29,6 +29,7 @@
 
   private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
   private final Map<String, Long> refusals = new TreeMap<>();
+  private final Map<FailedAttempt, Long> failures = new EnumMap<>(FailedAttempt.class);
   private final Set<String> toldNotRun = new HashSet<>();
   private final Histogram first = new Histogram(LONGEST_MICROS, DIGITS);
   private final Histogram between = new Histogram(LONGEST_MICROS, DIGITS);
@@ -44,6 +45,7 @@
       long withinTargets,
       Map<Outcome, Long> outcomes,
       Map<String, Long> refusals,
+      Map<FailedAttempt, Long> failures,
       Set<String> toldNotRun,
       Histogram first,
       Histogram between,
@@ -52,6 +54,10 @@
       return outcomes.getOrDefault(outcome, 0L);
     }
 
+    long count(FailedAttempt failure) {
+      return failures.getOrDefault(failure, 0L);
+    }
+
     long ended() {
       return outcomes.values().stream().mapToLong(Long::longValue).sum();
     }
@@ -65,6 +71,11 @@
     retried++;
   }
 
+  /** One attempt of a request failed. */
+  synchronized void failed(FailedAttempt failure) {
+    failures.merge(failure, 1L, Long::sum);
+  }
+
   /** An order was finally refused with the word that it did not run. */
   synchronized void toldNotRun(String reference) {
     toldNotRun.add(reference);
@@ -111,6 +122,7 @@
         withinTargets,
         Collections.unmodifiableMap(new EnumMap<>(outcomes)),
         Collections.unmodifiableMap(new TreeMap<>(refusals)),
+        Collections.unmodifiableMap(new EnumMap<>(failures)),
         Set.copyOf(toldNotRun),
         first.copy(),
         between.copy(),
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Workload.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/demo/Workload.java
@@ -22,9 +22,11 @@
   };
 
   private final SplittableRandom random;
+  private final long seed;
   private long next;
 
   Workload(long seed) {
+    this.seed = seed;
     random = new SplittableRandom(seed);
   }
 
@@ -35,7 +37,8 @@
       return new DemoRequest.Dossier(prompt(), random.nextInt(MIN_TOKENS, MAX_TOKENS + 1));
     }
     if (share < DOSSIER_SHARE + ORDER_SHARE) {
-      return new DemoRequest.Order("/orders", "order-" + next, "key-" + next);
+      return new DemoRequest.Order(
+          "/orders", "order-" + seed + "-" + next, "key-" + seed + "-" + next);
     }
     return new DemoRequest.Lookup("/catalogue/item-" + random.nextInt(1_000) + "?n=" + next);
   }
@@ -48,6 +51,6 @@
     for (int i = 0; i < words; i++) {
       text.append(WORDS[random.nextInt(WORDS.length)]).append(' ');
     }
-    return text.append("dossier ").append(next).toString();
+    return text.append("dossier ").append(seed).append(' ').append(next).toString();
   }
 }
