--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsCommand.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsCommand.java
@@ -15,6 +15,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.larkkeel.bench.proof.Matrix.Result;
+import org.larkkeel.bench.proof.defect.DefectRunner;
 
 /**
  * The command {@code ./faults}: runs the matrix of faults and writes the page of results.
@@ -39,6 +40,12 @@
   @Option(name = "--page", metaVar = "FILE", usage = "where the results are written")
   private Path page = Path.of("docs", "FAULTS.md");
 
+  @Option(name = "--defects", usage = "plant defects instead; each has to be caught")
+  private boolean defects;
+
+  @Option(name = "--sources", metaVar = "FOLDER", usage = "the root of the sources of all modules")
+  private Path sources = Path.of("");
+
   private FaultsCommand() {}
 
   /**
@@ -66,7 +73,20 @@
       parser.printUsage(out);
       return 0;
     }
-    return runMatrix(out);
+    return defects ? runDefects(out) : runMatrix(out);
+  }
+
+  private int runDefects(PrintStream out) throws IOException {
+    List<DefectRunner.Outcome> outcomes =
+        new DefectRunner(sources)
+            .run(
+                o ->
+                    out.println(
+                        "defect=\"" + o.title() + "\" caught_by=\"" + o.caughtBy().orElse("") + '"'));
+    new FaultsPage(page).writeDefects(outcomes);
+    long survived = outcomes.stream().filter(o -> o.caughtBy().isEmpty()).count();
+    out.println("defects=" + outcomes.size() + " survived=" + survived);
+    return survived == 0 ? 0 : EXIT_FAILED;
   }
 
   private int runMatrix(PrintStream out) throws IOException {
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsPage.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsPage.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import org.larkkeel.bench.proof.Matrix.Result;
+import org.larkkeel.bench.proof.defect.DefectRunner;
 import org.larkkeel.bench.proof.world.Fault;
 import org.larkkeel.bench.proof.world.Place;
 
@@ -50,8 +51,19 @@
     write("matrix", text.toString());
   }
 
-  /** Writes a part that is ready. */
-  void write(String part, String text) throws IOException {
+  /** Writes the part about planted defects. */
+  void writeDefects(List<DefectRunner.Outcome> outcomes) throws IOException {
+    StringBuilder text = new StringBuilder("## Planted defects\n\n");
+    text.append("Each is planted alone into a copy of the sources, which the matrix then runs.\n\n");
+    text.append("| defect | caught by |\n|---|---|\n");
+    for (DefectRunner.Outcome o : outcomes) {
+      String caught = o.caughtBy().orElse("**survived**").replace('|', '/');
+      text.append("| ").append(o.title()).append(" | ").append(caught).append(" |\n");
+    }
+    write("defects", text.toString());
+  }
+
+  private void write(String part, String text) throws IOException {
     String begin = "<!-- " + part + " -->\n";
     String end = "<!-- end of " + part + " -->\n";
     String page = Files.exists(file) ? Files.readString(file) : HEAD;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Engine.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Engine.java
@@ -178,9 +178,9 @@
       job.reply().fail(FailureCause.KV_EVICTED, Exposure.REFUSED);
       return;
     }
-    job.reply().taken();
     Holding h = new Holding(job, imported.record);
     holdings.put(job.origin(), h);
+    job.reply().taken();
     token(h, resumeFrom);
   }
 
@@ -263,9 +263,9 @@
   private Holding hold(Job job) {
     long now = world.time().now();
     world.seen().took(name, job.request(), now);
-    job.reply().taken();
     Holding h = new Holding(job, world.seen().hold(name, job.request(), now));
     holdings.put(job.origin(), h);
+    job.reply().taken();
     return h;
   }
 
