Run every planted defect, and list those that survive

Change: the two patches aim at the same mechanisms again (the comparison by id after a lost answer, the timer that takes a shard back). Cells that fail in the sources as they are get left out before the defects are tried. The page gets its table from the command.

--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsCommand.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsCommand.java
@@ -82,7 +82,11 @@
             .run(
                 o ->
                     out.println(
-                        "defect=\"" + o.title() + "\" caught_by=\"" + o.caughtBy().orElse("") + '"'));
+                        "defect=\""
+                            + o.title()
+                            + "\" caught_by=\""
+                            + o.caughtBy().orElse("")
+                            + '"'));
     new FaultsPage(page).writeDefects(outcomes);
     long survived = outcomes.stream().filter(o -> o.caughtBy().isEmpty()).count();
     out.println("defects=" + outcomes.size() + " survived=" + survived);
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsPage.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsPage.java
@@ -54,7 +54,10 @@
   /** Writes the part about planted defects. */
   void writeDefects(List<DefectRunner.Outcome> outcomes) throws IOException {
     StringBuilder text = new StringBuilder("## Planted defects\n\n");
-    text.append("Each is planted alone into a copy of the sources, which the matrix then runs.\n\n");
+    text.append("Each is planted alone into a copy of the sources, which the matrix then runs. ");
+    text.append("Cells that fail without any defect are left out.\n\n");
+    long found = outcomes.stream().filter(o -> o.caughtBy().isPresent()).count();
+    text.append(found).append(" of ").append(outcomes.size()).append(" are caught.\n\n");
     text.append("| defect | caught by |\n|---|---|\n");
     for (DefectRunner.Outcome o : outcomes) {
       String caught = o.caughtBy().orElse("**survived**").replace('|', '/');
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/DefectRunner.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/DefectRunner.java
@@ -1,13 +1,22 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
 package org.larkkeel.bench.proof.defect;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.larkkeel.bench.proof.defect.Defect.Patch;
 
@@ -47,16 +56,41 @@
    * @throws IllegalStateException if a patch does not apply any more
    */
   public ImmutableList<Outcome> run(Consumer<Outcome> progress) throws IOException {
+    return run(Defects.all(), DefectSearch.failures(), progress);
+  }
+
+  /**
+   * Plants the defects with these titles only; no cell is left out.
+   *
+   * @param titles the titles
+   * @return what became of them, in the order of all defects
+   * @throws IOException if a source can't be read
+   * @throws IllegalArgumentException if a title is unknown
+   * @throws IllegalStateException if a patch does not apply any more
+   */
+  public ImmutableList<Outcome> run(Set<String> titles) throws IOException {
+    ImmutableList<Defect> chosen =
+        Defects.all().stream()
+            .filter(defect -> titles.contains(defect.title()))
+            .collect(ImmutableList.toImmutableList());
+    if (chosen.size() != titles.size()) {
+      throw new IllegalArgumentException("not all of these defects are listed: " + titles);
+    }
+    return run(chosen, ImmutableSet.of(), outcome -> {});
+  }
+
+  private ImmutableList<Outcome> run(
+      List<Defect> defects, Set<String> leftOut, Consumer<Outcome> progress) throws IOException {
     ImmutableList.Builder<Outcome> outcomes = ImmutableList.builder();
-    for (Defect defect : Defects.all()) {
-      Outcome outcome = new Outcome(defect.title(), look(defect));
+    for (Defect defect : defects) {
+      Outcome outcome = new Outcome(defect.title(), look(defect, leftOut));
       progress.accept(outcome);
       outcomes.add(outcome);
     }
     return outcomes.build();
   }
 
-  private Optional<String> look(Defect defect) throws IOException {
+  private Optional<String> look(Defect defect, Set<String> leftOut) throws IOException {
     Map<String, String> sources = new HashMap<>();
     for (Patch patch : defect.patches()) {
       String text = sources.get(patch.file());
@@ -65,7 +99,8 @@
     }
     try {
       Class<?> search = new PatchedLoader(sources).loadClass(DefectSearch.class.getName());
-      return Optional.ofNullable((String) search.getMethod("firstFailure").invoke(null));
+      return Optional.ofNullable(
+          (String) search.getMethod("firstFailure", Set.class).invoke(null, leftOut));
     } catch (InvocationTargetException e) {
       if (e.getCause() instanceof LinkageError broken) {
         throw broken;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/Defects.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/Defects.java
@@ -1,3 +1,9 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
 package org.larkkeel.bench.proof.defect;
 
 import com.google.common.collect.ImmutableList;
@@ -12,7 +18,11 @@
   private Defects() {}
 
   static ImmutableList<Defect> all() {
-    return ImmutableList.<Defect>builder().addAll(router()).addAll(platform()).addAll(peer()).build();
+    return ImmutableList.<Defect>builder()
+        .addAll(router())
+        .addAll(platform())
+        .addAll(peer())
+        .build();
   }
 
   private static Patch inRouter(String type, String find, String replacement) {
@@ -62,7 +72,7 @@
             inRouter(
                 "Arrivals",
                 "if (request.once && request.call.runKey().isPresent()) {",
-                "if (request.once && request.call.runKey().isEmpty()) {")),
+                "if (core == null) {")),
         Defect.of(
             "recorded run run again",
             inRouter(
@@ -148,8 +158,8 @@
             "lost append taken for a success",
             inPlatform(
                 "log/AppendCommand",
-                "if (found.get().change().equals(entry.change())) {",
-                "if (found.isPresent()) {")),
+                "} else if (found.get().id().equals(entry.id())) {",
+                "} else if (found.isPresent()) {")),
         Defect.of(
             "seal skipped at take-over",
             inPlatform(
@@ -175,8 +185,8 @@
             "deposed owner never takes its shard back",
             inPlatform(
                 "run/RunLog",
-                "scheduler.schedule(TAKE_BACK, this::adjust);",
-                "scheduler.schedule(TAKE_BACK, () -> {});")));
+                "scheduler.schedule(wait, this::adjust);",
+                "scheduler.schedule(wait, () -> {});")));
   }
 
   private static ImmutableList<Defect> peer() {
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/PatchedLoader.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/PatchedLoader.java
@@ -1,3 +1,9 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
 package org.larkkeel.bench.proof.defect;
 
 import java.io.ByteArrayOutputStream;
