Try an idle service whatever was learnt, and let late plain calls start

Cause: a node that was paused for 10 s while a plain call ran took the pause for the time of the call. From then on it believed that no plain call could meet its target, so each went to the lane of late ones, which waits for spare decode slots; a plain call needs none. With the decode engines busy nothing was sent until the deadline, so no sample ever corrected the estimate. Past the deadline the estimate alone refused every call for ever. Change: a late plain call waits for no decode slot; a plain call whose service is idle is started whatever the estimate says of target and deadline. Targets that have passed count as before.

--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Dispatcher.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Dispatcher.java
@@ -182,7 +182,7 @@
 
   /** A late request must not take what the next one in time needs. */
   private static boolean mayStart(Route route, LaneKind kind) {
-    if (kind != LaneKind.LATE || route.isTurnOfLate(LATE_EVERY)) {
+    if (kind != LaneKind.LATE || route.isPlain() || route.isTurnOfLate(LATE_EVERY)) {
       return true;
     }
     CandidateSet decode = route.decode();
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Queueing.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Queueing.java
@@ -93,16 +93,26 @@
       return Prospect.IN_TIME;
     }
     long now = core.context.now();
-    if (request.tokens == 0 && now + choice.lastNanos() > request.deadline) {
+    boolean trial = isTrial(request, choice);
+    if (request.tokens == 0 && !trial && now + choice.lastNanos() > request.deadline) {
       return now > latestToEnd(request) ? Prospect.MISSED : Prospect.LATER;
     }
-    if (!sheds(request) || now + choice.firstNanos() <= request.firstTarget) {
+    long first = trial ? now : now + choice.firstNanos();
+    if (!sheds(request) || first <= request.firstTarget) {
       return Prospect.IN_TIME;
     }
     return now > latestStart(request) ? Prospect.MISSED : Prospect.LATER;
   }
 
   /** When an unplaced request must be placed to be answered before its deadline. */
+  /**
+   * Tells whether a plain call goes to an idle service. No estimate rules that out: one that did,
+   * such as one learnt while this node was paused, would get no sample that corrects it.
+   */
+  private static boolean isTrial(RequestState request, Choice choice) {
+    return request.isPlain() && choice.first().attempts.isEmpty();
+  }
+
   private long latestToEnd(RequestState request) {
     return request.deadline - core.predictor.bestCaseToEnd(request);
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Route.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Route.java
@@ -147,13 +147,22 @@
     return rule.urgency() == Urgency.INTERACTIVE;
   }
 
+  /**
+   * Tells whether its requests are plain calls, which need no decode slot.
+   *
+   * @return true if so
+   */
+  public boolean isPlain() {
+    return key.model().isEmpty();
+  }
+
   /**
    * Tells whether any upstream could take its requests, be it full or ejected.
    *
    * @return true if so
    */
   public boolean hasUpstreams() {
-    if (key.model().isEmpty()) {
+    if (isPlain()) {
       return !service.all().isEmpty();
     }
     return !prefill.all().isEmpty() && !decode.all().isEmpty();
