Refuse interactive requests at once when their last upstream leaves

Cause: requests that waited when the last upstream of their route began to leave stayed queued until the deadline, though nothing could serve them. New requests were refused with NO_UPSTREAM already. Change: when a configuration comes into force, the queued requests of interactive routes without upstreams are given up with NO_UPSTREAM and a time to retry after; patient ones go on waiting. Measured: queuedInteractiveRequestIsRefusedAtOnce fails without the change (no ending) and passes with it; the other three new cases pass with and without. 65 router tests pass. A request that waits for its retry while its route loses its last upstream still waits for its deadline.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/router/LeavingUpstreamTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/LeavingUpstreamTest.java
@@ -14,11 +14,16 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableSortedMap;
+import java.util.List;
 import java.util.Optional;
 import org.larkkeel.config.Upstream;
+import org.larkkeel.config.Urgency;
 import org.larkkeel.effect.Effect;
+import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.Event;
 import org.larkkeel.lib.Labels;
+import org.larkkeel.lib.RequestId;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** An upstream whose label says that it leaves gets no new work. */
@@ -73,4 +78,55 @@
       assertTrue(script.ending(1) instanceof Effect.Complete);
     }
   }
+
+  /** Routes whose upstreams all leave. */
+  public static class AllLeaving {
+    /** Urgencies. */
+    @DataProvider
+    public Object[][] urgencies() {
+      return new Object[][] {{Urgency.PATIENT}, {Urgency.INTERACTIVE}};
+    }
+
+    @Test(dataProvider = "urgencies")
+    public void newRequestIsRefusedAtOnce(Urgency urgency) {
+      Upstream[] all = {
+        leaving("p1", "prefill"), leaving("d1", "decode"), leaving("s1", "service")
+      };
+      Script script = new Script().configure(configuration(1, urgency, List.of(all)));
+      script.arrive(completion(1));
+      script.arrive(plain(2, "/read", Optional.empty()));
+      assertRefused(script, 1);
+      assertRefused(script, 2);
+    }
+
+    @Test
+    public void queuedInteractiveRequestIsRefusedAtOnce() {
+      Script script = queued(Urgency.INTERACTIVE);
+      script.configure(configuration(2, Urgency.INTERACTIVE, List.of(leaving("s1", "service"))));
+      assertRefused(script, 2);
+    }
+
+    @Test
+    public void queuedPatientRequestIsServedByTheNextUpstream() {
+      Script script = queued(Urgency.PATIENT);
+      script.configure(configuration(2, Urgency.PATIENT, List.of(leaving("s1", "service"))));
+      script.configure(configuration(3, Urgency.PATIENT, List.of(engine("s2", "service", 1))));
+      assertEquals(script.only(Effect.SendPlain.class).request(), new RequestId(2));
+    }
+
+    private static Script queued(Urgency urgency) {
+      Script script = new Script();
+      script.configure(configuration(1, urgency, List.of(engine("s1", "service", 1))));
+      script.arrive(plain(1, "/read", Optional.empty()));
+      script.only(Effect.SendPlain.class);
+      script.arrive(plain(2, "/read", Optional.empty()));
+      assertTrue(script.all(Effect.SendPlain.class).isEmpty());
+      return script;
+    }
+
+    private static void assertRefused(Script script, long request) {
+      assertEquals(script.refusal(request), ErrorKind.NO_UPSTREAM);
+      assertTrue(((Effect.Refuse) script.ending(request)).retryAfterMillis() > 0);
+    }
+  }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/Router.java
@@ -217,6 +217,9 @@
     for (Route gone : core.routes.apply(configuration)) {
       core.arrivals.reroute(gone);
     }
+    for (Route stranded : core.routes.stranded()) {
+      core.arrivals.reroute(stranded);
+    }
     core.predictor.keepOnly(core.fleet);
     core.context.report(new Fact.InForce(revision));
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Arrivals.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Arrivals.java
@@ -77,7 +77,8 @@
   }
 
   /**
-   * Gives the requests of a route whose rule is gone to other routes, or refuses them.
+   * Gives the requests of a route whose rule or last upstream is gone to other routes, or refuses
+   * them.
    *
    * @param gone the route
    */
@@ -100,7 +101,7 @@
           ErrorKind.NO_UPSTREAM,
           ErrorKind.UPSTREAM_FAILED,
           NO_UPSTREAM_WAIT_NANOS,
-          "The rule of the request was removed while it waited.");
+          "While the request waited, its rule or its last upstream was removed.");
       return;
     }
     request.route = route.get();
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Routes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Routes.java
@@ -126,6 +126,15 @@
     return routes.values();
   }
 
+  /**
+   * The interactive routes without upstreams, whose requests must not wait for one to come.
+   *
+   * @return the routes
+   */
+  public List<Route> stranded() {
+    return routes.values().stream().filter(r -> r.isInteractive() && !r.hasUpstreams()).toList();
+  }
+
   private void update(Route route, Rule rule) {
     List<Pool> pools = pools(rule);
     Optional<ModelName> model = route.key.model();
