--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/Queueing.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/Queueing.java
@@ -104,7 +104,6 @@
     return now > latestStart(request) ? Prospect.MISSED : Prospect.LATER;
   }
 
-  /** When an unplaced request must be placed to be answered before its deadline. */
   /**
    * Tells whether a plain call goes to an idle service. No estimate rules that out: one that did,
    * such as one learnt while this node was paused, would get no sample that corrects it.
@@ -113,6 +112,7 @@
     return request.isPlain() && choice.first().attempts.isEmpty();
   }
 
+  /** When an unplaced request must be placed to be answered before its deadline. */
   private long latestToEnd(RequestState request) {
     return request.deadline - core.predictor.bestCaseToEnd(request);
   }
