Tell callers of a node without a configuration to come back

Cause: in a soak with kill -9 one request of 1,000 was refused as unauthenticated: its node had just restarted, knew no workspace yet, and took the caller for an unknown one, which tells it never to repeat. Change: a node that knows no workspace answers not-ready, as not run. The soak has not been run again with it. Conclusion: the answer was truthful about the run and wrong about the caller.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/Node.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/Node.java
@@ -58,6 +58,12 @@
   /** Whether {@code /readyz} says ready. */
   public final AtomicBoolean ready = new AtomicBoolean(true);
 
+  /** The workspaces in force. */
+  public volatile Workspaces workspaces =
+      new Workspaces(
+          ImmutableMap.of(BearerToken.digest(TOKEN), new WorkspaceName("closed")),
+          ImmutableSet.of(OPEN));
+
   /** The requests. */
   public final RequestTable table = new RequestTable();
 
@@ -86,10 +92,6 @@
             n -> Optional.ofNullable(upstreams.get(n)),
             events::add,
             System::nanoTime);
-    Workspaces workspaces =
-        new Workspaces(
-            ImmutableMap.of(BearerToken.digest(TOKEN), new WorkspaceName("closed")),
-            ImmutableSet.of(OPEN));
     listener =
         CallerListener.start(
             change.apply(
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
@@ -13,6 +13,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.larkkeel.call.Call;
@@ -78,6 +80,24 @@
     }
   }
 
+  /** A node that has just started. */
+  public static class NotConfigured extends WithNode {
+    @Test
+    public void tellsCallersToComeBackAndNotThatTheyAreUnknown() throws Exception {
+      final Workspaces known = node.workspaces;
+      node.workspaces = new Workspaces(ImmutableMap.of(), ImmutableSet.of());
+      try (RawCaller caller = node.call()) {
+        caller.send("GET", "/early", "", "");
+        RawCaller.Answer answer = caller.answer();
+        assertEquals(answer.status(), 503);
+        assertTrue(answer.body().contains("not-ready"), answer.body());
+        assertTrue(answer.body().contains("not-run"), answer.body());
+      }
+      node.workspaces = known;
+      assertServes();
+    }
+  }
+
   /** Requests that can not be served. */
   public static class BadRequests extends WithNode {
     /** Bad requests, with status, slug and a word that the detail must have. */
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/CallerHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/CallerHandler.java
@@ -157,6 +157,9 @@
 
   private WorkspaceName workspace(HttpServerExchange exchange) {
     Workspaces workspaces = services.workspaces().get();
+    if (workspaces.isEmpty()) {
+      throw new LarkkeelException(ErrorKind.NOT_READY, "This node has no configuration yet.");
+    }
     String named = exchange.getRequestHeaders().getFirst(HeaderNames.WORKSPACE);
     return BearerToken.of(exchange.getRequestHeaders())
         .flatMap(workspaces::of)
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/Workspaces.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/Workspaces.java
@@ -67,4 +67,13 @@
         ? Optional.of(new WorkspaceName(name))
         : Optional.empty();
   }
+
+  /**
+   * Tells whether no workspace is known, as on a node that has no configuration yet.
+   *
+   * @return true if no caller can be told from another
+   */
+  public boolean isEmpty() {
+    return byToken.isEmpty() && open.isEmpty();
+  }
 }
