--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/Defects.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/defect/Defects.java
@@ -31,7 +31,7 @@
   }
 
   private static Patch inPlatform(String type, String find, String replacement) {
-    String file = "org.larkkeel.platform/src/main/java/org/larkkeel/platform/" + type + ".java";
+    String file = "org.larkkeel.store/src/main/java/org/larkkeel/store/" + type + ".java";
     return new Patch(file, find, replacement);
   }
 
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/NodeConfig.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/NodeConfig.java
@@ -14,13 +14,13 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.log.LogEntry;
-import org.larkkeel.platform.log.LogFollower;
-import org.larkkeel.platform.log.LogName;
-import org.larkkeel.platform.log.LogOptions;
-import org.larkkeel.platform.log.LogSnapshot;
-import org.larkkeel.platform.log.ObjectLog;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.log.LogEntry;
+import org.larkkeel.store.log.LogFollower;
+import org.larkkeel.store.log.LogName;
+import org.larkkeel.store.log.LogOptions;
+import org.larkkeel.store.log.LogSnapshot;
+import org.larkkeel.store.log.ObjectLog;
+import org.larkkeel.store.log.WriterId;
 
 /**
  * Follows the log of configurations and brings each into force at one node.
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/NodeRuns.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/NodeRuns.java
@@ -20,16 +20,16 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.WorkspaceName;
-import org.larkkeel.platform.log.WriterId;
-import org.larkkeel.platform.run.ClaimRequest;
-import org.larkkeel.platform.run.ClaimResult;
-import org.larkkeel.platform.run.RecordResult;
-import org.larkkeel.platform.run.RecordedAnswer;
-import org.larkkeel.platform.run.RunId;
-import org.larkkeel.platform.run.RunLog;
-import org.larkkeel.platform.run.RunLogOptions;
-import org.larkkeel.platform.run.RunOutcome;
-import org.larkkeel.platform.run.RunToken;
+import org.larkkeel.store.log.WriterId;
+import org.larkkeel.store.run.ClaimRequest;
+import org.larkkeel.store.run.ClaimResult;
+import org.larkkeel.store.run.RecordResult;
+import org.larkkeel.store.run.RecordedAnswer;
+import org.larkkeel.store.run.RunId;
+import org.larkkeel.store.run.RunLog;
+import org.larkkeel.store.run.RunLogOptions;
+import org.larkkeel.store.run.RunOutcome;
+import org.larkkeel.store.run.RunToken;
 
 /**
  * Claims and records the runs of one node, at whichever node keeps the records.
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Store.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Store.java
@@ -13,13 +13,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.larkkeel.platform.ListQuery;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.ObjectKey;
-import org.larkkeel.platform.ObjectPage;
-import org.larkkeel.platform.StoredObject;
-import org.larkkeel.platform.WatchEvent;
+import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.WatchEvent;
 
 /**
  * The platform's objects, with versions, conditional updates and a history for watches.
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/VirtualTime.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/VirtualTime.java
@@ -11,7 +11,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import org.larkkeel.platform.Scheduler;
+import org.larkkeel.store.Scheduler;
 
 /**
  * Virtual time for any number of processes, each of which can be paused or killed.
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/World.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/World.java
@@ -27,8 +27,8 @@
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.peer.membership.HostEntry;
 import org.larkkeel.peer.membership.NodeAddress;
-import org.larkkeel.platform.log.AppendResult;
-import org.larkkeel.platform.log.LogEntry;
+import org.larkkeel.store.log.AppendResult;
+import org.larkkeel.store.log.LogEntry;
 
 /**
  * Three nodes, their upstreams and the platform in virtual time, with faults at chosen steps.
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/RunAdapterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/RunAdapterTest.java
@@ -29,13 +29,13 @@
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.WorkspaceName;
-import org.larkkeel.platform.log.WriterId;
-import org.larkkeel.platform.run.ClaimRequest;
-import org.larkkeel.platform.run.ClaimResult;
-import org.larkkeel.platform.run.RecordResult;
-import org.larkkeel.platform.run.RunId;
-import org.larkkeel.platform.run.RunOutcome;
-import org.larkkeel.platform.run.RunToken;
+import org.larkkeel.store.log.WriterId;
+import org.larkkeel.store.run.ClaimRequest;
+import org.larkkeel.store.run.ClaimResult;
+import org.larkkeel.store.run.RecordResult;
+import org.larkkeel.store.run.RunId;
+import org.larkkeel.store.run.RunOutcome;
+import org.larkkeel.store.run.RunToken;
 import org.testng.annotations.Test;
 
 /** Tests of {@link RunAdapter}. */
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/VirtualTime.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/VirtualTime.java
@@ -8,7 +8,7 @@
 
 import java.time.Duration;
 import java.util.PriorityQueue;
-import org.larkkeel.platform.Scheduler;
+import org.larkkeel.store.Scheduler;
 
 /** A scheduler whose time is moved by the test. */
 final class VirtualTime implements Scheduler {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ConfigLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ConfigLog.java
@@ -33,11 +33,11 @@
 import org.larkkeel.peer.ConfigSource;
 import org.larkkeel.peer.PeerNode;
 import org.larkkeel.peer.membership.Member;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.config.AuditEntry;
-import org.larkkeel.platform.config.ConfigStore;
-import org.larkkeel.platform.config.ProposeResult;
-import org.larkkeel.platform.log.LogSnapshot;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.config.AuditEntry;
+import org.larkkeel.store.config.ConfigStore;
+import org.larkkeel.store.config.ProposeResult;
+import org.larkkeel.store.log.LogSnapshot;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Daemon.java
@@ -36,11 +36,11 @@
 import org.larkkeel.peer.SlotLease;
 import org.larkkeel.peer.membership.Member;
 import org.larkkeel.peer.membership.NodeAddress;
-import org.larkkeel.platform.ExecutorScheduler;
-import org.larkkeel.platform.log.WriterId;
-import org.larkkeel.platform.order.OrderLimits;
 import org.larkkeel.router.Router;
 import org.larkkeel.router.RouterStatus;
+import org.larkkeel.store.ExecutorScheduler;
+import org.larkkeel.store.log.WriterId;
+import org.larkkeel.store.order.OrderLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Drain.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Drain.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.larkkeel.daemon.settings.LimitSettings;
-import org.larkkeel.platform.Scheduler;
+import org.larkkeel.store.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/EngineOrders.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/EngineOrders.java
@@ -27,14 +27,14 @@
 import org.larkkeel.http.upstream.WholeAnswer;
 import org.larkkeel.lib.FencingNumber;
 import org.larkkeel.lib.ModelName;
-import org.larkkeel.platform.order.AdapterName;
-import org.larkkeel.platform.order.DeclaredShape;
-import org.larkkeel.platform.order.EnginePort;
-import org.larkkeel.platform.order.EngineReport;
-import org.larkkeel.platform.order.EngineShape;
-import org.larkkeel.platform.order.ModelVersion;
-import org.larkkeel.platform.order.Order;
-import org.larkkeel.platform.order.OrderResult;
+import org.larkkeel.store.order.AdapterName;
+import org.larkkeel.store.order.DeclaredShape;
+import org.larkkeel.store.order.EnginePort;
+import org.larkkeel.store.order.EngineReport;
+import org.larkkeel.store.order.EngineShape;
+import org.larkkeel.store.order.ModelVersion;
+import org.larkkeel.store.order.Order;
+import org.larkkeel.store.order.OrderResult;
 
 /**
  * Speaks the engine protocol about orders.
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ObservedObjectApi.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ObservedObjectApi.java
@@ -10,15 +10,15 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.larkkeel.platform.ListQuery;
-import org.larkkeel.platform.ObjectApi;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.ObjectKey;
-import org.larkkeel.platform.ObjectPage;
-import org.larkkeel.platform.StoredObject;
-import org.larkkeel.platform.Watch;
-import org.larkkeel.platform.WatchEvent;
+import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.Watch;
+import org.larkkeel.store.WatchEvent;
 
 /** Tells the readiness whether the store answers. Safe for use by several threads. */
 final class ObservedObjectApi implements ObjectApi {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/OrderLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/OrderLog.java
@@ -10,11 +10,11 @@
 import org.larkkeel.errors.Slugs;
 import org.larkkeel.lib.FencingNumber;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.order.ModelVersion;
-import org.larkkeel.platform.order.Order;
-import org.larkkeel.platform.order.OrderListener;
-import org.larkkeel.platform.order.OrderResult;
-import org.larkkeel.platform.order.PullResult;
+import org.larkkeel.store.order.ModelVersion;
+import org.larkkeel.store.order.Order;
+import org.larkkeel.store.order.OrderListener;
+import org.larkkeel.store.order.OrderResult;
+import org.larkkeel.store.order.PullResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/OrderSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/OrderSide.java
@@ -14,13 +14,13 @@
 import org.larkkeel.http.upstream.EngineClient;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.peer.ownership.Ownership;
-import org.larkkeel.platform.ObjectApi;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.lease.Lease;
-import org.larkkeel.platform.log.WriterId;
-import org.larkkeel.platform.order.OrderController;
-import org.larkkeel.platform.order.OrderLimits;
-import org.larkkeel.platform.order.WeightStore;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.lease.Lease;
+import org.larkkeel.store.log.WriterId;
+import org.larkkeel.store.order.OrderController;
+import org.larkkeel.store.order.OrderLimits;
+import org.larkkeel.store.order.WeightStore;
 
 /**
  * Everything of a node that gives orders to engines.
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Orphans.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/Orphans.java
@@ -14,7 +14,7 @@
 import org.larkkeel.http.upstream.OrphanSweep;
 import org.larkkeel.http.upstream.UpstreamAddress;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.Scheduler;
+import org.larkkeel.store.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/PeerSide.java
@@ -16,7 +16,7 @@
 import org.larkkeel.peer.membership.HostEntry;
 import org.larkkeel.peer.membership.NodeAddress;
 import org.larkkeel.peer.membership.NodeId;
-import org.larkkeel.platform.HostPhase;
+import org.larkkeel.store.HostPhase;
 
 /** Translates settings and hosts for the peers. Stateless and safe for use by several threads. */
 final class PeerSide {
@@ -41,7 +41,7 @@
   }
 
   /** The platform's host list as peers see it. */
-  static ImmutableList<HostEntry> hosts(List<org.larkkeel.platform.HostEntry> list) {
+  static ImmutableList<HostEntry> hosts(List<org.larkkeel.store.HostEntry> list) {
     return list.stream()
         .map(
             h ->
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunAdapter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunAdapter.java
@@ -23,14 +23,14 @@
 import org.larkkeel.http.request.RequestTable;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.log.WriterId;
-import org.larkkeel.platform.run.ClaimRequest;
-import org.larkkeel.platform.run.ClaimResult;
-import org.larkkeel.platform.run.RecordResult;
-import org.larkkeel.platform.run.RunId;
-import org.larkkeel.platform.run.RunOutcome;
-import org.larkkeel.platform.run.RunToken;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.log.WriterId;
+import org.larkkeel.store.run.ClaimRequest;
+import org.larkkeel.store.run.ClaimResult;
+import org.larkkeel.store.run.RecordResult;
+import org.larkkeel.store.run.RunId;
+import org.larkkeel.store.run.RunOutcome;
+import org.larkkeel.store.run.RunToken;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -192,7 +192,7 @@
         .<RunOutcome>map(
             bytes ->
                 new RunOutcome.Answered(
-                    new org.larkkeel.platform.run.RecordedAnswer(SERVER_ERROR, ANSWER_TYPE, bytes)))
+                    new org.larkkeel.store.run.RecordedAnswer(SERVER_ERROR, ANSWER_TYPE, bytes)))
         .orElseGet(RunOutcome.Unknown::new);
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunMessages.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunMessages.java
@@ -17,13 +17,13 @@
 import org.larkkeel.peer.gen.WireRunClaim;
 import org.larkkeel.peer.gen.WireRunEnd;
 import org.larkkeel.peer.gen.WireRunRecord;
-import org.larkkeel.platform.run.ClaimRequest;
-import org.larkkeel.platform.run.ClaimResult;
-import org.larkkeel.platform.run.RecordResult;
-import org.larkkeel.platform.run.RecordedAnswer;
-import org.larkkeel.platform.run.RunId;
-import org.larkkeel.platform.run.RunOutcome;
-import org.larkkeel.platform.run.RunToken;
+import org.larkkeel.store.run.ClaimRequest;
+import org.larkkeel.store.run.ClaimResult;
+import org.larkkeel.store.run.RecordResult;
+import org.larkkeel.store.run.RecordedAnswer;
+import org.larkkeel.store.run.RunId;
+import org.larkkeel.store.run.RunOutcome;
+import org.larkkeel.store.run.RunToken;
 
 /**
  * Translates between the run log and the messages of peers. Stateless and safe for use by several
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunOwners.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunOwners.java
@@ -7,12 +7,12 @@
 package org.larkkeel.daemon;
 
 import java.util.concurrent.CompletableFuture;
-import org.larkkeel.platform.run.ClaimRequest;
-import org.larkkeel.platform.run.ClaimResult;
-import org.larkkeel.platform.run.RecordResult;
-import org.larkkeel.platform.run.RunId;
-import org.larkkeel.platform.run.RunOutcome;
-import org.larkkeel.platform.run.RunToken;
+import org.larkkeel.store.run.ClaimRequest;
+import org.larkkeel.store.run.ClaimResult;
+import org.larkkeel.store.run.RecordResult;
+import org.larkkeel.store.run.RunId;
+import org.larkkeel.store.run.RunOutcome;
+import org.larkkeel.store.run.RunToken;
 
 /**
  * The run records of all nodes, each asked at its owner.
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunRecords.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/RunRecords.java
@@ -20,14 +20,14 @@
 import org.larkkeel.peer.gen.WireRecordAnswer;
 import org.larkkeel.peer.gen.WireRunClaim;
 import org.larkkeel.peer.gen.WireRunRecord;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.run.ClaimRequest;
-import org.larkkeel.platform.run.ClaimResult;
-import org.larkkeel.platform.run.RecordResult;
-import org.larkkeel.platform.run.RunId;
-import org.larkkeel.platform.run.RunLog;
-import org.larkkeel.platform.run.RunOutcome;
-import org.larkkeel.platform.run.RunToken;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.run.ClaimRequest;
+import org.larkkeel.store.run.ClaimResult;
+import org.larkkeel.store.run.RecordResult;
+import org.larkkeel.store.run.RunId;
+import org.larkkeel.store.run.RunLog;
+import org.larkkeel.store.run.RunOutcome;
+import org.larkkeel.store.run.RunToken;
 
 /**
  * The run records of all nodes: those of this node, and those that peers own.
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/TlsReload.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/TlsReload.java
@@ -15,7 +15,7 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.larkkeel.daemon.settings.TlsFiles;
-import org.larkkeel.platform.Scheduler;
+import org.larkkeel.store.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/UpstreamSide.java
@@ -28,7 +28,7 @@
 import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.http.upstream.UpstreamPoller;
 import org.larkkeel.lib.Closer;
-import org.larkkeel.platform.Scheduler;
+import org.larkkeel.store.Scheduler;
 
 /**
  * Everything of a node that talks to upstreams.
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayAdapter.java
@@ -0,0 +1,47 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import com.google.common.collect.ImmutableCollection;
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import org.larkkeel.http.relay.RelayDialect;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayConfiguration;
+import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoredObject;
+import org.xnio.XnioWorker;
+
+/**
+ * What a relay node needs translated from the surroundings in which it runs.
+ *
+ * <p>Implementations keep nothing and decide nothing, and are safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public interface RelayAdapter {
+  /** The words of callers and upstreams. */
+  RelayDialect dialect();
+
+  /** The store. */
+  ObjectApi store(HttpClientOptions options, XnioWorker worker, Scheduler scheduler);
+
+  /** The collection that holds the configuration. */
+  String configurations();
+
+  /** The collection that holds the upstreams. */
+  String upstreams();
+
+  /** The newest configuration among objects; empty if none can be read. */
+  Optional<RelayConfiguration> configuration(ImmutableCollection<StoredObject> objects);
+
+  /** The upstreams among objects; those that can not be read are left out. */
+  ImmutableMap<UpstreamName, RelayUpstream> upstreams(ImmutableCollection<StoredObject> objects);
+}
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -0,0 +1,145 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import java.util.function.Consumer;
+import org.larkkeel.relay.RelayFact;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes one line of key=value pairs for each fact.
+ *
+ * <p>Text that came from outside is quoted and cleaned, so that it can not look like another line.
+ * Stateless and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class RelayFactLog implements Consumer<RelayFact> {
+  private static final Logger log = LoggerFactory.getLogger("relay");
+  private static final double MILLI = 1e6;
+  private static final int MAX_TEXT = 80;
+
+  @Override
+  public void accept(RelayFact fact) {
+    switch (fact) {
+      case RelayFact.Admitted f ->
+          log.info(
+              "event=admitted call={} rule={} service={} revision={} left_ms={} prompt_tokens={}",
+              id(f.call()),
+              f.rule(),
+              f.service(),
+              f.revision(),
+              f.leftMillis(),
+              f.promptTokens());
+      case RelayFact.Placed f ->
+          log.info(
+              "event=placed call={} attempt={} purpose={} upstream={} cost={} runner_up={}"
+                  + " runner_up_cost={} send={} candidates={}",
+              id(f.call()),
+              f.attempt(),
+              f.purpose(),
+              f.upstream(),
+              round(f.cost()),
+              f.runnerUp(),
+              round(f.runnerUpCost()),
+              f.sends(),
+              f.candidates());
+      case RelayFact.AttemptFailed f ->
+          log.warn(
+              "event=attempt_failed call={} attempt={} upstream={} cause={} may_have_run={}",
+              id(f.call()),
+              f.attempt(),
+              f.upstream(),
+              f.cause(),
+              f.mayHaveRun());
+      case RelayFact.PromptRead f ->
+          log.info(
+              "event=prompt_read call={} attempt={} upstream={} ms={}",
+              id(f.call()),
+              f.attempt(),
+              f.upstream(),
+              millis(f.nanos()));
+      case RelayFact.PromptWasted f ->
+          log.warn(
+              "event=prompt_wasted call={} upstream={} tokens={}",
+              id(f.call()),
+              f.upstream(),
+              f.tokens());
+      case RelayFact.Answered f ->
+          log.info(
+              "event=answered call={} attempt={} upstream={} rule={} grade={} first_ms={} ms={}"
+                  + " on_target={}",
+              id(f.call()),
+              f.attempt(),
+              f.upstream(),
+              f.rule(),
+              f.grade(),
+              millis(f.firstNanos()),
+              millis(f.nanos()),
+              f.onTarget());
+      case RelayFact.Refused f ->
+          log.warn(
+              "event=refused call={} rule={} kind={} detail=\"{}\" sends={} runs={} ms={}",
+              id(f.call()),
+              f.rule(),
+              f.kind().slug(),
+              text(f.detail()),
+              f.sends(),
+              f.runs(),
+              millis(f.nanos()));
+      case RelayFact.CallerLeft f ->
+          log.info(
+              "event=caller_left call={} rule={} ms={}", id(f.call()), f.rule(), millis(f.nanos()));
+      case RelayFact.BudgetSpent f ->
+          log.warn(
+              "event=budget_spent call={} service={} used={} allowed={}",
+              id(f.call()),
+              f.service(),
+              f.used(),
+              round(f.allowed()));
+      case RelayFact.UpstreamChanged f ->
+          log.info(
+              "event=upstream_changed upstream={} service={} address={} change={}",
+              f.upstream(),
+              f.service(),
+              f.address(),
+              f.change());
+      case RelayFact.Ejected f ->
+          log.warn(
+              "event=ejected upstream={} cause={} for_ms={}",
+              f.upstream(),
+              f.cause(),
+              millis(f.forNanos()));
+      case RelayFact.Restored f -> log.info("event=restored upstream={}", f.upstream());
+      case RelayFact.InForce f ->
+          log.info(
+              "event=in_force revision={} before={} rules={}", f.revision(), f.before(), f.rules());
+      case RelayFact.Stale f ->
+          log.warn("event=stale_configuration revision={} in_force={}", f.revision(), f.inForce());
+    }
+  }
+
+  private static long millis(long nanos) {
+    return Math.round(nanos / MILLI);
+  }
+
+  private static double round(double value) {
+    return Math.round(value * 100) / 100.0;
+  }
+
+  /** A name from outside without what could end its field. */
+  static String id(String name) {
+    return text(name).replace(' ', '?');
+  }
+
+  /** Text from outside without what could end its line or its quotes. */
+  static String text(String text) {
+    String cut = text.length() > MAX_TEXT ? text.substring(0, MAX_TEXT) : text;
+    return cut.replaceAll("[^\\x20\\x21\\x23-\\x7e]", "?");
+  }
+}
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -0,0 +1,119 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.relay.AnswerGrade;
+import org.larkkeel.relay.RelayFact;
+
+/**
+ * Counts facts by rule and outcome, never by request.
+ *
+ * <p>Safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class RelayMeters implements Consumer<RelayFact> {
+  private static final String RULE = "rule";
+  private static final Duration SMALLEST = Duration.ofMillis(1);
+  private static final Duration LARGEST = Duration.ofSeconds(30);
+  private static final Duration[] BOUNDS = {
+    Duration.ofMillis(50),
+    Duration.ofMillis(100),
+    Duration.ofMillis(200),
+    Duration.ofMillis(400),
+    Duration.ofMillis(900),
+    Duration.ofMillis(2_000),
+    Duration.ofMillis(5_000),
+    Duration.ofMillis(15_000)
+  };
+
+  private final MeterRegistry registry;
+  private final AtomicLong revision = new AtomicLong();
+  private final AtomicLong revisionAt = new AtomicLong();
+
+  /** Registers its gauges; names are listed in docs/OPERATIONS.md. */
+  public RelayMeters(MeterRegistry registry) {
+    this.registry = registry;
+    Gauge.builder("larkkeel.relay.configuration.revision", revision, AtomicLong::get)
+        .register(registry);
+    Gauge.builder("larkkeel.relay.configuration.age", this, m -> m.ageSeconds())
+        .baseUnit("seconds")
+        .register(registry);
+  }
+
+  private double ageSeconds() {
+    long at = revisionAt.get();
+    return at == 0 ? 0 : (System.nanoTime() - at) / 1e9;
+  }
+
+  @Override
+  public void accept(RelayFact fact) {
+    switch (fact) {
+      case RelayFact.Answered f -> answered(f);
+      case RelayFact.Refused f -> refused(f);
+      case RelayFact.CallerLeft f -> calls(f.rule(), "caller_left").increment();
+      case RelayFact.AttemptFailed f ->
+          registry.counter("larkkeel.relay.attempts.failed", "cause", f.cause()).increment();
+      case RelayFact.Placed f ->
+          registry.counter("larkkeel.relay.attempts", "purpose", f.purpose()).increment();
+      case RelayFact.PromptRead f ->
+          latency("larkkeel.relay.prompt", "all").record(f.nanos(), TimeUnit.NANOSECONDS);
+      case RelayFact.PromptWasted f ->
+          registry.counter("larkkeel.relay.prompt.wasted.tokens").increment(f.tokens());
+      case RelayFact.BudgetSpent f ->
+          registry.counter("larkkeel.relay.budget.spent", "service", f.service()).increment();
+      case RelayFact.Ejected f ->
+          registry.counter("larkkeel.relay.ejections", "cause", f.cause()).increment();
+      case RelayFact.InForce f -> {
+        revision.set(f.revision());
+        revisionAt.set(System.nanoTime());
+      }
+      case RelayFact.Admitted f -> {}
+      case RelayFact.UpstreamChanged f -> {}
+      case RelayFact.Restored f -> {}
+      case RelayFact.Stale f -> {}
+    }
+  }
+
+  private void answered(RelayFact.Answered f) {
+    String outcome =
+        f.grade() == AnswerGrade.GOOD
+            ? f.onTarget() ? "on_target" : "late"
+            : "upstream_" + f.grade().name().toLowerCase(Locale.ROOT);
+    calls(f.rule(), outcome).increment();
+    latency("larkkeel.relay.first", f.rule()).record(f.firstNanos(), TimeUnit.NANOSECONDS);
+    latency("larkkeel.relay.whole", f.rule()).record(f.nanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void refused(RelayFact.Refused f) {
+    ErrorKind kind = f.kind();
+    calls(f.rule().isEmpty() ? "none" : f.rule(), kind.slug()).increment();
+  }
+
+  private Counter calls(String rule, String outcome) {
+    return registry.counter("larkkeel.relay.calls", RULE, rule, "outcome", outcome);
+  }
+
+  private Timer latency(String name, String rule) {
+    return Timer.builder(name)
+        .tag(RULE, rule)
+        .minimumExpectedValue(SMALLEST)
+        .maximumExpectedValue(LARGEST)
+        .serviceLevelObjectives(BOUNDS)
+        .register(registry);
+  }
+}
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -0,0 +1,205 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.larkkeel.http.HttpWorker;
+import org.larkkeel.http.caller.CallerSettings;
+import org.larkkeel.http.relay.RelayClientSettings;
+import org.larkkeel.http.relay.RelayDialect;
+import org.larkkeel.http.relay.RelayExecutor;
+import org.larkkeel.http.relay.RelayListener;
+import org.larkkeel.http.relay.RelayLoop;
+import org.larkkeel.http.upstream.UpstreamClient;
+import org.larkkeel.http.upstream.UpstreamClientSettings;
+import org.larkkeel.lib.Closer;
+import org.larkkeel.relay.RelayRouter;
+import org.larkkeel.store.ExecutorScheduler;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A node that relays opaque requests.
+ *
+ * <p>One I/O thread carries connections and the router; another follows the store. Safe for use by
+ * several threads.
+ *
+ * @since 0.1
+ */
+public final class RelayNode implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger(RelayNode.class);
+  private static final int IO_THREADS = 1;
+  private static final int MAX_BODY_BYTES = 4 << 20;
+  private static final long MAX_BODIES_BYTES = 48L << 20;
+  private static final int MAX_PENDING_BYTES = 1 << 20;
+  private static final int HEADER_MILLIS = 10_000;
+  private static final int BODY_MILLIS = 20_000;
+  private static final int IDLE_MILLIS = 120_000;
+  private static final int STALL_MILLIS = 10_000;
+  private static final UpstreamClientSettings CLIENT =
+      new UpstreamClientSettings(64, 4, 256, 4_000, 4 << 20, 256 << 10);
+
+  /** How long before the end of the grace the process ends. */
+  private static final Duration BEFORE_END = Duration.ofMillis(600);
+
+  private static final Duration CHECK = Duration.ofMillis(50);
+
+  private final RelayNodeSettings settings;
+  private final Closer closer;
+  private final Scheduler scheduler;
+  private final RelayRouter router;
+  private final RelayListener listener;
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private volatile boolean ready;
+  private volatile int inProgress;
+  private volatile boolean draining;
+
+  private RelayNode(RelayNodeSettings settings, RelayAdapter adapter, Closer closer) {
+    this.settings = settings;
+    this.closer = closer;
+    ExecutorScheduler steps = closer.add(new ExecutorScheduler("larkkeel-store"));
+    this.scheduler = steps;
+    HttpWorker worker = closer.add(new HttpWorker(IO_THREADS));
+    UpstreamClient client = closer.add(new UpstreamClient(worker, CLIENT, System::nanoTime));
+    this.router = new RelayRouter(settings.router());
+    var thread = worker.worker().getIoThread();
+    RelayLoop loop = new RelayLoop(thread, router, System::nanoTime);
+    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    closer.add(registry::close);
+    RelayMeters meters = new RelayMeters(registry);
+    RelayFactLog facts = new RelayFactLog();
+    RelayDialect dialect = adapter.dialect();
+    RelayExecutor executor =
+        new RelayExecutor(
+            loop,
+            dialect,
+            client,
+            thread,
+            RelayClientSettings.DEFAULT,
+            fact -> {
+              facts.accept(fact);
+              meters.accept(fact);
+            });
+    loop.effects(executor);
+    loop.afterEach(this::observe);
+    closer.add(
+        StatusListener.start(
+            worker, settings.readiness(), settings.metrics(), this::isReady, registry::scrape));
+    this.listener =
+        closer.add(RelayListener.start(callers(settings), worker, loop, executor, dialect));
+    HttpClientOptions options =
+        HttpClientOptions.of(settings.store()).withTimeout(settings.storeTimeout());
+    ObjectApi store = adapter.store(options, worker.worker(), scheduler);
+    RelayFeed feed =
+        closer.add(
+            new RelayFeed(
+                adapter,
+                store,
+                scheduler,
+                settings.watchTime(),
+                new SplittableRandom(System.nanoTime()),
+                loop));
+    scheduler.execute(feed::start);
+  }
+
+  private static CallerSettings callers(RelayNodeSettings settings) {
+    return CallerSettings.on(settings.caller())
+        .withSizes(MAX_BODY_BYTES, MAX_BODIES_BYTES, MAX_PENDING_BYTES)
+        .withTimeouts(HEADER_MILLIS, BODY_MILLIS, IDLE_MILLIS, STALL_MILLIS);
+  }
+
+  /**
+   * Starts a node.
+   *
+   * @param settings where it listens, and its bounds
+   * @param adapter translates its surroundings
+   */
+  public static RelayNode start(RelayNodeSettings settings, RelayAdapter adapter) {
+    Closer closer = new Closer();
+    try {
+      RelayNode node = new RelayNode(settings, adapter, closer);
+      log.info(
+          "event=started host={} data_centre={} caller={} store={}",
+          settings.host(),
+          settings.place(),
+          settings.caller(),
+          settings.store());
+      return node;
+    } catch (RuntimeException e) {
+      try {
+        closer.close();
+      } catch (Exception suppressed) {
+        e.addSuppressed(suppressed);
+      }
+      throw e;
+    }
+  }
+
+  private void observe() {
+    inProgress = router.inProgress();
+    boolean now = router.isReady();
+    if (now != ready) {
+      ready = now;
+      log.info("event=readiness ready={}", now);
+    }
+  }
+
+  /** Whether it takes callers. */
+  public boolean isReady() {
+    return ready && !draining;
+  }
+
+  /** Where callers connect. */
+  public InetSocketAddress callerAddress() {
+    return listener.address();
+  }
+
+  /**
+   * Takes no new callers any more, finishes what it has, and ends in time; see {@link #drained}.
+   */
+  public synchronized void drain() {
+    if (!draining) {
+      draining = true;
+      log.info(
+          "event=drain_begun in_progress={} leave_ms={} grace_ms={}",
+          inProgress,
+          settings.leave().toMillis(),
+          settings.grace().toMillis());
+      listener.closeAfterAnswers();
+      long begun = scheduler.nanoTime();
+      scheduler.schedule(settings.leave(), () -> checkDrained(begun));
+    }
+  }
+
+  /** Completes when the process may end. */
+  public CompletableFuture<Void> drained() {
+    return drained.copy();
+  }
+
+  private void checkDrained(long begun) {
+    long left = settings.grace().minus(BEFORE_END).toNanos() - (scheduler.nanoTime() - begun);
+    if (inProgress == 0 || left <= 0) {
+      log.info("event=drain_done in_progress={}", inProgress);
+      drained.complete(null);
+    } else {
+      scheduler.schedule(CHECK, () -> checkDrained(begun));
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsReader.java
@@ -0,0 +1,163 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import org.larkkeel.config.Checked;
+import org.larkkeel.config.FieldReader;
+import org.larkkeel.config.JsonPath;
+import org.larkkeel.config.Position;
+import org.larkkeel.config.ProblemCollector;
+import org.larkkeel.config.Severity;
+import org.larkkeel.daemon.settings.LogLevel;
+import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.relay.RelaySettings;
+
+/**
+ * Reads the settings of a relay node: JSON with comments.
+ *
+ * <p>Stateless and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class RelaySettingsReader {
+  private static final String ADDRESS_REMEDY = "write an IP number and a port, as 10.0.0.1:8080";
+  private static final String NUMBER_REMEDY = "write a number of at least 0, in quotes";
+  private static final String SECONDS_REMEDY = "write seconds above 0, in quotes";
+  private static final String NAME_REMEDY =
+      "use letters, digits and . _ / -, beginning and ending with a letter or a digit";
+  private static final long HOUR_MILLIS = Duration.ofHours(1).toMillis();
+  private static final int MAX_NODES = 10_000;
+  private static final double NANOS = 1e9;
+
+  private RelaySettingsReader() {}
+
+  /**
+   * Reads.
+   *
+   * @param source names the text in messages
+   * @param text the settings
+   */
+  public static Checked<RelayNodeSettings> read(String source, String text) {
+    ProblemCollector problems = new ProblemCollector(source, Severity.ERROR);
+    RelayNodeSettings settings =
+        FieldReader.document(text, RelaySettingsKeys.TOP, problems)
+            .map(RelaySettingsReader::settings)
+            .orElse(null);
+    return Checked.of(settings, problems.build());
+  }
+
+  /** What is said of a file that can not be read. */
+  static Checked<RelayNodeSettings> unreadable(String source, IOException cause) {
+    ProblemCollector problems = new ProblemCollector(source, Severity.ERROR);
+    problems.error(
+        Position.NONE,
+        JsonPath.ROOT,
+        "",
+        "the file can not be read as UTF-8 text: " + cause,
+        "name a file that exists and that this user may read");
+    return Checked.of(null, problems.build());
+  }
+
+  private static RelayNodeSettings settings(FieldReader top) {
+    HostName host = required(top, RelaySettingsKeys.HOST, HostName::new, NAME_REMEDY);
+    DataCentreName place =
+        required(top, RelaySettingsKeys.DATA_CENTRE, DataCentreName::new, NAME_REMEDY);
+    FieldReader listeners = top.child(RelaySettingsKeys.LISTENERS, RelaySettingsKeys.IN_LISTENERS);
+    FieldReader store = top.child(RelaySettingsKeys.STORE, RelaySettingsKeys.IN_STORE);
+    FieldReader stop = top.child(RelaySettingsKeys.STOP, RelaySettingsKeys.IN_STOP);
+    return new RelayNodeSettings(
+        host,
+        place,
+        required(listeners, RelaySettingsKeys.CALLER, RelaySettingsReader::address, ADDRESS_REMEDY),
+        required(
+            listeners, RelaySettingsKeys.READINESS, RelaySettingsReader::address, ADDRESS_REMEDY),
+        required(
+            listeners, RelaySettingsKeys.METRICS, RelaySettingsReader::address, ADDRESS_REMEDY),
+        required(
+            store,
+            RelaySettingsKeys.ADDRESS,
+            text -> URI.create("http://" + checkedAddress(text)),
+            ADDRESS_REMEDY),
+        Duration.ofMillis(store.whole(RelaySettingsKeys.TIMEOUT_MILLIS, 1, HOUR_MILLIS, 1_000)),
+        Duration.ofMillis(store.whole(RelaySettingsKeys.WATCH_MILLIS, 1, HOUR_MILLIS, 10_000)),
+        router(top, place, host),
+        Duration.ofMillis(stop.whole(RelaySettingsKeys.LEAVE_MILLIS, 0, HOUR_MILLIS, 3_000)),
+        seconds(stop, RelaySettingsKeys.GRACE_SECONDS, Duration.ofSeconds(8)),
+        top.choice(RelaySettingsKeys.LOG_LEVEL, LogLevel.class, LogLevel.INFO));
+  }
+
+  private static RelaySettings router(FieldReader top, DataCentreName place, HostName host) {
+    FieldReader repeats = top.child(RelaySettingsKeys.REPEATS, RelaySettingsKeys.IN_REPEATS);
+    return new RelaySettings(
+        place,
+        number(repeats, RelaySettingsKeys.SHARE, 0.1),
+        number(repeats, RelaySettingsKeys.SLACK, 20),
+        seconds(repeats, RelaySettingsKeys.WINDOW_SECONDS, Duration.ofSeconds(10)).toNanos(),
+        (int) repeats.whole(RelaySettingsKeys.NODES, 1, MAX_NODES, 1),
+        (int) top.whole(RelaySettingsKeys.STAGE_TOKENS, 1, Integer.MAX_VALUE, 512),
+        Duration.ofMillis(top.whole(RelaySettingsKeys.MISSING_MILLIS, 0, HOUR_MILLIS, 1_500))
+            .toNanos(),
+        host == null ? 0 : host.value().hashCode());
+  }
+
+  private static <T> T required(
+      FieldReader fields, String key, Function<String, T> parser, String remedy) {
+    if (fields.requiredText(key, remedy).isEmpty()) {
+      return null;
+    }
+    return fields.parsed(key, parser, remedy).orElse(null);
+  }
+
+  private static double number(FieldReader fields, String key, double absent) {
+    return fields.parsed(key, RelaySettingsReader::nonNegative, NUMBER_REMEDY).orElse(absent);
+  }
+
+  private static Duration seconds(FieldReader fields, String key, Duration absent) {
+    Optional<Double> read =
+        fields.parsed(
+            key,
+            text -> {
+              double value = nonNegative(text);
+              if (value == 0) {
+                throw new IllegalArgumentException("0");
+              }
+              return value;
+            },
+            SECONDS_REMEDY);
+    return read.map(s -> Duration.ofNanos((long) (s * NANOS))).orElse(absent);
+  }
+
+  private static double nonNegative(String text) {
+    double value = Double.parseDouble(text);
+    if (!(value >= 0) || Double.isInfinite(value)) {
+      throw new IllegalArgumentException(text);
+    }
+    return value;
+  }
+
+  private static InetSocketAddress address(String text) {
+    HostAndPort parsed = HostAndPort.fromString(text);
+    return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
+  }
+
+  private static String checkedAddress(String text) {
+    return text.isEmpty() ? text : address(text).getAddress().getHostAddress() + port(text);
+  }
+
+  private static String port(String text) {
+    return ":" + HostAndPort.fromString(text).getPort();
+  }
+}
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StatusListener.java
@@ -0,0 +1,83 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.larkkeel.http.HttpWorker;
+
+/**
+ * Tells whether the node takes callers, and its metrics.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class StatusListener implements AutoCloseable {
+  private static final String METRICS = "/metrics";
+  private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+  private final BooleanSupplier ready;
+  private final Supplier<String> scrape;
+  private final Undertow server;
+
+  private StatusListener(
+      HttpWorker worker,
+      InetSocketAddress readiness,
+      InetSocketAddress metrics,
+      BooleanSupplier ready,
+      Supplier<String> scrape) {
+    this.ready = ready;
+    this.scrape = scrape;
+    this.server =
+        Undertow.builder()
+            .setWorker(worker.worker())
+            .setByteBufferPool(worker.buffers())
+            .addHttpListener(
+                readiness.getPort(), readiness.getAddress().getHostAddress(), this::readiness)
+            .addHttpListener(
+                metrics.getPort(), metrics.getAddress().getHostAddress(), this::metrics)
+            .build();
+  }
+
+  /** Listens at both addresses. */
+  static StatusListener start(
+      HttpWorker worker,
+      InetSocketAddress readiness,
+      InetSocketAddress metrics,
+      BooleanSupplier ready,
+      Supplier<String> scrape) {
+    StatusListener listener = new StatusListener(worker, readiness, metrics, ready, scrape);
+    listener.server.start();
+    return listener;
+  }
+
+  private void readiness(HttpServerExchange exchange) {
+    boolean now = ready.getAsBoolean();
+    exchange.setStatusCode(now ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
+    exchange.getResponseSender().send(now ? "ready\n" : "not ready\n");
+  }
+
+  private void metrics(HttpServerExchange exchange) {
+    if (!exchange.getRequestPath().equals(METRICS)) {
+      exchange.setStatusCode(StatusCodes.NOT_FOUND);
+      exchange.endExchange();
+      return;
+    }
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, METRICS_TYPE);
+    exchange.getResponseSender().send(scrape.get());
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+}
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
@@ -26,19 +26,20 @@
  * <p>Invariant: the bodies of all requests in progress take at most {@code maxBodiesBytes}. Safe
  * for use by several threads.
  */
-final class BodyReader {
+public final class BodyReader {
   private final CallerSettings settings;
   private final AtomicLong reserved = new AtomicLong();
 
-  BodyReader(CallerSettings settings) {
+  /** Reads within the bounds of the settings. */
+  public BodyReader(CallerSettings settings) {
     this.settings = settings;
   }
 
   /** A whole body, and what gives its memory back. */
   @SuppressWarnings("ArrayRecordComponent") // The bytes are handed on and never changed.
-  record Body(byte[] bytes, Runnable release) {}
+  public record Body(byte[] bytes, Runnable release) {}
 
-  void read(HttpServerExchange exchange, String wireId, Consumer<Body> then) {
+  public void read(HttpServerExchange exchange, String wireId, Consumer<Body> then) {
     long length = exchange.getRequestContentLength();
     if (length > settings.maxBodyBytes()) {
       exchange.setPersistent(false);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.request.CallerChannel;
@@ -31,7 +32,7 @@
  * never held up by a slow caller, who is cut off instead. Safe for use by several threads; the
  * connection is touched on its I/O thread only.
  */
-final class UndertowChannel implements CallerChannel {
+public final class UndertowChannel implements CallerChannel {
   private static final String EVENT_STREAM = "text/event-stream";
   private static final byte[] ERROR_EVENT = "event: error\ndata: ".getBytes(StandardCharsets.UTF_8);
   private static final byte[] EVENT_END = "\n\n".getBytes(StandardCharsets.UTF_8);
@@ -42,6 +43,7 @@
   private final Runnable release;
   private final Deque<ByteBuffer> pending = new ArrayDeque<>();
   private Runnable onGone = () -> {};
+  private Optional<RecordedAnswer> streamHead = Optional.empty();
   private int pendingBytes;
   private boolean streaming;
   private boolean ended;
@@ -54,7 +56,14 @@
   private XnioExecutor.Key stallTimer;
   private long written;
 
-  UndertowChannel(HttpServerExchange exchange, CallerSettings settings, Runnable release) {
+  /**
+   * Takes over the answering of an exchange.
+   *
+   * @param exchange dispatched by the caller of this
+   * @param settings bounds of what may wait
+   * @param release runs once, when the exchange is over
+   */
+  public UndertowChannel(HttpServerExchange exchange, CallerSettings settings, Runnable release) {
     this.exchange = exchange;
     this.thread = exchange.getIoThread();
     this.settings = settings;
@@ -67,12 +76,12 @@
   }
 
   /** Sets what runs once if the caller goes away before the end of its answer. */
-  synchronized void onGone(Runnable action) {
+  public synchronized void onGone(Runnable action) {
     onGone = action;
   }
 
   /** Begins to watch for the caller's departure; on the I/O thread. */
-  void watch() {
+  public void watch() {
     DisconnectWatch.start(exchange, this::gone);
   }
 
@@ -98,6 +107,14 @@
     planFlush();
   }
 
+  /**
+   * Sets status and headers of the stream that follows, in place of those of an event stream;
+   * before its first part. The body of the head is not used.
+   */
+  public synchronized void head(RecordedAnswer head) {
+    streamHead = Optional.of(head);
+  }
+
   @Override
   public void endStream() {
     if (end()) {
@@ -152,11 +169,19 @@
   }
 
   private void writeWhole(RecordedAnswer answer) {
+    setHead(answer);
+    writeBody(answer.body());
+  }
+
+  private void setHead(RecordedAnswer answer) {
     exchange.setStatusCode(answer.status());
     for (RecordedAnswer.Header header : answer.headers()) {
       exchange.getResponseHeaders().add(new HttpString(header.name()), header.value());
     }
-    writeBody(answer.body());
+  }
+
+  private synchronized Optional<RecordedAnswer> streamHead() {
+    return streamHead;
   }
 
   private void writeProblem(Problem problem) {
@@ -196,9 +221,14 @@
   }
 
   private void startStream() throws IOException {
-    exchange.setStatusCode(StatusCodes.OK);
-    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, EVENT_STREAM);
-    exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
+    Optional<RecordedAnswer> head = streamHead();
+    if (head.isPresent()) {
+      setHead(head.get());
+    } else {
+      exchange.setStatusCode(StatusCodes.OK);
+      exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, EVENT_STREAM);
+      exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
+    }
     sink = exchange.getResponseChannel();
     if (sink == null) {
       throw new IOException("the answer has ended");
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
@@ -0,0 +1,54 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.relay;
+
+import com.google.common.collect.ListMultimap;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import java.util.Optional;
+import org.larkkeel.http.Problem;
+import org.larkkeel.http.request.RecordedAnswer;
+import org.larkkeel.relay.RelayEffect;
+
+/**
+ * The words that callers and upstreams use: translates between them and the relay, and decides
+ * nothing.
+ *
+ * <p>Implementations are safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public interface RelayDialect {
+  /**
+   * Reads what a caller declares.
+   *
+   * @throws org.larkkeel.errors.LarkkeelException if a declaration can not be read
+   */
+  CallFacts facts(HeaderMap headers);
+
+  /** Sets what an upstream is told, in a copy of the caller's headers. */
+  void prepare(ListMultimap<HttpString, String> headers, SendFacts facts);
+
+  /**
+   * Judges the head of an answer.
+   *
+   * @param wireId the id of the request that was sent
+   * @param purpose what it was for
+   * @param status the status
+   * @param headers the headers
+   */
+  AnswerVerdict verdict(String wireId, RelayEffect.Purpose purpose, int status, HeaderMap headers);
+
+  /** The handle in the answer of an upstream that has read a prompt. */
+  Optional<String> promptHandle(byte[] body);
+
+  /** The path by which a handle is freed with DELETE. */
+  String freePath(String handle);
+
+  /** The answer to a caller in place of an upstream's. */
+  RecordedAnswer refusal(Problem problem);
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -0,0 +1,205 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.relay;
+
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.LinkedListMultimap;
+import com.google.common.collect.ListMultimap;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.larkkeel.http.Problem;
+import org.larkkeel.http.upstream.AnswerTimeout;
+import org.larkkeel.http.upstream.ConnectionUse;
+import org.larkkeel.http.upstream.UpstreamAddress;
+import org.larkkeel.http.upstream.UpstreamClient;
+import org.larkkeel.http.upstream.UpstreamRequest;
+import org.larkkeel.http.upstream.WholeAnswer;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.relay.RelayEffect;
+import org.larkkeel.relay.RelayEvent;
+import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.RelayUpstream;
+import org.xnio.XnioIoThread;
+
+/**
+ * Carries out what the router wants: sends, gives up, and answers callers.
+ *
+ * <p>Used on the I/O thread only.
+ *
+ * @since 0.1
+ */
+public final class RelayExecutor implements Consumer<RelayEffect> {
+  private static final long MILLI = 1_000_000L;
+
+  /** How long the upstream's answer is waited for beyond the time that it was given. */
+  private static final long MARGIN = 1_000 * MILLI;
+
+  private static final long FREE_NANOS = 500 * MILLI;
+  private static final int MAX_FREE_BYTES = 64 << 10;
+
+  private final RelayLoop loop;
+  private final RelayDialect dialect;
+  private final UpstreamClient client;
+  private final XnioIoThread thread;
+  private final RelayClientSettings settings;
+  private final Consumer<RelayFact> facts;
+  private final Map<RequestId, RelayRequest> requests = new HashMap<>();
+  private final Map<AttemptId, RelayAttempt> attempts = new HashMap<>();
+
+  /**
+   * Sends by a client.
+   *
+   * @param loop gets what comes back
+   * @param dialect the words of callers and upstreams
+   * @param client sends
+   * @param thread the loop's
+   * @param settings bounds
+   * @param facts gets what is to be logged and counted
+   */
+  public RelayExecutor(
+      RelayLoop loop,
+      RelayDialect dialect,
+      UpstreamClient client,
+      XnioIoThread thread,
+      RelayClientSettings settings,
+      Consumer<RelayFact> facts) {
+    this.loop = loop;
+    this.dialect = dialect;
+    this.client = client;
+    this.thread = thread;
+    this.settings = settings;
+    this.facts = facts;
+  }
+
+  /** Takes a request in; before its arrival is submitted. */
+  void add(RelayRequest request) {
+    requests.put(request.call.id(), request);
+  }
+
+  /** The caller of a request is gone. */
+  void gone(RequestId id) {
+    if (requests.remove(id) != null) {
+      loop.submit(new RelayEvent.CallerLeft(loop.now(), id));
+      thread.execute(() -> forgetAttempts(id));
+    }
+  }
+
+  @Override
+  public void accept(RelayEffect effect) {
+    switch (effect) {
+      case RelayEffect.Send e -> send(e);
+      case RelayEffect.Cancel e -> cancel(e.attempt());
+      case RelayEffect.Free e -> free(e.source(), e.handle());
+      case RelayEffect.Follow e -> follow(e);
+      case RelayEffect.Deliver e -> deliver(e);
+      case RelayEffect.Refuse e -> refuse(e);
+      case RelayEffect.Cut e -> cut(e);
+      case RelayEffect.Report e -> facts.accept(e.fact());
+    }
+  }
+
+  private void send(RelayEffect.Send e) {
+    RelayRequest request = requests.get(e.call());
+    if (request == null) {
+      return;
+    }
+    RelayAttempt attempt =
+        new RelayAttempt(
+            loop, dialect, e.attempt(), request, e.purpose(), settings.maxAnswerBytes());
+    attempts.put(e.attempt(), attempt);
+    long left = Math.max(MILLI, e.until() - loop.now());
+    AnswerTimeout timeout =
+        e.silenceNanos() > 0
+            ? AnswerTimeout.silence(e.silenceNanos())
+            : AnswerTimeout.whole(left + MARGIN);
+    UpstreamRequest wire =
+        new UpstreamRequest(
+            request.method,
+            request.target,
+            headers(request, e, left),
+            request.body,
+            attempt::mayBeSent);
+    attempt.inFlight(
+        client.send(
+            UpstreamAddress.parse(e.upstream().address()),
+            wire,
+            timeout,
+            ConnectionUse.REQUEST,
+            attempt));
+    thread.executeAfter(attempt::connectTimedOut, settings.connectMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private ImmutableListMultimap<HttpString, String> headers(
+      RelayRequest request, RelayEffect.Send e, long left) {
+    ListMultimap<HttpString, String> headers = LinkedListMultimap.create(request.headers);
+    OptionalLong resume = request.headSent ? request.lastEvent : OptionalLong.empty();
+    dialect.prepare(headers, new SendFacts(e.upstream(), e.purpose(), left / MILLI, resume));
+    return ImmutableListMultimap.copyOf(headers);
+  }
+
+  private void cancel(AttemptId id) {
+    RelayAttempt attempt = attempts.remove(id);
+    if (attempt != null) {
+      attempt.cancel();
+    }
+  }
+
+  private void free(RelayUpstream source, String handle) {
+    UpstreamRequest wire =
+        new UpstreamRequest(
+            Methods.DELETE, dialect.freePath(handle), ImmutableListMultimap.of(), new byte[0]);
+    client.send(
+        UpstreamAddress.parse(source.address()),
+        wire,
+        AnswerTimeout.whole(FREE_NANOS),
+        ConnectionUse.CONTROL,
+        new WholeAnswer(MAX_FREE_BYTES, answer -> {}, failure -> {}));
+  }
+
+  private void follow(RelayEffect.Follow e) {
+    RelayAttempt attempt = attempts.get(e.attempt());
+    if (attempt != null) {
+      attempt.follow();
+    }
+  }
+
+  private void deliver(RelayEffect.Deliver e) {
+    RelayAttempt attempt = attempts.remove(e.attempt());
+    if (requests.remove(e.call()) != null && attempt != null) {
+      attempt.deliver();
+    }
+    forgetAttempts(e.call());
+  }
+
+  private void refuse(RelayEffect.Refuse e) {
+    RelayRequest request = requests.remove(e.call());
+    forgetAttempts(e.call());
+    if (request != null) {
+      Problem problem =
+          new Problem(e.kind(), e.detail(), request.call.wireId(), e.retryAfterMillis());
+      request.channel.answer(dialect.refusal(problem));
+    }
+  }
+
+  private void cut(RelayEffect.Cut e) {
+    RelayRequest request = requests.remove(e.call());
+    forgetAttempts(e.call());
+    if (request != null) {
+      request.channel.drop();
+    }
+  }
+
+  private void forgetAttempts(RequestId call) {
+    attempts.values().removeIf(a -> a.request().call.id().equals(call));
+  }
+}
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -0,0 +1,186 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.relay;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.LarkkeelException;
+import org.larkkeel.http.HttpWorker;
+import org.larkkeel.http.Problem;
+import org.larkkeel.http.caller.BodyReader;
+import org.larkkeel.http.caller.CallerSettings;
+import org.larkkeel.http.caller.UndertowChannel;
+import org.larkkeel.http.request.RecordedAnswer;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.relay.RelayCall;
+import org.larkkeel.relay.RelayEvent;
+import org.xnio.Options;
+
+/**
+ * Accepts opaque requests and hands them to the router.
+ *
+ * <p>Safe for use by several threads; requests are handled on I/O threads.
+ *
+ * @since 0.1
+ */
+public final class RelayListener implements AutoCloseable {
+  private static final int MAX_HEADER_BYTES = 64 << 10;
+  private static final int BACKLOG = 1024;
+  private static final long DRAINED = 2;
+
+  private final CallerSettings settings;
+  private final RelayLoop loop;
+  private final RelayExecutor executor;
+  private final RelayDialect dialect;
+  private final BodyReader bodies;
+  private long lastId;
+  private volatile boolean closing;
+  private Undertow server;
+
+  private RelayListener(
+      CallerSettings settings, RelayLoop loop, RelayExecutor executor, RelayDialect dialect) {
+    this.settings = settings;
+    this.loop = loop;
+    this.executor = executor;
+    this.dialect = dialect;
+    this.bodies = new BodyReader(settings);
+  }
+
+  /**
+   * Listens.
+   *
+   * @param settings address and bounds; TLS is not used
+   * @param worker has one I/O thread, the loop's
+   * @param loop gets arrivals
+   * @param executor answers
+   * @param dialect the words of callers
+   */
+  public static RelayListener start(
+      CallerSettings settings,
+      HttpWorker worker,
+      RelayLoop loop,
+      RelayExecutor executor,
+      RelayDialect dialect) {
+    RelayListener listener = new RelayListener(settings, loop, executor, dialect);
+    HttpHandler handler = new HttpContinueReadHandler(listener::handle);
+    InetSocketAddress bind = settings.bind();
+    listener.server =
+        Undertow.builder()
+            .setWorker(worker.worker())
+            .setByteBufferPool(worker.buffers())
+            .setSocketOption(Options.BACKLOG, BACKLOG)
+            .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setServerOption(UndertowOptions.DECODE_URL, false)
+            .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, DRAINED * settings.maxBodyBytes())
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.headerMillis())
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleMillis())
+            .addHttpListener(bind.getPort(), bind.getAddress().getHostAddress(), handler)
+            .build();
+    listener.server.start();
+    return listener;
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
+  }
+
+  /** From now on ends each connection with the answer on it. */
+  public void closeAfterAnswers() {
+    closing = true;
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+
+  private void handle(HttpServerExchange exchange) {
+    CallFacts facts = new CallFacts("", 0, 0);
+    try {
+      facts = dialect.facts(exchange.getRequestHeaders());
+      CallFacts read = facts;
+      bodies.read(exchange, facts.wireId(), body -> accept(exchange, read, body));
+    } catch (LarkkeelException e) {
+      answer(exchange, Problem.of(e.kind(), e.getMessage(), facts.wireId()));
+    }
+  }
+
+  private void accept(HttpServerExchange exchange, CallFacts facts, BodyReader.Body body) {
+    if (closing) {
+      exchange.setPersistent(false);
+    }
+    UndertowChannel channel = new UndertowChannel(exchange, settings, body.release());
+    String target = target(exchange);
+    int query = target.indexOf('?');
+    RelayCall call =
+        new RelayCall(
+            new RequestId(++lastId),
+            facts.wireId(),
+            String.valueOf(exchange.getRequestHeaders().getFirst(Headers.HOST)),
+            query < 0 ? target : target.substring(0, query),
+            facts.deadlineMillis(),
+            facts.promptTokens());
+    RelayRequest request =
+        new RelayRequest(
+            call,
+            exchange.getRequestMethod(),
+            target,
+            RelayRequest.endToEnd(exchange.getRequestHeaders(), true),
+            body.bytes(),
+            channel);
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> arrived(request));
+  }
+
+  private void arrived(RelayRequest request) {
+    executor.add(request);
+    request.channel.onGone(() -> executor.gone(request.call.id()));
+    request.channel.watch();
+    loop.submit(new RelayEvent.Arrived(loop.now(), request.call));
+  }
+
+  private static String target(HttpServerExchange exchange) {
+    String path = exchange.getRequestURI();
+    if (exchange.isHostIncludedInRequestURI()) {
+      path = rawPath(path);
+    }
+    String query = exchange.getQueryString();
+    return query.isEmpty() ? path : path + "?" + query;
+  }
+
+  private static String rawPath(String uri) {
+    try {
+      String path = URI.create(uri).getRawPath();
+      return path.isEmpty() ? "/" : path;
+    } catch (IllegalArgumentException e) {
+      throw new LarkkeelException(
+          ErrorKind.MALFORMED_REQUEST, "The request target can not be read.", e);
+    }
+  }
+
+  private void answer(HttpServerExchange exchange, Problem problem) {
+    RecordedAnswer answer = dialect.refusal(problem);
+    exchange.setStatusCode(answer.status());
+    answer
+        .headers()
+        .forEach(h -> exchange.getResponseHeaders().put(new HttpString(h.name()), h.value()));
+    exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+  }
+}
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -152,7 +152,9 @@
             .setProtocol(Protocols.HTTP_1_1);
     HeaderMap headers = wire.getRequestHeaders();
     request.headers().forEach(headers::add);
-    headers.put(Headers.HOST, address.hostHeader());
+    if (!headers.contains(Headers.HOST)) {
+      headers.put(Headers.HOST, address.hostHeader());
+    }
     if (request.body().length > 0 || !BODYLESS.contains(request.method())) {
       headers.put(Headers.CONTENT_LENGTH, request.body().length);
     }
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/lease/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Tests of leases. */
-package org.larkkeel.platform.lease;
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/run/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Tests of the run records. */
-package org.larkkeel.platform.run;
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/config/ConfigCostTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/config/ConfigCostTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.config;
+package org.larkkeel.store.config;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -26,13 +26,13 @@
 import org.larkkeel.lib.Labels;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.lib.WorkspaceName;
-import org.larkkeel.platform.InMemoryObjectApi;
-import org.larkkeel.platform.InMemoryStore;
-import org.larkkeel.platform.ManualScheduler;
-import org.larkkeel.platform.log.LogName;
-import org.larkkeel.platform.log.LogOptions;
-import org.larkkeel.platform.log.ObjectLog;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.InMemoryObjectApi;
+import org.larkkeel.store.InMemoryStore;
+import org.larkkeel.store.ManualScheduler;
+import org.larkkeel.store.log.LogName;
+import org.larkkeel.store.log.LogOptions;
+import org.larkkeel.store.log.ObjectLog;
+import org.larkkeel.store.log.WriterId;
 import org.testng.annotations.Test;
 
 /** The store's calls for the configuration, by the number of nodes. */
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/config/package-info.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/config/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the configuration on the log. */
-package org.larkkeel.platform.config;
+package org.larkkeel.store.config;
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/lease/LeaseTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/lease/LeaseTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.lease;
+package org.larkkeel.store.lease;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -15,11 +15,11 @@
 import java.util.Random;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Incarnation;
-import org.larkkeel.platform.Fault;
-import org.larkkeel.platform.InMemoryObjectApi;
-import org.larkkeel.platform.InMemoryStore;
-import org.larkkeel.platform.ManualScheduler;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.Fault;
+import org.larkkeel.store.InMemoryObjectApi;
+import org.larkkeel.store.InMemoryStore;
+import org.larkkeel.store.ManualScheduler;
+import org.larkkeel.store.log.WriterId;
 import org.testng.annotations.Test;
 
 /** Tests of {@link Lease}. */
--- /dev/null
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of leases. */
+package org.larkkeel.store.lease;
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/log/LogRig.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/log/LogRig.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.IntNode;
@@ -15,9 +15,9 @@
 import java.util.concurrent.CompletableFuture;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Incarnation;
-import org.larkkeel.platform.InMemoryObjectApi;
-import org.larkkeel.platform.InMemoryStore;
-import org.larkkeel.platform.ManualScheduler;
+import org.larkkeel.store.InMemoryObjectApi;
+import org.larkkeel.store.InMemoryStore;
+import org.larkkeel.store.ManualScheduler;
 
 /** A store and processes with a log each, in virtual time. */
 final class LogRig {
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/log/ObjectLogTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/log/ObjectLogTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
@@ -16,8 +16,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import org.larkkeel.platform.Fault;
-import org.larkkeel.platform.ObjectApiFailure;
+import org.larkkeel.store.Fault;
+import org.larkkeel.store.ObjectApiFailure;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/log/package-info.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/log/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the append-only log. */
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/order/OrderControllerTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/order/OrderControllerTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -18,7 +18,7 @@
 import java.util.Random;
 import org.larkkeel.config.FencingSupport;
 import org.larkkeel.config.Role;
-import org.larkkeel.platform.Fault;
+import org.larkkeel.store.Fault;
 import org.testng.annotations.Test;
 
 /** Tests of {@link OrderController}. */
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/order/OrderPlannerTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/order/OrderPlannerTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -24,7 +24,7 @@
 import org.larkkeel.lib.FencingNumber;
 import org.larkkeel.lib.ModelName;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.lease.Tenure;
+import org.larkkeel.store.lease.Tenure;
 import org.testng.annotations.Test;
 
 /** Tests of {@link OrderPlanner}. */
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/order/OrderRig.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/order/OrderRig.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
@@ -31,11 +31,11 @@
 import org.larkkeel.lib.ModelName;
 import org.larkkeel.lib.Revision;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.InMemoryObjectApi;
-import org.larkkeel.platform.InMemoryStore;
-import org.larkkeel.platform.ManualScheduler;
-import org.larkkeel.platform.lease.Lease;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.InMemoryObjectApi;
+import org.larkkeel.store.InMemoryStore;
+import org.larkkeel.store.ManualScheduler;
+import org.larkkeel.store.lease.Lease;
+import org.larkkeel.store.log.WriterId;
 
 /** Controllers, engines and a weight store in virtual time. */
 final class OrderRig {
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/order/package-info.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/order/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the planning of orders. */
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/package-info.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the ports to the platform, with an object API in memory and virtual time. */
-package org.larkkeel.platform;
+package org.larkkeel.store;
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/run/RunHistoryTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/run/RunHistoryTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.quicktheories.QuickTheory.qt;
@@ -24,7 +24,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.platform.Fault;
+import org.larkkeel.store.Fault;
 import org.testng.annotations.Test;
 
 /** Generated histories of {@link RunLog}, against a naive model and against its promises. */
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/run/RunLogTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/run/RunLogTest.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
@@ -16,14 +16,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.larkkeel.platform.Fault;
-import org.larkkeel.platform.run.ClaimResult.AlreadyDone;
-import org.larkkeel.platform.run.ClaimResult.Claimed;
-import org.larkkeel.platform.run.ClaimResult.InProgress;
-import org.larkkeel.platform.run.ClaimResult.KeyReused;
-import org.larkkeel.platform.run.ClaimResult.Unavailable;
-import org.larkkeel.platform.run.ClaimResult.Unknown;
-import org.larkkeel.platform.run.RunRig.Host;
+import org.larkkeel.store.Fault;
+import org.larkkeel.store.run.ClaimResult.AlreadyDone;
+import org.larkkeel.store.run.ClaimResult.Claimed;
+import org.larkkeel.store.run.ClaimResult.InProgress;
+import org.larkkeel.store.run.ClaimResult.KeyReused;
+import org.larkkeel.store.run.ClaimResult.Unavailable;
+import org.larkkeel.store.run.ClaimResult.Unknown;
+import org.larkkeel.store.run.RunRig.Host;
 import org.testng.annotations.Test;
 
 /** Tests of {@link RunLog}. */
--- a/org.larkkeel.platform.test/src/test/java/org/larkkeel/platform/run/RunRig.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/run/RunRig.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
@@ -19,12 +19,12 @@
 import org.larkkeel.lib.IdempotencyKey;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.WorkspaceName;
-import org.larkkeel.platform.InMemoryObjectApi;
-import org.larkkeel.platform.InMemoryStore;
-import org.larkkeel.platform.ManualScheduler;
-import org.larkkeel.platform.log.LogOptions;
-import org.larkkeel.platform.log.LogWriterOptions;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.InMemoryObjectApi;
+import org.larkkeel.store.InMemoryStore;
+import org.larkkeel.store.ManualScheduler;
+import org.larkkeel.store.log.LogOptions;
+import org.larkkeel.store.log.LogWriterOptions;
+import org.larkkeel.store.log.WriterId;
 
 /** A store and hosts with a run log each, in virtual time. */
 final class RunRig {
--- /dev/null
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/run/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the run records. */
+package org.larkkeel.store.run;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/BudgetedObjectApi.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/BudgetedObjectApi.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform;
+package org.larkkeel.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
@@ -13,7 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.larkkeel.platform.StoreGate.Admission;
+import org.larkkeel.store.StoreGate.Admission;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform;
+package org.larkkeel.store;
 
 import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
@@ -24,17 +24,19 @@
  */
 public final class CollectionMirror implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(CollectionMirror.class);
-  private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(60);
+  private static final Duration DEFAULT_WATCH_TIME = Duration.ofSeconds(60);
 
   private final ObjectApi api;
   private final String collection;
   private final Scheduler scheduler;
   private final Backoff backoff;
+  private final Duration watchTime;
   private final Consumer<ImmutableSortedMap<String, StoredObject>> listener;
   private TreeMap<String, StoredObject> objects = new TreeMap<>();
   private TreeMap<String, StoredObject> listing;
   private long version;
   private Watch watch;
+  private boolean failing;
   private boolean closed;
 
   /**
@@ -52,10 +54,22 @@
       Scheduler scheduler,
       Backoff backoff,
       Consumer<ImmutableSortedMap<String, StoredObject>> listener) {
+    this(api, collection, scheduler, backoff, DEFAULT_WATCH_TIME, listener);
+  }
+
+  /** As the other, with the longest time of one watch. */
+  public CollectionMirror(
+      ObjectApi api,
+      String collection,
+      Scheduler scheduler,
+      Backoff backoff,
+      Duration watchTime,
+      Consumer<ImmutableSortedMap<String, StoredObject>> listener) {
     this.api = api;
     this.collection = collection;
     this.scheduler = scheduler;
     this.backoff = backoff;
+    this.watchTime = watchTime;
     this.listener = listener;
   }
 
@@ -99,13 +113,17 @@
       return;
     }
     backoff.reset();
+    if (failing) {
+      failing = false;
+      LOG.info("event=collection_regained collection={} version={}", collection, version);
+    }
     objects = listing;
     publish();
     watch();
   }
 
   private void watch() {
-    Watch w = api.watch(collection, version, WATCH_TIMEOUT, this::event);
+    Watch w = api.watch(collection, version, watchTime, this::event);
     watch = w;
     w.ended().whenComplete((ok, failure) -> ended(failure));
   }
@@ -154,7 +172,14 @@
   }
 
   private void retry(Throwable failure) {
-    LOG.debug("event=mirror-failed collection={} cause=\"{}\"", collection, failure.getMessage());
+    if (!failing) {
+      failing = true;
+      LOG.warn(
+          "event=collection_lost collection={} version={} cause=\"{}\"",
+          collection,
+          version,
+          failure.getMessage());
+    }
     scheduler.schedule(backoff.next(), this::restart);
   }
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/HttpObjectApi.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/HttpObjectApi.java
@@ -4,13 +4,13 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform;
+package org.larkkeel.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.larkkeel.platform.internal.http.HttpObjectCalls;
+import org.larkkeel.store.internal.http.HttpObjectCalls;
 import org.xnio.XnioWorker;
 
 /**
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/HttpWeightStore.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/HttpWeightStore.java
@@ -4,14 +4,14 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform;
+package org.larkkeel.store;
 
 import java.util.concurrent.CompletableFuture;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.internal.http.HttpWeightCalls;
-import org.larkkeel.platform.order.ModelVersion;
-import org.larkkeel.platform.order.PullResult;
-import org.larkkeel.platform.order.WeightStore;
+import org.larkkeel.store.internal.http.HttpWeightCalls;
+import org.larkkeel.store.order.ModelVersion;
+import org.larkkeel.store.order.PullResult;
+import org.larkkeel.store.order.WeightStore;
 import org.xnio.XnioWorker;
 
 /**
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/ObjectPage.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/ObjectPage.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform;
+package org.larkkeel.store;
 
 import com.google.common.collect.ImmutableList;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/WatchEvent.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/WatchEvent.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform;
+package org.larkkeel.store;
 
 /**
  * One event of a watch. Events of one object come in order; they may come late.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/config/AuditEntry.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/config/AuditEntry.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.config;
+package org.larkkeel.store.config;
 
 import org.larkkeel.config.Change;
 import org.larkkeel.lib.Revision;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/config/ConfigReplica.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/config/ConfigReplica.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.config;
+package org.larkkeel.store.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -23,9 +23,9 @@
 import org.larkkeel.config.ConfigurationDocument;
 import org.larkkeel.lib.ChangeId;
 import org.larkkeel.lib.Revision;
-import org.larkkeel.platform.log.LogEntry;
-import org.larkkeel.platform.log.LogSnapshot;
-import org.larkkeel.platform.log.Replica;
+import org.larkkeel.store.log.LogEntry;
+import org.larkkeel.store.log.LogSnapshot;
+import org.larkkeel.store.log.Replica;
 
 /**
  * The configuration and its audit trail: what the log adds up to. Pure; not safe for use by several
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/config/ConfigStore.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/config/ConfigStore.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.config;
+package org.larkkeel.store.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
@@ -21,13 +21,13 @@
 import org.larkkeel.config.Configuration;
 import org.larkkeel.config.Problems;
 import org.larkkeel.lib.Revision;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.log.AppendResult;
-import org.larkkeel.platform.log.LogEntry;
-import org.larkkeel.platform.log.LogFollower;
-import org.larkkeel.platform.log.LogSnapshot;
-import org.larkkeel.platform.log.ObjectLog;
-import org.larkkeel.platform.log.Prior;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.log.AppendResult;
+import org.larkkeel.store.log.LogEntry;
+import org.larkkeel.store.log.LogFollower;
+import org.larkkeel.store.log.LogSnapshot;
+import org.larkkeel.store.log.ObjectLog;
+import org.larkkeel.store.log.Prior;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/config/package-info.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/config/package-info.java
@@ -1,2 +1,2 @@
 /** The configuration on the append-only log: one revision, one audit trail. */
-package org.larkkeel.platform.config;
+package org.larkkeel.store.config;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/ConnectionPool.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ConnectionPool.java
@@ -4,13 +4,13 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import io.undertow.client.ClientConnection;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
-import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.larkkeel.store.internal.http.HttpCallException.Sent;
 import org.xnio.IoUtils;
 
 /**
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/Connector.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Connector.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -13,9 +13,9 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
-import org.larkkeel.platform.HttpClientOptions;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.internal.http.HttpCallException.Sent;
 import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/Failures.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Failures.java
@@ -4,31 +4,33 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import io.undertow.util.StatusCodes;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.internal.http.HttpCallException.Sent;
 
 /** Maps answers and broken calls to failures. Stateless. */
-final class Failures {
+public final class Failures {
   private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
   private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(60);
   private static final int MAX_DETAIL_CHARS = 300;
 
   private Failures() {}
 
-  static ObjectApiException of(Effect effect, String call, HttpReply reply) {
+  /** What an answer that is no success says. */
+  public static ObjectApiException of(Effect effect, String call, HttpReply reply) {
     String body = new String(reply.body(), StandardCharsets.UTF_8);
     String detail = call + ": " + reply.status() + " " + shorten(body);
     return new ObjectApiException(failure(effect, reply, body), detail);
   }
 
-  static ObjectApiException of(Effect effect, String call, Throwable broken) {
+  /** What a call without a whole answer says. */
+  public static ObjectApiException of(Effect effect, String call, Throwable broken) {
     boolean sent = !(broken instanceof HttpCallException e) || e.sent() == Sent.MAYBE;
     ObjectApiFailure f = sent ? lost(effect) : new ObjectApiFailure.Unavailable();
     return new ObjectApiException(f, call + ": " + broken.getMessage());
@@ -74,7 +76,7 @@
   }
 
   /** Whether a call may change anything. */
-  enum Effect {
+  public enum Effect {
     /** It changes nothing. */
     READ,
     /** It may change an object. */
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpCaller.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -17,9 +17,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.larkkeel.platform.HttpClientOptions;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.internal.http.HttpCallException.Sent;
 import org.xnio.IoUtils;
 import org.xnio.XnioWorker;
 
@@ -27,20 +27,22 @@
  * Calls one HTTP service over a pool of connections. Safe for use by several threads; futures
  * complete on the scheduler, with {@link HttpCallException} where there is no whole answer.
  */
-final class HttpCaller implements AutoCloseable {
+public final class HttpCaller implements AutoCloseable {
   private final Connector connector;
   private final ConnectionPool pool;
   private final Scheduler scheduler;
   private final HttpClientOptions options;
 
-  HttpCaller(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
+  /** Calls by connections of a worker. */
+  public HttpCaller(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
     this.options = options;
     this.scheduler = scheduler;
     this.connector = new Connector(options, worker, scheduler);
     this.pool = new ConnectionPool(connector);
   }
 
-  CompletableFuture<HttpReply> call(HttpRequestData request) {
+  /** Sends a request; the future gets its whole answer. */
+  public CompletableFuture<HttpReply> call(HttpRequestData request) {
     Call c = new Call(request);
     scheduler.execute(c::start);
     return c.result;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpLineStream.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpLineStream.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -17,8 +17,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.internal.http.HttpCallException.Sent;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.internal.http.HttpCallException.Sent;
 import org.xnio.IoUtils;
 
 /**
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpObjectCalls.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpObjectCalls.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.util.HttpString;
@@ -13,19 +13,18 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.larkkeel.platform.HttpClientOptions;
-import org.larkkeel.platform.ListQuery;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectKey;
-import org.larkkeel.platform.ObjectPage;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.StoredObject;
-import org.larkkeel.platform.Watch;
-import org.larkkeel.platform.WatchEvent;
-import org.larkkeel.platform.internal.http.Failures.Effect;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.Watch;
+import org.larkkeel.store.WatchEvent;
+import org.larkkeel.store.internal.http.Failures.Effect;
 import org.xnio.XnioWorker;
 
 /** The calls of the object API, one method each. Safe for use by several threads. */
@@ -34,6 +33,7 @@
   private static final Duration WATCH_GRACE = Duration.ofSeconds(5);
 
   private final HttpCaller caller;
+  private final JsonCalls calls;
 
   /**
    * Creates the calls.
@@ -44,14 +44,15 @@
    */
   public HttpObjectCalls(HttpClientOptions options, XnioWorker worker, Scheduler scheduler) {
     this.caller = new HttpCaller(options, worker, scheduler);
+    this.calls = new JsonCalls(caller);
   }
 
-  /** See {@link org.larkkeel.platform.ObjectApi#get}. */
+  /** See {@link org.larkkeel.store.ObjectApi#get}. */
   public CompletableFuture<StoredObject> get(ObjectKey key) {
     return call(Effect.READ, Methods.GET, path(key), "", object(key));
   }
 
-  /** See {@link org.larkkeel.platform.ObjectApi#list}. */
+  /** See {@link org.larkkeel.store.ObjectApi#list}. */
   public CompletableFuture<ObjectPage> list(ListQuery q) {
     String path =
         BASE
@@ -65,26 +66,26 @@
     return call(Effect.READ, Methods.GET, path, "", o -> ObjectCodec.page(q.collection(), o));
   }
 
-  /** See {@link org.larkkeel.platform.ObjectApi#create}. */
+  /** See {@link org.larkkeel.store.ObjectApi#create}. */
   public CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec) {
     String body = ObjectCodec.toText(key, kind, spec, 0);
     return call(Effect.WRITE, Methods.POST, BASE + key.collection(), body, object(key));
   }
 
-  /** See {@link org.larkkeel.platform.ObjectApi#update}. */
+  /** See {@link org.larkkeel.store.ObjectApi#update}. */
   public CompletableFuture<StoredObject> update(
       ObjectKey key, String kind, JsonNode spec, long version) {
     String body = ObjectCodec.toText(key, kind, spec, version);
     return call(Effect.WRITE, Methods.PUT, path(key), body, object(key));
   }
 
-  /** See {@link org.larkkeel.platform.ObjectApi#delete}. */
+  /** See {@link org.larkkeel.store.ObjectApi#delete}. */
   public CompletableFuture<Void> delete(ObjectKey key, long version) {
     String path = path(key) + "?resourceVersion=" + version;
     return call(Effect.WRITE, Methods.DELETE, path, "", o -> null);
   }
 
-  /** See {@link org.larkkeel.platform.ObjectApi#watch}. */
+  /** See {@link org.larkkeel.store.ObjectApi#watch}. */
   public Watch watch(
       String collection, long version, Duration timeout, Consumer<WatchEvent> listener) {
     String path =
@@ -106,29 +107,7 @@
 
   private <T> CompletableFuture<T> call(
       Effect effect, HttpString method, String path, String body, Function<JsonNode, T> read) {
-    String name = method + " " + path;
-    return caller
-        .call(new HttpRequestData(method, path, body))
-        .handle(
-            (reply, broken) -> {
-              if (broken != null) {
-                throw new CompletionException(Failures.of(effect, name, broken));
-              }
-              if (reply.status() / 100 != 2) {
-                throw new CompletionException(Failures.of(effect, name, reply));
-              }
-              return read(effect, name, reply, read);
-            });
-  }
-
-  /** Reads a success; a write whose answer can not be read has an unknown outcome. */
-  private static <T> T read(
-      Effect effect, String name, HttpReply reply, Function<JsonNode, T> read) {
-    try {
-      return read.apply(ObjectCodec.parse(reply.body()));
-    } catch (ObjectApiException e) {
-      throw new CompletionException(effect == Effect.READ ? e : Failures.of(effect, name, e));
-    }
+    return calls.call(effect, method, path, body, read);
   }
 
   private static Function<JsonNode, StoredObject> object(ObjectKey key) {
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpReply.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpReply.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import java.util.Optional;
 
@@ -15,4 +15,4 @@
  * @param retryAfter the value of {@code Retry-After}, if any
  * @param body the body, owned by the reply
  */
-record HttpReply(int status, Optional<String> retryAfter, byte[] body) {}
+public record HttpReply(int status, Optional<String> retryAfter, byte[] body) {}
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpRequestData.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpRequestData.java
@@ -4,14 +4,14 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import io.undertow.client.ClientRequest;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
-import org.larkkeel.platform.HttpClientOptions;
+import org.larkkeel.store.HttpClientOptions;
 
 /**
  * A request before it is sent.
@@ -20,7 +20,7 @@
  * @param path path and query, escaped
  * @param body the body; empty for none
  */
-record HttpRequestData(HttpString method, String path, String body) {
+public record HttpRequestData(HttpString method, String path, String body) {
 
   ClientRequest toClientRequest(HttpClientOptions options) {
     URI base = options.base();
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/HttpWeightCalls.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpWeightCalls.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -18,10 +18,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.HttpClientOptions;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.order.ModelVersion;
-import org.larkkeel.platform.order.PullResult;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.order.ModelVersion;
+import org.larkkeel.store.order.PullResult;
 import org.xnio.XnioWorker;
 
 /** The calls of the weight store. Safe for use by several threads. */
@@ -44,7 +44,7 @@
     this.caller = new HttpCaller(options, worker, scheduler);
   }
 
-  /** See {@link org.larkkeel.platform.order.WeightStore#pull}. */
+  /** See {@link org.larkkeel.store.order.WeightStore#pull}. */
   public CompletableFuture<PullResult> pull(UpstreamName upstream, ModelVersion model) {
     String body =
         JsonNodeFactory.instance.objectNode().put("upstream", upstream.value()).toString();
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/ObjectCodec.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ObjectCodec.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -13,12 +13,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.ObjectKey;
-import org.larkkeel.platform.ObjectPage;
-import org.larkkeel.platform.StoredObject;
-import org.larkkeel.platform.WatchEvent;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.WatchEvent;
 
 /** Objects and events as JSON. Stateless and safe for use by several threads. */
 public final class ObjectCodec {
@@ -50,7 +50,8 @@
     }
   }
 
-  static JsonNode parse(byte[] body) {
+  /** Reads JSON; throws an {@link ObjectApiException} if it is none. */
+  public static JsonNode parse(byte[] body) {
     try {
       return MAPPER.readTree(body);
     } catch (IOException e) {
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/ResponseReader.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ResponseReader.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/internal/http/package-info.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/package-info.java
@@ -1,2 +1,2 @@
 /** The HTTP adapters of the ports to the platform, over Undertow's client. */
-package org.larkkeel.platform.internal.http;
+package org.larkkeel.store.internal.http;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/lease/Lease.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/lease/Lease.java
@@ -4,20 +4,20 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.lease;
+package org.larkkeel.store.lease;
 
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.larkkeel.lib.FencingNumber;
-import org.larkkeel.platform.ObjectApi;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.ObjectKey;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.StoredObject;
-import org.larkkeel.platform.log.AppendId;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.log.AppendId;
+import org.larkkeel.store.log.WriterId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/lease/LeaseRecord.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/lease/LeaseRecord.java
@@ -4,13 +4,13 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.lease;
+package org.larkkeel.store.lease;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import org.larkkeel.lib.FencingNumber;
-import org.larkkeel.platform.log.AppendId;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.log.AppendId;
+import org.larkkeel.store.log.WriterId;
 
 /**
  * A lease as the store keeps it. Immutable.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/lease/Tenure.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/lease/Tenure.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.lease;
+package org.larkkeel.store.lease;
 
 import org.larkkeel.lib.FencingNumber;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/AppendCommand.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/AppendCommand.java
@@ -4,19 +4,19 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.larkkeel.platform.Backoff;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.StoredObject;
-import org.larkkeel.platform.log.AppendResult.Appended;
-import org.larkkeel.platform.log.AppendResult.Forgotten;
-import org.larkkeel.platform.log.AppendResult.Lost;
-import org.larkkeel.platform.log.AppendResult.NotAppended;
-import org.larkkeel.platform.log.AppendResult.Unresolved;
+import org.larkkeel.store.Backoff;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.log.AppendResult.Appended;
+import org.larkkeel.store.log.AppendResult.Forgotten;
+import org.larkkeel.store.log.AppendResult.Lost;
+import org.larkkeel.store.log.AppendResult.NotAppended;
+import org.larkkeel.store.log.AppendResult.Unresolved;
 
 /**
  * Appends one entry. A lost answer is resolved by creating the same entry again: if the place is
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/AppendId.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/AppendId.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 /**
  * Names one append, so that its writer knows it again after a lost answer.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/AppendResult.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/AppendResult.java
@@ -4,10 +4,10 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import java.util.Optional;
-import org.larkkeel.platform.ObjectApiFailure;
+import org.larkkeel.store.ObjectApiFailure;
 
 /**
  * The closed list of outcomes of an append.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/Guard.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/Guard.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 /**
  * What keeps a writer that was paused for long from creating an entry at a place that has been
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogEntry.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogEntry.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogFollower.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogFollower.java
@@ -4,16 +4,16 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import java.util.OptionalLong;
-import org.larkkeel.platform.Backoff;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.StoredObject;
-import org.larkkeel.platform.Watch;
-import org.larkkeel.platform.WatchEvent;
+import org.larkkeel.store.Backoff;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.Watch;
+import org.larkkeel.store.WatchEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogName.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogName.java
@@ -4,11 +4,11 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import java.util.Locale;
 import java.util.OptionalLong;
-import org.larkkeel.platform.ObjectKey;
+import org.larkkeel.store.ObjectKey;
 
 /**
  * Names a log and its objects. Entries are in one collection, snapshots in another, so that a watch
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogReads.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogReads.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import com.google.common.collect.ImmutableList;
 import java.io.ByteArrayOutputStream;
@@ -13,13 +13,13 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import org.larkkeel.platform.ListQuery;
-import org.larkkeel.platform.ObjectApi;
-import org.larkkeel.platform.ObjectApiException;
-import org.larkkeel.platform.ObjectApiFailure;
-import org.larkkeel.platform.ObjectKey;
-import org.larkkeel.platform.ObjectPage;
-import org.larkkeel.platform.StoredObject;
+import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoredObject;
 
 /** Reads of one log. Confined to the scheduler. */
 final class LogReads {
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/LogWriter.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogWriter.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
@@ -13,8 +13,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.larkkeel.platform.Backoff;
-import org.larkkeel.platform.Scheduler;
+import org.larkkeel.store.Backoff;
+import org.larkkeel.store.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/ObjectLog.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/ObjectLog.java
@@ -4,16 +4,16 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import org.larkkeel.platform.Backoff;
-import org.larkkeel.platform.ObjectApi;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.Watch;
-import org.larkkeel.platform.WatchEvent;
+import org.larkkeel.store.Backoff;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.Watch;
+import org.larkkeel.store.WatchEvent;
 
 /**
  * An append-only log over the object API.
@@ -89,7 +89,7 @@
    *
    * @param after the last entry that the reader has, 0 for none
    * @return what follows, from a snapshot if the reader's place is gone; fails with {@link
-   *     org.larkkeel.platform.ObjectApiException}
+   *     org.larkkeel.store.ObjectApiException}
    */
   public CompletableFuture<LogView> read(long after) {
     return reads.read(after);
@@ -113,7 +113,7 @@
    * and the newest seals. An older snapshot never replaces a newer one.
    *
    * @param snapshot the state after an entry that is in the log
-   * @return what came of it; fails with {@link org.larkkeel.platform.ObjectApiException}
+   * @return what came of it; fails with {@link org.larkkeel.store.ObjectApiException}
    */
   public CompletableFuture<SnapshotResult> writeSnapshot(LogSnapshot snapshot) {
     return snapshots.write(snapshot, nextAppend());
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/log/Replica.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/Replica.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.log;
+package org.larkkeel.store.log;
 
 /**
  * The state that a log's entries make up. Called on the scheduler only.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/EnginePort.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/order/EnginePort.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/EngineRecord.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/order/EngineRecord.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
 
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/OrderController.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/order/OrderController.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
@@ -18,9 +18,9 @@
 import org.larkkeel.config.Upstream;
 import org.larkkeel.lib.FencingNumber;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.lease.Lease;
-import org.larkkeel.platform.lease.Tenure;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.lease.Lease;
+import org.larkkeel.store.lease.Tenure;
 
 /**
  * Orders engines to do what the configuration declares, while this process holds the lease.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/OrderPlanner.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/order/OrderPlanner.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Sets;
@@ -18,7 +18,7 @@
 import org.larkkeel.config.Role;
 import org.larkkeel.lib.ModelName;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.platform.lease.Tenure;
+import org.larkkeel.store.lease.Tenure;
 
 /**
  * Plans the orders that bring engines to their declared shape. Pure; each call stands alone.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/order/package-info.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/order/package-info.java
@@ -1,2 +1,2 @@
 /** What a controller orders model engines to do, so that pools get their declared shape. */
-package org.larkkeel.platform.order;
+package org.larkkeel.store.order;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RecordResult.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/RecordResult.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 /**
  * What became of an outcome given to be recorded.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunLog.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/RunLog.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
@@ -16,11 +16,11 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.platform.ObjectApi;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.log.LogName;
-import org.larkkeel.platform.log.ObjectLog;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.log.LogName;
+import org.larkkeel.store.log.ObjectLog;
+import org.larkkeel.store.log.WriterId;
 
 /**
  * The run records of non-idempotent requests, in a few shards that the live hosts own by rendezvous
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunLogOptions.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/RunLogOptions.java
@@ -4,10 +4,10 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
-import org.larkkeel.platform.log.LogOptions;
-import org.larkkeel.platform.log.LogWriterOptions;
+import org.larkkeel.store.log.LogOptions;
+import org.larkkeel.store.log.LogWriterOptions;
 
 /**
  * Limits of the run log. Immutable.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunRecord.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/RunRecord.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunShard.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/RunShard.java
@@ -4,20 +4,20 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
-import org.larkkeel.platform.Scheduler;
-import org.larkkeel.platform.log.CommitResult;
-import org.larkkeel.platform.log.LogWriter;
-import org.larkkeel.platform.log.LogWriterOptions;
-import org.larkkeel.platform.log.ObjectLog;
-import org.larkkeel.platform.log.Submission;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.log.CommitResult;
+import org.larkkeel.store.log.LogWriter;
+import org.larkkeel.store.log.LogWriterOptions;
+import org.larkkeel.store.log.ObjectLog;
+import org.larkkeel.store.log.Submission;
+import org.larkkeel.store.log.WriterId;
 
 /**
  * One shard of the run log on the host that owns it.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunTable.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/RunTable.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -16,10 +16,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.larkkeel.platform.log.LogEntry;
-import org.larkkeel.platform.log.LogSnapshot;
-import org.larkkeel.platform.log.Replica;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.log.LogEntry;
+import org.larkkeel.store.log.LogSnapshot;
+import org.larkkeel.store.log.Replica;
+import org.larkkeel.store.log.WriterId;
 
 /**
  * The runs of one shard: what its log adds up to. Pure; not safe for use by several threads.
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/RunToken.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/RunToken.java
@@ -4,10 +4,10 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
 
 import org.larkkeel.lib.AttemptId;
-import org.larkkeel.platform.log.WriterId;
+import org.larkkeel.store.log.WriterId;
 
 /**
  * Names one attempt to run a request. The node that wants to run it chooses the token, so that it
--- a/org.larkkeel.platform/src/main/java/org/larkkeel/platform/run/package-info.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/run/package-info.java
@@ -2,4 +2,4 @@
  * The run records of non-idempotent requests, so that each runs at most once across nodes and
  * restarts.
  */
-package org.larkkeel.platform.run;
+package org.larkkeel.store.run;
--- a/org.larkkeel/src/main/java/org/larkkeel/config/ProblemCollector.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/config/ProblemCollector.java
@@ -39,7 +39,8 @@
     problems.add(new Problem(unknownKeys, source, at, path, "", "the key is unknown", remedy));
   }
 
-  void error(Position at, JsonPath path, String value, String message, String remedy) {
+  /** Adds an error with what is wrong and what to do. */
+  public void error(Position at, JsonPath path, String value, String message, String remedy) {
     problems.add(Problem.error(path, value, message, remedy).at(source, at));
   }
 
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
@@ -0,0 +1,25 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import org.larkkeel.lib.RequestId;
+
+/**
+ * One attempt of a caller, as the router sees it.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param id unique on this node
+ * @param wireId what the caller calls it
+ * @param host the host that it names
+ * @param path the path without its query
+ * @param deadlineMillis how long the caller waits; 0 if it did not say
+ * @param promptTokens the size of the prompt; 0 if the call has none
+ * @since 0.1
+ */
+public record RelayCall(
+    RequestId id, String wireId, String host, String path, long deadlineMillis, int promptTokens) {}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayConfiguration.java
@@ -0,0 +1,88 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import java.util.Comparator;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * One revision of the rules.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class RelayConfiguration {
+  private final long revision;
+  private final ImmutableListMultimap<String, RelayRule> byHost;
+  private final ImmutableMap<ServiceName, Integer> connections;
+  private final int maxBodyBytes;
+
+  /**
+   * Makes a revision.
+   *
+   * @param revision grows with each change
+   * @param rules the rules; of one host and prefix the first counts
+   * @param connections the most connections to one upstream of a service, over all nodes
+   * @param maxBodyBytes the largest body of a request
+   */
+  public RelayConfiguration(
+      long revision,
+      ImmutableList<RelayRule> rules,
+      ImmutableMap<ServiceName, Integer> connections,
+      int maxBodyBytes) {
+    this.revision = revision;
+    this.connections = connections;
+    this.maxBodyBytes = maxBodyBytes;
+    ImmutableListMultimap.Builder<String, RelayRule> hosts = ImmutableListMultimap.builder();
+    rules.stream()
+        .sorted(Comparator.comparingInt((RelayRule r) -> r.prefix().length()).reversed())
+        .forEach(r -> hosts.put(r.host().toLowerCase(Locale.ROOT), r));
+    byHost = hosts.build();
+  }
+
+  /** The number of the revision. */
+  public long revision() {
+    return revision;
+  }
+
+  /** The largest body of a request, in bytes. */
+  public int maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  /** How many rules there are. */
+  public int size() {
+    return byHost.size();
+  }
+
+  /**
+   * The rule of the longest prefix that begins the path.
+   *
+   * @param host as the caller names it, with or without a port
+   * @param path the path without its query
+   */
+  public Optional<RelayRule> match(String host, String path) {
+    return byHost.get(withoutPort(host).toLowerCase(Locale.ROOT)).stream()
+        .filter(r -> path.startsWith(r.prefix()))
+        .findFirst();
+  }
+
+  /** The most connections to one upstream of a service, over all nodes. */
+  public int connections(ServiceName service) {
+    return connections.getOrDefault(service, Integer.MAX_VALUE);
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    return colon < 0 ? host : host.substring(0, colon);
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -0,0 +1,80 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.RequestId;
+
+/**
+ * What the relay's reducer wants done.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public sealed interface RelayEffect {
+  /** What an attempt is for. */
+  sealed interface Purpose {
+    /** Run the call; the upstream reads a prompt by itself. */
+    record Run() implements Purpose {}
+
+    /** Read the prompt only and answer with a handle. */
+    record ReadPrompt() implements Purpose {}
+
+    /** Run the call from the prompt that another upstream has read. */
+    record TakeOver(RelayUpstream source, String handle) implements Purpose {}
+  }
+
+  /**
+   * Send the call to an upstream.
+   *
+   * @param attempt new
+   * @param call the call
+   * @param upstream where to
+   * @param purpose what for
+   * @param until when the upstream may stop, in nanoseconds of the events' clock
+   * @param silenceNanos the longest pause within the answer; 0 for no bound
+   */
+  record Send(
+      AttemptId attempt,
+      RequestId call,
+      RelayUpstream upstream,
+      Purpose purpose,
+      long until,
+      long silenceNanos)
+      implements RelayEffect {}
+
+  /** Give an attempt up and close its connection; no more is heard of it. */
+  record Cancel(AttemptId attempt) implements RelayEffect {}
+
+  /** Free a prompt that was read and will not be used. */
+  record Free(RelayUpstream source, String handle) implements RelayEffect {}
+
+  /** Pass on the stream of the attempt, from what is there on. */
+  record Follow(RequestId call, AttemptId attempt) implements RelayEffect {}
+
+  /** Give the caller the whole answer of the attempt, or the end of its stream. */
+  record Deliver(RequestId call, AttemptId attempt) implements RelayEffect {}
+
+  /**
+   * Answer in place of an upstream.
+   *
+   * @param call the call
+   * @param kind what is wrong
+   * @param retryAfterMillis when to come back; 0 if that makes no sense
+   * @param detail for people
+   */
+  record Refuse(RequestId call, ErrorKind kind, long retryAfterMillis, String detail)
+      implements RelayEffect {}
+
+  /** Break the caller's stream off, so that it can not look complete. */
+  record Cut(RequestId call, ErrorKind kind) implements RelayEffect {}
+
+  /** Something to log and to count. */
+  record Report(RelayFact fact) implements RelayEffect {}
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -0,0 +1,66 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import com.google.common.collect.ImmutableMap;
+import org.larkkeel.event.FailureCause;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamName;
+
+/**
+ * What the relay's reducer is told. Each carries the time at which it happened, in nanoseconds of a
+ * steady clock.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public sealed interface RelayEvent {
+  /** When it happened. */
+  long at();
+
+  /** What concerns one attempt. Those of attempts that are over are ignored. */
+  sealed interface OfAttempt extends RelayEvent {
+    /** The attempt. */
+    AttemptId attempt();
+  }
+
+  /** A caller's request is read whole. */
+  record Arrived(long at, RelayCall call) implements RelayEvent {}
+
+  /** The caller has closed its connection. */
+  record CallerLeft(long at, RequestId call) implements RelayEvent {}
+
+  /** A prefill upstream has read the prompt; others fetch the result by the handle. */
+  record PromptRead(long at, AttemptId attempt, String handle) implements OfAttempt {}
+
+  /** The first event of a good stream is there. */
+  record Began(long at, AttemptId attempt) implements OfAttempt {}
+
+  /** The answer is there, whole. */
+  record Answered(long at, AttemptId attempt, AnswerGrade grade) implements OfAttempt {}
+
+  /** The attempt has not run and never will. */
+  record Refused(long at, AttemptId attempt, RefusalCause cause) implements OfAttempt {}
+
+  /** The attempt may have run, and its answer can not be had whole. */
+  record Lost(long at, AttemptId attempt, FailureCause cause) implements OfAttempt {}
+
+  /** All upstreams that are known now. */
+  record UpstreamsChanged(long at, ImmutableMap<UpstreamName, RelayUpstream> upstreams)
+      implements RelayEvent {}
+
+  /** A configuration was read; older ones than that in force are ignored. */
+  record ConfigurationRead(long at, RelayConfiguration configuration) implements RelayEvent {}
+
+  /** How many nodes share the budget of repeats. */
+  record NodesCounted(long at, int nodes) implements RelayEvent {}
+
+  /** Time has passed. */
+  record Ticked(long at) implements RelayEvent {}
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -0,0 +1,101 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.UpstreamName;
+
+/**
+ * A decision or a change of belief, with the inputs that decided it.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public sealed interface RelayFact {
+  /** A call was admitted under a rule of a revision. */
+  record Admitted(
+      String call, String rule, String service, long revision, long leftMillis, int promptTokens)
+      implements RelayFact {}
+
+  /**
+   * An attempt was placed.
+   *
+   * @param call what the caller calls it
+   * @param attempt the attempt
+   * @param purpose what for
+   * @param upstream where to
+   * @param cost the estimate that decided
+   * @param runnerUp the next best; empty if there was none
+   * @param runnerUpCost its estimate
+   * @param sends which send of the call this is, from 1
+   * @param candidates how many could have been chosen
+   */
+  record Placed(
+      String call,
+      AttemptId attempt,
+      String purpose,
+      UpstreamName upstream,
+      double cost,
+      String runnerUp,
+      double runnerUpCost,
+      int sends,
+      int candidates)
+      implements RelayFact {}
+
+  /** An attempt ended without a usable answer. */
+  record AttemptFailed(
+      String call, AttemptId attempt, UpstreamName upstream, String cause, boolean mayHaveRun)
+      implements RelayFact {}
+
+  /** A prompt was read. */
+  record PromptRead(String call, AttemptId attempt, UpstreamName upstream, long nanos)
+      implements RelayFact {}
+
+  /** A prompt was read in vain. */
+  record PromptWasted(String call, UpstreamName upstream, int tokens) implements RelayFact {}
+
+  /** The caller got an upstream's answer. */
+  record Answered(
+      String call,
+      AttemptId attempt,
+      UpstreamName upstream,
+      String rule,
+      AnswerGrade grade,
+      long firstNanos,
+      long nanos,
+      boolean onTarget)
+      implements RelayFact {}
+
+  /** The caller was refused or cut off. */
+  record Refused(
+      String call, String rule, ErrorKind kind, String detail, int sends, int runs, long nanos)
+      implements RelayFact {}
+
+  /** The caller left. */
+  record CallerLeft(String call, String rule, long nanos) implements RelayFact {}
+
+  /** A repeat was not made because the budget is used up. */
+  record BudgetSpent(String call, String service, int used, double allowed) implements RelayFact {}
+
+  /** An upstream appeared, changed or went. */
+  record UpstreamChanged(UpstreamName upstream, String service, String address, String change)
+      implements RelayFact {}
+
+  /** An upstream is avoided for a while. */
+  record Ejected(UpstreamName upstream, String cause, long forNanos) implements RelayFact {}
+
+  /** An upstream that was avoided answered well. */
+  record Restored(UpstreamName upstream) implements RelayFact {}
+
+  /** A configuration is in force. */
+  record InForce(long revision, long before, int rules) implements RelayFact {}
+
+  /** A configuration that is older than that in force was not taken. */
+  record Stale(long revision, long inForce) implements RelayFact {}
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -0,0 +1,72 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.larkkeel.relay.internal.Flow;
+
+/**
+ * The reducer of the relay: takes events in their order and says what to do.
+ *
+ * <p>It has no clock, thread, socket or source of chance but its seed, so the same events give the
+ * same effects. Not safe for use by several threads.
+ *
+ * @since 0.1
+ */
+public final class RelayRouter {
+  private final Flow flow;
+
+  /** Begins without a configuration and without upstreams. */
+  public RelayRouter(RelaySettings settings) {
+    this.flow = new Flow(settings);
+  }
+
+  /**
+   * Applies an event.
+   *
+   * @param event the event; its time is not before that of the last
+   * @param effects gets what to do, in order
+   */
+  public void apply(RelayEvent event, Consumer<RelayEffect> effects) {
+    flow.effects(effects);
+    long at = event.at();
+    switch (event) {
+      case RelayEvent.Arrived e -> flow.arrived(at, e.call());
+      case RelayEvent.CallerLeft e -> flow.callerLeft(at, e.call());
+      case RelayEvent.PromptRead e -> flow.promptRead(at, e.attempt(), e.handle());
+      case RelayEvent.Began e -> flow.began(at, e.attempt());
+      case RelayEvent.Answered e -> flow.answered(at, e.attempt(), e.grade());
+      case RelayEvent.Refused e -> flow.refused(at, e.attempt(), e.cause());
+      case RelayEvent.Lost e -> flow.lost(at, e.attempt(), e.cause());
+      case RelayEvent.UpstreamsChanged e -> flow.upstreams(at, e.upstreams());
+      case RelayEvent.ConfigurationRead e -> flow.read(e.configuration());
+      case RelayEvent.NodesCounted e -> flow.nodes(e.nodes());
+      case RelayEvent.Ticked e -> flow.ticked(at);
+    }
+  }
+
+  /** Whether it has a configuration and a list of upstreams, so that it can place calls. */
+  public boolean isReady() {
+    return flow.isReady();
+  }
+
+  /** The configuration in force. */
+  public Optional<RelayConfiguration> configuration() {
+    return flow.configuration();
+  }
+
+  /** The calls without a final answer. */
+  public int inProgress() {
+    return flow.inProgress();
+  }
+
+  /** When a tick is due; {@link Long#MAX_VALUE} if none is. */
+  public long nextDue() {
+    return flow.nextDue();
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/ServiceName.java
@@ -0,0 +1,29 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import org.larkkeel.lib.Names;
+
+/**
+ * The name of a service, a set of upstreams of which any may answer.
+ *
+ * <p>Invariant: a valid name, see {@link Names}. Immutable and safe for use by several threads.
+ *
+ * @param value the text, never null
+ * @since 0.1
+ */
+public record ServiceName(String value) {
+  /** Checks the name. */
+  public ServiceName {
+    Names.check("a service", value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/AttemptState.java
@@ -0,0 +1,33 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay.internal;
+
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.relay.RelayEffect.Purpose;
+
+/**
+ * One send of a call.
+ *
+ * @param id the attempt
+ * @param call whose it is
+ * @param upstream where it went
+ * @param purpose what for
+ * @param sentAt when
+ * @param repeat whether it was taken from the budget of repeats
+ */
+record AttemptState(
+    AttemptId id,
+    CallState call,
+    UpstreamState upstream,
+    Purpose purpose,
+    long sentAt,
+    boolean repeat) {
+  /** Whether it may run the call. */
+  boolean runs() {
+    return !(purpose instanceof Purpose.ReadPrompt);
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -0,0 +1,196 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay.internal;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.Stage;
+
+/**
+ * The upstreams, and the choice among them.
+ *
+ * <p>Invariant: one that is leaving, or was removed longer ago than it may be used, is never
+ * chosen. Not safe for use by several threads.
+ */
+final class Fleet {
+  /** How much dearer an upstream in another data centre is. */
+  private static final double FAR = 1.3;
+
+  /** By how much equal costs are spread, so that nodes do not all choose the same. */
+  private static final double SPREAD = 0.15;
+
+  private static final double FIRST_UNIT_NANOS = 50e6;
+  private static final double LEARN_USUAL = 0.1;
+
+  private final Map<UpstreamName, UpstreamState> all = new LinkedHashMap<>();
+  private final Map<Kind, Double> usual = new HashMap<>();
+  private final long missingNanos;
+  private final SplittableRandom random;
+  private boolean known;
+
+  private record Kind(ServiceName service, Stage stage) {}
+
+  Fleet(long missingNanos, SplittableRandom random) {
+    this.missingNanos = missingNanos;
+    this.random = random;
+  }
+
+  /** Whether a list of upstreams was ever received. */
+  boolean isKnown() {
+    return known;
+  }
+
+  /** Takes over the list of all upstreams. */
+  void replace(long at, ImmutableMap<UpstreamName, RelayUpstream> now, Consumer<RelayFact> report) {
+    known = true;
+    for (RelayUpstream u : now.values()) {
+      UpstreamState state = all.get(u.id());
+      if (state == null) {
+        all.put(u.id(), new UpstreamState(u));
+        report.accept(changed(u, u.leaving() ? "appeared_leaving" : "appeared"));
+      } else {
+        if (u.leaving() && !state.upstream().leaving()) {
+          report.accept(changed(u, "leaving"));
+        } else if (state.isMissing()) {
+          report.accept(changed(u, "returned"));
+        }
+        state.update(u);
+      }
+    }
+    for (Map.Entry<UpstreamName, UpstreamState> e : all.entrySet()) {
+      if (!now.containsKey(e.getKey()) && !e.getValue().isMissing()) {
+        e.getValue().missing(at);
+        report.accept(changed(e.getValue().upstream(), "missing"));
+      }
+    }
+  }
+
+  /** Forgets upstreams that are gone for good and serve nothing any more. */
+  void forget(long at, Consumer<RelayFact> report) {
+    for (Iterator<UpstreamState> i = all.values().iterator(); i.hasNext(); ) {
+      UpstreamState state = i.next();
+      if (state.isMissingFor(at, missingNanos) && state.inFlight() == 0) {
+        i.remove();
+        report.accept(changed(state.upstream(), "gone"));
+      }
+    }
+  }
+
+  private static RelayFact changed(RelayUpstream u, String change) {
+    return new RelayFact.UpstreamChanged(u.id(), u.service().value(), u.address(), change);
+  }
+
+  Collection<UpstreamState> all() {
+    return all.values();
+  }
+
+  /** Learns how long a unit of work took. */
+  void took(UpstreamState state, long at, double nanosPerUnit) {
+    state.took(at, nanosPerUnit);
+    Kind kind = kind(state);
+    double before = usual.getOrDefault(kind, nanosPerUnit);
+    usual.put(kind, before + LEARN_USUAL * (nanosPerUnit - before));
+  }
+
+  /** The estimate of one unit of work at an upstream. */
+  double unit(UpstreamState state, long at) {
+    return state.unit(at, usual.getOrDefault(kind(state), FIRST_UNIT_NANOS));
+  }
+
+  private static Kind kind(UpstreamState state) {
+    return new Kind(state.upstream().service(), state.upstream().stage());
+  }
+
+  /**
+   * The cheapest upstream of a service.
+   *
+   * <p>Sound ones go first; then those that are avoided; then those that have gone missing.
+   *
+   * @param at now
+   * @param service the service
+   * @param stage which stages fit
+   * @param without those that are out of the question
+   * @param near the data centre from which to count
+   * @param mostEach the most requests in flight to one of them
+   */
+  Optional<Choice> choose(
+      long at,
+      ServiceName service,
+      Predicate<Stage> stage,
+      Set<UpstreamName> without,
+      DataCentreName near,
+      int mostEach) {
+    List<UpstreamState> fitting = new ArrayList<>();
+    for (UpstreamState s : all.values()) {
+      RelayUpstream u = s.upstream();
+      if (u.service().equals(service)
+          && stage.test(u.stage())
+          && !u.leaving()
+          && !without.contains(u.id())
+          && s.inFlight() < mostEach
+          && !s.isMissingFor(at, missingNanos)) {
+        fitting.add(s);
+      }
+    }
+    return best(at, fitting, s -> !s.isMissing() && !s.isAvoided(at), near)
+        .or(() -> best(at, fitting, s -> !s.isMissing(), near))
+        .or(() -> best(at, fitting, s -> true, near));
+  }
+
+  private Optional<Choice> best(
+      long at, List<UpstreamState> fitting, Predicate<UpstreamState> also, DataCentreName near) {
+    UpstreamState best = null;
+    UpstreamState second = null;
+    double cost = Double.MAX_VALUE;
+    double secondCost = Double.MAX_VALUE;
+    int candidates = 0;
+    for (UpstreamState s : fitting) {
+      if (!also.test(s)) {
+        continue;
+      }
+      candidates++;
+      double c = cost(s, at, near);
+      if (c < cost) {
+        second = best;
+        secondCost = cost;
+        best = s;
+        cost = c;
+      } else if (c < secondCost) {
+        second = s;
+        secondCost = c;
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    String runnerUp = second == null ? "" : second.upstream().id().value();
+    return Optional.of(
+        new Choice(best, cost, runnerUp, second == null ? 0 : secondCost, candidates));
+  }
+
+  private double cost(UpstreamState s, long at, DataCentreName near) {
+    double far = s.upstream().place().equals(near) ? 1 : FAR;
+    double jitter = 1 + SPREAD * random.nextDouble();
+    return unit(s, at) * (1 + s.inFlight()) * s.caution(at) * far * jitter;
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -0,0 +1,50 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay.internal;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.RequestId;
+
+/**
+ * Times at which something may be due. Those of calls and attempts that are over stay in and mean
+ * nothing when they come.
+ *
+ * <p>Not safe for use by several threads.
+ */
+final class Timers {
+  private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at));
+
+  /** What is due. */
+  sealed interface Due {
+    /** When. */
+    long at();
+
+    /** The final answer of a call. */
+    record Deadline(long at, RequestId call) implements Due {}
+
+    /** The answer of an attempt that may be made elsewhere. */
+    record Patience(long at, AttemptId attempt) implements Due {}
+  }
+
+  void add(Due due) {
+    queue.add(due);
+  }
+
+  /** The next one that is due by now; null if there is none. */
+  Due poll(long at) {
+    Due head = queue.peek();
+    return head != null && head.at() <= at ? queue.poll() : null;
+  }
+
+  /** When the next is due; {@link Long#MAX_VALUE} if there is none. */
+  long next() {
+    Due head = queue.peek();
+    return head == null ? Long.MAX_VALUE : head.at();
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -0,0 +1,156 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay.internal;
+
+import org.larkkeel.relay.RelayUpstream;
+
+/**
+ * What this node believes of one incarnation of an upstream.
+ *
+ * <p>Times fade: what was learnt counts half after {@link #HALF_LIFE_NANOS}. Not safe for use by
+ * several threads.
+ */
+final class UpstreamState {
+  static final long HALF_LIFE_NANOS = 4_000_000_000L;
+  private static final double LEARN = 0.3;
+  private static final double FAILURE_WEIGHT = 6;
+  private static final long FIRST_AVOID_NANOS = 1_000_000_000L;
+  private static final long LONGEST_AVOID_NANOS = 8_000_000_000L;
+  private static final int MOST_DOUBLINGS = 3;
+  private static final long BUSY_NANOS = 250_000_000L;
+
+  private RelayUpstream upstream;
+  private int inFlight;
+  private double unitNanos;
+  private long unitAt;
+  private double failures;
+  private long failuresAt;
+  private int strikes;
+  private long avoidUntil = Long.MIN_VALUE;
+  private long busyUntil = Long.MIN_VALUE;
+  private long lapseUntil = Long.MIN_VALUE;
+  private long missingSince = Long.MAX_VALUE;
+
+  UpstreamState(RelayUpstream upstream) {
+    this.upstream = upstream;
+  }
+
+  RelayUpstream upstream() {
+    return upstream;
+  }
+
+  void update(RelayUpstream now) {
+    upstream = now;
+    missingSince = Long.MAX_VALUE;
+  }
+
+  void missing(long at) {
+    if (missingSince == Long.MAX_VALUE) {
+      missingSince = at;
+    }
+  }
+
+  boolean isMissing() {
+    return missingSince != Long.MAX_VALUE;
+  }
+
+  boolean isMissingFor(long at, long nanos) {
+    return isMissing() && at - missingSince >= nanos;
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+
+  void started() {
+    inFlight++;
+  }
+
+  void ended() {
+    inFlight--;
+  }
+
+  /** Learns how long one unit of work took. */
+  void took(long at, double nanosPerUnit) {
+    double weight = unitAt == 0 ? 0 : fade(at - unitAt) * (1 - LEARN);
+    unitNanos = weight * unitNanos + (1 - weight) * nanosPerUnit;
+    unitAt = at;
+  }
+
+  /** The estimate of one unit, drawn towards what is usual the older it is. */
+  double unit(long at, double usual) {
+    if (unitAt == 0) {
+      return usual;
+    }
+    double weight = fade(at - unitAt);
+    return weight * unitNanos + (1 - weight) * usual;
+  }
+
+  /** The factor by which failures of late make it dearer. */
+  double caution(long at) {
+    double factor = 1 + FAILURE_WEIGHT * failures * fade(at - failuresAt);
+    return at < busyUntil ? 2 * factor : factor;
+  }
+
+  void succeeded(long at) {
+    outcome(at, 0);
+    strikes = 0;
+    avoidUntil = Long.MIN_VALUE;
+  }
+
+  /** A failure that a sound upstream may show as well. */
+  void failed(long at) {
+    outcome(at, 1);
+  }
+
+  /**
+   * A failure that a sound upstream does not show.
+   *
+   * @return how long it is avoided; 0 if not
+   */
+  long struck(long at, boolean hard) {
+    outcome(at, 1);
+    strikes++;
+    if (!hard && strikes < 2) {
+      return 0;
+    }
+    long time =
+        Math.min(LONGEST_AVOID_NANOS, FIRST_AVOID_NANOS << Math.min(strikes - 1, MOST_DOUBLINGS));
+    avoidUntil = at + time;
+    return time;
+  }
+
+  boolean isStruck() {
+    return strikes > 1 || avoidUntil != Long.MIN_VALUE;
+  }
+
+  /** Whether it is avoided, or is tried again by one request already. */
+  boolean isAvoided(long at) {
+    return avoidUntil != Long.MIN_VALUE && (at < avoidUntil || inFlight > 0);
+  }
+
+  void declined(long at) {
+    busyUntil = at + BUSY_NANOS;
+  }
+
+  void handleLapsed(long at) {
+    lapseUntil = at + FIRST_AVOID_NANOS * 2;
+  }
+
+  boolean handlesLapse(long at) {
+    return at < lapseUntil;
+  }
+
+  private void outcome(long at, double failure) {
+    failures = fade(at - failuresAt) * (1 - LEARN) * failures + LEARN * failure;
+    failuresAt = at;
+  }
+
+  private static double fade(long age) {
+    return Math.pow(0.5, Math.max(0, age) / (double) HALF_LIFE_NANOS);
+  }
+}
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/package-info.java
@@ -0,0 +1,13 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Routing of opaque requests by host and path: the reducer, its events and its effects.
+ *
+ * <p>Nothing here reads a clock, opens a socket or starts a thread: times, in nanoseconds of a
+ * steady clock, come in with the events.
+ */
+package org.larkkeel.relay;
