--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -0,0 +1,142 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.store.Backoff;
+import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoredObject;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Registers this node in the store and finds the others there: at its start and seldom after, as
+ * those that start later make themselves known. Works on the scheduler.
+ */
+final class NodeRegistry {
+  private static final Logger log = LoggerFactory.getLogger(NodeRegistry.class);
+  private static final String COLLECTION = "relay-nodes";
+  private static final String ADDRESS = "address";
+  private static final Duration SECOND_LOOK = Duration.ofSeconds(2);
+  private static final Duration LATER = Duration.ofSeconds(30);
+  private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
+  private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(4);
+
+  private final ObjectApi store;
+  private final Scheduler scheduler;
+  private final ObjectKey key;
+  private final InetSocketAddress address;
+  private final Consumer<InetSocketAddress> meet;
+  private final Backoff backoff;
+
+  NodeRegistry(
+      ObjectApi store,
+      Scheduler scheduler,
+      HostName self,
+      InetSocketAddress address,
+      Consumer<InetSocketAddress> meet) {
+    this.store = store;
+    this.scheduler = scheduler;
+    this.key = new ObjectKey(COLLECTION, self.value());
+    this.address = address;
+    this.meet = meet;
+    this.backoff =
+        new Backoff(FIRST_BACKOFF, LONGEST_BACKOFF, new SplittableRandom(self.value().hashCode()));
+  }
+
+  void start() {
+    store.create(key, COLLECTION, spec()).whenComplete(this::created);
+  }
+
+  private ObjectNode spec() {
+    return JsonNodeFactory.instance.objectNode().put(ADDRESS, text(address));
+  }
+
+  private static String text(InetSocketAddress a) {
+    return a.getAddress().getHostAddress() + ":" + a.getPort();
+  }
+
+  private void created(StoredObject made, Throwable failure) {
+    if (failure == null) {
+      registered();
+    } else if (isConflict(failure)) {
+      store.get(key).whenComplete(this::found);
+    } else {
+      retry(failure);
+    }
+  }
+
+  private static boolean isConflict(Throwable failure) {
+    return ObjectApiException.failureOf(failure)
+        .filter(
+            f ->
+                f instanceof ObjectApiFailure.AlreadyExists
+                    || f instanceof ObjectApiFailure.Conflict)
+        .isPresent();
+  }
+
+  private void found(StoredObject present, Throwable failure) {
+    if (failure != null) {
+      retry(failure);
+    } else if (present.spec().path(ADDRESS).asText().equals(text(address))) {
+      registered();
+    } else {
+      store.update(key, COLLECTION, spec(), present.resourceVersion()).whenComplete(this::created);
+    }
+  }
+
+  private void retry(Throwable failure) {
+    log.warn("event=not_registered node={} cause=\"{}\"", key.name(), failure.getMessage());
+    scheduler.schedule(backoff.next(), this::start);
+  }
+
+  private void registered() {
+    backoff.reset();
+    look();
+    scheduler.schedule(SECOND_LOOK, this::lookAndGoOn);
+  }
+
+  private void lookAndGoOn() {
+    look();
+    scheduler.schedule(LATER, this::lookAndGoOn);
+  }
+
+  private void look() {
+    store.list(ListQuery.of(COLLECTION)).whenComplete(this::listed);
+  }
+
+  private void listed(ObjectPage page, Throwable failure) {
+    if (failure != null) {
+      log.debug("event=nodes_not_listed cause=\"{}\"", failure.getMessage());
+      return;
+    }
+    page.items().stream().filter(o -> !o.key().equals(key)).forEach(this::meet);
+  }
+
+  private void meet(StoredObject node) {
+    try {
+      HostAndPort at = HostAndPort.fromString(node.spec().path(ADDRESS).asText());
+      meet.accept(new InetSocketAddress(InetAddresses.forString(at.getHost()), at.getPort()));
+    } catch (IllegalArgumentException | IllegalStateException e) {
+      log.warn("event=node_unreadable node={}", node.key().name());
+    }
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -29,13 +29,23 @@
     switch (fact) {
       case RelayFact.Admitted f ->
           log.info(
-              "event=admitted call={} rule={} service={} revision={} left_ms={} prompt_tokens={}",
+              "event=admitted call={} rule={} service={} revision={} left_ms={} prompt={}"
+                  + " most_output={} likely_output={}",
               id(f.call()),
               f.rule(),
               f.service(),
               f.revision(),
               f.leftMillis(),
-              f.promptTokens());
+              f.size().prompt(),
+              f.size().mostOutput(),
+              f.size().likelyOutput());
+      case RelayFact.Waiting f ->
+          log.info(
+              "event=waiting call={} service={} need={} waiting={}",
+              id(f.call()),
+              f.service(),
+              f.need(),
+              f.waiting());
       case RelayFact.Placed f ->
           log.info(
               "event=placed call={} attempt={} purpose={} upstream={} cost={} runner_up={}"
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -31,6 +31,7 @@
 
   private final RelayAdapter adapter;
   private final RelayLoop loop;
+  private final StageController stages;
   private final CollectionMirror configurations;
   private final CollectionMirror upstreams;
 
@@ -40,7 +41,9 @@
       Scheduler scheduler,
       Duration watchTime,
       SplittableRandom random,
-      RelayLoop loop) {
+      RelayLoop loop,
+      StageController stages) {
+    this.stages = stages;
     this.adapter = adapter;
     this.loop = loop;
     this.configurations =
@@ -76,7 +79,9 @@
   }
 
   private void upstreams(ImmutableSortedMap<String, StoredObject> objects) {
-    loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), adapter.upstreams(objects.values())));
+    var all = adapter.upstreams(objects.values());
+    stages.upstreams(all.values());
+    loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), all));
   }
 
   @Override
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -82,6 +82,8 @@
         revision.set(f.revision());
         revisionAt.set(System.nanoTime());
       }
+      case RelayFact.Waiting f ->
+          registry.counter("larkkeel.relay.waiting", "service", f.service()).increment();
       case RelayFact.Admitted f -> {}
       case RelayFact.UpstreamChanged f -> {}
       case RelayFact.Restored f -> {}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.caller.CallerSettings;
+import org.larkkeel.http.relay.OrderSender;
 import org.larkkeel.http.relay.RelayClientSettings;
 import org.larkkeel.http.relay.RelayDialect;
 import org.larkkeel.http.relay.RelayExecutor;
@@ -62,6 +63,7 @@
   private final RelayRouter router;
   private final RelayListener listener;
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final LoadExchange loads;
   private volatile boolean ready;
   private volatile int inProgress;
   private volatile boolean draining;
@@ -76,9 +78,9 @@
     this.router = new RelayRouter(settings.router());
     var thread = worker.worker().getIoThread();
     RelayLoop loop = new RelayLoop(thread, router, System::nanoTime);
-    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    closer.add(registry::close);
-    RelayMeters meters = new RelayMeters(registry);
+    PrometheusMeterRegistry meterRegistry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    closer.add(meterRegistry::close);
+    RelayMeters meters = new RelayMeters(meterRegistry);
     RelayFactLog facts = new RelayFactLog();
     RelayDialect dialect = adapter.dialect();
     RelayExecutor executor =
@@ -93,15 +95,30 @@
               meters.accept(fact);
             });
     loop.effects(executor);
+    this.loads =
+        closer.add(new LoadExchange(settings.host(), settings.peer(), worker.worker(), loop));
     loop.afterEach(this::observe);
     closer.add(
         StatusListener.start(
-            worker, settings.readiness(), settings.metrics(), this::isReady, registry::scrape));
+            worker,
+            settings.readiness(),
+            settings.metrics(),
+            this::isReady,
+            meterRegistry::scrape));
     this.listener =
         closer.add(RelayListener.start(callers(settings), worker, loop, executor, dialect));
     HttpClientOptions options =
         HttpClientOptions.of(settings.store()).withTimeout(settings.storeTimeout());
     ObjectApi store = adapter.store(options, worker.worker(), scheduler);
+    StageController stages =
+        closer.add(
+            new StageController(
+                settings.prefillShare(),
+                settings.host(),
+                store,
+                scheduler,
+                new OrderSender(client, dialect),
+                loads::rank));
     RelayFeed feed =
         closer.add(
             new RelayFeed(
@@ -110,8 +127,13 @@
                 scheduler,
                 settings.watchTime(),
                 new SplittableRandom(System.nanoTime()),
-                loop));
+                loop,
+                stages));
     scheduler.execute(feed::start);
+    scheduler.execute(stages::start);
+    NodeRegistry registry =
+        new NodeRegistry(store, scheduler, settings.host(), settings.peer(), loads::meet);
+    scheduler.execute(registry::start);
   }
 
   private static CallerSettings callers(RelayNodeSettings settings) {
@@ -148,6 +170,7 @@
   }
 
   private void observe() {
+    loads.tell(router.loads());
     inProgress = router.inProgress();
     boolean now = router.isReady();
     if (now != ready) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNodeSettings.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNodeSettings.java
@@ -24,10 +24,12 @@
  * @param caller where callers connect
  * @param readiness where readiness is asked for
  * @param metrics where metrics are served
+ * @param peer where other nodes tell their load
  * @param store the store's scheme, address and port
  * @param storeTimeout the longest time of a call to it
  * @param watchTime how long a watch waits
  * @param router what steers the router
+ * @param prefillShare the part of the upstreams of a service that read prompts; 0 to order none
  * @param leave how long the node still takes calls after it was told to stop
  * @param grace when it ends at the latest
  * @param logLevel what is logged
@@ -39,10 +41,12 @@
     InetSocketAddress caller,
     InetSocketAddress readiness,
     InetSocketAddress metrics,
+    InetSocketAddress peer,
     URI store,
     Duration storeTimeout,
     Duration watchTime,
     RelaySettings router,
+    double prefillShare,
     Duration leave,
     Duration grace,
     LogLevel logLevel) {}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsKeys.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsKeys.java
@@ -16,6 +16,7 @@
   static final String CALLER = "caller";
   static final String READINESS = "readiness";
   static final String METRICS = "metrics";
+  static final String PEER = "peer";
   static final String STORE = "store";
   static final String ADDRESS = "address";
   static final String TIMEOUT_MILLIS = "timeoutMillis";
@@ -27,6 +28,7 @@
   static final String NODES = "nodes";
   static final String STAGE_TOKENS = "stageTokens";
   static final String MISSING_MILLIS = "missingMillis";
+  static final String PREFILL_SHARE = "prefillShare";
   static final String STOP = "stop";
   static final String LEAVE_MILLIS = "leaveMillis";
   static final String GRACE_SECONDS = "graceSeconds";
@@ -40,10 +42,12 @@
           STORE,
           REPEATS,
           STAGE_TOKENS,
+          PREFILL_SHARE,
           MISSING_MILLIS,
           STOP,
           LOG_LEVEL);
-  static final ImmutableSet<String> IN_LISTENERS = ImmutableSet.of(CALLER, READINESS, METRICS);
+  static final ImmutableSet<String> IN_LISTENERS =
+      ImmutableSet.of(CALLER, READINESS, METRICS, PEER);
   static final ImmutableSet<String> IN_STORE =
       ImmutableSet.of(ADDRESS, TIMEOUT_MILLIS, WATCH_MILLIS);
   static final ImmutableSet<String> IN_REPEATS =
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsReader.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsReader.java
@@ -86,6 +86,7 @@
             listeners, RelaySettingsKeys.READINESS, RelaySettingsReader::address, ADDRESS_REMEDY),
         required(
             listeners, RelaySettingsKeys.METRICS, RelaySettingsReader::address, ADDRESS_REMEDY),
+        required(listeners, RelaySettingsKeys.PEER, RelaySettingsReader::address, ADDRESS_REMEDY),
         required(
             store,
             RelaySettingsKeys.ADDRESS,
@@ -94,6 +95,7 @@
         Duration.ofMillis(store.whole(RelaySettingsKeys.TIMEOUT_MILLIS, 1, HOUR_MILLIS, 1_000)),
         Duration.ofMillis(store.whole(RelaySettingsKeys.WATCH_MILLIS, 1, HOUR_MILLIS, 10_000)),
         router(top, place, host),
+        number(top, RelaySettingsKeys.PREFILL_SHARE, 0),
         Duration.ofMillis(stop.whole(RelaySettingsKeys.LEAVE_MILLIS, 0, HOUR_MILLIS, 3_000)),
         seconds(stop, RelaySettingsKeys.GRACE_SECONDS, Duration.ofSeconds(8)),
         top.choice(RelaySettingsKeys.LOG_LEVEL, LogLevel.class, LogLevel.INFO));
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
@@ -0,0 +1,211 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+
+package org.larkkeel.daemon.relay;
+
+import com.google.common.collect.ImmutableCollection;
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.IntSupplier;
+import java.util.stream.Collectors;
+import org.larkkeel.http.relay.OrderSender;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.Stage;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.lease.Lease;
+import org.larkkeel.store.lease.Tenure;
+import org.larkkeel.store.log.WriterId;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the part of each service's upstreams that read prompts near the share that is wanted, by
+ * orders to upstreams that are too many.
+ *
+ * <p>Only the holder of a lease orders, and the lease is sought only while an order is due, so that
+ * a fleet in balance costs no call. Invariants: one order at a time; the lease is kept until the
+ * order must have been carried out, so that no two holders order one upstream in turns. Works on
+ * the scheduler.
+ */
+final class StageController implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger(StageController.class);
+  private static final String LEASE = "stages";
+  private static final Duration LEASE_TIME = Duration.ofSeconds(6);
+  private static final Duration LOOK = Duration.ofMillis(500);
+
+  /** How long the share must be wrong before the lease is sought, and for each rank longer. */
+  private static final Duration STEADY = Duration.ofMillis(1_500);
+
+  private static final Duration BY_RANK = Duration.ofMillis(2_500);
+
+  /** How long an order may take to show; the lease is kept for as long. */
+  private static final Duration SETTLING = Duration.ofSeconds(12);
+
+  /** How much of the lease must be left for an order. */
+  private static final Duration LEAST_LEFT = Duration.ofSeconds(2);
+
+  /** What the share is rounded by, so that a little more than a whole number adds no upstream. */
+  private static final double ROUNDING = 0.2;
+
+  private final double prefillShare;
+  private final HostName self;
+  private final Scheduler scheduler;
+  private final OrderSender orders;
+  private final IntSupplier rank;
+  private final Lease lease;
+  private final Map<UpstreamName, Long> ordered = new HashMap<>();
+  private ImmutableList<RelayUpstream> upstreams = ImmutableList.of();
+  private long wrongSince = Long.MAX_VALUE;
+  private long orderedAt = Long.MIN_VALUE;
+  private boolean seeking;
+  private boolean closed;
+
+  StageController(
+      double prefillShare,
+      HostName self,
+      ObjectApi store,
+      Scheduler scheduler,
+      OrderSender orders,
+      IntSupplier rank) {
+    this.prefillShare = prefillShare;
+    this.self = self;
+    this.scheduler = scheduler;
+    this.orders = orders;
+    this.rank = rank;
+    Incarnation start = new Incarnation(Math.max(1, scheduler.wallMillis()));
+    this.lease =
+        new Lease(
+            store,
+            LEASE,
+            new WriterId(self, start),
+            scheduler,
+            new SplittableRandom(start.value()),
+            LEASE_TIME);
+  }
+
+  void start() {
+    if (prefillShare > 0) {
+      scheduler.schedule(LOOK, this::look);
+    }
+  }
+
+  /** Takes over the list of upstreams. */
+  void upstreams(ImmutableCollection<RelayUpstream> all) {
+    upstreams = all.asList();
+  }
+
+  private void look() {
+    if (closed) {
+      return;
+    }
+    scheduler.schedule(LOOK, this::look);
+    long now = scheduler.nanoTime();
+    Optional<RelayUpstream> due = due(now);
+    if (due.isEmpty()) {
+      wrongSince = Long.MAX_VALUE;
+      if (seeking && isSettled(now)) {
+        seeking = false;
+        lease.release();
+      }
+      return;
+    }
+    wrongSince = Math.min(wrongSince, now);
+    Duration wait = STEADY.plus(BY_RANK.multipliedBy(rank.getAsInt()));
+    if (!seeking && now - wrongSince >= wait.toNanos()) {
+      seeking = true;
+      lease.start();
+    }
+    if (seeking && isSettled(now)) {
+      lease.tenure().ifPresent(t -> order(now, due.get(), t));
+    }
+  }
+
+  private boolean isSettled(long now) {
+    return orderedAt == Long.MIN_VALUE || now - orderedAt >= SETTLING.toNanos();
+  }
+
+  /** The upstream that reads prompts and should run calls; empty if the share is right. */
+  private Optional<RelayUpstream> due(long now) {
+    Map<ServiceName, List<RelayUpstream>> services =
+        upstreams.stream()
+            .filter(u -> u.stage() != Stage.WHOLE && !u.leaving())
+            .collect(Collectors.groupingBy(RelayUpstream::service));
+    return services.values().stream()
+        .filter(all -> prefills(all) > wanted(all.size()))
+        .flatMap(all -> candidate(all, now).stream())
+        .findFirst();
+  }
+
+  private static long prefills(List<RelayUpstream> all) {
+    return all.stream().filter(u -> u.stage() == Stage.PREFILL).count();
+  }
+
+  private long wanted(int all) {
+    return Math.max(1, (long) Math.ceil(prefillShare * all - ROUNDING));
+  }
+
+  /** The one in the data centre that runs least. */
+  private Optional<RelayUpstream> candidate(List<RelayUpstream> all, long now) {
+    return all.stream()
+        .filter(u -> u.stage() == Stage.PREFILL)
+        .filter(u -> now - ordered.getOrDefault(u.id(), now - SETTLING.toNanos()) >= SETTLING.toNanos())
+        .min(
+            Comparator.comparingLong((RelayUpstream u) -> runners(all, u))
+                .thenComparing(RelayUpstream::id));
+  }
+
+  private static long runners(List<RelayUpstream> all, RelayUpstream near) {
+    return all.stream().filter(u -> u.place().equals(near.place()) && u.stage().runs()).count();
+  }
+
+  private void order(long now, RelayUpstream upstream, Tenure tenure) {
+    if (tenure.until() - now < LEAST_LEFT.toNanos()) {
+      return;
+    }
+    orderedAt = now;
+    ordered.put(upstream.id(), now);
+    long fencing = tenure.fencing().value();
+    log.info(
+        "event=ordered upstream={} stage=decode fencing={} upstreams={}",
+        upstream.id(),
+        fencing,
+        upstreams.size());
+    orders
+        .send(
+            upstream,
+            Stage.DECODE,
+            self.value(),
+            fencing,
+            () -> tenure.isHeld(scheduler.nanoTime()))
+        .whenComplete(
+            (status, failure) ->
+                log.info(
+                    "event=order_answered upstream={} fencing={} outcome={}",
+                    upstream.id(),
+                    fencing,
+                    failure == null ? status : failure.getMessage()));
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    if (isSettled(scheduler.nanoTime())) {
+      lease.close();
+    }
+  }
+}
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallFacts.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallFacts.java
@@ -6,6 +6,8 @@
 
 package org.larkkeel.http.relay;
 
+import org.larkkeel.relay.CallSize;
+
 /**
  * What a caller declares of its request.
  *
@@ -13,7 +15,7 @@
  *
  * @param wireId what the caller calls it; empty if it has no id
  * @param deadlineMillis how long the caller waits; 0 if it does not say
- * @param promptTokens the size of the prompt; 0 if there is none
+ * @param size the size of its generation
  * @since 0.1
  */
-public record CallFacts(String wireId, long deadlineMillis, int promptTokens) {}
+public record CallFacts(String wireId, long deadlineMillis, CallSize size) {}
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -164,11 +164,16 @@
     if (!followed) {
       return;
     }
+    int events = 0;
     for (EventSplitter.Whole e = waiting.poll(); e != null; e = waiting.poll()) {
       if (e.id().isPresent()) {
         request.lastEvent = e.id();
       }
       request.channel.stream(e.bytes());
+      events++;
+    }
+    if (events > 0) {
+      loop.submit(new RelayEvent.Progressed(loop.now(), id, events));
     }
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
@@ -13,6 +13,7 @@
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.request.RecordedAnswer;
 import org.larkkeel.relay.RelayEffect;
+import org.larkkeel.relay.Stage;
 
 /**
  * The words that callers and upstreams use: translates between them and the relay, and decides
@@ -49,6 +50,15 @@
   /** The path by which a handle is freed with DELETE. */
   String freePath(String handle);
 
+  /**
+   * The call that orders an upstream to take another part of the work.
+   *
+   * @param stage the part
+   * @param holder who gives the order
+   * @param fencing grows with each holder
+   */
+  StageOrder order(Stage stage, String holder, long fencing);
+
   /** The answer to a caller in place of an upstream's. */
   RecordedAnswer refusal(Problem problem);
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -26,6 +26,7 @@
 import org.larkkeel.http.caller.UndertowChannel;
 import org.larkkeel.http.request.RecordedAnswer;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.relay.CallSize;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEvent;
 import org.xnio.Options;
@@ -113,7 +114,7 @@
   }
 
   private void handle(HttpServerExchange exchange) {
-    CallFacts facts = new CallFacts("", 0, 0);
+    CallFacts facts = new CallFacts("", 0, CallSize.NONE);
     try {
       facts = dialect.facts(exchange.getRequestHeaders());
       CallFacts read = facts;
@@ -137,7 +138,7 @@
             String.valueOf(exchange.getRequestHeaders().getFirst(Headers.HOST)),
             query < 0 ? target : target.substring(0, query),
             facts.deadlineMillis(),
-            facts.promptTokens());
+            facts.size());
     RelayRequest request =
         new RelayRequest(
             call,
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/CallSize.java
@@ -0,0 +1,22 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+/**
+ * The size of a generation, as its caller declares it; all 0 for other calls.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param prompt tokens of the prompt
+ * @param mostOutput the most tokens that may be generated
+ * @param likelyOutput the caller's estimate of what will be generated; 0 if it gives none
+ * @since 0.1
+ */
+public record CallSize(int prompt, int mostOutput, int likelyOutput) {
+  /** The size of a call that generates nothing. */
+  public static final CallSize NONE = new CallSize(0, 0, 0);
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
@@ -18,8 +18,8 @@
  * @param host the host that it names
  * @param path the path without its query
  * @param deadlineMillis how long the caller waits; 0 if it did not say
- * @param promptTokens the size of the prompt; 0 if the call has none
+ * @param size the size of its generation
  * @since 0.1
  */
 public record RelayCall(
-    RequestId id, String wireId, String host, String path, long deadlineMillis, int promptTokens) {}
+    RequestId id, String wireId, String host, String path, long deadlineMillis, CallSize size) {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayConfiguration.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayConfiguration.java
@@ -23,7 +23,7 @@
 public final class RelayConfiguration {
   private final long revision;
   private final ImmutableListMultimap<String, RelayRule> byHost;
-  private final ImmutableMap<ServiceName, Integer> connections;
+  private final ImmutableMap<ServiceName, ServiceBounds> services;
   private final int maxBodyBytes;
 
   /**
@@ -31,16 +31,16 @@
    *
    * @param revision grows with each change
    * @param rules the rules; of one host and prefix the first counts
-   * @param connections the most connections to one upstream of a service, over all nodes
+   * @param services what upstreams bear
    * @param maxBodyBytes the largest body of a request
    */
   public RelayConfiguration(
       long revision,
       ImmutableList<RelayRule> rules,
-      ImmutableMap<ServiceName, Integer> connections,
+      ImmutableMap<ServiceName, ServiceBounds> services,
       int maxBodyBytes) {
     this.revision = revision;
-    this.connections = connections;
+    this.services = services;
     this.maxBodyBytes = maxBodyBytes;
     ImmutableListMultimap.Builder<String, RelayRule> hosts = ImmutableListMultimap.builder();
     rules.stream()
@@ -76,9 +76,9 @@
         .findFirst();
   }
 
-  /** The most connections to one upstream of a service, over all nodes. */
-  public int connections(ServiceName service) {
-    return connections.getOrDefault(service, Integer.MAX_VALUE);
+  /** What each upstream of a service bears. */
+  public ServiceBounds bounds(ServiceName service) {
+    return services.getOrDefault(service, ServiceBounds.NONE);
   }
 
   private static String withoutPort(String host) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.ImmutableMap;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamName;
 
@@ -42,6 +43,9 @@
   /** The first event of a good stream is there. */
   record Began(long at, AttemptId attempt) implements OfAttempt {}
 
+  /** The caller was passed so many whole events of the attempt since it was told last. */
+  record Progressed(long at, AttemptId attempt, int events) implements OfAttempt {}
+
   /** The answer is there, whole. */
   record Answered(long at, AttemptId attempt, AnswerGrade grade) implements OfAttempt {}
 
@@ -58,6 +62,10 @@
   /** A configuration was read; older ones than that in force are ignored. */
   record ConfigurationRead(long at, RelayConfiguration configuration) implements RelayEvent {}
 
+  /** What another node has in flight at upstreams, in the units of {@code RelayRouter.loads}. */
+  record LoadHeard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads)
+      implements RelayEvent {}
+
   /** How many nodes share the budget of repeats. */
   record NodesCounted(long at, int nodes) implements RelayEvent {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -20,9 +20,12 @@
 public sealed interface RelayFact {
   /** A call was admitted under a rule of a revision. */
   record Admitted(
-      String call, String rule, String service, long revision, long leftMillis, int promptTokens)
+      String call, String rule, String service, long revision, long leftMillis, CallSize size)
       implements RelayFact {}
 
+  /** A call waits for room. */
+  record Waiting(String call, String service, long need, int waiting) implements RelayFact {}
+
   /**
    * An attempt was placed.
    *
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -6,8 +6,10 @@
 
 package org.larkkeel.relay;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.internal.Flow;
 
 /**
@@ -40,11 +42,13 @@
       case RelayEvent.CallerLeft e -> flow.callerLeft(at, e.call());
       case RelayEvent.PromptRead e -> flow.promptRead(at, e.attempt(), e.handle());
       case RelayEvent.Began e -> flow.began(at, e.attempt());
+      case RelayEvent.Progressed e -> flow.progressed(e.attempt(), e.events());
       case RelayEvent.Answered e -> flow.answered(at, e.attempt(), e.grade());
       case RelayEvent.Refused e -> flow.refused(at, e.attempt(), e.cause());
       case RelayEvent.Lost e -> flow.lost(at, e.attempt(), e.cause());
       case RelayEvent.UpstreamsChanged e -> flow.upstreams(at, e.upstreams());
       case RelayEvent.ConfigurationRead e -> flow.read(e.configuration());
+      case RelayEvent.LoadHeard e -> flow.heard(at, e.node(), e.loads());
       case RelayEvent.NodesCounted e -> flow.nodes(e.nodes());
       case RelayEvent.Ticked e -> flow.ticked(at);
     }
@@ -60,6 +64,14 @@
     return flow.configuration();
   }
 
+  /**
+   * What this node has in flight at each upstream, where it is anything: tokens at upstreams that
+   * read prompts or hold memory, requests at others.
+   */
+  public ImmutableMap<UpstreamName, Long> loads() {
+    return flow.loads();
+  }
+
   /** The calls without a final answer. */
   public int inProgress() {
     return flow.inProgress();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/AttemptState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/AttemptState.java
@@ -18,6 +18,7 @@
  * @param purpose what for
  * @param sentAt when
  * @param repeat whether it was taken from the budget of repeats
+ * @param units what it adds to the load of the upstream while it is in flight
  */
 record AttemptState(
     AttemptId id,
@@ -25,7 +26,8 @@
     UpstreamState upstream,
     Purpose purpose,
     long sentAt,
-    boolean repeat) {
+    boolean repeat,
+    long units) {
   /** Whether it may run the call. */
   boolean runs() {
     return !(purpose instanceof Purpose.ReadPrompt);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.RelayCall;
+import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayRule;
 import org.larkkeel.relay.ServiceName;
 
@@ -19,6 +20,9 @@
  * <p>Invariant: at most one attempt is in flight. Not safe for use by several threads.
  */
 final class CallState {
+  /** A caller with less than this part of the rule's time left has been refused before. */
+  private static final double FRESH_SHARE = 0.97;
+
   final RelayCall call;
   final RelayRule rule;
   final ServiceName service;
@@ -31,6 +35,24 @@
   /** The attempt in flight; null if there is none. */
   AttemptState attempt;
 
+  /** The upstream at which memory is set aside for it; null if there is none. */
+  UpstreamState home;
+
+  /** What is set aside there. */
+  long homeUnits;
+
+  /** The tokens that were generated for it. */
+  long generated;
+
+  /** Whether it waits for room. */
+  boolean waiting;
+
+  /** The prompt, once it was read; null before and after its use. */
+  Purpose.TakeOver prompt;
+
+  /** How many upstreams have declined the prompt. */
+  int promptDeclined;
+
   /** All sends. */
   int sends;
 
@@ -40,9 +62,6 @@
   /** Sends that have run or may have. */
   int runs;
 
-  /** Whether a prompt was sent to be read elsewhere, or is not to be. */
-  boolean promptDone;
-
   /** Whether the caller has the beginning of a stream. */
   boolean began;
 
@@ -57,8 +76,14 @@
     this.deadline = deadline;
   }
 
+  /** Whether the caller has all of its time left, so that it was not refused before. */
+  boolean isFresh() {
+    return call.deadlineMillis() == 0
+        || call.deadlineMillis() >= FRESH_SHARE * rule.timeoutMillis();
+  }
+
   /** Thousands of prompt tokens, or one for calls without a prompt: the unit of work. */
   double units() {
-    return Math.max(1, call.promptTokens() / 1_000.0);
+    return Math.max(1, call.size().prompt() / 1_000.0);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -8,7 +8,6 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -20,6 +19,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayUpstream;
@@ -34,11 +34,12 @@
  */
 final class Fleet {
   /** How much dearer an upstream in another data centre is. */
-  private static final double FAR = 1.3;
+  private static final double FAR = 1.15;
 
   /** By how much equal costs are spread, so that nodes do not all choose the same. */
-  private static final double SPREAD = 0.15;
+  private static final double SPREAD = 0.1;
 
+  private static final long SILENCE_NANOS = 1_500_000_000L;
   private static final double FIRST_UNIT_NANOS = 50e6;
   private static final double LEARN_USUAL = 0.1;
 
@@ -46,8 +47,12 @@
   private final Map<Kind, Double> usual = new HashMap<>();
   private final long missingNanos;
   private final SplittableRandom random;
+  private final Map<HostName, Heard> heard = new HashMap<>();
   private boolean known;
 
+  /** What another node told last. */
+  private record Heard(long at, ImmutableMap<UpstreamName, Long> loads) {}
+
   private record Kind(ServiceName service, Stage stage) {}
 
   Fleet(long missingNanos, SplittableRandom random) {
@@ -100,8 +105,51 @@
     return new RelayFact.UpstreamChanged(u.id(), u.service().value(), u.address(), change);
   }
 
-  Collection<UpstreamState> all() {
-    return all.values();
+  /** An upstream that is known. */
+  Optional<UpstreamState> find(UpstreamName id) {
+    return Optional.ofNullable(all.get(id));
+  }
+
+  /** Takes over what another node has in flight. */
+  void heard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads) {
+    count(heard.put(node, new Heard(at, loads)), -1);
+    count(heard.get(node), 1);
+  }
+
+  /** Drops what nodes told that have been silent for too long. */
+  void forgetSilent(long at) {
+    for (Iterator<Heard> i = heard.values().iterator(); i.hasNext(); ) {
+      Heard h = i.next();
+      if (at - h.at() > SILENCE_NANOS) {
+        i.remove();
+        count(h, -1);
+      }
+    }
+  }
+
+  private void count(Heard told, int sign) {
+    if (told == null) {
+      return;
+    }
+    told.loads()
+        .forEach(
+            (id, units) -> {
+              UpstreamState s = all.get(id);
+              if (s != null) {
+                s.addRemote(sign * units);
+              }
+            });
+  }
+
+  /** What this node has in flight, where it is anything. */
+  ImmutableMap<UpstreamName, Long> loads() {
+    ImmutableMap.Builder<UpstreamName, Long> loads = ImmutableMap.builder();
+    for (UpstreamState s : all.values()) {
+      if (s.load() > 0) {
+        loads.put(s.upstream().id(), s.load());
+      }
+    }
+    return loads.buildOrThrow();
   }
 
   /** Learns how long a unit of work took. */
@@ -131,7 +179,7 @@
    * @param stage which stages fit
    * @param without those that are out of the question
    * @param near the data centre from which to count
-   * @param mostEach the most requests in flight to one of them
+   * @param need what is asked of it
    */
   Optional<Choice> choose(
       long at,
@@ -139,7 +187,7 @@
       Predicate<Stage> stage,
       Set<UpstreamName> without,
       DataCentreName near,
-      int mostEach) {
+      Need need) {
     List<UpstreamState> fitting = new ArrayList<>();
     for (UpstreamState s : all.values()) {
       RelayUpstream u = s.upstream();
@@ -147,18 +195,23 @@
           && stage.test(u.stage())
           && !u.leaving()
           && !without.contains(u.id())
-          && s.inFlight() < mostEach
+          && s.inFlight() < need.mostEach()
+          && need.fits(s)
           && !s.isMissingFor(at, missingNanos)) {
         fitting.add(s);
       }
     }
-    return best(at, fitting, s -> !s.isMissing() && !s.isAvoided(at), near)
-        .or(() -> best(at, fitting, s -> !s.isMissing(), near))
-        .or(() -> best(at, fitting, s -> true, near));
+    return best(at, fitting, s -> !s.isMissing() && !s.isAvoided(at), near, need)
+        .or(() -> best(at, fitting, s -> !s.isMissing(), near, need))
+        .or(() -> best(at, fitting, s -> true, near, need));
   }
 
   private Optional<Choice> best(
-      long at, List<UpstreamState> fitting, Predicate<UpstreamState> also, DataCentreName near) {
+      long at,
+      List<UpstreamState> fitting,
+      Predicate<UpstreamState> also,
+      DataCentreName near,
+      Need need) {
     UpstreamState best = null;
     UpstreamState second = null;
     double cost = Double.MAX_VALUE;
@@ -169,7 +222,7 @@
         continue;
       }
       candidates++;
-      double c = cost(s, at, near);
+      double c = cost(s, at, near, need);
       if (c < cost) {
         second = best;
         secondCost = cost;
@@ -188,9 +241,9 @@
         new Choice(best, cost, runnerUp, second == null ? 0 : secondCost, candidates));
   }
 
-  private double cost(UpstreamState s, long at, DataCentreName near) {
+  private double cost(UpstreamState s, long at, DataCentreName near, Need need) {
     double far = s.upstream().place().equals(near) ? 1 : FAR;
     double jitter = 1 + SPREAD * random.nextDouble();
-    return unit(s, at) * (1 + s.inFlight()) * s.caution(at) * far * jitter;
+    return unit(s, at) * need.queue(s) * s.caution(at) * far * jitter;
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -8,14 +8,16 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.AttemptId;
-import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.AnswerGrade;
@@ -37,7 +39,8 @@
  *
  * <p>Invariants: a call that may run once is sent to be run only while no earlier send may have run
  * it; each call gets exactly one of {@code Deliver}, {@code Refuse} and {@code Cut}, unless its
- * caller left. Not safe for use by several threads.
+ * caller left; memory is set aside at one upstream for each call in progress that needs any. Not
+ * safe for use by several threads.
  */
 public final class Flow {
   private static final long MILLI = 1_000_000L;
@@ -60,15 +63,25 @@
   private static final long RETRY_AFTER_MILLIS = 200;
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
-  /** How much of an upstream's connections the nodes may use together. */
-  private static final double CONNECTION_SHARE = 0.8;
+  /** The part of the target for which a call waits for room before it is told to come back. */
+  private static final double ROOM_SHARE = 0.22;
 
-  private static final int LEAST_CONNECTIONS = 4;
+  /** The part of the time it has left for which a call that came back waits for room. */
+  private static final double RETURNED_ROOM_SHARE = 0.35;
+
+  /** When to come back for room: from this to the part of the time that is left. */
+  private static final long FIRST_RETURN_MILLIS = 1_000;
+
+  private static final double RETURN_SHARE = 0.32;
+
+  /** How many upstreams may decline a prompt before its handle is taken for lost. */
+  private static final int MOST_PROMPT_DECLINED = 2;
 
   private final RelaySettings settings;
   private final Fleet fleet;
   private final SplittableRandom random;
   private final Timers timers = new Timers();
+  private final WaitingRoom room = new WaitingRoom();
   private final Map<RequestId, CallState> calls = new HashMap<>();
   private final Map<AttemptId, AttemptState> attempts = new HashMap<>();
   private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
@@ -110,6 +123,11 @@
     return calls.size();
   }
 
+  /** What this node has in flight at each upstream. */
+  public ImmutableMap<UpstreamName, Long> loads() {
+    return fleet.loads();
+  }
+
   /** When a tick is due; {@link Long#MAX_VALUE} if none is. */
   public long nextDue() {
     return timers.next();
@@ -132,22 +150,30 @@
   public void upstreams(long at, ImmutableMap<UpstreamName, RelayUpstream> now) {
     fleet.replace(at, now, this::report);
     fleet.forget(at, this::report);
+    admitWaiting(at);
+  }
+
+  /** Takes over what another node has in flight. */
+  public void heard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads) {
+    fleet.heard(at, node, loads);
+    fleet.forgetSilent(at);
+    admitWaiting(at);
   }
 
   /** Sets over how many nodes the slack of the budget is split. */
   public void nodes(int count) {
-    nodes = Math.max(1, count);
+    nodes = Math.max(settings.nodes(), count);
   }
 
   /** A call has arrived. */
   public void arrived(long at, RelayCall call) {
     if (!isReady()) {
-      refuse(call, "", ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no configuration yet", at, at);
+      refuse(call, ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no configuration yet");
       return;
     }
     Optional<RelayRule> rule = configuration.match(call.host(), call.path());
     if (rule.isEmpty()) {
-      refuse(call, "", ErrorKind.NO_RULE, 0, "revision " + revision(), at, at);
+      refuse(call, ErrorKind.NO_RULE, 0, "revision " + revision());
       return;
     }
     admit(at, call, rule.get());
@@ -169,8 +195,12 @@
             state.service.value(),
             revision(),
             millis,
-            call.promptTokens()));
-    place(at, state);
+            call.size()));
+    if (needsRoom(state)) {
+      settle(at, state);
+    } else {
+      run(at, state);
+    }
   }
 
   private ServiceName service(RelayRule rule) {
@@ -194,38 +224,144 @@
     return settings.repeatSlack() / nodes;
   }
 
-  private void place(long at, CallState c) {
-    if (!c.promptDone && c.call.promptTokens() >= settings.stageTokens()) {
-      c.promptDone = true;
-      Optional<Choice> reader = choose(at, c, s -> s == Stage.PREFILL, settings.place());
+  // Room: memory is set aside before a prompt is read, so that none is read in vain.
+
+  private boolean needsRoom(CallState c) {
+    return c.call.size().prompt() > 0 && configuration.bounds(c.service).memoryTokens() > 0;
+  }
+
+  /** Sets memory aside, or lets the call wait for it. */
+  private void settle(long at, CallState c) {
+    if (room.size() > 0 || !findHome(at, c)) {
+      room.add(c);
+      report(
+          new RelayFact.Waiting(c.call.wireId(), c.service.value(), need(c).units(), room.size()));
+      long wait =
+          c.isFresh()
+              ? (long) (ROOM_SHARE * c.rule.targetMillis() * MILLI)
+              : (long) (RETURNED_ROOM_SHARE * (c.deadline - at));
+      timers.add(new Timers.Due.Room(at + wait, c.call.id()));
+      return;
+    }
+    begin(at, c);
+  }
+
+  private Need need(CallState c) {
+    return Sizing.run(c, configuration, nodes);
+  }
+
+  private boolean findHome(long at, CallState c) {
+    Need need = need(c);
+    Optional<Choice> choice =
+        fleet.choose(at, c.service, Stage::runs, c.without, settings.place(), need);
+    choice.ifPresent(found -> moveIn(c, found.best(), need.units()));
+    return choice.isPresent();
+  }
+
+  private void moveIn(CallState c, UpstreamState home, long units) {
+    moveOut(c);
+    c.home = home;
+    c.homeUnits = units;
+    home.addLoad(units);
+  }
+
+  private void moveOut(CallState c) {
+    if (c.home != null) {
+      c.home.addLoad(-c.homeUnits);
+      c.home = null;
+    }
+  }
+
+  /** Places those that wait, while there is room for the next. */
+  private void admitWaiting(long at) {
+    if (room.size() == 0) {
+      return;
+    }
+    for (CallState c : room.inOrder(at)) {
+      if (!c.waiting) {
+        continue;
+      }
+      if (!findHome(at, c)) {
+        return;
+      }
+      room.remove(c);
+      begin(at, c);
+    }
+  }
+
+  private void roomTime(long at, RequestId id) {
+    CallState c = calls.get(id);
+    if (c == null || !c.waiting) {
+      return;
+    }
+    long left = (c.deadline - at) / MILLI;
+    long latest = Math.max(FIRST_RETURN_MILLIS + 1, (long) (RETURN_SHARE * left));
+    long after = random.nextLong(FIRST_RETURN_MILLIS, latest);
+    giveUp(at, c, ErrorKind.OVERLOADED, after, "no upstream of " + c.service + " has room");
+  }
+
+  /** Begins the work on a call for which memory is set aside. */
+  private void begin(long at, CallState c) {
+    if (c.call.size().prompt() >= settings.stageTokens()) {
+      Optional<Choice> reader =
+          fleet.choose(
+              at,
+              c.service,
+              s -> s == Stage.PREFILL,
+              c.without,
+              c.home.upstream().place(),
+              Sizing.prompt(c, configuration, nodes));
       if (reader.isPresent() && !reader.get().best().handlesLapse(at)) {
-        send(at, c, reader.get(), new Purpose.ReadPrompt());
+        send(at, c, reader.get(), new Purpose.ReadPrompt(), c.call.size().prompt());
         return;
       }
     }
-    run(at, c, new Purpose.Run(), settings.place());
+    run(at, c);
   }
 
-  private void run(long at, CallState c, Purpose purpose, DataCentreName near) {
-    Optional<Choice> choice = choose(at, c, Stage::runs, near);
+  /** Sends the call to be run: at its home if it has one that still takes work. */
+  private void run(long at, CallState c) {
+    Purpose purpose = c.prompt == null ? new Purpose.Run() : c.prompt;
+    if (c.home != null && isUsable(at, c, c.home)) {
+      send(at, c, new Choice(c.home, 0, "", 0, 1), purpose, 0);
+      return;
+    }
+    boolean memory = needsRoom(c);
+    Need need = need(c);
+    Optional<Choice> choice =
+        fleet.choose(at, c.service, Stage::runs, c.without, settings.place(), need);
+    if (choice.isEmpty() && memory) {
+      choice =
+          fleet.choose(
+              at, c.service, Stage::runs, c.without, settings.place(), Sizing.forced(need));
+    }
     if (choice.isEmpty()) {
+      freePrompt(c);
       giveUp(at, c, ErrorKind.NO_UPSTREAM, "no upstream of " + c.service + " is left");
       return;
     }
-    send(at, c, choice.get(), purpose);
+    if (memory) {
+      moveIn(c, choice.get().best(), need.units());
+    }
+    send(at, c, choice.get(), purpose, memory ? 0 : need.units());
   }
 
-  private Optional<Choice> choose(
-      long at, CallState c, java.util.function.Predicate<Stage> stage, DataCentreName near) {
-    return fleet.choose(at, c.service, stage, c.without, near, mostEach(c.service));
+  private boolean isUsable(long at, CallState c, UpstreamState s) {
+    return !s.upstream().leaving()
+        && !s.isMissing()
+        && !s.isAvoided(at)
+        && !c.without.contains(s.upstream().id());
   }
 
-  private int mostEach(ServiceName service) {
-    int all = configuration.connections(service);
-    return Math.max(LEAST_CONNECTIONS, (int) Math.min(all, CONNECTION_SHARE * all / nodes));
+  private void freePrompt(CallState c) {
+    if (c.prompt != null) {
+      effects.accept(new RelayEffect.Free(c.prompt.source(), c.prompt.handle()));
+      wasted(c, c.prompt.source().id());
+      c.prompt = null;
+    }
   }
 
-  private void send(long at, CallState c, Choice choice, Purpose purpose) {
+  private void send(long at, CallState c, Choice choice, Purpose purpose, long units) {
     boolean repeat = c.arrivals > 0;
     if (c.sends >= MOST_SENDS) {
       giveUp(at, c, ErrorKind.OVERLOADED, "sent " + c.sends + " times");
@@ -242,13 +378,14 @@
     c.sends++;
     c.arrivals++;
     AttemptId id = new AttemptId(++nextAttempt);
-    AttemptState a = new AttemptState(id, c, choice.best(), purpose, at, repeat);
+    AttemptState a = new AttemptState(id, c, choice.best(), purpose, at, repeat, units);
     if (a.runs()) {
       c.runs++;
     }
     c.attempt = a;
     attempts.put(id, a);
     choice.best().started();
+    choice.best().addLoad(units);
     report(placed(c, a, choice));
     long patience = patience(at, a);
     if (patience < c.deadline - at) {
@@ -256,7 +393,7 @@
     }
     effects.accept(
         new RelayEffect.Send(
-            id, c.call.id(), choice.best().upstream(), purpose, c.deadline, silence(c)));
+            id, c.call.id(), choice.best().upstream(), purpose, c.deadline, silence(c, a)));
   }
 
   private static RelayFact placed(CallState c, AttemptState a, Choice choice) {
@@ -286,8 +423,8 @@
     return Math.max(target, (long) usual);
   }
 
-  private static long silence(CallState c) {
-    return c.rule.kind() == CallKind.RESUMABLE_STREAM
+  private static long silence(CallState c, AttemptState a) {
+    return c.rule.kind() == CallKind.RESUMABLE_STREAM && a.runs()
         ? Math.max(LEAST_SILENCE, SILENCE_GAPS * c.rule.gapMillis() * MILLI)
         : 0;
   }
@@ -301,9 +438,17 @@
   private void over(AttemptState a) {
     attempts.remove(a.id());
     a.upstream().ended();
+    a.upstream().addLoad(-a.units());
     a.call().attempt = null;
   }
 
+  /** Takes a call out; what was set aside for it is free again. */
+  private void remove(CallState c) {
+    calls.remove(c.call.id());
+    room.remove(c);
+    moveOut(c);
+  }
+
   /** A prompt has been read. */
   public void promptRead(long at, AttemptId id, String handle) {
     AttemptState a = find(id);
@@ -316,24 +461,14 @@
     if (!a.repeat()) {
       c.arrivals--;
     }
-    report(
-        new RelayFact.PromptRead(
-            c.call.wireId(), id, a.upstream().upstream().id(), at - a.sentAt()));
     RelayUpstream source = a.upstream().upstream();
-    Optional<Choice> choice = choose(at, c, Stage::runs, source.place());
-    if (choice.isEmpty()) {
-      effects.accept(new RelayEffect.Free(source, handle));
-      wasted(c, a);
-      giveUp(at, c, ErrorKind.NO_UPSTREAM, "no upstream of " + c.service + " can take the prompt");
-      return;
-    }
-    send(at, c, choice.get(), new Purpose.TakeOver(source, handle));
+    report(new RelayFact.PromptRead(c.call.wireId(), id, source.id(), at - a.sentAt()));
+    c.prompt = new Purpose.TakeOver(source, handle);
+    run(at, c);
   }
 
-  private void wasted(CallState c, AttemptState a) {
-    report(
-        new RelayFact.PromptWasted(
-            c.call.wireId(), a.upstream().upstream().id(), c.call.promptTokens()));
+  private void wasted(CallState c, UpstreamName reader) {
+    report(new RelayFact.PromptWasted(c.call.wireId(), reader, c.call.size().prompt()));
   }
 
   private void learn(long at, AttemptState a) {
@@ -353,6 +488,7 @@
     }
     CallState c = a.call();
     learn(at, a);
+    c.prompt = null;
     if (!c.began) {
       c.began = true;
       c.beganAt = at;
@@ -360,6 +496,19 @@
     effects.accept(new RelayEffect.Follow(c.call.id(), id));
   }
 
+  /** A stream has gone on. */
+  public void progressed(AttemptId id, int events) {
+    AttemptState a = find(id);
+    if (a == null || a.call().home == null) {
+      return;
+    }
+    CallState c = a.call();
+    c.generated += (long) events * configuration.bounds(c.service).tokensPerEvent();
+    long units = Sizing.memory(c);
+    c.home.addLoad(units - c.homeUnits);
+    c.homeUnits = units;
+  }
+
   /** A whole answer is there. */
   public void answered(long at, AttemptId id, AnswerGrade grade) {
     AttemptState a = find(id);
@@ -374,8 +523,7 @@
       if (mayRunAgain(at, c)) {
         over(a);
         failed(a, "answered_failure", true);
-        c.without.add(a.upstream().upstream().id());
-        run(at, c, new Purpose.Run(), settings.place());
+        again(at, a);
         return;
       }
     }
@@ -391,8 +539,15 @@
             first,
             at - c.arrivedAt,
             grade == AnswerGrade.GOOD && first <= c.rule.targetMillis() * MILLI));
-    calls.remove(c.call.id());
+    remove(c);
     effects.accept(new RelayEffect.Deliver(c.call.id(), id));
+    admitWaiting(at);
+  }
+
+  /** Runs a call at another upstream than that of an attempt. */
+  private void again(long at, AttemptState a) {
+    a.call().without.add(a.upstream().upstream().id());
+    run(at, a.call());
   }
 
   /** Whether a call whose last send may have run may be sent once more. */
@@ -416,7 +571,6 @@
       c.runs--;
     }
     failed(a, cause.name(), false);
-    boolean again = false;
     switch (cause) {
       case NOT_SENT -> {
         c.arrivals--;
@@ -426,28 +580,43 @@
         strike(at, a, cause.name(), true);
       }
       case WRONG_UPSTREAM -> strike(at, a, cause.name(), true);
-      case DECLINED -> again = declined(at, a);
-    }
-    if (again) {
-      Choice same = new Choice(a.upstream(), 0, "", 0, 1);
-      send(at, c, same, new Purpose.Run());
-      return;
+      case DECLINED -> {
+        if (a.purpose() instanceof Purpose.TakeOver t && promptDeclined(at, a, t)) {
+          return;
+        }
+        a.upstream().declined(at);
+      }
     }
-    c.without.add(a.upstream().upstream().id());
-    run(at, c, new Purpose.Run(), settings.place());
+    again(at, a);
   }
 
-  /** Notes a declined attempt; says whether the same upstream may read the prompt by itself. */
-  private boolean declined(long at, AttemptState a) {
-    if (a.purpose() instanceof Purpose.TakeOver t) {
-      fleet.all().stream()
-          .filter(s -> s.upstream().id().equals(t.source().id()))
-          .forEach(s -> s.handleLapsed(at));
-      wasted(a.call(), a);
-      return !a.upstream().upstream().leaving();
+  /**
+   * An upstream did not take a prompt over: it is full, or the prompt is gone. Another is asked
+   * first; then the last one reads the prompt by itself.
+   *
+   * @return whether the call goes on at the same upstream
+   */
+  private boolean promptDeclined(long at, AttemptState a, Purpose.TakeOver prompt) {
+    CallState c = a.call();
+    c.promptDeclined++;
+    if (c.promptDeclined < MOST_PROMPT_DECLINED && hasOther(at, a)) {
+      return false;
+    }
+    fleet.find(prompt.source().id()).ifPresent(s -> s.handleLapsed(at));
+    wasted(c, prompt.source().id());
+    c.prompt = null;
+    if (a.upstream().upstream().leaving()) {
+      return false;
     }
-    a.upstream().declined(at);
-    return false;
+    send(at, c, new Choice(a.upstream(), 0, "", 0, 1), new Purpose.Run(), 0);
+    return true;
+  }
+
+  private boolean hasOther(long at, AttemptState a) {
+    CallState c = a.call();
+    Set<UpstreamName> without = new HashSet<>(c.without);
+    without.add(a.upstream().upstream().id());
+    return fleet.choose(at, c.service, Stage::runs, without, settings.place(), need(c)).isPresent();
   }
 
   /** An attempt may have run, and its answer is lost. */
@@ -458,13 +627,11 @@
     }
     over(a);
     CallState c = a.call();
+    c.prompt = null;
     failed(a, cause.name(), true);
     strike(at, a, cause.name(), cause == FailureCause.TIMED_OUT);
-    c.without.add(a.upstream().upstream().id());
-    if (!a.runs()) {
-      run(at, c, new Purpose.Run(), settings.place());
-    } else if (mayRunAgain(at, c)) {
-      run(at, c, new Purpose.Run(), settings.place());
+    if (!a.runs() || mayRunAgain(at, c)) {
+      again(at, a);
     } else {
       giveUp(at, c, ErrorKind.UPSTREAM_FAILED, cause.name());
     }
@@ -489,12 +656,14 @@
 
   /** The caller is gone. */
   public void callerLeft(long at, RequestId id) {
-    CallState c = calls.remove(id);
+    CallState c = calls.get(id);
     if (c == null) {
       return;
     }
     report(new RelayFact.CallerLeft(c.call.wireId(), c.rule.name().value(), at - c.arrivedAt));
     cancel(c);
+    remove(c);
+    admitWaiting(at);
   }
 
   private void cancel(CallState c) {
@@ -510,9 +679,12 @@
     for (Timers.Due due = timers.poll(at); due != null; due = timers.poll(at)) {
       switch (due) {
         case Timers.Due.Deadline d -> deadline(at, d.call());
+        case Timers.Due.Room r -> roomTime(at, r.call());
         case Timers.Due.Patience p -> impatient(at, p.attempt());
       }
     }
+    fleet.forgetSilent(at);
+    admitWaiting(at);
   }
 
   private void deadline(long at, RequestId id) {
@@ -541,38 +713,36 @@
     lost(at, id, FailureCause.TIMED_OUT);
   }
 
-  /** Ends a call with what is true of it: the kind if nothing may have run, a failure else. */
   private void giveUp(long at, CallState c, ErrorKind kind, String detail) {
-    calls.remove(c.call.id());
+    giveUp(at, c, kind, RETRY_AFTER_MILLIS, detail);
+  }
+
+  /** Ends a call with what is true of it: the kind if nothing may have run, a failure else. */
+  private void giveUp(long at, CallState c, ErrorKind kind, long retryAfter, String detail) {
+    remove(c);
     boolean mayHaveRun = c.runs > 0;
     ErrorKind told =
         mayHaveRun && kind.status() == ErrorKind.OVERLOADED.status()
             ? ErrorKind.UPSTREAM_FAILED
             : kind;
-    if (c.began) {
-      report(fact(c, told, detail, at));
-      effects.accept(new RelayEffect.Cut(c.call.id(), told));
-      return;
-    }
-    report(fact(c, told, detail, at));
-    long after = mayHaveRun ? 0 : RETRY_AFTER_MILLIS;
-    effects.accept(new RelayEffect.Refuse(c.call.id(), told, after, detail));
-  }
-
-  private static RelayFact fact(CallState c, ErrorKind kind, String detail, long at) {
-    return new RelayFact.Refused(
-        c.call.wireId(), c.rule.name().value(), kind, detail, c.sends, c.runs, at - c.arrivedAt);
+    report(
+        new RelayFact.Refused(
+            c.call.wireId(),
+            c.rule.name().value(),
+            told,
+            detail,
+            c.sends,
+            c.runs,
+            at - c.arrivedAt));
+    effects.accept(
+        c.began
+            ? new RelayEffect.Cut(c.call.id(), told)
+            : new RelayEffect.Refuse(c.call.id(), told, mayHaveRun ? 0 : retryAfter, detail));
+    admitWaiting(at);
   }
 
-  private void refuse(
-      RelayCall call,
-      String rule,
-      ErrorKind kind,
-      long retryAfter,
-      String detail,
-      long arrivedAt,
-      long at) {
-    report(new RelayFact.Refused(call.wireId(), rule, kind, detail, 0, 0, at - arrivedAt));
+  private void refuse(RelayCall call, ErrorKind kind, long retryAfter, String detail) {
+    report(new RelayFact.Refused(call.wireId(), "", kind, detail, 0, 0, 0));
     effects.accept(new RelayEffect.Refuse(call.id(), kind, retryAfter, detail));
   }
 
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Need.java
@@ -0,0 +1,40 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay.internal;
+
+import org.larkkeel.relay.Stage;
+
+/**
+ * What a call asks of an upstream.
+ *
+ * @param mostEach the most requests that this node may have in flight there
+ * @param units what it adds to the load: tokens where prompts are read or memory is held, else 1
+ * @param memory the tokens that an upstream holds; 0 if that is no bound
+ */
+record Need(int mostEach, long units, long memory) {
+  /** How full of promised tokens an upstream may be. */
+  private static final double FULL = 0.9;
+
+  private static final double TOKENS_PER_UNIT = 1_000;
+
+  /** Whether the upstream has the room. */
+  boolean fits(UpstreamState s) {
+    return memory == 0 || s.wholeLoad() + units <= FULL * memory;
+  }
+
+  /** The factor by which what is there already makes the upstream dearer. */
+  double queue(UpstreamState s) {
+    if (memory > 0) {
+      return 1 + 4.0 * (s.wholeLoad() + units) / memory;
+    }
+    if (s.upstream().stage() == Stage.PREFILL) {
+      return (s.wholeLoad() + units) / TOKENS_PER_UNIT;
+    }
+    double share = (double) (s.wholeLoad() + units) / s.upstream().slots();
+    return 1 + Math.max(0, share - 1) + share / 2;
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -28,6 +28,9 @@
     /** The final answer of a call. */
     record Deadline(long at, RequestId call) implements Due {}
 
+    /** Room for a call. */
+    record Room(long at, RequestId call) implements Due {}
+
     /** The answer of an attempt that may be made elsewhere. */
     record Patience(long at, AttemptId attempt) implements Due {}
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -25,6 +25,8 @@
 
   private RelayUpstream upstream;
   private int inFlight;
+  private long load;
+  private long remote;
   private double unitNanos;
   private long unitAt;
   private double failures;
@@ -66,6 +68,24 @@
     return inFlight;
   }
 
+  /** What this node has in flight there. */
+  long load() {
+    return load;
+  }
+
+  /** What all nodes have in flight there, as far as is known. */
+  long wholeLoad() {
+    return load + remote;
+  }
+
+  void addLoad(long units) {
+    load += units;
+  }
+
+  void addRemote(long units) {
+    remote = Math.max(0, remote + units);
+  }
+
   void started() {
     inFlight++;
   }
