--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
@@ -4,7 +4,6 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-
 package org.larkkeel.daemon.relay;
 
 import com.google.common.collect.ImmutableCollection;
@@ -163,7 +162,8 @@
   private Optional<RelayUpstream> candidate(List<RelayUpstream> all, long now) {
     return all.stream()
         .filter(u -> u.stage() == Stage.PREFILL)
-        .filter(u -> now - ordered.getOrDefault(u.id(), now - SETTLING.toNanos()) >= SETTLING.toNanos())
+        .filter(
+            u -> now - ordered.getOrDefault(u.id(), now - SETTLING.toNanos()) >= SETTLING.toNanos())
         .min(
             Comparator.comparingLong((RelayUpstream u) -> runners(all, u))
                 .thenComparing(RelayUpstream::id));
--- /dev/null
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -0,0 +1,424 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayEffect.Purpose;
+import org.testng.annotations.Test;
+
+/** The decisions of the relay's router. */
+public class RelayRouterTest {
+  private static final CallSize SMALL = new CallSize(2_000, 1_000, 1_000);
+  private static final CallSize LARGE = new CallSize(9_000, 8_000, 8_000);
+
+  /** Calls that may run once. */
+  public static class Once {
+    @Test
+    public void isNotSentAgainOnceItMayHaveRun() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/once/a");
+      w.lost();
+      assertEquals(w.sends(), 1);
+      assertEquals(w.refusal(), ErrorKind.UPSTREAM_FAILED);
+      assertEquals(w.refused().retryAfterMillis(), 0);
+    }
+
+    @Test
+    public void isSentElsewhereWhenItHasNotRun() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/once/a");
+      UpstreamName first = w.sent().upstream().id();
+      w.declined();
+      assertEquals(w.sends(), 2);
+      assertNotEquals(w.sent().upstream().id(), first);
+    }
+
+    @Test
+    public void isToldToComeBackWhenNoneRanIt() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/once/a");
+      w.declined();
+      w.declined();
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+      assertTrue(w.refused().retryAfterMillis() > 0);
+    }
+
+    @Test
+    public void isNeverPromisedNotToHaveRunAfterItsDeadline() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/once/a");
+      w.pass(1_600);
+      assertEquals(w.refusal(), ErrorKind.DEADLINE_EXCEEDED);
+      assertEquals(w.of(RelayEffect.Cancel.class).size(), 1);
+      assertEquals(w.sends(), 1);
+    }
+
+    @Test
+    public void passesTheFailureOfItsUpstreamOn() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/once/a");
+      w.answered(AnswerGrade.FAILED);
+      assertEquals(w.sends(), 1);
+      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
+    }
+  }
+
+  /** Calls that may be repeated. */
+  public static class Idempotent {
+    @Test
+    public void isRepeatedWithinItsRuns() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/safe/a");
+      UpstreamName first = w.sent().upstream().id();
+      w.answered(AnswerGrade.FAILED);
+      assertNotEquals(w.sent().upstream().id(), first);
+      w.answered(AnswerGrade.FAILED);
+      assertEquals(w.sends(), 2);
+      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
+    }
+
+    @Test
+    public void isSentElsewhereAfterSilence() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/safe/a");
+      UpstreamName first = w.sent().upstream().id();
+      w.pass(600);
+      assertEquals(w.of(RelayEffect.Cancel.class).size(), 1);
+      assertNotEquals(w.sent().upstream().id(), first);
+    }
+
+    @Test
+    public void isNotRepeatedBeyondTheBudget() {
+      RelayWorld w = new RelayWorld(2);
+      w.configure(1, RelayWorld.rules());
+      w.add("app-1", RelayWorld.APP, Stage.WHOLE);
+      w.add("app-2", RelayWorld.APP, Stage.WHOLE);
+      w.tellUpstreams();
+      int before = 0;
+      for (int i = 0; i < 10; i++) {
+        w.arrive("/safe/a");
+        before++;
+        w.answered(AnswerGrade.FAILED);
+        if (w.sends() > before) {
+          before = w.sends();
+          w.answered(AnswerGrade.GOOD);
+        }
+      }
+      // 0.85 of (0.2 of ten calls and a slack of two).
+      assertEquals(w.sends() - 10, 3);
+    }
+  }
+
+  /** Bounds that hold for every call. */
+  public static class Always {
+    @Test
+    public void answersNotReadyWithoutConfiguration() {
+      RelayWorld w = new RelayWorld();
+      w.arrive("/safe/a");
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+    }
+
+    @Test
+    public void answersNoRuleOnceConfigured() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/none/a");
+      assertEquals(w.refusal(), ErrorKind.NO_RULE);
+    }
+
+    @Test
+    public void neverGoesBackToAnOlderRevision() {
+      RelayWorld w = RelayWorld.usual();
+      w.configure(5, ImmutableList.of());
+      w.configure(4, RelayWorld.rules());
+      w.arrive("/safe/a");
+      assertEquals(w.refusal(), ErrorKind.NO_RULE);
+    }
+
+    @Test
+    public void placesNothingOnUpstreamsThatLeave() {
+      RelayWorld w = RelayWorld.usual();
+      w.leave("app-1");
+      for (int i = 0; i < 20; i++) {
+        w.arrive("/safe/a");
+        assertEquals(w.sent().upstream().id().value(), "app-2");
+        w.answered(AnswerGrade.GOOD);
+      }
+    }
+
+    @Test
+    public void usesOneThatWentMissingForAWhileOnlyIfThereIsNoOther() {
+      RelayWorld w = RelayWorld.usual();
+      w.remove("app-1", "app-2");
+      w.arrive("/safe/a");
+      assertEquals(w.sends(), 1);
+      w.answered(AnswerGrade.GOOD);
+      w.pass(1_600);
+      w.arrive("/safe/a");
+      assertEquals(w.sends(), 1);
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
+    @Test
+    public void avoidsOneThatCanNotBeReached() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/safe/a");
+      UpstreamName bad = w.sent().upstream().id();
+      w.notSent();
+      w.answered(AnswerGrade.GOOD);
+      for (int i = 0; i < 10; i++) {
+        w.arrive("/safe/a");
+        assertNotEquals(w.sent().upstream().id(), bad);
+        w.answered(AnswerGrade.GOOD);
+      }
+    }
+
+    @Test
+    public void givesUpWhatItsCallerLeft() {
+      RelayWorld w = RelayWorld.usual();
+      RequestId id = w.arrive("/safe/a");
+      w.apply(new RelayEvent.CallerLeft(w.now(), id));
+      assertEquals(w.of(RelayEffect.Cancel.class).size(), 1);
+      assertEquals(w.router.inProgress(), 0);
+      assertEquals(w.router.loads(), ImmutableMap.of());
+    }
+
+    @Test
+    public void answersEachCallOnceWhateverComes() {
+      for (int seed = 0; seed < 200; seed++) {
+        RelayWorld w = RelayWorld.usual();
+        java.util.Random random = new java.util.Random(seed);
+        Set<RequestId> all = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+          step(w, random, all);
+          w.pass(random.nextInt(200));
+        }
+        w.pass(30_000);
+        assertEquals(w.router.inProgress(), 0, "seed " + seed);
+        assertEquals(w.router.loads(), ImmutableMap.of(), "seed " + seed);
+        assertEquals(ends(w).size(), Set.copyOf(ends(w)).size(), "seed " + seed);
+        assertTrue(all.containsAll(ends(w)), "seed " + seed);
+      }
+    }
+
+    private static void step(RelayWorld w, java.util.Random random, Set<RequestId> all) {
+      switch (random.nextInt(9)) {
+        case 0 -> all.add(w.arrive("/safe/a"));
+        case 1 -> all.add(w.arrive("/once/a"));
+        case 2 -> all.add(w.arrive("/resume/a", 14_000, SMALL));
+        case 3 -> all.add(w.arrive("/stream/a", 14_000, LARGE));
+        case 4 -> sentThen(w, w::promptRead);
+        case 5 -> sentThen(w, w::began);
+        case 6 -> sentThen(w, w::declined);
+        case 7 -> sentThen(w, w::lost);
+        default -> sentThen(w, () -> w.answered(AnswerGrade.GOOD));
+      }
+    }
+
+    private static void sentThen(RelayWorld w, Runnable event) {
+      if (w.sends() > 0) {
+        event.run();
+      }
+    }
+
+    private static List<RequestId> ends(RelayWorld w) {
+      return w.effects.stream()
+          .flatMap(
+              e ->
+                  switch (e) {
+                    case RelayEffect.Deliver d -> java.util.stream.Stream.of(d.call());
+                    case RelayEffect.Refuse r -> java.util.stream.Stream.of(r.call());
+                    case RelayEffect.Cut c -> java.util.stream.Stream.of(c.call());
+                    default -> java.util.stream.Stream.<RequestId>empty();
+                  })
+          .toList();
+    }
+  }
+
+  /** Generations in two stages. */
+  public static class Staged {
+    @Test
+    public void readsThePromptThenHandsItOver() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      assertEquals(w.sent().upstream().id().value(), "read-1");
+      assertEquals(w.sent().purpose(), new Purpose.ReadPrompt());
+      w.promptRead();
+      assertTrue(w.sent().purpose() instanceof Purpose.TakeOver);
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
+      assertEquals(w.router.loads(), ImmutableMap.of());
+    }
+
+    @Test
+    public void readsShortPromptsWhereTheyRun() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, new CallSize(100, 1_000, 1_000));
+      assertEquals(w.sent().purpose(), new Purpose.Run());
+    }
+
+    @Test
+    public void readsNoPromptWithoutRoomForItsRun() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, LARGE);
+      w.arrive("/stream/b", 14_000, LARGE);
+      assertEquals(w.sends(), 2);
+      w.arrive("/stream/c", 14_000, LARGE);
+      assertEquals(w.sends(), 2);
+      w.pass(250);
+      assertEquals(w.refusal(), ErrorKind.OVERLOADED);
+      assertTrue(w.refused().retryAfterMillis() >= 1_000);
+      assertTrue(w.refused().retryAfterMillis() <= 14_000 / 3);
+    }
+
+    @Test
+    public void takesOneThatWaitsAsSoonAsThereIsRoom() {
+      RelayWorld w = RelayWorld.usual();
+      RequestId first = w.arrive("/stream/a", 14_000, LARGE);
+      w.arrive("/stream/b", 14_000, LARGE);
+      RequestId waits = w.arrive("/stream/c", 14_000, LARGE);
+      w.pass(100);
+      w.apply(new RelayEvent.CallerLeft(w.now(), first));
+      assertEquals(w.sent().call(), waits);
+    }
+
+    @Test
+    public void holdsOneThatCameBackForLonger() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, LARGE);
+      w.arrive("/stream/b", 14_000, LARGE);
+      w.arrive("/stream/c", 9_000, LARGE);
+      w.pass(1_000);
+      assertFalse(w.isRefused());
+    }
+
+    @Test
+    public void heedsWhatOtherNodesHaveInFlight() {
+      RelayWorld w = RelayWorld.usual();
+      w.apply(
+          new RelayEvent.LoadHeard(
+              w.now(), new HostName("other"), ImmutableMap.of(new UpstreamName("run-1"), 17_000L)));
+      w.arrive("/stream/a", 14_000, LARGE);
+      w.promptRead();
+      assertEquals(w.sent().upstream().id().value(), "run-2");
+    }
+
+    @Test
+    public void forgetsWhatASilentNodeHadInFlight() {
+      RelayWorld w = RelayWorld.usual();
+      w.apply(
+          new RelayEvent.LoadHeard(
+              w.now(),
+              new HostName("other"),
+              ImmutableMap.of(
+                  new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L)));
+      w.pass(2_000);
+      w.arrive("/stream/a", 14_000, LARGE);
+      assertEquals(w.sends(), 1);
+    }
+
+    @Test
+    public void asksAnotherUpstreamBeforeAPromptIsTakenForLost() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.promptRead();
+      UpstreamName first = w.sent().upstream().id();
+      w.declined();
+      assertTrue(w.sent().purpose() instanceof Purpose.TakeOver);
+      assertNotEquals(w.sent().upstream().id(), first);
+      UpstreamName second = w.sent().upstream().id();
+      w.declined();
+      assertEquals(w.sent().purpose(), new Purpose.Run());
+      assertEquals(w.sent().upstream().id(), second);
+    }
+
+    @Test
+    public void readsThePromptItselfWhenItsReaderIsLost() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.lost();
+      assertEquals(w.sent().purpose(), new Purpose.Run());
+      w.lost();
+      assertEquals(w.refusal(), ErrorKind.UPSTREAM_FAILED);
+    }
+
+    @Test
+    public void freesAPromptThatNoneCanTake() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.leave("run-1");
+      w.leave("run-2");
+      w.promptRead();
+      assertEquals(w.of(RelayEffect.Free.class).size(), 1);
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
+    @Test
+    public void countsTheOutputThatHasGrown() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.promptRead();
+      w.began();
+      UpstreamName home = w.sent().upstream().id();
+      final long before = w.router.loads().get(home);
+      w.apply(new RelayEvent.Progressed(w.now(), w.sent().attempt(), 90));
+      assertTrue(w.router.loads().get(home) > before);
+    }
+  }
+
+  /** Streams that break. */
+  public static class Broken {
+    @Test
+    public void goesOnElsewhereWhereThatIsAllowed() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/resume/a", 14_000, SMALL);
+      w.promptRead();
+      w.began();
+      UpstreamName first = w.sent().upstream().id();
+      w.lost();
+      assertNotEquals(w.sent().upstream().id(), first);
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      assertEquals(w.of(RelayEffect.Cut.class).size(), 0);
+      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
+    }
+
+    @Test
+    public void isCutWhereNoneMayGoOn() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.promptRead();
+      w.began();
+      w.lost();
+      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
+      assertFalse(w.isRefused());
+    }
+
+    @Test
+    public void isCutAtItsDeadline() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.promptRead();
+      w.began();
+      w.pass(14_100);
+      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
+    }
+  }
+}
--- /dev/null
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -0,0 +1,199 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.event.FailureCause;
+import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.RuleName;
+import org.larkkeel.lib.UpstreamName;
+
+/** A router with a clock of its own, and what it wanted done. Used by one test each. */
+final class RelayWorld {
+  static final long MILLI = 1_000_000L;
+  static final ServiceName APP = new ServiceName("app");
+  static final ServiceName MODEL = new ServiceName("model");
+  static final DataCentreName HERE = new DataCentreName("dc-1");
+  static final long MEMORY = 20_000;
+  static final int EVENT_TOKENS = 10;
+
+  final List<RelayEffect> effects = new ArrayList<>();
+  final RelayRouter router;
+  private final Map<UpstreamName, RelayUpstream> upstreams = new LinkedHashMap<>();
+  private long now = 1_000_000 * MILLI;
+  private long lastCall;
+
+  RelayWorld() {
+    this(20);
+  }
+
+  RelayWorld(double slack) {
+    router =
+        new RelayRouter(
+            new RelaySettings(HERE, 0.2, slack, 10_000 * MILLI, 1, 512, 1_500 * MILLI, 7));
+  }
+
+  /** With the usual rules, two app upstreams, one prefill and two decode upstreams. */
+  static RelayWorld usual() {
+    RelayWorld w = new RelayWorld();
+    w.configure(1, rules());
+    w.add("app-1", APP, Stage.WHOLE);
+    w.add("app-2", APP, Stage.WHOLE);
+    w.add("read-1", MODEL, Stage.PREFILL);
+    w.add("run-1", MODEL, Stage.DECODE);
+    w.add("run-2", MODEL, Stage.DECODE);
+    w.tellUpstreams();
+    return w;
+  }
+
+  static ImmutableList<RelayRule> rules() {
+    return ImmutableList.of(
+        rule("safe", "/safe/", APP, CallKind.IDEMPOTENT, 2),
+        rule("once", "/once/", APP, CallKind.ONCE, 2),
+        rule("stream", "/stream/", MODEL, CallKind.STREAM, 1),
+        rule("resume", "/resume/", MODEL, CallKind.RESUMABLE_STREAM, 2));
+  }
+
+  static RelayRule rule(String name, String prefix, ServiceName service, CallKind kind, int runs) {
+    return new RelayRule(
+        new RuleName(name),
+        "a.example",
+        prefix,
+        ImmutableList.of(new RelayRule.Share(service, 1)),
+        kind,
+        kind.isStream() ? 14_000 : 1_500,
+        runs,
+        kind.isStream() ? 900 : 300,
+        kind.isStream() ? 300 : 0,
+        1);
+  }
+
+  void configure(long revision, ImmutableList<RelayRule> rules) {
+    apply(
+        new RelayEvent.ConfigurationRead(
+            now,
+            new RelayConfiguration(
+                revision,
+                rules,
+                ImmutableMap.of(
+                    APP,
+                    new ServiceBounds(100, 0, 0),
+                    MODEL,
+                    new ServiceBounds(100, MEMORY, EVENT_TOKENS)),
+                1 << 20)));
+  }
+
+  void add(String id, ServiceName service, Stage stage) {
+    upstreams.put(
+        new UpstreamName(id),
+        new RelayUpstream(new UpstreamName(id), service, "10.0.0.1:80", HERE, 6, stage, false));
+  }
+
+  void leave(String id) {
+    upstreams.computeIfPresent(
+        new UpstreamName(id),
+        (name, u) ->
+            new RelayUpstream(
+                name, u.service(), u.address(), u.place(), u.slots(), u.stage(), true));
+    tellUpstreams();
+  }
+
+  void remove(String... ids) {
+    for (String id : ids) {
+      upstreams.remove(new UpstreamName(id));
+    }
+    tellUpstreams();
+  }
+
+  void tellUpstreams() {
+    apply(new RelayEvent.UpstreamsChanged(now, ImmutableMap.copyOf(upstreams)));
+  }
+
+  long now() {
+    return now;
+  }
+
+  void apply(RelayEvent event) {
+    router.apply(event, effects::add);
+  }
+
+  /** Lets time pass, tick by tick. */
+  void pass(long millis) {
+    for (long i = 0; i < millis; i += 5) {
+      now += 5 * MILLI;
+      apply(new RelayEvent.Ticked(now));
+    }
+  }
+
+  RequestId arrive(String path) {
+    return arrive(path, 0, CallSize.NONE);
+  }
+
+  RequestId arrive(String path, long deadlineMillis, CallSize size) {
+    RequestId id = new RequestId(++lastCall);
+    apply(
+        new RelayEvent.Arrived(
+            now, new RelayCall(id, "call-" + lastCall, "a.example", path, deadlineMillis, size)));
+    return id;
+  }
+
+  /** The last send; fails if there is none. */
+  RelayEffect.Send sent() {
+    return of(RelayEffect.Send.class).getLast();
+  }
+
+  int sends() {
+    return of(RelayEffect.Send.class).size();
+  }
+
+  <T extends RelayEffect> List<T> of(Class<T> type) {
+    return effects.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  RelayEffect.Refuse refused() {
+    return of(RelayEffect.Refuse.class).getLast();
+  }
+
+  boolean isRefused() {
+    return !of(RelayEffect.Refuse.class).isEmpty();
+  }
+
+  ErrorKind refusal() {
+    return refused().kind();
+  }
+
+  void promptRead() {
+    apply(new RelayEvent.PromptRead(now, sent().attempt(), "handle"));
+  }
+
+  void began() {
+    apply(new RelayEvent.Began(now, sent().attempt()));
+  }
+
+  void answered(AnswerGrade grade) {
+    apply(new RelayEvent.Answered(now, sent().attempt(), grade));
+  }
+
+  void declined() {
+    apply(new RelayEvent.Refused(now, sent().attempt(), RefusalCause.DECLINED));
+  }
+
+  void notSent() {
+    apply(new RelayEvent.Refused(now, sent().attempt(), RefusalCause.NOT_SENT));
+  }
+
+  void lost() {
+    apply(new RelayEvent.Lost(now, sent().attempt(), FailureCause.CONNECTION_LOST));
+  }
+}
