--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.larkkeel.http.relay.RelayLoop;
@@ -57,6 +58,7 @@
   private long toldAt;
   private boolean planned;
   private volatile int rank;
+  private volatile List<InetSocketAddress> live = List.of();
 
   /** Another node. */
   private static final class Peer {
@@ -96,6 +98,11 @@
         });
   }
 
+  /** The nodes that are heard of; safe for use by several threads. */
+  List<InetSocketAddress> live() {
+    return live;
+  }
+
   /** How many nodes that are heard of come before this one by name; safe for several threads. */
   int rank() {
     return rank;
@@ -160,6 +167,8 @@
         log.warn("event=peer_silent peer={}", e.getKey());
       }
     }
+    live =
+        peers.entrySet().stream().filter(e -> !e.getValue().silent).map(Map.Entry::getKey).toList();
     rank =
         (int)
             peers.values().stream()
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
@@ -0,0 +1,141 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Supplier;
+import org.larkkeel.http.HttpWorker;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.internal.http.Failures.Effect;
+import org.larkkeel.store.internal.http.HttpCaller;
+import org.larkkeel.store.internal.http.JsonCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Gives other nodes what this one has read from the store, and asks them for it while the store
+ * turns this node away.
+ *
+ * <p>Asks one node after the other, and only for what is newer. Works on the scheduler.
+ */
+final class PeerFeed implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger(PeerFeed.class);
+  private static final String PATH = "/feed";
+  private static final String CONFIGURATIONS = "configurations";
+  private static final String UPSTREAMS = "upstreams";
+  private static final Duration PERIOD = Duration.ofMillis(300);
+  private static final Duration TIMEOUT = Duration.ofMillis(600);
+
+  private final RelayFeed feed;
+  private final HttpWorker worker;
+  private final Scheduler scheduler;
+  private final Supplier<List<InetSocketAddress>> peers;
+  private final Undertow server;
+  private int next;
+  private boolean closed;
+
+  PeerFeed(
+      InetSocketAddress bind,
+      RelayFeed feed,
+      HttpWorker worker,
+      Scheduler scheduler,
+      Supplier<List<InetSocketAddress>> peers) {
+    this.feed = feed;
+    this.worker = worker;
+    this.scheduler = scheduler;
+    this.peers = peers;
+    this.server =
+        Undertow.builder()
+            .setWorker(worker.worker())
+            .setByteBufferPool(worker.buffers())
+            .addHttpListener(bind.getPort(), bind.getAddress().getHostAddress(), this::handle)
+            .build();
+  }
+
+  void start() {
+    server.start();
+    scheduler.schedule(PERIOD, this::look);
+  }
+
+  private void handle(HttpServerExchange exchange) {
+    if (!exchange.getRequestPath().equals(PATH)) {
+      exchange.setStatusCode(StatusCodes.NOT_FOUND);
+      exchange.endExchange();
+      return;
+    }
+    long configurations = number(exchange, CONFIGURATIONS);
+    long upstreams = number(exchange, UPSTREAMS);
+    exchange.dispatch(
+        scheduler,
+        () -> {
+          exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+          byte[] copy = feed.copy(configurations, upstreams).toBytes();
+          exchange.getResponseSender().send(ByteBuffer.wrap(copy));
+        });
+  }
+
+  private static long number(HttpServerExchange exchange, String name) {
+    Deque<String> values = exchange.getQueryParameters().get(name);
+    try {
+      return values == null ? 0 : Long.parseLong(values.getFirst());
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
+  private void look() {
+    if (closed) {
+      return;
+    }
+    scheduler.schedule(PERIOD, this::look);
+    List<InetSocketAddress> known = peers.get();
+    if (!feed.isFailing() || known.isEmpty()) {
+      return;
+    }
+    next = (next + 1) % known.size();
+    ask(known.get(next));
+  }
+
+  private void ask(InetSocketAddress peer) {
+    URI base = URI.create("http://" + peer.getAddress().getHostAddress() + ":" + peer.getPort());
+    JsonCalls calls =
+        new JsonCalls(
+            new HttpCaller(
+                HttpClientOptions.of(base).withTimeout(TIMEOUT), worker.worker(), scheduler));
+    long[] versions = feed.versions();
+    String path =
+        PATH + "?" + CONFIGURATIONS + "=" + versions[0] + "&" + UPSTREAMS + "=" + versions[1];
+    calls
+        .call(Effect.READ, Methods.GET, path, "", FeedCopy::fromJson)
+        .whenComplete(
+            (copy, failure) -> {
+              calls.close();
+              if (failure == null) {
+                feed.offer(copy);
+              } else {
+                log.debug("event=peer_not_asked peer={} cause=\"{}\"", peer, failure.getMessage());
+              }
+            });
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    server.stop();
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -84,6 +84,35 @@
     loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), all));
   }
 
+  /** Whether the store could not be reached at the last try. */
+  boolean isFailing() {
+    return configurations.isFailing() || upstreams.isFailing();
+  }
+
+  /** What this node has read, of each collection that is newer than the versions given. */
+  FeedCopy copy(long configurationsAfter, long upstreamsAfter) {
+    return new FeedCopy(
+        FeedCopy.Part.of(configurations, configurationsAfter),
+        FeedCopy.Part.of(upstreams, upstreamsAfter));
+  }
+
+  /** The versions of what this node has read: of configurations, then of upstreams. */
+  long[] versions() {
+    return new long[] {configurations.version(), upstreams.version()};
+  }
+
+  /** Takes over what another node has read, where it is newer. */
+  void offer(FeedCopy copy) {
+    FeedCopy.Part c = copy.configurations();
+    if (configurations.offer(c.version(), c.objects(adapter.configurations()))) {
+      log.info("event=taken_from_peer collection=configurations version={}", c.version());
+    }
+    FeedCopy.Part u = copy.upstreams();
+    if (upstreams.offer(u.version(), u.objects(adapter.upstreams()))) {
+      log.info("event=taken_from_peer collection=upstreams version={}", u.version());
+    }
+  }
+
   @Override
   public void close() {
     configurations.close();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -130,6 +130,13 @@
                 loop,
                 stages));
     scheduler.execute(feed::start);
+    PeerFeed peerFeed =
+        closer.add(new PeerFeed(settings.peer(), feed, worker, scheduler, loads::live));
+    scheduler.execute(peerFeed::start);
+    settings.seeds().stream()
+        .map(seed -> new InetSocketAddress(seed.getAddress(), settings.peer().getPort()))
+        .filter(seed -> !seed.equals(settings.peer()))
+        .forEach(loads::meet);
     scheduler.execute(stages::start);
     NodeRegistry registry =
         new NodeRegistry(store, scheduler, settings.host(), settings.peer(), loads::meet);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNodeSettings.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNodeSettings.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
@@ -25,6 +26,7 @@
  * @param readiness where readiness is asked for
  * @param metrics where metrics are served
  * @param peer where other nodes tell their load
+ * @param seeds where other nodes may be found
  * @param store the store's scheme, address and port
  * @param storeTimeout the longest time of a call to it
  * @param watchTime how long a watch waits
@@ -42,6 +44,7 @@
     InetSocketAddress readiness,
     InetSocketAddress metrics,
     InetSocketAddress peer,
+    ImmutableList<InetSocketAddress> seeds,
     URI store,
     Duration storeTimeout,
     Duration watchTime,
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsKeys.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsKeys.java
@@ -17,6 +17,7 @@
   static final String READINESS = "readiness";
   static final String METRICS = "metrics";
   static final String PEER = "peer";
+  static final String SEEDS = "seeds";
   static final String STORE = "store";
   static final String ADDRESS = "address";
   static final String TIMEOUT_MILLIS = "timeoutMillis";
@@ -39,6 +40,7 @@
           HOST,
           DATA_CENTRE,
           LISTENERS,
+          SEEDS,
           STORE,
           REPEATS,
           STAGE_TOKENS,
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsReader.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsReader.java
@@ -6,6 +6,8 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import java.io.IOException;
@@ -34,6 +36,8 @@
  */
 public final class RelaySettingsReader {
   private static final String ADDRESS_REMEDY = "write an IP number and a port, as 10.0.0.1:8080";
+  private static final String SEEDS_REMEDY =
+      "write IP numbers with ports, separated by commas, as 10.0.0.1:8082,10.0.0.2:8082";
   private static final String NUMBER_REMEDY = "write a number of at least 0, in quotes";
   private static final String SECONDS_REMEDY = "write seconds above 0, in quotes";
   private static final String NAME_REMEDY =
@@ -87,6 +91,8 @@
         required(
             listeners, RelaySettingsKeys.METRICS, RelaySettingsReader::address, ADDRESS_REMEDY),
         required(listeners, RelaySettingsKeys.PEER, RelaySettingsReader::address, ADDRESS_REMEDY),
+        top.parsed(RelaySettingsKeys.SEEDS, RelaySettingsReader::addresses, SEEDS_REMEDY)
+            .orElse(ImmutableList.of()),
         required(
             store,
             RelaySettingsKeys.ADDRESS,
@@ -155,6 +161,15 @@
     return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
   }
 
+  private static ImmutableList<InetSocketAddress> addresses(String text) {
+    return Splitter.on(',')
+        .trimResults()
+        .omitEmptyStrings()
+        .splitToStream(text)
+        .map(RelaySettingsReader::address)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private static String checkedAddress(String text) {
     return text.isEmpty() ? text : address(text).getAddress().getHostAddress() + port(text);
   }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -8,6 +8,7 @@
 
 import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -36,6 +37,7 @@
   private TreeMap<String, StoredObject> listing;
   private long version;
   private Watch watch;
+  private long shownVersion;
   private boolean failing;
   private boolean closed;
 
@@ -88,6 +90,38 @@
     }
   }
 
+  /** Whether the store could not be reached at the last try. */
+  public boolean isFailing() {
+    return failing;
+  }
+
+  /** The version of the copy; 0 before the first one. */
+  public long version() {
+    return shownVersion;
+  }
+
+  /** The copy. */
+  public ImmutableSortedMap<String, StoredObject> objects() {
+    return ImmutableSortedMap.copyOf(objects);
+  }
+
+  /**
+   * Takes over a newer copy that came by another way while the store can not be reached; on the
+   * scheduler.
+   *
+   * @return whether it was taken over
+   */
+  public boolean offer(long newer, Collection<StoredObject> copy) {
+    if (closed || !failing || newer <= shownVersion) {
+      return false;
+    }
+    objects = new TreeMap<>();
+    copy.forEach(o -> objects.put(o.key().name(), o));
+    shownVersion = newer;
+    publish();
+    return true;
+  }
+
   private void page(ListQuery q) {
     CompletableFuture<ObjectPage> f = api.list(q);
     f.whenComplete(
@@ -118,6 +152,7 @@
       LOG.info("event=collection_regained collection={} version={}", collection, version);
     }
     objects = listing;
+    shownVersion = Math.max(shownVersion, version);
     publish();
     watch();
   }
@@ -144,6 +179,7 @@
       return;
     }
     version = Math.max(version, e.resourceVersion());
+    shownVersion = Math.max(shownVersion, version);
     switch (e) {
       case WatchEvent.Changed c -> change(c.object());
       case WatchEvent.Deleted d -> remove(d.object());
