--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -38,7 +38,7 @@
  */
 final class LoadExchange implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(LoadExchange.class);
-  private static final long SOONEST_NANOS = 30_000_000L;
+  private static final long SOONEST_NANOS = 3_000_000L;
   private static final long FEW = 100;
   private static final long LARGE_OF_FEW = 3;
   private static final long LARGE = 1_500;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -23,6 +23,7 @@
 import org.larkkeel.http.upstream.UpstreamClient;
 import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.lib.Closer;
+import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.store.ExecutorScheduler;
 import org.larkkeel.store.HttpClientOptions;
@@ -64,6 +65,7 @@
   private final RelayListener listener;
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private final LoadExchange loads;
+  private final RelayLoop loop;
   private volatile boolean ready;
   private volatile int inProgress;
   private volatile boolean draining;
@@ -77,7 +79,7 @@
     UpstreamClient client = closer.add(new UpstreamClient(worker, CLIENT, System::nanoTime));
     this.router = new RelayRouter(settings.router());
     var thread = worker.worker().getIoThread();
-    RelayLoop loop = new RelayLoop(thread, router, System::nanoTime);
+    this.loop = new RelayLoop(thread, router, System::nanoTime);
     PrometheusMeterRegistry meterRegistry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     closer.add(meterRegistry::close);
     RelayMeters meters = new RelayMeters(meterRegistry);
@@ -129,6 +131,7 @@
                 new SplittableRandom(System.nanoTime()),
                 loop,
                 stages));
+    closer.add(loop);
     scheduler.execute(feed::start);
     PeerFeed peerFeed =
         closer.add(new PeerFeed(settings.peer(), feed, worker, scheduler, loads::live));
@@ -208,6 +211,7 @@
           settings.leave().toMillis(),
           settings.grace().toMillis());
       listener.closeAfterAnswers();
+      loop.submit(new RelayEvent.Draining(loop.now()));
       long begun = scheduler.nanoTime();
       scheduler.schedule(settings.leave(), () -> checkDrained(begun));
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -90,7 +90,9 @@
   void gone(RequestId id) {
     if (requests.remove(id) != null) {
       loop.submit(new RelayEvent.CallerLeft(loop.now(), id));
-      thread.execute(() -> forgetAttempts(id));
+      if (!loop.isClosed()) {
+        thread.execute(() -> forgetAttempts(id));
+      }
     }
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
@@ -28,7 +28,7 @@
  *
  * @since 0.1
  */
-public final class RelayLoop {
+public final class RelayLoop implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(RelayLoop.class);
 
   private final XnioIoThread thread;
@@ -37,6 +37,7 @@
   private final Deque<RelayEvent> queue = new ArrayDeque<>();
   private Consumer<RelayEffect> effects = e -> {};
   private Runnable after = () -> {};
+  private volatile boolean closed;
   private boolean applying;
   private XnioExecutor.Key timer;
   private long timerAt = Long.MAX_VALUE;
@@ -63,8 +64,22 @@
     return clock.getAsLong();
   }
 
+  /** Applies no more events. */
+  @Override
+  public void close() {
+    closed = true;
+  }
+
+  /** Whether it applies no more events. */
+  boolean isClosed() {
+    return closed;
+  }
+
   /** Applies an event, after those before it. */
   public void submit(RelayEvent event) {
+    if (closed) {
+      return;
+    }
     if (Thread.currentThread() != thread) {
       thread.execute(() -> submit(event));
       return;
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -320,6 +320,41 @@
       assertEquals(w.sent().upstream().id().value(), "run-2");
     }
 
+    @Test
+    public void sendsWhatWaitsElsewhereWhenTheNodeStops() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, LARGE);
+      w.arrive("/stream/b", 14_000, LARGE);
+      w.arrive("/stream/c", 9_000, LARGE);
+      w.apply(new RelayEvent.Draining(w.now()));
+      assertEquals(w.of(RelayEffect.Refuse.class).size(), 1);
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+      assertEquals(w.router.inProgress(), 2);
+    }
+
+    @Test
+    public void holdsOneThatCameBackOnlyWhileItsCallerWaits() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, LARGE);
+      w.arrive("/stream/b", 14_000, LARGE);
+      w.arrive("/stream/c", 12_000, LARGE);
+      w.pass(3_000);
+      assertEquals(w.refusal(), ErrorKind.OVERLOADED);
+    }
+
+    @Test
+    public void takesRoomThatOthersSeeAfterARandomTime() {
+      RelayWorld w = RelayWorld.usual();
+      ImmutableMap<UpstreamName, Long> full =
+          ImmutableMap.of(new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L);
+      w.apply(new RelayEvent.LoadHeard(w.now(), new HostName("other"), full));
+      w.arrive("/stream/a", 9_000, LARGE);
+      w.apply(new RelayEvent.LoadHeard(w.now(), new HostName("other"), ImmutableMap.of()));
+      assertEquals(w.sends(), 0);
+      w.pass(80);
+      assertEquals(w.sends(), 1);
+    }
+
     @Test
     public void forgetsWhatASilentNodeHadInFlight() {
       RelayWorld w = RelayWorld.usual();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -69,6 +69,9 @@
   /** How many nodes share the budget of repeats. */
   record NodesCounted(long at, int nodes) implements RelayEvent {}
 
+  /** The node is to stop: what waits for room goes elsewhere. */
+  record Draining(long at) implements RelayEvent {}
+
   /** Time has passed. */
   record Ticked(long at) implements RelayEvent {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -50,6 +50,7 @@
       case RelayEvent.ConfigurationRead e -> flow.read(e.configuration());
       case RelayEvent.LoadHeard e -> flow.heard(at, e.node(), e.loads());
       case RelayEvent.NodesCounted e -> flow.nodes(e.nodes());
+      case RelayEvent.Draining e -> flow.drain(at);
       case RelayEvent.Ticked e -> flow.ticked(at);
     }
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -69,6 +69,15 @@
   /** The part of the time it has left for which a call that came back waits for room. */
   private static final double RETURNED_ROOM_SHARE = 0.35;
 
+  /**
+   * How many times the target a call that came back waits for room: callers give a stream up that
+   * has not begun by four times the target.
+   */
+  private static final double RETURNED_TARGETS = 3.2;
+
+  /** Room that other nodes see as well is taken after a random time, up to this. */
+  private static final long CONTEST_NANOS = 80 * MILLI;
+
   /** When to come back for room: from this to the part of the time that is left. */
   private static final long FIRST_RETURN_MILLIS = 1_000;
 
@@ -89,6 +98,8 @@
   private RelayConfiguration configuration;
   private long nextAttempt;
   private int nodes;
+  private boolean contesting;
+  private boolean draining;
 
   /** Begins without a configuration. */
   public Flow(RelaySettings settings) {
@@ -157,7 +168,20 @@
   public void heard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads) {
     fleet.heard(at, node, loads);
     fleet.forgetSilent(at);
-    admitWaiting(at);
+    if (room.size() > 0 && !contesting) {
+      contesting = true;
+      timers.add(new Timers.Due.Contest(at + random.nextLong(CONTEST_NANOS)));
+    }
+  }
+
+  /** Sends what waits for room elsewhere; calls that come find room at once or are sent on. */
+  public void drain(long at) {
+    draining = true;
+    for (CallState c : room.inOrder(at)) {
+      if (c.waiting) {
+        giveUp(at, c, ErrorKind.NOT_READY, "the node stops");
+      }
+    }
   }
 
   /** Sets over how many nodes the slack of the budget is split. */
@@ -232,20 +256,28 @@
 
   /** Sets memory aside, or lets the call wait for it. */
   private void settle(long at, CallState c) {
-    if (room.size() > 0 || !findHome(at, c)) {
+    if (draining || room.size() > 0 || !findHome(at, c)) {
+      if (draining) {
+        giveUp(at, c, ErrorKind.NOT_READY, "the node stops");
+        return;
+      }
       room.add(c);
       report(
           new RelayFact.Waiting(c.call.wireId(), c.service.value(), need(c).units(), room.size()));
       long wait =
-          c.isFresh()
-              ? (long) (ROOM_SHARE * c.rule.targetMillis() * MILLI)
-              : (long) (RETURNED_ROOM_SHARE * (c.deadline - at));
+          c.isFresh() ? (long) (ROOM_SHARE * c.rule.targetMillis() * MILLI) : returnedWait(at, c);
       timers.add(new Timers.Due.Room(at + wait, c.call.id()));
       return;
     }
     begin(at, c);
   }
 
+  private static long returnedWait(long at, CallState c) {
+    double byTime = RETURNED_ROOM_SHARE * (c.deadline - at);
+    double byTarget = RETURNED_TARGETS * c.rule.targetMillis() * MILLI;
+    return (long) Math.min(byTime, byTarget);
+  }
+
   private Need need(CallState c) {
     return Sizing.run(c, configuration, nodes);
   }
@@ -679,12 +711,15 @@
     for (Timers.Due due = timers.poll(at); due != null; due = timers.poll(at)) {
       switch (due) {
         case Timers.Due.Deadline d -> deadline(at, d.call());
+        case Timers.Due.Contest t -> {
+          contesting = false;
+          admitWaiting(at);
+        }
         case Timers.Due.Room r -> roomTime(at, r.call());
         case Timers.Due.Patience p -> impatient(at, p.attempt());
       }
     }
     fleet.forgetSilent(at);
-    admitWaiting(at);
   }
 
   private void deadline(long at, RequestId id) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -28,6 +28,9 @@
     /** The final answer of a call. */
     record Deadline(long at, RequestId call) implements Due {}
 
+    /** Room that other nodes see as well. */
+    record Contest(long at) implements Due {}
+
     /** Room for a call. */
     record Room(long at, RequestId call) implements Due {}
 
