--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -23,6 +23,11 @@
   /** A caller with less than this part of the rule's time left has been refused before. */
   private static final double FRESH_SHARE = 0.97;
 
+  private static final long MILLI = 1_000_000L;
+
+  /** What a call needs from its placing to its first event. */
+  private static final long LEAD_NANOS = 200 * MILLI;
+
   final RelayCall call;
   final RelayRule rule;
   final ServiceName service;
@@ -82,6 +87,11 @@
         || call.deadlineMillis() >= FRESH_SHARE * rule.timeoutMillis();
   }
 
+  /** Whether it can still be on time if its work begins now. */
+  boolean isInTime(long at) {
+    return at + LEAD_NANOS <= arrivedAt + rule.targetMillis() * MILLI;
+  }
+
   /** Thousands of prompt tokens, or one for calls without a prompt: the unit of work. */
   double units() {
     return Math.max(1, call.size().prompt() / 1_000.0);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -263,7 +263,8 @@
       }
       room.add(c);
       report(
-          new RelayFact.Waiting(c.call.wireId(), c.service.value(), need(c).units(), room.size()));
+          new RelayFact.Waiting(
+              c.call.wireId(), c.service.value(), need(c, at).units(), room.size()));
       long wait =
           c.isFresh() ? (long) (ROOM_SHARE * c.rule.targetMillis() * MILLI) : returnedWait(at, c);
       timers.add(new Timers.Due.Room(at + wait, c.call.id()));
@@ -278,12 +279,12 @@
     return (long) Math.min(byTime, byTarget);
   }
 
-  private Need need(CallState c) {
-    return Sizing.run(c, configuration, nodes);
+  private Need need(CallState c, long at) {
+    return Sizing.run(c, configuration, nodes, at);
   }
 
   private boolean findHome(long at, CallState c) {
-    Need need = need(c);
+    Need need = need(c, at);
     Optional<Choice> choice =
         fleet.choose(at, c.service, Stage::runs, c.without, settings.place(), need);
     choice.ifPresent(found -> moveIn(c, found.best(), need.units()));
@@ -359,7 +360,7 @@
       return;
     }
     boolean memory = needsRoom(c);
-    Need need = need(c);
+    Need need = need(c, at);
     Optional<Choice> choice =
         fleet.choose(at, c.service, Stage::runs, c.without, settings.place(), need);
     if (choice.isEmpty() && memory) {
@@ -648,7 +649,9 @@
     CallState c = a.call();
     Set<UpstreamName> without = new HashSet<>(c.without);
     without.add(a.upstream().upstream().id());
-    return fleet.choose(at, c.service, Stage::runs, without, settings.place(), need(c)).isPresent();
+    return fleet
+        .choose(at, c.service, Stage::runs, without, settings.place(), need(c, at))
+        .isPresent();
   }
 
   /** An attempt may have run, and its answer is lost. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Need.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Need.java
@@ -14,16 +14,14 @@
  * @param mostEach the most requests that this node may have in flight there
  * @param units what it adds to the load: tokens where prompts are read or memory is held, else 1
  * @param memory the tokens that an upstream holds; 0 if that is no bound
+ * @param full how full of promised tokens it may be, as a part of the memory
  */
-record Need(int mostEach, long units, long memory) {
-  /** How full of promised tokens an upstream may be. */
-  private static final double FULL = 0.9;
-
+record Need(int mostEach, long units, long memory, double full) {
   private static final double TOKENS_PER_UNIT = 1_000;
 
   /** Whether the upstream has the room. */
   boolean fits(UpstreamState s) {
-    return memory == 0 || s.wholeLoad() + units <= FULL * memory;
+    return memory == 0 || s.wholeLoad() + units <= full * memory;
   }
 
   /** The factor by which what is there already makes the upstream dearer. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Sizing.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Sizing.java
@@ -15,6 +15,9 @@
   /** How much of an upstream's connections the nodes may use together. */
   private static final double CONNECTION_SHARE = 0.8;
 
+  private static final double FULL_FRESH = 0.92;
+  private static final double FULL_RETURNED = 0.88;
+  private static final double FULL_LATE = 0.65;
   private static final int LEAST_CONNECTIONS = 4;
 
   /** The weights of the caller's estimate and of its bound in the expected output. */
@@ -32,21 +35,29 @@
   private Sizing() {}
 
   /** What running the call asks. */
-  static Need run(CallState c, RelayConfiguration configuration, int nodes) {
+  static Need run(CallState c, RelayConfiguration configuration, int nodes, long at) {
     ServiceBounds bounds = configuration.bounds(c.service);
     long units = bounds.memoryTokens() > 0 ? memory(c) : 1;
-    return new Need(connections(bounds, nodes), units, bounds.memoryTokens());
+    return new Need(connections(bounds, nodes), units, bounds.memoryTokens(), full(c, at));
+  }
+
+  /** Calls that can not be on time any more leave room to those that can. */
+  private static double full(CallState c, long at) {
+    if (!c.isInTime(at)) {
+      return FULL_LATE;
+    }
+    return c.isFresh() ? FULL_FRESH : FULL_RETURNED;
   }
 
   /** What running the call asks when there is no room and it can not wait. */
   static Need forced(Need need) {
-    return new Need(need.mostEach(), need.units(), 0);
+    return new Need(need.mostEach(), need.units(), 0, 1);
   }
 
   /** What reading the call's prompt asks. */
   static Need prompt(CallState c, RelayConfiguration configuration, int nodes) {
     int most = connections(configuration.bounds(c.service), nodes);
-    return new Need(most, Math.max(1, c.call.size().prompt()), 0);
+    return new Need(most, Math.max(1, c.call.size().prompt()), 0, 1);
   }
 
   /** The tokens that a call holds, or soon will, at the upstream that runs it. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/WaitingRoom.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/WaitingRoom.java
@@ -19,11 +19,6 @@
  * the others; the oldest in front. Not safe for use by several threads.
  */
 final class WaitingRoom {
-  private static final long MILLI = 1_000_000L;
-
-  /** What a call needs from its placing to its first event. */
-  private static final long LEAD_NANOS = 200 * MILLI;
-
   private final Set<CallState> waiting = new LinkedHashSet<>();
 
   void add(CallState c) {
@@ -44,13 +39,9 @@
   List<CallState> inOrder(long at) {
     List<CallState> order = new ArrayList<>(waiting);
     order.sort(
-        Comparator.comparing((CallState c) -> !isInTime(c, at))
+        Comparator.comparing((CallState c) -> !c.isInTime(at))
             .thenComparing(c -> !c.isFresh())
             .thenComparingLong(c -> c.arrivedAt));
     return order;
   }
-
-  private static boolean isInTime(CallState c, long at) {
-    return at + LEAD_NANOS <= c.arrivedAt + c.rule.targetMillis() * MILLI;
-  }
 }
