--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds what the platform runs, under target/system: the program's jars and a runtime of its own.
+# Builds what the platform runs, under target/system: the program's jars, a runtime of its own, and
+# an archive of the classes that a node uses, by which it starts in less processor time.
 set -e
 larkkeel_root=$(cd "$(dirname "$0")/.." && pwd)
 . "$larkkeel_root/bin/include.sh"
@@ -7,10 +8,32 @@
 find_maven
 cd "$larkkeel_root"
 out=target/system
+modules=java.base,java.logging,java.naming,java.management,java.xml,java.security.jgss
+modules=$modules,java.security.sasl,java.sql,jdk.unsupported,jdk.crypto.ec
 rm -rf "$out"
 mkdir -p "$out"
 mvn -q -B -pl platform -am -Dmaven.test.skip=true package dependency:copy-dependencies \
   -DincludeScope=runtime -DoutputDirectory="$larkkeel_root/$out/lib"
 cp platform/target/org.larkkeel.platform-*.jar "$out/lib/"
 "$JAVA_HOME/bin/jlink" --output "$out/runtime" --strip-debug --no-header-files --no-man-pages \
-  --add-modules java.base,java.logging,java.naming,java.management,java.xml,java.security.jgss,java.security.sasl,java.sql,jdk.unsupported,jdk.crypto.ec
+  --generate-cds-archive --add-modules "$modules"
+
+# The options of the JVM stand in deploy/system.toml; the class path and the archive depend on the
+# build and stand in a file of arguments.
+classpath=$(ls "$out"/lib/*.jar | LC_ALL=C sort | paste -s -d: -)
+printf '%s\n' -cp "$classpath" >"$out/java.args"
+memory="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx96m"
+options="--sun-misc-unsafe-memory-access=allow --enable-native-access=ALL-UNNAMED"
+# shellcheck disable=SC2086
+LARKKEEL_SETTINGS=deploy/training.json "$out/runtime/bin/java" @"$out/java.args" $memory $options \
+  -XX:ArchiveClassesAtExit="$out/relay.jsa" -Xlog:disable org.larkkeel.platform.Main \
+  >"$out/training.log" 2>&1 &
+training=$!
+sleep 4
+kill -TERM "$training"
+wait "$training" || true
+if [ -f "$out/relay.jsa" ]; then
+  printf '%s\n' "-XX:SharedArchiveFile=$out/relay.jsa" >>"$out/java.args"
+else
+  echo "build: no archive of classes was made; a node starts more slowly" >&2
+fi
