--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -23,7 +23,7 @@
 classpath=$(ls "$out"/lib/*.jar | LC_ALL=C sort | paste -s -d: -)
 printf '%s\n' -cp "$classpath" >"$out/java.args"
 memory="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx96m"
-options="--sun-misc-unsafe-memory-access=allow --enable-native-access=ALL-UNNAMED"
+options="--sun-misc-unsafe-memory-access=allow"
 # shellcheck disable=SC2086
 LARKKEEL_SETTINGS=deploy/training.json "$out/runtime/bin/java" @"$out/java.args" $memory $options \
   -XX:ArchiveClassesAtExit="$out/relay.jsa" -Xlog:disable org.larkkeel.platform.Main \
