Prove the whole path with stand-ins of the platform; end streams in chunks on closing connections

Cause: on a connection that is to close, the listener ended streams with the connection, so a stream that was cut looked complete. Change: streams to HTTP/1.1 callers are always chunked.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -68,6 +68,7 @@
   private final RelayLoop loop;
   private volatile boolean ready;
   private volatile int inProgress;
+  private volatile int upstreams;
   private volatile boolean draining;
 
   private RelayNode(RelayNodeSettings settings, RelayAdapter adapter, Closer closer) {
@@ -180,6 +181,7 @@
   }
 
   private void observe() {
+    upstreams = router.upstreams();
     loads.tell(router.loads());
     inProgress = router.inProgress();
     boolean now = router.isReady();
@@ -189,6 +191,16 @@
     }
   }
 
+  /** How many upstreams it knows. */
+  public int upstreams() {
+    return upstreams;
+  }
+
+  /** How many calls it has in progress. */
+  public int inProgress() {
+    return inProgress;
+  }
+
   /** Whether it takes callers. */
   public boolean isReady() {
     return ready && !draining;
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
@@ -9,6 +9,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -229,6 +230,10 @@
       exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, EVENT_STREAM);
       exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
     }
+    if (exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
+      // Else a connection that is to close would end the stream, and a cut one would look whole.
+      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+    }
     sink = exchange.getResponseChannel();
     if (sink == null) {
       throw new IOException("the answer has ended");
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -73,6 +73,11 @@
     return flow.loads();
   }
 
+  /** How many upstreams are known, those included that leave. */
+  public int upstreams() {
+    return flow.upstreams();
+  }
+
   /** The calls without a final answer. */
   public int inProgress() {
     return flow.inProgress();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -105,6 +105,11 @@
     return new RelayFact.UpstreamChanged(u.id(), u.service().value(), u.address(), change);
   }
 
+  /** How many upstreams are known. */
+  int size() {
+    return all.size();
+  }
+
   /** An upstream that is known. */
   Optional<UpstreamState> find(UpstreamName id) {
     return Optional.ofNullable(all.get(id));
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -134,6 +134,11 @@
     return calls.size();
   }
 
+  /** How many upstreams are known. */
+  public int upstreams() {
+    return fleet.size();
+  }
+
   /** What this node has in flight at each upstream. */
   public ImmutableMap<UpstreamName, Long> loads() {
     return fleet.loads();
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/RawClient.java
@@ -0,0 +1,81 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A client over a plain socket, one request a connection. Used by one thread. */
+final class RawClient implements AutoCloseable {
+  private static final int TIMEOUT_MILLIS = 20_000;
+
+  private final Socket socket = new Socket();
+
+  RawClient(InetSocketAddress address) throws IOException {
+    socket.connect(address, TIMEOUT_MILLIS);
+    socket.setSoTimeout(TIMEOUT_MILLIS);
+  }
+
+  static String exchange(
+      InetSocketAddress address, String method, String path, String headers, String body)
+      throws IOException {
+    try (RawClient client = new RawClient(address)) {
+      client.send(method, path, headers, body);
+      return client.readToEnd();
+    }
+  }
+
+  void send(String method, String path, String headers, String body) throws IOException {
+    RawServer.write(
+        socket.getOutputStream(),
+        method
+            + " "
+            + path
+            + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-1\r\nConnection: close\r\n"
+            + headers
+            + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
+            + "\r\n"
+            + body);
+  }
+
+  /** Reads until the text holds a part. */
+  String readUntil(String part) throws IOException {
+    InputStream in = socket.getInputStream();
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    while (!all.toString(StandardCharsets.ISO_8859_1).contains(part)) {
+      int b = in.read();
+      if (b < 0) {
+        throw new IOException("ended after " + all);
+      }
+      all.write(b);
+    }
+    return all.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Reads until the connection ends, in whatever way. */
+  String readToEnd() throws IOException {
+    InputStream in = socket.getInputStream();
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    try {
+      for (int b = in.read(); b >= 0; b = in.read()) {
+        all.write(b);
+      }
+    } catch (java.net.SocketException e) {
+      // A reset ends it as well.
+    }
+    return all.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
@@ -0,0 +1,151 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.larkkeel.http.Json;
+
+/**
+ * The platform's store, small: objects by kind and name, one revision, lists in pages, watches that
+ * wait.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class StoreStandin implements AutoCloseable {
+  private static final Pattern WATCH = Pattern.compile("watch=(\\d+)&wait_ms=(\\d+)");
+  private static final Pattern AFTER = Pattern.compile("after=([^&]+)");
+  private static final int PAGE = 2;
+  private static final long LONGEST_WAIT = 200;
+
+  private final RawServer server = new RawServer(this::answer);
+  private final Map<String, Map<String, ObjectNode>> kinds = new TreeMap<>();
+  private final Map<String, TreeMap<Long, ObjectNode>> events = new TreeMap<>();
+  private long revision = 100;
+  private int refusing;
+
+  String address() {
+    return server.address();
+  }
+
+  /** Answers every call with a status until it is 0 again. */
+  synchronized void refuse(int status) {
+    refusing = status;
+    notifyAll();
+  }
+
+  synchronized void put(String kind, String name, ObjectNode spec) {
+    revision++;
+    ObjectNode o = Json.object();
+    o.putObject("metadata").put("name", name).put("revision", revision);
+    o.set("spec", spec);
+    kinds.computeIfAbsent(kind, k -> new TreeMap<>()).put(name, o);
+    event(kind, o, false);
+  }
+
+  synchronized void delete(String kind, String name) {
+    revision++;
+    ObjectNode o = kinds.get(kind).remove(name).deepCopy();
+    ((ObjectNode) o.path("metadata")).put("revision", revision);
+    event(kind, o, true);
+  }
+
+  synchronized boolean has(String kind, String name) {
+    return kinds.getOrDefault(kind, Map.of()).containsKey(name);
+  }
+
+  private void event(String kind, ObjectNode o, boolean gone) {
+    ObjectNode e = Json.object();
+    e.put("tombstone", gone);
+    e.set("object", o);
+    events.computeIfAbsent(kind, k -> new TreeMap<>()).put(revision, e);
+    notifyAll();
+  }
+
+  private void answer(RawServer.Request r, OutputStream out, Socket socket) throws Exception {
+    int status;
+    ObjectNode body = Json.object();
+    synchronized (this) {
+      String path = r.target().substring("/larkkeel/objects/".length());
+      String kind = path.split("[/?]", 2)[0];
+      if (refusing != 0) {
+        status = refusing;
+      } else if (r.method().equals("POST")) {
+        status = create(kind, r.body(), body);
+      } else {
+        Matcher watch = WATCH.matcher(path);
+        Matcher after = AFTER.matcher(path);
+        if (watch.find()) {
+          watch(kind, Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), body);
+        } else {
+          list(kind, after.find() ? after.group(1) : "", body);
+        }
+        status = refusing == 0 ? 200 : refusing;
+      }
+    }
+    byte[] bytes = Json.bytes(body);
+    RawServer.write(
+        out,
+        "HTTP/1.1 "
+            + status
+            + " X\r\nContent-Type: application/json\r\nContent-Length: "
+            + bytes.length
+            + "\r\n\r\n"
+            + new String(bytes, StandardCharsets.ISO_8859_1));
+  }
+
+  private int create(String kind, String text, ObjectNode body) throws IOException {
+    ObjectNode sent = (ObjectNode) Json.parse(text.getBytes(StandardCharsets.UTF_8));
+    String name = sent.path("metadata").path("name").asText();
+    if (has(kind, name)) {
+      return 409;
+    }
+    put(kind, name, (ObjectNode) sent.path("spec"));
+    body.setAll(kinds.get(kind).get(name));
+    return 200;
+  }
+
+  private void list(String kind, String after, ObjectNode body) {
+    ArrayNode items = body.putArray("items");
+    boolean more = false;
+    for (var e : kinds.getOrDefault(kind, Map.of()).entrySet()) {
+      if (e.getKey().compareTo(after) > 0) {
+        more = items.size() == PAGE;
+        if (more) {
+          break;
+        }
+        items.add(e.getValue());
+      }
+    }
+    body.put("more_pages", more);
+    body.put("as_of", revision);
+  }
+
+  private void watch(String kind, long from, long waitMillis, ObjectNode body)
+      throws InterruptedException {
+    TreeMap<Long, ObjectNode> all = events.computeIfAbsent(kind, k -> new TreeMap<>());
+    if (all.tailMap(from, false).isEmpty()) {
+      wait(Math.min(LONGEST_WAIT, waitMillis));
+    }
+    ArrayNode list = body.putArray("events");
+    all.tailMap(from, false).values().forEach(list::add);
+    body.put("as_of", revision);
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/World.java
@@ -0,0 +1,124 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import org.larkkeel.config.Checked;
+import org.larkkeel.daemon.relay.RelayNode;
+import org.larkkeel.daemon.relay.RelayNodeSettings;
+import org.larkkeel.daemon.relay.RelaySettingsReader;
+import org.larkkeel.http.Json;
+import org.larkkeel.lib.Closer;
+
+/** A node, a store and runners on 127.0.0.1. Used by one test each. */
+final class World implements AutoCloseable {
+  private static final Duration LONGEST = Duration.ofSeconds(20);
+
+  final StoreStandin store;
+  final RelayNode node;
+  private final Closer closer = new Closer();
+  private int runners;
+
+  World() {
+    store = closer.add(new StoreStandin());
+    node = closer.add(RelayNode.start(settings(), new PlatformAdapter()));
+  }
+
+  private RelayNodeSettings settings() {
+    String text =
+        """
+        {
+          "host": "node-1", "dataCentre": "dc-1",
+          "listeners": {"caller": "127.0.0.1:0", "readiness": "127.0.0.1:0",
+            "metrics": "127.0.0.1:0", "peer": "127.0.0.1:0"},
+          "store": {"address": "%s", "timeoutMillis": 2000, "watchMillis": 1000},
+          "stop": {"leaveMillis": 0, "graceSeconds": "5"},
+        }
+        """
+            .formatted(store.address());
+    return switch (RelaySettingsReader.read("test", text)) {
+      case Checked.Valid<RelayNodeSettings> valid -> valid.value();
+      case Checked.Invalid<RelayNodeSettings> invalid ->
+          throw new IllegalStateException(invalid.problems().toString());
+    };
+  }
+
+  /** Writes a configuration with a rule of each kind and waits until it is in force. */
+  World configured() {
+    ObjectNode config = Json.object();
+    config.put("version", 1);
+    var routes = config.putArray("routes");
+    route(routes.addObject(), "safe", "safe", "app", false);
+    route(routes.addObject(), "once", "unsafe", "app", false);
+    route(routes.addObject(), "stream", "streaming", "model", false);
+    route(routes.addObject(), "resume", "streaming", "model", true);
+    var services = config.putArray("services");
+    services.addObject().put("name", "app").put("max_connections", 100);
+    services
+        .addObject()
+        .put("name", "model")
+        .put("max_connections", 100)
+        .putObject("engine")
+        .put("kv_tokens", 90_000)
+        .put("stride", 1);
+    store.put("config", "main", config);
+    await(node::isReady);
+    return this;
+  }
+
+  private static void route(
+      ObjectNode r, String name, String kind, String service, boolean resume) {
+    r.put("name", "r-" + name).put("host", "a.example").put("path_prefix", "/" + name + "/");
+    r.put("kind", kind).put("timeout_ms", 4_000).put("target_latency_ms", 900);
+    r.put("service", service).put("max_attempts", kind.equals("unsafe") ? 1 : 2);
+    r.put("allow_resume", resume).put("gap_aim_ms", 300).put("priority", 1);
+  }
+
+  /** Starts a runner and waits until the node knows it. */
+  RawServer runner(String id, String service, String stage, RawServer.Script script) {
+    RawServer runner = closer.add(new RawServer(script));
+    ObjectNode entry = Json.object();
+    entry.put("service", service).put("address", runner.address()).put("zone", "dc-1");
+    entry.put("slots", 6).put("state", "ready").put("stage", stage);
+    store.put("servers", id, entry);
+    runners++;
+    await(() -> node.upstreams() == runners);
+    return runner;
+  }
+
+  InetSocketAddress address() {
+    return node.callerAddress();
+  }
+
+  /** Sends to a host of the configuration over a plain socket; returns the head and the body. */
+  String exchange(String method, String path, String headers, String body) throws IOException {
+    return RawClient.exchange(address(), method, path, headers, body);
+  }
+
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + LONGEST.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - end > 0) {
+        throw new AssertionError("not in time");
+      }
+      try {
+        Thread.sleep(5);
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    closer.close();
+  }
+}
