--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/relay/EventSplitterTest.java
@@ -0,0 +1,86 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.relay;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Whole events of a stream. */
+public class EventSplitterTest {
+  private static final String THREE =
+      "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\ndata: d\n\n";
+
+  private static List<EventSplitter.Whole> split(EventSplitter s, byte[] part) {
+    List<EventSplitter.Whole> events = new ArrayList<>();
+    ByteBuffer bytes = ByteBuffer.wrap(part);
+    for (EventSplitter.Whole e = s.next(bytes); e != null; e = s.next(bytes)) {
+      events.add(e);
+    }
+    return events;
+  }
+
+  /** Streams that come in any parts. */
+  public static class Parts {
+    /** The ways in which lines may end. */
+    @DataProvider
+    public Object[][] ends() {
+      return new Object[][] {{"\n"}, {"\r\n"}, {"\r"}};
+    }
+
+    @Test(dataProvider = "ends")
+    public void changesNoByte(String end) {
+      byte[] stream = (THREE.replace("\n", end) + "id: 4").getBytes(StandardCharsets.UTF_8);
+      for (int seed = 0; seed < 300; seed++) {
+        Random random = new Random(seed);
+        EventSplitter s = new EventSplitter(1_000);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        List<Long> ids = new ArrayList<>();
+        for (int at = 0; at < stream.length; ) {
+          int length = Math.min(stream.length - at, 1 + random.nextInt(9));
+          byte[] part = java.util.Arrays.copyOfRange(stream, at, at + length);
+          for (EventSplitter.Whole e : split(s, part)) {
+            out.writeBytes(e.bytes());
+            e.id().ifPresent(ids::add);
+          }
+          at += length;
+        }
+        out.writeBytes(s.rest());
+        assertEquals(out.toByteArray(), stream, "seed " + seed);
+        assertEquals(ids, List.of(1L, 2L, 3L), "seed " + seed);
+      }
+    }
+  }
+
+  /** Events with odd fields. */
+  public static class Odd {
+    @Test
+    public void hasNoNumberWithoutANumericId() {
+      EventSplitter s = new EventSplitter(1_000);
+      byte[] bytes = "id: x\ndata: a\n\ndata: b\n\n".getBytes(StandardCharsets.UTF_8);
+      List<EventSplitter.Whole> events = split(s, bytes);
+      assertEquals(events.size(), 2);
+      assertEquals(events.get(0).id(), OptionalLong.empty());
+      assertEquals(events.get(1).id(), OptionalLong.empty());
+    }
+
+    @Test
+    public void tellsWhenAnEventIsTooLarge() {
+      EventSplitter s = new EventSplitter(10);
+      split(s, "data: 12345".getBytes(StandardCharsets.UTF_8));
+      assertEquals(s.isTooLarge(), true);
+    }
+  }
+}
