--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/BoundedAppenderTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/BoundedAppenderTest.java
@@ -13,6 +13,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.AppenderBase;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -43,6 +44,12 @@
     }
   }
 
+  private static LoggerContext context() {
+    LoggerContext context = new LoggerContext();
+    context.setMDCAdapter(new LogbackMDCAdapter());
+    return context;
+  }
+
   private static BoundedAppender start(LoggerContext context, Sink sink) {
     sink.setContext(context);
     sink.start();
@@ -63,7 +70,7 @@
   public static class Flood {
     @Test
     public void leavesOutWhatWentWellAndTellsHowMuch() {
-      LoggerContext context = new LoggerContext();
+      LoggerContext context = context();
       Sink sink = new Sink(new CountDownLatch(0));
       BoundedAppender bounded = start(context, sink);
       Logger logger = context.getLogger("test");
@@ -84,7 +91,7 @@
 
     @Test
     public void neverWaitsForAReaderThatDoesNotRead() {
-      LoggerContext context = new LoggerContext();
+      LoggerContext context = context();
       CountDownLatch open = new CountDownLatch(1);
       Sink sink = new Sink(open);
       BoundedAppender bounded = start(context, sink);
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/VirtualTime.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/VirtualTime.java
@@ -11,7 +11,7 @@
 import org.larkkeel.store.Scheduler;
 
 /** A scheduler whose time is moved by the test. */
-final class VirtualTime implements Scheduler {
+public final class VirtualTime implements Scheduler {
   private final PriorityQueue<Due> due = new PriorityQueue<>();
   private long now;
 
@@ -44,7 +44,7 @@
     return () -> due.remove(added);
   }
 
-  void advance(Duration time) {
+  public void advance(Duration time) {
     long end = now + time.toNanos();
     while (!due.isEmpty() && due.peek().at() <= end) {
       Due next = due.remove();
--- /dev/null
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
@@ -0,0 +1,236 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.larkkeel.daemon.VirtualTime;
+import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.Stage;
+import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.Watch;
+import org.larkkeel.store.WatchEvent;
+import org.testng.annotations.Test;
+
+/** Orders to engines that are too many at their stage. */
+public class StageControllerTest {
+  private static final double SHARE = 0.3;
+
+  /** A store of the leases, with conditional updates. */
+  private static final class Leases implements ObjectApi {
+    private final Map<ObjectKey, StoredObject> objects = new HashMap<>();
+    private long version;
+    private int calls;
+    private boolean down;
+
+    private <T> CompletableFuture<T> answer(ObjectApiFailure failure) {
+      return CompletableFuture.failedFuture(new ObjectApiException(failure, "test"));
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> get(ObjectKey key) {
+      calls++;
+      if (down) {
+        return answer(new ObjectApiFailure.Unavailable());
+      }
+      StoredObject found = objects.get(key);
+      return found == null
+          ? answer(new ObjectApiFailure.NotFound())
+          : CompletableFuture.completedFuture(found);
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec) {
+      calls++;
+      if (down) {
+        return answer(new ObjectApiFailure.Unavailable());
+      }
+      return objects.containsKey(key)
+          ? answer(new ObjectApiFailure.AlreadyExists())
+          : CompletableFuture.completedFuture(put(key, kind, spec));
+    }
+
+    private StoredObject put(ObjectKey key, String kind, JsonNode spec) {
+      StoredObject made = new StoredObject(key, kind, ++version, spec);
+      objects.put(key, made);
+      return made;
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> update(
+        ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+      calls++;
+      if (down) {
+        return answer(new ObjectApiFailure.Unavailable());
+      }
+      return objects.get(key).resourceVersion() == resourceVersion
+          ? CompletableFuture.completedFuture(put(key, kind, spec))
+          : answer(new ObjectApiFailure.Conflict());
+    }
+
+    @Override
+    public CompletableFuture<ObjectPage> list(ListQuery query) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Watch watch(
+        String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  /** Nodes that see the same engines. */
+  private static final class World {
+    private final Map<String, VirtualTime> times = new HashMap<>();
+    private final Leases leases = new Leases();
+    private final List<String> orders = new ArrayList<>();
+    private final List<StageController> nodes = new ArrayList<>();
+
+    void node(String name, int rank) {
+      StageController node =
+          new StageController(
+              SHARE,
+              new HostName(name),
+              leases,
+              times.computeIfAbsent(name, n -> new VirtualTime()),
+              (u, stage, holder, fencing, allowed) -> {
+                assertTrue(allowed.getAsBoolean());
+                orders.add(u.id() + " " + stage + " " + holder + " " + fencing);
+                return CompletableFuture.completedFuture(202);
+              },
+              () -> rank);
+      nodes.add(node);
+      node.start();
+    }
+
+    void engines(int prefill, int decode) {
+      ImmutableList.Builder<RelayUpstream> all = ImmutableList.builder();
+      for (int i = 0; i < prefill + decode; i++) {
+        Stage stage = i < prefill ? Stage.PREFILL : Stage.DECODE;
+        all.add(
+            new RelayUpstream(
+                new UpstreamName("i-" + i),
+                new ServiceName("model"),
+                "10.0.0.1:80",
+                new DataCentreName("dc-1"),
+                64,
+                stage,
+                false));
+      }
+      nodes.forEach(n -> n.upstreams(all.build()));
+    }
+
+    void pass(int seconds) {
+      for (int i = 0; i < 10 * seconds; i++) {
+        times.values().forEach(t -> t.advance(Duration.ofMillis(100)));
+      }
+    }
+  }
+
+  /** A fleet with too many prefill engines. */
+  public static class TooMany {
+    @Test
+    public void isOrderedByOneNodeOnce() {
+      World w = new World();
+      w.node("a", 0);
+      w.node("b", 1);
+      w.engines(3, 3);
+      w.pass(9);
+      assertEquals(w.orders, List.of("i-0 DECODE a 1"));
+    }
+
+    @Test
+    public void isNotOrderedTwiceWithinTheTimeThatAnOrderTakes() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(4, 2);
+      w.pass(12);
+      assertEquals(w.orders.size(), 1);
+      w.pass(12);
+      assertEquals(w.orders, List.of("i-0 DECODE a 1", "i-1 DECODE a 1"));
+    }
+
+    @Test
+    public void isOrderedByAnotherNodeWithAHigherNumberAfterTheFirstIsGone() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(3, 3);
+      w.pass(4);
+      w.times.remove("a");
+      w.nodes.clear();
+      w.node("b", 0);
+      w.engines(3, 3);
+      w.pass(4);
+      assertEquals(w.orders.size(), 1, "the lease of the first must lapse before");
+      w.pass(20);
+      assertEquals(w.orders.getLast().split(" ")[2], "b");
+      assertEquals(w.orders.getLast().split(" ")[3], "2");
+    }
+
+    @Test
+    public void isNotOrderedWithoutTheLease() {
+      World w = new World();
+      w.leases.down = true;
+      w.node("a", 0);
+      w.engines(3, 3);
+      w.pass(30);
+      assertEquals(w.orders, List.of());
+    }
+  }
+
+  /** A fleet in balance. */
+  public static class Balanced {
+    @Test
+    public void costsNoCall() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(2, 4);
+      w.pass(600);
+      assertEquals(w.leases.calls, 0);
+      assertEquals(w.orders, List.of());
+    }
+
+    @Test
+    public void costsNoCallOnceTheOrderHasShown() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(3, 3);
+      w.pass(8);
+      w.engines(2, 4);
+      w.pass(20);
+      int calls = w.leases.calls;
+      w.pass(600);
+      assertEquals(w.leases.calls, calls);
+    }
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -120,7 +120,7 @@
                 settings.host(),
                 store,
                 scheduler,
-                new OrderSender(client, dialect),
+                new OrderSender(client, dialect)::send,
                 loads::rank));
     RelayFeed feed =
         closer.add(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
@@ -15,9 +15,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
-import org.larkkeel.http.relay.OrderSender;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamName;
@@ -55,6 +56,9 @@
   /** How long an order may take to show; the lease is kept for as long. */
   private static final Duration SETTLING = Duration.ofSeconds(12);
 
+  /** How long an upstream that was ordered in vain is left alone. */
+  private static final Duration AGAIN = Duration.ofSeconds(60);
+
   /** How much of the lease must be left for an order. */
   private static final Duration LEAST_LEFT = Duration.ofSeconds(2);
 
@@ -64,7 +68,7 @@
   private final double prefillShare;
   private final HostName self;
   private final Scheduler scheduler;
-  private final OrderSender orders;
+  private final Orders orders;
   private final IntSupplier rank;
   private final Lease lease;
   private final Map<UpstreamName, Long> ordered = new HashMap<>();
@@ -74,12 +78,18 @@
   private boolean seeking;
   private boolean closed;
 
+  /** Gives an order; see {@link org.larkkeel.http.relay.OrderSender#send}. */
+  interface Orders {
+    CompletableFuture<Integer> send(
+        RelayUpstream upstream, Stage stage, String holder, long fencing, BooleanSupplier allowed);
+  }
+
   StageController(
       double prefillShare,
       HostName self,
       ObjectApi store,
       Scheduler scheduler,
-      OrderSender orders,
+      Orders orders,
       IntSupplier rank) {
     this.prefillShare = prefillShare;
     this.self = self;
@@ -162,8 +172,7 @@
   private Optional<RelayUpstream> candidate(List<RelayUpstream> all, long now) {
     return all.stream()
         .filter(u -> u.stage() == Stage.PREFILL)
-        .filter(
-            u -> now - ordered.getOrDefault(u.id(), now - SETTLING.toNanos()) >= SETTLING.toNanos())
+        .filter(u -> now - ordered.getOrDefault(u.id(), now - AGAIN.toNanos()) >= AGAIN.toNanos())
         .min(
             Comparator.comparingLong((RelayUpstream u) -> runners(all, u))
                 .thenComparing(RelayUpstream::id));
