--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadMessageTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadMessageTest.java
@@ -9,6 +9,7 @@
 import static org.testng.Assert.assertEquals;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.Random;
 import org.larkkeel.lib.HostName;
@@ -20,7 +21,8 @@
   private static final LoadMessage MESSAGE =
       new LoadMessage(
           new HostName("node-1"),
-          ImmutableMap.of(new UpstreamName("i-1"), 17_000L, new UpstreamName("i-2"), 3L));
+          ImmutableMap.of(new UpstreamName("i-1"), 17_000L, new UpstreamName("i-2"), 3L),
+          ImmutableSet.of(new UpstreamName("i-3")));
 
   /** Messages that were written by a node. */
   public static class Written {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -7,6 +7,7 @@
 package org.larkkeel.daemon.relay;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -55,6 +56,7 @@
   private final Map<InetSocketAddress, Peer> peers = new HashMap<>();
   private ImmutableMap<UpstreamName, Long> latest = ImmutableMap.of();
   private ImmutableMap<UpstreamName, Long> told = ImmutableMap.of();
+  private ImmutableSet<UpstreamName> lapsing = ImmutableSet.of();
   private long toldAt;
   private boolean planned;
   private volatile int rank;
@@ -109,9 +111,11 @@
   }
 
   /** Tells what is in flight now, at once or a little later. */
-  void tell(ImmutableMap<UpstreamName, Long> loads) {
+  void tell(ImmutableMap<UpstreamName, Long> loads, ImmutableSet<UpstreamName> lost) {
+    boolean news = !lapsing.containsAll(lost);
     latest = loads;
-    if (planned || !isWorthTelling()) {
+    lapsing = lost;
+    if (planned || !(news || isWorthTelling())) {
       return;
     }
     long wait = toldAt + SOONEST_NANOS - loop.now();
@@ -183,7 +187,7 @@
   private void send() {
     told = latest;
     toldAt = loop.now();
-    byte[] bytes = new LoadMessage(self, latest).toBytes();
+    byte[] bytes = new LoadMessage(self, latest, lapsing).toBytes();
     if (bytes.length > LoadMessage.MAX_BYTES) {
       return;
     }
@@ -224,7 +228,8 @@
       peer.silent = false;
       log.info("event=peer_heard_again peer={}", from);
     }
-    loop.submit(new RelayEvent.LoadHeard(loop.now(), message.node(), message.loads()));
+    loop.submit(
+        new RelayEvent.LoadHeard(loop.now(), message.node(), message.loads(), message.lapsing()));
   }
 
   @Override
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadMessage.java
@@ -7,6 +7,7 @@
 package org.larkkeel.daemon.relay;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
@@ -24,12 +25,14 @@
  *
  * @param node who tells
  * @param loads units in flight by upstream
+ * @param lapsing upstreams whose prompts it found to be lost at once
  */
-record LoadMessage(HostName node, ImmutableMap<UpstreamName, Long> loads) {
+record LoadMessage(
+    HostName node, ImmutableMap<UpstreamName, Long> loads, ImmutableSet<UpstreamName> lapsing) {
   /** The largest message; what does not fit a datagram is not sent. */
   static final int MAX_BYTES = 60_000;
 
-  private static final byte VERSION = 1;
+  private static final byte VERSION = 2;
   private static final int FIRST_BYTES = 256;
 
   byte[] toBytes() {
@@ -43,6 +46,10 @@
         out.writeString(e.getKey().value());
         out.writeI64(e.getValue());
       }
+      out.writeListBegin(new TList(TType.STRING, lapsing.size()));
+      for (UpstreamName upstream : lapsing) {
+        out.writeString(upstream.value());
+      }
       byte[] bytes = new byte[buffer.length()];
       System.arraycopy(buffer.getArray(), 0, bytes, 0, bytes.length);
       return bytes;
@@ -65,7 +72,12 @@
         UpstreamName upstream = new UpstreamName(in.readString());
         loads.put(upstream, Math.max(0, in.readI64()));
       }
-      return Optional.of(new LoadMessage(node, loads.buildKeepingLast()));
+      int lost = in.readListBegin().size;
+      ImmutableSet.Builder<UpstreamName> lapsing = ImmutableSet.builder();
+      for (int i = 0; i < lost; i++) {
+        lapsing.add(new UpstreamName(in.readString()));
+      }
+      return Optional.of(new LoadMessage(node, loads.buildKeepingLast(), lapsing.build()));
     } catch (TException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -182,7 +182,7 @@
 
   private void observe() {
     upstreams = router.upstreams();
-    loads.tell(router.loads());
+    loads.tell(router.loads(), router.lapsing(loop.now()));
     inProgress = router.inProgress();
     boolean now = router.isReady();
     if (now != ready) {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -13,6 +13,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -314,7 +315,10 @@
       RelayWorld w = RelayWorld.usual();
       w.apply(
           new RelayEvent.LoadHeard(
-              w.now(), new HostName("other"), ImmutableMap.of(new UpstreamName("run-1"), 17_000L)));
+              w.now(),
+              new HostName("other"),
+              ImmutableMap.of(new UpstreamName("run-1"), 17_000L),
+              ImmutableSet.of()));
       w.arrive("/stream/a", 14_000, LARGE);
       w.promptRead();
       assertEquals(w.sent().upstream().id().value(), "run-2");
@@ -347,9 +351,11 @@
       RelayWorld w = RelayWorld.usual();
       ImmutableMap<UpstreamName, Long> full =
           ImmutableMap.of(new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L);
-      w.apply(new RelayEvent.LoadHeard(w.now(), new HostName("other"), full));
+      w.apply(new RelayEvent.LoadHeard(w.now(), new HostName("other"), full, ImmutableSet.of()));
       w.arrive("/stream/a", 9_000, LARGE);
-      w.apply(new RelayEvent.LoadHeard(w.now(), new HostName("other"), ImmutableMap.of()));
+      w.apply(
+          new RelayEvent.LoadHeard(
+              w.now(), new HostName("other"), ImmutableMap.of(), ImmutableSet.of()));
       assertEquals(w.sends(), 0);
       w.pass(80);
       assertEquals(w.sends(), 1);
@@ -363,7 +369,8 @@
               w.now(),
               new HostName("other"),
               ImmutableMap.of(
-                  new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L)));
+                  new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L),
+              ImmutableSet.of()));
       w.pass(2_000);
       w.arrive("/stream/a", 14_000, LARGE);
       assertEquals(w.sends(), 1);
@@ -384,6 +391,43 @@
       assertEquals(w.sent().upstream().id(), second);
     }
 
+    @Test
+    public void readsNoPromptWhereAnotherNodeFoundThatTheyAreLost() {
+      RelayWorld w = RelayWorld.usual();
+      w.apply(
+          new RelayEvent.LoadHeard(
+              w.now(),
+              new HostName("other"),
+              ImmutableMap.of(),
+              ImmutableSet.of(new UpstreamName("read-1"))));
+      w.arrive("/stream/a", 14_000, SMALL);
+      assertEquals(w.sent().purpose(), new Purpose.Run());
+      assertEquals(w.router.lapsing(w.now()), ImmutableSet.of(), "only what it found itself");
+    }
+
+    @Test
+    public void tellsOfAnUpstreamWhosePromptsAreLost() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.promptRead();
+      w.declined();
+      w.declined();
+      assertEquals(w.router.lapsing(w.now()), ImmutableSet.of(new UpstreamName("read-1")));
+      w.pass(4_000);
+      assertEquals(w.router.lapsing(w.now()), ImmutableSet.of());
+    }
+
+    @Test
+    public void doesNotLeaveAStalledStreamEarly() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/resume/a", 14_000, SMALL);
+      w.promptRead();
+      w.pass(2_200);
+      assertEquals(w.sends(), 2);
+      w.pass(100);
+      assertEquals(w.sends(), 3);
+    }
+
     @Test
     public void readsThePromptItselfWhenItsReaderIsLost() {
       RelayWorld w = RelayWorld.usual();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -7,6 +7,7 @@
 package org.larkkeel.relay;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.HostName;
@@ -62,8 +63,19 @@
   /** A configuration was read; older ones than that in force are ignored. */
   record ConfigurationRead(long at, RelayConfiguration configuration) implements RelayEvent {}
 
-  /** What another node has in flight at upstreams, in the units of {@code RelayRouter.loads}. */
-  record LoadHeard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads)
+  /**
+   * What another node tells.
+   *
+   * @param at when it was heard
+   * @param node who tells
+   * @param loads what it has in flight at upstreams, in the units of {@code RelayRouter.loads}
+   * @param lapsing the upstreams whose prompts it found to be lost at once
+   */
+  record LoadHeard(
+      long at,
+      HostName node,
+      ImmutableMap<UpstreamName, Long> loads,
+      ImmutableSet<UpstreamName> lapsing)
       implements RelayEvent {}
 
   /** How many nodes share the budget of repeats. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -7,6 +7,7 @@
 package org.larkkeel.relay;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.larkkeel.lib.UpstreamName;
@@ -48,7 +49,7 @@
       case RelayEvent.Lost e -> flow.lost(at, e.attempt(), e.cause());
       case RelayEvent.UpstreamsChanged e -> flow.upstreams(at, e.upstreams());
       case RelayEvent.ConfigurationRead e -> flow.read(e.configuration());
-      case RelayEvent.LoadHeard e -> flow.heard(at, e.node(), e.loads());
+      case RelayEvent.LoadHeard e -> flow.heard(at, e.node(), e.loads(), e.lapsing());
       case RelayEvent.NodesCounted e -> flow.nodes(e.nodes());
       case RelayEvent.Draining e -> flow.drain(at);
       case RelayEvent.Ticked e -> flow.ticked(at);
@@ -73,6 +74,11 @@
     return flow.loads();
   }
 
+  /** The upstreams whose prompts this node has found to be lost at once. */
+  public ImmutableSet<UpstreamName> lapsing(long at) {
+    return flow.lapsing(at);
+  }
+
   /** How many upstreams are known, those included that leave. */
   public int upstreams() {
     return flow.upstreams();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -7,6 +7,7 @@
 package org.larkkeel.relay.internal;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -157,6 +158,14 @@
     return loads.buildOrThrow();
   }
 
+  /** Those whose handles this node itself has found to lapse. */
+  ImmutableSet<UpstreamName> lapsing(long at) {
+    return all.values().stream()
+        .filter(s -> s.lapsesFirstHand(at))
+        .map(s -> s.upstream().id())
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   /** Learns how long a unit of work took. */
   void took(UpstreamState state, long at, double nanosPerUnit) {
     state.took(at, nanosPerUnit);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -7,6 +7,7 @@
 package org.larkkeel.relay.internal;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -54,12 +55,18 @@
   /** The least patience, as a share of the target. */
   private static final double PATIENCE_OF_TARGET = 1.5;
 
-  private static final long LEAST_PROMPT_PATIENCE = 700 * MILLI;
+  /**
+   * As the other, of streams: one that has stalled mostly goes on, and to leave it costs a prompt
+   * that is read again; callers give up at four times the target.
+   */
+  private static final double STREAM_PATIENCE_OF_TARGET = 2.5;
+
+  private static final long LEAST_PROMPT_PATIENCE = 1_500 * MILLI;
 
   /** Pauses within a resumable stream, as multiples of the pause that is on time. */
-  private static final long SILENCE_GAPS = 4;
+  private static final long SILENCE_GAPS = 8;
 
-  private static final long LEAST_SILENCE = 800 * MILLI;
+  private static final long LEAST_SILENCE = 2_000 * MILLI;
   private static final long RETRY_AFTER_MILLIS = 200;
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
@@ -144,6 +151,11 @@
     return fleet.loads();
   }
 
+  /** The upstreams whose prompts this node has found to be lost at once. */
+  public ImmutableSet<UpstreamName> lapsing(long at) {
+    return fleet.lapsing(at);
+  }
+
   /** When a tick is due; {@link Long#MAX_VALUE} if none is. */
   public long nextDue() {
     return timers.next();
@@ -170,8 +182,13 @@
   }
 
   /** Takes over what another node has in flight. */
-  public void heard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads) {
+  public void heard(
+      long at,
+      HostName node,
+      ImmutableMap<UpstreamName, Long> loads,
+      ImmutableSet<UpstreamName> lapsing) {
     fleet.heard(at, node, loads);
+    lapsing.forEach(id -> fleet.find(id).ifPresent(s -> s.handleLapsedElsewhere(at)));
     fleet.forgetSilent(at);
     if (room.size() > 0 && !contesting) {
       contesting = true;
@@ -457,7 +474,8 @@
     if (!c.rule.kind().isRepeatable() || c.runs >= c.rule.maxRuns()) {
       return Long.MAX_VALUE;
     }
-    long target = (long) (PATIENCE_OF_TARGET * c.rule.targetMillis() * MILLI);
+    double share = c.rule.kind().isStream() ? STREAM_PATIENCE_OF_TARGET : PATIENCE_OF_TARGET;
+    long target = (long) (share * c.rule.targetMillis() * MILLI);
     return Math.max(target, (long) usual);
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -21,6 +21,8 @@
   private static final long FIRST_AVOID_NANOS = 1_000_000_000L;
   private static final long LONGEST_AVOID_NANOS = 8_000_000_000L;
   private static final int MOST_DOUBLINGS = 3;
+  private static final long LAPSE_NANOS = 4_000_000_000L;
+  private static final long LAPSE_ELSEWHERE_NANOS = 600_000_000L;
   private static final long BUSY_NANOS = 250_000_000L;
 
   private RelayUpstream upstream;
@@ -35,6 +37,7 @@
   private long avoidUntil = Long.MIN_VALUE;
   private long busyUntil = Long.MIN_VALUE;
   private long lapseUntil = Long.MIN_VALUE;
+  private long lapseUntilElsewhere = Long.MIN_VALUE;
   private long missingSince = Long.MAX_VALUE;
 
   UpstreamState(RelayUpstream upstream) {
@@ -158,13 +161,22 @@
   }
 
   void handleLapsed(long at) {
-    lapseUntil = at + FIRST_AVOID_NANOS * 2;
+    lapseUntil = at + LAPSE_NANOS;
   }
 
-  boolean handlesLapse(long at) {
+  /** Another node has found that handles lapse; it tells so again while it lasts. */
+  void handleLapsedElsewhere(long at) {
+    lapseUntilElsewhere = at + LAPSE_ELSEWHERE_NANOS;
+  }
+
+  boolean lapsesFirstHand(long at) {
     return at < lapseUntil;
   }
 
+  boolean handlesLapse(long at) {
+    return at < lapseUntil || at < lapseUntilElsewhere;
+  }
+
   private void outcome(long at, double failure) {
     failures = fade(at - failuresAt) * (1 - LEARN) * failures + LEARN * failure;
     failuresAt = at;
