--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -22,7 +22,7 @@
 public final class RelayFactLog implements Consumer<RelayFact> {
   private static final Logger log = LoggerFactory.getLogger("relay");
   private static final double MILLI = 1e6;
-  private static final int MAX_TEXT = 80;
+  private static final int MAX_TEXT = 160;
 
   @Override
   public void accept(RelayFact fact) {
@@ -39,6 +39,24 @@
               f.size().prompt(),
               f.size().mostOutput(),
               f.size().likelyOutput());
+      case RelayFact.RoomTaken f ->
+          log.info(
+              "event=room_taken call={} upstream={} need={} load={} memory={} nodes_heard={}"
+                  + " waited_ms={}",
+              id(f.call()),
+              f.upstream(),
+              f.units(),
+              f.load(),
+              f.memory(),
+              f.nodes(),
+              millis(f.waitedNanos()));
+      case RelayFact.Began f ->
+          log.info(
+              "event=began call={} attempt={} upstream={} ms={}",
+              id(f.call()),
+              f.attempt(),
+              f.upstream(),
+              millis(f.nanos()));
       case RelayFact.Waiting f ->
           log.info(
               "event=waiting call={} service={} need={} waiting={}",
@@ -94,7 +112,8 @@
               f.onTarget());
       case RelayFact.Refused f ->
           log.warn(
-              "event=refused call={} rule={} kind={} detail=\"{}\" sends={} runs={} ms={}",
+              "event={} call={} rule={} kind={} detail=\"{}\" sends={} runs={} ms={}",
+              f.began() ? "cut" : "refused",
               id(f.call()),
               f.rule(),
               f.kind().slug(),
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -84,6 +84,9 @@
       }
       case RelayFact.Waiting f ->
           registry.counter("larkkeel.relay.waiting", "service", f.service()).increment();
+      case RelayFact.RoomTaken f ->
+          latency("larkkeel.relay.room", "all").record(f.waitedNanos(), TimeUnit.NANOSECONDS);
+      case RelayFact.Began f -> {}
       case RelayFact.Admitted f -> {}
       case RelayFact.UpstreamChanged f -> {}
       case RelayFact.Restored f -> {}
@@ -103,7 +106,8 @@
 
   private void refused(RelayFact.Refused f) {
     ErrorKind kind = f.kind();
-    calls(f.rule().isEmpty() ? "none" : f.rule(), kind.slug()).increment();
+    String outcome = f.began() ? "cut_" + kind.slug() : kind.slug();
+    calls(f.rule().isEmpty() ? "none" : f.rule(), outcome).increment();
   }
 
   private Counter calls(String rule, String outcome) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -23,6 +23,31 @@
       String call, String rule, String service, long revision, long leftMillis, CallSize size)
       implements RelayFact {}
 
+  /**
+   * Memory was set aside for a call.
+   *
+   * @param call what the caller calls it
+   * @param upstream where
+   * @param units for the call
+   * @param load what all nodes have there now, with the call
+   * @param memory what the upstream holds
+   * @param nodes how many other nodes' loads are known
+   * @param waitedNanos how long the call waited for it
+   */
+  record RoomTaken(
+      String call,
+      UpstreamName upstream,
+      long units,
+      long load,
+      long memory,
+      int nodes,
+      long waitedNanos)
+      implements RelayFact {}
+
+  /** The first event of a stream is on its way to the caller. */
+  record Began(String call, AttemptId attempt, UpstreamName upstream, long nanos)
+      implements RelayFact {}
+
   /** A call waits for room. */
   record Waiting(String call, String service, long need, int waiting) implements RelayFact {}
 
@@ -77,7 +102,14 @@
 
   /** The caller was refused or cut off. */
   record Refused(
-      String call, String rule, ErrorKind kind, String detail, int sends, int runs, long nanos)
+      String call,
+      String rule,
+      ErrorKind kind,
+      String detail,
+      boolean began,
+      int sends,
+      int runs,
+      long nanos)
       implements RelayFact {}
 
   /** The caller left. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -106,6 +106,21 @@
     return new RelayFact.UpstreamChanged(u.id(), u.service().value(), u.address(), change);
   }
 
+  /** Of how many other nodes the load is known. */
+  int nodesHeard() {
+    return heard.size();
+  }
+
+  /** The most room at one upstream that may run calls of a service. */
+  long mostFree(ServiceName service, Need need) {
+    return all.values().stream()
+        .filter(s -> s.upstream().service().equals(service) && s.upstream().stage().runs())
+        .filter(s -> !s.upstream().leaving() && !s.isMissing())
+        .mapToLong(s -> Math.round(need.full() * need.memory()) - s.wholeLoad())
+        .max()
+        .orElse(0);
+  }
+
   /** How many upstreams are known. */
   int size() {
     return all.size();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -309,10 +309,23 @@
     Need need = need(c, at);
     Optional<Choice> choice =
         fleet.choose(at, c.service, Stage::runs, c.without, settings.place(), need);
-    choice.ifPresent(found -> moveIn(c, found.best(), need.units()));
+    choice.ifPresent(found -> takeRoom(at, c, found.best(), need));
     return choice.isPresent();
   }
 
+  private void takeRoom(long at, CallState c, UpstreamState home, Need need) {
+    moveIn(c, home, need.units());
+    report(
+        new RelayFact.RoomTaken(
+            c.call.wireId(),
+            home.upstream().id(),
+            need.units(),
+            home.wholeLoad(),
+            need.memory(),
+            fleet.nodesHeard(),
+            at - c.arrivedAt));
+  }
+
   private void moveIn(CallState c, UpstreamState home, long units) {
     moveOut(c);
     c.home = home;
@@ -352,7 +365,16 @@
     long left = (c.deadline - at) / MILLI;
     long latest = Math.max(FIRST_RETURN_MILLIS + 1, (long) (RETURN_SHARE * left));
     long after = random.nextLong(FIRST_RETURN_MILLIS, latest);
-    giveUp(at, c, ErrorKind.OVERLOADED, after, "no upstream of " + c.service + " has room");
+    Need need = need(c, at);
+    String detail =
+        "no upstream of %s has room: need %d, most free %d of %d, nodes heard %d"
+            .formatted(
+                c.service,
+                need.units(),
+                fleet.mostFree(c.service, need),
+                need.memory(),
+                fleet.nodesHeard());
+    giveUp(at, c, ErrorKind.OVERLOADED, after, detail);
   }
 
   /** Begins the work on a call for which memory is set aside. */
@@ -549,6 +571,8 @@
       c.began = true;
       c.beganAt = at;
     }
+    report(
+        new RelayFact.Began(c.call.wireId(), id, a.upstream().upstream().id(), at - c.arrivedAt));
     effects.accept(new RelayEffect.Follow(c.call.id(), id));
   }
 
@@ -792,6 +816,7 @@
             c.rule.name().value(),
             told,
             detail,
+            c.began,
             c.sends,
             c.runs,
             at - c.arrivedAt));
@@ -803,7 +828,7 @@
   }
 
   private void refuse(RelayCall call, ErrorKind kind, long retryAfter, String detail) {
-    report(new RelayFact.Refused(call.wireId(), "", kind, detail, 0, 0, 0));
+    report(new RelayFact.Refused(call.wireId(), "", kind, detail, false, 0, 0, 0));
     effects.accept(new RelayEffect.Refuse(call.id(), kind, retryAfter, detail));
   }
 
