--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/CommandCatalog.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/CommandCatalog.java
@@ -65,6 +65,7 @@
             DiffCommand::new,
             DrainCommand::new,
             ExplainCommand::new,
+            ExplainLogCommand::new,
             GetCommand::new,
             HelpCommand::new,
             LabelCommand::new,
