Take a prompt for lost only when the engine that declined it was not full

Ruled out: the longer patience. Change: an engine loses prompts only if the one that declined a prompt runs the same call without it; remembered for 2 s instead of 4.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -55,6 +55,9 @@
   /** The prompt, once it was read; null before and after its use. */
   Purpose.TakeOver prompt;
 
+  /** The upstream that may have lost the call's prompt; null if none may. */
+  UpstreamName suspect;
+
   /** How many upstreams have declined the prompt. */
   int promptDeclined;
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -549,7 +549,20 @@
     report(new RelayFact.PromptWasted(c.call.wireId(), reader, c.call.size().prompt()));
   }
 
+  /**
+   * Takes the loss of a prompt for certain once the upstream that declined it runs the call without
+   * it, so that it was not full.
+   */
+  private void confirmLapse(long at, AttemptState a) {
+    CallState c = a.call();
+    if (c.suspect != null && a.purpose() instanceof Purpose.Run) {
+      fleet.find(c.suspect).ifPresent(s -> s.handleLapsed(at));
+    }
+    c.suspect = null;
+  }
+
   private void learn(long at, AttemptState a) {
+    confirmLapse(at, a);
     boolean was = a.upstream().isStruck();
     a.upstream().succeeded(at);
     if (was) {
@@ -626,6 +639,7 @@
 
   /** Runs a call at another upstream than that of an attempt. */
   private void again(long at, AttemptState a) {
+    a.call().suspect = null;
     a.call().without.add(a.upstream().upstream().id());
     run(at, a.call());
   }
@@ -682,7 +696,7 @@
     if (c.promptDeclined < MOST_PROMPT_DECLINED && hasOther(at, a)) {
       return false;
     }
-    fleet.find(prompt.source().id()).ifPresent(s -> s.handleLapsed(at));
+    c.suspect = prompt.source().id();
     wasted(c, prompt.source().id());
     c.prompt = null;
     if (a.upstream().upstream().leaving()) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -21,7 +21,7 @@
   private static final long FIRST_AVOID_NANOS = 1_000_000_000L;
   private static final long LONGEST_AVOID_NANOS = 8_000_000_000L;
   private static final int MOST_DOUBLINGS = 3;
-  private static final long LAPSE_NANOS = 4_000_000_000L;
+  private static final long LAPSE_NANOS = 2_000_000_000L;
   private static final long LAPSE_ELSEWHERE_NANOS = 600_000_000L;
   private static final long BUSY_NANOS = 250_000_000L;
 
