--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/BoundedAppenderTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/BoundedAppenderTest.java
@@ -90,7 +90,7 @@
     }
 
     @Test
-    public void neverWaitsForAReaderThatDoesNotRead() {
+    public void neverWaitsForReaderThatDoesNotRead() {
       LoggerContext context = context();
       CountDownLatch open = new CountDownLatch(1);
       Sink sink = new Sink(open);
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/VirtualTime.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/VirtualTime.java
@@ -44,6 +44,7 @@
     return () -> due.remove(added);
   }
 
+  /** Lets time pass; tasks that fall due run in order. */
   public void advance(Duration time) {
     long end = now + time.toNanos();
     while (!due.isEmpty() && due.peek().at() <= end) {
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
@@ -15,8 +15,9 @@
   /** Text that came from callers. */
   public static class Hostile {
     @Test
-    public void canNotEndALineOrAField() {
-      assertEquals(RelayFactLog.id("a\nevent=x\" b=c\u0000\u20ac"), "a?event=x??b=c??");
+    public void canNotEndLineOrField() {
+      assertEquals(
+          RelayFactLog.id("a\nevent=x\" b=c" + (char) 0 + (char) 0x20ac), "a?event=x??b=c??");
     }
 
     @Test
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelaySettingsReaderTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelaySettingsReaderTest.java
@@ -62,13 +62,13 @@
   /** Settings that can not be used: the message names field, value and remedy. */
   public static class Invalid {
     @Test
-    public void namesAMissingField() {
+    public void namesMissingField() {
       String told = problems(GOOD.replace("\"host\": \"node-1\",", ""));
       assertTrue(told.contains("/host"), told);
     }
 
     @Test
-    public void namesABadAddress() {
+    public void namesBadAddress() {
       String told = problems(GOOD.replace("127.0.0.1:5", "nowhere"));
       assertTrue(told.contains("/store/address"), told);
       assertTrue(told.contains("nowhere"), told);
@@ -76,14 +76,14 @@
     }
 
     @Test
-    public void namesABadNumber() {
+    public void namesBadNumber() {
       String told = problems(GOOD.replace("\"56\"", "\"-1\""));
       assertTrue(told.contains("/repeats/slack"), told);
       assertTrue(told.contains("-1"), told);
     }
 
     @Test
-    public void namesAFieldThatItDoesNotKnow() {
+    public void namesFieldThatItDoesNotKnow() {
       String told = problems(GOOD.replace("\"seeds\"", "\"sedes\""));
       assertTrue(told.contains("sedes"), told);
     }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
@@ -181,7 +181,7 @@
     }
 
     @Test
-    public void isOrderedByAnotherNodeWithAHigherNumberAfterTheFirstIsGone() {
+    public void isOrderedByAnotherNodeWithHigherNumberAfterTheFirstIsGone() {
       World w = new World();
       w.node("a", 0);
       w.engines(3, 3);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayAdapter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayAdapter.java
@@ -34,10 +34,10 @@
   ObjectApi store(HttpClientOptions options, XnioWorker worker, Scheduler scheduler);
 
   /** The collection that holds the configuration. */
-  String configurations();
+  String configurationCollection();
 
   /** The collection that holds the upstreams. */
-  String upstreams();
+  String upstreamCollection();
 
   /** The newest configuration among objects; empty if none can be read. */
   Optional<RelayConfiguration> configuration(ImmutableCollection<StoredObject> objects);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -49,14 +49,19 @@
     this.configurations =
         new CollectionMirror(
             store,
-            adapter.configurations(),
+            adapter.configurationCollection(),
             scheduler,
             backoff(random),
             watchTime,
             this::configuration);
     this.upstreams =
         new CollectionMirror(
-            store, adapter.upstreams(), scheduler, backoff(random), watchTime, this::upstreams);
+            store,
+            adapter.upstreamCollection(),
+            scheduler,
+            backoff(random),
+            watchTime,
+            this::upstreams);
   }
 
   private static Backoff backoff(SplittableRandom random) {
@@ -104,11 +109,11 @@
   /** Takes over what another node has read, where it is newer. */
   void offer(FeedCopy copy) {
     FeedCopy.Part c = copy.configurations();
-    if (configurations.offer(c.version(), c.objects(adapter.configurations()))) {
+    if (configurations.offer(c.version(), c.objects(adapter.configurationCollection()))) {
       log.info("event=taken_from_peer collection=configurations version={}", c.version());
     }
     FeedCopy.Part u = copy.upstreams();
-    if (upstreams.offer(u.version(), u.objects(adapter.upstreams()))) {
+    if (upstreams.offer(u.version(), u.objects(adapter.upstreamCollection()))) {
       log.info("event=taken_from_peer collection=upstreams version={}", u.version());
     }
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -77,7 +77,6 @@
     ExecutorScheduler steps = closer.add(new ExecutorScheduler("larkkeel-store"));
     this.scheduler = steps;
     HttpWorker worker = closer.add(new HttpWorker(IO_THREADS));
-    UpstreamClient client = closer.add(new UpstreamClient(worker, CLIENT, System::nanoTime));
     this.router = new RelayRouter(settings.router());
     var thread = worker.worker().getIoThread();
     this.loop = new RelayLoop(thread, router, System::nanoTime);
@@ -86,6 +85,7 @@
     RelayMeters meters = new RelayMeters(meterRegistry);
     RelayFactLog facts = new RelayFactLog();
     RelayDialect dialect = adapter.dialect();
+    UpstreamClient client = closer.add(new UpstreamClient(worker, CLIENT, System::nanoTime));
     RelayExecutor executor =
         new RelayExecutor(
             loop,
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/relay/EventSplitterTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/relay/EventSplitterTest.java
@@ -67,7 +67,7 @@
   /** Events with odd fields. */
   public static class Odd {
     @Test
-    public void hasNoNumberWithoutANumericId() {
+    public void hasNoNumberWithoutNumericId() {
       EventSplitter s = new EventSplitter(1_000);
       byte[] bytes = "id: x\ndata: a\n\ndata: b\n\n".getBytes(StandardCharsets.UTF_8);
       List<EventSplitter.Whole> events = split(s, bytes);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
@@ -39,6 +39,13 @@
   @SuppressWarnings("ArrayRecordComponent") // The bytes are handed on and never changed.
   public record Body(byte[] bytes, Runnable release) {}
 
+  /**
+   * Reads a body.
+   *
+   * @param exchange whose body
+   * @param wireId what the caller calls its request, for answers to bodies that can not be read
+   * @param then gets the whole body
+   */
   public void read(HttpServerExchange exchange, String wireId, Consumer<Body> then) {
     long length = exchange.getRequestContentLength();
     if (length > settings.maxBodyBytes()) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
@@ -112,7 +112,7 @@
    * Sets status and headers of the stream that follows, in place of those of an event stream;
    * before its first part. The body of the head is not used.
    */
-  public synchronized void head(RecordedAnswer head) {
+  public synchronized void beginStream(RecordedAnswer head) {
     streamHead = Optional.of(head);
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -155,7 +155,7 @@
     followed = true;
     if (!request.headSent) {
       request.headSent = true;
-      request.channel.head(head);
+      request.channel.beginStream(head);
     }
     passOn();
   }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -164,7 +164,7 @@
     }
 
     @Test
-    public void usesOneThatWentMissingForAWhileOnlyIfThereIsNoOther() {
+    public void usesMissingOnesForSomeTimeOnlyIfThereIsNoOther() {
       RelayWorld w = RelayWorld.usual();
       w.remove("app-1", "app-2");
       w.arrive("/safe/a");
@@ -347,7 +347,7 @@
     }
 
     @Test
-    public void takesRoomThatOthersSeeAfterARandomTime() {
+    public void takesRoomThatOthersSeeAfterRandomTime() {
       RelayWorld w = RelayWorld.usual();
       ImmutableMap<UpstreamName, Long> full =
           ImmutableMap.of(new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L);
@@ -362,7 +362,7 @@
     }
 
     @Test
-    public void forgetsWhatASilentNodeHadInFlight() {
+    public void forgetsWhatSilentNodesHadInFlight() {
       RelayWorld w = RelayWorld.usual();
       w.apply(
           new RelayEvent.LoadHeard(
@@ -377,7 +377,7 @@
     }
 
     @Test
-    public void asksAnotherUpstreamBeforeAPromptIsTakenForLost() {
+    public void asksAnotherUpstreamBeforePromptsAreTakenForLost() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/stream/a", 14_000, SMALL);
       w.promptRead();
@@ -433,7 +433,7 @@
     }
 
     @Test
-    public void doesNotLeaveAStalledStreamEarly() {
+    public void doesNotLeaveStalledStreamsEarly() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/resume/a", 14_000, SMALL);
       w.promptRead();
@@ -454,7 +454,7 @@
     }
 
     @Test
-    public void freesAPromptThatNoneCanTake() {
+    public void freesPromptsThatNoneCanTake() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/stream/a", 14_000, SMALL);
       w.leave("run-1");
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -81,7 +81,7 @@
 
   /** How many upstreams are known, those included that leave. */
   public int upstreams() {
-    return flow.upstreams();
+    return flow.upstreamCount();
   }
 
   /** The calls without a final answer. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -142,7 +142,7 @@
   }
 
   /** How many upstreams are known. */
-  public int upstreams() {
+  public int upstreamCount() {
     return fleet.size();
   }
 
@@ -665,23 +665,37 @@
       c.runs--;
     }
     failed(a, cause.name(), false);
-    switch (cause) {
-      case NOT_SENT -> {
-        c.arrivals--;
-        if (a.repeat()) {
-          allowance(c.service).giveBack(a.sentAt());
-        }
-        strike(at, a, cause.name(), true);
-      }
-      case WRONG_UPSTREAM -> strike(at, a, cause.name(), true);
-      case DECLINED -> {
-        if (a.purpose() instanceof Purpose.TakeOver t && promptDeclined(at, a, t)) {
-          return;
-        }
-        a.upstream().declined(at);
-      }
+    boolean goesOn =
+        switch (cause) {
+          case NOT_SENT -> notSent(at, a);
+          case WRONG_UPSTREAM -> {
+            strike(at, a, cause.name(), true);
+            yield false;
+          }
+          case DECLINED -> declined(at, a);
+        };
+    if (!goesOn) {
+      again(at, a);
+    }
+  }
+
+  /** Takes back what was counted for a send that reached nobody; the call goes elsewhere. */
+  private boolean notSent(long at, AttemptState a) {
+    a.call().arrivals--;
+    if (a.repeat()) {
+      allowance(a.call().service).giveBack(a.sentAt());
+    }
+    strike(at, a, RefusalCause.NOT_SENT.name(), true);
+    return false;
+  }
+
+  /** Whether a declined call goes on at the same upstream. */
+  private boolean declined(long at, AttemptState a) {
+    if (a.purpose() instanceof Purpose.TakeOver t && promptDeclined(at, a, t)) {
+      return true;
     }
-    again(at, a);
+    a.upstream().declined(at);
+    return false;
   }
 
   /**
--- a/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
@@ -184,7 +184,7 @@
     }
 
     @Test
-    public void answersWithoutARuleOrAConfiguration() throws Exception {
+    public void answersWithoutRuleOrConfiguration() throws Exception {
       try (World w = new World()) {
         assertTrue(w.exchange("GET", "/safe/a", "", "").startsWith("HTTP/1.1 503"));
         w.configured();
@@ -240,7 +240,7 @@
     }
 
     @Test
-    public void cutsAStreamThatMayNotGoOn() throws Exception {
+    public void cutsStreamThatMayNotGoOn() throws Exception {
       try (World w = new World().configured()) {
         reader(w, new AtomicInteger());
         w.runner(
@@ -289,7 +289,7 @@
     }
 
     @Test
-    public void endsTheRunOfACallerThatLeft() throws Exception {
+    public void endsTheRunOfCallerThatLeft() throws Exception {
       CountDownLatch gone = new CountDownLatch(1);
       try (World w = new World().configured()) {
         reader(w, new AtomicInteger());
@@ -335,7 +335,7 @@
     }
 
     @Test
-    public void keepsItsConfigurationWhenANewOneIsUnusable() throws Exception {
+    public void keepsItsConfigurationWhenNewOneIsUnusable() throws Exception {
       try (World w = new World().configured()) {
         w.runner("i-1", "app", "", (r, out, s) -> whole(out, 200, "ok"));
         var broken = Json.object();
