Take no call while a node only finishes what it has

Test: RelayPathTest.Stop.passesNothingOnWhileItOnlyFinishesWhatItHas, which hung before, as such requests were run.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -225,7 +225,7 @@
       listener.closeAfterAnswers();
       loop.submit(new RelayEvent.Draining(loop.now()));
       long begun = scheduler.nanoTime();
-      scheduler.schedule(settings.leave(), () -> checkDrained(begun));
+      scheduler.schedule(settings.leave(), () -> finish(begun));
     }
   }
 
@@ -234,6 +234,16 @@
     return drained.copy();
   }
 
+  /**
+   * Takes no call any more. What was taken before is looked at only after a while, when the I/O
+   * thread has counted it: else a call could be taken while the process ends.
+   */
+  private void finish(long begun) {
+    listener.refuseNew();
+    loop.submit(new RelayEvent.Ticked(loop.now()));
+    scheduler.schedule(CHECK.multipliedBy(2), () -> checkDrained(begun));
+  }
+
   private void checkDrained(long begun) {
     long left = settings.grace().minus(BEFORE_END).toNanos() - (scheduler.nanoTime() - begun);
     if (inProgress == 0 || left <= 0) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -29,6 +29,8 @@
 import org.larkkeel.relay.CallSize;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.Options;
 
 /**
@@ -42,6 +44,8 @@
   private static final int MAX_HEADER_BYTES = 64 << 10;
   private static final int BACKLOG = 1024;
   private static final long DRAINED = 2;
+  private static final long STOPPING_RETRY_MILLIS = 50;
+  private static final Logger log = LoggerFactory.getLogger(RelayListener.class);
 
   private final CallerSettings settings;
   private final RelayLoop loop;
@@ -50,6 +54,7 @@
   private final BodyReader bodies;
   private long lastId;
   private volatile boolean closing;
+  private volatile boolean refusing;
   private Undertow server;
 
   private RelayListener(
@@ -108,6 +113,11 @@
     closing = true;
   }
 
+  /** From now on takes no request any more: each is told to go elsewhere, as not run. */
+  public void refuseNew() {
+    refusing = true;
+  }
+
   @Override
   public void close() {
     server.stop();
@@ -128,6 +138,11 @@
     if (closing) {
       exchange.setPersistent(false);
     }
+    if (refusing) {
+      body.release().run();
+      refuse(exchange, facts);
+      return;
+    }
     UndertowChannel channel = new UndertowChannel(exchange, settings, body.release());
     String target = target(exchange);
     int query = target.indexOf('?');
@@ -150,6 +165,18 @@
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> arrived(request));
   }
 
+  private void refuse(HttpServerExchange exchange, CallFacts facts) {
+    String detail = "This node stops.";
+    Problem problem =
+        new Problem(ErrorKind.NOT_READY, detail, facts.wireId(), STOPPING_RETRY_MILLIS);
+    log.info("event=refused call={} kind={} detail=\"{}\"", cleaned(facts), problem.kind(), detail);
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> answer(exchange, problem));
+  }
+
+  private static String cleaned(CallFacts facts) {
+    return facts.wireId().replaceAll("[^\\x21\\x23-\\x7e]", "?");
+  }
+
   private void arrived(RelayRequest request) {
     executor.add(request);
     request.channel.onGone(() -> executor.gone(request.call.id()));
--- a/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
@@ -349,6 +349,46 @@
 
   /** The end of a node. */
   public static class Stop {
+    @Test
+    public void passesNothingOnWhileItOnlyFinishesWhatItHas() throws Exception {
+      CountDownLatch begun = new CountDownLatch(1);
+      CountDownLatch goOn = new CountDownLatch(1);
+      AtomicInteger ran = new AtomicInteger();
+      try (World w = new World().configured()) {
+        w.runner(
+            "i-1",
+            "app",
+            "",
+            (r, out, s) -> {
+              ran.incrementAndGet();
+              begun.countDown();
+              goOn.await();
+              whole(out, 200, "whole");
+            });
+        try (RawClient client = new RawClient(w.address())) {
+          client.send("POST", "/once/a", "", "x");
+          assertTrue(begun.await(20, TimeUnit.SECONDS));
+          w.node.drain();
+          World.await(
+              () -> {
+                try {
+                  return w.exchange("POST", "/once/b", "X-Deadline-Ms: 200\r\n", "x")
+                      .startsWith("HTTP/1.1 503");
+                } catch (IOException e) {
+                  throw new AssertionError(e);
+                }
+              });
+          int before = ran.get();
+          assertTrue(w.exchange("POST", "/once/c", "", "x").contains("Retry-After"));
+          assertEquals(ran.get(), before);
+          assertFalse(w.node.drained().isDone());
+          goOn.countDown();
+          assertTrue(client.readToEnd().endsWith("whole"));
+        }
+        w.node.drained().get(20, TimeUnit.SECONDS);
+      }
+    }
+
     @Test
     public void finishesWhatItHas() throws Exception {
       CountDownLatch begun = new CountDownLatch(1);
