--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/ParsedHead.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/ParsedHead.java
@@ -10,7 +10,6 @@
 import com.google.common.hash.Hashing;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -30,7 +29,7 @@
 record ParsedHead(String target, Optional<RunKey> runKey, long deadlineMillis) {
 
   static ParsedHead of(HttpServerExchange exchange, byte[] body) {
-    String target = target(exchange);
+    String target = RequestTarget.of(exchange);
     HeaderMap headers = exchange.getRequestHeaders();
     Optional<RunKey> key =
         Optional.ofNullable(headers.getFirst(HeaderNames.IDEMPOTENCY_KEY))
@@ -38,25 +37,6 @@
     return new ParsedHead(target, key, deadline(headers.getFirst(HeaderNames.DEADLINE_MILLIS)));
   }
 
-  private static String target(HttpServerExchange exchange) {
-    String path = exchange.getRequestURI();
-    if (exchange.isHostIncludedInRequestURI()) {
-      path = rawPath(path);
-    }
-    String query = exchange.getQueryString();
-    return query.isEmpty() ? path : path + "?" + query;
-  }
-
-  private static String rawPath(String uri) {
-    try {
-      String path = URI.create(uri).getRawPath();
-      return path.isEmpty() ? "/" : path;
-    } catch (IllegalArgumentException e) {
-      throw new LarkkeelException(
-          ErrorKind.MALFORMED_REQUEST, "The request target can not be read.", e);
-    }
-  }
-
   private static RunKey runKey(String key, long digest) {
     try {
       return new RunKey(new IdempotencyKey(key), digest);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -15,7 +15,6 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
@@ -23,6 +22,7 @@
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.caller.BodyReader;
 import org.larkkeel.http.caller.CallerSettings;
+import org.larkkeel.http.caller.RequestTarget;
 import org.larkkeel.http.caller.UndertowChannel;
 import org.larkkeel.http.request.RecordedAnswer;
 import org.larkkeel.lib.RequestId;
@@ -144,7 +144,7 @@
       return;
     }
     UndertowChannel channel = new UndertowChannel(exchange, settings, body.release());
-    String target = target(exchange);
+    String target = RequestTarget.of(exchange);
     int query = target.indexOf('?');
     RelayCall call =
         new RelayCall(
@@ -184,25 +184,6 @@
     loop.submit(new RelayEvent.Arrived(loop.now(), request.call));
   }
 
-  private static String target(HttpServerExchange exchange) {
-    String path = exchange.getRequestURI();
-    if (exchange.isHostIncludedInRequestURI()) {
-      path = rawPath(path);
-    }
-    String query = exchange.getQueryString();
-    return query.isEmpty() ? path : path + "?" + query;
-  }
-
-  private static String rawPath(String uri) {
-    try {
-      String path = URI.create(uri).getRawPath();
-      return path.isEmpty() ? "/" : path;
-    } catch (IllegalArgumentException e) {
-      throw new LarkkeelException(
-          ErrorKind.MALFORMED_REQUEST, "The request target can not be read.", e);
-    }
-  }
-
   private void answer(HttpServerExchange exchange, Problem problem) {
     RecordedAnswer answer = dialect.refusal(problem);
     exchange.setStatusCode(answer.status());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -196,7 +196,7 @@
     }
   }
 
-  /** Sends what waits for room elsewhere; calls that come find room at once or are sent on. */
+  /** Sends what waits for room elsewhere, and from now on each call that needs room. */
   public void drain(long at) {
     draining = true;
     for (CallState c : room.inOrder(at)) {
@@ -276,23 +276,25 @@
     return c.call.size().prompt() > 0 && configuration.bounds(c.service).memoryTokens() > 0;
   }
 
-  /** Sets memory aside, or lets the call wait for it. */
+  /** Sets memory aside, or lets the call wait for it; sends it elsewhere if the node stops. */
   private void settle(long at, CallState c) {
-    if (draining || room.size() > 0 || !findHome(at, c)) {
-      if (draining) {
-        giveUp(at, c, ErrorKind.NOT_READY, "the node stops");
-        return;
-      }
-      room.add(c);
-      report(
-          new RelayFact.Waiting(
-              c.call.wireId(), c.service.value(), need(c, at).units(), room.size()));
-      long wait =
-          c.isFresh() ? (long) (ROOM_SHARE * c.rule.targetMillis() * MILLI) : returnedWait(at, c);
-      timers.add(new Timers.Due.Room(at + wait, c.call.id()));
-      return;
+    if (draining) {
+      giveUp(at, c, ErrorKind.NOT_READY, "the node stops");
+    } else if (room.size() == 0 && findHome(at, c)) {
+      begin(at, c);
+    } else {
+      await(at, c);
     }
-    begin(at, c);
+  }
+
+  private void await(long at, CallState c) {
+    room.add(c);
+    report(
+        new RelayFact.Waiting(
+            c.call.wireId(), c.service.value(), need(c, at).units(), room.size()));
+    long wait =
+        c.isFresh() ? (long) (ROOM_SHARE * c.rule.targetMillis() * MILLI) : returnedWait(at, c);
+    timers.add(new Timers.Due.Room(at + wait, c.call.id()));
   }
 
   private static long returnedWait(long at, CallState c) {
