Free a peer server's address once it is closed

Cause: close() returned while the acceptor thread was still inside accept(), and the system keeps a listening socket for as long as a thread waits in it. A server opened at the same address right after failed with "Address already in use" (seen once in continuous integration, in brokenIdleConnectionIsReplaced). Ruled out: other listeners (each test takes port 0) and lingering connections (the listener has SO_REUSEADDR).

Change: close() waits for the acceptor's end before it closes the connections; a connection that was accepted in between is closed as well.

--- a/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/transport/TransportTest.java
+++ b/org.larkkeel.peer.test/src/test/java/org/larkkeel/peer/transport/TransportTest.java
@@ -174,6 +174,19 @@
       }
     }
 
+    /** The address is free once a server is closed, also while its acceptor was waiting. */
+    @Test
+    public void addressIsFreeOnceClosed() throws Exception {
+      try (PeerServer first = serve(Optional.empty())) {
+        InetSocketAddress same =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), first.port());
+        first.close();
+        for (int i = 0; i < 2_000; i++) {
+          PeerServer.open(settings(), same, Optional.empty(), NameCheck.OFF, new Echo()).close();
+        }
+      }
+    }
+
     @Test
     public void silentPeerTimesOut() throws Exception {
       TransportSettings hasty =
--- a/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerServer.java
+++ b/org.larkkeel.peer/src/main/java/org/larkkeel/peer/transport/PeerServer.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -35,6 +36,7 @@
 public final class PeerServer implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(PeerServer.class);
   private static final String[] TLS_VERSIONS = {"TLSv1.3"};
+  private static final Duration ACCEPTOR_PATIENCE = Duration.ofSeconds(5);
 
   private final TransportSettings settings;
   private final NameCheck nameCheck;
@@ -150,6 +152,12 @@
     return new NameCheckedService(handler, CertificateNames.of(secure));
   }
 
+  /**
+   * Ends the listener and all connections.
+   *
+   * <p>The address is free once this returns: the system keeps a listener for as long as a thread
+   * waits in it, so the acceptor's end is waited for.
+   */
   @Override
   public void close() {
     closed = true;
@@ -158,6 +166,15 @@
     } catch (IOException e) {
       LOG.debug("event=peer_listener_close_failed error=\"{}\"", e.toString());
     }
+    awaitAcceptor();
     connections.forEach(Frames::closeQuietly);
   }
+
+  private void awaitAcceptor() {
+    try {
+      acceptor.join(ACCEPTOR_PATIENCE);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
