Move streams off upstreams that leave, with their memory

Cause: an upstream that leaves ends after its notice, two seconds or more; streams that last longer were broken there and either lost, or read again from the beginning elsewhere at the price of a prompt that is read for nothing.

Change: 1.2 s after an upstream is seen to leave, or to be gone from the list, its streams move in two steps: the memory is copied while the run goes on, which proves that there is room, then the run is stopped and goes on at the destination after the last event that the caller has. The end of a stopped stream is never taken for the end of the answer, as streams without a length look complete. A copy that can not be had leaves the run where it is; one that is lost after the stop is run anew only where that is allowed, and cut otherwise. The platform's adapter translates the call.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -92,6 +92,15 @@
               f.attempt(),
               f.upstream(),
               millis(f.nanos()));
+      case RelayFact.RunMoved f ->
+          log.info(
+              "event=run_moved call={} attempt={} from={} to={} step={} result={}",
+              id(f.call()),
+              f.attempt(),
+              f.from(),
+              f.to(),
+              f.step(),
+              f.result().getClass().getSimpleName());
       case RelayFact.PromptWasted f ->
           log.warn(
               "event=prompt_wasted call={} upstream={} tokens={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -72,6 +72,15 @@
           registry.counter("larkkeel.relay.attempts", "purpose", f.purpose()).increment();
       case RelayFact.PromptRead f ->
           latency("larkkeel.relay.prompt", "all").record(f.nanos(), TimeUnit.NANOSECONDS);
+      case RelayFact.RunMoved f ->
+          registry
+              .counter(
+                  "larkkeel.relay.moves",
+                  "step",
+                  f.step().name(),
+                  "result",
+                  f.result().getClass().getSimpleName())
+              .increment();
       case RelayFact.PromptWasted f ->
           registry.counter("larkkeel.relay.prompt.wasted.tokens").increment(f.tokens());
       case RelayFact.BudgetSpent f ->
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/StageOrder.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlCall.java
@@ -7,7 +7,7 @@
 package org.larkkeel.http.relay;
 
 /**
- * A call, with POST, that orders an upstream to take another part of the work.
+ * A call, with POST, by which an upstream is told something that is no request of a caller.
  *
  * <p>Immutable and safe for use by several threads.
  *
@@ -15,4 +15,4 @@
  * @param body JSON text
  * @since 0.1
  */
-public record StageOrder(String path, String body) {}
+public record ControlCall(String path, String body) {}
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/OrderSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/OrderSender.java
@@ -62,7 +62,7 @@
   public CompletableFuture<Integer> send(
       RelayUpstream upstream, Stage stage, String holder, long fencing, BooleanSupplier allowed) {
     CompletableFuture<Integer> answered = new CompletableFuture<>();
-    StageOrder order = dialect.order(stage, holder, fencing);
+    ControlCall order = dialect.order(stage, holder, fencing);
     ListMultimap<HttpString, String> headers = LinkedListMultimap.create();
     dialect.prepare(
         headers,
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
@@ -12,7 +12,9 @@
 import java.util.Optional;
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.request.RecordedAnswer;
+import org.larkkeel.relay.MoveStep;
 import org.larkkeel.relay.RelayEffect;
+import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.Stage;
 
 /**
@@ -47,6 +49,16 @@
   /** The handle in the answer of an upstream that has read a prompt. */
   Optional<String> promptHandle(byte[] body);
 
+  /**
+   * The call that has the memory of a run copied to another upstream; {@link #promptHandle} reads
+   * its answer.
+   *
+   * @param wireId the id of the request that runs
+   * @param destination gets the copy
+   * @param step whether the run goes on
+   */
+  ControlCall move(String wireId, RelayUpstream destination, MoveStep step);
+
   /** The path by which a handle is freed with DELETE. */
   String freePath(String handle);
 
@@ -57,7 +69,7 @@
    * @param holder who gives the order
    * @param fencing grows with each holder
    */
-  StageOrder order(Stage stage, String holder, long fencing);
+  ControlCall order(Stage stage, String holder, long fencing);
 
   /** The answer to a caller in place of an upstream's. */
   RecordedAnswer refusal(Problem problem);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -9,8 +9,11 @@
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.LinkedListMultimap;
 import com.google.common.collect.ListMultimap;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -25,6 +28,7 @@
 import org.larkkeel.http.upstream.WholeAnswer;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
@@ -44,6 +48,9 @@
   /** How long the upstream's answer is waited for beyond the time that it was given. */
   private static final long MARGIN = 1_000 * MILLI;
 
+  /** How long a copy may take. */
+  private static final long MOVE_NANOS = 900 * MILLI;
+
   private static final long FREE_NANOS = 500 * MILLI;
   private static final int MAX_FREE_BYTES = 64 << 10;
 
@@ -101,6 +108,7 @@
     switch (effect) {
       case RelayEffect.Send e -> send(e);
       case RelayEffect.Cancel e -> cancel(e.attempt());
+      case RelayEffect.Move e -> move(e);
       case RelayEffect.Free e -> free(e.source(), e.handle());
       case RelayEffect.Follow e -> follow(e);
       case RelayEffect.Deliver e -> deliver(e);
@@ -168,6 +176,51 @@
         new WholeAnswer(MAX_FREE_BYTES, answer -> {}, failure -> {}));
   }
 
+  private void move(RelayEffect.Move e) {
+    RelayRequest request = requests.get(e.call());
+    if (request == null) {
+      return;
+    }
+    ControlCall call = dialect.move(request.call.wireId(), e.destination(), e.step());
+    ListMultimap<HttpString, String> headers = LinkedListMultimap.create();
+    dialect.prepare(
+        headers,
+        new SendFacts(
+            e.source(), new RelayEffect.Purpose.Run(), MOVE_NANOS / MILLI, OptionalLong.empty()));
+    headers.put(Headers.CONTENT_TYPE, "application/json");
+    UpstreamRequest wire =
+        new UpstreamRequest(
+            Methods.POST,
+            call.path(),
+            ImmutableListMultimap.copyOf(headers),
+            call.body().getBytes(StandardCharsets.UTF_8));
+    client.send(
+        UpstreamAddress.parse(e.source().address()),
+        wire,
+        AnswerTimeout.whole(MOVE_NANOS),
+        ConnectionUse.CONTROL,
+        new WholeAnswer(
+            MAX_FREE_BYTES,
+            answer -> moved(e.attempt(), result(answer)),
+            failure -> moved(e.attempt(), new MoveResult.Failed())));
+  }
+
+  private MoveResult result(WholeAnswer.Answer answer) {
+    return switch (answer.status()) {
+      case StatusCodes.OK ->
+          dialect
+              .promptHandle(answer.body())
+              .<MoveResult>map(MoveResult.Copied::new)
+              .orElseGet(MoveResult.Failed::new);
+      case StatusCodes.NOT_FOUND -> new MoveResult.NoRun();
+      default -> new MoveResult.Failed();
+    };
+  }
+
+  private void moved(AttemptId attempt, MoveResult result) {
+    loop.submit(new RelayEvent.Moved(loop.now(), attempt, result));
+  }
+
   private void follow(RelayEffect.Follow e) {
     RelayAttempt attempt = attempts.get(e.attempt());
     if (attempt != null) {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -88,9 +88,9 @@
                 rules,
                 ImmutableMap.of(
                     APP,
-                    new ServiceBounds(100, 0, 0),
+                    new ServiceBounds(100, 0, 0, false),
                     MODEL,
-                    new ServiceBounds(100, MEMORY, EVENT_TOKENS)),
+                    new ServiceBounds(100, MEMORY, EVENT_TOKENS, true)),
                 1 << 20)));
   }
 
@@ -193,6 +193,11 @@
     apply(new RelayEvent.Refused(now, sent().attempt(), RefusalCause.NOT_SENT));
   }
 
+  void moved(MoveResult result) {
+    RelayEffect.Move last = of(RelayEffect.Move.class).getLast();
+    apply(new RelayEvent.Moved(now, last.attempt(), result));
+  }
+
   void lost() {
     apply(new RelayEvent.Lost(now, sent().attempt(), FailureCause.CONNECTION_LOST));
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -28,6 +28,9 @@
 
     /** Run the call from the prompt that another upstream has read. */
     record TakeOver(RelayUpstream source, String handle) implements Purpose {}
+
+    /** Go on with a run whose memory was copied there from the upstream that ran it before. */
+    record Continue(RelayUpstream source, String handle) implements Purpose {}
   }
 
   /**
@@ -52,7 +55,24 @@
   /** Give an attempt up and close its connection; no more is heard of it. */
   record Cancel(AttemptId attempt) implements RelayEffect {}
 
-  /** Free a prompt that was read and will not be used. */
+  /**
+   * Copy the memory of a run to another upstream; answered by {@code RelayEvent.Moved}.
+   *
+   * @param attempt the run
+   * @param call whose it is
+   * @param source runs it
+   * @param destination gets the copy
+   * @param step whether the run goes on meanwhile
+   */
+  record Move(
+      AttemptId attempt,
+      RequestId call,
+      RelayUpstream source,
+      RelayUpstream destination,
+      MoveStep step)
+      implements RelayEffect {}
+
+  /** Free a prompt or a copy that will not be used. */
   record Free(RelayUpstream source, String handle) implements RelayEffect {}
 
   /** Pass on the stream of the attempt, from what is there on. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -56,6 +56,15 @@
   /** The attempt may have run, and its answer can not be had whole. */
   record Lost(long at, AttemptId attempt, FailureCause cause) implements OfAttempt {}
 
+  /**
+   * The answer to {@code RelayEffect.Move}.
+   *
+   * @param at when it came
+   * @param attempt the run that moves
+   * @param result what came of it
+   */
+  record Moved(long at, AttemptId attempt, MoveResult result) implements OfAttempt {}
+
   /** All upstreams that are known now. */
   record UpstreamsChanged(long at, ImmutableMap<UpstreamName, RelayUpstream> upstreams)
       implements RelayEvent {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -85,6 +85,25 @@
   record PromptRead(String call, AttemptId attempt, UpstreamName upstream, long nanos)
       implements RelayFact {}
 
+  /**
+   * A step of a run's move to another upstream is done, or was not.
+   *
+   * @param call what the caller calls it
+   * @param attempt the run
+   * @param from where it ran
+   * @param to where its memory is copied
+   * @param step the step
+   * @param result what came of it
+   */
+  record RunMoved(
+      String call,
+      AttemptId attempt,
+      UpstreamName from,
+      UpstreamName to,
+      MoveStep step,
+      MoveResult result)
+      implements RelayFact {}
+
   /** A prompt was read in vain. */
   record PromptWasted(String call, UpstreamName upstream, int tokens) implements RelayFact {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -47,6 +47,7 @@
       case RelayEvent.Answered e -> flow.answered(at, e.attempt(), e.grade());
       case RelayEvent.Refused e -> flow.refused(at, e.attempt(), e.cause());
       case RelayEvent.Lost e -> flow.lost(at, e.attempt(), e.cause());
+      case RelayEvent.Moved e -> flow.moved(at, e.attempt(), e.result());
       case RelayEvent.UpstreamsChanged e -> flow.upstreams(at, e.upstreams());
       case RelayEvent.ConfigurationRead e -> flow.read(e.configuration());
       case RelayEvent.LoadHeard e -> flow.heard(at, e.node(), e.loads(), e.lapsing());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/ServiceBounds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/ServiceBounds.java
@@ -15,9 +15,11 @@
  * @param memoryTokens the tokens that requests in progress may hold together; 0 if it has no such
  *     bound
  * @param tokensPerEvent the tokens that one event of a stream stands for; 0 if unknown
+ * @param movesRuns whether a run's memory can be copied to another upstream
  * @since 0.1
  */
-public record ServiceBounds(int connections, long memoryTokens, int tokensPerEvent) {
+public record ServiceBounds(
+    int connections, long memoryTokens, int tokensPerEvent, boolean movesRuns) {
   /** No bounds. */
-  public static final ServiceBounds NONE = new ServiceBounds(Integer.MAX_VALUE, 0, 0);
+  public static final ServiceBounds NONE = new ServiceBounds(Integer.MAX_VALUE, 0, 0, false);
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/AttemptState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/AttemptState.java
@@ -28,8 +28,18 @@
     long sentAt,
     boolean repeat,
     long units) {
-  /** Whether it may run the call. */
+  /** Whether it may run the call, or go on with its run. */
   boolean runs() {
     return !(purpose instanceof Purpose.ReadPrompt);
   }
+
+  /** Whether it may begin a run of its own. */
+  boolean beginsRun() {
+    return runs() && !continues();
+  }
+
+  /** Whether it goes on with a run that began elsewhere. */
+  boolean continues() {
+    return purpose instanceof Purpose.Continue;
+  }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -91,6 +91,15 @@
     }
   }
 
+  /** Those that leave or are gone from the list, and are not evacuated yet. */
+  List<UpstreamState> beginEvacuations() {
+    return all.values().stream()
+        .filter(UpstreamState::isGoing)
+        .filter(s -> s.inFlight() > 0)
+        .filter(UpstreamState::beginEvacuation)
+        .toList();
+  }
+
   /** Forgets upstreams that are gone for good and serve nothing any more. */
   void forget(long at, Consumer<RelayFact> report) {
     for (Iterator<UpstreamState> i = all.values().iterator(); i.hasNext(); ) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Sizing.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Sizing.java
@@ -49,6 +49,12 @@
     return c.isFresh() ? FULL_FRESH : FULL_RETURNED;
   }
 
+  /** What going on with a run asks of the upstream that it moves to. */
+  static Need move(CallState c, RelayConfiguration configuration, int nodes) {
+    ServiceBounds bounds = configuration.bounds(c.service);
+    return new Need(connections(bounds, nodes), memory(c), bounds.memoryTokens(), FULL_FRESH);
+  }
+
   /** What running the call asks when there is no room and it can not wait. */
   static Need forced(Need need) {
     return new Need(need.mostEach(), need.units(), 0, 1);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamName;
 
 /**
  * Times at which something may be due. Those of calls and attempts that are over stay in and mean
@@ -34,6 +35,12 @@
     /** Room for a call. */
     record Room(long at, RequestId call) implements Due {}
 
+    /** Runs at an upstream that leaves are to move. */
+    record Evacuate(long at, UpstreamName upstream) implements Due {}
+
+    /** The end of a move that was begun. */
+    record MoveOver(long at, AttemptId attempt) implements Due {}
+
     /** The answer of an attempt that may be made elsewhere. */
     record Patience(long at, AttemptId attempt) implements Due {}
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -39,6 +39,7 @@
   private long lapseUntil = Long.MIN_VALUE;
   private long lapseUntilElsewhere = Long.MIN_VALUE;
   private long missingSince = Long.MAX_VALUE;
+  private boolean evacuating;
 
   UpstreamState(RelayUpstream upstream) {
     this.upstream = upstream;
@@ -67,6 +68,23 @@
     return isMissing() && at - missingSince >= nanos;
   }
 
+  /** Whether it leaves, or is gone from the list. */
+  boolean isGoing() {
+    return upstream.leaving() || isMissing();
+  }
+
+  /** Notes that its runs are to move; says whether that is new. */
+  boolean beginEvacuation() {
+    boolean begins = !evacuating;
+    evacuating = true;
+    return begins;
+  }
+
+  /** Notes that it has nothing more to move. */
+  void endEvacuation() {
+    evacuating = false;
+  }
+
   int inFlight() {
     return inFlight;
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
@@ -12,9 +12,14 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.larkkeel.http.Json;
@@ -288,6 +293,65 @@
       }
     }
 
+    @Test
+    public void movesTheRunOffOneThatLeaves() throws Exception {
+      try (World w = new World().configured()) {
+        reader(w, new AtomicInteger());
+        BlockingQueue<Socket> running = new LinkedBlockingQueue<>();
+        List<String> moves = new CopyOnWriteArrayList<>();
+        RawServer.Script first =
+            (r, out, s) -> {
+              if (r.target().equals("/larkkeel/kv-move")) {
+                moves.add(r.body());
+                boolean last = moves.size() == 2;
+                if (last) {
+                  running.take().close();
+                }
+                whole(out, 200, "{\"prefill_handle\":\"c" + moves.size() + "\",\"create_rev\":2}");
+                return;
+              }
+              streamHead(out);
+              event(out, 1);
+              event(out, 2);
+              running.add(s);
+              s.getInputStream().read();
+            };
+        RawServer source = w.runner("i-run-1", "model", "decode", first);
+        CompletableFuture<String> answer =
+            CompletableFuture.supplyAsync(
+                () -> {
+                  try {
+                    return w.exchange("POST", "/stream/a", PROMPT, "x");
+                  } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                  }
+                });
+        World.await(() -> !running.isEmpty());
+        List<RawServer.Request> continued = new CopyOnWriteArrayList<>();
+        RawServer destination =
+            w.runner(
+                "i-run-2",
+                "model",
+                "decode",
+                (r, out, s) -> {
+                  continued.add(r);
+                  streamHead(out);
+                  event(out, 3);
+                  RawServer.write(out, END);
+                });
+        w.leave("i-run-1", "model", "decode", source);
+        String whole = answer.get(20, TimeUnit.SECONDS);
+        assertTrue(whole.contains("piece-2"), whole);
+        assertEquals(whole.split("id: 3\n", -1).length, 2, whole);
+        assertTrue(whole.endsWith(END), whole);
+        String expected = "\"destination\":\"" + destination.address() + "\",\"last\":";
+        assertTrue(moves.get(0).contains(expected + "false"), moves.toString());
+        assertTrue(moves.get(1).contains(expected + "true"), moves.toString());
+        assertEquals(continued.getFirst().header("X-Kv-Source"), source.address() + "/c2");
+        assertEquals(continued.getFirst().header("Last-Event-Id"), "2");
+      }
+    }
+
     @Test
     public void endsTheRunOfCallerThatLeft() throws Exception {
       CountDownLatch gone = new CountDownLatch(1);
--- a/platform.test/src/test/java/org/larkkeel/platform/World.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/World.java
@@ -68,7 +68,8 @@
         .put("max_connections", 100)
         .putObject("engine")
         .put("kv_tokens", 90_000)
-        .put("stride", 1);
+        .put("stride", 1)
+        .put("moves", true);
     store.put("config", "main", config);
     await(node::isReady);
     return this;
@@ -85,15 +86,24 @@
   /** Starts a runner and waits until the node knows it. */
   RawServer runner(String id, String service, String stage, RawServer.Script script) {
     RawServer runner = closer.add(new RawServer(script));
-    ObjectNode entry = Json.object();
-    entry.put("service", service).put("address", runner.address()).put("zone", "dc-1");
-    entry.put("slots", 6).put("state", "ready").put("stage", stage);
-    store.put("servers", id, entry);
+    register(id, service, stage, runner.address(), "ready");
     runners++;
     await(() -> node.upstreams() == runners);
     return runner;
   }
 
+  /** Says that a runner is about to leave. */
+  void leave(String id, String service, String stage, RawServer runner) {
+    register(id, service, stage, runner.address(), "draining");
+  }
+
+  private void register(String id, String service, String stage, String address, String state) {
+    ObjectNode entry = Json.object();
+    entry.put("service", service).put("address", address).put("zone", "dc-1");
+    entry.put("slots", 6).put("state", state).put("stage", stage);
+    store.put("servers", id, entry);
+  }
+
   InetSocketAddress address() {
     return node.callerAddress();
   }
