Read prompts in time when readers are lost, and tell all nodes of orders

Every prompt then queued at the one reader: first events after 1.0 to 1.8 s, where 0.9 s are on time, and reads given up after 1.5 s.

Change: orders go both ways, after 5 s of imbalance once the share was right, as an engine that crashed may be back sooner. A call that can be on time only so has its prompt read by the engine that runs it. An engine that is ordered counts as full on all nodes until its stage has changed, at most 15 s. One that declines again and again is asked after 250, 500, then 1,000 ms.

The new tests of the stages and of orders fail without the change.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
@@ -208,6 +208,41 @@
     }
   }
 
+  /** A fleet with too few prefill engines. */
+  public static class TooFew {
+    @Test
+    public void getsOneOfThoseThatDecode() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(1, 5);
+      w.pass(9);
+      assertEquals(w.orders, List.of("i-5 PREFILL a 1"));
+    }
+
+    @Test
+    public void isLeftAloneWhileAnEngineIsGoneForSomeSeconds() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(2, 4);
+      w.pass(2);
+      w.engines(1, 5);
+      w.pass(4);
+      w.engines(2, 4);
+      w.pass(60);
+      assertEquals(w.orders, List.of());
+      assertEquals(w.leases.calls, 0);
+    }
+
+    @Test
+    public void keepsTwoThatDecode() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(0, 2);
+      w.pass(60);
+      assertEquals(w.orders, List.of());
+    }
+  }
+
   /** A fleet in balance. */
   public static class Balanced {
     @Test
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -8,6 +8,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.undertow.util.StatusCodes;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.SplittableRandom;
@@ -23,6 +24,7 @@
 import org.larkkeel.http.upstream.UpstreamClient;
 import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.lib.Closer;
+import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.store.ExecutorScheduler;
@@ -120,7 +122,7 @@
                 settings.host(),
                 store,
                 scheduler,
-                new OrderSender(client, dialect)::send,
+                announced(new OrderSender(client, dialect)),
                 loads::rank));
     RelayFeed feed =
         closer.add(
@@ -147,6 +149,24 @@
     scheduler.execute(registry::start);
   }
 
+  /** Orders, of which the router is told so that no work is placed on whom they concern. */
+  private StageController.Orders announced(OrderSender sender) {
+    return (upstream, stage, holder, fencing, allowed) -> {
+      loop.submit(
+          new RelayEvent.Ordered(
+              loop.now(), upstream.id(), StageController.LONGEST_ORDER.toNanos()));
+      return sender
+          .send(upstream, stage, holder, fencing, allowed)
+          .whenComplete((status, failure) -> refusedOrder(upstream.id(), status));
+    };
+  }
+
+  private void refusedOrder(UpstreamName upstream, Integer status) {
+    if (status != null && status >= StatusCodes.BAD_REQUEST) {
+      loop.submit(new RelayEvent.OrderRefused(loop.now(), upstream));
+    }
+  }
+
   private static CallerSettings callers(RelayNodeSettings settings) {
     return CallerSettings.on(settings.caller())
         .withSizes(MAX_BODY_BYTES, MAX_BODIES_BYTES, MAX_PENDING_BYTES)
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
@@ -35,7 +35,7 @@
 
 /**
  * Keeps the part of each service's upstreams that read prompts near the share that is wanted, by
- * orders to upstreams that are too many.
+ * orders to upstreams of the stage that has too many.
  *
  * <p>Only the holder of a lease orders, and the lease is sought only while an order is due, so that
  * a fleet in balance costs no call. Invariants: one order at a time; the lease is kept until the
@@ -48,8 +48,20 @@
   private static final Duration LEASE_TIME = Duration.ofSeconds(6);
   private static final Duration LOOK = Duration.ofMillis(500);
 
+  /** How long an upstream may take to carry an order out, with the work that it has. */
+  static final Duration LONGEST_ORDER = Duration.ofSeconds(15);
+
   /** How long the share must be wrong before the lease is sought, and for each rank longer. */
-  private static final Duration STEADY = Duration.ofMillis(1_500);
+  private static final Duration STEADY_AT_START = Duration.ofMillis(1_500);
+
+  /**
+   * As the other, once it was right: an upstream that crashed may be back soon, and one that is
+   * ordered serves nothing for some time.
+   */
+  private static final Duration STEADY = Duration.ofSeconds(5);
+
+  /** How many upstreams must be left that run calls. */
+  private static final int LEAST_RUNNERS = 2;
 
   private static final Duration BY_RANK = Duration.ofMillis(2_500);
 
@@ -76,8 +88,12 @@
   private long wrongSince = Long.MAX_VALUE;
   private long orderedAt = Long.MIN_VALUE;
   private boolean seeking;
+  private boolean wasRight;
   private boolean closed;
 
+  /** What is to be ordered. */
+  private record Change(RelayUpstream upstream, Stage stage) {}
+
   /** Gives an order; see {@link org.larkkeel.http.relay.OrderSender#send}. */
   interface Orders {
     CompletableFuture<Integer> send(
@@ -124,8 +140,9 @@
     }
     scheduler.schedule(LOOK, this::look);
     long now = scheduler.nanoTime();
-    Optional<RelayUpstream> due = due(now);
+    Optional<Change> due = due(now);
     if (due.isEmpty()) {
+      wasRight |= !upstreams.isEmpty();
       wrongSince = Long.MAX_VALUE;
       if (seeking && isSettled(now)) {
         seeking = false;
@@ -134,7 +151,8 @@
       return;
     }
     wrongSince = Math.min(wrongSince, now);
-    Duration wait = STEADY.plus(BY_RANK.multipliedBy(rank.getAsInt()));
+    Duration steady = wasRight ? STEADY : STEADY_AT_START;
+    Duration wait = steady.plus(BY_RANK.multipliedBy(rank.getAsInt()));
     if (!seeking && now - wrongSince >= wait.toNanos()) {
       seeking = true;
       lease.start();
@@ -148,16 +166,25 @@
     return orderedAt == Long.MIN_VALUE || now - orderedAt >= SETTLING.toNanos();
   }
 
-  /** The upstream that reads prompts and should run calls; empty if the share is right. */
-  private Optional<RelayUpstream> due(long now) {
+  /** What is to change; empty if the share is right. */
+  private Optional<Change> due(long now) {
     Map<ServiceName, List<RelayUpstream>> services =
         upstreams.stream()
             .filter(u -> u.stage() != Stage.WHOLE && !u.leaving())
             .collect(Collectors.groupingBy(RelayUpstream::service));
-    return services.values().stream()
-        .filter(all -> prefills(all) > wanted(all.size()))
-        .flatMap(all -> candidate(all, now).stream())
-        .findFirst();
+    return services.values().stream().flatMap(all -> due(all, now).stream()).findFirst();
+  }
+
+  private Optional<Change> due(List<RelayUpstream> all, long now) {
+    long prefills = prefills(all);
+    long wanted = wanted(all.size());
+    if (prefills > wanted) {
+      return surplusReader(all, now).map(u -> new Change(u, Stage.DECODE));
+    }
+    if (prefills < wanted && all.size() - prefills > LEAST_RUNNERS) {
+      return surplusRunner(all, now).map(u -> new Change(u, Stage.PREFILL));
+    }
+    return Optional.empty();
   }
 
   private static long prefills(List<RelayUpstream> all) {
@@ -168,36 +195,51 @@
     return Math.max(1, (long) Math.ceil(prefillShare * all - ROUNDING));
   }
 
-  /** The one in the data centre that runs least. */
-  private Optional<RelayUpstream> candidate(List<RelayUpstream> all, long now) {
+  /** The reader in the data centre that runs least. */
+  private Optional<RelayUpstream> surplusReader(List<RelayUpstream> all, long now) {
     return all.stream()
-        .filter(u -> u.stage() == Stage.PREFILL)
-        .filter(u -> now - ordered.getOrDefault(u.id(), now - AGAIN.toNanos()) >= AGAIN.toNanos())
-        .min(
-            Comparator.comparingLong((RelayUpstream u) -> runners(all, u))
-                .thenComparing(RelayUpstream::id));
+        .filter(u -> u.stage() == Stage.PREFILL && mayBeOrdered(u, now))
+        .min(byRunners(all));
+  }
+
+  /** The runner in the data centre that runs most. */
+  private Optional<RelayUpstream> surplusRunner(List<RelayUpstream> all, long now) {
+    return all.stream()
+        .filter(u -> u.stage() == Stage.DECODE && mayBeOrdered(u, now))
+        .max(byRunners(all));
+  }
+
+  private boolean mayBeOrdered(RelayUpstream u, long now) {
+    return now - ordered.getOrDefault(u.id(), now - AGAIN.toNanos()) >= AGAIN.toNanos();
+  }
+
+  private static Comparator<RelayUpstream> byRunners(List<RelayUpstream> all) {
+    return Comparator.comparingLong((RelayUpstream u) -> runners(all, u))
+        .thenComparing(RelayUpstream::id);
   }
 
   private static long runners(List<RelayUpstream> all, RelayUpstream near) {
     return all.stream().filter(u -> u.place().equals(near.place()) && u.stage().runs()).count();
   }
 
-  private void order(long now, RelayUpstream upstream, Tenure tenure) {
+  private void order(long now, Change change, Tenure tenure) {
     if (tenure.until() - now < LEAST_LEFT.toNanos()) {
       return;
     }
     orderedAt = now;
+    RelayUpstream upstream = change.upstream();
     ordered.put(upstream.id(), now);
     long fencing = tenure.fencing().value();
     log.info(
-        "event=ordered upstream={} stage=decode fencing={} upstreams={}",
+        "event=ordered upstream={} stage={} fencing={} upstreams={}",
         upstream.id(),
+        change.stage(),
         fencing,
         upstreams.size());
     orders
         .send(
             upstream,
-            Stage.DECODE,
+            change.stage(),
             self.value(),
             fencing,
             () -> tenure.isHeld(scheduler.nanoTime()))
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -469,6 +469,31 @@
       assertEquals(w.refusal(), ErrorKind.UPSTREAM_FAILED);
     }
 
+    @Test
+    public void readsThePromptWhereItRunsWhenReadersHaveTooManyBeforeIt() {
+      RelayWorld w = RelayWorld.usual();
+      w.arrive("/stream/a", 14_000, SMALL);
+      w.pass(40);
+      w.promptRead();
+      w.began();
+      w.apply(
+          new RelayEvent.LoadHeard(
+              w.now(),
+              new HostName("other"),
+              ImmutableMap.of(new UpstreamName("read-1"), 25_000L),
+              ImmutableSet.of()));
+      w.arrive("/stream/b", 14_000, SMALL);
+      assertEquals(w.sent().purpose(), new Purpose.ReadPrompt(), "540 ms");
+      w.apply(
+          new RelayEvent.LoadHeard(
+              w.now(),
+              new HostName("other"),
+              ImmutableMap.of(new UpstreamName("read-1"), 35_000L),
+              ImmutableSet.of()));
+      w.arrive("/stream/c", 14_000, SMALL);
+      assertEquals(w.sent().purpose(), new Purpose.Run(), "740 ms are too late");
+    }
+
     @Test
     public void freesPromptsThatNoneCanTake() {
       RelayWorld w = RelayWorld.usual();
@@ -480,6 +505,51 @@
       assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
     }
 
+    @Test
+    public void placesNothingOnOneThatIsOrderedToChange() {
+      RelayWorld w = RelayWorld.usual();
+      UpstreamName ordered = new UpstreamName("run-1");
+      w.apply(new RelayEvent.Ordered(w.now(), ordered, 15_000 * RelayWorld.MILLI));
+      assertEquals(
+          w.router.loads(), ImmutableMap.of(ordered, RelayWorld.MEMORY), "other nodes hear of it");
+      CallSize tiny = new CallSize(100, 1_000, 1_000);
+      for (int i = 0; i < 10; i++) {
+        w.arrive("/stream/a", 14_000, tiny);
+        assertNotEquals(w.sent().upstream().id(), ordered);
+      }
+      w.apply(new RelayEvent.OrderRefused(w.now(), ordered));
+      w.arrive("/stream/b", 14_000, tiny);
+      assertEquals(w.sent().upstream().id(), ordered);
+    }
+
+    @Test
+    public void placesWorkOnOneThatHasChanged() {
+      RelayWorld w = RelayWorld.usual();
+      w.apply(
+          new RelayEvent.Ordered(w.now(), new UpstreamName("read-1"), 15_000 * RelayWorld.MILLI));
+      w.add("read-1", RelayWorld.MODEL, Stage.DECODE);
+      w.tellUpstreams();
+      assertEquals(w.router.loads(), ImmutableMap.of());
+    }
+
+    @Test
+    public void asksOneThatDeclinesAllLessAndLessOften() {
+      CallSize tiny = new CallSize(100, 1_000, 1_000);
+      RelayWorld w = RelayWorld.usual();
+      w.leave("run-2");
+      int asked = 0;
+      for (int i = 0; i < 60; i++) {
+        final int before = w.sends();
+        w.arrive("/stream/a", 9_000, tiny);
+        if (w.sends() > before) {
+          asked++;
+          w.declined();
+        }
+        w.pass(50);
+      }
+      assertTrue(asked <= 5, "asked " + asked + " times in 3 s");
+    }
+
     @Test
     public void setsNoMemoryAsideWhereNoneAnswersWhileOthersAreFull() {
       RelayWorld w = RelayWorld.usual();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -69,6 +69,19 @@
   record UpstreamsChanged(long at, ImmutableMap<UpstreamName, RelayUpstream> upstreams)
       implements RelayEvent {}
 
+  /**
+   * This node orders an upstream to take another part of the work; it takes none until its stage
+   * has changed.
+   *
+   * @param at now
+   * @param upstream is ordered
+   * @param longestNanos for how long at most
+   */
+  record Ordered(long at, UpstreamName upstream, long longestNanos) implements RelayEvent {}
+
+  /** An order was turned down, so that the upstream goes on as before. */
+  record OrderRefused(long at, UpstreamName upstream) implements RelayEvent {}
+
   /** A configuration was read; older ones than that in force are ignored. */
   record ConfigurationRead(long at, RelayConfiguration configuration) implements RelayEvent {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -49,6 +49,8 @@
       case RelayEvent.Lost e -> flow.lost(at, e.attempt(), e.cause());
       case RelayEvent.Moved e -> flow.moved(at, e.attempt(), e.result());
       case RelayEvent.UpstreamsChanged e -> flow.upstreams(at, e.upstreams());
+      case RelayEvent.Ordered e -> flow.ordered(at, e.upstream(), e.longestNanos());
+      case RelayEvent.OrderRefused e -> flow.orderOver(at, e.upstream());
       case RelayEvent.ConfigurationRead e -> flow.read(e.configuration());
       case RelayEvent.LoadHeard e -> flow.heard(at, e.node(), e.loads(), e.lapsing());
       case RelayEvent.NodesCounted e -> flow.nodes(e.nodes());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -44,8 +44,12 @@
   private static final double FIRST_UNIT_NANOS = 50e6;
   private static final double LEARN_USUAL = 0.1;
 
+  /** By how much the quickest time is forgotten with each answer. */
+  private static final double FORGET_QUICKEST = 1.005;
+
   private final Map<UpstreamName, UpstreamState> all = new LinkedHashMap<>();
   private final Map<Kind, Double> usual = new HashMap<>();
+  private final Map<Kind, Double> quickest = new HashMap<>();
   private final long missingNanos;
   private final SplittableRandom random;
   private final Map<HostName, Heard> heard = new HashMap<>();
@@ -196,6 +200,16 @@
     Kind kind = kind(state);
     double before = usual.getOrDefault(kind, nanosPerUnit);
     usual.put(kind, before + LEARN_USUAL * (nanosPerUnit - before));
+    double quick = quickest.getOrDefault(kind, nanosPerUnit);
+    quickest.put(kind, Math.min(FORGET_QUICKEST * quick, nanosPerUnit));
+  }
+
+  /**
+   * How long an upstream takes to read a prompt behind those that it has, if it is sound; 0 while
+   * nothing is known.
+   */
+  double readNanos(UpstreamState state, long prompt) {
+    return quickest.getOrDefault(kind(state), 0.0) * (state.wholeLoad() + prompt) / 1_000;
   }
 
   /** The estimate of one unit of work at an upstream. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -105,6 +105,12 @@
   /** How long the second step of a move may take before the run is given up. */
   private static final long MOVE_PATIENCE = 1_000 * MILLI;
 
+  /** The part of the target after which a prompt is read too late. */
+  private static final double READ_SHARE = 0.7;
+
+  /** How many times as long an upstream that runs calls takes to read a prompt. */
+  private static final double SELF_READ = 2;
+
   /** How many upstreams may decline a prompt before its handle is taken for lost. */
   private static final int MOST_PROMPT_DECLINED = 2;
 
@@ -215,6 +221,23 @@
     }
   }
 
+  /** Lets an upstream that is ordered to change take no work. */
+  public void ordered(long at, UpstreamName id, long longestNanos) {
+    Optional<UpstreamState> found = fleet.find(id);
+    if (configuration == null || found.isEmpty()) {
+      return;
+    }
+    UpstreamState s = found.get();
+    s.ordered(configuration.bounds(s.upstream().service()).memoryTokens());
+    timers.add(new Timers.Due.OrderOver(at + longestNanos, id));
+  }
+
+  /** An order is over, or was turned down. */
+  public void orderOver(long at, UpstreamName id) {
+    fleet.find(id).ifPresent(UpstreamState::orderOver);
+    admitWaiting(at);
+  }
+
   /** Sends what waits for room elsewhere, and from now on each call that needs room. */
   public void drain(long at) {
     draining = true;
@@ -421,7 +444,9 @@
               c.without,
               c.home.upstream().place(),
               Sizing.prompt(c, configuration, nodes));
-      if (reader.isPresent() && !reader.get().best().handlesLapse(at)) {
+      if (reader.isPresent()
+          && !reader.get().best().handlesLapse(at)
+          && !isQuickerItself(at, c, reader.get().best())) {
         send(at, c, reader.get(), new Purpose.ReadPrompt(), c.call.size().prompt());
         return;
       }
@@ -429,6 +454,19 @@
     run(at, c);
   }
 
+  /**
+   * Whether a call that can be on time is so only if its home reads the prompt by itself, as the
+   * best reader has too many before it. That takes twice as long as a free reader, and slows the
+   * streams there.
+   */
+  private boolean isQuickerItself(long at, CallState c, UpstreamState reader) {
+    int prompt = c.call.size().prompt();
+    double behind = fleet.readNanos(reader, prompt);
+    double alone = behind * prompt / (reader.wholeLoad() + prompt);
+    double latest = c.arrivedAt + READ_SHARE * c.rule.targetMillis() * MILLI;
+    return at + behind > latest && at + SELF_READ * alone <= latest;
+  }
+
   /** Sends the call to be run: at its home if it has one that still takes work. */
   private void run(long at, CallState c) {
     boolean memory = needsRoom(c);
@@ -996,6 +1034,7 @@
         }
         case Timers.Due.Room r -> roomTime(at, r.call());
         case Timers.Due.Evacuate e -> evacuate(at, e.upstream());
+        case Timers.Due.OrderOver o -> orderOver(at, o.upstream());
         case Timers.Due.MoveOver m -> moveOverdue(at, m.attempt());
         case Timers.Due.Patience p -> impatient(at, p.attempt());
       }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -38,6 +38,9 @@
     /** Runs at an upstream that leaves are to move. */
     record Evacuate(long at, UpstreamName upstream) implements Due {}
 
+    /** The longest that an order may take. */
+    record OrderOver(long at, UpstreamName upstream) implements Due {}
+
     /** The end of a move that was begun. */
     record MoveOver(long at, AttemptId attempt) implements Due {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -25,6 +25,9 @@
   private static final long LAPSE_ELSEWHERE_NANOS = 600_000_000L;
   private static final long BUSY_NANOS = 250_000_000L;
 
+  /** How often the time for which it is taken for full doubles, while it declines all. */
+  private static final int MOST_BUSY_DOUBLINGS = 2;
+
   private RelayUpstream upstream;
   private int inFlight;
   private long load;
@@ -34,12 +37,14 @@
   private double failures;
   private long failuresAt;
   private int strikes;
+  private int declines;
   private long avoidUntil = Long.MIN_VALUE;
   private long busyUntil = Long.MIN_VALUE;
   private long lapseUntil = Long.MIN_VALUE;
   private long lapseUntilElsewhere = Long.MIN_VALUE;
   private long missingSince = Long.MAX_VALUE;
   private boolean evacuating;
+  private long orderUnits;
 
   UpstreamState(RelayUpstream upstream) {
     this.upstream = upstream;
@@ -50,6 +55,9 @@
   }
 
   void update(RelayUpstream now) {
+    if (now.stage() != upstream.stage()) {
+      orderOver();
+    }
     upstream = now;
     missingSince = Long.MAX_VALUE;
   }
@@ -68,6 +76,19 @@
     return isMissing() && at - missingSince >= nanos;
   }
 
+  /** Takes all its room while an order is carried out; other nodes are told as of any load. */
+  void ordered(long units) {
+    orderOver();
+    orderUnits = units;
+    addLoad(units);
+  }
+
+  /** Gives its room back. */
+  void orderOver() {
+    addLoad(-orderUnits);
+    orderUnits = 0;
+  }
+
   /** Whether it leaves, or is gone from the list. */
   boolean isGoing() {
     return upstream.leaving() || isMissing();
@@ -140,6 +161,7 @@
   void succeeded(long at) {
     outcome(at, 0);
     strikes = 0;
+    declines = 0;
     avoidUntil = Long.MIN_VALUE;
   }
 
@@ -174,9 +196,10 @@
     return avoidUntil != Long.MIN_VALUE && (at < avoidUntil || inFlight > 0);
   }
 
-  /** It was full. */
+  /** It was full, or takes no work for another reason. */
   void declined(long at) {
-    busyUntil = at + BUSY_NANOS;
+    busyUntil = at + (BUSY_NANOS << Math.min(declines, MOST_BUSY_DOUBLINGS));
+    declines++;
   }
 
   /** Whether it was full just now. */
