Gather the moves of runs in one class, and doubt streams whose stop was not answered

Change: Evacuation has the steps of a move and what they need of the calls as an interface; after a stop without an answer the end of the stream counts as a loss. Test: doesNotTakeTheEndForCompleteWhenItMayHaveBeenStopped (delivered before).

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -194,7 +194,7 @@
     public void avoidsOneWhoseAddressAnotherIncarnationHas() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/once/a");
-      UpstreamName gone = w.sent().upstream().id();
+      final UpstreamName gone = w.sent().upstream().id();
       w.apply(new RelayEvent.Refused(w.now(), w.sent().attempt(), RefusalCause.WRONG_UPSTREAM));
       w.answered(AnswerGrade.GOOD);
       w.pass(4_000);
@@ -553,7 +553,7 @@
       RelayWorld w = RelayWorld.usual();
       w.arrive("/stream/a", 14_000, SMALL);
       w.promptRead();
-      UpstreamName dead = w.sent().upstream().id();
+      final UpstreamName dead = w.sent().upstream().id();
       w.notSent();
       w.arrive("/stream/b", 14_000, LARGE);
       final int before = w.sends();
@@ -569,7 +569,7 @@
     @Test
     public void waitsForRoomWhenItsUpstreamIsLost() {
       RelayWorld w = RelayWorld.usual();
-      RequestId first = w.arrive("/stream/a", 14_000, LARGE);
+      final RequestId first = w.arrive("/stream/a", 14_000, LARGE);
       w.promptRead();
       w.began();
       w.arrive("/stream/b", 14_000, LARGE);
@@ -588,7 +588,7 @@
       CallSize tiny = new CallSize(100, 1_000, 1_000);
       RelayWorld w = RelayWorld.usual();
       w.arrive("/stream/a", 14_000, tiny);
-      UpstreamName full = w.sent().upstream().id();
+      final UpstreamName full = w.sent().upstream().id();
       w.declined();
       w.arrive("/stream/b", 14_000, LARGE);
       w.arrive("/stream/c", 14_000, tiny);
@@ -678,7 +678,7 @@
     @Test
     public void goesOnElsewhereWithItsMemory() {
       RelayWorld w = leaving("/stream/a");
-      UpstreamName source = w.sent().upstream().id();
+      final UpstreamName source = w.sent().upstream().id();
       assertEquals(step(w), MoveStep.COPY);
       w.moved(COPIED);
       assertEquals(step(w), MoveStep.STOP);
@@ -728,6 +728,16 @@
       assertTrue(w.sent().purpose() instanceof Purpose.Continue);
     }
 
+    @Test
+    public void doesNotTakeTheEndForCompleteWhenItMayHaveBeenStopped() {
+      RelayWorld w = leaving("/stream/a");
+      w.moved(COPIED);
+      w.moved(new MoveResult.Failed());
+      w.answered(AnswerGrade.GOOD);
+      assertEquals(w.of(RelayEffect.Deliver.class).size(), 0);
+      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
+    }
+
     @Test
     public void isCompleteWhenItEndedBeforeItWasStopped() {
       RelayWorld w = leaving("/stream/a");
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -25,7 +25,6 @@
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.MoveResult;
-import org.larkkeel.relay.MoveStep;
 import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayConfiguration;
@@ -96,15 +95,6 @@
 
   private static final double RETURN_SHARE = 0.32;
 
-  /** How long runs at an upstream that leaves may end by themselves before they are moved. */
-  private static final long EVACUATE_AFTER = 1_200 * MILLI;
-
-  /** How long until runs that could not be moved are tried again. */
-  private static final long EVACUATE_AGAIN = 200 * MILLI;
-
-  /** How long the second step of a move may take before the run is given up. */
-  private static final long MOVE_PATIENCE = 1_000 * MILLI;
-
   /** The part of the target after which a prompt is read too late. */
   private static final double READ_SHARE = 0.7;
 
@@ -119,7 +109,7 @@
   private final SplittableRandom random;
   private final Timers timers = new Timers();
   private final WaitingRoom room = new WaitingRoom();
-  private final Evacuation evacuation = new Evacuation();
+  private final Evacuation evacuation;
   private final Map<RequestId, CallState> calls = new HashMap<>();
   private final Map<AttemptId, AttemptState> attempts = new HashMap<>();
   private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
@@ -136,6 +126,7 @@
     this.random = new SplittableRandom(settings.seed());
     this.fleet = new Fleet(settings.missingNanos(), random.split());
     this.nodes = settings.nodes();
+    this.evacuation = new Evacuation(fleet, timers, new Movable());
   }
 
   /** Sets where effects go. */
@@ -200,9 +191,7 @@
   public void upstreams(long at, ImmutableMap<UpstreamName, RelayUpstream> now) {
     fleet.replace(at, now, this::report);
     fleet.forget(at, this::report);
-    for (UpstreamState s : fleet.beginEvacuations()) {
-      timers.add(new Timers.Due.Evacuate(at + EVACUATE_AFTER, s.upstream().id()));
-    }
+    evacuation.look(at);
     admitWaiting(at);
   }
 
@@ -594,7 +583,7 @@
 
   private void over(AttemptState a) {
     attempts.remove(a.id());
-    abandonMove(a);
+    evacuation.abandon(a);
     a.upstream().ended();
     a.upstream().addLoad(-a.units());
     a.call().attempt = null;
@@ -689,7 +678,7 @@
   /** A whole answer is there. */
   public void answered(long at, AttemptId id, AnswerGrade grade) {
     AttemptState a = find(id);
-    if (a == null || mayBeStopped(at, a, Optional.of(grade))) {
+    if (a == null || evacuation.holds(at, id, Optional.of(grade))) {
       return;
     }
     CallState c = a.call();
@@ -827,7 +816,7 @@
   /** An attempt may have run, and its answer is lost. */
   public void lost(long at, AttemptId id, FailureCause cause) {
     AttemptState a = find(id);
-    if (a == null || mayBeStopped(at, a, Optional.empty())) {
+    if (a == null || evacuation.holds(at, id, Optional.empty())) {
       return;
     }
     over(a);
@@ -861,146 +850,61 @@
 
   // Moves: runs at upstreams that leave go on elsewhere with their memory.
 
-  private void evacuate(long at, UpstreamName id) {
-    Optional<UpstreamState> source = fleet.find(id);
-    if (source.isEmpty()) {
-      return;
-    }
-    if (!source.get().isGoing()) {
-      source.get().endEvacuation();
-      return;
-    }
-    for (AttemptState a : List.copyOf(attempts.values())) {
-      if (a.upstream() == source.get() && isMovable(at, a)) {
-        beginMove(at, a);
-      }
-    }
-    if (source.get().inFlight() > 0) {
-      timers.add(new Timers.Due.Evacuate(at + EVACUATE_AGAIN, id));
-    } else {
-      source.get().endEvacuation();
-    }
-  }
-
-  private boolean isMovable(long at, AttemptState a) {
-    CallState c = a.call();
-    return c.attempt == a
-        && c.began
-        && a.runs()
-        && c.sends < MOST_SENDS
-        && evacuation.find(a.id()) == null
-        && configuration.bounds(c.service).movesRuns()
-        && allowance(c.service).used(at) + 1 <= allowance(c.service).allowed(at, slack());
-  }
-
-  private void beginMove(long at, AttemptState a) {
-    CallState c = a.call();
-    Set<UpstreamName> without = new HashSet<>(c.without);
-    without.add(a.upstream().upstream().id());
-    Need need = Sizing.move(c, configuration, nodes);
-    fleet
-        .choose(at, c.service, Stage::runs, without, a.upstream().upstream().place(), need)
-        .ifPresent(found -> askMove(evacuation.begin(a, found.best(), need.units())));
-  }
-
-  private void askMove(Evacuation.Move move) {
-    AttemptState a = move.attempt;
-    effects.accept(
-        new RelayEffect.Move(
-            a.id(),
-            a.call().call.id(),
-            a.upstream().upstream(),
-            move.destination.upstream(),
-            move.step));
-  }
-
   /** A step of a move was answered. */
   public void moved(long at, AttemptId id, MoveResult result) {
-    Evacuation.Move move = evacuation.find(id);
-    if (move == null) {
-      return;
-    }
-    AttemptState a = move.attempt;
-    report(
-        new RelayFact.RunMoved(
-            a.call().call.wireId(),
-            id,
-            a.upstream().upstream().id(),
-            move.destination.upstream().id(),
-            move.step,
-            result));
-    switch (result) {
-      case MoveResult.Copied c when move.step == MoveStep.COPY -> {
-        move.step = MoveStep.STOP;
-        timers.add(new Timers.Due.MoveOver(at + MOVE_PATIENCE, id));
-        askMove(move);
-      }
-      case MoveResult.Copied c -> {
-        move.handle = Optional.of(c.handle());
-        goOnIfMoved(at, move);
-      }
-      case MoveResult.NoRun n -> moveFailed(at, move, move.answered);
-      case MoveResult.Failed f -> moveFailed(at, move, Optional.empty());
-    }
+    evacuation.moved(at, id, result);
   }
 
-  /** Without a copy the run goes on where it is, unless its stream is over. */
-  private void moveFailed(long at, Evacuation.Move move, Optional<AnswerGrade> end) {
-    AttemptId id = move.attempt.id();
-    evacuation.remove(id);
-    if (move.streamEnded && end.isPresent()) {
-      answered(at, id, end.get());
-    } else if (move.streamEnded) {
-      lost(at, id, FailureCause.CONNECTION_LOST);
+  /** What moves need of the calls. */
+  private final class Movable implements Evacuation.Runs {
+    @Override
+    public List<AttemptState> attempts() {
+      return List.copyOf(attempts.values());
     }
-  }
 
-  /**
-   * Whether the end of an attempt's stream may be that of a run which was stopped to move. What the
-   * end means is known only with the answer to the move: streams without a length look complete.
-   */
-  private boolean mayBeStopped(long at, AttemptState a, Optional<AnswerGrade> end) {
-    Evacuation.Move move = evacuation.find(a.id());
-    if (move == null || move.step != MoveStep.STOP || move.streamEnded) {
-      return false;
+    @Override
+    public Optional<UpstreamState> destination(long at, AttemptState a) {
+      CallState c = a.call();
+      Set<UpstreamName> without = new HashSet<>(c.without);
+      without.add(a.upstream().upstream().id());
+      Need need = Sizing.move(c, configuration, nodes);
+      return fleet
+          .choose(at, c.service, Stage::runs, without, a.upstream().upstream().place(), need)
+          .map(Choice::best);
     }
-    move.streamEnded = true;
-    move.answered = end;
-    goOnIfMoved(at, move);
-    return true;
-  }
 
-  private void goOnIfMoved(long at, Evacuation.Move move) {
-    if (move.isOver()) {
-      AttemptState a = move.attempt;
+    @Override
+    public boolean mayMove(long at, AttemptState a) {
       CallState c = a.call();
-      evacuation.remove(a.id());
-      over(a);
-      moveIn(c, move.destination, move.units);
-      Purpose goOn = new Purpose.Continue(a.upstream().upstream(), move.handle.orElseThrow());
-      send(at, c, new Choice(move.destination, 0, "", 0, 1), goOn, 0);
+      return c.attempt == a
+          && c.began
+          && a.runs()
+          && c.sends < MOST_SENDS
+          && configuration.bounds(c.service).movesRuns()
+          && allowance(c.service).used(at) + 1 <= allowance(c.service).allowed(at, slack());
+    }
+
+    @Override
+    public void ended(long at, AttemptId id, Optional<AnswerGrade> end) {
+      if (end.isPresent()) {
+        answered(at, id, end.get());
+      } else {
+        lost(at, id, FailureCause.CONNECTION_LOST);
+      }
     }
-  }
 
-  private void moveOverdue(long at, AttemptId id) {
-    Evacuation.Move move = evacuation.find(id);
-    if (move == null) {
-      return;
-    }
-    if (move.handle.isPresent()) {
-      effects.accept(new RelayEffect.Cancel(id));
-      move.streamEnded = true;
-      goOnIfMoved(at, move);
-    } else {
-      moveFailed(at, move, Optional.empty());
+    @Override
+    public void goOn(long at, Evacuation.Move move, String handle) {
+      AttemptState a = move.attempt;
+      over(a);
+      moveIn(a.call(), move.destination, move.units);
+      Purpose goOn = new Purpose.Continue(a.upstream().upstream(), handle);
+      send(at, a.call(), new Choice(move.destination, 0, "", 0, 1), goOn, 0);
     }
-  }
 
-  /** Ends the move of an attempt that is over; a copy is freed where it may be. */
-  private void abandonMove(AttemptState a) {
-    Evacuation.Move move = evacuation.remove(a.id());
-    if (move != null) {
-      move.handle.ifPresent(h -> effects.accept(new RelayEffect.Free(a.upstream().upstream(), h)));
+    @Override
+    public void emit(RelayEffect effect) {
+      effects.accept(effect);
     }
   }
 
@@ -1034,9 +938,9 @@
           admitWaiting(at);
         }
         case Timers.Due.Room r -> roomTime(at, r.call());
-        case Timers.Due.Evacuate e -> evacuate(at, e.upstream());
+        case Timers.Due.Evacuate e -> evacuation.due(at, e.upstream());
         case Timers.Due.OrderOver o -> orderOver(at, o.upstream());
-        case Timers.Due.MoveOver m -> moveOverdue(at, m.attempt());
+        case Timers.Due.MoveOver m -> evacuation.overdue(at, m.attempt());
         case Timers.Due.Patience p -> impatient(at, p.attempt());
       }
     }
