Find watches that have gone silent by what other nodes have seen

Cause: a connection may go silent without an end. A watch of the store was waited for its whole time of 10 s, and a change of the configuration missed for as long, though it is to be in force within 2 s.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadMessageTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadMessageTest.java
@@ -22,7 +22,8 @@
       new LoadMessage(
           new HostName("node-1"),
           ImmutableMap.of(new UpstreamName("i-1"), 17_000L, new UpstreamName("i-2"), 3L),
-          ImmutableSet.of(new UpstreamName("i-3")));
+          ImmutableSet.of(new UpstreamName("i-3")),
+          new FeedChanges(7, 12));
 
   /** Messages that were written by a node. */
   public static class Written {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -17,6 +17,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.larkkeel.http.relay.RelayLoop;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamName;
@@ -40,6 +42,13 @@
 final class LoadExchange implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(LoadExchange.class);
   private static final long SOONEST_NANOS = 3_000_000L;
+
+  /**
+   * The least time between two messages for each node that gets them: what a node spends on telling
+   * must not grow with the square of the fleet.
+   */
+  private static final long SOONEST_PER_PEER_NANOS = 500_000L;
+
   private static final long FEW = 100;
   private static final long LARGE_OF_FEW = 3;
   private static final long LARGE = 1_500;
@@ -59,6 +68,8 @@
   private ImmutableSet<UpstreamName> lapsing = ImmutableSet.of();
   private long toldAt;
   private boolean planned;
+  private Supplier<FeedChanges> changes = () -> FeedChanges.NONE;
+  private Consumer<FeedChanges> others = c -> {};
   private volatile int rank;
   private volatile List<InetSocketAddress> live = List.of();
 
@@ -83,6 +94,15 @@
     period = thread.executeAtInterval(this::periodic, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Sets where what the store says comes from and where others' word of it goes; before use. */
+  void changes(Supplier<FeedChanges> own, Consumer<FeedChanges> heard) {
+    thread.execute(
+        () -> {
+          changes = own;
+          others = heard;
+        });
+  }
+
   /** Notes a node that is registered. */
   void meet(InetSocketAddress peer) {
     thread.execute(() -> known(peer));
@@ -118,7 +138,7 @@
     if (planned || !(news || isWorthTelling())) {
       return;
     }
-    long wait = toldAt + SOONEST_NANOS - loop.now();
+    long wait = toldAt + soonest() - loop.now();
     if (wait <= 0) {
       send();
     } else {
@@ -127,6 +147,10 @@
     }
   }
 
+  private long soonest() {
+    return Math.max(SOONEST_NANOS, peers.size() * SOONEST_PER_PEER_NANOS);
+  }
+
   /** Whether so much has changed that the others should not wait for the next period. */
   private boolean isWorthTelling() {
     if (latest.equals(told)) {
@@ -187,7 +211,7 @@
   private void send() {
     told = latest;
     toldAt = loop.now();
-    byte[] bytes = new LoadMessage(self, latest, lapsing).toBytes();
+    byte[] bytes = new LoadMessage(self, latest, lapsing, changes.get()).toBytes();
     if (bytes.length > LoadMessage.MAX_BYTES) {
       return;
     }
@@ -228,6 +252,7 @@
       peer.silent = false;
       log.info("event=peer_heard_again peer={}", from);
     }
+    others.accept(message.changes());
     loop.submit(
         new RelayEvent.LoadHeard(loop.now(), message.node(), message.loads(), message.lapsing()));
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadMessage.java
@@ -26,13 +26,17 @@
  * @param node who tells
  * @param loads units in flight by upstream
  * @param lapsing upstreams whose prompts it found to be lost at once
+ * @param changes the newest changes that it has seen in the store
  */
 record LoadMessage(
-    HostName node, ImmutableMap<UpstreamName, Long> loads, ImmutableSet<UpstreamName> lapsing) {
+    HostName node,
+    ImmutableMap<UpstreamName, Long> loads,
+    ImmutableSet<UpstreamName> lapsing,
+    FeedChanges changes) {
   /** The largest message; what does not fit a datagram is not sent. */
   static final int MAX_BYTES = 60_000;
 
-  private static final byte VERSION = 2;
+  private static final byte VERSION = 3;
   private static final int FIRST_BYTES = 256;
 
   byte[] toBytes() {
@@ -50,6 +54,8 @@
       for (UpstreamName upstream : lapsing) {
         out.writeString(upstream.value());
       }
+      out.writeI64(changes.configurations());
+      out.writeI64(changes.upstreams());
       byte[] bytes = new byte[buffer.length()];
       System.arraycopy(buffer.getArray(), 0, bytes, 0, bytes.length);
       return bytes;
@@ -77,7 +83,8 @@
       for (int i = 0; i < lost; i++) {
         lapsing.add(new UpstreamName(in.readString()));
       }
-      return Optional.of(new LoadMessage(node, loads.buildKeepingLast(), lapsing.build()));
+      FeedChanges changes = new FeedChanges(in.readI64(), in.readI64());
+      return Optional.of(new LoadMessage(node, loads.buildKeepingLast(), lapsing.build(), changes));
     } catch (TException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -34,6 +34,8 @@
   private final StageController stages;
   private final CollectionMirror configurations;
   private final CollectionMirror upstreams;
+  private final Scheduler scheduler;
+  private volatile FeedChanges changes = FeedChanges.NONE;
 
   RelayFeed(
       RelayAdapter adapter,
@@ -44,6 +46,7 @@
       RelayLoop loop,
       StageController stages) {
     this.stages = stages;
+    this.scheduler = scheduler;
     this.adapter = adapter;
     this.loop = loop;
     this.configurations =
@@ -73,7 +76,29 @@
     upstreams.start();
   }
 
+  /** The newest changes that were seen; safe for use by several threads. */
+  FeedChanges changes() {
+    return changes;
+  }
+
+  /** Another node has seen changes; on any thread. */
+  void others(FeedChanges theirs) {
+    FeedChanges own = changes;
+    if (theirs.configurations() > own.configurations() || theirs.upstreams() > own.upstreams()) {
+      scheduler.execute(
+          () -> {
+            configurations.others(theirs.configurations());
+            upstreams.others(theirs.upstreams());
+          });
+    }
+  }
+
+  private void noteChanges() {
+    changes = new FeedChanges(configurations.changeVersion(), upstreams.changeVersion());
+  }
+
   private void configuration(ImmutableSortedMap<String, StoredObject> objects) {
+    noteChanges();
     try {
       adapter
           .configuration(objects.values())
@@ -84,6 +109,7 @@
   }
 
   private void upstreams(ImmutableSortedMap<String, StoredObject> objects) {
+    noteChanges();
     var all = adapter.upstreams(objects.values());
     stages.upstreams(all.values());
     loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), all));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -134,6 +134,7 @@
                 new SplittableRandom(System.nanoTime()),
                 loop,
                 stages));
+    loads.changes(feed::changes, feed::others);
     closer.add(loop);
     scheduler.execute(feed::start);
     PeerFeed peerFeed =
--- /dev/null
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -0,0 +1,106 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.store;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.time.Duration;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+
+/** A copy of a collection. */
+public class CollectionMirrorTest {
+  private static final String COLLECTION = "things";
+
+  /** A mirror, and a store that it sees over an API. */
+  private static final class World {
+    final ManualScheduler time = new ManualScheduler();
+    final InMemoryStore store = new InMemoryStore(time);
+    final ManualScheduler.Process process = time.newProcess();
+    final InMemoryObjectApi api = new InMemoryObjectApi(store, process);
+    final CollectionMirror mirror;
+    Set<String> names = Set.of();
+
+    World(Duration watchLag) {
+      api.setWatchLag(watchLag);
+      mirror =
+          new CollectionMirror(
+              api,
+              COLLECTION,
+              process,
+              new Backoff(Duration.ofMillis(100), Duration.ofSeconds(1), new SplittableRandom(1)),
+              objects -> names = Set.copyOf(objects.keySet()));
+      mirror.start();
+      time.advance(Duration.ofSeconds(1));
+    }
+
+    long create(String name) {
+      return store
+          .create(new ObjectKey(COLLECTION, name), "thing", JsonNodeFactory.instance.objectNode())
+          .resourceVersion();
+    }
+  }
+
+  /** Watches whose connection has gone silent. */
+  public static class Silent {
+    private static final Duration NEVER = Duration.ofHours(1);
+
+    @Test
+    public void isReadAnewOnceOthersKnowMore() {
+      World w = new World(NEVER);
+      long change = w.create("a");
+      w.time.advance(Duration.ofSeconds(5));
+      assertEquals(w.names, Set.of());
+      w.mirror.others(change);
+      w.time.advance(Duration.ofSeconds(1));
+      assertEquals(w.names, Set.of("a"));
+      assertEquals(w.mirror.changeVersion(), change);
+      assertFalse(w.mirror.isFailing());
+    }
+
+    @Test
+    public void followsTheStoreAfterwards() {
+      World w = new World(NEVER);
+      w.mirror.others(w.create("a"));
+      w.api.setWatchLag(Duration.ofMillis(1));
+      w.time.advance(Duration.ofSeconds(1));
+      w.create("b");
+      w.time.advance(Duration.ofSeconds(1));
+      assertEquals(w.names, Set.of("a", "b"));
+    }
+  }
+
+  /** Watches that only lag. */
+  public static class Lagging {
+    @Test
+    public void isNotReadAnewForChangesThatCome() {
+      World w = new World(Duration.ofMillis(200));
+      long change = w.create("a");
+      w.mirror.others(change);
+      w.api.setReadFaults(() -> Fault.REFUSE);
+      w.time.advance(Duration.ofSeconds(2));
+      assertEquals(w.names, Set.of("a"));
+      assertFalse(w.mirror.isFailing(), "nothing was read");
+      assertTrue(w.mirror.changeVersion() >= change);
+    }
+
+    @Test
+    public void isNotReadAnewForWhatItKnows() {
+      World w = new World(Duration.ofMillis(1));
+      long change = w.create("a");
+      w.time.advance(Duration.ofSeconds(1));
+      w.api.setReadFaults(() -> Fault.REFUSE);
+      w.mirror.others(change);
+      w.time.advance(Duration.ofSeconds(2));
+      assertFalse(w.mirror.isFailing());
+    }
+  }
+}
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -27,6 +27,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(CollectionMirror.class);
   private static final Duration DEFAULT_WATCH_TIME = Duration.ofSeconds(60);
 
+  /** The pause between two watches: changes that come together are seen by one call. */
+  private static final Duration PAUSE = Duration.ofMillis(150);
+
+  /** How long a change that others know of may take to be seen here. */
+  private static final Duration LAG = Duration.ofMillis(400);
+
   private final ObjectApi api;
   private final String collection;
   private final Scheduler scheduler;
@@ -38,6 +44,7 @@
   private long version;
   private Watch watch;
   private long shownVersion;
+  private long changeVersion;
   private boolean failing;
   private boolean closed;
 
@@ -100,6 +107,34 @@
     return shownVersion;
   }
 
+  /** The version of the newest change of an object that was seen; 0 before the first. */
+  public long changeVersion() {
+    return changeVersion;
+  }
+
+  /**
+   * Notes that another process has seen a change; on the scheduler. If it is not seen here soon,
+   * the watch is taken for dead, as connections may go silent without an end, and the collection is
+   * read anew.
+   *
+   * @param change its version, as of {@link #changeVersion}
+   */
+  public void others(long change) {
+    if (!closed && !failing && change > changeVersion && watch != null) {
+      Watch suspect = watch;
+      scheduler.schedule(LAG, () -> suspect(suspect, change));
+    }
+  }
+
+  private void suspect(Watch suspect, long change) {
+    if (closed || watch != suspect || change <= changeVersion) {
+      return;
+    }
+    watch = null;
+    suspect.close();
+    retry(new IllegalStateException("others have seen the change " + change));
+  }
+
   /** The copy. */
   public ImmutableSortedMap<String, StoredObject> objects() {
     return ImmutableSortedMap.copyOf(objects);
@@ -117,6 +152,7 @@
     }
     objects = new TreeMap<>();
     copy.forEach(o -> objects.put(o.key().name(), o));
+    copy.forEach(this::seen);
     shownVersion = newer;
     publish();
     return true;
@@ -139,6 +175,7 @@
 
   private void received(ListQuery q, ObjectPage page) {
     page.items().forEach(o -> listing.put(o.key().name(), o));
+    page.items().forEach(this::seen);
     if (version == 0) {
       version = page.resourceVersion();
     }
@@ -160,20 +197,26 @@
   private void watch() {
     Watch w = api.watch(collection, version, watchTime, this::event);
     watch = w;
-    w.ended().whenComplete((ok, failure) -> ended(failure));
+    w.ended().whenComplete((ok, failure) -> ended(w, failure));
   }
 
-  private void ended(Throwable failure) {
-    if (closed) {
+  private void ended(Watch w, Throwable failure) {
+    if (closed || watch != w) {
       return;
     }
     if (failure == null) {
-      watch();
+      scheduler.schedule(PAUSE, () -> watchAgain(w));
     } else {
       retry(failure);
     }
   }
 
+  private void watchAgain(Watch w) {
+    if (!closed && watch == w) {
+      watch();
+    }
+  }
+
   private void event(WatchEvent e) {
     if (closed) {
       return;
@@ -187,7 +230,12 @@
     }
   }
 
+  private void seen(StoredObject o) {
+    changeVersion = Math.max(changeVersion, o.resourceVersion());
+  }
+
   private void change(StoredObject o) {
+    seen(o);
     StoredObject old = objects.get(o.key().name());
     if (old == null || old.resourceVersion() < o.resourceVersion()) {
       objects.put(o.key().name(), o);
@@ -196,6 +244,7 @@
   }
 
   private void remove(StoredObject o) {
+    seen(o);
     StoredObject old = objects.get(o.key().name());
     if (old != null && old.resourceVersion() <= o.resourceVersion()) {
       objects.remove(o.key().name());
