--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
@@ -18,6 +18,7 @@
 public class PlatformDialectTest {
   /** The verdict on the head of an answer. */
   public static class Verdict {
+    /** Status, whether the runner's signature and its not-run header are there, and the verdict. */
     @DataProvider
     public static Object[][] heads() {
       return new Object[][] {
--- a/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
@@ -328,7 +328,7 @@
                 });
         World.await(() -> !running.isEmpty());
         List<RawServer.Request> continued = new CopyOnWriteArrayList<>();
-        RawServer destination =
+        final RawServer destination =
             w.runner(
                 "i-run-2",
                 "model",
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -0,0 +1,357 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+import java.util.function.Predicate;
+import org.larkkeel.http.Json;
+
+/**
+ * A randomized run of real node processes under faults from outside: the store, the runners, the
+ * proxies before them, the callers and the checks. Which process is to be started or to get a
+ * signal is written to standard output, a line each; the script {@code soak-relay} does it.
+ *
+ * <p>Everything that is drawn comes from one seed. Safe for use by several threads.
+ */
+public final class Soak {
+  static final int CALLER_PORT = 8144;
+  static final long DRAIN_MILLIS = 2_500;
+  private static final int READY_PORT = 8140;
+  private static final long STABLE_MILLIS = 3_000;
+  private static final int CALLERS = 12;
+  private static final int PREFILLS = 1;
+  private static final int DECODES = 3;
+  private static final int APPS = 2;
+  private static final String PLANNED = "signal-TERM";
+  private static volatile Soak current;
+
+  /** A time in which something was harmed; node -1 concerns all. */
+  private record Harm(long from, long to, int node, String what) {}
+
+  private final String net;
+  private final Path folder;
+  private final int nodes;
+  private final long seed;
+  private final SplittableRandom random;
+  private final SoakLedger ledger = new SoakLedger();
+  private final StoreStandin store = new StoreStandin();
+  private final List<SoakProxy> storeProxies = new ArrayList<>();
+  private final List<SoakRunner> runners = new ArrayList<>();
+  private final List<Harm> harms = new ArrayList<>();
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
+  private long version = 1;
+  private volatile boolean loaded = true;
+
+  private Soak(String net, Path folder, int nodes, long seed) {
+    this.net = net;
+    this.folder = folder;
+    this.nodes = nodes;
+    this.seed = seed;
+    this.random = new SplittableRandom(seed);
+    current = this;
+  }
+
+  /** Arguments: the network's first three numbers, a folder, nodes, seconds, seed. */
+  public static void main(String[] args) throws Exception {
+    Soak soak =
+        new Soak(args[0], Path.of(args[1]), Integer.parseInt(args[2]), Long.parseLong(args[4]));
+    System.exit(soak.play(Integer.parseInt(args[3])) ? 0 : 1);
+  }
+
+  String host(int node) {
+    return net + "." + (node + 1);
+  }
+
+  boolean isLoaded() {
+    return loaded;
+  }
+
+  int pickNode(SplittableRandom by) {
+    return by.nextInt(nodes);
+  }
+
+  /** Whether the store or all nodes are harmed now, or were a moment ago. */
+  static boolean isDisturbed() {
+    return current.wasHarmed(-1, System.nanoTime());
+  }
+
+  /** Whether a node, or what it needs, was harmed since a moment, or shortly before it. */
+  boolean wasHarmed(int node, long since) {
+    return isHarmed(node, since, h -> true);
+  }
+
+  private synchronized boolean isHarmed(int node, long since, Predicate<Harm> counts) {
+    long from = since - TimeUnit.MILLISECONDS.toNanos(STABLE_MILLIS);
+    return harms.stream()
+        .filter(counts)
+        .anyMatch(h -> (node < 0 || h.node() < 0 || h.node() == node) && h.to() >= from);
+  }
+
+  /**
+   * A caller's connection ended without a whole answer. A planned stop is no excuse for a request
+   * that was passed on; a connection that is closed before its request was read is.
+   */
+  void cut(String caller, int node, String id, long begun, IOException cause) {
+    if (!isHarmed(node, begun, h -> !h.what().equals(PLANNED)) && ledger.hasRun(id)) {
+      ledger.broken("lost", id + " of " + caller + " at node " + node + " " + cause);
+    }
+  }
+
+  private synchronized void harm(int node, String what, long millis) {
+    long now = System.nanoTime();
+    harms.add(new Harm(now, now + TimeUnit.MILLISECONDS.toNanos(millis), node, what));
+    tell("fault node=%d %s for_ms=%d", node, what, millis);
+  }
+
+  private static synchronized void tell(String format, Object... args) {
+    System.out.println(format.formatted(args));
+    System.out.flush();
+  }
+
+  private boolean play(int seconds) throws Exception {
+    prepare();
+    if (!awaitReady(30)) {
+      tell("result=failed seed=%d cause=\"nodes did not become ready\"", seed);
+      return false;
+    }
+    ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
+    for (int i = 0; i < CALLERS; i++) {
+      callers.submit(new SoakCaller(this, ledger, "c" + i, random.nextLong()));
+    }
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    while (System.nanoTime() < end) {
+      Thread.sleep(random.nextInt(100, 1_800));
+      strike();
+    }
+    Thread.sleep(1_000);
+    loaded = false;
+    callers.shutdown();
+    callers.awaitTermination(20, TimeUnit.SECONDS);
+    return judge();
+  }
+
+  private void prepare() throws IOException {
+    for (int i = 0; i < APPS; i++) {
+      runners.add(new SoakRunner(ledger, store, "app", "", random.nextLong()));
+    }
+    for (int i = 0; i < PREFILLS + DECODES; i++) {
+      String stage = i < PREFILLS ? "prefill" : "decode";
+      runners.add(new SoakRunner(ledger, store, "model", stage, random.nextLong()));
+    }
+    configure();
+    for (int i = 0; i < nodes; i++) {
+      String[] address = store.address().split(":");
+      storeProxies.add(
+          new SoakProxy(new java.net.InetSocketAddress(address[0], Integer.parseInt(address[1]))));
+      Files.writeString(folder.resolve("node-" + i + ".json"), settings(i));
+      tell("start %d", i);
+    }
+  }
+
+  private void configure() {
+    ObjectNode config = Json.object();
+    config.put("version", version++);
+    var routes = config.putArray("routes");
+    route(routes.addObject(), "safe", "safe", "app", false);
+    route(routes.addObject(), "once", "unsafe", "app", false);
+    route(routes.addObject(), "stream", "streaming", "model", false);
+    route(routes.addObject(), "resume", "streaming", "model", true);
+    var services = config.putArray("services");
+    services.addObject().put("name", "app").put("max_connections", 100);
+    ObjectNode engine =
+        services.addObject().put("name", "model").put("max_connections", 100).putObject("engine");
+    engine.put("kv_tokens", 90_000).put("stride", 10);
+    store.put("config", "main", config);
+  }
+
+  private void route(ObjectNode r, String name, String kind, String service, boolean resume) {
+    r.put("name", "r-" + name).put("host", "a.example").put("path_prefix", "/" + name + "/");
+    r.put("kind", kind).put("timeout_ms", 4_000).put("target_latency_ms", 900);
+    r.put("service", service).put("max_attempts", 2);
+    r.put("allow_resume", resume).put("gap_aim_ms", 300).put("priority", 1);
+  }
+
+  private String settings(int node) {
+    String at = host(node);
+    ObjectNode settings = Json.object().put("host", "node-" + node).put("dataCentre", "dc-1");
+    settings
+        .putObject("listeners")
+        .put("caller", at + ":" + CALLER_PORT)
+        .put("readiness", at + ":" + READY_PORT)
+        .put("metrics", at + ":8160")
+        .put("peer", at + ":8161");
+    settings.put("seeds", host(0) + ":8146").put("prefillShare", "0");
+    settings
+        .putObject("store")
+        .put("address", storeProxies.get(node).address())
+        .put("timeoutMillis", 1_000)
+        .put("watchMillis", 2_000);
+    settings.putObject("stop").put("leaveMillis", 500).put("graceSeconds", "6");
+    return settings.toString();
+  }
+
+  private boolean isReady(int node) {
+    try (java.net.Socket s = new java.net.Socket()) {
+      s.connect(new java.net.InetSocketAddress(host(node), READY_PORT), 500);
+      s.setSoTimeout(1_000);
+      RawServer.write(
+          s.getOutputStream(), "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+      return new String(
+              s.getInputStream().readNBytes(12), java.nio.charset.StandardCharsets.US_ASCII)
+          .endsWith(" 200");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private boolean awaitReady(int seconds) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    for (int i = 0; i < nodes; i++) {
+      while (!isReady(i)) {
+        if (System.nanoTime() > end) {
+          return false;
+        }
+        Thread.sleep(50);
+      }
+    }
+    return true;
+  }
+
+  // Faults: drawn one after the other; they overlap, and may hit the same target twice.
+
+  private void strike() {
+    int node = random.nextInt(nodes);
+    long millis = random.nextLong(200, 2_500);
+    SoakRunner runner = runners.get(random.nextInt(runners.size()));
+    switch (random.nextInt(16)) {
+      case 0, 1 -> signal(node, "KILL", 4_000);
+      case 2, 3 -> signal(node, "TERM", 8_000);
+      case 4, 5 -> pause(node, millis);
+      case 6 -> signal(node, "HUP", 0);
+      case 7 -> lasting(-1, "store-503", millis, on -> store.refuse(on > 0 ? 503 : 0));
+      case 8 -> lasting(-1, "store-429", millis, on -> store.refuse(on > 0 ? 429 : 0));
+      case 9 -> lasting(-1, "store-loses", millis, on -> store.lose(on > 0));
+      case 10 -> proxied(node, "store", storeProxies.get(node), millis);
+      case 11, 12 -> proxied(-1, "runner", runner.proxy, millis);
+      case 13 -> {
+        SoakRunner.Fault f = SoakRunner.Fault.values()[random.nextInt(1, 7)];
+        lasting(-1, "runner-" + f, millis, on -> runner.fault(on > 0 ? f : SoakRunner.Fault.NONE));
+      }
+      case 14 -> replace(runner);
+      default -> {
+        configure();
+        tell("fault config version=%d", version - 1);
+      }
+    }
+  }
+
+  private void signal(int node, String name, long harmMillis) {
+    if (harmMillis > 0) {
+      harm(node, "signal-" + name, harmMillis);
+    }
+    tell("signal %d %s", node, name);
+  }
+
+  private void pause(int node, long millis) {
+    harm(node, "pause", millis);
+    tell("signal %d STOP", node);
+    timer.schedule(() -> tell("signal %d CONT", node), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void lasting(int node, String what, long millis, IntConsumer change) {
+    harm(node, what, millis);
+    change.accept(1);
+    timer.schedule(() -> change.accept(0), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void proxied(int node, String what, SoakProxy proxy, long millis) {
+    SoakProxy.Mode mode = SoakProxy.Mode.values()[random.nextInt(1, 5)];
+    lasting(node, what + "-" + mode, millis, on -> proxy.mode(on > 0 ? mode : SoakProxy.Mode.PASS));
+  }
+
+  /** A runner leaves after its notice, or without one, and another takes its address. */
+  private void replace(SoakRunner runner) {
+    boolean notice = random.nextBoolean();
+    if (notice && runner.leavingMillis() < 0) {
+      runner.drain();
+      tell("fault runner drains");
+      timer.schedule(
+          () -> {
+            harm(-1, "runner-ends", 200);
+            runner.end();
+            runner.start();
+          },
+          DRAIN_MILLIS + 1_500,
+          TimeUnit.MILLISECONDS);
+    } else if (!notice && runner.leavingMillis() < 0) {
+      harm(-1, "runner-crashes", 1_000);
+      runner.proxy.mode(SoakProxy.Mode.RESET);
+      runner.end();
+      timer.schedule(
+          () -> {
+            runner.proxy.mode(SoakProxy.Mode.PASS);
+            runner.start();
+          },
+          800,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean judge() throws Exception {
+    Thread.sleep(2_500);
+    storeProxies.forEach(p -> p.mode(SoakProxy.Mode.PASS));
+    if (!awaitReady(25)) {
+      ledger.broken("recover", "not all nodes are ready after the faults");
+    }
+    Thread.sleep(STABLE_MILLIS);
+    SoakCaller last = new SoakCaller(this, ledger, "last", seed);
+    for (int i = 0; i < nodes; i++) {
+      for (String kind : List.of("safe", "once", "stream", "resume")) {
+        if (!serves(last, i, kind)) {
+          ledger.broken("recover", "node " + i + " does not serve " + kind);
+        }
+      }
+    }
+    last.hangUp();
+    Thread.sleep(1_500);
+    if (ledger.running().get() != 0) {
+      ledger.broken("gone", ledger.running() + " runs are left without a caller");
+    }
+    List<String> broken = ledger.verdict();
+    broken.forEach(b -> tell("broken %s", b));
+    tell(
+        "result=%s seed=%d faults=%d broken=%d outcomes=%s",
+        broken.isEmpty() ? "passed" : "failed",
+        seed,
+        harms.size(),
+        broken.size(),
+        new TreeMap<>(ledger.outcomes()));
+    return broken.isEmpty();
+  }
+
+  private static boolean serves(SoakCaller caller, int node, String kind) throws IOException {
+    for (int attempt = 0; attempt < 3; attempt++) {
+      caller.goTo(node);
+      if (caller.request(kind)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
@@ -0,0 +1,231 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * Sends requests of all kinds to the nodes, on connections that it keeps until they end, and checks
+ * every answer.
+ *
+ * <p>Used by one thread.
+ */
+final class SoakCaller implements Runnable {
+  private static final int PATIENCE_MILLIS = 8_000;
+  private static final long LATE_NANOS = 5_000_000_000L;
+  private static final String[] KINDS = {"safe", "once", "stream", "resume"};
+
+  /** An answer; not complete if its connection ended before its end. */
+  private record Answer(int status, Map<String, String> headers, String body, boolean complete) {}
+
+  private final Soak soak;
+  private final SoakLedger ledger;
+  private final SplittableRandom random;
+  private final String name;
+  private Socket socket = new Socket();
+  private InputStream in;
+  private int node;
+  private int requests;
+
+  SoakCaller(Soak soak, SoakLedger ledger, String name, long seed) {
+    this.soak = soak;
+    this.ledger = ledger;
+    this.name = name;
+    this.random = new SplittableRandom(seed);
+  }
+
+  static String body(String id) {
+    return "answer to " + id + " " + id.hashCode();
+  }
+
+  static int events(String id) {
+    return 3 + Math.floorMod(id.hashCode(), 40);
+  }
+
+  static String event(String id, int i) {
+    return "id: " + i + "\ndata: " + id + "-" + i + "\n\n";
+  }
+
+  @Override
+  public void run() {
+    while (soak.isLoaded()) {
+      try {
+        Thread.sleep(random.nextInt(10, 60));
+        request(KINDS[random.nextInt(KINDS.length)]);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  /** Sends one request to a node; says whether it was answered well. */
+  boolean request(String kind) {
+    String id = name + "-" + ++requests;
+    String path = "/" + kind + "/" + id + "?q=" + requests;
+    String text = kind.equals("safe") ? "" : "b".repeat(random.nextInt(1, 2_000));
+    String method = kind.equals("safe") ? "GET" : "POST";
+    ledger.sent(
+        id, new SoakLedger.Sent(method, path, text, kind.equals("once") || kind.equals("stream")));
+    long begun = System.nanoTime();
+    try {
+      if (in == null || random.nextInt(12) == 0) {
+        connect();
+      }
+      Answer answer = exchange(id, method, path, text);
+      return judge(id, kind, answer, begun);
+    } catch (IOException e) {
+      hangUp();
+      soak.cut(name, node, id, begun, e);
+      ledger.outcome(kind + "-cut");
+      return false;
+    }
+  }
+
+  private void connect() throws IOException {
+    hangUp();
+    node = soak.pickNode(random);
+    socket = new Socket();
+    socket.connect(new InetSocketAddress(soak.host(node), Soak.CALLER_PORT), 1_000);
+    socket.setSoTimeout(PATIENCE_MILLIS);
+    socket.setTcpNoDelay(true);
+    in = new BufferedInputStream(socket.getInputStream());
+  }
+
+  /** Leaves the node that it is at. */
+  void hangUp() {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // It is closed already.
+    }
+    in = null;
+  }
+
+  /** Goes to a node for the next request. */
+  void goTo(int next) throws IOException {
+    hangUp();
+    node = next;
+    socket = new Socket();
+    socket.connect(new InetSocketAddress(soak.host(node), Soak.CALLER_PORT), 1_000);
+    socket.setSoTimeout(PATIENCE_MILLIS);
+    in = new BufferedInputStream(socket.getInputStream());
+  }
+
+  private Answer exchange(String id, String method, String path, String text) throws IOException {
+    RawServer.write(
+        socket.getOutputStream(),
+        method
+            + " "
+            + path
+            + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: "
+            + id
+            + "\r\nX-Deadline-Ms: 4000\r\nX-Model: m\r\n"
+            + (path.startsWith("/s") && !path.startsWith("/safe") || path.startsWith("/r")
+                ? "X-Token-Usage: 1000,2000\r\nX-Prefix-Hash: 5c:1000\r\n"
+                : "")
+            + (text.isEmpty() ? "" : "Content-Length: " + text.length() + "\r\n")
+            + "\r\n"
+            + text);
+    String first = line();
+    final int status = Integer.parseInt(first.split(" ")[1]);
+    Map<String, String> headers = new TreeMap<>();
+    for (String l = line(); !l.isEmpty(); l = line()) {
+      int colon = l.indexOf(':');
+      headers.put(l.substring(0, colon).toLowerCase(Locale.ROOT), l.substring(colon + 1).strip());
+    }
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    boolean complete = true;
+    try {
+      if ("chunked".equals(headers.get("transfer-encoding"))) {
+        for (int n = Integer.parseInt(line().strip(), 16);
+            n > 0;
+            n = Integer.parseInt(line(), 16)) {
+          all.write(exactly(n));
+          line();
+        }
+        line();
+      } else {
+        all.write(exactly(Integer.parseInt(headers.getOrDefault("content-length", "0"))));
+      }
+    } catch (EOFException | java.net.SocketException e) {
+      complete = false;
+    }
+    if (!complete || "close".equalsIgnoreCase(headers.get("connection"))) {
+      hangUp();
+    }
+    return new Answer(status, headers, all.toString(StandardCharsets.ISO_8859_1), complete);
+  }
+
+  private byte[] exactly(int n) throws IOException {
+    byte[] bytes = in.readNBytes(n);
+    if (bytes.length < n) {
+      throw new EOFException();
+    }
+    return bytes;
+  }
+
+  private String line() throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int b = in.read(); b != '\n'; b = in.read()) {
+      if (b < 0) {
+        throw new EOFException();
+      }
+      if (b != '\r') {
+        line.write(b);
+      }
+    }
+    return line.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  private boolean judge(String id, String kind, Answer a, long begun) {
+    boolean stream = kind.equals("stream") || kind.equals("resume");
+    final boolean stamped = a.headers().containsKey("x-server-stamp");
+    ledger.outcome(kind + "-" + a.status() + (a.complete() ? "" : "-incomplete"));
+    if (System.nanoTime() - begun > LATE_NANOS && !soak.wasHarmed(node, begun)) {
+      ledger.broken("late", id + " took " + (System.nanoTime() - begun) / 1_000_000 + " ms");
+    }
+    if (a.status() / 100 == 2) {
+      String expected = stream ? whole(id) : body(id);
+      boolean same = a.complete() ? a.body().equals(expected) : expected.startsWith(a.body());
+      if (!("s-" + id).equals(a.headers().get("x-server-stamp")) || !same) {
+        ledger.broken("mixed", id + " got " + a);
+      }
+      if (!a.complete()) {
+        soak.cut(name, node, id, begun, new EOFException("in the answer"));
+      }
+      return a.complete();
+    }
+    if (stamped) {
+      return false;
+    }
+    switch (a.status()) {
+      case 408, 421, 429, 503 -> ledger.refused(id, a.status());
+      case 500, 502, 504 -> {}
+      default -> ledger.broken("denied", id + " " + a.status());
+    }
+    return false;
+  }
+
+  private static String whole(String id) {
+    StringBuilder all = new StringBuilder();
+    for (int i = 1; i <= events(id); i++) {
+      all.append(event(id, i));
+    }
+    return all.toString();
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
@@ -0,0 +1,144 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Passes connections on to an address on 127.0.0.1, and harms them on request.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class SoakProxy implements AutoCloseable {
+  private static final int CONNECT_MILLIS = 1_000;
+
+  /** What happens to what is passed on. */
+  enum Mode {
+    PASS,
+    /** Each piece is held for a while. */
+    DELAY,
+    /** Answers are dropped, requests go through. */
+    ONE_WAY,
+    /** Nothing goes through, and nothing ends. */
+    SILENT,
+    /** All connections are reset, also new ones. */
+    RESET
+  }
+
+  private static final long DELAY_MILLIS = 120;
+
+  private final ServerSocket listener;
+  private final InetSocketAddress target;
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private volatile Mode mode = Mode.PASS;
+
+  SoakProxy(InetSocketAddress target) {
+    this.target = target;
+    try {
+      listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  void mode(Mode next) {
+    mode = next;
+    if (next == Mode.RESET) {
+      open.forEach(SoakProxy::reset);
+    }
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket near = listener.accept();
+        Thread.ofVirtual().start(() -> serve(near));
+      } catch (IOException e) {
+        // Closed, or the other side gave up at once.
+      }
+    }
+  }
+
+  private void serve(Socket near) {
+    if (mode == Mode.RESET) {
+      reset(near);
+      return;
+    }
+    Socket far = new Socket();
+    open.add(near);
+    open.add(far);
+    try (near;
+        far) {
+      far.connect(target, CONNECT_MILLIS);
+      Thread back = Thread.ofVirtual().start(() -> pump(far, near, true));
+      pump(near, far, false);
+      back.join();
+    } catch (IOException | InterruptedException e) {
+      reset(near);
+    } finally {
+      open.remove(near);
+      open.remove(far);
+    }
+  }
+
+  private void pump(Socket from, Socket to, boolean answers) {
+    byte[] buffer = new byte[8_192];
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+        hold(answers);
+        if (mode != Mode.ONE_WAY || !answers) {
+          out.write(buffer, 0, n);
+          out.flush();
+        }
+      }
+      to.shutdownOutput();
+    } catch (IOException | InterruptedException e) {
+      reset(from);
+      reset(to);
+    }
+  }
+
+  private void hold(boolean answers) throws InterruptedException {
+    if (mode == Mode.DELAY) {
+      Thread.sleep(DELAY_MILLIS);
+    }
+    while (mode == Mode.SILENT) {
+      Thread.sleep(10);
+    }
+  }
+
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // It is closed already.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    open.forEach(SoakProxy::reset);
+  }
+}
--- a/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
@@ -35,6 +35,7 @@
   private final Map<String, TreeMap<Long, ObjectNode>> events = new TreeMap<>();
   private long revision = 100;
   private int refusing;
+  private boolean losing;
 
   String address() {
     return server.address();
@@ -46,6 +47,11 @@
     notifyAll();
   }
 
+  /** Carries writes out and answers none, until it is told otherwise. */
+  synchronized void lose(boolean answers) {
+    losing = answers;
+  }
+
   synchronized void put(String kind, String name, ObjectNode spec) {
     revision++;
     ObjectNode o = Json.object();
@@ -84,6 +90,10 @@
         status = refusing;
       } else if (r.method().equals("POST")) {
         status = create(kind, r.body(), body);
+      } else if (path.startsWith(kind + "/")) {
+        String name = path.substring(kind.length() + 1).split("\\?", 2)[0];
+        status =
+            r.method().equals("PUT") ? update(kind, name, r.body(), body) : get(kind, name, body);
       } else {
         Matcher watch = WATCH.matcher(path);
         Matcher after = AFTER.matcher(path);
@@ -94,6 +104,10 @@
         }
         status = refusing == 0 ? 200 : refusing;
       }
+      if (losing && !r.method().equals("GET")) {
+        socket.close();
+        return;
+      }
     }
     byte[] bytes = Json.bytes(body);
     RawServer.write(
@@ -106,6 +120,29 @@
             + new String(bytes, StandardCharsets.ISO_8859_1));
   }
 
+  private int get(String kind, String name, ObjectNode body) {
+    ObjectNode found = kinds.getOrDefault(kind, Map.of()).get(name);
+    if (found == null) {
+      return 404;
+    }
+    body.setAll(found);
+    return 200;
+  }
+
+  private int update(String kind, String name, String text, ObjectNode body) throws IOException {
+    ObjectNode sent = (ObjectNode) Json.parse(text.getBytes(StandardCharsets.UTF_8));
+    int status = get(kind, name, body);
+    if (status != 200) {
+      return status;
+    }
+    if (sent.path("metadata").path("revision").asLong()
+        != body.path("metadata").path("revision").asLong()) {
+      return 409;
+    }
+    put(kind, name, (ObjectNode) sent.path("spec"));
+    return get(kind, name, body);
+  }
+
   private int create(String kind, String text, ObjectNode body) throws IOException {
     ObjectNode sent = (ObjectNode) Json.parse(text.getBytes(StandardCharsets.UTF_8));
     String name = sent.path("metadata").path("name").asText();
