Let no full service hold up another's calls; split what had grown

Cause: the calls that wait for room stood in one line over all services, so that a service whose engines were full held up the calls of one with room (not seen on the sites, which have one such service). Change: the line is held by service. Test: isNotHeldUpByAnotherServiceThatIsFull (the call was not placed before).

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -9,11 +9,9 @@
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.LinkedListMultimap;
 import com.google.common.collect.ListMultimap;
-import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -57,6 +55,7 @@
   private final RelayLoop loop;
   private final RelayDialect dialect;
   private final UpstreamClient client;
+  private final ControlSender control;
   private final XnioIoThread thread;
   private final RelayClientSettings settings;
   private final Consumer<RelayFact> facts;
@@ -83,6 +82,7 @@
     this.loop = loop;
     this.dialect = dialect;
     this.client = client;
+    this.control = new ControlSender(client, dialect);
     this.thread = thread;
     this.settings = settings;
     this.facts = facts;
@@ -181,28 +181,13 @@
     if (request == null) {
       return;
     }
-    ControlCall call = dialect.move(request.call.wireId(), e.destination(), e.step());
-    ListMultimap<HttpString, String> headers = LinkedListMultimap.create();
-    dialect.prepare(
-        headers,
-        new SendFacts(
-            e.source(), new RelayEffect.Purpose.Run(), MOVE_NANOS / MILLI, OptionalLong.empty()));
-    headers.put(Headers.CONTENT_TYPE, "application/json");
-    UpstreamRequest wire =
-        new UpstreamRequest(
-            Methods.POST,
-            call.path(),
-            ImmutableListMultimap.copyOf(headers),
-            call.body().getBytes(StandardCharsets.UTF_8));
-    client.send(
-        UpstreamAddress.parse(e.source().address()),
-        wire,
-        AnswerTimeout.whole(MOVE_NANOS),
-        ConnectionUse.CONTROL,
-        new WholeAnswer(
-            MAX_FREE_BYTES,
-            answer -> moved(e.attempt(), result(answer)),
-            failure -> moved(e.attempt(), new MoveResult.Failed())));
+    control.send(
+        e.source(),
+        dialect.move(request.call.wireId(), e.destination(), e.step()),
+        MOVE_NANOS,
+        () -> true,
+        answer -> moved(e.attempt(), result(answer)),
+        failure -> moved(e.attempt(), new MoveResult.Failed()));
   }
 
   private MoveResult result(WholeAnswer.Answer answer) {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -303,6 +303,23 @@
       assertTrue(w.refused().retryAfterMillis() <= 14_000 / 3);
     }
 
+    @Test
+    public void isNotHeldUpByAnotherServiceThatIsFull() {
+      RelayWorld w = RelayWorld.usual();
+      w.add("other-1", RelayWorld.OTHER, Stage.DECODE);
+      w.tellUpstreams();
+      w.arrive("/stream/a", 14_000, LARGE);
+      w.arrive("/stream/b", 14_000, LARGE);
+      w.arrive("/stream/c", 14_000, LARGE);
+      final int before = w.sends();
+      w.arrive("/other/d", 14_000, LARGE);
+      assertEquals(w.sends(), before + 1);
+      RequestId waits = w.arrive("/other/e", 14_000, LARGE);
+      assertEquals(w.sends(), before + 1);
+      w.apply(new RelayEvent.CallerLeft(w.now(), w.sent().call()));
+      assertEquals(w.sent().call(), waits);
+    }
+
     @Test
     public void takesOneThatWaitsAsSoonAsThereIsRoom() {
       RelayWorld w = RelayWorld.usual();
@@ -649,143 +666,4 @@
       assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
     }
   }
-
-  /** Runs at upstreams that leave. */
-  public static class Evacuated {
-    private static final MoveResult COPIED = new MoveResult.Copied("copy");
-
-    /** A stream that runs at an upstream which leaves, and was asked to be copied. */
-    private static RelayWorld leaving(String path) {
-      RelayWorld w = RelayWorld.usual();
-      w.arrive(path, 14_000, SMALL);
-      w.promptRead();
-      w.began();
-      w.leave(w.sent().upstream().id().value());
-      assertEquals(moves(w), 0, "short ones end by themselves");
-      w.pass(1_250);
-      assertEquals(moves(w), 1);
-      return w;
-    }
-
-    private static int moves(RelayWorld w) {
-      return w.of(RelayEffect.Move.class).size();
-    }
-
-    private static MoveStep step(RelayWorld w) {
-      return w.of(RelayEffect.Move.class).getLast().step();
-    }
-
-    @Test
-    public void goesOnElsewhereWithItsMemory() {
-      RelayWorld w = leaving("/stream/a");
-      final UpstreamName source = w.sent().upstream().id();
-      assertEquals(step(w), MoveStep.COPY);
-      w.moved(COPIED);
-      assertEquals(step(w), MoveStep.STOP);
-      w.lost();
-      assertEquals(w.sends(), 2, "the copy is not complete yet");
-      w.moved(new MoveResult.Copied("last"));
-      assertEquals(w.sends(), 3);
-      assertTrue(w.sent().purpose() instanceof Purpose.Continue c && c.handle().equals("last"));
-      assertNotEquals(w.sent().upstream().id(), source);
-      w.began();
-      w.answered(AnswerGrade.GOOD);
-      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
-      assertEquals(w.router.loads(), ImmutableMap.of());
-    }
-
-    @Test
-    public void isNotMovedTwiceAtOnce() {
-      RelayWorld w = leaving("/stream/a");
-      w.pass(2_000);
-      assertEquals(moves(w), 1);
-    }
-
-    @Test
-    public void staysWhereThereIsNoRoomElsewhere() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(new MoveResult.Failed());
-      w.answered(AnswerGrade.GOOD);
-      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
-      assertEquals(w.router.loads(), ImmutableMap.of());
-    }
-
-    @Test
-    public void isTriedAgainAfterFailure() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(new MoveResult.Failed());
-      w.pass(300);
-      assertEquals(moves(w), 2);
-    }
-
-    @Test
-    public void doesNotTakeTheEndOfStoppedStreamForComplete() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(COPIED);
-      w.answered(AnswerGrade.GOOD);
-      assertEquals(w.of(RelayEffect.Deliver.class).size(), 0);
-      w.moved(COPIED);
-      assertTrue(w.sent().purpose() instanceof Purpose.Continue);
-    }
-
-    @Test
-    public void doesNotTakeTheEndForCompleteWhenItMayHaveBeenStopped() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(COPIED);
-      w.moved(new MoveResult.Failed());
-      w.answered(AnswerGrade.GOOD);
-      assertEquals(w.of(RelayEffect.Deliver.class).size(), 0);
-      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
-    }
-
-    @Test
-    public void isCompleteWhenItEndedBeforeItWasStopped() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(COPIED);
-      w.answered(AnswerGrade.GOOD);
-      w.moved(new MoveResult.NoRun());
-      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
-    }
-
-    @Test
-    public void isCutWhenItsCopyIsLostAndItMayRunOnce() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(COPIED);
-      w.lost();
-      w.moved(COPIED);
-      w.declined();
-      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
-      assertEquals(w.router.loads(), ImmutableMap.of());
-    }
-
-    @Test
-    public void runsAnewWhenItsCopyIsLostAndItMay() {
-      RelayWorld w = leaving("/resume/a");
-      w.moved(COPIED);
-      w.lost();
-      w.moved(COPIED);
-      w.declined();
-      w.pass(800);
-      assertEquals(w.sent().purpose(), new Purpose.Run());
-    }
-
-    @Test
-    public void isCutWhenTheStopIsNeverAnswered() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(COPIED);
-      w.lost();
-      w.pass(1_100);
-      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
-    }
-
-    @Test
-    public void isFreedWhenItsCallerLeaves() {
-      RelayWorld w = leaving("/stream/a");
-      w.moved(COPIED);
-      w.moved(COPIED);
-      w.apply(new RelayEvent.CallerLeft(w.now(), w.sent().call()));
-      assertEquals(w.of(RelayEffect.Free.class).size(), 1);
-      assertEquals(w.router.loads(), ImmutableMap.of());
-    }
-  }
 }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -24,6 +24,7 @@
   static final long MILLI = 1_000_000L;
   static final ServiceName APP = new ServiceName("app");
   static final ServiceName MODEL = new ServiceName("model");
+  static final ServiceName OTHER = new ServiceName("other");
   static final DataCentreName HERE = new DataCentreName("dc-1");
   static final long MEMORY = 20_000;
   static final int EVENT_TOKENS = 10;
@@ -62,7 +63,8 @@
         rule("safe", "/safe/", APP, CallKind.IDEMPOTENT, 2),
         rule("once", "/once/", APP, CallKind.ONCE, 2),
         rule("stream", "/stream/", MODEL, CallKind.STREAM, 1),
-        rule("resume", "/resume/", MODEL, CallKind.RESUMABLE_STREAM, 2));
+        rule("resume", "/resume/", MODEL, CallKind.RESUMABLE_STREAM, 2),
+        rule("other", "/other/", OTHER, CallKind.STREAM, 1));
   }
 
   static RelayRule rule(String name, String prefix, ServiceName service, CallKind kind, int runs) {
@@ -90,6 +92,8 @@
                     APP,
                     new ServiceBounds(100, 0, 0, false),
                     MODEL,
+                    new ServiceBounds(100, MEMORY, EVENT_TOKENS, true),
+                    OTHER,
                     new ServiceBounds(100, MEMORY, EVENT_TOKENS, true)),
                 1 << 20)));
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -84,6 +84,22 @@
     this.deadline = deadline;
   }
 
+  /** Sets memory aside at an upstream, and no longer where it was set aside before. */
+  void moveIn(UpstreamState upstream, long units) {
+    moveOut();
+    home = upstream;
+    homeUnits = units;
+    home.addLoad(units);
+  }
+
+  /** Gives back the memory that is set aside. */
+  void moveOut() {
+    if (home != null) {
+      home.addLoad(-homeUnits);
+      home = null;
+    }
+  }
+
   /** Whether the caller has all of its time left, so that it was not refused before. */
   boolean isFresh() {
     return call.deadlineMillis() == 0
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -72,29 +72,9 @@
   private static final long RETRY_AFTER_MILLIS = 200;
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
-  /** The part of the target for which a call waits for room before it is told to come back. */
-  private static final double ROOM_SHARE = 0.22;
-
-  /** As the other, of a call whose upstream was lost. */
-  private static final double MOVED_ROOM_SHARE = 0.8;
-
-  /** The part of the time it has left for which a call that came back waits for room. */
-  private static final double RETURNED_ROOM_SHARE = 0.35;
-
-  /**
-   * How many times the target a call that came back waits for room: callers give a stream up that
-   * has not begun by four times the target.
-   */
-  private static final double RETURNED_TARGETS = 3.2;
-
   /** Room that other nodes see as well is taken after a random time, up to this. */
   private static final long CONTEST_NANOS = 80 * MILLI;
 
-  /** When to come back for room: from this to the part of the time that is left. */
-  private static final long FIRST_RETURN_MILLIS = 1_000;
-
-  private static final double RETURN_SHARE = 0.32;
-
   /** The part of the target after which a prompt is read too late. */
   private static final double READ_SHARE = 0.7;
 
@@ -311,7 +291,7 @@
   private void settle(long at, CallState c) {
     if (draining) {
       giveUp(at, c, ErrorKind.NOT_READY, "the node stops");
-    } else if (room.size() == 0 && findHome(at, c)) {
+    } else if (!room.has(c.service) && findHome(at, c)) {
       begin(at, c);
     } else {
       await(at, c);
@@ -319,25 +299,12 @@
   }
 
   private void await(long at, CallState c) {
-    moveOut(c);
+    c.moveOut();
     room.add(c);
     report(
         new RelayFact.Waiting(
             c.call.wireId(), c.service.value(), need(c, at).units(), room.size()));
-    timers.add(new Timers.Due.Room(at + roomWait(at, c), c.call.id()));
-  }
-
-  private static long roomWait(long at, CallState c) {
-    if (c.sends > 0) {
-      return (long) (MOVED_ROOM_SHARE * c.rule.targetMillis() * MILLI);
-    }
-    return c.isFresh() ? (long) (ROOM_SHARE * c.rule.targetMillis() * MILLI) : returnedWait(at, c);
-  }
-
-  private static long returnedWait(long at, CallState c) {
-    double byTime = RETURNED_ROOM_SHARE * (c.deadline - at);
-    double byTarget = RETURNED_TARGETS * c.rule.targetMillis() * MILLI;
-    return (long) Math.min(byTime, byTarget);
+    timers.add(new Timers.Due.Room(at + RoomTimes.wait(c, at), c.call.id()));
   }
 
   private Need need(CallState c, long at) {
@@ -353,7 +320,7 @@
   }
 
   private void takeRoom(long at, CallState c, UpstreamState home, Need need) {
-    moveIn(c, home, need.units());
+    c.moveIn(home, need.units());
     report(
         new RelayFact.RoomTaken(
             c.call.wireId(),
@@ -365,34 +332,24 @@
             at - c.arrivedAt));
   }
 
-  private void moveIn(CallState c, UpstreamState home, long units) {
-    moveOut(c);
-    c.home = home;
-    c.homeUnits = units;
-    home.addLoad(units);
-  }
-
-  private void moveOut(CallState c) {
-    if (c.home != null) {
-      c.home.addLoad(-c.homeUnits);
-      c.home = null;
-    }
-  }
-
-  /** Places those that wait, while there is room for the next. */
+  /**
+   * Places those that wait, while there is room for the next of their service. One that has fewer
+   * upstreams to choose from than others does not hold these up.
+   */
   private void admitWaiting(long at) {
     if (room.size() == 0) {
       return;
     }
+    Set<ServiceName> full = new HashSet<>();
     for (CallState c : room.inOrder(at)) {
-      if (!c.waiting) {
+      if (!c.waiting || full.contains(c.service)) {
         continue;
       }
       if (findHome(at, c)) {
         room.remove(c);
         begin(at, c);
       } else if (c.without.isEmpty()) {
-        return;
+        full.add(c.service);
       }
     }
   }
@@ -407,9 +364,7 @@
       place(at, c, Sizing.forced(need(c, at)));
       return;
     }
-    long left = (c.deadline - at) / MILLI;
-    long latest = Math.max(FIRST_RETURN_MILLIS + 1, (long) (RETURN_SHARE * left));
-    long after = random.nextLong(FIRST_RETURN_MILLIS, latest);
+    long after = RoomTimes.returnMillis(c, at, random);
     Need need = need(c, at);
     String detail =
         "no upstream of %s has room: need %d, most free %d of %d, nodes heard %d"
@@ -482,7 +437,7 @@
     }
     boolean memory = needsRoom(c);
     if (memory) {
-      moveIn(c, choice.get().best(), need.units());
+      c.moveIn(choice.get().best(), need.units());
     }
     send(at, c, choice.get(), purpose(c), memory ? 0 : need.units());
   }
@@ -593,7 +548,7 @@
   private void remove(CallState c) {
     calls.remove(c.call.id());
     room.remove(c);
-    moveOut(c);
+    c.moveOut();
   }
 
   /** A prompt has been read. */
@@ -897,7 +852,7 @@
     public void goOn(long at, Evacuation.Move move, String handle) {
       AttemptState a = move.attempt;
       over(a);
-      moveIn(a.call(), move.destination, move.units);
+      a.call().moveIn(move.destination, move.units);
       Purpose goOn = new Purpose.Continue(a.upstream().upstream(), handle);
       send(at, a.call(), new Choice(move.destination, 0, "", 0, 1), goOn, 0);
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/WaitingRoom.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/WaitingRoom.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.larkkeel.relay.ServiceName;
 
 /**
  * Calls that wait for room at an upstream.
@@ -31,6 +32,11 @@
     waiting.remove(c);
   }
 
+  /** Whether a call to a service waits. */
+  boolean has(ServiceName service) {
+    return waiting.stream().anyMatch(c -> c.service.equals(service));
+  }
+
   int size() {
     return waiting.size();
   }
