--- a/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
@@ -84,7 +84,7 @@
     long begun = System.nanoTime();
     try {
       if (in == null || random.nextInt(12) == 0) {
-        connect();
+        goTo(soak.pickNode(random));
       }
       Answer answer = exchange(id, method, path, text);
       return judge(id, kind, answer, begun);
@@ -96,16 +96,6 @@
     }
   }
 
-  private void connect() throws IOException {
-    hangUp();
-    node = soak.pickNode(random);
-    socket = new Socket();
-    socket.connect(new InetSocketAddress(soak.host(node), Soak.CALLER_PORT), 1_000);
-    socket.setSoTimeout(PATIENCE_MILLIS);
-    socket.setTcpNoDelay(true);
-    in = new BufferedInputStream(socket.getInputStream());
-  }
-
   /** Leaves the node that it is at. */
   void hangUp() {
     try {
@@ -123,6 +113,7 @@
     socket = new Socket();
     socket.connect(new InetSocketAddress(soak.host(node), Soak.CALLER_PORT), 1_000);
     socket.setSoTimeout(PATIENCE_MILLIS);
+    socket.setTcpNoDelay(true);
     in = new BufferedInputStream(socket.getInputStream());
   }
 
