Write up room in large fleets; let half of the soak's seeds play with a keeper

The soak's nodes had room taken by each node only, so that the keeper of large fleets was played by no real process. Even seeds now set keeperFromNodes to 2.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRoomTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRoomTest.java
@@ -49,8 +49,7 @@
   }
 
   private static void asked(RelayWorld w, RoomAsk... asks) {
-    w.apply(
-        new RelayEvent.RoomAsked(w.now(), OTHER, RelayWorld.HERE, ImmutableList.copyOf(asks)));
+    w.apply(new RelayEvent.RoomAsked(w.now(), OTHER, RelayWorld.HERE, ImmutableList.copyOf(asks)));
   }
 
   private static List<RelayEffect.GrantRoom> grants(RelayWorld w) {
--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -39,6 +39,11 @@
   private static final int DECODES = 3;
   private static final int APPS = 2;
   private static final String PLANNED = "signal-TERM";
+
+  /** With an even seed one node gives room to the calls of all, as in a large fleet. */
+  private static final int KEEPER_FROM = 2;
+
+  private static final int MAX_NODES = 60;
   private static volatile Soak current;
 
   /** A time in which something was harmed; node -1 concerns all. */
@@ -197,6 +202,7 @@
         .put("metrics", at + ":8160")
         .put("peer", at + ":8161");
     settings.put("seeds", host(0) + ":8146").put("prefillShare", "0");
+    settings.put("keeperFromNodes", seed % 2 == 0 ? KEEPER_FROM : MAX_NODES + 1);
     settings
         .putObject("store")
         .put("address", storeProxies.get(node).address())
