--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
@@ -132,15 +132,15 @@
 
   /** Sends calls to live nodes at random, evenly over the time, which passes meanwhile. */
   void load(int calls, long millis) {
-    load(calls, millis, Node::arrive);
+    offer(calls, millis, Node::arrive);
   }
 
   /** As the other, of calls to a plain service. */
   void loadPlain(int calls, long millis) {
-    load(calls, millis, Node::arrivePlain);
+    offer(calls, millis, Node::arrivePlain);
   }
 
-  private void load(int calls, long millis, Consumer<Node> arrive) {
+  private void offer(int calls, long millis, Consumer<Node> arrive) {
     for (int i = 0; i < calls; i++) {
       after(i * millis / calls, () -> arrive.accept(somewhere()));
     }
@@ -250,14 +250,14 @@
     }
 
     void arrive() {
-      arrive("/model/a", 14_000, new CallSize(PROMPT, 100, 70));
+      call("/model/a", 14_000, new CallSize(PROMPT, 100, 70));
     }
 
     void arrivePlain() {
-      arrive("/app/a", 3_000, CallSize.NONE);
+      call("/app/a", 3_000, CallSize.NONE);
     }
 
-    private void arrive(String path, long deadline, CallSize size) {
+    private void call(String path, long deadline, CallSize size) {
       RequestId id = new RequestId(++lastCall);
       arrived.put(id, now);
       submit(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -334,7 +334,7 @@
 
   /** Chooses who gives room, as it follows from who is heard of. */
   private void choose() {
-    ImmutableList<PeerTable.Keeper> before = keepers;
+    final ImmutableList<PeerTable.Keeper> before = keepers;
     boolean alone = !large || around.now() < aloneUntil;
     keepers = alone ? ImmutableList.of() : peers.keepers(state(), KEEPERS, false);
     listeners = listeners();
@@ -423,6 +423,7 @@
       case SUMS -> sums(from, message);
       case GRANTS -> granted(from, message);
       case PRESENCE -> present(from, message);
+      default -> throw new IllegalStateException("no such kind: " + message.kind());
     }
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
@@ -109,11 +109,11 @@
   }
 
   private static PeerMessage read(TCompactProtocol in) throws TException {
-    PeerMessage.Kind kind = constant(PeerMessage.Kind.values(), in.readByte());
-    HostName node = new HostName(in.readString());
-    DataCentreName place = new DataCentreName(in.readString());
-    NodeState state = constant(NodeState.values(), in.readByte());
-    FeedChanges changes = new FeedChanges(in.readI64(), in.readI64());
+    final PeerMessage.Kind kind = constant(PeerMessage.Kind.values(), in.readByte());
+    final HostName node = new HostName(in.readString());
+    final DataCentreName place = new DataCentreName(in.readString());
+    final NodeState state = constant(NodeState.values(), in.readByte());
+    final FeedChanges changes = new FeedChanges(in.readI64(), in.readI64());
     ImmutableMap.Builder<UpstreamName, Long> loads = ImmutableMap.builder();
     for (int i = size(in); i > 0; i--) {
       UpstreamName upstream = new UpstreamName(in.readString());
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
@@ -61,6 +61,8 @@
    */
   record Keeper(HostName name, Optional<Peer> peer) {}
 
+  private record Candidate(Keeper keeper, NodeState state) {}
+
   PeerTable(HostName self) {
     this.self = self;
   }
@@ -148,7 +150,6 @@
    * @param suspects whether those count that did not answer
    */
   ImmutableList<Keeper> keepers(NodeState own, int most, boolean suspects) {
-    record Candidate(Keeper keeper, NodeState state) {}
     Stream<Candidate> others =
         heardOf()
             .filter(p -> p.isHeard() && (suspects || !p.suspect))
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RoomServer.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RoomServer.java
@@ -116,7 +116,7 @@
       r.message().loads().forEach((id, units) -> total.merge(id, units, Long::sum));
       lapsing.addAll(r.message().lapsing());
     }
-    ImmutableSet<UpstreamName> lost = lapsing.build();
+    final ImmutableSet<UpstreamName> lost = lapsing.build();
     long now = clock.getAsLong();
     if (now - toldAt < LONGEST_NANOS && changed(total) < WORTH_TELLING) {
       return;
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRoomTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRoomTest.java
@@ -86,7 +86,7 @@
     }
 
     @Test
-    public void takesAGrantOnce() {
+    public void takesEachGrantOnce() {
       RelayWorld w = world(RoomKeeping.ASK);
       RequestId call = w.arrive("/stream/a", 0, SMALL);
       w.apply(granted(w, call));
@@ -138,7 +138,7 @@
   /** The node that gives. */
   public static class Giving {
     @Test
-    public void givesRoomAndAReaderAtOnce() {
+    public void givesRoomAndReaderAtOnce() {
       RelayWorld w = world(RoomKeeping.KEEP);
       asked(w, ask(5, PROMPT));
       RelayEffect.GrantRoom grant = grants(w).getFirst();
@@ -156,7 +156,7 @@
     }
 
     @Test
-    public void tellsAGrantAgainThatTheNodeDoesNotKnowOf() {
+    public void tellsGrantsAgainThatTheNodeDoesNotKnowOf() {
       RelayWorld w = world(RoomKeeping.KEEP);
       asked(w, ask(5, PROMPT));
       asked(w, ask(5, PROMPT));
@@ -199,7 +199,7 @@
     }
 
     @Test
-    public void forgetsANodeThatIsSilent() {
+    public void forgetsNodesThatAreSilent() {
       RelayWorld w = world(RoomKeeping.KEEP);
       long most = (long) (0.9 * RelayWorld.MEMORY);
       asked(w, ask(1, most), ask(2, most));
