--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -10,6 +10,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -205,13 +206,7 @@
   private void tellSmall() {
     smallPlanned = false;
     if (large && change.isAny()) {
-      PeerMessage report = loaded(PeerMessage.Kind.REPORT).withAsks(client.asks());
-      keepers.stream()
-          .limit(1)
-          .flatMap(k -> k.peer().stream())
-          .forEach(keeper -> send(keeper, report));
-      change.told();
-      client.told();
+      reportTo(listeners.stream().filter(client::asks).toList());
     }
   }
 
@@ -248,8 +243,12 @@
   /** Tells those that give room; only the one in charge is asked. */
   private void report() {
     toldAt = around.now();
+    reportTo(listeners);
+  }
+
+  private void reportTo(Collection<PeerTable.Peer> some) {
     PeerMessage report = loaded(PeerMessage.Kind.REPORT);
-    for (PeerTable.Peer p : listeners) {
+    for (PeerTable.Peer p : some) {
       send(p, client.asks(p) ? report.withAsks(client.asks()) : report);
     }
     change.told();
