Never let a cut stream look whole when its beginning is still to be written

Cause: seen once, in RelayPathTest.cutsStreamThatMayNotGoOn on a busy machine: an engine broke off 3 ms after the first event and the caller got that event and a terminating chunk. Its log: began .290, CONNECTION_LOST .293, cut .295. drop() marked the answer as ended at once and queued the close; a flush that was queued before it found an ended answer and wrote the end.

Ruled out: the upstream side (the loss was noticed and the call was cut), chunking on closing connections (already in force).

Change: a dropped answer never writes an end.

After: 49 of 49 of the module's tests of callers pass.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
@@ -146,6 +146,10 @@
 
   @Override
   public void drop() {
+    synchronized (this) {
+      // Parts that still wait may be written before the connection closes, but never an end.
+      cut |= !ended;
+    }
     if (end()) {
       thread.execute(() -> IoUtils.safeClose(exchange.getConnection()));
     }
@@ -277,7 +281,7 @@
   }
 
   private synchronized boolean isEnded() {
-    return ended && pending.isEmpty();
+    return ended && !cut && pending.isEmpty();
   }
 
   private void waitForCaller() {
