Archive the classes that a node uses to serve, not only to start

Cause: after all nodes lose power each request that is sent until the first answers is late.

Change: the build plays two nodes against stand-ins of store and upstreams with calls of all kinds.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -19,19 +19,16 @@
   --generate-cds-archive --add-modules "$modules"
 
 # The options of the JVM stand in deploy/system.toml; the class path and the archive depend on the
-# build and stand in a file of arguments.
+# build and stand in a file of arguments. The archive is written at the end of a training run.
 classpath=$(ls "$out"/lib/*.jar | LC_ALL=C sort | paste -s -d: -)
 printf '%s\n' -cp "$classpath" >"$out/java.args"
 memory="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx96m"
 options="--sun-misc-unsafe-memory-access=allow"
 # shellcheck disable=SC2086
-LARKKEEL_SETTINGS=deploy/training.json "$out/runtime/bin/java" @"$out/java.args" $memory $options \
+"$JAVA_HOME/bin/java" deploy/Training.java deploy/training.json "$out" \
+  "$out/runtime/bin/java" @"$out/java.args" $memory $options \
   -XX:ArchiveClassesAtExit="$out/relay.jsa" -Xlog:disable org.larkkeel.platform.Main \
-  >"$out/training.log" 2>&1 &
-training=$!
-sleep 4
-kill -TERM "$training"
-wait "$training" || true
+  >"$out/training.log" 2>&1 || cat "$out/training.log" >&2
 if [ -f "$out/relay.jsa" ]; then
   printf '%s\n' "-XX:SharedArchiveFile=$out/relay.jsa" >>"$out/java.args"
 else
