--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/BrokenStreamsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/BrokenStreamsTest.java
@@ -86,7 +86,7 @@
     @Test
     public void goBeforeCallsThatHaveNotBegun() {
       RelayWorld w = RelayWorld.usual();
-      RequestId begun = w.arrive("/resume/a", 14_000, SIZE);
+      final RequestId begun = w.arrive("/resume/a", 14_000, SIZE);
       w.promptRead();
       w.began();
       UpstreamName lost = w.sent().upstream().id();
@@ -94,7 +94,7 @@
       fill(w, other);
       w.lost();
       final int before = w.sends();
-      RequestId fresh = w.arrive("/resume/b", 14_000, HALF);
+      final RequestId fresh = w.arrive("/resume/b", 14_000, HALF);
       assertEquals(w.sends(), before, "both wait");
       w.pass(100);
       free(w);
