--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RoomTimes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RoomTimes.java
@@ -19,8 +19,8 @@
   private static final double MOVED_ROOM_SHARE = 0.8;
 
   /**
-   * As the other, of a stream that its caller has the beginning of: half of the pause after which
-   * callers give a stream up, as the loss may have been noticed late.
+   * As the other, of a stream that its caller has the beginning of: half of the pause of four
+   * targets after which callers give a stream up, as the loss may have been noticed late.
    */
   private static final double BEGUN_ROOM_SHARE = 2;
 
