--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Need.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Need.java
@@ -22,11 +22,11 @@
   private static final double TOKENS_PER_UNIT = 1_000;
 
   /**
-   * How many times dearer the last upstream in the order of a prompt is than the first, less one. As
-   * much as a full engine is dearer than an empty one for calls whose prompt has no name, so that
-   * only an engine that is slow or fails loses the calls that rank it first: each further stream
-   * makes an engine's steps less than a hundredth longer, while a prompt that is found again saves
-   * all of its reading.
+   * How many times dearer the last upstream in the order of a prompt is than the first, less one.
+   * As much as a full engine is dearer than an empty one for calls whose prompt has no name, so
+   * that only an engine that is slow or fails loses the calls that rank it first: each further
+   * stream makes an engine's steps less than a hundredth longer, while a prompt that is found again
+   * saves all of its reading.
    */
   private static final double RANK_WEIGHT = 4;
 
