--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
@@ -88,7 +88,7 @@
 
     @DataProvider
     static Object[][] lastEvents() {
-      return new Object[][] {{null, false}, {"0", false}, {"12", true}};
+      return new Object[][] {{null, false}, {"0", false}, {"12", true}, {"no-number", true}};
     }
 
     @Test(dataProvider = "lastEvents")
