Say of each attempt that a node gives up how far it had come

When callers leave and upstreams go on, the log said only that the caller had left: a cancel that was never carried out looked the same as one that the upstream did not heed. Each cancelled attempt now has a line and a count by its progress. One line a cancel; nothing is decided differently.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -146,6 +146,13 @@
       case RelayFact.CallerLeft f ->
           log.info(
               "event=caller_left call={} rule={} ms={}", id(f.call()), f.rule(), millis(f.nanos()));
+      case RelayFact.Cancelled f ->
+          log.info(
+              "event=attempt_cancelled call={} attempt={} progress={} ms={}",
+              id(f.call()),
+              f.attempt(),
+              f.progress(),
+              millis(f.nanos()));
       case RelayFact.BudgetSpent f ->
           log.warn(
               "event=budget_spent call={} service={} used={} allowed={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -68,6 +68,10 @@
       case RelayFact.CallerLeft f -> calls(f.rule(), "caller_left").increment();
       case RelayFact.AttemptFailed f ->
           registry.counter("larkkeel.relay.attempts.failed", "cause", f.cause()).increment();
+      case RelayFact.Cancelled f ->
+          registry
+              .counter("larkkeel.relay.attempts.cancelled", "progress", f.progress().name())
+              .increment();
       case RelayFact.Placed f ->
           registry.counter("larkkeel.relay.attempts", "purpose", f.purpose()).increment();
       case RelayFact.PromptRead f ->
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -22,9 +22,11 @@
 import org.larkkeel.http.upstream.UpstreamFailure;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.relay.AnswerGrade;
+import org.larkkeel.relay.AttemptProgress;
 import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayEvent;
+import org.larkkeel.relay.RelayFact;
 
 /**
  * One send to an upstream: reads the answer and tells the router what it is.
@@ -45,6 +47,7 @@
   private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
   private final Deque<EventSplitter.Whole> waiting = new ArrayDeque<>();
   private final OptionalLong resumedAfter;
+  private final long placedAt;
   private Optional<EventSplitter> splitter = Optional.empty();
   private Optional<InFlight> inFlight = Optional.empty();
   private AnswerVerdict verdict = AnswerVerdict.UNUSABLE;
@@ -69,6 +72,7 @@
     this.purpose = purpose;
     this.maxBytes = maxBytes;
     this.resumedAfter = request.lastEvent;
+    this.placedAt = loop.now();
   }
 
   RelayRequest request() {
@@ -101,6 +105,13 @@
     inFlight.ifPresent(InFlight::abort);
   }
 
+  /** How far it has come, and for how long it has been under way. */
+  RelayFact.Cancelled cancelled() {
+    AttemptProgress sofar = sent ? AttemptProgress.SENT : AttemptProgress.NOT_SENT;
+    AttemptProgress progress = head.status() > 0 ? AttemptProgress.ANSWERING : sofar;
+    return new RelayFact.Cancelled(request.call.wireId(), id, progress, loop.now() - placedAt);
+  }
+
   @Override
   public void onHeaders(int status, HeaderMap headers) {
     verdict = dialect.verdict(request.call.wireId(), purpose, status, headers);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -167,6 +167,7 @@
   private void cancel(AttemptId id) {
     RelayAttempt attempt = attempts.remove(id);
     if (attempt != null) {
+      facts.accept(attempt.cancelled());
       attempt.cancel();
     }
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -164,6 +164,15 @@
   /** The caller left. */
   record CallerLeft(String call, String rule, long nanos) implements RelayFact {}
 
+  /**
+   * An attempt was given up by this node, whose upstream may be at work on it.
+   *
+   * @param progress how far it had come, which tells what the upstream can have begun
+   * @param nanos since it was placed
+   */
+  record Cancelled(String call, AttemptId attempt, AttemptProgress progress, long nanos)
+      implements RelayFact {}
+
   /** A repeat was not made because the budget is used up. */
   record BudgetSpent(String call, String service, int used, double allowed) implements RelayFact {}
 
