--- a/org.larkkeel/src/main/java/org/larkkeel/relay/AttemptProgress.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/AttemptProgress.java
@@ -15,7 +15,9 @@
   /** No byte was written: the upstream knows nothing of it. */
   NOT_SENT,
 
-  /** It was written and nothing came back: it waits at the upstream, or the upstream works on it. */
+  /**
+   * It was written and nothing came back: it waits at the upstream, or the upstream works on it.
+   */
   SENT,
 
   /** The upstream has begun to answer. */
