Reset the connection of a call that is given up

Cause: closing a connection of the HTTP client waits until the other side has sent all, for up to 10 s, and shuts down nothing until then. So a cancel (the caller left, the deadline, silence, too slow) told the upstream nothing for 10 s: it kept slot, memory and place in line, and the connection counted against the pool's bound meanwhile. Change: a connection whose exchange failed is taken out of the client and reset. The three tests of LeftCallerTest (7 cases) failed before and pass.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
@@ -7,6 +7,10 @@
 package org.larkkeel.http.upstream;
 
 import io.undertow.client.ClientConnection;
+import java.io.IOException;
+import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 
 /**
  * A connection of a pool.
@@ -50,4 +54,21 @@
   void release(boolean reusable) {
     pool.release(this, reusable);
   }
+
+  /**
+   * Resets the connection, so that the upstream ends what it does for it.
+   *
+   * <p>Closing it in the ordinary way waits for the rest of the answer first, for up to 10 s in which
+   * the upstream learns nothing and goes on with work that nobody takes. The connection is taken out
+   * of the HTTP client for that, whose close is the one that waits.
+   */
+  void reset() {
+    try {
+      StreamConnection raw = connection.performUpgrade();
+      raw.setOption(Options.CLOSE_ABORT, true);
+      IoUtils.safeClose(raw);
+    } catch (IOException e) {
+      IoUtils.safeClose(connection);
+    }
+  }
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -298,7 +298,7 @@
     stopTimer();
     PooledConnection current = lent;
     if (current != null) {
-      current.release(false);
+      current.reset();
     }
     handler.onFailure(failure);
   }
