Take a stream without a length that ends inside an event for broken off

Cause: an answer without a length ends with its connection, and so does one whose upstream dies; the end was taken for complete in both cases, and what there was of the last event was passed on with a proper end. Not decidable: one that ends between events. A framed stream is passed on unchanged as before.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -8,6 +8,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -52,6 +53,7 @@
   private Optional<InFlight> inFlight = Optional.empty();
   private AnswerVerdict verdict = AnswerVerdict.UNUSABLE;
   private RecordedAnswer head = new RecordedAnswer(0, ImmutableList.of(), new byte[0]);
+  private boolean endsWithConnection;
   private boolean sent;
   private boolean begun;
   private boolean followed;
@@ -119,6 +121,8 @@
     RelayRequest.endToEnd(headers, false)
         .forEach((name, value) -> list.add(new RecordedAnswer.Header(name.toString(), value)));
     head = new RecordedAnswer(status, list.build(), new byte[0]);
+    endsWithConnection =
+        !headers.contains(Headers.CONTENT_LENGTH) && !headers.contains(Headers.TRANSFER_ENCODING);
     String type = headers.getFirst("Content-Type");
     boolean stream = type != null && type.startsWith(EVENT_STREAM);
     if (verdict == AnswerVerdict.GOOD && stream && !(purpose instanceof Purpose.ReadPrompt)) {
@@ -209,12 +213,24 @@
     }
     over = true;
     splitter.ifPresent(s -> rest = s.rest());
+    if (isBrokenOff()) {
+      loop.submit(new RelayEvent.Lost(loop.now(), id, FailureCause.CONNECTION_LOST));
+      return;
+    }
     if (splitter.isPresent() && !begun) {
       whole.writeBytes(rest);
     }
     loop.submit(outcome());
   }
 
+  /**
+   * Whether a stream whose end is that of its connection ends inside an event, or before the first.
+   * An upstream that dies ends the connection as well, and without a length only this shows it.
+   */
+  private boolean isBrokenOff() {
+    return endsWithConnection && splitter.isPresent() && (rest.length > 0 || !begun);
+  }
+
   private RelayEvent outcome() {
     long at = loop.now();
     return switch (verdict) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
@@ -58,9 +58,9 @@
   /**
    * Resets the connection, so that the upstream ends what it does for it.
    *
-   * <p>Closing it in the ordinary way waits for the rest of the answer first, for up to 10 s in which
-   * the upstream learns nothing and goes on with work that nobody takes. The connection is taken out
-   * of the HTTP client for that, whose close is the one that waits.
+   * <p>Closing it in the ordinary way waits for the rest of the answer first, for up to 10 s in
+   * which the upstream learns nothing and goes on with work that nobody takes. The connection is
+   * taken out of the HTTP client for that, whose close is the one that waits.
    */
   void reset() {
     try {
