--- a/platform.test/src/test/java/org/larkkeel/platform/LeftCallerTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/LeftCallerTest.java
@@ -23,8 +23,8 @@
  * them. The node's log had each cancelled within 4 ms, as sent and not yet answered, and the engine
  * read the prompt to its end half a second later. Closing a connection of the HTTP client waits for
  * the other side first: for 10 s the engine saw neither an end nor a reset, and it has nothing to
- * write before its answer. Proved by upstreams that listen to their connection while they work: they
- * heard nothing for 10 s, then an end, which says only that no more bytes come.
+ * write before its answer. Proved by upstreams that listen to their connection while they work:
+ * they heard nothing for 10 s, then an end, which says only that no more bytes come.
  */
 public class LeftCallerTest {
   /** Far less than the 10 s for which a close may wait, and enough for a busy machine. */
