Test that the store learns at once that a call or a watch is given up; both fail

The same cause as of calls to upstreams, looked for elsewhere: the store's client closes its connections in the way that waits for 10 s. A store counts a waiting watch as a call.

--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/HttpObjectApiTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/HttpObjectApiTest.java
@@ -151,6 +151,15 @@
       hasty.close();
     }
 
+    @Test
+    public void callThatIsGivenUpIsReset() throws Exception {
+      server.then(ScriptedServer.LISTEN);
+      HttpObjectApi hasty = client(Duration.ofMillis(200));
+      assertEquals(failure(hasty.get(KEY)), new ObjectApiFailure.Unavailable());
+      assertTrue(server.isResetSoon());
+      hasty.close();
+    }
+
     @Test
     public void refusedConnectionHadNoEffect() throws Exception {
       ScriptedServer gone = new ScriptedServer();
@@ -184,6 +193,15 @@
       assertTrue(server.nextRequest().contains("?watch=true&resourceVersion=5&timeoutSeconds=30"));
     }
 
+    @Test
+    public void closedWatchIsReset() throws Exception {
+      server.then(ScriptedServer.LISTEN);
+      Watch w = api.watch("test", 5, Duration.ofSeconds(30), e -> {});
+      server.nextRequest();
+      w.close();
+      assertTrue(server.isResetSoon());
+    }
+
     @Test
     public void refusedAndCutWatchesFail() throws Exception {
       server.then(
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ScriptedServer.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ScriptedServer.java
@@ -12,12 +12,14 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 /** Answers each request with the next line of a script, byte by byte as told. */
 final class ScriptedServer implements AutoCloseable {
@@ -27,9 +29,13 @@
   /** Never answers. */
   static final String SILENCE = "silence";
 
+  /** Never answers, and listens meanwhile for how the connection ends. */
+  static final String LISTEN = "listen";
+
   private final ServerSocket socket;
   private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Boolean> resets = new LinkedBlockingQueue<>();
 
   ScriptedServer() throws IOException {
     socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -60,6 +66,20 @@
     return requests.take();
   }
 
+  /** Whether the next connection that was listened to ends by a reset, soon. */
+  boolean isResetSoon() throws InterruptedException {
+    return Boolean.TRUE.equals(resets.poll(3, TimeUnit.SECONDS));
+  }
+
+  private static boolean isReset(InputStream in) throws IOException {
+    try {
+      in.read();
+      return false;
+    } catch (SocketException e) {
+      return true;
+    }
+  }
+
   private void accept() {
     while (!socket.isClosed()) {
       try {
@@ -80,6 +100,10 @@
         if (answer.equals(HANG_UP)) {
           return;
         }
+        if (answer.equals(LISTEN)) {
+          resets.add(isReset(in));
+          return;
+        }
         if (!answer.equals(SILENCE)) {
           s.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
           s.getOutputStream().flush();
