Reset connections to the store whose answer nobody takes

Cause: as with calls to upstreams, a call that had timed out and a watch that was closed stayed open at the store for 10 s. Change: connections that are not kept are reset, after a failure or at the end of a watch.

--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ConnectionPool.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ConnectionPool.java
@@ -105,6 +105,6 @@
 
   private void discard(ClientConnection c) {
     open--;
-    IoUtils.safeClose(c);
+    Connector.reset(c);
   }
 }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Connector.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Connector.java
@@ -16,7 +16,10 @@
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.internal.http.HttpCallException.Sent;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 
 /** Opens connections to one service. Safe for use by several threads. */
@@ -59,6 +62,26 @@
     return f;
   }
 
+  /**
+   * Resets a connection whose answer nobody takes any more.
+   *
+   * <p>Closing it in the ordinary way waits for the rest of the answer first, for up to 10 s in
+   * which the service goes on, and counts a watch as waiting.
+   */
+  static void reset(ClientConnection c) {
+    c.getIoThread().execute(() -> resetNow(c));
+  }
+
+  private static void resetNow(ClientConnection c) {
+    try {
+      StreamConnection raw = c.performUpgrade();
+      raw.setOption(Options.CLOSE_ABORT, true);
+      IoUtils.safeClose(raw);
+    } catch (IOException e) {
+      IoUtils.safeClose(c);
+    }
+  }
+
   HttpClientOptions options() {
     return options;
   }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
@@ -20,7 +20,6 @@
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.internal.http.HttpCallException.Sent;
-import org.xnio.IoUtils;
 import org.xnio.XnioWorker;
 
 /**
@@ -153,9 +152,6 @@
       }
       timer.cancel();
       if (connection != null) {
-        if (failure != null) {
-          IoUtils.safeClose(connection);
-        }
         pool.release(connection, failure == null);
       }
       if (failure != null) {
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpLineStream.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpLineStream.java
@@ -125,7 +125,9 @@
     if (timer != null) {
       timer.cancel();
     }
-    IoUtils.safeClose(connection);
+    if (connection != null) {
+      Connector.reset(connection);
+    }
   }
 
   /** Passes the response on to the reader. */
