Free prompts of calls that end before their run begins

Cause: a prompt that was read and waited to be taken over stayed at its engine when the caller left or the deadline came, until its time there was over, and the counter of wasted prompts missed it. Found beside the work for callers who had left. Change: whoever takes a call out frees its prompt if nobody took it.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -444,9 +444,12 @@
     a.call().attempt = null;
   }
 
-  /** Takes a call out; what was set aside for it is free again. */
+  /**
+   * Takes a call out; what was set aside for it, and its prompt if nobody took it, is free again.
+   */
   private void remove(CallState c) {
     calls.remove(c.call.id());
+    freePrompt(c);
     rooms.remove(c);
     c.moveOut();
   }
@@ -561,6 +564,7 @@
             first,
             at - c.arrivedAt,
             grade == AnswerGrade.GOOD && first <= c.rule.targetMillis() * MILLI));
+    c.prompt = null;
     remove(c);
     effects.accept(new RelayEffect.Deliver(c.call.id(), id));
     rooms.admitWaiting(at);
