Tell apart the lives of an upstream by name and start

An upstream may start again under its name, and then holds and knows nothing of before. The list of upstreams now carries the start of each with its name. Nothing is decided by it yet.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
@@ -22,6 +22,7 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.RuleName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallKind;
@@ -86,12 +87,24 @@
     for (int i = 0; i < engineCount; i++) {
       UpstreamName id = new UpstreamName("engine-" + i);
       Stage stage = i % 4 == 0 ? Stage.PREFILL : Stage.DECODE;
-      all.put(id, new RelayUpstream(id, MODEL, "10.0.0.1:80", HERE, 32, stage, false));
+      all.put(
+          id,
+          new RelayUpstream(
+              UpstreamLife.unknownStart(id), MODEL, "10.0.0.1:80", HERE, 32, stage, false));
     }
     for (int i = 0; i < APPS; i++) {
       UpstreamName id = new UpstreamName("app-" + i);
       apps.put(id, new App());
-      all.put(id, new RelayUpstream(id, APP, "10.0.0.2:80", HERE, APP_SLOTS, Stage.WHOLE, false));
+      all.put(
+          id,
+          new RelayUpstream(
+              UpstreamLife.unknownStart(id),
+              APP,
+              "10.0.0.2:80",
+              HERE,
+              APP_SLOTS,
+              Stage.WHOLE,
+              false));
     }
     upstreams = all.buildOrThrow();
     for (int i = 0; i < nodeCount; i++) {
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
@@ -21,6 +21,7 @@
 import org.larkkeel.daemon.VirtualTime;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
@@ -139,7 +140,7 @@
         Stage stage = i < prefill ? Stage.PREFILL : Stage.DECODE;
         all.add(
             new RelayUpstream(
-                new UpstreamName("i-" + i),
+                UpstreamLife.unknownStart(new UpstreamName("i-" + i)),
                 new ServiceName("model"),
                 "10.0.0.1:80",
                 new DataCentreName("dc-1"),
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -17,6 +17,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.RuleName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 
 /** A router with a clock of its own, and what it wanted done. Used by one test each. */
@@ -101,7 +102,14 @@
   void add(String id, ServiceName service, Stage stage) {
     upstreams.put(
         new UpstreamName(id),
-        new RelayUpstream(new UpstreamName(id), service, "10.0.0.1:80", HERE, 6, stage, false));
+        new RelayUpstream(
+            UpstreamLife.unknownStart(new UpstreamName(id)),
+            service,
+            "10.0.0.1:80",
+            HERE,
+            6,
+            stage,
+            false));
   }
 
   void leave(String id) {
@@ -109,7 +117,7 @@
         new UpstreamName(id),
         (name, u) ->
             new RelayUpstream(
-                name, u.service(), u.address(), u.place(), u.slots(), u.stage(), true));
+                u.life(), u.service(), u.address(), u.place(), u.slots(), u.stage(), true));
     tellUpstreams();
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayUpstream.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayUpstream.java
@@ -7,14 +7,15 @@
 package org.larkkeel.relay;
 
 import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 
 /**
- * One incarnation of an upstream, as discovered.
+ * One life of an upstream, as discovered.
  *
  * <p>Immutable and safe for use by several threads.
  *
- * @param id names this incarnation; a restart has another
+ * @param life which upstream, and which life of it
  * @param service the service of which it is
  * @param address IP number and port
  * @param place where it runs
@@ -24,10 +25,15 @@
  * @since 0.1
  */
 public record RelayUpstream(
-    UpstreamName id,
+    UpstreamLife life,
     ServiceName service,
     String address,
     DataCentreName place,
     int slots,
     Stage stage,
-    boolean leaving) {}
+    boolean leaving) {
+  /** The name, which later lives of the upstream have as well. */
+  public UpstreamName id() {
+    return life.name();
+  }
+}
--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
@@ -17,6 +17,7 @@
 import org.larkkeel.http.relay.AnswerVerdict;
 import org.larkkeel.http.relay.SendFacts;
 import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RelayEffect.Purpose;
@@ -107,7 +108,7 @@
     public void namesWhereThePromptMayBeKept() {
       RelayUpstream source =
           new RelayUpstream(
-              new UpstreamName("i-1"),
+              UpstreamLife.unknownStart(new UpstreamName("i-1")),
               new ServiceName("model"),
               "10.0.0.1:80",
               new DataCentreName("dc-1"),
