--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
@@ -15,7 +15,9 @@
 import java.util.Random;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RoomAsk;
@@ -42,20 +44,20 @@
           17,
           900,
           new PromptKey("prompt-5"),
-          ImmutableSet.of(new UpstreamName("i-4")));
+          ImmutableSet.of(life("i-4")));
   private static final PeerMessage MESSAGE =
       PeerMessage.of(PeerMessage.Kind.REPORT, SENDER)
           .withLoads(
-              ImmutableMap.of(new UpstreamName("i-1"), 17_000L, new UpstreamName("i-2"), 3L),
-              ImmutableSet.of(new UpstreamName("i-3")))
+              ImmutableMap.of(life("i-1"), 17_000L, life("i-2"), 3L), ImmutableSet.of(life("i-3")))
           .withAsks(ImmutableList.of(ASK))
           .withGrants(
               ImmutableList.of(
-                  new RoomGrant(
-                      new RequestId(9),
-                      new UpstreamName("i-1"),
-                      Optional.of(new UpstreamName("i-2"))),
-                  new RoomGrant(new RequestId(10), new UpstreamName("i-1"), Optional.empty())));
+                  new RoomGrant(new RequestId(9), life("i-1"), Optional.of(life("i-2"))),
+                  new RoomGrant(new RequestId(10), life("i-1"), Optional.empty())));
+
+  private static UpstreamLife life(String name) {
+    return new UpstreamLife(new UpstreamName(name), new Incarnation(1_790_000_000_123L));
+  }
 
   /** Messages that were written by a node. */
   public static class Written {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadChange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadChange.java
@@ -8,7 +8,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 
 /**
  * What a node has in flight now, and what it told last.
@@ -22,15 +22,15 @@
   private static final long LARGE_OF_FEW = 3;
   private static final long LARGE = 1_500;
 
-  private ImmutableMap<UpstreamName, Long> loads = ImmutableMap.of();
-  private ImmutableMap<UpstreamName, Long> told = ImmutableMap.of();
-  private ImmutableSet<UpstreamName> lapsing = ImmutableSet.of();
+  private ImmutableMap<UpstreamLife, Long> loads = ImmutableMap.of();
+  private ImmutableMap<UpstreamLife, Long> told = ImmutableMap.of();
+  private ImmutableSet<UpstreamLife> lapsing = ImmutableSet.of();
 
-  ImmutableMap<UpstreamName, Long> loads() {
+  ImmutableMap<UpstreamLife, Long> loads() {
     return loads;
   }
 
-  ImmutableSet<UpstreamName> lapsing() {
+  ImmutableSet<UpstreamLife> lapsing() {
     return lapsing;
   }
 
@@ -39,7 +39,7 @@
    *
    * @return whether others should not wait for it until the next period
    */
-  boolean now(ImmutableMap<UpstreamName, Long> current, ImmutableSet<UpstreamName> lost) {
+  boolean now(ImmutableMap<UpstreamLife, Long> current, ImmutableSet<UpstreamLife> lost) {
     boolean news = !lapsing.containsAll(lost);
     loads = current;
     lapsing = lost;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -18,7 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.larkkeel.http.relay.RelayLoop;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RoomAsk;
@@ -122,8 +122,8 @@
 
   /** Tells what is in flight and asked for now, at once or a little later. */
   void tell(
-      ImmutableMap<UpstreamName, Long> loads,
-      ImmutableSet<UpstreamName> lost,
+      ImmutableMap<UpstreamLife, Long> loads,
+      ImmutableSet<UpstreamLife> lost,
       ImmutableList<RoomAsk> asks) {
     sharing.tell(loads, lost, asks);
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -19,7 +19,7 @@
 import java.util.stream.Stream;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RoomAsk;
@@ -173,8 +173,8 @@
 
   /** Tells what is in flight and asked for now, at once or a little later. */
   void tell(
-      ImmutableMap<UpstreamName, Long> loads,
-      ImmutableSet<UpstreamName> lapsing,
+      ImmutableMap<UpstreamLife, Long> loads,
+      ImmutableSet<UpstreamLife> lapsing,
       ImmutableList<RoomAsk> asks) {
     boolean news = change.now(loads, lapsing);
     news |= client.asking(asks);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
@@ -11,7 +11,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RoomAsk;
 
 /**
@@ -30,8 +30,8 @@
 record PeerMessage(
     Kind kind,
     Sender sender,
-    ImmutableMap<UpstreamName, Long> loads,
-    ImmutableSet<UpstreamName> lapsing,
+    ImmutableMap<UpstreamLife, Long> loads,
+    ImmutableSet<UpstreamLife> lapsing,
     ImmutableList<RoomAsk> asks,
     ImmutableList<RoomGrant> grants) {
 
@@ -70,7 +70,7 @@
   }
 
   /** This message with a load. */
-  PeerMessage withLoads(ImmutableMap<UpstreamName, Long> now, ImmutableSet<UpstreamName> lost) {
+  PeerMessage withLoads(ImmutableMap<UpstreamLife, Long> now, ImmutableSet<UpstreamLife> lost) {
     return new PeerMessage(kind, sender, now, lost, asks, grants);
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
@@ -19,7 +19,9 @@
 import org.apache.thrift.transport.TMemoryInputTransport;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RoomAsk;
@@ -34,7 +36,7 @@
   /** The largest message; what does not fit a datagram is not sent. */
   static final int MAX_BYTES = 60_000;
 
-  private static final byte VERSION = 5;
+  private static final byte VERSION = 6;
   private static final int FIRST_BYTES = 256;
   private static final int MAX_ITEMS = 10_000;
 
@@ -73,10 +75,10 @@
     out.writeI64(sender.changes().upstreams());
     out.writeListBegin(new TList(TType.STRUCT, m.loads().size()));
     for (var e : m.loads().entrySet()) {
-      out.writeString(e.getKey().value());
+      writeLife(out, e.getKey());
       out.writeI64(e.getValue());
     }
-    writeNames(out, m.lapsing());
+    writeLives(out, m.lapsing());
     out.writeListBegin(new TList(TType.STRUCT, m.asks().size()));
     for (RoomAsk ask : m.asks()) {
       writeAsk(out, ask);
@@ -84,19 +86,24 @@
     out.writeListBegin(new TList(TType.STRUCT, m.grants().size()));
     for (RoomGrant grant : m.grants()) {
       out.writeI64(grant.call().value());
-      out.writeString(grant.home().value());
-      out.writeString(grant.reader().map(UpstreamName::value).orElse(""));
+      writeLife(out, grant.home());
+      writeLives(out, grant.reader().stream().toList());
     }
   }
 
-  private static void writeNames(TCompactProtocol out, Collection<UpstreamName> names)
+  private static void writeLives(TCompactProtocol out, Collection<UpstreamLife> lives)
       throws TException {
-    out.writeListBegin(new TList(TType.STRING, names.size()));
-    for (UpstreamName name : names) {
-      out.writeString(name.value());
+    out.writeListBegin(new TList(TType.STRUCT, lives.size()));
+    for (UpstreamLife life : lives) {
+      writeLife(out, life);
     }
   }
 
+  private static void writeLife(TCompactProtocol out, UpstreamLife life) throws TException {
+    out.writeString(life.name().value());
+    out.writeI64(life.start().value());
+  }
+
   private static void writeAsk(TCompactProtocol out, RoomAsk ask) throws TException {
     out.writeI64(ask.call().value());
     out.writeString(ask.wireId());
@@ -108,7 +115,7 @@
     out.writeI64(ask.waitedMillis());
     out.writeI64(ask.targetMillis());
     out.writeString(ask.key().value());
-    writeNames(out, ask.without());
+    writeLives(out, ask.without());
   }
 
   private static PeerMessage read(TCompactProtocol in) throws TException {
@@ -117,12 +124,12 @@
     final DataCentreName place = new DataCentreName(in.readString());
     final NodeState state = constant(NodeState.values(), in.readByte());
     final FeedChanges changes = new FeedChanges(in.readI64(), in.readI64());
-    ImmutableMap.Builder<UpstreamName, Long> loads = ImmutableMap.builder();
+    ImmutableMap.Builder<UpstreamLife, Long> loads = ImmutableMap.builder();
     for (int i = size(in); i > 0; i--) {
-      UpstreamName upstream = new UpstreamName(in.readString());
+      UpstreamLife upstream = readLife(in);
       loads.put(upstream, Math.max(0, in.readI64()));
     }
-    ImmutableSet<UpstreamName> lapsing = readNames(in);
+    ImmutableSet<UpstreamLife> lapsing = readLives(in);
     ImmutableList.Builder<RoomAsk> asks = ImmutableList.builder();
     for (int i = size(in); i > 0; i--) {
       asks.add(readAsk(in));
@@ -155,12 +162,17 @@
     return size;
   }
 
-  private static ImmutableSet<UpstreamName> readNames(TCompactProtocol in) throws TException {
-    ImmutableSet.Builder<UpstreamName> names = ImmutableSet.builder();
+  private static ImmutableSet<UpstreamLife> readLives(TCompactProtocol in) throws TException {
+    ImmutableSet.Builder<UpstreamLife> lives = ImmutableSet.builder();
     for (int i = size(in); i > 0; i--) {
-      names.add(new UpstreamName(in.readString()));
+      lives.add(readLife(in));
     }
-    return names.build();
+    return lives.build();
+  }
+
+  private static UpstreamLife readLife(TCompactProtocol in) throws TException {
+    UpstreamName name = new UpstreamName(in.readString());
+    return new UpstreamLife(name, new Incarnation(in.readI64()));
   }
 
   private static RoomAsk readAsk(TCompactProtocol in) throws TException {
@@ -175,14 +187,12 @@
         in.readI64(),
         in.readI64(),
         new PromptKey(in.readString()),
-        readNames(in));
+        readLives(in));
   }
 
   private static RoomGrant readGrant(TCompactProtocol in) throws TException {
     RequestId call = new RequestId(in.readI64());
-    UpstreamName home = new UpstreamName(in.readString());
-    String reader = in.readString();
-    return new RoomGrant(
-        call, home, reader.isEmpty() ? Optional.empty() : Optional.of(new UpstreamName(reader)));
+    UpstreamLife home = readLife(in);
+    return new RoomGrant(call, home, readLives(in).stream().findFirst());
   }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -162,8 +162,9 @@
               round(f.allowed()));
       case RelayFact.UpstreamChanged f ->
           log.info(
-              "event=upstream_changed upstream={} service={} address={} change={}",
-              f.upstream(),
+              "event=upstream_changed upstream={} start={} service={} address={} change={}",
+              f.life().name(),
+              f.life().start(),
               f.service(),
               f.address(),
               f.change());
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -24,7 +24,7 @@
 import org.larkkeel.http.upstream.UpstreamClient;
 import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.lib.Closer;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.store.ExecutorScheduler;
@@ -155,14 +155,14 @@
     return (upstream, stage, holder, fencing, allowed) -> {
       loop.submit(
           new RelayEvent.Ordered(
-              loop.now(), upstream.id(), StageController.LONGEST_ORDER.toNanos()));
+              loop.now(), upstream.life(), StageController.LONGEST_ORDER.toNanos()));
       return sender
           .send(upstream, stage, holder, fencing, allowed)
-          .whenComplete((status, failure) -> refusedOrder(upstream.id(), status));
+          .whenComplete((status, failure) -> refusedOrder(upstream.life(), status));
     };
   }
 
-  private void refusedOrder(UpstreamName upstream, Integer status) {
+  private void refusedOrder(UpstreamLife upstream, Integer status) {
     if (status != null && status >= StatusCodes.BAD_REQUEST) {
       loop.submit(new RelayEvent.OrderRefused(loop.now(), upstream));
     }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RoomGrant.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RoomGrant.java
@@ -8,7 +8,7 @@
 
 import java.util.Optional;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 
 /**
  * Room for a call of the node that is told.
@@ -19,4 +19,4 @@
  * @param home runs it
  * @param reader reads its prompt; empty if the home does
  */
-record RoomGrant(RequestId call, UpstreamName home, Optional<UpstreamName> reader) {}
+record RoomGrant(RequestId call, UpstreamLife home, Optional<UpstreamLife> reader) {}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RoomServer.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RoomServer.java
@@ -15,7 +15,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEffect;
 
 /**
@@ -40,14 +40,14 @@
   private final BiConsumer<HostName, Answer> send;
   private final Map<HostName, Report> reports = new LinkedHashMap<>();
   private final Map<HostName, ImmutableList.Builder<RoomGrant>> grants = new LinkedHashMap<>();
-  private ImmutableMap<UpstreamName, Long> own = ImmutableMap.of();
-  private ImmutableMap<UpstreamName, Long> toldTotal = ImmutableMap.of();
+  private ImmutableMap<UpstreamLife, Long> own = ImmutableMap.of();
+  private ImmutableMap<UpstreamLife, Long> toldTotal = ImmutableMap.of();
   private long toldAt;
 
   /** What is told to a node. */
   sealed interface Answer {
     /** What all others have in flight. */
-    record Sums(ImmutableMap<UpstreamName, Long> loads, ImmutableSet<UpstreamName> lapsing)
+    record Sums(ImmutableMap<UpstreamLife, Long> loads, ImmutableSet<UpstreamLife> lapsing)
         implements Answer {}
 
     /** Room for calls of the node, if there is any. */
@@ -62,7 +62,7 @@
   }
 
   /** Takes over what this node has in flight. */
-  void own(ImmutableMap<UpstreamName, Long> loads) {
+  void own(ImmutableMap<UpstreamLife, Long> loads) {
     own = loads;
   }
 
@@ -110,13 +110,13 @@
    */
   void tellSums() {
     forgetSilent();
-    Map<UpstreamName, Long> total = new HashMap<>(own);
-    ImmutableSet.Builder<UpstreamName> lapsing = ImmutableSet.builder();
+    Map<UpstreamLife, Long> total = new HashMap<>(own);
+    ImmutableSet.Builder<UpstreamLife> lapsing = ImmutableSet.builder();
     for (Report r : reports.values()) {
       r.message().loads().forEach((id, units) -> total.merge(id, units, Long::sum));
       lapsing.addAll(r.message().lapsing());
     }
-    final ImmutableSet<UpstreamName> lost = lapsing.build();
+    final ImmutableSet<UpstreamLife> lost = lapsing.build();
     long now = clock.getAsLong();
     if (now - toldAt < LONGEST_NANOS && changed(total) < WORTH_TELLING) {
       return;
@@ -133,7 +133,7 @@
    * How many requests more or less there are at upstreams that count requests: what holds memory is
    * given out here, so that others need not know it at once.
    */
-  private long changed(Map<UpstreamName, Long> total) {
+  private long changed(Map<UpstreamLife, Long> total) {
     long changed = 0;
     for (var e : total.entrySet()) {
       long before = toldTotal.getOrDefault(e.getKey(), 0L);
@@ -144,9 +144,9 @@
     return changed;
   }
 
-  private static ImmutableMap<UpstreamName, Long> without(
-      Map<UpstreamName, Long> total, ImmutableMap<UpstreamName, Long> own) {
-    ImmutableMap.Builder<UpstreamName, Long> rest = ImmutableMap.builder();
+  private static ImmutableMap<UpstreamLife, Long> without(
+      Map<UpstreamLife, Long> total, ImmutableMap<UpstreamLife, Long> own) {
+    ImmutableMap.Builder<UpstreamLife, Long> rest = ImmutableMap.builder();
     total.forEach(
         (id, units) -> {
           long others = units - own.getOrDefault(id, 0L);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
@@ -21,7 +21,7 @@
 import java.util.stream.Collectors;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Incarnation;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Stage;
@@ -83,7 +83,7 @@
   private final Orders orders;
   private final IntSupplier rank;
   private final Lease lease;
-  private final Map<UpstreamName, Long> ordered = new HashMap<>();
+  private final Map<UpstreamLife, Long> ordered = new HashMap<>();
   private ImmutableList<RelayUpstream> upstreams = ImmutableList.of();
   private long wrongSince = Long.MAX_VALUE;
   private long orderedAt = Long.MIN_VALUE;
@@ -210,7 +210,7 @@
   }
 
   private boolean mayBeOrdered(RelayUpstream u, long now) {
-    return now - ordered.getOrDefault(u.id(), now - AGAIN.toNanos()) >= AGAIN.toNanos();
+    return now - ordered.getOrDefault(u.life(), now - AGAIN.toNanos()) >= AGAIN.toNanos();
   }
 
   private static Comparator<RelayUpstream> byRunners(List<RelayUpstream> all) {
@@ -228,11 +228,12 @@
     }
     orderedAt = now;
     RelayUpstream upstream = change.upstream();
-    ordered.put(upstream.id(), now);
+    ordered.put(upstream.life(), now);
     long fencing = tenure.fencing().value();
     log.info(
-        "event=ordered upstream={} stage={} fencing={} upstreams={}",
+        "event=ordered upstream={} start={} stage={} fencing={} upstreams={}",
         upstream.id(),
+        upstream.life().start(),
         change.stage(),
         fencing,
         upstreams.size());
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/BrokenStreamsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/BrokenStreamsTest.java
@@ -15,7 +15,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.testng.annotations.Test;
 
@@ -53,11 +53,11 @@
 
     @Test
     public void areNotAllSentToOneEngine() {
-      ImmutableSet.Builder<UpstreamName> homes = ImmutableSet.builder();
+      ImmutableSet.Builder<UpstreamLife> homes = ImmutableSet.builder();
       for (int i = 0; i < PROMPTS; i++) {
         RelayWorld w = RelayWorld.usual();
         w.arrive("/resume/a", 10_000, SIZE, prompt(i), true);
-        homes.add(w.sent().upstream().id());
+        homes.add(w.sent().upstream().life());
       }
       assertEquals(homes.build().size(), 2);
     }
@@ -67,7 +67,7 @@
       RelayWorld w = RelayWorld.usual();
       w.arrive("/resume/a", 10_000, SIZE, prompt(1), true);
       final RelayUpstream first = w.sent().upstream();
-      fill(w, first.id());
+      fill(w, first.life());
       w.arrive("/resume/a", 10_000, SIZE, prompt(1), true);
       assertNotEquals(w.sent().upstream(), first);
       assertEquals(w.sent().purpose(), new Purpose.Fetch(first));
@@ -89,8 +89,8 @@
       final RequestId begun = w.arrive("/resume/a", 14_000, SIZE);
       w.promptRead();
       w.began();
-      UpstreamName lost = w.sent().upstream().id();
-      UpstreamName other = other(lost);
+      UpstreamLife lost = w.sent().upstream().life();
+      UpstreamLife other = other(lost);
       fill(w, other);
       w.lost();
       final int before = w.sends();
@@ -109,12 +109,12 @@
       w.arrive("/resume/a", 14_000, SIZE);
       w.promptRead();
       w.began();
-      fill(w, other(w.sent().upstream().id()));
+      fill(w, other(w.sent().upstream().life()));
       w.lost();
       final int before = w.sends();
       for (int i = 0; i < 3; i++) {
         w.pass(500);
-        fill(w, new UpstreamName("run-1"), new UpstreamName("run-2"));
+        fill(w, RelayWorld.life("run-1"), RelayWorld.life("run-2"));
       }
       assertEquals(w.sends(), before, "it would push other streams out");
       assertFalse(w.isRefused());
@@ -132,14 +132,14 @@
     }
   }
 
-  private static UpstreamName other(UpstreamName one) {
-    return new UpstreamName(one.value().equals("run-1") ? "run-2" : "run-1");
+  private static UpstreamLife other(UpstreamLife one) {
+    return RelayWorld.life(one.name().value().equals("run-1") ? "run-2" : "run-1");
   }
 
   /** Another node tells that it has filled engines. */
-  private static void fill(RelayWorld w, UpstreamName... engines) {
-    ImmutableMap.Builder<UpstreamName, Long> loads = ImmutableMap.builder();
-    for (UpstreamName engine : engines) {
+  private static void fill(RelayWorld w, UpstreamLife... engines) {
+    ImmutableMap.Builder<UpstreamLife, Long> loads = ImmutableMap.builder();
+    for (UpstreamLife engine : engines) {
       loads.put(engine, RelayWorld.MEMORY);
     }
     w.apply(new RelayEvent.LoadHeard(w.now(), OTHER, loads.buildOrThrow(), ImmutableSet.of()));
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRoomTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRoomTest.java
@@ -17,7 +17,7 @@
 import java.util.Optional;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.testng.annotations.Test;
 
@@ -25,8 +25,8 @@
 public class RelayRoomTest {
   private static final CallSize SMALL = new CallSize(2_000, 1_000, 1_000);
   private static final HostName OTHER = new HostName("node-2");
-  private static final UpstreamName RUN_1 = new UpstreamName("run-1");
-  private static final UpstreamName READ_1 = new UpstreamName("read-1");
+  private static final UpstreamLife RUN_1 = RelayWorld.life("run-1");
+  private static final UpstreamLife READ_1 = RelayWorld.life("read-1");
   private static final long PROMPT = 5_000;
 
   private static RelayWorld world(RoomKeeping keeping) {
@@ -35,7 +35,7 @@
     return w;
   }
 
-  private static RoomAsk ask(long call, long units, UpstreamName... without) {
+  private static RoomAsk ask(long call, long units, UpstreamLife... without) {
     return new RoomAsk(
         new RequestId(call),
         "wire-" + call,
@@ -80,10 +80,10 @@
       RelayWorld w = world(RoomKeeping.ASK);
       RequestId call = w.arrive("/stream/a", 0, SMALL);
       w.apply(granted(w, call));
-      assertEquals(w.sent().upstream().id(), READ_1);
+      assertEquals(w.sent().upstream().life(), READ_1);
       assertTrue(w.sent().purpose() instanceof Purpose.ReadPrompt);
       w.promptRead();
-      assertEquals(w.sent().upstream().id(), RUN_1);
+      assertEquals(w.sent().upstream().life(), RUN_1);
       assertTrue(w.router.asks(w.now()).isEmpty());
     }
 
@@ -100,7 +100,7 @@
     public void takesNoGrantOfAnUpstreamThatLeaves() {
       RelayWorld w = world(RoomKeeping.ASK);
       RequestId call = w.arrive("/stream/a", 0, SMALL);
-      w.leave(RUN_1.value());
+      w.leave(RUN_1.name().value());
       w.apply(granted(w, call));
       assertEquals(w.sends(), 0);
       assertFalse(w.router.asks(w.now()).isEmpty());
@@ -129,7 +129,7 @@
       RelayWorld w = world(RoomKeeping.EACH);
       w.arrive("/stream/a", 0, SMALL);
       w.promptRead();
-      UpstreamName declined = w.sent().upstream().id();
+      UpstreamLife declined = w.sent().upstream().life();
       w.declined();
       w.apply(new RelayEvent.KeepingChanged(w.now(), RoomKeeping.ASK));
       w.arrive("/stream/a", 0, SMALL);
@@ -181,7 +181,7 @@
       RelayWorld w = world(RoomKeeping.KEEP);
       long most = (long) (0.9 * RelayWorld.MEMORY);
       asked(w, ask(1, most), ask(2, most));
-      ImmutableMap<UpstreamName, Long> both =
+      ImmutableMap<UpstreamLife, Long> both =
           ImmutableMap.of(grants(w).get(0).home(), most, grants(w).get(1).home(), most);
       w.apply(new RelayEvent.LoadHeard(w.now(), OTHER, both, ImmutableSet.of()));
       asked(w, ask(3, most));
@@ -194,7 +194,7 @@
     public void givesAnotherUpstreamThanTheNodeWouldNotTake() {
       RelayWorld w = world(RoomKeeping.KEEP);
       asked(w, ask(5, PROMPT));
-      UpstreamName first = grants(w).getFirst().home();
+      UpstreamLife first = grants(w).getFirst().home();
       asked(w, ask(5, PROMPT, first));
       assertEquals(grants(w).size(), 2);
       assertFalse(grants(w).getLast().home().equals(first));
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayRouterTest.java
@@ -20,7 +20,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.testng.annotations.Test;
 
@@ -45,10 +45,10 @@
     public void isSentElsewhereWhenItHasNotRun() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/once/a");
-      UpstreamName first = w.sent().upstream().id();
+      UpstreamLife first = w.sent().upstream().life();
       w.declined();
       assertEquals(w.sends(), 2);
-      assertNotEquals(w.sent().upstream().id(), first);
+      assertNotEquals(w.sent().upstream().life(), first);
     }
 
     @Test
@@ -87,9 +87,9 @@
     public void isRepeatedWithinItsRuns() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/safe/a");
-      UpstreamName first = w.sent().upstream().id();
+      UpstreamLife first = w.sent().upstream().life();
       w.answered(AnswerGrade.FAILED);
-      assertNotEquals(w.sent().upstream().id(), first);
+      assertNotEquals(w.sent().upstream().life(), first);
       w.answered(AnswerGrade.FAILED);
       assertEquals(w.sends(), 2);
       assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
@@ -99,10 +99,10 @@
     public void isSentElsewhereAfterSilence() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/safe/a");
-      UpstreamName first = w.sent().upstream().id();
+      UpstreamLife first = w.sent().upstream().life();
       w.pass(600);
       assertEquals(w.of(RelayEffect.Cancel.class).size(), 1);
-      assertNotEquals(w.sent().upstream().id(), first);
+      assertNotEquals(w.sent().upstream().life(), first);
     }
 
     @Test
@@ -180,12 +180,12 @@
     public void avoidsOneThatCanNotBeReached() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/safe/a");
-      UpstreamName bad = w.sent().upstream().id();
+      UpstreamLife bad = w.sent().upstream().life();
       w.notSent();
       w.answered(AnswerGrade.GOOD);
       for (int i = 0; i < 10; i++) {
         w.arrive("/safe/a");
-        assertNotEquals(w.sent().upstream().id(), bad);
+        assertNotEquals(w.sent().upstream().life(), bad);
         w.answered(AnswerGrade.GOOD);
       }
     }
@@ -194,13 +194,13 @@
     public void avoidsOneWhoseAddressAnotherIncarnationHas() {
       RelayWorld w = RelayWorld.usual();
       w.arrive("/once/a");
-      final UpstreamName gone = w.sent().upstream().id();
+      final UpstreamLife gone = w.sent().upstream().life();
       w.apply(new RelayEvent.Refused(w.now(), w.sent().attempt(), RefusalCause.WRONG_UPSTREAM));
       w.answered(AnswerGrade.GOOD);
       w.pass(4_000);
       for (int i = 0; i < 40; i++) {
         w.arrive("/once/a");
-        assertNotEquals(w.sent().upstream().id(), gone, "however busy the other is");
+        assertNotEquals(w.sent().upstream().life(), gone, "however busy the other is");
       }
     }
 
@@ -348,7 +348,7 @@
           new RelayEvent.LoadHeard(
               w.now(),
               new HostName("other"),
-              ImmutableMap.of(new UpstreamName("run-1"), 17_000L),
+              ImmutableMap.of(RelayWorld.life("run-1"), 17_000L),
               ImmutableSet.of()));
       w.arrive("/stream/a", 14_000, LARGE);
       w.promptRead();
@@ -380,8 +380,8 @@
     @Test
     public void takesRoomThatOthersSeeAfterRandomTime() {
       RelayWorld w = RelayWorld.usual();
-      ImmutableMap<UpstreamName, Long> full =
-          ImmutableMap.of(new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L);
+      ImmutableMap<UpstreamLife, Long> full =
+          ImmutableMap.of(RelayWorld.life("run-1"), 17_000L, RelayWorld.life("run-2"), 17_000L);
       w.apply(new RelayEvent.LoadHeard(w.now(), new HostName("other"), full, ImmutableSet.of()));
       w.arrive("/stream/a", 9_000, LARGE);
       w.apply(
@@ -399,8 +399,7 @@
           new RelayEvent.LoadHeard(
               w.now(),
               new HostName("other"),
-              ImmutableMap.of(
-                  new UpstreamName("run-1"), 17_000L, new UpstreamName("run-2"), 17_000L),
+              ImmutableMap.of(RelayWorld.life("run-1"), 17_000L, RelayWorld.life("run-2"), 17_000L),
               ImmutableSet.of()));
       w.pass(2_000);
       w.arrive("/stream/a", 14_000, LARGE);
@@ -412,14 +411,14 @@
       RelayWorld w = RelayWorld.usual();
       w.arrive("/stream/a", 14_000, SMALL);
       w.promptRead();
-      UpstreamName first = w.sent().upstream().id();
+      UpstreamLife first = w.sent().upstream().life();
       w.declined();
       assertTrue(w.sent().purpose() instanceof Purpose.TakeOver);
-      assertNotEquals(w.sent().upstream().id(), first);
-      UpstreamName second = w.sent().upstream().id();
+      assertNotEquals(w.sent().upstream().life(), first);
+      UpstreamLife second = w.sent().upstream().life();
       w.declined();
       assertEquals(w.sent().purpose(), w.fetch("read-1"));
-      assertEquals(w.sent().upstream().id(), second);
+      assertEquals(w.sent().upstream().life(), second);
     }
 
     @Test
@@ -430,7 +429,7 @@
               w.now(),
               new HostName("other"),
               ImmutableMap.of(),
-              ImmutableSet.of(new UpstreamName("read-1"))));
+              ImmutableSet.of(RelayWorld.life("read-1"))));
       w.arrive("/stream/a", 14_000, SMALL);
       assertEquals(w.sent().purpose(), new Purpose.Run());
       assertEquals(w.router.lapsing(w.now()), ImmutableSet.of(), "only what it found itself");
@@ -445,7 +444,7 @@
       w.declined();
       assertEquals(w.router.lapsing(w.now()), ImmutableSet.of());
       w.began();
-      assertEquals(w.router.lapsing(w.now()), ImmutableSet.of(new UpstreamName("read-1")));
+      assertEquals(w.router.lapsing(w.now()), ImmutableSet.of(RelayWorld.life("read-1")));
       w.pass(2_000);
       assertEquals(w.router.lapsing(w.now()), ImmutableSet.of());
     }
@@ -497,7 +496,7 @@
           new RelayEvent.LoadHeard(
               w.now(),
               new HostName("other"),
-              ImmutableMap.of(new UpstreamName("read-1"), 25_000L),
+              ImmutableMap.of(RelayWorld.life("read-1"), 25_000L),
               ImmutableSet.of()));
       w.arrive("/stream/b", 14_000, SMALL);
       assertEquals(w.sent().purpose(), new Purpose.ReadPrompt(), "540 ms");
@@ -505,7 +504,7 @@
           new RelayEvent.LoadHeard(
               w.now(),
               new HostName("other"),
-              ImmutableMap.of(new UpstreamName("read-1"), 35_000L),
+              ImmutableMap.of(RelayWorld.life("read-1"), 35_000L),
               ImmutableSet.of()));
       w.arrive("/stream/c", 14_000, SMALL);
       assertEquals(w.sent().purpose(), new Purpose.Run(), "740 ms are too late");
@@ -525,25 +524,25 @@
     @Test
     public void placesNothingOnOneThatIsOrderedToChange() {
       RelayWorld w = RelayWorld.usual();
-      UpstreamName ordered = new UpstreamName("run-1");
+      UpstreamLife ordered = RelayWorld.life("run-1");
       w.apply(new RelayEvent.Ordered(w.now(), ordered, 15_000 * RelayWorld.MILLI));
       assertEquals(
           w.router.loads(), ImmutableMap.of(ordered, RelayWorld.MEMORY), "other nodes hear of it");
       CallSize tiny = new CallSize(100, 1_000, 1_000);
       for (int i = 0; i < 10; i++) {
         w.arrive("/stream/a", 14_000, tiny);
-        assertNotEquals(w.sent().upstream().id(), ordered);
+        assertNotEquals(w.sent().upstream().life(), ordered);
       }
       w.apply(new RelayEvent.OrderRefused(w.now(), ordered));
       w.arrive("/stream/b", 14_000, tiny);
-      assertEquals(w.sent().upstream().id(), ordered);
+      assertEquals(w.sent().upstream().life(), ordered);
     }
 
     @Test
     public void placesWorkOnOneThatHasChanged() {
       RelayWorld w = RelayWorld.usual();
       w.apply(
-          new RelayEvent.Ordered(w.now(), new UpstreamName("read-1"), 15_000 * RelayWorld.MILLI));
+          new RelayEvent.Ordered(w.now(), RelayWorld.life("read-1"), 15_000 * RelayWorld.MILLI));
       w.add("read-1", RelayWorld.MODEL, Stage.DECODE);
       w.tellUpstreams();
       assertEquals(w.router.loads(), ImmutableMap.of());
@@ -570,7 +569,7 @@
       RelayWorld w = RelayWorld.usual();
       w.arrive("/stream/a", 14_000, SMALL);
       w.promptRead();
-      final UpstreamName dead = w.sent().upstream().id();
+      final UpstreamLife dead = w.sent().upstream().life();
       w.notSent();
       w.arrive("/stream/b", 14_000, LARGE);
       final int before = w.sends();
@@ -580,7 +579,7 @@
       assertTrue(
           w.of(RelayEffect.Send.class).stream()
               .skip(2)
-              .noneMatch(s -> s.upstream().id().equals(dead)));
+              .noneMatch(s -> s.upstream().life().equals(dead)));
     }
 
     @Test
@@ -605,14 +604,14 @@
       CallSize tiny = new CallSize(100, 1_000, 1_000);
       RelayWorld w = RelayWorld.usual();
       w.arrive("/stream/a", 14_000, tiny);
-      final UpstreamName full = w.sent().upstream().id();
+      final UpstreamLife full = w.sent().upstream().life();
       w.declined();
       w.arrive("/stream/b", 14_000, LARGE);
       w.arrive("/stream/c", 14_000, tiny);
-      assertNotEquals(w.sent().upstream().id(), full, "though it seems to have more room");
+      assertNotEquals(w.sent().upstream().life(), full, "though it seems to have more room");
       w.pass(300);
       w.arrive("/stream/d", 14_000, tiny);
-      assertEquals(w.sent().upstream().id(), full);
+      assertEquals(w.sent().upstream().life(), full);
     }
 
     @Test
@@ -621,7 +620,7 @@
       w.arrive("/stream/a", 14_000, SMALL);
       w.promptRead();
       w.began();
-      UpstreamName home = w.sent().upstream().id();
+      UpstreamLife home = w.sent().upstream().life();
       final long before = w.router.loads().get(home);
       w.apply(new RelayEvent.Progressed(w.now(), w.sent().attempt(), 90));
       assertTrue(w.router.loads().get(home) > before);
@@ -636,9 +635,9 @@
       w.arrive("/resume/a", 14_000, SMALL);
       w.promptRead();
       w.began();
-      UpstreamName first = w.sent().upstream().id();
+      UpstreamLife first = w.sent().upstream().life();
       w.lost();
-      assertNotEquals(w.sent().upstream().id(), first);
+      assertNotEquals(w.sent().upstream().life(), first);
       w.began();
       w.answered(AnswerGrade.GOOD);
       assertEquals(w.of(RelayEffect.Cut.class).size(), 0);
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -15,6 +15,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.RuleName;
 import org.larkkeel.lib.UpstreamLife;
@@ -99,17 +100,20 @@
                 1 << 20)));
   }
 
+  /** The life of an upstream that was added and has not started again. */
+  static UpstreamLife life(String id) {
+    return UpstreamLife.unknownStart(new UpstreamName(id));
+  }
+
+  /** The life of an upstream that {@link #restart} has begun. */
+  static UpstreamLife life(String id, long start) {
+    return new UpstreamLife(new UpstreamName(id), new Incarnation(start));
+  }
+
   void add(String id, ServiceName service, Stage stage) {
     upstreams.put(
         new UpstreamName(id),
-        new RelayUpstream(
-            UpstreamLife.unknownStart(new UpstreamName(id)),
-            service,
-            "10.0.0.1:80",
-            HERE,
-            6,
-            stage,
-            false));
+        new RelayUpstream(life(id), service, "10.0.0.1:80", HERE, 6, stage, false));
   }
 
   void leave(String id) {
@@ -121,6 +125,22 @@
     tellUpstreams();
   }
 
+  /** Tells the list after an upstream has started again under its name. */
+  void restart(String id, long start) {
+    upstreams.computeIfPresent(
+        new UpstreamName(id),
+        (name, u) ->
+            new RelayUpstream(
+                life(id, start),
+                u.service(),
+                u.address(),
+                u.place(),
+                u.slots(),
+                u.stage(),
+                u.leaving()));
+    tellUpstreams();
+  }
+
   void remove(String... ids) {
     for (String id : ids) {
       upstreams.remove(new UpstreamName(id));
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -11,7 +11,7 @@
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 
 /**
  * What the relay's reducer wants done.
@@ -112,7 +112,7 @@
    * @param home runs it
    * @param reader reads its prompt; empty if the home does
    */
-  record GrantRoom(HostName node, RequestId call, UpstreamName home, Optional<UpstreamName> reader)
+  record GrantRoom(HostName node, RequestId call, UpstreamLife home, Optional<UpstreamLife> reader)
       implements RelayEffect {}
 
   /** Something to log and to count. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -15,6 +15,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 
 /**
@@ -80,10 +81,10 @@
    * @param upstream is ordered
    * @param longestNanos for how long at most
    */
-  record Ordered(long at, UpstreamName upstream, long longestNanos) implements RelayEvent {}
+  record Ordered(long at, UpstreamLife upstream, long longestNanos) implements RelayEvent {}
 
   /** An order was turned down, so that the upstream goes on as before. */
-  record OrderRefused(long at, UpstreamName upstream) implements RelayEvent {}
+  record OrderRefused(long at, UpstreamLife upstream) implements RelayEvent {}
 
   /** A configuration was read; older ones than that in force are ignored. */
   record ConfigurationRead(long at, RelayConfiguration configuration) implements RelayEvent {}
@@ -99,8 +100,8 @@
   record LoadHeard(
       long at,
       HostName node,
-      ImmutableMap<UpstreamName, Long> loads,
-      ImmutableSet<UpstreamName> lapsing)
+      ImmutableMap<UpstreamLife, Long> loads,
+      ImmutableSet<UpstreamLife> lapsing)
       implements RelayEvent {}
 
   /**
@@ -122,7 +123,7 @@
    * @param home runs it
    * @param reader reads its prompt; empty if the home does
    */
-  record RoomGranted(long at, RequestId call, UpstreamName home, Optional<UpstreamName> reader)
+  record RoomGranted(long at, RequestId call, UpstreamLife home, Optional<UpstreamLife> reader)
       implements RelayEvent {}
 
   /** Who gives room from now on. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -9,6 +9,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 
 /**
@@ -176,8 +177,15 @@
   /** A repeat was not made because the budget is used up. */
   record BudgetSpent(String call, String service, int used, double allowed) implements RelayFact {}
 
-  /** An upstream appeared, changed or went. */
-  record UpstreamChanged(UpstreamName upstream, String service, String address, String change)
+  /**
+   * An upstream appeared, changed, started again or went.
+   *
+   * @param life of which life of it this is true; the later one if it started again
+   * @param service its service
+   * @param address its address
+   * @param change what happened to it
+   */
+  record UpstreamChanged(UpstreamLife life, String service, String address, String change)
       implements RelayFact {}
 
   /** An upstream is avoided for a while. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -11,7 +11,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.internal.Flow;
 
 /**
@@ -77,12 +77,12 @@
    * What this node has in flight at each upstream, where it is anything: tokens at upstreams that
    * read prompts or hold memory, requests at others.
    */
-  public ImmutableMap<UpstreamName, Long> loads() {
+  public ImmutableMap<UpstreamLife, Long> loads() {
     return flow.loads();
   }
 
   /** The upstreams whose prompts this node has found to be lost at once. */
-  public ImmutableSet<UpstreamName> lapsing(long at) {
+  public ImmutableSet<UpstreamLife> lapsing(long at) {
     return flow.lapsing(at);
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RoomAsk.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RoomAsk.java
@@ -8,7 +8,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 
 /**
  * A call that waits for room, as its node tells the node that gives room.
@@ -39,7 +39,7 @@
     long waitedMillis,
     long targetMillis,
     PromptKey key,
-    ImmutableSet<UpstreamName> without) {
+    ImmutableSet<UpstreamLife> without) {
   /** Checks the numbers. */
   public RoomAsk {
     if (units <= 0 || prompt < 0 || waitedMillis < 0 || targetMillis < 0) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -8,7 +8,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayRule;
@@ -32,7 +32,7 @@
   final long deadline;
 
   /** The upstreams to which it is not sent again. */
-  final Set<UpstreamName> without = new HashSet<>();
+  final Set<UpstreamLife> without = new HashSet<>();
 
   /** The attempt in flight; null if there is none. */
   AttemptState attempt;
@@ -53,10 +53,10 @@
   Purpose.TakeOver prompt;
 
   /** The upstream that has read its prompt; null if none has. */
-  UpstreamName reader;
+  UpstreamLife reader;
 
   /** The upstream that may have lost the call's prompt; null if none may. */
-  UpstreamName suspect;
+  UpstreamLife suspect;
 
   /** How many upstreams have declined the prompt. */
   int promptDeclined;
@@ -116,7 +116,7 @@
   }
 
   @Override
-  public Set<UpstreamName> without() {
+  public Set<UpstreamLife> without() {
     return without;
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
@@ -13,7 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.larkkeel.lib.AttemptId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.MoveStep;
@@ -100,12 +100,12 @@
   /** Plans moves off the upstreams that leave since the last look, or are gone from the list. */
   void look(long at) {
     for (UpstreamState s : fleet.beginEvacuations()) {
-      timers.add(new Timers.Due.Evacuate(at + AFTER, s.upstream().id()));
+      timers.add(new Timers.Due.Evacuate(at + AFTER, s.life()));
     }
   }
 
   /** Moves what is left at an upstream. */
-  void due(long at, UpstreamName id) {
+  void due(long at, UpstreamLife id) {
     Optional<UpstreamState> source = fleet.find(id);
     if (source.isEmpty()) {
       return;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -22,6 +22,7 @@
 import java.util.function.Predicate;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RelayFact;
@@ -65,7 +66,7 @@
   private double spread = SPREAD;
 
   /** What another node told last. */
-  private record Heard(long at, ImmutableMap<UpstreamName, Long> loads) {}
+  private record Heard(long at, ImmutableMap<UpstreamLife, Long> loads) {}
 
   private record Kind(ServiceName service, Stage stage) {}
 
@@ -130,7 +131,7 @@
   }
 
   private static RelayFact changed(RelayUpstream u, String change) {
-    return new RelayFact.UpstreamChanged(u.id(), u.service().value(), u.address(), change);
+    return new RelayFact.UpstreamChanged(u.life(), u.service().value(), u.address(), change);
   }
 
   /** Of how many other nodes the load is known. */
@@ -154,12 +155,12 @@
   }
 
   /** An upstream that is known. */
-  Optional<UpstreamState> find(UpstreamName id) {
-    return Optional.ofNullable(all.get(id));
+  Optional<UpstreamState> find(UpstreamLife life) {
+    return Optional.ofNullable(all.get(life.name()));
   }
 
   /** Takes over what another node has in flight. */
-  void heard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads) {
+  void heard(long at, HostName node, ImmutableMap<UpstreamLife, Long> loads) {
     count(heard.put(node, new Heard(at, loads)), -1);
     count(heard.get(node), 1);
   }
@@ -181,30 +182,27 @@
     }
     told.loads()
         .forEach(
-            (id, units) -> {
-              UpstreamState s = all.get(id);
-              if (s != null) {
-                s.addRemote(sign * units);
-              }
+            (life, units) -> {
+              find(life).ifPresent(s -> s.addRemote(sign * units));
             });
   }
 
   /** What this node has in flight, where it is anything. */
-  ImmutableMap<UpstreamName, Long> loads() {
-    ImmutableMap.Builder<UpstreamName, Long> loads = ImmutableMap.builder();
+  ImmutableMap<UpstreamLife, Long> loads() {
+    ImmutableMap.Builder<UpstreamLife, Long> loads = ImmutableMap.builder();
     for (UpstreamState s : all.values()) {
       if (s.load() > 0) {
-        loads.put(s.upstream().id(), s.load());
+        loads.put(s.life(), s.load());
       }
     }
     return loads.buildOrThrow();
   }
 
   /** Those whose handles this node itself has found to lapse. */
-  ImmutableSet<UpstreamName> lapsing(long at) {
+  ImmutableSet<UpstreamLife> lapsing(long at) {
     return all.values().stream()
         .filter(s -> s.lapsesFirstHand(at))
-        .map(s -> s.upstream().id())
+        .map(UpstreamState::life)
         .collect(ImmutableSet.toImmutableSet());
   }
 
@@ -253,7 +251,7 @@
       long at,
       ServiceName service,
       Predicate<Stage> stage,
-      Set<UpstreamName> without,
+      Set<UpstreamLife> without,
       DataCentreName near,
       Need need) {
     List<UpstreamState> fitting = new ArrayList<>();
@@ -263,7 +261,7 @@
       if (u.service().equals(service)
           && stage.test(u.stage())
           && !u.leaving()
-          && !without.contains(u.id())
+          && !without.contains(u.life())
           && !s.isMissingFor(at, missingNanos)) {
         soundExists |= isSound(s, at);
         if (s.inFlight() < need.mostEach() && need.fits(s, at)) {
@@ -280,14 +278,14 @@
   }
 
   /** Whether there is an upstream, if a full one, that may run calls of a service. */
-  boolean has(long at, ServiceName service, Set<UpstreamName> without) {
+  boolean has(long at, ServiceName service, Set<UpstreamLife> without) {
     return all.values().stream()
         .anyMatch(
             s ->
                 s.upstream().service().equals(service)
                     && s.upstream().stage().runs()
                     && !s.upstream().leaving()
-                    && !without.contains(s.upstream().id())
+                    && !without.contains(s.life())
                     && !s.isMissingFor(at, missingNanos));
   }
 
@@ -295,15 +293,15 @@
    * Those that may run calls of a service and that this node would not choose now; empty if it
    * would choose none.
    */
-  ImmutableSet<UpstreamName> unfit(long at, ServiceName service) {
-    ImmutableSet.Builder<UpstreamName> unfit = ImmutableSet.builder();
+  ImmutableSet<UpstreamLife> unfit(long at, ServiceName service) {
+    ImmutableSet.Builder<UpstreamLife> unfit = ImmutableSet.builder();
     boolean someFit = false;
     for (UpstreamState s : all.values()) {
       if (s.upstream().service().equals(service) && s.upstream().stage().runs()) {
         if (isSound(s, at) && !s.isBusy(at)) {
           someFit = true;
         } else {
-          unfit.add(s.upstream().id());
+          unfit.add(s.life());
         }
       }
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -23,6 +23,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallKind;
@@ -135,12 +136,12 @@
   }
 
   /** What this node has in flight at each upstream. */
-  public ImmutableMap<UpstreamName, Long> loads() {
+  public ImmutableMap<UpstreamLife, Long> loads() {
     return fleet.loads();
   }
 
   /** The upstreams whose prompts this node has found to be lost at once. */
-  public ImmutableSet<UpstreamName> lapsing(long at) {
+  public ImmutableSet<UpstreamLife> lapsing(long at) {
     return fleet.lapsing(at);
   }
 
@@ -174,8 +175,8 @@
   public void heard(
       long at,
       HostName node,
-      ImmutableMap<UpstreamName, Long> loads,
-      ImmutableSet<UpstreamName> lapsing) {
+      ImmutableMap<UpstreamLife, Long> loads,
+      ImmutableSet<UpstreamLife> lapsing) {
     fleet.heard(at, node, loads);
     lapsing.forEach(id -> fleet.find(id).ifPresent(s -> s.handleLapsedElsewhere(at)));
     forgetSilent(at);
@@ -204,7 +205,7 @@
 
   /** Room was given to a call. */
   public void roomGranted(
-      long at, RequestId call, UpstreamName home, Optional<UpstreamName> reader) {
+      long at, RequestId call, UpstreamLife home, Optional<UpstreamLife> reader) {
     CallState c = calls.get(call);
     if (c != null) {
       rooms.granted(at, c, home, reader);
@@ -212,7 +213,7 @@
   }
 
   /** Lets an upstream that is ordered to change take no work. */
-  public void ordered(long at, UpstreamName id, long longestNanos) {
+  public void ordered(long at, UpstreamLife id, long longestNanos) {
     Optional<UpstreamState> found = fleet.find(id);
     if (configuration == null || found.isEmpty()) {
       return;
@@ -223,7 +224,7 @@
   }
 
   /** An order is over, or was turned down. */
-  public void orderOver(long at, UpstreamName id) {
+  public void orderOver(long at, UpstreamLife id) {
     fleet.find(id).ifPresent(UpstreamState::orderOver);
     rooms.admitWaiting(at);
   }
@@ -350,7 +351,7 @@
     return !s.upstream().leaving()
         && !s.isMissing()
         && !s.isAvoided(at)
-        && !c.without.contains(s.upstream().id());
+        && !c.without.contains(s.life());
   }
 
   private void freePrompt(CallState c) {
@@ -465,7 +466,7 @@
     }
     RelayUpstream source = a.upstream().upstream();
     report(new RelayFact.PromptRead(c.call.wireId(), id, source.id(), at - a.sentAt()));
-    c.reader = source.id();
+    c.reader = source.life();
     c.prompt = new Purpose.TakeOver(source, handle);
     run(at, c);
   }
@@ -569,7 +570,7 @@
   /** Runs a call at another upstream than that of an attempt. */
   private void again(long at, AttemptState a) {
     a.call().suspect = null;
-    a.call().without.add(a.upstream().upstream().id());
+    a.call().without.add(a.upstream().life());
     run(at, a.call());
   }
 
@@ -650,7 +651,7 @@
     if (c.promptDeclined < MOST_PROMPT_DECLINED && hasOther(at, a)) {
       return false;
     }
-    c.suspect = prompt.source().id();
+    c.suspect = prompt.source().life();
     wasted(c, prompt.source().id());
     c.prompt = null;
     if (a.upstream().upstream().leaving()) {
@@ -662,8 +663,8 @@
 
   private boolean hasOther(long at, AttemptState a) {
     CallState c = a.call();
-    Set<UpstreamName> without = new HashSet<>(c.without);
-    without.add(a.upstream().upstream().id());
+    Set<UpstreamLife> without = new HashSet<>(c.without);
+    without.add(a.upstream().life());
     return fleet
         .choose(at, c.service, Stage::runs, without, settings.place(), rooms.need(c, at))
         .isPresent();
@@ -721,8 +722,8 @@
     @Override
     public Optional<UpstreamState> destination(long at, AttemptState a) {
       CallState c = a.call();
-      Set<UpstreamName> without = new HashSet<>(c.without);
-      without.add(a.upstream().upstream().id());
+      Set<UpstreamLife> without = new HashSet<>(c.without);
+      without.add(a.upstream().life());
       Need need = Sizing.move(c, configuration, nodes);
       return fleet
           .choose(at, c.service, Stage::runs, without, a.upstream().upstream().place(), need)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteCall.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteCall.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.ServiceName;
 
@@ -114,7 +114,7 @@
   }
 
   @Override
-  public Set<UpstreamName> without() {
+  public Set<UpstreamLife> without() {
     return ask.without();
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteCalls.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteCalls.java
@@ -55,7 +55,7 @@
         room.add(call);
       } else if (call.home() == null) {
         call.update(ask);
-      } else if (ask.without().contains(call.home().upstream().id())) {
+      } else if (ask.without().contains(call.home().life())) {
         call.release();
         call.update(ask);
         room.add(call);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Rooms.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Rooms.java
@@ -15,7 +15,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayConfiguration;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayFact;
@@ -285,10 +285,7 @@
   private void tellGrant(RemoteCall c) {
     calls.emit(
         new RelayEffect.GrantRoom(
-            c.node(),
-            c.ask().call(),
-            c.home().upstream().id(),
-            c.reader().map(r -> r.upstream().id())));
+            c.node(), c.ask().call(), c.home().life(), c.reader().map(UpstreamState::life)));
   }
 
   /** Another node asks for room, for these calls and no others. */
@@ -317,14 +314,14 @@
         (at - c.arrivedAt) / MILLI,
         c.rule.targetMillis(),
         c.call.prompt(),
-        ImmutableSet.<UpstreamName>builder()
+        ImmutableSet.<UpstreamLife>builder()
             .addAll(c.without)
             .addAll(fleet.unfit(at, c.service))
             .build());
   }
 
   /** Room was given to a call; it is taken unless the call has gone on, or knows better. */
-  void granted(long at, CallState c, UpstreamName home, Optional<UpstreamName> reader) {
+  void granted(long at, CallState c, UpstreamLife home, Optional<UpstreamLife> reader) {
     Optional<UpstreamState> found = fleet.find(home).filter(s -> calls.isUsable(at, c, s));
     if (!c.waiting || found.isEmpty()) {
       return;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Seeker.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Seeker.java
@@ -7,7 +7,7 @@
 package org.larkkeel.relay.internal;
 
 import java.util.Set;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.ServiceName;
 
 /**
@@ -36,7 +36,7 @@
   boolean isInTime(long at);
 
   /** The upstreams that are out of the question. */
-  Set<UpstreamName> without();
+  Set<UpstreamLife> without();
 
   /** Whether it waits for room. */
   boolean isWaiting();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -10,7 +10,7 @@
 import java.util.PriorityQueue;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 
 /**
  * Times at which something may be due. Those of calls and attempts that are over stay in and mean
@@ -36,10 +36,10 @@
     record Room(long at, RequestId call) implements Due {}
 
     /** Runs at an upstream that leaves are to move. */
-    record Evacuate(long at, UpstreamName upstream) implements Due {}
+    record Evacuate(long at, UpstreamLife upstream) implements Due {}
 
     /** The longest that an order may take. */
-    record OrderOver(long at, UpstreamName upstream) implements Due {}
+    record OrderOver(long at, UpstreamLife upstream) implements Due {}
 
     /** The end of a move that was begun. */
     record MoveOver(long at, AttemptId attempt) implements Due {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay.internal;
 
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayUpstream;
 
 /**
@@ -56,6 +57,11 @@
     return upstream;
   }
 
+  /** The life of which all here is believed. */
+  UpstreamLife life() {
+    return upstream.life();
+  }
+
   void update(RelayUpstream now) {
     if (now.stage() != upstream.stage()) {
       orderOver();
