End what is under way at an upstream that has started again

The router took the state of an upstream over from one life to the next: memory set aside, prompts read, strikes, orders, moves, grants and what peers told of it were believed of a process that knew nothing of them, and streams at the earlier life waited for their time-out.

A list that names another start now begins a fresh state. The connection is cancelled, and the upstream is not struck. Handles of the earlier life are neither used nor freed, as the new life may have given them to another call; so a copy that was whole elsewhere is void as well. News of a life that is not the current one is ignored, and what a peer told of a new life before the list did counts from its first moment, for which one peer's share was lost until now.

Ruled out: clearing the fields of the state in place, as attempts and calls hold on to it and would give back to the new life what they took from the earlier one; taking the greater start for the later, as clocks step back.

Changes of upstreams are counted by kind.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -91,6 +91,8 @@
           registry.counter("larkkeel.relay.budget.spent", "service", f.service()).increment();
       case RelayFact.Ejected f ->
           registry.counter("larkkeel.relay.ejections", "cause", f.cause()).increment();
+      case RelayFact.UpstreamChanged f ->
+          registry.counter("larkkeel.relay.upstream.changes", "change", f.change()).increment();
       case RelayFact.InForce f -> {
         revision.set(f.revision());
         revisionAt.set(System.nanoTime());
@@ -103,7 +105,6 @@
           latency("larkkeel.relay.room.given", "all").record(f.waitedNanos(), TimeUnit.NANOSECONDS);
       case RelayFact.Began f -> {}
       case RelayFact.Admitted f -> {}
-      case RelayFact.UpstreamChanged f -> {}
       case RelayFact.Restored f -> {}
       case RelayFact.Stale f -> {}
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
@@ -231,12 +231,32 @@
     }
   }
 
+  /**
+   * Upstreams have started again: moves off the lives before are void, and their copies are not
+   * freed, as the handles may name what belongs to others now. Runs that were to move to one go on
+   * where they are, unless they were stopped for it.
+   */
+  void livesEnded(long at, Set<UpstreamLife> lives) {
+    for (Move move : List.copyOf(moves.values())) {
+      AttemptState a = move.attempt;
+      if (lives.contains(a.upstream().life())) {
+        remove(a.id());
+      } else if (lives.contains(move.destination.life())) {
+        move.handle.ifPresent(h -> free(a, h));
+        doubt(move);
+        failed(at, move, Optional.empty());
+      }
+    }
+  }
+
+  private void free(AttemptState a, String handle) {
+    runs.emit(new RelayEffect.Free(a.upstream().upstream(), handle));
+  }
+
   /** An attempt is over; a copy that was made of it is freed. */
   void abandon(AttemptState a) {
     doubtful.remove(a.id());
-    Optional.ofNullable(remove(a.id()))
-        .flatMap(m -> m.handle)
-        .ifPresent(h -> runs.emit(new RelayEffect.Free(a.upstream().upstream(), h)));
+    Optional.ofNullable(remove(a.id())).flatMap(m -> m.handle).ifPresent(h -> free(a, h));
   }
 
   /** Ends a move and gives its room back; null if there is none. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay.internal;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
@@ -49,6 +50,9 @@
    */
   private static final double SPREAD_OF_SUMS = 1;
 
+  /** The change of an upstream that has started again. */
+  private static final String RESTARTED = "restarted";
+
   static final long SILENCE_NANOS = 1_500_000_000L;
   private static final double FIRST_UNIT_NANOS = 50e6;
   private static final double LEARN_USUAL = 0.1;
@@ -85,14 +89,27 @@
     spread = now ? SPREAD_OF_SUMS : SPREAD;
   }
 
-  /** Takes over the list of all upstreams. */
-  void replace(long at, ImmutableMap<UpstreamName, RelayUpstream> now, Consumer<RelayFact> report) {
+  /**
+   * Takes over the list of all upstreams.
+   *
+   * <p>An upstream whose start differs has started again, whether the start is greater or smaller:
+   * its clock may have been set back, and the list is in the order of the store.
+   *
+   * @return those that were known and have ended, as their upstreams have started again
+   */
+  ImmutableList<UpstreamState> replace(
+      long at, ImmutableMap<UpstreamName, RelayUpstream> now, Consumer<RelayFact> report) {
     known = true;
+    ImmutableList.Builder<UpstreamState> ended = ImmutableList.builder();
     for (RelayUpstream u : now.values()) {
       UpstreamState state = all.get(u.id());
       if (state == null) {
-        all.put(u.id(), new UpstreamState(u));
+        begin(u);
         report.accept(changed(u, u.leaving() ? "appeared_leaving" : "appeared"));
+      } else if (!state.life().equals(u.life())) {
+        begin(u);
+        ended.add(state);
+        report.accept(changed(u, RESTARTED));
       } else {
         if (u.leaving() && !state.upstream().leaving()) {
           report.accept(changed(u, "leaving"));
@@ -108,6 +125,14 @@
         report.accept(changed(e.getValue().upstream(), "missing"));
       }
     }
+    return ended.build();
+  }
+
+  /** Begins to know a life, of which other nodes may have told already. */
+  private void begin(RelayUpstream u) {
+    UpstreamState state = new UpstreamState(u);
+    heard.values().forEach(h -> state.addRemote(h.loads().getOrDefault(u.life(), 0L)));
+    all.put(u.id(), state);
   }
 
   /** Those that leave or are gone from the list, and are not evacuated yet. */
@@ -154,9 +179,9 @@
     return all.size();
   }
 
-  /** An upstream that is known. */
+  /** An upstream, if the life is the one that is known now. */
   Optional<UpstreamState> find(UpstreamLife life) {
-    return Optional.ofNullable(all.get(life.name()));
+    return Optional.ofNullable(all.get(life.name())).filter(s -> s.life().equals(life));
   }
 
   /** Takes over what another node has in flight. */
@@ -180,11 +205,7 @@
     if (told == null) {
       return;
     }
-    told.loads()
-        .forEach(
-            (life, units) -> {
-              find(life).ifPresent(s -> s.addRemote(sign * units));
-            });
+    told.loads().forEach((life, units) -> find(life).ifPresent(s -> s.addRemote(sign * units)));
   }
 
   /** What this node has in flight, where it is anything. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -80,12 +80,16 @@
   /** How many upstreams may decline a prompt before its handle is taken for lost. */
   private static final int MOST_PROMPT_DECLINED = 2;
 
+  /** Why an attempt is lost whose upstream has started again. */
+  private static final String UPSTREAM_RESTARTED = "UPSTREAM_RESTARTED";
+
   private final RelaySettings settings;
   private final Fleet fleet;
   private final SplittableRandom random;
   private final Timers timers = new Timers();
   private final Rooms rooms;
   private final Evacuation evacuation;
+  private final EndedLives endedLives;
   private final Map<RequestId, CallState> calls = new HashMap<>();
   private final Map<AttemptId, AttemptState> attempts = new HashMap<>();
   private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
@@ -103,6 +107,7 @@
     this.rooms = new Rooms(fleet, timers, random, settings, new Roomy());
     this.nodes = settings.nodes();
     this.evacuation = new Evacuation(fleet, timers, new Movable());
+    this.endedLives = new EndedLives(rooms, evacuation, new Endable());
   }
 
   /** Sets where effects go. */
@@ -165,7 +170,8 @@
 
   /** Takes over the list of upstreams. */
   public void upstreams(long at, ImmutableMap<UpstreamName, RelayUpstream> now) {
-    fleet.replace(at, now, this::report);
+    List<UpstreamState> ended = fleet.replace(at, now, this::report);
+    endedLives.end(at, ended);
     fleet.forget(at, this::report);
     evacuation.look(at);
     rooms.admitWaiting(at);
@@ -641,17 +647,21 @@
 
   /**
    * An upstream did not take a prompt over: it is full, or the prompt is gone. Another is asked
-   * first; then the last one reads the prompt by itself.
+   * first; then the last one reads the prompt by itself. Nothing is learnt of a prompt that is void
+   * since its upstream has started again.
    *
    * @return whether the call goes on at the same upstream
    */
   private boolean promptDeclined(long at, AttemptState a, Purpose.TakeOver prompt) {
     CallState c = a.call();
+    boolean isVoid = c.prompt == null;
     c.promptDeclined++;
-    if (c.promptDeclined < MOST_PROMPT_DECLINED && hasOther(at, a)) {
+    if (!isVoid && c.promptDeclined < MOST_PROMPT_DECLINED && hasOther(at, a)) {
       return false;
     }
-    c.suspect = prompt.source().life();
+    if (!isVoid) {
+      c.suspect = prompt.source().life();
+    }
     wasted(c, prompt.source().id());
     c.prompt = null;
     if (a.upstream().upstream().leaving()) {
@@ -681,10 +691,15 @@
     c.prompt = null;
     failed(a, cause.name(), true);
     strike(at, a, cause.name(), cause == FailureCause.TIMED_OUT);
-    if (!a.runs() || mayRunAgain(at, c)) {
+    goOnWithout(at, a, cause.name());
+  }
+
+  /** Sends a call elsewhere whose attempt is lost, if it may; else it ends. */
+  private void goOnWithout(long at, AttemptState a, String cause) {
+    if (!a.runs() || mayRunAgain(at, a.call())) {
       again(at, a);
     } else {
-      giveUp(at, c, ErrorKind.UPSTREAM_FAILED, cause.name());
+      giveUp(at, a.call(), ErrorKind.UPSTREAM_FAILED, cause);
     }
   }
 
@@ -765,6 +780,22 @@
     }
   }
 
+  /** What the end of an upstream's life needs of the calls. */
+  private final class Endable implements EndedLives.Runs {
+    @Override
+    public List<CallState> calls() {
+      return List.copyOf(calls.values());
+    }
+
+    @Override
+    public void lost(long at, AttemptState a) {
+      cancel(a.call());
+      a.call().prompt = null;
+      failed(a, UPSTREAM_RESTARTED, true);
+      goOnWithout(at, a, UPSTREAM_RESTARTED);
+    }
+  }
+
   /** What room is needed for. */
   private final class Roomy implements Rooms.Calls {
     @Override
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteCalls.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteCalls.java
@@ -10,9 +10,11 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RoomAsk;
 
 /**
@@ -68,6 +70,18 @@
     return granted.build();
   }
 
+  /** Takes back what was granted at lives of upstreams that are over; the calls wait again. */
+  void livesEnded(Set<UpstreamLife> lives) {
+    for (Asking asking : nodes.values()) {
+      for (RemoteCall call : asking.calls.values()) {
+        if (call.home() != null && lives.contains(call.home().life())) {
+          call.release();
+          room.add(call);
+        }
+      }
+    }
+  }
+
   /** Forgets the calls of nodes that have been silent for too long. */
   void forgetSilent(long at, long longestNanos) {
     for (Iterator<Asking> i = nodes.values().iterator(); i.hasNext(); ) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Rooms.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Rooms.java
@@ -207,6 +207,11 @@
     admitWaiting(at);
   }
 
+  /** Upstreams have started again: room that was granted at the lives before is void. */
+  void livesEnded(Set<UpstreamLife> lives) {
+    remote.livesEnded(lives);
+  }
+
   /** Forgets what silent nodes have asked for. */
   void forgetSilent(long at) {
     remote.forgetSilent(at, Fleet.SILENCE_NANOS);
