Take no list over that is behind what was seen

A list may come from a store that is some seconds behind. CollectionMirror replaced its copy by any list, so that one which came after a newer watch event, or after the newer copy of another node, brought older objects back, an earlier life of an upstream among them, and took newer ones away.

Ruled out: comparing object by object, which needs a memory of what was deleted. The copy has all changes up to the version that it has shown, so a list of a smaller version is not taken, and the watch goes on from the version shown. Of a list of several pages the smallest version counts. It relies on the store's versions growing only, as its contract says.

--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -10,16 +10,23 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.testng.annotations.Test;
 
 /** A copy of a collection. */
 public class CollectionMirrorTest {
   private static final String COLLECTION = "things";
 
+  private static JsonNode spec(int start) {
+    return JsonNodeFactory.instance.objectNode().put("start", start);
+  }
+
   /** A mirror, and a store that it sees over an API. */
   private static final class World {
     final ManualScheduler time = new ManualScheduler();
@@ -28,6 +35,7 @@
     final InMemoryObjectApi api = new InMemoryObjectApi(store, process);
     final CollectionMirror mirror;
     Set<String> names = Set.of();
+    ObjectPage stale;
 
     World(Duration watchLag) {
       api.setWatchLag(watchLag);
@@ -42,6 +50,10 @@
       time.advance(Duration.ofSeconds(1));
     }
 
+    long version(String name) {
+      return store.get(new ObjectKey(COLLECTION, name)).resourceVersion();
+    }
+
     long create(String name) {
       return store
           .create(new ObjectKey(COLLECTION, name), "thing", JsonNodeFactory.instance.objectNode())
@@ -78,6 +90,86 @@
     }
   }
 
+  /** Lists that are behind what was seen. */
+  public static class Behind {
+    private static final ObjectKey A = new ObjectKey(COLLECTION, "a");
+
+    /** A mirror that is given its next list from before some changes. */
+    private static World behind(Consumer<World> changes) {
+      World w = new World(Duration.ofMillis(1));
+      w.create("a");
+      w.time.advance(Duration.ofSeconds(1));
+      ObjectPage before = w.store.list(ListQuery.of(COLLECTION));
+      changes.accept(w);
+      w.time.advance(Duration.ofSeconds(1));
+      w.api.setNextList(before);
+      w.store.setOutage(true);
+      w.store.update(A, "thing", spec(2), w.store.get(A).resourceVersion());
+      w.time.advance(Duration.ofMillis(10));
+      w.store.setOutage(false);
+      return w;
+    }
+
+    @Test
+    public void bringsNoOlderVersionBack() {
+      World w = behind(x -> x.store.update(A, "thing", spec(1), x.version("a")));
+      w.api.setWatchLag(Duration.ofHours(1));
+      w.time.advance(Duration.ofSeconds(2));
+      assertFalse(w.mirror.isFailing());
+      assertEquals(w.mirror.objects().get("a").spec(), spec(1));
+    }
+
+    @Test
+    public void takesNoNewerObjectAway() {
+      World w = behind(x -> x.create("b"));
+      w.api.setWatchLag(Duration.ofHours(1));
+      w.time.advance(Duration.ofSeconds(2));
+      assertEquals(w.names, Set.of("a", "b"));
+    }
+
+    @Test
+    public void bringsNothingBackThatWasDeleted() {
+      World w =
+          behind(
+              x -> {
+                long made = x.create("c");
+                x.time.advance(Duration.ofSeconds(1));
+                x.stale = x.store.list(ListQuery.of(COLLECTION));
+                x.store.delete(new ObjectKey(COLLECTION, "c"), made);
+              });
+      w.api.setNextList(w.stale);
+      w.api.setWatchLag(Duration.ofHours(1));
+      w.time.advance(Duration.ofSeconds(2));
+      assertEquals(w.names, Set.of("a"));
+    }
+
+    @Test
+    public void isFollowedToTheNewestChange() {
+      World w = behind(x -> x.store.update(A, "thing", spec(1), x.version("a")));
+      w.time.advance(Duration.ofSeconds(2));
+      assertEquals(w.mirror.objects().get("a").spec(), spec(2));
+    }
+
+    @Test
+    public void isNoneIfItComesAfterACopyOfAnother() {
+      World w = new World(Duration.ofMillis(1));
+      w.create("a");
+      w.time.advance(Duration.ofSeconds(1));
+      ObjectPage before = w.store.list(ListQuery.of(COLLECTION));
+      w.store.setOutage(true);
+      StoredObject newer = w.store.update(A, "thing", spec(1), w.version("a"));
+      w.time.advance(Duration.ofMillis(50));
+      assertTrue(w.mirror.isFailing());
+      assertTrue(w.mirror.offer(newer.resourceVersion(), List.of(newer)));
+      w.api.setNextList(before);
+      w.api.setWatchLag(Duration.ofHours(1));
+      w.store.setOutage(false);
+      w.time.advance(Duration.ofSeconds(2));
+      assertFalse(w.mirror.isFailing());
+      assertEquals(w.mirror.objects().get("a").spec(), spec(1));
+    }
+  }
+
   /** Watches that only lag. */
   public static class Lagging {
     @Test
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
@@ -22,6 +22,7 @@
   private final ManualScheduler.Process process;
   private Duration oneWay = Duration.ofMillis(1);
   private Duration watchLag = Duration.ZERO;
+  private ObjectPage nextList;
   private Supplier<Fault> writeFaults = () -> Fault.NONE;
   private Supplier<Fault> readFaults = () -> Fault.NONE;
 
@@ -49,6 +50,12 @@
     return this;
   }
 
+  /** Sets what the next list that is answered gives, as of a store that is behind. */
+  public InMemoryObjectApi setNextList(ObjectPage page) {
+    nextList = page;
+    return this;
+  }
+
   /** How late watch events come. */
   public InMemoryObjectApi setWatchLag(Duration lag) {
     watchLag = lag;
@@ -62,7 +69,13 @@
 
   @Override
   public CompletableFuture<ObjectPage> list(ListQuery query) {
-    return call(readFaults.get(), new ObjectApiFailure.Unavailable(), () -> store.list(query));
+    return call(readFaults.get(), new ObjectApiFailure.Unavailable(), () -> listed(query));
+  }
+
+  private ObjectPage listed(ListQuery query) {
+    ObjectPage page = nextList == null ? store.list(query) : nextList;
+    nextList = null;
+    return page;
   }
 
   @Override
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -18,8 +18,10 @@
 /**
  * Keeps a copy of a small collection by list and watch.
  *
- * <p>Invariant: an object never goes back to an older version. While the store can not be reached
- * the last copy stays. Confined to the scheduler.
+ * <p>Invariants: an object never goes back to an older version, and the copy never to an older
+ * state of the collection: a list that is behind what was seen is not taken over. This relies on
+ * versions of the store that only grow. While the store can not be reached the last copy stays.
+ * Confined to the scheduler.
  *
  * @since 0.1
  */
@@ -176,9 +178,7 @@
   private void received(ListQuery q, ObjectPage page) {
     page.items().forEach(o -> listing.put(o.key().name(), o));
     page.items().forEach(this::seen);
-    if (version == 0) {
-      version = page.resourceVersion();
-    }
+    version = version == 0 ? page.resourceVersion() : Math.min(version, page.resourceVersion());
     if (!page.isLast()) {
       page(q.after(page.continueToken()));
       return;
@@ -188,9 +188,15 @@
       failing = false;
       LOG.info("event=collection_regained collection={} version={}", collection, version);
     }
-    objects = listing;
-    shownVersion = Math.max(shownVersion, version);
-    publish();
+    if (version < shownVersion) {
+      LOG.info(
+          "event=list_behind collection={} version={} shown={}", collection, version, shownVersion);
+      version = shownVersion;
+    } else {
+      objects = listing;
+      shownVersion = version;
+      publish();
+    }
     watch();
   }
 
