Order a life of an upstream, not what has its name later

An upstream that started again was left alone for a minute if the life before was ordered in vain, and an order that waited for a connection was written to whatever had the name by then.

What was ordered is kept by life, and forgotten after that minute, and an order is written only while the list names the life that it is for. The wait between two orders stays, as an order that is on its way may come after the new start: the upstream tells lives apart by its sequence only, which can be the same.

Of the three new tests, the one of an order that is still to be written failed before; that of the minute fails with names as keys; 12 of StageControllerTest pass.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
@@ -7,6 +7,7 @@
 package org.larkkeel.daemon.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -17,10 +18,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.larkkeel.daemon.VirtualTime;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.RelayUpstream;
@@ -116,6 +119,8 @@
     private final Leases leases = new Leases();
     private final List<String> orders = new ArrayList<>();
     private final List<StageController> nodes = new ArrayList<>();
+    private BooleanSupplier lastAllowed;
+    private long start;
 
     void node(String name, int rank) {
       StageController node =
@@ -126,6 +131,7 @@
               times.computeIfAbsent(name, n -> new VirtualTime()),
               (u, stage, holder, fencing, allowed) -> {
                 assertTrue(allowed.getAsBoolean());
+                lastAllowed = allowed;
                 orders.add(u.id() + " " + stage + " " + holder + " " + fencing);
                 return CompletableFuture.completedFuture(202);
               },
@@ -140,7 +146,7 @@
         Stage stage = i < prefill ? Stage.PREFILL : Stage.DECODE;
         all.add(
             new RelayUpstream(
-                UpstreamLife.unknownStart(new UpstreamName("i-" + i)),
+                new UpstreamLife(new UpstreamName("i-" + i), new Incarnation(start)),
                 new ServiceName("model"),
                 "10.0.0.1:80",
                 new DataCentreName("dc-1"),
@@ -209,6 +215,45 @@
     }
   }
 
+  /** Engines that start again. */
+  public static class Restarted {
+    @Test
+    public void mayBeOrderedThoughTheLifeBeforeWas() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(3, 3);
+      w.pass(9);
+      w.start = 1;
+      w.engines(3, 3);
+      w.pass(10);
+      assertEquals(w.orders, List.of("i-0 DECODE a 1", "i-0 DECODE a 1"));
+    }
+
+    @Test
+    public void areNotSentAnOrderThatTheLifeBeforeWasToGet() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(3, 3);
+      w.pass(4);
+      assertTrue(w.lastAllowed.getAsBoolean());
+      w.start = 1;
+      w.engines(3, 3);
+      assertFalse(w.lastAllowed.getAsBoolean());
+    }
+
+    @Test
+    public void areNotOrderedWithinTheTimeThatAnOrderTakes() {
+      World w = new World();
+      w.node("a", 0);
+      w.engines(3, 3);
+      w.pass(4);
+      w.start = 1;
+      w.engines(3, 3);
+      w.pass(8);
+      assertEquals(w.orders.size(), 1, "the order may come late still");
+    }
+  }
+
   /** A fleet with too few prefill engines. */
   public static class TooFew {
     @Test
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
@@ -39,8 +39,9 @@
  *
  * <p>Only the holder of a lease orders, and the lease is sought only while an order is due, so that
  * a fleet in balance costs no call. Invariants: one order at a time; the lease is kept until the
- * order must have been carried out, so that no two holders order one upstream in turns. Works on
- * the scheduler.
+ * order must have been carried out, so that no two holders order one upstream in turns; no order is
+ * written once the upstream has started again, but one that is on its way may reach the new life,
+ * so that the next order waits as long as after any other. Works on the scheduler.
  */
 final class StageController implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(StageController.class);
@@ -84,7 +85,10 @@
   private final IntSupplier rank;
   private final Lease lease;
   private final Map<UpstreamLife, Long> ordered = new HashMap<>();
-  private ImmutableList<RelayUpstream> upstreams = ImmutableList.of();
+
+  /** Read on other threads too, right before an order is written. */
+  private volatile ImmutableList<RelayUpstream> upstreams = ImmutableList.of();
+
   private long wrongSince = Long.MAX_VALUE;
   private long orderedAt = Long.MIN_VALUE;
   private boolean seeking;
@@ -228,6 +232,7 @@
     }
     orderedAt = now;
     RelayUpstream upstream = change.upstream();
+    ordered.values().removeIf(at -> now - at >= AGAIN.toNanos());
     ordered.put(upstream.life(), now);
     long fencing = tenure.fencing().value();
     log.info(
@@ -243,7 +248,7 @@
             change.stage(),
             self.value(),
             fencing,
-            () -> tenure.isHeld(scheduler.nanoTime()))
+            () -> tenure.isHeld(scheduler.nanoTime()) && isCurrent(upstream.life()))
         .whenComplete(
             (status, failure) ->
                 log.info(
@@ -253,6 +258,10 @@
                     failure == null ? status : failure.getMessage()));
   }
 
+  private boolean isCurrent(UpstreamLife life) {
+    return upstreams.stream().anyMatch(u -> u.life().equals(life));
+  }
+
   @Override
   public void close() {
     closed = true;
