Simulate fleets whose engines start again

40 nodes, 12 engines, a tenth of all messages lost; nodes read of the new start one after the other within 400 ms, with one node that gives room and without. No node has anything in flight at the earlier life once all have read of it, the engine is filled again and not beyond its memory, and nothing is left behind after a second start with a smaller number.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadSharingTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadSharingTest.java
@@ -7,10 +7,14 @@
 package org.larkkeel.daemon.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotSame;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.Collections;
+import org.larkkeel.lib.UpstreamLife;
+import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.RoomKeeping;
 import org.testng.annotations.Test;
 
@@ -109,6 +113,59 @@
     }
   }
 
+  /** Engines that start again, of which nodes hear one after the other. */
+  public static class Restarted {
+    private static final UpstreamName ENGINE = new UpstreamName("engine-1");
+    private static final long LONGEST_MILLIS = 400;
+
+    private static SimFleet restarted(int keeperFrom) {
+      SimFleet fleet = started(NODES, keeperFrom);
+      fleet.lose(0.1);
+      fleet.load(600, 15_000);
+      assertEquals((int) fleet.running.get(ENGINE), FULL, "the load was to fill it");
+      fleet.restart(ENGINE, 1, LONGEST_MILLIS);
+      return fleet;
+    }
+
+    private static boolean knows(SimFleet fleet, UpstreamLife life) {
+      return fleet.nodes.stream().anyMatch(n -> n.router.loads().containsKey(life));
+    }
+
+    @Test
+    public void countForNothingOfBeforeOnceTheyAreHeardOf() {
+      for (int keeperFrom : new int[] {ALWAYS, NEVER}) {
+        SimFleet fleet = restarted(keeperFrom);
+        int before = fleet.cancelled;
+        fleet.pass(LONGEST_MILLIS);
+        assertFalse(knows(fleet, UpstreamLife.unknownStart(ENGINE)));
+        assertTrue(fleet.cancelled - before >= FULL, "the runs of before have ended");
+      }
+    }
+
+    @Test
+    public void areFilledAgain() {
+      for (int keeperFrom : new int[] {ALWAYS, NEVER}) {
+        SimFleet fleet = restarted(keeperFrom);
+        fleet.load(200, 5_000);
+        assertEquals((int) fleet.running.get(ENGINE), FULL);
+      }
+    }
+
+    @Test
+    public void leaveNothingBehind() {
+      for (int keeperFrom : new int[] {ALWAYS, NEVER}) {
+        SimFleet fleet = restarted(keeperFrom);
+        fleet.load(100, 3_000);
+        fleet.restart(ENGINE, -1, LONGEST_MILLIS);
+        fleet.load(100, 3_000);
+        fleet.pass(20_000);
+        fleet.nodes.forEach(n -> assertEquals(n.router.loads(), ImmutableMap.of()));
+        fleet.load(1, 1_000);
+        assertEquals(fleet.running.values().stream().mapToInt(i -> i).sum(), 1);
+      }
+    }
+  }
+
   /** What goes wrong. */
   public static class Harmed {
     @Test
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -20,6 +21,7 @@
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.RuleName;
 import org.larkkeel.lib.UpstreamLife;
@@ -66,7 +68,7 @@
   final SplittableRandom random;
   private final PriorityQueue<Due> queue =
       new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
-  private final ImmutableMap<UpstreamName, RelayUpstream> upstreams;
+  private ImmutableMap<UpstreamName, RelayUpstream> upstreams;
   private final int keeperFrom;
   private long now = 1_000_000 * MILLI;
   private long order;
@@ -76,6 +78,7 @@
   int shed;
   int placed;
   int refused;
+  int cancelled;
   long longestWait;
 
   private record Due(long at, long order, Runnable action) {}
@@ -118,6 +121,31 @@
     loss = share;
   }
 
+  /**
+   * Starts an engine again, which ends its runs without a word; each node reads of it after a time
+   * of its own, up to the longest.
+   */
+  void restart(UpstreamName engine, long start, long longestMillis) {
+    RelayUpstream old = upstreams.get(engine);
+    RelayUpstream started =
+        new RelayUpstream(
+            new UpstreamLife(engine, new Incarnation(start)),
+            old.service(),
+            old.address(),
+            old.place(),
+            old.slots(),
+            old.stage(),
+            false);
+    Map<UpstreamName, RelayUpstream> all = new LinkedHashMap<>(upstreams);
+    all.put(engine, started);
+    upstreams = ImmutableMap.copyOf(all);
+    running.put(engine, 0);
+    for (Node node : nodes) {
+      node.runs.values().removeIf(engine::equals);
+      after(random.nextLong(longestMillis), node::readUpstreams);
+    }
+  }
+
   long now() {
     return now;
   }
@@ -229,11 +257,15 @@
     void start() {
       nodes.stream().filter(n -> n != this).forEach(n -> sharing.meet(n.address));
       submit(new RelayEvent.ConfigurationRead(now, configuration()));
-      submit(new RelayEvent.UpstreamsChanged(now, upstreams));
+      readUpstreams();
       tick();
       at(now + random.nextLong(LoadSharing.PERIOD_NANOS), this::periodic);
     }
 
+    private void readUpstreams() {
+      submit(new RelayEvent.UpstreamsChanged(now, upstreams));
+    }
+
     private void periodic() {
       if (up) {
         sharing.periodic();
@@ -332,6 +364,10 @@
       switch (effect) {
         case RelayEffect.Send s -> sent(s);
         case RelayEffect.Refuse r -> refused++;
+        case RelayEffect.Cancel c -> {
+          cancelled++;
+          dropped(c.attempt());
+        }
         case RelayEffect.GrantRoom g -> sharing.grant(g);
         default -> {}
       }
@@ -358,12 +394,18 @@
     }
 
     private void end(AttemptId attempt) {
-      if (!runs.containsKey(attempt)) {
-        return;
+      if (dropped(attempt)) {
+        submit(new RelayEvent.Began(now, attempt));
+        submit(new RelayEvent.Answered(now, attempt, AnswerGrade.GOOD));
+      }
+    }
+
+    private boolean dropped(AttemptId attempt) {
+      UpstreamName engine = runs.remove(attempt);
+      if (engine != null) {
+        running.merge(engine, -1, Integer::sum);
       }
-      running.merge(runs.remove(attempt), -1, Integer::sum);
-      submit(new RelayEvent.Began(now, attempt));
-      submit(new RelayEvent.Answered(now, attempt, AnswerGrade.GOOD));
+      return engine != null;
     }
   }
 
