--- a/org.larkkeel.test/src/test/java/org/larkkeel/router/CancelTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/router/CancelTest.java
@@ -37,9 +37,12 @@
   }
 
   private static void report(Script script, String upstream, long incarnation) {
+    report(script, upstream, incarnation, script.now);
+  }
+
+  private static void report(Script script, String upstream, long incarnation, long asOf) {
     LoadReport report =
-        new LoadReport(
-            new Incarnation(incarnation), script.now, 2, 0, 0, 10, 10, ImmutableSet.of());
+        new LoadReport(new Incarnation(incarnation), asOf, 2, 0, 0, 10, 10, ImmutableSet.of());
     script.apply(new Event.LoadReported(script.now, new UpstreamName(upstream), report));
   }
 
@@ -119,6 +122,30 @@
       assertTrue(script.all(Effect.Cancel.class).isEmpty());
     }
 
+    @Test
+    public void cancelEndsThoughTheClockOfTheUpstreamWasSetBack() {
+      Script script = ready(1);
+      report(script, "d1", 2);
+      script.toDecode(completion(1));
+      leave(script, 1);
+      script.pass(10);
+      report(script, "d1", 1);
+      assertEquals(script.router.status().cancels(), 0);
+    }
+
+    @Test
+    public void cancelGoesOnThoughReportOfEarlierLifeComesLate() {
+      Script script = ready(1);
+      final long before = script.now;
+      script.pass(10);
+      report(script, "d1", 2);
+      script.toDecode(completion(1));
+      leave(script, 1);
+      report(script, "d1", 1, before);
+      report(script, "d1", 3, before);
+      assertEquals(script.router.status().cancels(), 1);
+    }
+
     @Test
     public void resultThatComesAfterTheCancelIsCancelledToo() {
       Script script = ready(1).arrive(completion(1));
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/PrefixCache.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/PrefixCache.java
@@ -32,6 +32,10 @@
   private final PrefixIndex index;
   private final LinkedHashSet<Long> keys = new LinkedHashSet<>();
   private Incarnation incarnation;
+
+  /** The start that a report has ended; null if none has. */
+  private Incarnation former;
+
   private long sequence;
   private double trust = 1;
 
@@ -56,7 +60,7 @@
    */
   public void changed(
       Incarnation start, long number, ImmutableLongArray stored, ImmutableLongArray removed) {
-    if (incarnation != null && start.compareTo(incarnation) < 0) {
+    if (start.equals(former) || (incarnation != null && start.compareTo(incarnation) < 0)) {
       return;
     }
     if (!start.equals(incarnation)) {
@@ -86,6 +90,20 @@
     prefixes.keys().forEach(this::add);
   }
 
+  /**
+   * The engine has reported that it started again; forgets what was there before, and ignores what
+   * is still told of it.
+   *
+   * @param start its start, which may be smaller than the one before
+   */
+  public void restarted(Incarnation start) {
+    if (!start.equals(incarnation)) {
+      clear();
+      former = incarnation;
+      incarnation = start;
+    }
+  }
+
   /** Forgets everything. */
   public void clear() {
     keys.forEach(key -> index.remove(key, owner));
--- a/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/router/internal/UpstreamState.java
@@ -130,20 +130,22 @@
   }
 
   /**
-   * Takes a report of its load.
+   * Takes a report of its load. One of another start tells of a later life, also if the start is
+   * smaller, as clocks are set back; unless it describes a time before the last report, so that it
+   * is late news of an earlier life and is ignored.
    *
    * @param newReport the report
    * @return true if it started anew since the last one
    */
   public boolean reported(LoadReport newReport) {
     unanswered = 0;
-    if (incarnation != null && newReport.incarnation().compareTo(incarnation) < 0) {
+    boolean restarted = incarnation != null && !newReport.incarnation().equals(incarnation);
+    if (restarted && newReport.asOf() < report.asOf()) {
       return false;
     }
-    boolean restarted = incarnation != null && !newReport.incarnation().equals(incarnation);
     if (restarted) {
       slots.restarted();
-      cache.clear();
+      cache.restarted(newReport.incarnation());
     }
     incarnation = newReport.incarnation();
     report = newReport;
