--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
@@ -13,7 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.larkkeel.lib.AttemptId;
-import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.MoveStep;
@@ -100,12 +100,12 @@
   /** Plans moves off the upstreams that leave since the last look, or are gone from the list. */
   void look(long at) {
     for (UpstreamState s : fleet.beginEvacuations()) {
-      timers.add(new Timers.Due.Evacuate(at + AFTER, s.upstream().id()));
+      timers.add(new Timers.Due.Evacuate(at + AFTER, s.life()));
     }
   }
 
   /** Moves what is left at an upstream. */
-  void due(long at, UpstreamName id) {
+  void due(long at, UpstreamLife id) {
     Optional<UpstreamState> source = fleet.find(id);
     if (source.isEmpty()) {
       return;
@@ -231,12 +231,32 @@
     }
   }
 
+  /**
+   * Upstreams have started again: moves off the lives before are void, and their copies are not
+   * freed, as the handles may name what belongs to others now. Runs that were to move to one go on
+   * where they are, unless they were stopped for it.
+   */
+  void livesEnded(long at, Set<UpstreamLife> lives) {
+    for (Move move : List.copyOf(moves.values())) {
+      AttemptState a = move.attempt;
+      if (lives.contains(a.upstream().life())) {
+        remove(a.id());
+      } else if (lives.contains(move.destination.life())) {
+        move.handle.ifPresent(h -> free(a, h));
+        doubt(move);
+        failed(at, move, Optional.empty());
+      }
+    }
+  }
+
+  private void free(AttemptState a, String handle) {
+    runs.emit(new RelayEffect.Free(a.upstream().upstream(), handle));
+  }
+
   /** An attempt is over; a copy that was made of it is freed. */
   void abandon(AttemptState a) {
     doubtful.remove(a.id());
-    Optional.ofNullable(remove(a.id()))
-        .flatMap(m -> m.handle)
-        .ifPresent(h -> runs.emit(new RelayEffect.Free(a.upstream().upstream(), h)));
+    Optional.ofNullable(remove(a.id())).flatMap(m -> m.handle).ifPresent(h -> free(a, h));
   }
 
   /** Ends a move and gives its room back; null if there is none. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay.internal;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
@@ -22,6 +23,7 @@
 import java.util.function.Predicate;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RelayFact;
@@ -48,6 +50,9 @@
    */
   private static final double SPREAD_OF_SUMS = 1;
 
+  /** The change of an upstream that has started again. */
+  private static final String RESTARTED = "restarted";
+
   static final long SILENCE_NANOS = 1_500_000_000L;
   private static final double FIRST_UNIT_NANOS = 50e6;
   private static final double LEARN_USUAL = 0.1;
@@ -65,7 +70,7 @@
   private double spread = SPREAD;
 
   /** What another node told last. */
-  private record Heard(long at, ImmutableMap<UpstreamName, Long> loads) {}
+  private record Heard(long at, ImmutableMap<UpstreamLife, Long> loads) {}
 
   private record Kind(ServiceName service, Stage stage) {}
 
@@ -84,14 +89,27 @@
     spread = now ? SPREAD_OF_SUMS : SPREAD;
   }
 
-  /** Takes over the list of all upstreams. */
-  void replace(long at, ImmutableMap<UpstreamName, RelayUpstream> now, Consumer<RelayFact> report) {
+  /**
+   * Takes over the list of all upstreams.
+   *
+   * <p>An upstream whose start differs has started again, whether the start is greater or smaller:
+   * its clock may have been set back, and the list is in the order of the store.
+   *
+   * @return those that were known and have ended, as their upstreams have started again
+   */
+  ImmutableList<UpstreamState> replace(
+      long at, ImmutableMap<UpstreamName, RelayUpstream> now, Consumer<RelayFact> report) {
     known = true;
+    ImmutableList.Builder<UpstreamState> ended = ImmutableList.builder();
     for (RelayUpstream u : now.values()) {
       UpstreamState state = all.get(u.id());
       if (state == null) {
-        all.put(u.id(), new UpstreamState(u));
+        begin(u);
         report.accept(changed(u, u.leaving() ? "appeared_leaving" : "appeared"));
+      } else if (!state.life().equals(u.life())) {
+        begin(u);
+        ended.add(state);
+        report.accept(changed(u, RESTARTED));
       } else {
         if (u.leaving() && !state.upstream().leaving()) {
           report.accept(changed(u, "leaving"));
@@ -107,6 +125,14 @@
         report.accept(changed(e.getValue().upstream(), "missing"));
       }
     }
+    return ended.build();
+  }
+
+  /** Begins to know a life, of which other nodes may have told already. */
+  private void begin(RelayUpstream u) {
+    UpstreamState state = new UpstreamState(u);
+    heard.values().forEach(h -> state.addRemote(h.loads().getOrDefault(u.life(), 0L)));
+    all.put(u.id(), state);
   }
 
   /** Those that leave or are gone from the list, and are not evacuated yet. */
@@ -130,7 +156,7 @@
   }
 
   private static RelayFact changed(RelayUpstream u, String change) {
-    return new RelayFact.UpstreamChanged(u.id(), u.service().value(), u.address(), change);
+    return new RelayFact.UpstreamChanged(u.life(), u.service().value(), u.address(), change);
   }
 
   /** Of how many other nodes the load is known. */
@@ -153,13 +179,13 @@
     return all.size();
   }
 
-  /** An upstream that is known. */
-  Optional<UpstreamState> find(UpstreamName id) {
-    return Optional.ofNullable(all.get(id));
+  /** An upstream, if the life is the one that is known now. */
+  Optional<UpstreamState> find(UpstreamLife life) {
+    return Optional.ofNullable(all.get(life.name())).filter(s -> s.life().equals(life));
   }
 
   /** Takes over what another node has in flight. */
-  void heard(long at, HostName node, ImmutableMap<UpstreamName, Long> loads) {
+  void heard(long at, HostName node, ImmutableMap<UpstreamLife, Long> loads) {
     count(heard.put(node, new Heard(at, loads)), -1);
     count(heard.get(node), 1);
   }
@@ -179,32 +205,25 @@
     if (told == null) {
       return;
     }
-    told.loads()
-        .forEach(
-            (id, units) -> {
-              UpstreamState s = all.get(id);
-              if (s != null) {
-                s.addRemote(sign * units);
-              }
-            });
+    told.loads().forEach((life, units) -> find(life).ifPresent(s -> s.addRemote(sign * units)));
   }
 
   /** What this node has in flight, where it is anything. */
-  ImmutableMap<UpstreamName, Long> loads() {
-    ImmutableMap.Builder<UpstreamName, Long> loads = ImmutableMap.builder();
+  ImmutableMap<UpstreamLife, Long> loads() {
+    ImmutableMap.Builder<UpstreamLife, Long> loads = ImmutableMap.builder();
     for (UpstreamState s : all.values()) {
       if (s.load() > 0) {
-        loads.put(s.upstream().id(), s.load());
+        loads.put(s.life(), s.load());
       }
     }
     return loads.buildOrThrow();
   }
 
   /** Those whose handles this node itself has found to lapse. */
-  ImmutableSet<UpstreamName> lapsing(long at) {
+  ImmutableSet<UpstreamLife> lapsing(long at) {
     return all.values().stream()
         .filter(s -> s.lapsesFirstHand(at))
-        .map(s -> s.upstream().id())
+        .map(UpstreamState::life)
         .collect(ImmutableSet.toImmutableSet());
   }
 
@@ -253,7 +272,7 @@
       long at,
       ServiceName service,
       Predicate<Stage> stage,
-      Set<UpstreamName> without,
+      Set<UpstreamLife> without,
       DataCentreName near,
       Need need) {
     List<UpstreamState> fitting = new ArrayList<>();
@@ -263,7 +282,7 @@
       if (u.service().equals(service)
           && stage.test(u.stage())
           && !u.leaving()
-          && !without.contains(u.id())
+          && !without.contains(u.life())
           && !s.isMissingFor(at, missingNanos)) {
         soundExists |= isSound(s, at);
         if (s.inFlight() < need.mostEach() && need.fits(s, at)) {
@@ -280,14 +299,14 @@
   }
 
   /** Whether there is an upstream, if a full one, that may run calls of a service. */
-  boolean has(long at, ServiceName service, Set<UpstreamName> without) {
+  boolean has(long at, ServiceName service, Set<UpstreamLife> without) {
     return all.values().stream()
         .anyMatch(
             s ->
                 s.upstream().service().equals(service)
                     && s.upstream().stage().runs()
                     && !s.upstream().leaving()
-                    && !without.contains(s.upstream().id())
+                    && !without.contains(s.life())
                     && !s.isMissingFor(at, missingNanos));
   }
 
@@ -295,15 +314,15 @@
    * Those that may run calls of a service and that this node would not choose now; empty if it
    * would choose none.
    */
-  ImmutableSet<UpstreamName> unfit(long at, ServiceName service) {
-    ImmutableSet.Builder<UpstreamName> unfit = ImmutableSet.builder();
+  ImmutableSet<UpstreamLife> unfit(long at, ServiceName service) {
+    ImmutableSet.Builder<UpstreamLife> unfit = ImmutableSet.builder();
     boolean someFit = false;
     for (UpstreamState s : all.values()) {
       if (s.upstream().service().equals(service) && s.upstream().stage().runs()) {
         if (isSound(s, at) && !s.isBusy(at)) {
           someFit = true;
         } else {
-          unfit.add(s.upstream().id());
+          unfit.add(s.life());
         }
       }
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -23,6 +23,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallKind;
@@ -79,12 +80,16 @@
   /** How many upstreams may decline a prompt before its handle is taken for lost. */
   private static final int MOST_PROMPT_DECLINED = 2;
 
+  /** Why an attempt is lost whose upstream has started again. */
+  private static final String UPSTREAM_RESTARTED = "UPSTREAM_RESTARTED";
+
   private final RelaySettings settings;
   private final Fleet fleet;
   private final SplittableRandom random;
   private final Timers timers = new Timers();
   private final Rooms rooms;
   private final Evacuation evacuation;
+  private final EndedLives endedLives;
   private final Map<RequestId, CallState> calls = new HashMap<>();
   private final Map<AttemptId, AttemptState> attempts = new HashMap<>();
   private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
@@ -102,6 +107,7 @@
     this.rooms = new Rooms(fleet, timers, random, settings, new Roomy());
     this.nodes = settings.nodes();
     this.evacuation = new Evacuation(fleet, timers, new Movable());
+    this.endedLives = new EndedLives(rooms, evacuation, new Endable());
   }
 
   /** Sets where effects go. */
@@ -135,12 +141,12 @@
   }
 
   /** What this node has in flight at each upstream. */
-  public ImmutableMap<UpstreamName, Long> loads() {
+  public ImmutableMap<UpstreamLife, Long> loads() {
     return fleet.loads();
   }
 
   /** The upstreams whose prompts this node has found to be lost at once. */
-  public ImmutableSet<UpstreamName> lapsing(long at) {
+  public ImmutableSet<UpstreamLife> lapsing(long at) {
     return fleet.lapsing(at);
   }
 
@@ -164,7 +170,8 @@
 
   /** Takes over the list of upstreams. */
   public void upstreams(long at, ImmutableMap<UpstreamName, RelayUpstream> now) {
-    fleet.replace(at, now, this::report);
+    List<UpstreamState> ended = fleet.replace(at, now, this::report);
+    endedLives.end(at, ended);
     fleet.forget(at, this::report);
     evacuation.look(at);
     rooms.admitWaiting(at);
@@ -174,8 +181,8 @@
   public void heard(
       long at,
       HostName node,
-      ImmutableMap<UpstreamName, Long> loads,
-      ImmutableSet<UpstreamName> lapsing) {
+      ImmutableMap<UpstreamLife, Long> loads,
+      ImmutableSet<UpstreamLife> lapsing) {
     fleet.heard(at, node, loads);
     lapsing.forEach(id -> fleet.find(id).ifPresent(s -> s.handleLapsedElsewhere(at)));
     forgetSilent(at);
@@ -204,7 +211,7 @@
 
   /** Room was given to a call. */
   public void roomGranted(
-      long at, RequestId call, UpstreamName home, Optional<UpstreamName> reader) {
+      long at, RequestId call, UpstreamLife home, Optional<UpstreamLife> reader) {
     CallState c = calls.get(call);
     if (c != null) {
       rooms.granted(at, c, home, reader);
@@ -212,7 +219,7 @@
   }
 
   /** Lets an upstream that is ordered to change take no work. */
-  public void ordered(long at, UpstreamName id, long longestNanos) {
+  public void ordered(long at, UpstreamLife id, long longestNanos) {
     Optional<UpstreamState> found = fleet.find(id);
     if (configuration == null || found.isEmpty()) {
       return;
@@ -223,7 +230,7 @@
   }
 
   /** An order is over, or was turned down. */
-  public void orderOver(long at, UpstreamName id) {
+  public void orderOver(long at, UpstreamLife id) {
     fleet.find(id).ifPresent(UpstreamState::orderOver);
     rooms.admitWaiting(at);
   }
@@ -350,7 +357,7 @@
     return !s.upstream().leaving()
         && !s.isMissing()
         && !s.isAvoided(at)
-        && !c.without.contains(s.upstream().id());
+        && !c.without.contains(s.life());
   }
 
   private void freePrompt(CallState c) {
@@ -468,7 +475,7 @@
     }
     RelayUpstream source = a.upstream().upstream();
     report(new RelayFact.PromptRead(c.call.wireId(), id, source.id(), at - a.sentAt()));
-    c.reader = source.id();
+    c.reader = source.life();
     c.prompt = new Purpose.TakeOver(source, handle);
     run(at, c);
   }
@@ -573,7 +580,7 @@
   /** Runs a call at another upstream than that of an attempt. */
   private void again(long at, AttemptState a) {
     a.call().suspect = null;
-    a.call().without.add(a.upstream().upstream().id());
+    a.call().without.add(a.upstream().life());
     run(at, a.call());
   }
 
@@ -644,17 +651,21 @@
 
   /**
    * An upstream did not take a prompt over: it is full, or the prompt is gone. Another is asked
-   * first; then the last one reads the prompt by itself.
+   * first; then the last one reads the prompt by itself. Nothing is learnt of a prompt that is void
+   * since its upstream has started again.
    *
    * @return whether the call goes on at the same upstream
    */
   private boolean promptDeclined(long at, AttemptState a, Purpose.TakeOver prompt) {
     CallState c = a.call();
+    boolean isVoid = c.prompt == null;
     c.promptDeclined++;
-    if (c.promptDeclined < MOST_PROMPT_DECLINED && hasOther(at, a)) {
+    if (!isVoid && c.promptDeclined < MOST_PROMPT_DECLINED && hasOther(at, a)) {
       return false;
     }
-    c.suspect = prompt.source().id();
+    if (!isVoid) {
+      c.suspect = prompt.source().life();
+    }
     wasted(c, prompt.source().id());
     c.prompt = null;
     if (a.upstream().upstream().leaving()) {
@@ -666,8 +677,8 @@
 
   private boolean hasOther(long at, AttemptState a) {
     CallState c = a.call();
-    Set<UpstreamName> without = new HashSet<>(c.without);
-    without.add(a.upstream().upstream().id());
+    Set<UpstreamLife> without = new HashSet<>(c.without);
+    without.add(a.upstream().life());
     return fleet
         .choose(at, c.service, Stage::runs, without, settings.place(), rooms.need(c, at))
         .isPresent();
@@ -684,10 +695,15 @@
     c.prompt = null;
     failed(a, cause.name(), true);
     strike(at, a, cause.name(), cause == FailureCause.TIMED_OUT);
-    if (!a.runs() || mayRunAgain(at, c)) {
+    goOnWithout(at, a, cause.name());
+  }
+
+  /** Sends a call elsewhere whose attempt is lost, if it may; else it ends. */
+  private void goOnWithout(long at, AttemptState a, String cause) {
+    if (!a.runs() || mayRunAgain(at, a.call())) {
       again(at, a);
     } else {
-      giveUp(at, c, ErrorKind.UPSTREAM_FAILED, cause.name());
+      giveUp(at, a.call(), ErrorKind.UPSTREAM_FAILED, cause);
     }
   }
 
@@ -725,8 +741,8 @@
     @Override
     public Optional<UpstreamState> destination(long at, AttemptState a) {
       CallState c = a.call();
-      Set<UpstreamName> without = new HashSet<>(c.without);
-      without.add(a.upstream().upstream().id());
+      Set<UpstreamLife> without = new HashSet<>(c.without);
+      without.add(a.upstream().life());
       Need need = Sizing.move(c, configuration, nodes);
       return fleet
           .choose(at, c.service, Stage::runs, without, a.upstream().upstream().place(), need)
@@ -768,6 +784,22 @@
     }
   }
 
+  /** What the end of an upstream's life needs of the calls. */
+  private final class Endable implements EndedLives.Runs {
+    @Override
+    public List<CallState> calls() {
+      return List.copyOf(calls.values());
+    }
+
+    @Override
+    public void lost(long at, AttemptState a) {
+      cancel(a.call());
+      a.call().prompt = null;
+      failed(a, UPSTREAM_RESTARTED, true);
+      goOnWithout(at, a, UPSTREAM_RESTARTED);
+    }
+  }
+
   /** What room is needed for. */
   private final class Roomy implements Rooms.Calls {
     @Override
