Tell objects that can not be read apart in lists and watches

Cause: the object API had no way to say that one object of a page or of a watch's events can not be read, so an implementation could only fail the whole answer.

Ruled out: leaving such objects out in silence, which would keep the earlier state of a name in the copy and hide the reason.

Change: ObjectPage carries the unreadable objects beside the others, WatchEvent has Unreadable, and CollectionMirror takes the name away that was good, by the rule of deletions (nothing newer is taken away), and keeps why until the name is good or deleted.

--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -11,9 +11,15 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.collect.ImmutableList;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.testng.annotations.Test;
 
 /** A copy of a collection. */
@@ -103,4 +109,98 @@
       assertFalse(w.mirror.isFailing());
     }
   }
+
+  /** Objects that can not be read, told by the API. */
+  public static class Unreadable {
+    private static final EntryProblem PROBLEM =
+        new EntryProblem(EntryProblem.Reason.MISSING, "name", "nothing", "a text");
+
+    /** A mirror over an API of one page, whose events the test delivers. */
+    private static final class Rig implements InvocationHandler {
+      final ManualScheduler time = new ManualScheduler();
+      final ObjectPage page;
+      final CollectionMirror mirror;
+      Consumer<WatchEvent> watch;
+
+      Rig(UnreadableObject bad) {
+        page =
+            new ObjectPage(
+                ImmutableList.of(object("a", 1), object("b", 5)), ImmutableList.of(bad), 9, "");
+        ObjectApi api =
+            (ObjectApi)
+                Proxy.newProxyInstance(
+                    Rig.class.getClassLoader(), new Class<?>[] {ObjectApi.class}, this);
+        mirror =
+            new CollectionMirror(
+                api,
+                COLLECTION,
+                time.newProcess(),
+                new Backoff(Duration.ofMillis(100), Duration.ofSeconds(1), new SplittableRandom(1)),
+                objects -> {});
+        mirror.start();
+      }
+
+      @Override
+      @SuppressWarnings("unchecked")
+      public Object invoke(Object proxy, Method method, Object[] args) {
+        if (method.getName().equals("list")) {
+          return CompletableFuture.completedFuture(page);
+        }
+        watch = (Consumer<WatchEvent>) args[3];
+        return new Watch() {
+          @Override
+          public CompletableFuture<Void> ended() {
+            return new CompletableFuture<>();
+          }
+
+          @Override
+          public void close() {}
+        };
+      }
+    }
+
+    private static StoredObject object(String name, long version) {
+      return new StoredObject(
+          new ObjectKey(COLLECTION, name), "thing", version, JsonNodeFactory.instance.objectNode());
+    }
+
+    @Test
+    public void leavesTheOthersOfItsPage() {
+      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      assertEquals(r.mirror.objects().keySet(), Set.of("a", "b"));
+      assertEquals(r.mirror.unreadable().keySet(), Set.of("c"));
+    }
+
+    @Test
+    public void takesTheNameAwayThatWasGood() {
+      Rig r = new Rig(new UnreadableObject("", 9, PROBLEM));
+      r.watch.accept(new WatchEvent.Unreadable(new UnreadableObject("b", 10, PROBLEM)));
+      assertEquals(r.mirror.objects().keySet(), Set.of("a"));
+      assertEquals(r.mirror.unreadable().keySet(), Set.of("", "b"));
+      assertFalse(r.mirror.isFailing());
+    }
+
+    @Test
+    public void isForgottenOnceItIsGood() {
+      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      r.watch.accept(new WatchEvent.Changed(object("c", 11)));
+      assertEquals(r.mirror.objects().keySet(), Set.of("a", "b", "c"));
+      assertTrue(r.mirror.unreadable().isEmpty());
+    }
+
+    @Test
+    public void isForgottenOnceItIsDeleted() {
+      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      r.watch.accept(new WatchEvent.Deleted(object("c", 11)));
+      assertTrue(r.mirror.unreadable().isEmpty());
+    }
+
+    @Test
+    public void takesNothingNewerAway() {
+      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      r.watch.accept(new WatchEvent.Changed(object("a", 12)));
+      r.watch.accept(new WatchEvent.Unreadable(new UnreadableObject("a", 10, PROBLEM)));
+      assertEquals(r.mirror.objects().keySet(), Set.of("a", "b"));
+    }
+  }
 }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -19,7 +19,8 @@
  * Keeps a copy of a small collection by list and watch.
  *
  * <p>Invariant: an object never goes back to an older version. While the store can not be reached
- * the last copy stays. Confined to the scheduler.
+ * the last copy stays. An object that can not be read is not in the copy, and changes nothing about
+ * the others. Confined to the scheduler.
  *
  * @since 0.1
  */
@@ -40,7 +41,9 @@
   private final Duration watchTime;
   private final Consumer<ImmutableSortedMap<String, StoredObject>> listener;
   private TreeMap<String, StoredObject> objects = new TreeMap<>();
+  private TreeMap<String, EntryProblem> unreadable = new TreeMap<>();
   private TreeMap<String, StoredObject> listing;
+  private TreeMap<String, EntryProblem> unreadableListing;
   private long version;
   private Watch watch;
   private long shownVersion;
@@ -85,6 +88,7 @@
   /** Begins; called once. */
   public void start() {
     listing = new TreeMap<>();
+    unreadableListing = new TreeMap<>();
     version = 0;
     page(ListQuery.of(collection));
   }
@@ -140,6 +144,11 @@
     return ImmutableSortedMap.copyOf(objects);
   }
 
+  /** Why objects can not be read, by their names; under the empty name one that has none. */
+  public ImmutableSortedMap<String, EntryProblem> unreadable() {
+    return ImmutableSortedMap.copyOf(unreadable);
+  }
+
   /**
    * Takes over a newer copy that came by another way while the store can not be reached; on the
    * scheduler.
@@ -151,6 +160,7 @@
       return false;
     }
     objects = new TreeMap<>();
+    unreadable = new TreeMap<>();
     copy.forEach(o -> objects.put(o.key().name(), o));
     copy.forEach(this::seen);
     shownVersion = newer;
@@ -176,6 +186,7 @@
   private void received(ListQuery q, ObjectPage page) {
     page.items().forEach(o -> listing.put(o.key().name(), o));
     page.items().forEach(this::seen);
+    page.unreadable().forEach(u -> unreadableListing.put(u.name(), u.problem()));
     if (version == 0) {
       version = page.resourceVersion();
     }
@@ -189,6 +200,7 @@
       LOG.info("event=collection_regained collection={} version={}", collection, version);
     }
     objects = listing;
+    unreadable = unreadableListing;
     shownVersion = Math.max(shownVersion, version);
     publish();
     watch();
@@ -226,6 +238,7 @@
     switch (e) {
       case WatchEvent.Changed c -> change(c.object());
       case WatchEvent.Deleted d -> remove(d.object());
+      case WatchEvent.Unreadable u -> unreadable(u.object());
       case WatchEvent.Bookmark b -> {}
     }
   }
@@ -238,6 +251,7 @@
     seen(o);
     StoredObject old = objects.get(o.key().name());
     if (old == null || old.resourceVersion() < o.resourceVersion()) {
+      unreadable.remove(o.key().name());
       objects.put(o.key().name(), o);
       publish();
     }
@@ -245,13 +259,27 @@
 
   private void remove(StoredObject o) {
     seen(o);
-    StoredObject old = objects.get(o.key().name());
-    if (old != null && old.resourceVersion() <= o.resourceVersion()) {
-      objects.remove(o.key().name());
+    String name = o.key().name();
+    boolean wasUnreadable = unreadable.remove(name) != null;
+    if (forget(name, o.resourceVersion()) || wasUnreadable) {
       publish();
     }
   }
 
+  /** An object that was read before and can not be read any more is gone. */
+  private void unreadable(UnreadableObject o) {
+    forget(o.name(), o.resourceVersion());
+    if (!objects.containsKey(o.name())) {
+      unreadable.put(o.name(), o.problem());
+      publish();
+    }
+  }
+
+  private boolean forget(String name, long upTo) {
+    StoredObject old = objects.get(name);
+    return old != null && old.resourceVersion() <= upTo && objects.remove(name) != null;
+  }
+
   private void publish() {
     listener.accept(ImmutableSortedMap.copyOf(objects));
   }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/ObjectPage.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/ObjectPage.java
@@ -12,12 +12,21 @@
  * One page of a listing, ordered by name.
  *
  * @param items the objects, never null
+ * @param unreadable those that can not be read, never null
  * @param resourceVersion the version of the store that the page shows; a watch may start from it
  * @param continueToken asks for the next page; empty on the last one, never null
  * @since 0.1
  */
 public record ObjectPage(
-    ImmutableList<StoredObject> items, long resourceVersion, String continueToken) {
+    ImmutableList<StoredObject> items,
+    ImmutableList<UnreadableObject> unreadable,
+    long resourceVersion,
+    String continueToken) {
+
+  /** A page of which everything can be read. */
+  public ObjectPage(ImmutableList<StoredObject> items, long resourceVersion, String continueToken) {
+    this(items, ImmutableList.of(), resourceVersion, continueToken);
+  }
 
   /**
    * Tells whether this is the last page.
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/WatchEvent.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/WatchEvent.java
@@ -44,6 +44,18 @@
     }
   }
 
+  /**
+   * An object was created or changed, and can not be read any more.
+   *
+   * @param object what is known of it, never null
+   */
+  record Unreadable(UnreadableObject object) implements WatchEvent {
+    @Override
+    public long resourceVersion() {
+      return object.resourceVersion();
+    }
+  }
+
   /**
    * Nothing changed up to a version.
    *
