Read entries of other writers strictly, and lose nothing else to them

Cause: one object without readable metadata failed its whole page or watch answer, so the node listed again and again and kept no newer state. An address without a port raised IllegalStateException through the mirror's listener and ended the mirror for good. Any text passed as a state or stage, a text or a missing value as a number of slots, a number as a service, and a fraction as a start.

Ruled out: an Optional, which hides why; defaults for fields that are there with another type; dropping upstreams whose service no configuration names, as entries may come before the configuration and calls in progress may end after it. These are told only: no rule leads to them.

Change: - PlatformUpstreams and PlatformConfiguration read by type, range and closed set and return a Reading. A missing start is an unknown one, in one place. - StoreAnswer parses the elements of a list one by one when the answer is no JSON as a whole; a page that ends with an unreadable object goes on from the last readable name. An answer without its list, version or a sound more_pages counts as none: it must not look like an empty or last page. - RelayFeed takes an unreadable entry as a removed one, and keeps the configuration in force. UnreadableEntries tells each problem once a change, 20 lines in 10 s at most, and counts it by reason. - NodeRegistry and FeedCopy pass over what they can not read.

Both of Told failed before. After: no failure in 159 cases of UnreadableObjectsTest, PlatformUpstreamsTest and fuzzing.

Conclusion: one bad entry costs its own name and nothing else.

--- /dev/null
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
@@ -0,0 +1,107 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import static org.testng.Assert.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.larkkeel.http.Json;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.store.EntryProblem;
+import org.larkkeel.store.EntryProblem.Reason;
+import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.UnreadableObject;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The nodes' own entries in the store. */
+public class NodeRegistryTest {
+  private static final InetSocketAddress SELF = new InetSocketAddress("127.0.0.1", 1);
+
+  private static StoredObject node(String name, String spec) throws Exception {
+    JsonNode n = Json.parse(spec.getBytes(StandardCharsets.UTF_8));
+    return new StoredObject(new ObjectKey("relay-nodes", name), "relay-nodes", 1, n);
+  }
+
+  /** Entries of other writers among them. */
+  public static class OtherWriters {
+    @DataProvider
+    public static Object[][] entries() {
+      return new Object[][] {
+        {"{}", Reason.MISSING},
+        {"null", Reason.MISSING},
+        {"7", Reason.MISSING},
+        {"{\"address\":7}", Reason.WRONG_TYPE},
+        {"{\"address\":null}", Reason.WRONG_TYPE},
+        {"{\"address\":\"10.0.0.1\"}", Reason.MALFORMED},
+        {"{\"address\":\"a.example:80\"}", Reason.MALFORMED},
+        {"{\"address\":\"10.0.0.1:0\"}", Reason.OUT_OF_RANGE},
+      };
+    }
+
+    @Test(dataProvider = "entries")
+    public void areNoNodesAndLeaveTheOthers(String spec, Reason reason) throws Exception {
+      ObjectPage page =
+          new ObjectPage(
+              ImmutableList.of(
+                  node("a", "{\"address\":\"10.0.0.2:80\"}"),
+                  node("b", spec),
+                  node("c", "{\"address\":\"10.0.0.3:80\"}")),
+              ImmutableList.of(
+                  new UnreadableObject(
+                      "", 1, new EntryProblem(Reason.NO_JSON, "object", "'x'", "JSON"))),
+              1,
+              "");
+      List<InetSocketAddress> met = new ArrayList<>();
+      List<String> counted = new ArrayList<>();
+      new NodeRegistry(
+              store(page),
+              scheduler(),
+              new HostName("self"),
+              SELF,
+              met::add,
+              (collection, r) -> counted.add(collection + " " + r))
+          .start();
+      assertEquals(
+          met,
+          List.of(new InetSocketAddress("10.0.0.2", 80), new InetSocketAddress("10.0.0.3", 80)));
+      assertEquals(counted, List.of("nodes NO_JSON", "nodes " + reason));
+    }
+  }
+
+  /** Takes the registration, and lists one page. */
+  private static ObjectApi store(ObjectPage page) {
+    return (ObjectApi)
+        Proxy.newProxyInstance(
+            NodeRegistryTest.class.getClassLoader(),
+            new Class<?>[] {ObjectApi.class},
+            (proxy, method, args) ->
+                CompletableFuture.completedFuture(method.getName().equals("list") ? page : null));
+  }
+
+  /** Never runs what is scheduled. */
+  private static Scheduler scheduler() {
+    return (Scheduler)
+        Proxy.newProxyInstance(
+            NodeRegistryTest.class.getClassLoader(),
+            new Class<?>[] {Scheduler.class},
+            (proxy, method, args) ->
+                method.getReturnType() == long.class ? Duration.ZERO.toNanos() : null);
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/FeedCopy.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/FeedCopy.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.larkkeel.http.Json;
 import org.larkkeel.store.CollectionMirror;
 import org.larkkeel.store.ObjectKey;
@@ -53,20 +54,25 @@
       return new Part(mirror.version(), list);
     }
 
-    /** Its objects, as those of a collection. */
+    /** Its objects, as those of a collection; one that can not be read is left out. */
     ImmutableList<StoredObject> objects(String collection) {
       ImmutableList.Builder<StoredObject> objects = ImmutableList.builder();
       for (JsonNode n : named) {
-        objects.add(
-            new StoredObject(
-                new ObjectKey(collection, n.path(NAME).asText()),
-                collection,
-                n.path(VERSION).asLong(),
-                n.path(SPEC)));
+        object(collection, n).ifPresent(objects::add);
       }
       return objects.build();
     }
 
+    private static Optional<StoredObject> object(String collection, JsonNode n) {
+      try {
+        ObjectKey key = new ObjectKey(collection, n.path(NAME).asText());
+        return Optional.of(
+            new StoredObject(key, collection, n.path(VERSION).asLong(), n.path(SPEC)));
+      } catch (IllegalArgumentException e) {
+        return Optional.empty();
+      }
+    }
+
     private static Part read(JsonNode n) {
       ArrayNode list = n.path(OBJECTS) instanceof ArrayNode a ? a : Json.object().putArray(OBJECTS);
       return new Part(n.path(VERSION).asLong(), list);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -6,22 +6,29 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.store.Backoff;
+import org.larkkeel.store.EntryProblem;
+import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.ListQuery;
 import org.larkkeel.store.ObjectApi;
 import org.larkkeel.store.ObjectApiException;
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.Reading;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.StoredObject;
 import org.slf4j.Logger;
@@ -46,13 +53,16 @@
   private final InetSocketAddress address;
   private final Consumer<InetSocketAddress> meet;
   private final Backoff backoff;
+  private final UnreadableEntries problems;
 
   NodeRegistry(
       ObjectApi store,
       Scheduler scheduler,
       HostName self,
       InetSocketAddress address,
-      Consumer<InetSocketAddress> meet) {
+      Consumer<InetSocketAddress> meet,
+      BiConsumer<String, Reason> unreadable) {
+    this.problems = new UnreadableEntries("nodes", scheduler::nanoTime, unreadable);
     this.store = store;
     this.scheduler = scheduler;
     this.key = new ObjectKey(COLLECTION, self.value());
@@ -128,15 +138,41 @@
       log.debug("event=nodes_not_listed cause=\"{}\"", failure.getMessage());
       return;
     }
-    page.items().stream().filter(o -> !o.key().equals(key)).forEach(this::meet);
+    Map<String, EntryProblem> unread = new TreeMap<>();
+    page.unreadable().forEach(u -> unread.put(u.name(), u.problem()));
+    for (StoredObject node : page.items()) {
+      if (!node.key().equals(key)) {
+        switch (addressOf(node)) {
+          case Reading.Readable<InetSocketAddress> r -> meet.accept(r.value());
+          case Reading.Unreadable<InetSocketAddress> u ->
+              unread.put(node.key().name(), u.problem());
+        }
+      }
+    }
+    problems.update(unread);
   }
 
-  private void meet(StoredObject node) {
+  private static Reading<InetSocketAddress> addressOf(StoredObject node) {
+    JsonNode text = node.spec().path(ADDRESS);
+    if (text.isMissingNode()) {
+      return unreadable(Reason.MISSING, "nothing");
+    }
+    if (!text.isTextual()) {
+      return unreadable(Reason.WRONG_TYPE, text.toString());
+    }
     try {
-      HostAndPort at = HostAndPort.fromString(node.spec().path(ADDRESS).asText());
-      meet.accept(new InetSocketAddress(InetAddresses.forString(at.getHost()), at.getPort()));
+      HostAndPort at = HostAndPort.fromString(text.textValue());
+      if (at.getPort() == 0) {
+        return unreadable(Reason.OUT_OF_RANGE, text.textValue());
+      }
+      return new Reading.Readable<>(
+          new InetSocketAddress(InetAddresses.forString(at.getHost()), at.getPort()));
     } catch (IllegalArgumentException | IllegalStateException e) {
-      log.warn("event=node_unreadable node={}", node.key().name());
+      return unreadable(Reason.MALFORMED, text.textValue());
     }
   }
+
+  private static Reading<InetSocketAddress> unreadable(Reason reason, String found) {
+    return new Reading.Unreadable<>(new EntryProblem(reason, ADDRESS, found, "IP:PORT"));
+  }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayAdapter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayAdapter.java
@@ -7,14 +7,13 @@
 package org.larkkeel.daemon.relay;
 
 import com.google.common.collect.ImmutableCollection;
-import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import org.larkkeel.http.relay.RelayDialect;
-import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.relay.RelayConfiguration;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Reading;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.StoredObject;
 import org.xnio.XnioWorker;
@@ -39,9 +38,17 @@
   /** The collection that holds the upstreams. */
   String upstreamCollection();
 
-  /** The newest configuration among objects; empty if none can be read. */
-  Optional<RelayConfiguration> configuration(ImmutableCollection<StoredObject> objects);
-
-  /** The upstreams among objects; those that can not be read are left out. */
-  ImmutableMap<UpstreamName, RelayUpstream> upstreams(ImmutableCollection<StoredObject> objects);
+  /**
+   * The configuration among objects; empty if there is none.
+   *
+   * @param objects the objects of its collection
+   */
+  Optional<Reading<RelayConfiguration>> configuration(ImmutableCollection<StoredObject> objects);
+
+  /**
+   * An upstream. Never throws: what can not be read says why.
+   *
+   * @param object an object of its collection
+   */
+  Reading<RelayUpstream> upstream(StoredObject object);
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -6,14 +6,25 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import org.larkkeel.http.relay.RelayLoop;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayConfiguration;
 import org.larkkeel.relay.RelayEvent;
+import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.store.Backoff;
 import org.larkkeel.store.CollectionMirror;
+import org.larkkeel.store.EntryProblem;
+import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.Reading;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.StoredObject;
 import org.slf4j.Logger;
@@ -22,7 +33,9 @@
 /**
  * Keeps the router's configuration and upstreams up to date from the store.
  *
- * <p>What was read stays in force while the store can not be reached. Works on the scheduler.
+ * <p>What was read stays in force while the store can not be reached. A configuration that can not
+ * be read is not taken; an upstream's entry that can not be read names no upstream, as if it had
+ * been removed. Works on the scheduler.
  */
 final class RelayFeed implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(RelayFeed.class);
@@ -35,6 +48,11 @@
   private final CollectionMirror configurations;
   private final CollectionMirror upstreams;
   private final Scheduler scheduler;
+  private final UnreadableEntries configurationProblems;
+  private final UnreadableEntries upstreamProblems;
+  private ImmutableMap<UpstreamName, RelayUpstream> readable = ImmutableMap.of();
+  private Map<String, EntryProblem> unread = Map.of();
+  private Optional<RelayConfiguration> newest = Optional.empty();
   private volatile FeedChanges changes = FeedChanges.NONE;
 
   RelayFeed(
@@ -44,7 +62,11 @@
       Duration watchTime,
       SplittableRandom random,
       RelayLoop loop,
-      StageController stages) {
+      StageController stages,
+      BiConsumer<String, Reason> unreadable) {
+    this.configurationProblems =
+        new UnreadableEntries("configurations", scheduler::nanoTime, unreadable);
+    this.upstreamProblems = new UnreadableEntries("upstreams", scheduler::nanoTime, unreadable);
     this.stages = stages;
     this.scheduler = scheduler;
     this.adapter = adapter;
@@ -99,20 +121,66 @@
 
   private void configuration(ImmutableSortedMap<String, StoredObject> objects) {
     noteChanges();
-    try {
-      adapter
-          .configuration(objects.values())
-          .ifPresent(c -> loop.submit(new RelayEvent.ConfigurationRead(loop.now(), c)));
-    } catch (IllegalArgumentException e) {
-      log.warn("event=configuration_unusable cause=\"{}\"", e.getMessage());
-    }
+    Map<String, EntryProblem> problems = new TreeMap<>(configurations.unreadable());
+    adapter
+        .configuration(objects.values())
+        .ifPresent(
+            reading -> {
+              switch (reading) {
+                case Reading.Readable<RelayConfiguration> r -> take(r.value());
+                case Reading.Unreadable<RelayConfiguration> u ->
+                    problems.put(adapter.configurationCollection(), u.problem());
+              }
+            });
+    configurationProblems.update(problems);
+  }
+
+  private void take(RelayConfiguration c) {
+    newest = newest.filter(n -> n.revision() > c.revision()).or(() -> Optional.of(c));
+    loop.submit(new RelayEvent.ConfigurationRead(loop.now(), c));
+    tellUpstreamProblems();
   }
 
   private void upstreams(ImmutableSortedMap<String, StoredObject> objects) {
     noteChanges();
-    var all = adapter.upstreams(objects.values());
-    stages.upstreams(all.values());
-    loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), all));
+    unread = new TreeMap<>(upstreams.unreadable());
+    ImmutableMap.Builder<UpstreamName, RelayUpstream> all = ImmutableMap.builder();
+    for (StoredObject o : objects.values()) {
+      switch (adapter.upstream(o)) {
+        case Reading.Readable<RelayUpstream> r -> all.put(r.value().id(), r.value());
+        case Reading.Unreadable<RelayUpstream> u -> unread.put(o.key().name(), u.problem());
+      }
+    }
+    readable = all.buildOrThrow();
+    stages.upstreams(readable.values());
+    loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), readable));
+    tellUpstreamProblems();
+  }
+
+  /**
+   * Tells of entries that can not be read, and of services that no configuration names: no rule
+   * leads to those. They are kept, as entries may come before the configuration that names them,
+   * and calls in progress may end after the one that did.
+   */
+  private void tellUpstreamProblems() {
+    Map<String, EntryProblem> problems = new TreeMap<>(unread);
+    newest.ifPresent(
+        c ->
+            readable.forEach(
+                (name, u) -> {
+                  if (!c.names(u.service())) {
+                    problems.put(name.value(), unnamed(u));
+                  }
+                }));
+    upstreamProblems.update(problems);
+  }
+
+  private static EntryProblem unnamed(RelayUpstream u) {
+    return new EntryProblem(
+        Reason.UNNAMED_SERVICE,
+        "service",
+        u.service().value(),
+        "a service of the configuration in force");
   }
 
   /** Whether the store could not be reached at the last try. */
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -18,6 +18,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.store.EntryProblem;
 
 /**
  * Counts facts by rule and outcome, never by request.
@@ -109,6 +110,18 @@
     }
   }
 
+  /** Counts an entry of the store that can not be read. */
+  void unreadable(String collection, EntryProblem.Reason reason) {
+    registry
+        .counter(
+            "larkkeel.relay.entries.unreadable",
+            "collection",
+            collection,
+            "reason",
+            reason.name().toLowerCase(Locale.ROOT))
+        .increment();
+  }
+
   private void answered(RelayFact.Answered f) {
     String outcome =
         f.grade() == AnswerGrade.GOOD
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -133,7 +133,8 @@
                 settings.watchTime(),
                 new SplittableRandom(System.nanoTime()),
                 loop,
-                stages));
+                stages,
+                meters::unreadable));
     loads.changes(feed::changes, feed::others);
     closer.add(loop);
     scheduler.execute(feed::start);
@@ -146,7 +147,8 @@
         .forEach(loads::meet);
     scheduler.execute(stages::start);
     NodeRegistry registry =
-        new NodeRegistry(store, scheduler, settings.host(), settings.peer(), loads::meet);
+        new NodeRegistry(
+            store, scheduler, settings.host(), settings.peer(), loads::meet, meters::unreadable);
     scheduler.execute(registry::start);
   }
 
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/JsonCalls.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/JsonCalls.java
@@ -39,6 +39,12 @@
    */
   public <T> CompletableFuture<T> call(
       Effect effect, HttpString method, String path, String body, Function<JsonNode, T> read) {
+    return callRaw(effect, method, path, body, b -> read.apply(ObjectCodec.parse(b)));
+  }
+
+  /** As {@link #call}, for a reader of the answer's bytes. */
+  public <T> CompletableFuture<T> callRaw(
+      Effect effect, HttpString method, String path, String body, Function<byte[], T> read) {
     String name = method + " " + path;
     return caller
         .call(new HttpRequestData(method, path, body))
@@ -54,10 +60,9 @@
             });
   }
 
-  private static <T> T read(
-      Effect effect, String name, HttpReply reply, Function<JsonNode, T> read) {
+  private static <T> T read(Effect effect, String name, HttpReply reply, Function<byte[], T> read) {
     try {
-      return read.apply(ObjectCodec.parse(reply.body()));
+      return read.apply(reply.body());
     } catch (ObjectApiException e) {
       throw new CompletionException(effect == Effect.READ ? e : Failures.of(effect, name, e));
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayConfiguration.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayConfiguration.java
@@ -9,9 +9,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * One revision of the rules.
@@ -24,6 +26,7 @@
   private final long revision;
   private final ImmutableListMultimap<String, RelayRule> byHost;
   private final ImmutableMap<ServiceName, ServiceBounds> services;
+  private final ImmutableSet<ServiceName> named;
   private final int maxBodyBytes;
 
   /**
@@ -47,6 +50,11 @@
         .sorted(Comparator.comparingInt((RelayRule r) -> r.prefix().length()).reversed())
         .forEach(r -> hosts.put(r.host().toLowerCase(Locale.ROOT), r));
     byHost = hosts.build();
+    named =
+        Stream.concat(
+                services.keySet().stream(),
+                rules.stream().flatMap(r -> r.split().stream()).map(RelayRule.Share::service))
+            .collect(ImmutableSet.toImmutableSet());
   }
 
   /** The number of the revision. */
@@ -81,6 +89,11 @@
     return services.getOrDefault(service, ServiceBounds.NONE);
   }
 
+  /** Whether a rule leads to a service, or its bounds are told. */
+  public boolean names(ServiceName service) {
+    return named.contains(service);
+  }
+
   private static String withoutPort(String host) {
     int colon = host.lastIndexOf(':');
     return colon < 0 ? host : host.substring(0, colon);
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformUpstreamsTest.java
@@ -0,0 +1,150 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.larkkeel.http.Json;
+import org.larkkeel.lib.Incarnation;
+import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.Stage;
+import org.larkkeel.store.EntryProblem;
+import org.larkkeel.store.EntryProblem.Reason;
+import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.Reading;
+import org.larkkeel.store.StoredObject;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What runners' entries say. */
+public class PlatformUpstreamsTest {
+  private static Reading<RelayUpstream> read(String name, String change) throws Exception {
+    ObjectNode spec = Entries.good();
+    spec.setAll((ObjectNode) Json.parse(change.getBytes(UTF_8)));
+    return PlatformUpstreams.read(
+        new StoredObject(new ObjectKey(PlatformNames.SERVERS_KIND, name), "", 1, spec));
+  }
+
+  private static RelayUpstream readable(String change) throws Exception {
+    return switch (read("i-1", change)) {
+      case Reading.Readable<RelayUpstream> r -> r.value();
+      case Reading.Unreadable<RelayUpstream> u -> throw new AssertionError(u.problem());
+    };
+  }
+
+  private static EntryProblem problem(Reading<RelayUpstream> reading) {
+    return switch (reading) {
+      case Reading.Readable<RelayUpstream> r -> throw new AssertionError(r.value());
+      case Reading.Unreadable<RelayUpstream> u -> u.problem();
+    };
+  }
+
+  /** Entries as runners write them. */
+  public static class Good {
+    @DataProvider
+    public static Object[][] stages() {
+      return new Object[][] {
+        {"{\"stage\":\"prefill\"}", Stage.PREFILL},
+        {"{\"stage\":\"decode\"}", Stage.DECODE},
+        {"{\"stage\":\"\"}", Stage.WHOLE},
+        {"{}", Stage.WHOLE},
+      };
+    }
+
+    @Test(dataProvider = "stages")
+    public void haveStages(String change, Stage expected) throws Exception {
+      assertEquals(readable(change).stage(), expected);
+    }
+
+    @Test
+    public void areReadAsWritten() throws Exception {
+      RelayUpstream u = readable("{\"born\":1790000000123,\"slots\":7,\"state\":\"draining\"}");
+      assertEquals(u.life().start(), new Incarnation(1_790_000_000_123L));
+      assertEquals(u.slots(), 7);
+      assertTrue(u.leaving());
+    }
+
+    @Test
+    public void mayNotTellTheirStart() throws Exception {
+      assertEquals(readable("{}").life().start(), new Incarnation(0));
+    }
+
+    @Test
+    public void mayHaveFieldsThatAreNotKnown() throws Exception {
+      assertEquals(readable("{\"other\":[{}]}").slots(), 6);
+    }
+  }
+
+  /** Entries of other writers. */
+  public static class Bad {
+    @DataProvider
+    public static Object[][] changes() {
+      return new Object[][] {
+        {"{\"address\":\"10.0.0.1\"}", Reason.MALFORMED, "address"},
+        {"{\"address\":\"10.0.0.1:0\"}", Reason.MALFORMED, "address"},
+        {"{\"address\":\"10.0.0.1:99999\"}", Reason.MALFORMED, "address"},
+        {"{\"address\":\"host:80\"}", Reason.MALFORMED, "address"},
+        {"{\"address\":7}", Reason.WRONG_TYPE, "address"},
+        {"{\"state\":\"paused\"}", Reason.UNKNOWN_WORD, "state"},
+        {"{\"state\":\"Ready\"}", Reason.UNKNOWN_WORD, "state"},
+        {"{\"state\":null}", Reason.WRONG_TYPE, "state"},
+        {"{\"stage\":\"middle\"}", Reason.UNKNOWN_WORD, "stage"},
+        {"{\"stage\":null}", Reason.WRONG_TYPE, "stage"},
+        {"{\"slots\":\"6\"}", Reason.WRONG_TYPE, "slots"},
+        {"{\"slots\":0}", Reason.OUT_OF_RANGE, "slots"},
+        {"{\"slots\":1.5}", Reason.WRONG_TYPE, "slots"},
+        {"{\"slots\":4294967297}", Reason.OUT_OF_RANGE, "slots"},
+        {"{\"slots\":99999999999999999999}", Reason.OUT_OF_RANGE, "slots"},
+        {"{\"service\":7}", Reason.WRONG_TYPE, "service"},
+        {"{\"service\":\"\"}", Reason.MALFORMED, "service"},
+        {"{\"zone\":[\"dc-1\"]}", Reason.WRONG_TYPE, "zone"},
+        {"{\"born\":\"1\"}", Reason.WRONG_TYPE, "born"},
+        {"{\"born\":1.5}", Reason.WRONG_TYPE, "born"},
+        {"{\"born\":null}", Reason.WRONG_TYPE, "born"},
+        {"{\"born\":-1}", Reason.OUT_OF_RANGE, "born"},
+      };
+    }
+
+    @Test(dataProvider = "changes")
+    public void sayWhichFieldAndWhy(String change, Reason reason, String field) throws Exception {
+      EntryProblem p = problem(read("i-1", change));
+      assertEquals(p.reason(), reason);
+      assertEquals(p.field(), field);
+    }
+
+    @Test
+    public void nameTheField() throws Exception {
+      ObjectNode spec = Entries.good();
+      spec.remove("slots");
+      EntryProblem p = problem(PlatformUpstreams.read(Entries.object("i-1", spec)));
+      assertEquals(p, new EntryProblem(Reason.MISSING, "slots", "nothing", "a whole number"));
+    }
+
+    @Test
+    public void haveNamesThatNoUpstreamHas() throws Exception {
+      assertEquals(problem(read("i-", "{}")).field(), "name");
+    }
+
+    @Test
+    public void areNoObjects() throws Exception {
+      assertEquals(
+          problem(PlatformUpstreams.read(Entries.object("i-1", Json.parse("[1]".getBytes(UTF_8))))),
+          new EntryProblem(Reason.WRONG_TYPE, "spec", "an array", "an object"));
+    }
+
+    @Test
+    public void areToldInBoundedPrintableText() throws Exception {
+      String change = "{\"state\":\"" + "\\u0007\\n\\\"".repeat(100) + "\"}";
+      String found = problem(read("i-1", change)).found();
+      assertEquals(found.length(), EntryProblem.MAX_FOUND);
+      assertTrue(found.matches("[ !#-~]+"), found);
+    }
+  }
+}
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/UnreadableObjectsTest.java
@@ -0,0 +1,307 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.larkkeel.platform.ScriptedStore.event;
+import static org.larkkeel.platform.ScriptedStore.item;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import org.larkkeel.http.HttpWorker;
+import org.larkkeel.http.Json;
+import org.larkkeel.lib.Closer;
+import org.larkkeel.store.Backoff;
+import org.larkkeel.store.CollectionMirror;
+import org.larkkeel.store.ExecutorScheduler;
+import org.larkkeel.store.HttpClientOptions;
+import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.ObjectApiException;
+import org.slf4j.LoggerFactory;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Objects of other writers in the store: what can not be read takes nothing else away. */
+public class UnreadableObjectsTest {
+  private static final Duration LONGEST = Duration.ofSeconds(3);
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    for (long i = LONGEST.toMillis() / 5; !condition.getAsBoolean(); i--) {
+      assertTrue(i > 0, "not in time");
+      Thread.sleep(5);
+    }
+  }
+
+  /** A mirror of the upstreams, over the object API, of a store whose answers the test writes. */
+  private static final class Copy implements AutoCloseable {
+    final ScriptedStore store;
+    final CollectionMirror mirror;
+    final ExecutorScheduler scheduler;
+    volatile Set<String> names = Set.of();
+    private final Closer closer = new Closer();
+
+    Copy() {
+      store = closer.add(new ScriptedStore());
+      scheduler = closer.add(new ExecutorScheduler("test-store"));
+      HttpWorker worker = closer.add(new HttpWorker(1));
+      HttpClientOptions options =
+          HttpClientOptions.of(URI.create("http://" + store.address()))
+              .withTimeout(Duration.ofSeconds(2));
+      Backoff backoff =
+          new Backoff(Duration.ofMillis(250), Duration.ofSeconds(1), new SplittableRandom(1));
+      mirror =
+          new CollectionMirror(
+              new PlatformObjectApi(options, worker.worker(), scheduler),
+              PlatformNames.SERVERS_KIND,
+              scheduler,
+              backoff,
+              Duration.ofSeconds(1),
+              objects -> names = Set.copyOf(objects.keySet()));
+      closer.add(mirror);
+    }
+
+    Copy start() {
+      scheduler.execute(mirror::start);
+      return this;
+    }
+
+    @Override
+    public void close() throws Exception {
+      closer.close();
+    }
+  }
+
+  /** What stands in the place of an object. */
+  @DataProvider
+  public static Object[][] unreadable() {
+    return new Object[][] {
+      {"null"},
+      {"7"},
+      {"\"text\""},
+      {"[]"},
+      {"{}"},
+      {"{\"metadata\":null,\"spec\":{}}"},
+      {"{\"metadata\":{\"revision\":3},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":7,\"revision\":3},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"../x\",\"revision\":3},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"m\",\"revision\":\"new\"},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"m\",\"revision\":3.5},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"\u00ff\u00fe\",\"revision\":3},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"m\u0001\",\"revision\":3},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"m\",\"revision\":3},\"spec\":{\"a\":}}"},
+      {"{\"metadata\" \u0000\u0001}"},
+    };
+  }
+
+  /** Objects in lists. */
+  public static class InTheMiddleOfPage {
+    @DataProvider
+    public static Object[][] unreadable() {
+      return UnreadableObjectsTest.unreadable();
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void leavesTheOthers(String bad) throws Exception {
+      try (Copy c = new Copy()) {
+        c.store.page(item("a", 1), bad, item("z", 2));
+        c.start();
+        await(() -> c.names.equals(Set.of("a", "z")));
+      }
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void doesNotEndTheListWhenItIsTheLastOfItsPage(String bad) throws Exception {
+      try (Copy c = new Copy()) {
+        c.store.page(item("a", 1), bad);
+        c.store.secondPage(item("z", 2));
+        c.start();
+        await(() -> c.names.equals(Set.of("a", "z")));
+      }
+    }
+  }
+
+  /** Objects in events. */
+  public static class InTheMiddleOfWatch {
+    @DataProvider
+    public static Object[][] unreadable() {
+      return UnreadableObjectsTest.unreadable();
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void leavesTheOthersAndGoesOn(String bad) throws Exception {
+      try (Copy c = new Copy()) {
+        c.store.page(item("a", 1));
+        c.start();
+        await(() -> c.names.equals(Set.of("a")));
+        c.store.events(event(item("b", 101)), event(bad), event(item("c", 101)));
+        await(() -> c.names.equals(Set.of("a", "b", "c")));
+        assertEquals(c.store.lists.get(), 1, "the watch went on");
+      }
+    }
+
+    @Test
+    public void takesTheNameAwayThatWasGood() throws Exception {
+      try (Copy c = new Copy()) {
+        c.store.page(item("a", 1), item("b", 2));
+        c.start();
+        await(() -> c.names.equals(Set.of("a", "b")));
+        c.store.events(event("{\"metadata\":{\"name\":\"b\",\"revision\":[]},\"spec\":{}}"));
+        await(() -> c.names.equals(Set.of("a")));
+        assertEquals(c.store.lists.get(), 1);
+      }
+    }
+
+    @Test
+    public void doesNotLoop() throws Exception {
+      try (Copy c = new Copy()) {
+        c.store.page(item("a", 1));
+        c.start();
+        await(() -> c.names.equals(Set.of("a")));
+        c.store.events("null", "3", event("null"));
+        int before = c.store.watches.get();
+        Thread.sleep(1_000);
+        int calls = c.store.watches.get() - before;
+        assertTrue(calls <= 8, calls + " watches in a second");
+        assertEquals(c.store.lists.get(), 1);
+      }
+    }
+  }
+
+  /** Answers whose frame can not be read. */
+  public static class WholeAnswer {
+    @DataProvider
+    public static Object[][] frames() {
+      return new Object[][] {
+        {""},
+        {"null"},
+        {"{\"items\":null,\"as_of\":1}"},
+        {"{\"items\":{},\"as_of\":1}"},
+        {"{\"items\":[]}"},
+        {"{\"items\":[],\"as_of\":null}"},
+        {"{\"items\":[],\"as_of\":1.5}"},
+        {"{\"items\":[],\"as_of\":1,\"more_pages\":\"yes\"}"},
+        {"{\"items\":[],\"as_of\":1,\"more_pages\":true}"},
+        {"{\"items\":[{}],\"as_of\":1,\"more_pages\":true}"},
+        {"{\"items\":["},
+        {"{\"items\":[],\u0001\"as_of\":1}"},
+      };
+    }
+
+    @Test(dataProvider = "frames", expectedExceptions = ObjectApiException.class)
+    public void isNotTakenForAnEmptyPage(String frame) {
+      PlatformObjectApi.page(ListQuery.of(PlatformNames.SERVERS_KIND), frame.getBytes(ISO_8859_1));
+    }
+  }
+
+  /** Entries of a node's store whose content is of other writers. */
+  public static class AsUpstreams {
+    private static RawServer.Script answers(String body) {
+      return (r, out, s) ->
+          RawServer.write(
+              out,
+              "HTTP/1.1 200 X\r\nX-Request-Id: id-1\r\nX-Server-Stamp: s\r\nContent-Length: "
+                  + body.length()
+                  + "\r\n\r\n"
+                  + body);
+    }
+
+    private static ObjectNode entry(RawServer runner) {
+      return Entries.good().put("address", runner.address()).put("zone", "dc-1");
+    }
+
+    @DataProvider
+    public static Object[][] bad() {
+      return new Object[][] {
+        {"{\"address\":\"10.0.0.1\"}"},
+        {"{\"state\":\"paused\"}"},
+        {"{\"stage\":\"middle\"}"},
+        {"{\"slots\":\"6\"}"},
+        {"{\"born\":1.5}"},
+      };
+    }
+
+    @Test(dataProvider = "bad")
+    public void thatTurnBadAreGoneAndLeaveTheOthers(String change) throws Exception {
+      try (World w = new World().configured();
+          RawServer other = new RawServer(answers("other"))) {
+        RawServer runner = w.runner("i-1", "app", "", answers("bad"));
+        ObjectNode bad = entry(runner);
+        bad.setAll((ObjectNode) Json.parse(change.getBytes(UTF_8)));
+        w.store.put(PlatformNames.SERVERS_KIND, "i-1", bad);
+        await(() -> served(w).startsWith("HTTP/1.1 503"));
+        w.store.put(PlatformNames.SERVERS_KIND, "i-2", entry(other));
+        await(() -> served(w).endsWith("other"));
+      }
+    }
+
+    private static String served(World w) {
+      try {
+        return w.exchange("GET", "/safe/a", "", "");
+      } catch (IOException e) {
+        return "";
+      }
+    }
+  }
+
+  /** What a node says of them. */
+  public static class Told {
+    private final Logger logger =
+        (Logger) LoggerFactory.getLogger("org.larkkeel.daemon.relay.UnreadableEntries");
+
+    private ListAppender<ILoggingEvent> lines() {
+      ListAppender<ILoggingEvent> lines = new ListAppender<>();
+      lines.list = new CopyOnWriteArrayList<>();
+      lines.start();
+      logger.addAppender(lines);
+      return lines;
+    }
+
+    private static long count(ListAppender<ILoggingEvent> lines, String part) {
+      return lines.list.stream().filter(e -> e.getFormattedMessage().contains(part)).count();
+    }
+
+    @Test
+    public void ofConfigurationOnceWhileTheOneInForceHolds() throws Exception {
+      ListAppender<ILoggingEvent> lines = lines();
+      try (World w = new World().configured()) {
+        for (int i = 2; i < 5; i++) {
+          w.store.put("config", "main", Json.object().put("version", i).put("routes", "none"));
+          Thread.sleep(300);
+        }
+        w.runner("i-1", "app", "", AsUpstreams.answers("ok"));
+        assertTrue(w.exchange("GET", "/safe/a", "", "").endsWith("ok"));
+      }
+      logger.detachAppender(lines);
+      assertEquals(count(lines, "reason=WRONG_TYPE field=routes found=\"'none'\""), 1);
+    }
+
+    @Test
+    public void ofServiceThatNoConfigurationNames() throws Exception {
+      ListAppender<ILoggingEvent> lines = lines();
+      try (World w = new World().configured()) {
+        w.runner("i-1", "app", "", AsUpstreams.answers("ok"));
+        w.runner("i-2", "other", "", AsUpstreams.answers("other"));
+        await(() -> count(lines, "name=\"i-2\" reason=UNNAMED_SERVICE") == 1);
+        assertTrue(w.exchange("GET", "/safe/a", "", "").endsWith("ok"));
+      }
+      logger.detachAppender(lines);
+      assertEquals(count(lines, "event=entry_unreadable"), 1);
+    }
+  }
+}
