--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.larkkeel.event.Exposure;
@@ -38,6 +39,7 @@
 final class RelayAttempt implements ResponseHandler {
   private static final int MAX_EVENT_BYTES = 1 << 20;
   private static final String EVENT_STREAM = "text/event-stream";
+  private static final String CHUNKED = "chunked";
 
   private final RelayLoop loop;
   private final RelayDialect dialect;
@@ -55,6 +57,7 @@
   private RecordedAnswer head = new RecordedAnswer(0, ImmutableList.of(), new byte[0]);
   private boolean endsWithConnection;
   private boolean sent;
+  private boolean sawEvent;
   private boolean begun;
   private boolean followed;
   private boolean over;
@@ -121,10 +124,11 @@
     RelayRequest.endToEnd(headers, false)
         .forEach((name, value) -> list.add(new RecordedAnswer.Header(name.toString(), value)));
     head = new RecordedAnswer(status, list.build(), new byte[0]);
-    endsWithConnection =
-        !headers.contains(Headers.CONTENT_LENGTH) && !headers.contains(Headers.TRANSFER_ENCODING);
+    String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
+    boolean chunked = coding != null && coding.toLowerCase(Locale.ROOT).contains(CHUNKED);
+    endsWithConnection = !chunked && !headers.contains(Headers.CONTENT_LENGTH);
     String type = headers.getFirst("Content-Type");
-    boolean stream = type != null && type.startsWith(EVENT_STREAM);
+    boolean stream = type != null && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
     if (verdict == AnswerVerdict.GOOD && stream && !(purpose instanceof Purpose.ReadPrompt)) {
       splitter = Optional.of(new EventSplitter(MAX_EVENT_BYTES));
     }
@@ -146,6 +150,7 @@
 
   private boolean onEvents(EventSplitter events, ByteBuffer bytes) {
     for (EventSplitter.Whole e = events.next(bytes); e != null; e = events.next(bytes)) {
+      sawEvent = true;
       if (isRepeated(e)) {
         continue;
       }
@@ -200,6 +205,9 @@
         request.channel.stream(rest);
       }
       request.channel.endStream();
+    } else if (request.headSent) {
+      // Another attempt has begun the stream, and nothing was left of it but its end.
+      request.channel.endStream();
     } else {
       byte[] body = whole.toByteArray();
       request.channel.answer(new RecordedAnswer(head.status(), head.headers(), body));
@@ -228,7 +236,17 @@
    * An upstream that dies ends the connection as well, and without a length only this shows it.
    */
   private boolean isBrokenOff() {
-    return endsWithConnection && splitter.isPresent() && (rest.length > 0 || !begun);
+    return endsWithConnection && splitter.isPresent() && (endsInEvent(rest) || !sawEvent);
+  }
+
+  /** Whether bytes after the last whole event are more than the second half of its line end. */
+  private static boolean endsInEvent(byte[] rest) {
+    for (byte b : rest) {
+      if (b != '\n' && b != '\r') {
+        return true;
+      }
+    }
+    return false;
   }
 
   private RelayEvent outcome() {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
@@ -78,7 +78,7 @@
       if (found == null && open < limit(waiter)) {
         open++;
       } else if (found == null) {
-        refused = waiting.size() >= settings.maxWaiting();
+        refused = waiting.size() >= settings.maxWaiting() && !dropAbandoned();
         if (!refused) {
           enqueue(waiter);
           return;
@@ -144,6 +144,11 @@
     }
   }
 
+  /** Forgets requests that were given up; says whether there were any. */
+  private boolean dropAbandoned() {
+    return waiting.removeIf(Waiter::abandoned);
+  }
+
   private PooledConnection pollIdle() {
     PooledConnection candidate = idle.pollFirst();
     while (candidate != null && !candidate.isOpen()) {
--- /dev/null
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ClosedWorkerTest.java
@@ -0,0 +1,63 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.store;
+
+import static org.testng.Assert.assertThrows;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+import org.xnio.OptionMap;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Calls that are under way when the I/O threads end, as they do before the scheduler. */
+public class ClosedWorkerTest {
+  /** Calls for one answer. */
+  public static class Calls {
+    @Test
+    public void fail() throws Exception {
+      ScriptedServer server = new ScriptedServer();
+      server.then(ScriptedServer.SILENCE);
+      ExecutorScheduler scheduler = new ExecutorScheduler("test");
+      XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
+      HttpClientOptions options =
+          HttpClientOptions.of(server.uri()).withTimeout(Duration.ofSeconds(1));
+      HttpObjectApi api = new HttpObjectApi(options, worker, scheduler);
+      CompletableFuture<?> call = api.get(new ObjectKey("test", "one"));
+      server.nextRequest();
+      worker.shutdownNow();
+      worker.awaitTermination(5, TimeUnit.SECONDS);
+      assertThrows(ExecutionException.class, () -> call.get(5, TimeUnit.SECONDS));
+      api.close();
+      server.close();
+      scheduler.close();
+    }
+  }
+
+  /** Watches. */
+  public static class Watches {
+    @Test
+    public void end() throws Exception {
+      ScriptedServer server = new ScriptedServer();
+      server.then(ScriptedServer.SILENCE);
+      ExecutorScheduler scheduler = new ExecutorScheduler("test");
+      XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
+      HttpObjectApi api = new HttpObjectApi(HttpClientOptions.of(server.uri()), worker, scheduler);
+      Watch w = api.watch("test", 5, Duration.ofSeconds(1), e -> {});
+      server.nextRequest();
+      worker.shutdownNow();
+      worker.awaitTermination(5, TimeUnit.SECONDS);
+      assertThrows(ExecutionException.class, () -> w.ended().get(5, TimeUnit.SECONDS));
+      api.close();
+      server.close();
+      scheduler.close();
+    }
+  }
+}
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Connector.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Connector.java
@@ -13,6 +13,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.internal.http.HttpCallException.Sent;
@@ -69,7 +70,12 @@
    * which the service goes on, and counts a watch as waiting.
    */
   static void reset(ClientConnection c) {
-    c.getIoThread().execute(() -> resetNow(c));
+    try {
+      c.getIoThread().execute(() -> resetNow(c));
+    } catch (RejectedExecutionException e) {
+      // Its thread has ended, and nobody reads on: an ordinary close does not wait.
+      IoUtils.safeClose(c);
+    }
   }
 
   private static void resetNow(ClientConnection c) {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/LeftPromptTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/LeftPromptTest.java
@@ -44,6 +44,15 @@
       assertEquals(wasted(w), 1);
     }
 
+    @Test
+    public void isFreedWhenItsTakerIsLost() {
+      RelayWorld w = RelayWorld.usual();
+      handedOver(w);
+      w.lost();
+      assertEquals(w.of(RelayEffect.Free.class).size(), 1);
+      assertEquals(wasted(w), 1);
+    }
+
     @Test
     public void isFreedAtTheDeadline() {
       RelayWorld w = RelayWorld.usual();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -560,6 +560,12 @@
       }
     }
     over(a);
+    if (c.began && grade != AnswerGrade.GOOD) {
+      // The caller has the beginning of a stream: another answer can not take its place.
+      failed(a, "answered_failure", true);
+      giveUp(at, c, ErrorKind.UPSTREAM_FAILED, "the stream could not go on");
+      return;
+    }
     long first = (c.began ? c.beganAt : at) - c.arrivedAt;
     report(
         new RelayFact.Answered(
@@ -692,7 +698,7 @@
     }
     over(a);
     CallState c = a.call();
-    c.prompt = null;
+    freePrompt(c);
     failed(a, cause.name(), true);
     strike(at, a, cause.name(), cause == FailureCause.TIMED_OUT);
     goOnWithout(at, a, cause.name());
--- a/platform.test/src/test/java/org/larkkeel/platform/BrokenStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/BrokenStreamTest.java
@@ -93,10 +93,50 @@
         w.runner("i-run", "model", "decode", (r, out, s) -> breakOff(how, events, out, s));
         String answer = w.exchange("POST", "/stream/a", "X-Model: m\r\n", "x");
         boolean begun = answer.startsWith("HTTP/1.1 200");
+        // A reset may overtake what was written before it.
+        assertTrue(how.reset || begun == events > 0, answer);
+        for (int i = 1; i <= events; i++) {
+          assertTrue(how.reset || answer.contains(event(i)), answer);
+        }
         assertFalse(begun && answer.endsWith(END), answer);
         assertFalse(begun && answer.contains("Content-Length"), answer);
         assertTrue(begun || answer.startsWith("HTTP/1.1 502"), answer);
       }
     }
   }
+
+  /** Streams that are not broken off. */
+  public static class ThatAreWhole {
+    @DataProvider
+    static Object[][] framings() {
+      String event = event(1);
+      return new Object[][] {
+        {"Transfer-Encoding: chunked\r\n", "15\r\n" + event + "\r\n" + END, ""},
+        {"Content-Length: " + event.length() + "\r\n", event, ""},
+        {"", event, ""},
+        {"", "id: 1\r\ndata: piece-1\r\n\r", "\n"},
+      };
+    }
+
+    @Test(dataProvider = "framings")
+    public void lookWhole(String framing, String first, String second) throws Exception {
+      try (World w = new World().configured()) {
+        w.runner(
+            "i-run",
+            "model",
+            "decode",
+            (r, out, s) -> {
+              RawServer.write(out, HEAD + framing + "\r\n" + first);
+              if (!second.isEmpty()) {
+                Thread.sleep(200);
+                RawServer.write(out, second);
+              }
+              s.close();
+            });
+        String answer = w.exchange("POST", "/stream/a", "X-Model: m\r\n", "x");
+        assertTrue(answer.contains("data: piece-1"), answer);
+        assertTrue(answer.endsWith(END) || answer.contains("Content-Length"), answer);
+      }
+    }
+  }
 }
--- a/platform.test/src/test/java/org/larkkeel/platform/LeftCallerTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/LeftCallerTest.java
@@ -27,8 +27,13 @@
  * they heard nothing for 10 s, then an end, which says only that no more bytes come.
  */
 public class LeftCallerTest {
-  /** Far less than the 10 s for which a close may wait, and enough for a busy machine. */
-  private static final long SOON_MILLIS = 3_000;
+  /**
+   * Less than the 1,350 ms after which a node gives up waiting by itself, so that only the caller's
+   * leaving can be the reason.
+   */
+  private static final long SOON_MILLIS = 1_200;
+
+  private static final long LONGEST_MILLIS = 5_000;
 
   private static final String PROMPT =
       "X-Model: m\r\nX-Token-Usage: 1000,200\r\nX-Prefix-Hash: 5c:800,91:200\r\n";
@@ -82,7 +87,7 @@
         }
         try (RawClient client = new RawClient(w.address())) {
           client.send("POST", path, PROMPT, "x");
-          begun.get(SOON_MILLIS, TimeUnit.MILLISECONDS);
+          begun.get(LONGEST_MILLIS, TimeUnit.MILLISECONDS);
         }
         assertEquals(learnt.get(SOON_MILLIS, TimeUnit.MILLISECONDS), Learnt.RESET);
         World.await(() -> w.node.inProgress() == 0);
@@ -124,8 +129,8 @@
       CompletableFuture<Learnt> learnt = new CompletableFuture<>();
       try (World w = new World().configured()) {
         w.runner("i-works", "app", "", (r, out, s) -> learnt.complete(listen(s)));
-        w.exchange("POST", "/once/a", "X-Deadline-Ms: 300\r\n", "x");
-        assertEquals(learnt.get(SOON_MILLIS, TimeUnit.MILLISECONDS), Learnt.RESET);
+        w.exchange("POST", "/once/a", "X-Deadline-Ms: 1000\r\n", "x");
+        assertEquals(learnt.get(LONGEST_MILLIS, TimeUnit.MILLISECONDS), Learnt.RESET);
       }
     }
   }
