List anew after a change whose object can not be named

Cause: an event whose object has no readable name, or several broken ones in a row, did not say which name turned bad; an upstream that was good would have stayed in the copy until the next list.

Ruled out: guessing the name among several in the broken bytes, which would let one entry take another's name away.

--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -49,6 +49,7 @@
   private long shownVersion;
   private long changeVersion;
   private boolean failing;
+  private boolean namelessChange;
   private boolean closed;
 
   /**
@@ -87,6 +88,7 @@
 
   /** Begins; called once. */
   public void start() {
+    namelessChange = false;
     listing = new TreeMap<>();
     unreadableListing = new TreeMap<>();
     version = 0;
@@ -216,7 +218,9 @@
     if (closed || watch != w) {
       return;
     }
-    if (failure == null) {
+    if (failure == null && namelessChange) {
+      scheduler.schedule(backoff.next(), this::restart);
+    } else if (failure == null) {
       scheduler.schedule(PAUSE, () -> watchAgain(w));
     } else {
       retry(failure);
@@ -238,7 +242,7 @@
     switch (e) {
       case WatchEvent.Changed c -> change(c.object());
       case WatchEvent.Deleted d -> remove(d.object());
-      case WatchEvent.Unreadable u -> unreadable(u.object());
+      case WatchEvent.Unreadable u -> turnedUnreadable(u.object());
       case WatchEvent.Bookmark b -> {}
     }
   }
@@ -266,8 +270,12 @@
     }
   }
 
-  /** An object that was read before and can not be read any more is gone. */
-  private void unreadable(UnreadableObject o) {
+  /**
+   * An object that was read before and can not be read any more is gone. Which one it is without
+   * its name only a list can tell, where it is missing; that is asked for once the watch has ended.
+   */
+  private void turnedUnreadable(UnreadableObject o) {
+    namelessChange |= o.name().isEmpty();
     forget(o.name(), o.resourceVersion());
     if (!objects.containsKey(o.name())) {
       unreadable.put(o.name(), o.problem());
