--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -106,7 +106,7 @@
       if (state == null) {
         begin(u);
         report.accept(changed(u, u.leaving() ? "appeared_leaving" : "appeared"));
-      } else if (!state.life().equals(u.life())) {
+      } else if (!state.isOf(u.life().start())) {
         begin(u);
         ended.add(state);
         report.accept(changed(u, RESTARTED));
@@ -181,7 +181,13 @@
 
   /** An upstream, if the life is the one that is known now. */
   Optional<UpstreamState> find(UpstreamLife life) {
-    return Optional.ofNullable(all.get(life.name())).filter(s -> s.life().equals(life));
+    return Optional.ofNullable(current(life));
+  }
+
+  /** As {@link #find}; null if the life is not the one that is known now. */
+  private UpstreamState current(UpstreamLife life) {
+    UpstreamState state = all.get(life.name());
+    return state != null && state.isOf(life.start()) ? state : null;
   }
 
   /** Takes over what another node has in flight. */
@@ -205,7 +211,14 @@
     if (told == null) {
       return;
     }
-    told.loads().forEach((life, units) -> find(life).ifPresent(s -> s.addRemote(sign * units)));
+    told.loads()
+        .forEach(
+            (life, units) -> {
+              UpstreamState state = current(life);
+              if (state != null) {
+                state.addRemote(sign * units);
+              }
+            });
   }
 
   /** What this node has in flight, where it is anything. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -6,11 +6,12 @@
 
 package org.larkkeel.relay.internal;
 
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayUpstream;
 
 /**
- * What this node believes of one incarnation of an upstream.
+ * What this node believes of one life of an upstream; a later life gets a state of its own.
  *
  * <p>Times fade: what was learnt counts half after {@link #HALF_LIFE_NANOS}. Not safe for use by
  * several threads.
@@ -29,6 +30,7 @@
   /** How often the time for which it is taken for full doubles, while it declines all. */
   private static final int MOST_BUSY_DOUBLINGS = 2;
 
+  private final UpstreamLife life;
   private RelayUpstream upstream;
   private int inFlight;
   private long load;
@@ -50,6 +52,7 @@
   private long orderUnits;
 
   UpstreamState(RelayUpstream upstream) {
+    this.life = upstream.life();
     this.upstream = upstream;
   }
 
@@ -59,9 +62,15 @@
 
   /** The life of which all here is believed. */
   UpstreamLife life() {
-    return upstream.life();
+    return life;
   }
 
+  /** Whether the start is that of its life. */
+  boolean isOf(Incarnation start) {
+    return life.start().value() == start.value();
+  }
+
+  /** Takes over what is listed of the same life now. */
   void update(RelayUpstream now) {
     if (now.stage() != upstream.stage()) {
       orderOver();
