--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -151,11 +151,11 @@
     }
 
     @Test
-    public void isNoneIfItComesAfterACopyOfAnother() {
+    public void isNotTakenAfterNewerCopyOfAnother() {
       World w = new World(Duration.ofMillis(1));
       w.create("a");
       w.time.advance(Duration.ofSeconds(1));
-      ObjectPage before = w.store.list(ListQuery.of(COLLECTION));
+      final ObjectPage before = w.store.list(ListQuery.of(COLLECTION));
       w.store.setOutage(true);
       StoredObject newer = w.store.update(A, "thing", spec(1), w.version("a"));
       w.time.advance(Duration.ofMillis(50));
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamLivesTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamLivesTest.java
@@ -288,7 +288,7 @@
     @Test
     public void entryIsLost() {
       RelayWorld w = running("/resume/a");
-      String first = where(w);
+      final String first = where(w);
       w.lost();
       w.pass(2_000);
       w.answered(AnswerGrade.GOOD);
@@ -320,7 +320,7 @@
     }
 
     @Test
-    public void orderOfALifeThatIsNotKnownChangesNothing() {
+    public void orderOfUnknownLifeChangesNothing() {
       RelayWorld w = RelayWorld.usual();
       UpstreamLife unknown = RelayWorld.life("run-1", LATER);
       w.apply(new RelayEvent.Ordered(w.now(), unknown, 15_000 * 1_000_000L));
