Pin that an engine stand-in starts again under its name and knows nothing

Cause: engines may start again under their name; whether the stand-in plays it was shown for broken streams only.

Ruled out: a new control. EngineStandin.restart and the control kill?restart_after_millis=0 start again with the same name, at the same address, and with a greater incarnation, as docs/PROTOCOLS.md says; a clock that goes back isn't played, as the engines' own interface promises a greater number.

Change: five tests of what is gone after such a start: KV caches held and imported, the prefix cache with its event numbers, fencing and roles ordered; and the start by the control. The control's own answer may be lost, as the kill ends its connection too.

Conclusion: no change of the stand-in was needed.

--- a/org.larkkeel.standin.test/src/test/java/org/larkkeel/standin/EngineStandinTest.java
+++ b/org.larkkeel.standin.test/src/test/java/org/larkkeel/standin/EngineStandinTest.java
@@ -8,10 +8,12 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -195,6 +197,79 @@
     }
   }
 
+  /** Starting again under the name and address that it had. */
+  public static class Restart extends WithEngines {
+    /** A KV cache that was held is gone, and whoever wants it is told so. */
+    @Test
+    public void holdsNothingOfBefore() throws Exception {
+      JsonNode params = prefill("h/1/1", PROMPT).body().get("kv_transfer_params");
+      prefill.restart();
+      assertEquals(importKv("h/1/1", params).status(), 410);
+      JsonNode held = http(prefill).call("GET", "/v1/requests", "").body();
+      assertEquals(held.get("incarnation").asLong(), prefill.incarnation());
+      assertEquals(held.get("requests").size(), 0);
+    }
+
+    /** A KV cache that was imported is gone as well, and its slot is free. */
+    @Test
+    public void knowsNoImportOfBefore() throws Exception {
+      place("h/1/1");
+      decode.restart();
+      Http.Answer answer =
+          http(decode)
+              .call(
+                  "POST",
+                  "/v1/completions",
+                  completion(PROMPT, 5, 0, "do_remote_prefill"),
+                  "X-Request-Id",
+                  "h/1/1");
+      assertEquals(answer.status(), 410);
+      assertEquals(decode.ledger().snapshot().slots().size(), 0);
+    }
+
+    /** Cache events count from the first again, under a greater incarnation. */
+    @Test
+    public void countsCacheEventsAnew() throws Exception {
+      prefill("h/1/1", PROMPT);
+      JsonNode before = http(prefill).call("GET", "/v1/cache/events?after=0", "").body();
+      prefill.restart();
+      JsonNode usage = prefill("h/1/2", PROMPT).body().get("usage");
+      assertEquals(usage.at("/prompt_tokens_details/cached_tokens").asInt(), 0);
+      JsonNode after = http(prefill).call("GET", "/v1/cache/events?after=0", "").body();
+      assertEquals(after.at("/events/0/seq"), before.at("/events/0/seq"));
+      assertTrue(after.get("incarnation").asLong() > before.get("incarnation").asLong());
+    }
+
+    /** Fencing numbers and roles that were ordered are forgotten. */
+    @Test
+    public void forgetsOrders() throws Exception {
+      String order = "{\"fencing\":%d,\"order\":{\"type\":\"set_role\",\"role\":\"prefill\"}}";
+      assertEquals(http(decode).call("POST", "/v1/orders", order.formatted(5)).status(), 200);
+      decode.restart();
+      JsonNode force = http(decode).call("GET", "/v1/orders", "").body();
+      assertEquals(force.get("fencing").asInt(), 0);
+      assertEquals(force.get("role").asText(), "decode");
+      assertEquals(http(decode).call("POST", "/v1/orders", order.formatted(4)).status(), 200);
+    }
+
+    /** The control plays it too, at the same address. */
+    @Test
+    public void byControl() throws Exception {
+      long before = decode.incarnation();
+      try {
+        http(decode).call("POST", "/control/kill?restart_after_millis=0", "");
+      } catch (IOException e) {
+        // The kill may end the connection of the control before its answer is out.
+      }
+      long giveUp = System.nanoTime() + GIVE_UP_MILLIS * 1_000_000;
+      while (decode.incarnation() == before && System.nanoTime() < giveUp) {
+        Thread.sleep(5);
+      }
+      JsonNode load = http(decode).call("GET", "/v1/load", "").body();
+      assertTrue(load.get("incarnation").asLong() > before);
+    }
+  }
+
   /** Moving a KV cache on from a decode engine. */
   public static class Move extends WithEngines {
     /** A third engine takes over a running decode; the slot here is freed and the text goes on. */
