--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/Checker.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/Checker.java
@@ -9,13 +9,16 @@
 import static org.larkkeel.errors.Execution.NOT_RUN;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.larkkeel.bench.proof.world.CallerRecord;
 import org.larkkeel.bench.proof.world.CallerRecord.Ending;
+import org.larkkeel.bench.proof.world.Configurations;
 import org.larkkeel.bench.proof.world.Observations;
 import org.larkkeel.bench.proof.world.Observations.Accepted;
 import org.larkkeel.bench.proof.world.Observations.Execution;
@@ -24,8 +27,10 @@
 import org.larkkeel.bench.proof.world.Observations.Start;
 import org.larkkeel.bench.proof.world.Observations.Work;
 import org.larkkeel.bench.proof.world.VirtualTime;
+import org.larkkeel.config.Role;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamName;
 
 /**
  * Checks the promises by what callers, engines, services, operators and the platform saw.
@@ -109,11 +114,25 @@
   private void checkProbes() {
     Set<String> answered = new HashSet<>();
     seen.callers().stream().filter(Checker::isAnswered).forEach(c -> answered.add(c.identity()));
+    ImmutableSet<Role> served = Configurations.rolesWithout(leaving());
     seen.callers().stream()
         .filter(c -> c.isProbe() && !answered.contains(c.identity()))
+        .filter(c -> served.containsAll(c.needs()) || !isToldOfNoUpstream(c))
         .forEach(c -> add(Promise.SERVES_AGAIN, c + " got " + c.ends()));
   }
 
+  private Set<UpstreamName> leaving() {
+    return seen.accepted().stream()
+        .flatMap(accepted -> accepted.leaving().stream())
+        .collect(Collectors.toSet());
+  }
+
+  /** The one right answer once operators have taken the last upstream of a role out of use. */
+  private static boolean isToldOfNoUpstream(CallerRecord caller) {
+    return !caller.ends().isEmpty()
+        && caller.ends().stream().allMatch(e -> e.kind() == ErrorKind.NO_UPSTREAM);
+  }
+
   private void checkMemory() {
     Map<RequestId, Long> over = new HashMap<>();
     seen.callers().forEach(caller -> over.put(caller.request(), caller.overAt()));
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultTable.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultTable.java
@@ -86,6 +86,7 @@
   private static final Set<Fault> OF_UPSTREAM =
       EnumSet.of(
           Fault.UPSTREAM_DEATH,
+          Fault.UPSTREAM_RESTART,
           Fault.UPSTREAM_UNREACHABLE,
           Fault.UPSTREAM_LEAVING,
           Fault.ANSWERS_LATE,
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsPage.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/FaultsPage.java
@@ -89,6 +89,14 @@
       Written by `./faults`; do not edit. Three nodes with the real router, run log, configuration
       log and membership run in virtual time against fakes of callers, engines, services and the
       platform. After each run the promises are checked by what those outsiders saw.
+
+      "Engine starts again" is a start within the moment: the engine is never found away, has its name and
+      address, and holds nothing of before; its numbers count anew under a greater incarnation. "Engine death" is
+      the same with seconds between.
+
+      An upstream's entry that can not be read has no row. Upstreams stand in the configuration here, which is
+      checked as a whole before it is accepted, so that no node ever has one that can not be read. Entries that
+      upstreams register by themselves exist on relay nodes only; `./soak-relay` draws bad ones (docs/SOAK.md).
       """;
 
   private static String summary(List<Result> results) {
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/Promise.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/Promise.java
@@ -30,7 +30,10 @@
   STOP_CUTS_NOTHING("planned stop cuts nothing"),
   /** An accepted configuration is in force everywhere within a bound and never reverts. */
   IN_FORCE("configuration in force"),
-  /** Once the faults are over, requests are answered again. */
+  /**
+   * Once the faults are over, requests are answered again; one whose last upstream is out of use is
+   * told just that.
+   */
   SERVES_AGAIN("serves again");
 
   private final String title;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/CallerRecord.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/CallerRecord.java
@@ -6,8 +6,10 @@
 
 package org.larkkeel.bench.proof.world;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
+import org.larkkeel.config.Role;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.RequestId;
 
@@ -51,6 +53,7 @@
   final List<End> ends = new ArrayList<>();
   int expectedPieces;
   String identity = "";
+  ImmutableSet<Role> needs = ImmutableSet.of();
   long sentAt;
   long goneAt = Long.MAX_VALUE;
   boolean nodeStopped;
@@ -169,6 +172,15 @@
     return Math.min(goneAt, ended);
   }
 
+  /**
+   * The roles of the upstreams that serve the request.
+   *
+   * @return the roles
+   */
+  public ImmutableSet<Role> needs() {
+    return needs;
+  }
+
   @Override
   public String toString() {
     return "request " + request + " (" + identity + ")";
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Callers.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Callers.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.bench.proof.world;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.primitives.ImmutableLongArray;
 import java.util.HashMap;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.larkkeel.call.Call;
 import org.larkkeel.call.PrefixKeys;
 import org.larkkeel.call.RunKey;
+import org.larkkeel.config.Role;
 import org.larkkeel.lib.IdempotencyKey;
 import org.larkkeel.lib.ModelName;
 import org.larkkeel.lib.RequestId;
@@ -144,6 +146,11 @@
   private void send(Part part, int index, Call call, String identity, int pieces) {
     CallerRecord caller = world.seen().caller(call.id());
     caller.identity = identity;
+    caller.needs =
+        switch (call) {
+          case Call.Completion completion -> ImmutableSet.of(Role.PREFILL, Role.DECODE);
+          case Call.Plain plain -> ImmutableSet.of(Role.SERVICE);
+        };
     caller.expectedPieces = pieces;
     caller.sentAt = world.time().now();
     caller.probe = part == Part.PROBE;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Configurations.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Configurations.java
@@ -8,10 +8,12 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import org.larkkeel.config.Configuration;
 import org.larkkeel.config.FencingSupport;
@@ -78,6 +80,19 @@
         .build();
   }
 
+  /**
+   * The roles that are served while some upstreams take no new work.
+   *
+   * @param leaving those upstreams
+   * @return the roles of the others
+   */
+  public static ImmutableSet<Role> rolesWithout(Collection<UpstreamName> leaving) {
+    return upstreams().entrySet().stream()
+        .filter(e -> !leaving.contains(e.getKey()))
+        .map(Map.Entry::getValue)
+        .collect(Sets.toImmutableEnumSet());
+  }
+
   /** The configuration in which some upstreams take no new work. */
   static Configuration withLeaving(Collection<UpstreamName> leaving) {
     ImmutableSortedMap.Builder<UpstreamName, Upstream> upstreams =
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Fault.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Fault.java
@@ -16,6 +16,8 @@
   NODE_DEATH("process death"),
   /** The upstream dies and comes back empty. */
   UPSTREAM_DEATH("engine death"),
+  /** The upstream starts again under its name before anybody finds it away, and is empty. */
+  UPSTREAM_RESTART("engine starts again"),
   /** The connections between nodes and the upstream break, while it goes on. */
   UPSTREAM_UNREACHABLE("engine unreachable"),
   /** Transfers between engines stand still. */
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Injector.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Injector.java
@@ -89,6 +89,7 @@
         heals(RESTART);
       }
       case UPSTREAM_DEATH -> killUpstream(world.engine(upstream));
+      case UPSTREAM_RESTART -> restartUpstream(world.engine(upstream));
       case UPSTREAM_UNREACHABLE ->
           window(OUTAGE, begins -> world.engine(upstream).setReachable(!begins));
       case TRANSFER_STALL -> window(STALL, world::setLinkStalled);
@@ -120,6 +121,12 @@
     heals(RESTART);
   }
 
+  private void restartUpstream(Engine engine) {
+    engine.kill();
+    engine.restart();
+    heals(0);
+  }
+
   private void storeDown() {
     window(WINDOW, world.storeFaults()::setDown);
     world.store().wakeWatches();
