Relay soak: runners that start again under their name, and bad entries

Cause: runners of the soak came back under another name only, and every entry in the store was right. So nothing showed what nodes do when a runner is empty under the name that they know, or when another writer left an entry.

Change: three kinds of fault, seven of 23 draws. A runner starts again under its name: what it works on and holds is lost, its connections end, `born` is new (sometimes smaller), and its entry follows up to a second later, before the runner answers again or after it. A bad entry (BadEntry) lies in the list under a new name, for a while or until the end; its address is that of a server that must get no request. The entry of a good runner turns bad, and good again; new work 1.5 s later breaks a promise, if it comes from a node that was not harmed and had its store. Neither kind of bad entry excuses a lost or late call. The pauses between faults are added up as drawn, so a busy machine draws as many faults as another. A crashed runner that was drawn again while it was away was written to the list as "gone", or ended the soak with an exception; it is now passed over.

--- a/platform.test/src/test/java/org/larkkeel/platform/RawServer.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RawServer.java
@@ -118,11 +118,20 @@
     out.flush();
   }
 
+  /** Ends all connections, as when the process ends; goes on listening. */
+  void hangUp() {
+    for (Socket s : open) {
+      try {
+        s.close();
+      } catch (IOException e) {
+        // It is closed already.
+      }
+    }
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
-    for (Socket s : open) {
-      s.close();
-    }
+    hangUp();
   }
 }
--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
@@ -38,6 +39,12 @@
   private static final int PREFILLS = 1;
   private static final int DECODES = 3;
   private static final int APPS = 2;
+  private static final int MAX_ENTRY_LATE_MILLIS = 1_000;
+  private static final long BAD_MILLIS = 1_500;
+
+  /** What harms of runners begin with. */
+  private static final String RUNNER = "runner";
+
   private static final String PLANNED = "signal-TERM";
 
   /** With an even seed one node gives room to the calls of all, as in a large fleet. */
@@ -46,6 +53,16 @@
   private static final int MAX_NODES = 60;
   private static volatile Soak current;
 
+  /** Faults of upstreams and their entries, counted in the last line. */
+  private enum Drawn {
+    RESTART,
+    RESTART_CLOCK_BACK,
+    RESTART_BEFORE_ENTRY,
+    BAD_ENTRY,
+    TURNS_BAD,
+    NOT_UP
+  }
+
   /** A time in which something was harmed; node -1 concerns all. */
   private record Harm(long from, long to, int node, String what) {}
 
@@ -58,7 +75,9 @@
   private final StoreStandin store = new StoreStandin();
   private final List<SoakProxy> storeProxies = new ArrayList<>();
   private final List<SoakRunner> runners = new ArrayList<>();
+  private final SoakStrays strays = new SoakStrays(ledger, store);
   private final List<Harm> harms = new ArrayList<>();
+  private final TreeMap<Drawn, Integer> drawn = new TreeMap<>();
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private long version = 1;
   private volatile boolean loaded = true;
@@ -96,6 +115,14 @@
     return current.wasHarmed(-1, System.nanoTime());
   }
 
+  /**
+   * Whether a node has had the time to learn the list of runners: neither it nor its store was
+   * harmed a moment ago. What is done to runners does not matter.
+   */
+  static boolean knowsList(int node) {
+    return !current.isHarmed(node, System.nanoTime(), h -> !h.what().startsWith(RUNNER));
+  }
+
   /** Whether a node, or what it needs, was harmed since a moment, or shortly before it. */
   boolean wasHarmed(int node, long since) {
     return isHarmed(node, since, h -> true);
@@ -139,9 +166,12 @@
     for (int i = 0; i < CALLERS; i++) {
       callers.submit(new SoakCaller(this, ledger, "c" + i, random.nextLong()));
     }
-    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
-    while (System.nanoTime() < end) {
-      Thread.sleep(random.nextInt(100, 1_800));
+    // The pauses are added up as drawn, so that the number of draws does not depend on the machine.
+    long left = TimeUnit.SECONDS.toMillis(seconds);
+    while (left > 0) {
+      int pause = random.nextInt(100, 1_800);
+      left -= pause;
+      Thread.sleep(pause);
       strike();
     }
     Thread.sleep(1_000);
@@ -245,7 +275,7 @@
     int node = random.nextInt(nodes);
     long millis = random.nextLong(200, 2_500);
     SoakRunner runner = runners.get(random.nextInt(runners.size()));
-    switch (random.nextInt(16)) {
+    switch (random.nextInt(23)) {
       case 0, 1 -> signal(node, "KILL", 4_000);
       case 2, 3 -> signal(node, "TERM", 8_000);
       case 4, 5 -> pause(node, millis);
@@ -254,16 +284,20 @@
       case 8 -> lasting(-1, "store-429", millis, on -> store.refuse(on > 0 ? 429 : 0));
       case 9 -> lasting(-1, "store-loses", millis, on -> store.lose(on > 0));
       case 10 -> proxied(node, "store", storeProxies.get(node), millis);
-      case 11, 12 -> proxied(-1, "runner", runner.proxy, millis);
+      case 11, 12 -> proxied(-1, RUNNER, runner.proxy, millis);
       case 13 -> {
         SoakRunner.Fault f = SoakRunner.Fault.values()[random.nextInt(1, 7)];
-        lasting(-1, "runner-" + f, millis, on -> runner.fault(on > 0 ? f : SoakRunner.Fault.NONE));
+        lasting(
+            -1, RUNNER + "-" + f, millis, on -> runner.fault(on > 0 ? f : SoakRunner.Fault.NONE));
       }
       case 14 -> replace(runner);
-      default -> {
+      case 15 -> {
         configure();
         tell("fault config version=%d", version - 1);
       }
+      case 16, 17, 18 -> restart(runner);
+      case 19, 20 -> addStray(millis);
+      default -> turnBad(runner, millis);
     }
   }
 
@@ -294,19 +328,21 @@
   /** A runner leaves after its notice, or without one, and another takes its address. */
   private void replace(SoakRunner runner) {
     boolean notice = random.nextBoolean();
-    if (notice && runner.leavingMillis() < 0) {
+    if (!runner.isServing()) {
+      drawn(Drawn.NOT_UP);
+    } else if (notice) {
       runner.drain();
       tell("fault runner drains");
       timer.schedule(
           () -> {
-            harm(-1, "runner-ends", 200);
+            harm(-1, RUNNER + "-ends", 200);
             runner.end();
             runner.start();
           },
           DRAIN_MILLIS + 1_500,
           TimeUnit.MILLISECONDS);
-    } else if (!notice && runner.leavingMillis() < 0) {
-      harm(-1, "runner-crashes", 1_000);
+    } else {
+      harm(-1, RUNNER + "-crashes", 1_000);
       runner.proxy.mode(SoakProxy.Mode.RESET);
       runner.end();
       timer.schedule(
@@ -319,6 +355,67 @@
     }
   }
 
+  /**
+   * A runner starts again under its name; sometimes the clock went back, so that its start seems
+   * earlier than the one before. It answers before its entry has changed, or after it.
+   */
+  private void restart(SoakRunner runner) {
+    long back = random.nextBoolean() ? 0 : random.nextLong(1, 3_600_000);
+    int down = random.nextBoolean() ? 0 : random.nextInt(1, 800);
+    int late = random.nextBoolean() ? 0 : random.nextInt(1, MAX_ENTRY_LATE_MILLIS);
+    drawn(Drawn.RESTART);
+    if (back > 0) {
+      drawn(Drawn.RESTART_CLOCK_BACK);
+    }
+    if (down < late) {
+      drawn(Drawn.RESTART_BEFORE_ENTRY);
+    }
+    if (!runner.isServing()) {
+      drawn(Drawn.NOT_UP);
+      return;
+    }
+    harm(-1, RUNNER + "-restarts back_ms=" + back + " entry_late_ms=" + late, down + 200);
+    if (down > 0) {
+      runner.proxy.mode(SoakProxy.Mode.RESET);
+      after(down, () -> runner.proxy.mode(SoakProxy.Mode.PASS));
+    }
+    runner.restart(back);
+    after(late, runner::register);
+  }
+
+  /** An entry that names no runner is in the list, for a while or until the end. */
+  private void addStray(long millis) {
+    BadEntry shape = BadEntry.draw(random);
+    boolean stays = random.nextBoolean();
+    String name = strays.add(shape, random);
+    drawn(Drawn.BAD_ENTRY);
+    tell("fault bad-entry name=%s %s for_ms=%s", name, shape, stays ? "ever" : millis);
+    if (!stays) {
+      after(millis, () -> strays.remove(name));
+    }
+  }
+
+  /** The entry of a runner that goes on turns bad, and good again. */
+  private void turnBad(SoakRunner runner, long millis) {
+    BadEntry shape = BadEntry.draw(random);
+    drawn(Drawn.TURNS_BAD);
+    if (!runner.isServing()) {
+      drawn(Drawn.NOT_UP);
+      return;
+    }
+    tell("fault turns-bad name=%s %s for_ms=%d", runner.id(), shape, BAD_MILLIS + millis);
+    runner.spoil(Optional.of(shape));
+    after(BAD_MILLIS + millis, () -> runner.spoil(Optional.empty()));
+  }
+
+  private void after(long millis, Runnable change) {
+    timer.schedule(change, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void drawn(Drawn kind) {
+    drawn.merge(kind, 1, Integer::sum);
+  }
+
   private boolean judge() throws Exception {
     Thread.sleep(2_500);
     storeProxies.forEach(p -> p.mode(SoakProxy.Mode.PASS));
@@ -342,11 +439,12 @@
     List<String> broken = ledger.verdict();
     broken.forEach(b -> tell("broken %s", b));
     tell(
-        "result=%s seed=%d faults=%d broken=%d outcomes=%s",
+        "result=%s seed=%d faults=%d broken=%d drawn=%s outcomes=%s",
         broken.isEmpty() ? "passed" : "failed",
         seed,
         harms.size(),
         broken.size(),
+        drawn,
         new TreeMap<>(ledger.outcomes()));
     return broken.isEmpty();
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
@@ -79,13 +79,13 @@
     String path = "/" + kind + "/" + id + "?q=" + requests;
     String text = kind.equals("safe") ? "" : "b".repeat(random.nextInt(1, 2_000));
     String method = kind.equals("safe") ? "GET" : "POST";
-    ledger.sent(
-        id, new SoakLedger.Sent(method, path, text, kind.equals("once") || kind.equals("stream")));
+    boolean runsOnce = kind.equals("once") || kind.equals("stream");
     long begun = System.nanoTime();
     try {
       if (in == null || random.nextInt(12) == 0) {
         goTo(soak.pickNode(random));
       }
+      ledger.sent(id, new SoakLedger.Sent(node, method, path, text, runsOnce));
       Answer answer = exchange(id, method, path, text);
       return judge(id, kind, answer, begun);
     } catch (IOException e) {
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,8 +20,8 @@
  * <p>Safe for use by several threads.
  */
 final class SoakLedger {
-  /** A request as its caller sent it. */
-  record Sent(String method, String path, String body, boolean runsOnce) {}
+  /** A request as its caller sent it, and to which node. */
+  record Sent(int node, String method, String path, String body, boolean runsOnce) {}
 
   private final Map<String, Sent> sent = new ConcurrentHashMap<>();
   private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
@@ -52,6 +53,12 @@
     }
   }
 
+  /** The node that a request was sent to; empty if no caller sent it. */
+  OptionalInt nodeOf(String id) {
+    Sent s = sent.get(id);
+    return s == null ? OptionalInt.empty() : OptionalInt.of(s.node());
+  }
+
   boolean hasRun(String id) {
     return runs.containsKey(id);
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -12,16 +12,19 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.larkkeel.http.Json;
 
 /**
- * A runner behind a proxy: a plain service, or an engine of one stage. Each start is a new
- * incarnation at the same address.
+ * A runner behind a proxy: a plain service, or an engine of one stage. It starts again under
+ * another name or under the one that it has, always at the same address.
  *
- * <p>Safe for use by several threads.
+ * <p>Invariant: it knows no prompt that was read at it before its latest start. Safe for use by
+ * several threads.
  */
 final class SoakRunner implements AutoCloseable {
   /** What it does wrong. */
@@ -35,10 +38,17 @@
     LATE_SECOND_ANSWER
   }
 
+  private static final String GONE = "gone";
   private static final AtomicLong STARTS = new AtomicLong();
-  private static final Map<String, String> HANDLES = new ConcurrentHashMap<>();
+  private static final Map<String, Prompt> HANDLES = new ConcurrentHashMap<>();
   private static final int EVENT_MILLIS = 20;
 
+  /** After this time, a runner whose entry is bad gets no new work from nodes that know it. */
+  private static final long UNLISTED_MILLIS = 1_500;
+
+  /** A prompt that was read, and where. */
+  private record Prompt(String request, SoakRunner holder) {}
+
   private final SoakLedger ledger;
   private final StoreStandin store;
   private final String service;
@@ -48,7 +58,10 @@
   final SoakProxy proxy;
   private volatile Fault fault = Fault.NONE;
   private volatile String id = "";
+  private volatile long born;
   private volatile long drainingSince = Long.MAX_VALUE;
+  private volatile long badSince = Long.MAX_VALUE;
+  private Optional<BadEntry> bad = Optional.empty();
 
   SoakRunner(SoakLedger ledger, StoreStandin store, String service, String stage, long seed) {
     this.ledger = ledger;
@@ -62,23 +75,57 @@
     start();
   }
 
-  /** Begins a new incarnation and registers it. */
-  void start() {
+  /** Begins under another name and registers it. */
+  synchronized void start() {
     id = "i-" + STARTS.incrementAndGet();
+    born = System.currentTimeMillis();
     drainingSince = Long.MAX_VALUE;
-    register("ready");
+    forget();
+    register();
+  }
+
+  /**
+   * Starts again under its name: what it worked on is lost, and its connections end. Its entry
+   * stays as it was.
+   *
+   * @param backMillis how far before its earlier start the clock is now; 0 if the clock is right
+   */
+  synchronized void restart(long backMillis) {
+    born = backMillis > 0 ? born - backMillis : Math.max(born + 1, System.currentTimeMillis());
+    forget();
+    server.hangUp();
+  }
+
+  private void forget() {
+    HANDLES.values().removeIf(p -> p.holder() == this);
   }
 
   /** Says that it is about to leave. */
-  void drain() {
+  synchronized void drain() {
     drainingSince = System.nanoTime();
-    register("draining");
+    register();
   }
 
   /** Is gone from the list; its address answers as the next incarnation does. */
-  void end() {
+  synchronized void end() {
     store.delete("servers", id);
-    id = "gone";
+    id = GONE;
+  }
+
+  String id() {
+    return id;
+  }
+
+  /** Whether it is in the list and does not leave. */
+  boolean isServing() {
+    return !id.equals(GONE) && leavingMillis() < 0;
+  }
+
+  /** Lets its entry have another shape, or the right one. */
+  synchronized void spoil(Optional<BadEntry> shape) {
+    bad = shape;
+    badSince = shape.isEmpty() ? Long.MAX_VALUE : System.nanoTime();
+    register();
   }
 
   void fault(Fault next) {
@@ -87,15 +134,23 @@
 
   /** For how many milliseconds it has been leaving; negative if it is not. */
   long leavingMillis() {
-    long since = drainingSince;
+    return millisSince(drainingSince);
+  }
+
+  private static long millisSince(long since) {
     return since == Long.MAX_VALUE ? -1 : (System.nanoTime() - since) / 1_000_000;
   }
 
-  private void register(String state) {
+  /** Writes its entry anew, unless it is gone. */
+  synchronized void register() {
+    if (id.equals(GONE)) {
+      return;
+    }
     ObjectNode entry = Json.object();
     entry.put("service", service).put("address", proxy.address()).put("zone", "dc-1");
-    entry.put("slots", 8).put("state", state).put("stage", stage);
-    store.put("servers", id, entry);
+    entry.put("slots", 8).put("state", leavingMillis() < 0 ? "ready" : "draining");
+    entry.put("stage", stage).put("born", born).put("sequence", 0);
+    store.put("servers", id, bad.isEmpty() ? entry : bad.get().of(entry));
   }
 
   private void answer(RawServer.Request r, OutputStream out, Socket socket) throws Exception {
@@ -116,6 +171,7 @@
     if (leavingMillis() > Soak.DRAIN_MILLIS && !Soak.isDisturbed()) {
       ledger.broken("drain", wire + " after " + leavingMillis() + " ms");
     }
+    checkListed(wire);
     boolean reads = "prefill".equals(r.header("X-Serving-Stage"));
     if (fault == Fault.MUTE) {
       if (!reads) {
@@ -126,25 +182,33 @@
     }
     if (reads) {
       String handle = "h" + STARTS.incrementAndGet();
-      HANDLES.put(handle, wire);
+      HANDLES.put(handle, new Prompt(wire, this));
       Thread.sleep(10);
       whole(out, "200 OK", "", "{\"prefill_handle\":\"" + handle + "\"}");
       return;
     }
     String source = r.header("X-Kv-Source");
     if (source != null) {
-      String owner = HANDLES.remove(source.substring(source.indexOf('/') + 1));
-      if (owner == null) {
+      Prompt prompt = HANDLES.remove(source.substring(source.indexOf('/') + 1));
+      if (prompt == null) {
         whole(out, "503 X", "X-Not-Run: 1\r\n", "");
         return;
       }
-      if (!owner.equals(wire)) {
-        ledger.broken("mixed", wire + " goes on from the memory of " + owner);
+      if (!prompt.request().equals(wire)) {
+        ledger.broken("mixed", wire + " goes on from the memory of " + prompt.request());
       }
     }
     run(r, wire, out);
   }
 
+  private void checkListed(String wire) {
+    long millis = millisSince(badSince);
+    OptionalInt node = ledger.nodeOf(wire);
+    if (millis > UNLISTED_MILLIS && node.isPresent() && Soak.knowsList(node.getAsInt())) {
+      ledger.broken("unlisted", wire + " at " + id + " after " + millis + " ms");
+    }
+  }
+
   private void run(RawServer.Request r, String wire, OutputStream out) throws Exception {
     String last = r.header("Last-Event-Id");
     ledger.begins(wire, r.method(), r.target(), r.body(), last != null);
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakStrays.java
@@ -0,0 +1,56 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.larkkeel.http.Json;
+
+/**
+ * Bad entries under names that no runner ever had. The address that is in them, if any, is that of
+ * a server that has to get no request.
+ *
+ * <p>Invariant: the names are spread over the list. Safe for use by several threads.
+ */
+final class SoakStrays {
+  /** Names of runners begin with "i-" and a number. */
+  private static final List<String> PREFIXES = List.of("a-", "i-3-", "z-");
+
+  private static final List<String> STAGES = List.of("", "prefill", "decode");
+
+  private final StoreStandin store;
+  private final RawServer trap;
+  private int last;
+
+  SoakStrays(SoakLedger ledger, StoreStandin store) {
+    this.store = store;
+    this.trap =
+        new RawServer(
+            (r, out, socket) -> {
+              ledger.broken("stray", r.header("X-Expect-Instance") + " got " + r.target());
+              throw new IOException("no runner");
+            });
+  }
+
+  /** Adds an entry; returns its name. */
+  synchronized String add(BadEntry shape, SplittableRandom random) {
+    final String name = PREFIXES.get(random.nextInt(PREFIXES.size())) + ++last;
+    String stage = STAGES.get(random.nextInt(STAGES.size()));
+    ObjectNode entry = Json.object();
+    entry.put("service", stage.isEmpty() ? "app" : "model").put("address", trap.address());
+    entry.put("zone", "dc-1").put("slots", 8).put("state", "ready").put("stage", stage);
+    entry.put("born", System.currentTimeMillis()).put("sequence", 0);
+    store.put("servers", name, shape.of(entry));
+    return name;
+  }
+
+  void remove(String name) {
+    store.delete("servers", name);
+  }
+}
--- a/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.platform;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -25,6 +26,14 @@
  * <p>Safe for use by several threads.
  */
 final class StoreStandin implements AutoCloseable {
+  /** Stands for bytes that are not UTF-8, as a text can not hold them. */
+  static final char NO_UTF8 = (char) 0xE000;
+
+  private static final String NO_UTF8_ENCODED =
+      new String(
+          String.valueOf(NO_UTF8).getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+  private static final String NO_UTF8_BYTES = String.valueOf((char) 0xFF).repeat(3);
+
   private static final Pattern WATCH = Pattern.compile("watch=(\\d+)&wait_ms=(\\d+)");
   private static final Pattern AFTER = Pattern.compile("after=([^&]+)");
   private static final int PAGE = 2;
@@ -52,7 +61,8 @@
     losing = answers;
   }
 
-  synchronized void put(String kind, String name, ObjectNode spec) {
+  /** Writes an object, whatever its content is. */
+  synchronized void put(String kind, String name, JsonNode spec) {
     revision++;
     ObjectNode o = Json.object();
     o.putObject("metadata").put("name", name).put("revision", revision);
@@ -117,7 +127,8 @@
             + " X\r\nContent-Type: application/json\r\nContent-Length: "
             + bytes.length
             + "\r\n\r\n"
-            + new String(bytes, StandardCharsets.ISO_8859_1));
+            + new String(bytes, StandardCharsets.ISO_8859_1)
+                .replace(NO_UTF8_ENCODED, NO_UTF8_BYTES));
   }
 
   private int get(String kind, String name, ObjectNode body) {
@@ -139,7 +150,7 @@
         != body.path("metadata").path("revision").asLong()) {
       return 409;
     }
-    put(kind, name, (ObjectNode) sent.path("spec"));
+    put(kind, name, sent.path("spec"));
     return get(kind, name, body);
   }
 
@@ -149,7 +160,7 @@
     if (has(kind, name)) {
       return 409;
     }
-    put(kind, name, (ObjectNode) sent.path("spec"));
+    put(kind, name, sent.path("spec"));
     body.setAll(kinds.get(kind).get(name));
     return 200;
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/World.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/World.java
@@ -22,6 +22,9 @@
 final class World implements AutoCloseable {
   private static final Duration LONGEST = Duration.ofSeconds(20);
 
+  /** When runners started, in Unix milliseconds. */
+  private static final long BORN = 1_700_000_000_000L;
+
   final StoreStandin store;
   final RelayNode node;
   private final Closer closer = new Closer();
@@ -100,7 +103,7 @@
   private void register(String id, String service, String stage, String address, String state) {
     ObjectNode entry = Json.object();
     entry.put("service", service).put("address", address).put("zone", "dc-1");
-    entry.put("slots", 6).put("state", state).put("stage", stage);
+    entry.put("slots", 6).put("state", state).put("stage", stage).put("born", BORN);
     store.put("servers", id, entry);
   }
 
