Relay soak: at its end nodes have to learn every runner anew

Change: before the last check every runner is replaced by one of another name at its address, so that only a node that goes on reading the list serves again.

--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -336,8 +336,7 @@
       timer.schedule(
           () -> {
             harm(-1, RUNNER + "-ends", 200);
-            runner.end();
-            runner.start();
+            runner.replace();
           },
           DRAIN_MILLIS + 1_500,
           TimeUnit.MILLISECONDS);
@@ -422,6 +421,8 @@
     if (!awaitReady(25)) {
       ledger.broken("recover", "not all nodes are ready after the faults");
     }
+    // Only a node that goes on learning the list, whatever lies in it, can serve from now on.
+    runners.forEach(SoakRunner::replace);
     Thread.sleep(STABLE_MILLIS);
     SoakCaller last = new SoakCaller(this, ledger, "last", seed);
     for (int i = 0; i < nodes; i++) {
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -112,6 +112,12 @@
     id = GONE;
   }
 
+  /** Ends, and begins under another name at once. */
+  synchronized void replace() {
+    end();
+    start();
+  }
+
   String id() {
     return id;
   }
