Forget by key alone what is only looked up by life

Each line of EndedLives was left out in turn: five of the tests fail, but none for the reader, the suspect and the upstreams that a call is not sent to again, as these are keyed by life and found no more. They need no clearing.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EndedLives.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EndedLives.java
@@ -14,10 +14,10 @@
 /**
  * Ends what is under way at upstreams that have started again.
  *
- * <p>What is believed of an upstream ends with the {@link UpstreamState} of its life. Here all else
- * is undone that names the life: memory that is set aside, prompts, moves, grants and attempts.
- * Nothing is asked of the upstream itself: a handle that the earlier life gave may name what
- * belongs to another call now.
+ * <p>What is believed of an upstream ends with the {@link UpstreamState} of its life, and what is
+ * only looked up by life is found no more. Here all else is undone: memory that is set aside,
+ * prompts, moves, grants and attempts. Nothing is asked of the upstream itself: a handle that the
+ * earlier life gave may name what belongs to another call now.
  *
  * <p>Invariant: all that names an ended life is void before the first call is placed anew. Not safe
  * for use by several threads.
@@ -67,12 +67,5 @@
     if (c.prompt != null && lives.contains(c.prompt.source().life())) {
       c.prompt = null;
     }
-    if (c.reader != null && lives.contains(c.reader)) {
-      c.reader = null;
-    }
-    if (c.suspect != null && lives.contains(c.suspect)) {
-      c.suspect = null;
-    }
-    c.without.removeAll(lives);
   }
 }
