Use or free each copy of a moved run, once

Cause: Evacuation kept the handle of the second step only, and only while the move lasted. The handle of the first step was dropped; an answer that came after the move was dropped whole; once the run was sent to go on, nothing kept the handle, as Flow.freePrompt covers prompts that were read only.

Change: - RunCopy owns the handles of one move's copy. It is settled once, as used or as given up; handles that become known later are freed at once, each once. - Evacuation keeps the copies for which an answer is outstanding and those from which an attempt is to go on that has not begun. They are given up with the move or the attempt, through abandon, which Flow calls for each attempt that ends. Flow only says when an attempt begins (or answers whole without an event), and which attempt goes on. - No run is moved anew while the answer to an earlier move of it may come: both would have the same key, so that one was taken for the other. - Nothing is freed at an upstream that has started again. The rule is kept in one place, Evacuation.free, which asks the fleet; it now also holds if the upstream was gone from the list between its two lives. - RelayExecutor answers a move of a call that it no longer has, so that each move is answered, as RelayEffect.Move says. - An attempt that is given up is cancelled before its copy is freed.

Ruled out: flags in Flow, Move and Purpose.Continue. To free the handle of the first step as soon as the second one answers with another: the second may build on the first, so both are kept until the copy is settled. To free a handle again that a later answer names anew: it is the same copy.

Not covered: no test runs RelayExecutor's answer for a call that is gone. A move whose answer is lost on the wire names no handle, so that its copy is held until the engine drops it.

Conclusion: in the reducer each handle that is known of is used by a run that began or freed once, unless its source has started again.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -187,6 +187,7 @@
   private void move(RelayEffect.Move e) {
     RelayRequest request = requests.get(e.call());
     if (request == null) {
+      moved(e.attempt(), new MoveResult.Failed());
       return;
     }
     control.send(
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Evacuation.java
@@ -29,7 +29,10 @@
  *
  * <p>Invariants: room is set aside at the destination for each move until it is over; the end of a
  * stream that may have been stopped is not taken for the end of its answer, as streams without a
- * length look complete. Not safe for use by several threads.
+ * length look complete; a copy is used by the attempt that goes on from it, or freed when its move
+ * or that attempt ends, or when the answer that names it comes later; nothing is freed at an
+ * upstream that has started again, as the handle may name what belongs to another call now. Not
+ * safe for use by several threads.
  */
 final class Evacuation {
   private static final long MILLI = 1_000_000L;
@@ -48,6 +51,12 @@
   private final Runs runs;
   private final Map<AttemptId, Move> moves = new HashMap<>();
 
+  /** Copies for which an answer is outstanding, by the attempt that was to move. */
+  private final Map<AttemptId, RunCopy> asked = new HashMap<>();
+
+  /** Copies from which an attempt is to go on that has not begun. */
+  private final Map<AttemptId, RunCopy> unused = new HashMap<>();
+
   /** Attempts that were to stop and for which there is no copy. */
   private final Set<AttemptId> doubtful = new HashSet<>();
 
@@ -65,8 +74,8 @@
     /** The stream of an attempt has ended: with an answer, or without its end. */
     void ended(long at, AttemptId attempt, Optional<AnswerGrade> end);
 
-    /** The run is to go on from its copy. */
-    void goOn(long at, Move move, String handle);
+    /** The run is to go on from its copy: the attempt that does; empty if none was sent. */
+    Optional<AttemptId> goOn(long at, Move move, String handle);
 
     /** Has something done. */
     void emit(RelayEffect effect);
@@ -77,16 +86,18 @@
     final AttemptState attempt;
     final UpstreamState destination;
     final long units;
+    private final RunCopy copy;
     private MoveStep step = MoveStep.COPY;
-    private Optional<String> handle = Optional.empty();
+    private boolean complete;
     private boolean streamEnded;
 
     /** What the end of the stream would mean without the move; empty if it was lost. */
     private Optional<AnswerGrade> end = Optional.empty();
 
-    private Move(AttemptState attempt, UpstreamState destination) {
+    private Move(AttemptState attempt, UpstreamState destination, RunCopy copy) {
       this.attempt = attempt;
       this.destination = destination;
+      this.copy = copy;
       this.units = Sizing.memory(attempt.call());
     }
   }
@@ -116,15 +127,20 @@
       return;
     }
     for (AttemptState a : runs.attempts()) {
-      if (a.upstream() == s && !moves.containsKey(a.id()) && runs.mayMove(at, a)) {
+      if (a.upstream() == s && !isMoving(a.id()) && runs.mayMove(at, a)) {
         runs.destination(at, a).ifPresent(to -> begin(a, to));
       }
     }
     timers.add(new Timers.Due.Evacuate(at + AGAIN, id));
   }
 
+  /** Whether an attempt moves, or an answer to an earlier move of it may still come. */
+  private boolean isMoving(AttemptId id) {
+    return moves.containsKey(id) || asked.containsKey(id);
+  }
+
   private void begin(AttemptState a, UpstreamState destination) {
-    Move move = new Move(a, destination);
+    Move move = new Move(a, destination, new RunCopy(handle -> free(a.upstream(), handle)));
     destination.addLoad(move.units);
     moves.put(a.id(), move);
     ask(move);
@@ -132,6 +148,7 @@
 
   private void ask(Move move) {
     AttemptState a = move.attempt;
+    asked.put(a.id(), move.copy);
     runs.emit(
         new RelayEffect.Move(
             a.id(),
@@ -143,16 +160,23 @@
 
   /** A step was answered. */
   void moved(long at, AttemptId id, MoveResult result) {
+    RunCopy copy = asked.remove(id);
+    if (copy != null && result instanceof MoveResult.Copied c) {
+      copy.made(c.handle());
+    }
     Move move = moves.get(id);
-    if (move == null) {
-      return;
+    if (copy != null && move != null) {
+      answered(at, move, result);
     }
+  }
+
+  private void answered(long at, Move move, MoveResult result) {
     AttemptState a = move.attempt;
     runs.emit(
         new RelayEffect.Report(
             new RelayFact.RunMoved(
                 a.call().call.wireId(),
-                id,
+                a.id(),
                 a.upstream().upstream().id(),
                 move.destination.upstream().id(),
                 move.step,
@@ -160,11 +184,11 @@
     switch (result) {
       case MoveResult.Copied c when move.step == MoveStep.COPY -> {
         move.step = MoveStep.STOP;
-        timers.add(new Timers.Due.MoveOver(at + STOP_PATIENCE, id));
+        timers.add(new Timers.Due.MoveOver(at + STOP_PATIENCE, a.id()));
         ask(move);
       }
       case MoveResult.Copied c -> {
-        move.handle = Optional.of(c.handle());
+        move.complete = true;
         goOnIfOver(at, move);
       }
       case MoveResult.NoRun n -> failed(at, move, move.end);
@@ -183,7 +207,7 @@
 
   /** Without a copy the run goes on where it is, unless its stream is over. */
   private void failed(long at, Move move, Optional<AnswerGrade> end) {
-    remove(move.attempt.id());
+    giveUp(move);
     if (move.streamEnded) {
       runs.ended(at, move.attempt.id(), end);
     }
@@ -209,9 +233,12 @@
   }
 
   private void goOnIfOver(long at, Move move) {
-    if (move.streamEnded && move.handle.isPresent()) {
-      remove(move.attempt.id());
-      runs.goOn(at, move, move.handle.get());
+    if (move.streamEnded && move.complete) {
+      remove(move);
+      move.copy
+          .last()
+          .flatMap(handle -> runs.goOn(at, move, handle))
+          .ifPresentOrElse(id -> unused.put(id, move.copy), move.copy::giveUp);
     }
   }
 
@@ -221,7 +248,7 @@
     if (move == null) {
       return;
     }
-    if (move.handle.isPresent()) {
+    if (move.complete) {
       runs.emit(new RelayEffect.Cancel(id));
       move.streamEnded = true;
       goOnIfOver(at, move);
@@ -232,39 +259,47 @@
   }
 
   /**
-   * Upstreams have started again: moves off the lives before are void, and their copies are not
-   * freed, as the handles may name what belongs to others now. Runs that were to move to one go on
-   * where they are, unless they were stopped for it.
+   * Upstreams have started again: moves off the lives before are void. Runs that were to move to
+   * one go on where they are, unless they were stopped for it.
    */
   void livesEnded(long at, Set<UpstreamLife> lives) {
     for (Move move : List.copyOf(moves.values())) {
       AttemptState a = move.attempt;
       if (lives.contains(a.upstream().life())) {
-        remove(a.id());
+        giveUp(move);
       } else if (lives.contains(move.destination.life())) {
-        move.handle.ifPresent(h -> free(a, h));
         doubt(move);
         failed(at, move, Optional.empty());
       }
     }
   }
 
-  private void free(AttemptState a, String handle) {
-    runs.emit(new RelayEffect.Free(a.upstream().upstream(), handle));
+  private void free(UpstreamState source, String handle) {
+    if (!fleet.hasStartedAgain(source.life())) {
+      runs.emit(new RelayEffect.Free(source.upstream(), handle));
+    }
+  }
+
+  /** An attempt has begun; if it goes on from a copy, the copy is used. */
+  void began(AttemptId id) {
+    Optional.ofNullable(unused.remove(id)).ifPresent(RunCopy::used);
   }
 
-  /** An attempt is over; a copy that was made of it is freed. */
+  /** An attempt is over: a copy that was made of it, or from which it was to go on, is freed. */
   void abandon(AttemptState a) {
     doubtful.remove(a.id());
-    Optional.ofNullable(remove(a.id())).flatMap(m -> m.handle).ifPresent(h -> free(a, h));
+    Optional.ofNullable(moves.get(a.id())).ifPresent(this::giveUp);
+    Optional.ofNullable(unused.remove(a.id())).ifPresent(RunCopy::giveUp);
   }
 
-  /** Ends a move and gives its room back; null if there is none. */
-  private Move remove(AttemptId id) {
-    Move move = moves.remove(id);
-    if (move != null) {
-      move.destination.addLoad(-move.units);
-    }
-    return move;
+  private void giveUp(Move move) {
+    remove(move);
+    move.copy.giveUp();
+  }
+
+  /** Ends a move and gives its room back. */
+  private void remove(Move move) {
+    moves.remove(move.attempt.id());
+    move.destination.addLoad(-move.units);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -184,6 +184,12 @@
     return Optional.ofNullable(all.get(life.name())).filter(s -> s.life().equals(life));
   }
 
+  /** Whether an upstream is known to have started again since a life of it. */
+  boolean hasStartedAgain(UpstreamLife life) {
+    UpstreamState now = all.get(life.name());
+    return now != null && !now.life().equals(life);
+  }
+
   /** Takes over what another node has in flight. */
   void heard(long at, HostName node, ImmutableMap<UpstreamLife, Long> loads) {
     count(heard.put(node, new Heard(at, loads)), -1);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -514,6 +514,7 @@
     }
     CallState c = a.call();
     if (a.continues()) {
+      evacuation.began(id);
       a.upstream().succeeded(at);
     } else {
       learn(at, a);
@@ -559,6 +560,9 @@
         return;
       }
     }
+    if (grade == AnswerGrade.GOOD) {
+      evacuation.began(id);
+    }
     over(a);
     long first = (c.began ? c.beganAt : at) - c.arrivedAt;
     report(
@@ -770,12 +774,13 @@
     }
 
     @Override
-    public void goOn(long at, Evacuation.Move move, String handle) {
+    public Optional<AttemptId> goOn(long at, Evacuation.Move move, String handle) {
       AttemptState a = move.attempt;
       over(a);
       a.call().moveIn(move.destination, move.units);
       Purpose goOn = new Purpose.Continue(a.upstream().upstream(), handle);
       send(at, a.call(), new Choice(move.destination, 0, "", 0, 1), goOn, 0);
+      return Optional.ofNullable(a.call().attempt).map(AttemptState::id);
     }
 
     @Override
@@ -863,8 +868,8 @@
   private void cancel(CallState c) {
     AttemptState a = c.attempt;
     if (a != null) {
-      over(a);
       effects.accept(new RelayEffect.Cancel(a.id()));
+      over(a);
     }
   }
 
