--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Fleet.java
@@ -190,6 +190,12 @@
     return state != null && state.isOf(life.start()) ? state : null;
   }
 
+  /** Whether an upstream is known to have started again since a life of it. */
+  boolean hasStartedAgain(UpstreamLife life) {
+    UpstreamState now = all.get(life.name());
+    return now != null && !now.life().equals(life);
+  }
+
   /** Takes over what another node has in flight. */
   void heard(long at, HostName node, ImmutableMap<UpstreamLife, Long> loads) {
     count(heard.put(node, new Heard(at, loads)), -1);
