--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ClosedWorkerTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ClosedWorkerTest.java
@@ -30,7 +30,7 @@
       HttpClientOptions options =
           HttpClientOptions.of(server.uri()).withTimeout(Duration.ofSeconds(1));
       HttpObjectApi api = new HttpObjectApi(options, worker, scheduler);
-      CompletableFuture<?> call = api.get(new ObjectKey("test", "one"));
+      final CompletableFuture<?> call = api.get(new ObjectKey("test", "one"));
       server.nextRequest();
       worker.shutdownNow();
       worker.awaitTermination(5, TimeUnit.SECONDS);
@@ -50,7 +50,7 @@
       ExecutorScheduler scheduler = new ExecutorScheduler("test");
       XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
       HttpObjectApi api = new HttpObjectApi(HttpClientOptions.of(server.uri()), worker, scheduler);
-      Watch w = api.watch("test", 5, Duration.ofSeconds(1), e -> {});
+      final Watch w = api.watch("test", 5, Duration.ofSeconds(1), e -> {});
       server.nextRequest();
       worker.shutdownNow();
       worker.awaitTermination(5, TimeUnit.SECONDS);
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CopiesOfRunsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CopiesOfRunsTest.java
@@ -340,6 +340,7 @@
     private SplittableRandom random;
     private int seen;
 
+    /** The seeds of the steps that are drawn. */
     @DataProvider
     public Object[][] seeds() {
       return LongStream.range(0, SEEDS).mapToObj(i -> new Object[] {i}).toArray(Object[][]::new);
--- a/platform.test/src/test/java/org/larkkeel/platform/ResumedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/ResumedStreamTest.java
@@ -39,7 +39,7 @@
   }
 
   /** Callers that have the beginning. */
-  public static class WithABeginning {
+  public static class Begun {
     @Test(dataProvider = "answers", dataProviderClass = ResumedStreamTest.class)
     public void learnTheEnd(String answer, boolean complete) throws Exception {
       try (World w = new World().configured()) {
