Take entries without a start for another writer's where most have one

Change: the whole list decides. Where more entries have a start than not, one without names no upstream; a single stray entry that has one takes no other away.

--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/MissingStarts.java
@@ -0,0 +1,44 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.daemon.relay;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.Collection;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.store.EntryProblem;
+import org.larkkeel.store.EntryProblem.Reason;
+
+/**
+ * Tells which entries of a list lack the start that upstreams tell of themselves.
+ *
+ * <p>A platform whose upstreams tell their start has it in every entry, so that one without it
+ * comes from another writer. A platform on which none does is served as well; and one stray entry
+ * that has a start must not take all others away. So most entries decide which platform it is.
+ * Stateless.
+ */
+final class MissingStarts {
+  /** What is wrong with such an entry. */
+  static final EntryProblem PROBLEM =
+      new EntryProblem(Reason.MISSING, "start", "nothing", "a start, as most entries have");
+
+  private MissingStarts() {}
+
+  /**
+   * The entries without a start among entries most of which have one; empty if most have none.
+   *
+   * @param all the entries that can be read
+   */
+  static ImmutableSet<UpstreamName> among(Collection<RelayUpstream> all) {
+    ImmutableSet<UpstreamName> without =
+        all.stream()
+            .filter(u -> !u.life().hasStart())
+            .map(RelayUpstream::id)
+            .collect(ImmutableSet.toImmutableSet());
+    return 2 * without.size() < all.size() ? without : ImmutableSet.of();
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -144,14 +145,18 @@
   private void upstreams(ImmutableSortedMap<String, StoredObject> objects) {
     noteChanges();
     unread = new TreeMap<>(upstreams.unreadable());
-    ImmutableMap.Builder<UpstreamName, RelayUpstream> all = ImmutableMap.builder();
+    Map<UpstreamName, RelayUpstream> all = new LinkedHashMap<>();
     for (StoredObject o : objects.values()) {
       switch (adapter.upstream(o)) {
         case Reading.Readable<RelayUpstream> r -> all.put(r.value().id(), r.value());
         case Reading.Unreadable<RelayUpstream> u -> unread.put(o.key().name(), u.problem());
       }
     }
-    readable = all.buildOrThrow();
+    for (UpstreamName name : MissingStarts.among(all.values())) {
+      all.remove(name);
+      unread.put(name.value(), MissingStarts.PROBLEM);
+    }
+    readable = ImmutableMap.copyOf(all);
     stages.upstreams(readable.values());
     loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), readable));
     tellUpstreamProblems();
--- a/org.larkkeel/src/main/java/org/larkkeel/lib/UpstreamLife.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/lib/UpstreamLife.java
@@ -18,9 +18,16 @@
  * @since 0.1
  */
 public record UpstreamLife(UpstreamName name, Incarnation start) {
+  private static final long UNKNOWN = 0;
+
   /** The life of an upstream that has not told its start. */
   public static UpstreamLife unknownStart(UpstreamName name) {
-    return new UpstreamLife(name, new Incarnation(0));
+    return new UpstreamLife(name, new Incarnation(UNKNOWN));
+  }
+
+  /** Whether the start is known. */
+  public boolean hasStart() {
+    return start.value() != UNKNOWN;
   }
 
   @Override
