--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -28,6 +28,7 @@
 import org.larkkeel.store.Reading;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.StoredObject;
+import org.larkkeel.store.WatchTimes;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -78,7 +79,7 @@
             adapter.configurationCollection(),
             scheduler,
             backoff(random),
-            watchTime,
+            WatchTimes.spread(watchTime, random.split()),
             this::configuration);
     this.upstreams =
         new CollectionMirror(
@@ -86,7 +87,7 @@
             adapter.upstreamCollection(),
             scheduler,
             backoff(random),
-            watchTime,
+            WatchTimes.spread(watchTime, random.split()),
             this::upstreams);
   }
 
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -40,7 +40,7 @@
   private final String collection;
   private final Scheduler scheduler;
   private final Backoff backoff;
-  private final Duration watchTime;
+  private final WatchTimes watchTimes;
   private final Consumer<ImmutableSortedMap<String, StoredObject>> listener;
   private TreeMap<String, StoredObject> objects = new TreeMap<>();
   private TreeMap<String, EntryProblem> unreadable = new TreeMap<>();
@@ -69,22 +69,22 @@
       Scheduler scheduler,
       Backoff backoff,
       Consumer<ImmutableSortedMap<String, StoredObject>> listener) {
-    this(api, collection, scheduler, backoff, DEFAULT_WATCH_TIME, listener);
+    this(api, collection, scheduler, backoff, WatchTimes.always(DEFAULT_WATCH_TIME), listener);
   }
 
-  /** As the other, with the longest time of one watch. */
+  /** As the other, with the times of watches. */
   public CollectionMirror(
       ObjectApi api,
       String collection,
       Scheduler scheduler,
       Backoff backoff,
-      Duration watchTime,
+      WatchTimes watchTimes,
       Consumer<ImmutableSortedMap<String, StoredObject>> listener) {
     this.api = api;
     this.collection = collection;
     this.scheduler = scheduler;
     this.backoff = backoff;
-    this.watchTime = watchTime;
+    this.watchTimes = watchTimes;
     this.listener = listener;
   }
 
@@ -215,7 +215,7 @@
   }
 
   private void watch() {
-    Watch w = api.watch(collection, version, watchTime, this::event);
+    Watch w = api.watch(collection, version, watchTimes.next(), this::event);
     watch = w;
     w.ended().whenComplete((ok, failure) -> ended(w, failure));
   }
