--- a/platform.test/src/test/java/org/larkkeel/platform/UnreadableObjectsTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/UnreadableObjectsTest.java
@@ -34,6 +34,7 @@
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.ListQuery;
 import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.WatchTimes;
 import org.slf4j.LoggerFactory;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -72,7 +73,7 @@
               PlatformNames.SERVERS_KIND,
               scheduler,
               backoff,
-              Duration.ofSeconds(1),
+              WatchTimes.always(Duration.ofSeconds(1)),
               objects -> names = Set.copyOf(objects.keySet()));
       closer.add(mirror);
     }
