Log and count what a node knows of a collection of the store

The record of late configurations can not tell a node that knows of nothing newer from one that can not reach the store: lines tell only the version at which the store was lost. collection_lost now tells the newest change of an object that was seen, beside the version, and how long the store had been silent; collection_changed tells each change of the copy and whether it came by a list, a watch or from another node. Gauge larkkeel_relay_store_silence_seconds, counter larkkeel_relay_store_losses_total. No logic changes.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -205,7 +206,7 @@
                   () -> 1,
                   loop,
                   stages,
-                  (collection, reason) -> {}));
+                  new RelayMeters(new SimpleMeterRegistry())));
       for (int i = 0; i < entries(); i++) {
         store.entries.add(store.entry(i));
       }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
 import org.larkkeel.http.relay.RelayLoop;
 import org.larkkeel.relay.RelayConfiguration;
@@ -20,7 +19,6 @@
 import org.larkkeel.store.CollectionChange;
 import org.larkkeel.store.CollectionMirror;
 import org.larkkeel.store.EntryProblem;
-import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.ObjectApi;
 import org.larkkeel.store.Reading;
 import org.larkkeel.store.Scheduler;
@@ -61,10 +59,11 @@
       IntSupplier nodes,
       RelayLoop loop,
       StageController stages,
-      BiConsumer<String, Reason> unreadable) {
+      RelayMeters meters) {
     this.configurationProblems =
-        new UnreadableEntries("configurations", scheduler::nanoTime, unreadable);
-    this.upstreamProblems = new UnreadableEntries("upstreams", scheduler::nanoTime, unreadable);
+        new UnreadableEntries("configurations", scheduler::nanoTime, meters::unreadable);
+    this.upstreamProblems =
+        new UnreadableEntries("upstreams", scheduler::nanoTime, meters::unreadable);
     this.stages = stages;
     this.scheduler = scheduler;
     this.adapter = adapter;
@@ -86,6 +85,8 @@
             backoff(random),
             WatchTimes.spread(watchTime, random.split(), nodes),
             this::upstreams);
+    meters.follow("configurations", configurations);
+    meters.follow("upstreams", upstreams);
   }
 
   private static Backoff backoff(SplittableRandom random) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -7,6 +7,7 @@
 package org.larkkeel.daemon.relay;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
@@ -18,6 +19,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.store.CollectionMirror;
 import org.larkkeel.store.EntryProblem;
 
 /**
@@ -123,6 +125,17 @@
         .increment();
   }
 
+  /** Watches what a node hears of a collection of the store. */
+  void follow(String collection, CollectionMirror mirror) {
+    Gauge.builder("larkkeel.relay.store.silence", mirror, m -> m.silence().toNanos() / 1e9)
+        .baseUnit("seconds")
+        .tag("collection", collection)
+        .register(registry);
+    FunctionCounter.builder("larkkeel.relay.store.losses", mirror, CollectionMirror::losses)
+        .tag("collection", collection)
+        .register(registry);
+  }
+
   private void answered(RelayFact.Answered f) {
     String outcome =
         f.grade() == AnswerGrade.GOOD
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -138,7 +138,7 @@
                 () -> loads.live().size() + 1,
                 loop,
                 stages,
-                meters::unreadable));
+                meters));
     loads.changes(feed::changes, feed::others);
     closer.add(loop);
     scheduler.execute(feed::start);
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -100,6 +100,31 @@
     }
   }
 
+  /** What operators see of it. */
+  public static class Measured {
+    @Test
+    public void tellsHowLongTheStoreWasSilent() {
+      World w = new World(Duration.ofMillis(1));
+      w.time.advance(Duration.ofSeconds(4));
+      assertTrue(w.mirror.silence().compareTo(Duration.ofSeconds(4)) >= 0);
+      w.create("a");
+      w.time.advance(Duration.ofMillis(10));
+      assertTrue(w.mirror.silence().toMillis() <= 10, w.mirror.silence().toString());
+    }
+
+    @Test
+    public void countsLossesButNotTriesThatFail() {
+      World w = new World(Duration.ofMillis(1));
+      w.store.setOutage(true);
+      w.create("a");
+      w.time.advance(Duration.ofSeconds(10));
+      w.store.setOutage(false);
+      w.time.advance(Duration.ofSeconds(2));
+      assertFalse(w.mirror.isFailing());
+      assertEquals(w.mirror.losses(), 1);
+    }
+  }
+
   /** Changes that come in series, in a fleet whose watches all end with each of them. */
   public static class InSeries {
     /** Nodes that follow a collection, and the calls that they make of the store. */
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionChange.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionChange.java
@@ -18,4 +18,9 @@
  * @param removed names of objects that are no longer in the copy, never null
  * @since 0.1
  */
-public record CollectionChange(ImmutableList<StoredObject> changed, ImmutableSet<String> removed) {}
+public record CollectionChange(ImmutableList<StoredObject> changed, ImmutableSet<String> removed) {
+  /** Whether nothing differs, as after a list that brought no news. */
+  public boolean isEmpty() {
+    return changed.isEmpty() && removed.isEmpty();
+  }
+}
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,7 +27,7 @@
  * state of the collection: a list that is behind what was seen is not taken over. This relies on
  * versions of the store that only grow. While the store can not be reached the last copy stays. An
  * object that can not be read is not in the copy, and changes nothing about the others. Confined to
- * the scheduler.
+ * the scheduler, but for {@link #silence} and {@link #losses}, which any thread may ask for.
  *
  * @since 0.1
  */
@@ -60,6 +61,11 @@
 
   private boolean publishPlanned;
 
+  /** When the store last said something of the collection. */
+  private volatile long heardAt;
+
+  private final AtomicInteger losses = new AtomicInteger();
+
   /**
    * Creates a mirror that has not begun.
    *
@@ -93,6 +99,7 @@
     this.backoff = backoff;
     this.watchTimes = watchTimes;
     this.listener = listener;
+    this.heardAt = scheduler.nanoTime();
   }
 
   /** Begins; called once. */
@@ -117,6 +124,16 @@
     return failing;
   }
 
+  /** How long the store has said nothing of the collection; a watch that waits is silent too. */
+  public Duration silence() {
+    return Duration.ofNanos(scheduler.nanoTime() - heardAt);
+  }
+
+  /** How often the store was lost after it was reached. */
+  public int losses() {
+    return losses.get();
+  }
+
   /** The version of the copy; 0 before the first one. */
   public long version() {
     return shownVersion;
@@ -175,7 +192,7 @@
     copy.forEach(this::seen);
     replace(offered, new TreeMap<>());
     shownVersion = newer;
-    publish();
+    publish(Source.PEER);
     return true;
   }
 
@@ -195,6 +212,7 @@
   }
 
   private void received(ListQuery q, ObjectPage page) {
+    heardAt = scheduler.nanoTime();
     page.items().forEach(o -> listing.put(o.key().name(), o));
     page.items().forEach(this::seen);
     page.unreadable().forEach(u -> unreadableListing.put(u.name(), u.problem()));
@@ -215,7 +233,7 @@
     } else {
       replace(listing, unreadableListing);
       shownVersion = version;
-      publish();
+      publish(Source.LIST);
     }
     watch();
   }
@@ -230,6 +248,9 @@
     if (closed || watch != w) {
       return;
     }
+    if (failure == null) {
+      heardAt = scheduler.nanoTime();
+    }
     if (failure == null && namelessChange) {
       scheduler.schedule(backoff.next(), this::restart);
     } else if (failure == null) {
@@ -249,6 +270,7 @@
     if (closed) {
       return;
     }
+    heardAt = scheduler.nanoTime();
     version = Math.max(version, e.resourceVersion());
     shownVersion = Math.max(shownVersion, version);
     switch (e) {
@@ -330,11 +352,11 @@
   private void publishTouched() {
     publishPlanned = false;
     if (!closed && !touched.isEmpty()) {
-      publish();
+      publish(Source.WATCH);
     }
   }
 
-  private void publish() {
+  private void publish(Source source) {
     ImmutableList.Builder<StoredObject> changed = ImmutableList.builder();
     ImmutableSet.Builder<String> removed = ImmutableSet.builder();
     for (String name : touched) {
@@ -346,16 +368,30 @@
       }
     }
     touched.clear();
-    listener.accept(new CollectionChange(changed.build(), removed.build()));
+    CollectionChange change = new CollectionChange(changed.build(), removed.build());
+    if (!change.isEmpty()) {
+      LOG.info(
+          "event=collection_changed collection={} version={} change={} by={} changed={} removed={}",
+          collection,
+          shownVersion,
+          changeVersion,
+          source,
+          change.changed().size(),
+          change.removed().size());
+    }
+    listener.accept(change);
   }
 
   private void retry(Throwable failure) {
     if (!failing) {
       failing = true;
+      losses.incrementAndGet();
       LOG.warn(
-          "event=collection_lost collection={} version={} cause=\"{}\"",
+          "event=collection_lost collection={} version={} change={} silent_ms={} cause=\"{}\"",
           collection,
           version,
+          changeVersion,
+          silence().toMillis(),
           failure.getMessage());
     }
     scheduler.schedule(backoff.next(), this::restart);
@@ -366,4 +402,11 @@
       start();
     }
   }
+
+  /** How what the copy holds became known. */
+  private enum Source {
+    LIST,
+    WATCH,
+    PEER
+  }
 }
