--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -60,6 +60,20 @@
       names = Set.copyOf(mirror.objects().keySet());
     }
 
+    /** A mirror of another node, whose watches work. */
+    CollectionMirror another() {
+      ManualScheduler.Process other = time.newProcess();
+      CollectionMirror m =
+          new CollectionMirror(
+              new InMemoryObjectApi(store, other).setWatchLag(Duration.ofMillis(1)),
+              COLLECTION,
+              other,
+              new Backoff(Duration.ofMillis(100), Duration.ofSeconds(1), new SplittableRandom(2)),
+              change -> {});
+      m.start();
+      return m;
+    }
+
     long version(String name) {
       return store.get(new ObjectKey(COLLECTION, name)).resourceVersion();
     }
@@ -100,6 +114,60 @@
     }
   }
 
+  /**
+   * Objects that were removed while the store could not be reached.
+   *
+   * <p>Seen: upstreams left while the store refused some nodes. From then on each of these took its
+   * watch for dead again and again, up to 20 times in 10 s, since others had seen a change that was
+   * older than its own list.
+   */
+  public static class Removed {
+    private static final ObjectKey A = new ObjectKey(COLLECTION, "a");
+
+    /** A mirror that lists after a removal that it did not watch. */
+    private static World afterRemoval() {
+      World w = new World(Duration.ofMillis(1));
+      w.create("a");
+      w.create("b");
+      w.time.advance(Duration.ofSeconds(1));
+      w.store.setOutage(true);
+      w.store.delete(A, w.store.get(A).resourceVersion());
+      w.time.advance(Duration.ofSeconds(1));
+      w.store.setOutage(false);
+      w.time.advance(Duration.ofSeconds(3));
+      assertEquals(w.names, Set.of("b"));
+      return w;
+    }
+
+    @Test
+    public void areNoReasonToReadAnewWhatTheListLacks() {
+      World w = afterRemoval();
+      w.mirror.others(w.store.version());
+      w.time.advance(Duration.ofSeconds(2));
+      assertEquals(w.mirror.losses(), 1, "the outage");
+    }
+
+    @Test
+    public void areNewsForOthersThatHaveNotSeenThem() {
+      World w = new World(Duration.ofMillis(1));
+      w.create("a");
+      w.create("b");
+      final CollectionMirror lister = w.another();
+      w.time.advance(Duration.ofSeconds(1));
+      assertEquals(w.names, Set.of("a", "b"));
+      w.api.fallSilent();
+      w.store.setOutage(true);
+      w.store.delete(A, w.store.get(A).resourceVersion());
+      w.time.advance(Duration.ofSeconds(1));
+      w.store.setOutage(false);
+      w.time.advance(Duration.ofSeconds(3));
+      assertEquals(w.names, Set.of("a", "b"));
+      w.mirror.others(lister.changeVersion());
+      w.time.advance(Duration.ofSeconds(1));
+      assertEquals(w.names, Set.of("b"));
+    }
+  }
+
   /** What operators see of it. */
   public static class Measured {
     @Test
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/HttpObjectApiTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/HttpObjectApiTest.java
@@ -160,6 +160,28 @@
       hasty.close();
     }
 
+    /**
+     * Connections fall silent together. Seen: a node that found its watch silent read anew over one
+     * kept connection after the other, each silent, for a second each.
+     */
+    @Test
+    public void callWithoutAnswerLeavesNoConnectionToUseAgain() throws Exception {
+      HttpObjectApi hasty = client(Duration.ofMillis(500));
+      String found = ScriptedServer.answer(200, "", OBJECT);
+      server.then(found, found);
+      CompletableFuture<StoredObject> one = hasty.get(KEY);
+      CompletableFuture<StoredObject> other = hasty.get(KEY);
+      await(one);
+      await(other);
+      assertEquals(server.connections(), 2);
+      server.then(ScriptedServer.SILENCE);
+      assertEquals(failure(hasty.get(KEY)), new ObjectApiFailure.Unavailable());
+      server.then(found);
+      await(hasty.get(KEY));
+      assertEquals(server.connections(), 3);
+      hasty.close();
+    }
+
     @Test
     public void refusedConnectionHadNoEffect() throws Exception {
       ScriptedServer gone = new ScriptedServer();
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
@@ -8,6 +8,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +25,8 @@
   private Duration watchLag = Duration.ZERO;
   private ObjectPage nextList;
   private boolean watchesEnd;
+  private final List<FakeWatch> open = new ArrayList<>();
+  private Duration answerTime = Duration.ZERO;
   private Supplier<Fault> writeFaults = () -> Fault.NONE;
   private Supplier<Fault> readFaults = () -> Fault.NONE;
 
@@ -63,6 +66,18 @@
     return this;
   }
 
+  /** Sets how long a watch whose connection is silent lasts beyond its time before it fails. */
+  public InMemoryObjectApi setAnswerTime(Duration time) {
+    answerTime = time;
+    return this;
+  }
+
+  /** Lets all connections that are open now fall silent, without an end. New ones work. */
+  public void fallSilent() {
+    open.forEach(w -> w.silent = true);
+    open.clear();
+  }
+
   /** How late watch events come. */
   public InMemoryObjectApi setWatchLag(Duration lag) {
     watchLag = lag;
@@ -163,7 +178,9 @@
     store.countWatch();
     FakeWatch w = new FakeWatch(collection, resourceVersion, listener);
     store.process().schedule(oneWay, w::begin);
-    process.schedule(timeout, () -> w.ended.complete(null));
+    open.removeIf(old -> old.ended.isDone());
+    open.add(w);
+    process.schedule(timeout, w::timeOver);
     return w;
   }
 
@@ -174,6 +191,7 @@
     private final Consumer<WatchEvent> listener;
     private long told;
     private boolean ending;
+    private boolean silent;
 
     FakeWatch(String collection, long from, Consumer<WatchEvent> listener) {
       this.collection = collection;
@@ -186,8 +204,17 @@
       tell();
     }
 
+    /** The store answers that nothing came, but not on a connection that is silent. */
+    private void timeOver() {
+      if (silent) {
+        process.schedule(answerTime, () -> fail(new ObjectApiFailure.Unavailable()));
+      } else {
+        ended.complete(null);
+      }
+    }
+
     private void tell() {
-      if (ended.isDone() || ending) {
+      if (ended.isDone() || ending || silent) {
         return;
       }
       if (store.isDown()) {
@@ -205,16 +232,22 @@
       }
       if (watchesEnd && !events.get().isEmpty()) {
         ending = true;
-        process.schedule(oneWay.plus(watchLag), () -> ended.complete(null));
+        process.schedule(oneWay.plus(watchLag), this::told);
       }
     }
 
     private void deliver(WatchEvent e) {
-      if (!ended.isDone()) {
+      if (!ended.isDone() && !silent) {
         listener.accept(e);
       }
     }
 
+    private void told() {
+      if (!silent) {
+        ended.complete(null);
+      }
+    }
+
     private void fail(ObjectApiFailure f) {
       process.schedule(oneWay, () -> ended.completeExceptionally(exception(f)));
     }
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ScriptedServer.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ScriptedServer.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Answers each request with the next line of a script, byte by byte as told. */
 final class ScriptedServer implements AutoCloseable {
@@ -36,6 +37,7 @@
   private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
   private final BlockingQueue<Boolean> resets = new LinkedBlockingQueue<>();
+  private final AtomicInteger connections = new AtomicInteger();
 
   ScriptedServer() throws IOException {
     socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -66,6 +68,11 @@
     return requests.take();
   }
 
+  /** How many connections were opened. */
+  int connections() {
+    return connections.get();
+  }
+
   /** Whether the next connection that was listened to ends by a reset, soon. */
   boolean isResetSoon() throws InterruptedException {
     return Boolean.TRUE.equals(resets.poll(3, TimeUnit.SECONDS));
@@ -84,6 +91,7 @@
     while (!socket.isClosed()) {
       try {
         Socket s = socket.accept();
+        connections.incrementAndGet();
         Thread.ofVirtual().start(() -> serve(s));
       } catch (IOException e) {
         return;
--- /dev/null
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/SilentFleetTest.java
@@ -0,0 +1,141 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.store;
+
+import static org.testng.Assert.assertEquals;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Nodes whose connections to the store all fall silent at once, without an end.
+ *
+ * <p>Seen: an operator's change was confirmed, and all nodes refused calls on its route with the
+ * revision before, in one moment, without a line that one had lost the store.
+ */
+public class SilentFleetTest {
+  private static final ObjectKey KEY = new ObjectKey("things", "main");
+
+  /** Within this time after a change is confirmed, it is in force everywhere. */
+  private static final Duration IN_FORCE = Duration.ofSeconds(2);
+
+  /** Within this time after a disturbance, the times of calm days hold again. */
+  private static final Duration CALM = Duration.ofSeconds(3);
+
+  /** How often a node tells the others what it has seen, at the least. */
+  private static final Duration TOLD = Duration.ofMillis(400);
+
+  /** The longest time of a call of the store. */
+  private static final Duration CALL = Duration.ofSeconds(1);
+
+  /** Nodes that follow one collection and tell each other what they have seen of it. */
+  private static final class Fleet {
+    final ManualScheduler time = new ManualScheduler();
+    final InMemoryStore store = new InMemoryStore(time);
+    final List<CollectionMirror> mirrors = new ArrayList<>();
+    final List<InMemoryObjectApi> apis = new ArrayList<>();
+
+    Fleet(int nodes, long seed) {
+      SplittableRandom random = new SplittableRandom(seed);
+      for (int i = 0; i < nodes; i++) {
+        start(nodes, random);
+      }
+      store.create(KEY, "thing", JsonNodeFactory.instance.objectNode());
+      time.advance(Duration.ofSeconds(1).plusMillis(random.nextInt(15_000)));
+    }
+
+    private void start(int nodes, SplittableRandom random) {
+      ManualScheduler.Process process = time.newProcess();
+      InMemoryObjectApi api = new InMemoryObjectApi(store, process).setAnswerTime(CALL);
+      api.endWatchesWithEvents();
+      CollectionMirror mirror =
+          new CollectionMirror(
+              api,
+              KEY.collection(),
+              process,
+              new Backoff(Duration.ofMillis(250), Duration.ofMillis(1_200), random.split()),
+              WatchTimes.spread(Duration.ofSeconds(15), random.split(), () -> nodes),
+              change -> {});
+      mirror.start();
+      apis.add(api);
+      mirrors.add(mirror);
+      process.schedule(Duration.ofMillis(random.nextInt(400)), () -> tell(process, mirror));
+    }
+
+    private void tell(ManualScheduler.Process process, CollectionMirror mirror) {
+      mirrors.forEach(m -> m.others(mirror.changeVersion()));
+      process.schedule(TOLD, () -> tell(process, mirror));
+    }
+
+    void fallSilent() {
+      apis.forEach(InMemoryObjectApi::fallSilent);
+    }
+
+    void change() {
+      long version = store.get(KEY).resourceVersion();
+      store.update(KEY, "thing", JsonNodeFactory.instance.objectNode().put("is", version), version);
+    }
+
+    /** How many nodes do not know the newest. */
+    long behind() {
+      long newest = store.get(KEY).resourceVersion();
+      return mirrors.stream()
+          .filter(m -> m.objects().get(KEY.name()).resourceVersion() < newest)
+          .count();
+    }
+  }
+
+  @DataProvider
+  static Object[][] fleets() {
+    return new Object[][] {{1}, {2}, {8}, {40}};
+  }
+
+  /** How long after the silence a change comes: from at once to the end of the calm. */
+  private static final int[] CHANGES = {10, 400, 1_000, 1_900, 2_900};
+
+  private static long behind(int nodes, long seed, Duration changeAfter, Duration before) {
+    Fleet fleet = new Fleet(nodes, seed);
+    if (!before.isZero()) {
+      fleet.change();
+      fleet.time.advance(before);
+    }
+    fleet.fallSilent();
+    fleet.time.advance(changeAfter);
+    fleet.change();
+    Duration rest = CALM.minus(changeAfter);
+    fleet.time.advance(rest.compareTo(IN_FORCE) > 0 ? rest : IN_FORCE);
+    return fleet.behind();
+  }
+
+  /** The silence comes at any time. */
+  @Test(dataProvider = "fleets")
+  public void knowsOfChangesInTime(int nodes) {
+    for (int change : CHANGES) {
+      for (int seed = 0; seed < 20; seed++) {
+        long behind = behind(nodes, seed, Duration.ofMillis(change), Duration.ZERO);
+        assertEquals(behind, 0, "nodes behind, change after " + change + " ms, seed " + seed);
+      }
+    }
+  }
+
+  /** The silence comes when all watches have just begun anew, with a change before it. */
+  @Test(dataProvider = "fleets")
+  public void knowsOfChangesInTimeAfterAllWatchesBegan(int nodes) {
+    for (int change : CHANGES) {
+      for (int seed = 0; seed < 20; seed++) {
+        Duration before = Duration.ofMillis(700);
+        long behind = behind(nodes, seed, Duration.ofMillis(change), before);
+        assertEquals(behind, 0, "nodes behind, change after " + change + " ms, seed " + seed);
+      }
+    }
+  }
+}
