Tell others of removals that only a list shows

A node that finds its watch silent reads anew and is the first to know; the others find their own watches dead by its word. A removal that the list shows by what it lacks was no change that it told of, so nodes whose watches were still silent kept the removed upstream until their watches ended, and could send calls to it. The list's difference now counts as a change at the least version that it can have, so that a node that watched the removal does not doubt its watch. CollectionMirrorTest: areNewsForOthersThatHaveNotSeenThem failed before and passes; areNoNewsForThoseThatWatchedThem passes with the bound and guards it (26 tests pass).

--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -149,6 +149,28 @@
       assertEquals(w.mirror.losses(), 1, "the outage");
     }
 
+    @Test
+    public void areNoNewsForThoseThatWatchedThem() {
+      World w = new World(Duration.ofMillis(1));
+      w.create("a");
+      w.create("b");
+      CollectionMirror watching = w.another();
+      w.time.advance(Duration.ofSeconds(1));
+      w.api.fallSilent();
+      w.store.delete(A, w.store.get(A).resourceVersion());
+      w.time.advance(Duration.ofMillis(100));
+      w.mirror.others(watching.changeVersion());
+      w.time.advance(Duration.ofSeconds(2));
+      assertEquals(w.names, Set.of("b"));
+      watching.others(w.mirror.changeVersion());
+      w.time.advance(Duration.ofSeconds(2));
+      assertEquals(watching.losses(), 0);
+    }
+
+    /**
+     * A node that lists after a silence is the first to know. What is left out of a list was no
+     * change that it told of, so that nodes that were still silent kept the removed upstream.
+     */
     @Test
     public void areNewsForOthersThatHaveNotSeenThem() {
       World w = new World(Duration.ofMillis(1));
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -143,7 +143,10 @@
     return shownVersion;
   }
 
-  /** The version of the newest change of an object that was seen; 0 before the first. */
+  /**
+   * The version of the newest change of an object that was seen, or a lower bound of it where a
+   * removal was seen by what a list lacks; 0 before the first.
+   */
   public long changeVersion() {
     return changeVersion;
   }
@@ -299,6 +302,15 @@
     changeVersion = Math.max(changeVersion, o.resourceVersion());
   }
 
+  /**
+   * Notes a removal that no watch told of, else others whose watches are silent would not be told
+   * that something has changed. Its version is not known; the least that it can have makes no node
+   * that watched it doubt its watch.
+   */
+  private void seenRemovalAfter(long before) {
+    changeVersion = Math.max(changeVersion, before + 1);
+  }
+
   private void change(StoredObject o) {
     seen(o);
     StoredObject old = objects.get(o.key().name());
@@ -348,6 +360,7 @@
     for (String name : objects.keySet()) {
       if (!whole.containsKey(name)) {
         touched.add(name);
+        seenRemovalAfter(shownVersion);
       }
     }
     objects = whole;
