Close kept connections when one brought no answer

Connections fall silent together, so a call that times out, or a watch that is given up as dead, closes those that are kept; the next call connects anew. It costs one connection to the store a time-out. HttpObjectApiTest.callWithoutAnswerLeavesNoConnectionToUseAgain and PlatformWatchTest.Silent failed before and pass (85 tests of both modules pass).

--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ConnectionPool.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ConnectionPool.java
@@ -11,7 +11,6 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import org.larkkeel.store.internal.http.HttpCallException.Sent;
-import org.xnio.IoUtils;
 
 /**
  * A bounded pool of connections. Confined to the scheduler.
@@ -53,10 +52,16 @@
     serve();
   }
 
+  /** Closes the connections that no call uses. */
+  void closeIdle() {
+    open -= idle.size();
+    idle.forEach(Connector::reset);
+    idle.clear();
+  }
+
   void close() {
     closed = true;
-    idle.forEach(IoUtils::safeClose);
-    idle.clear();
+    closeIdle();
     waiting.forEach(
         f -> f.completeExceptionally(new HttpCallException(Sent.NO, "the client is closed")));
     waiting.clear();
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
@@ -61,6 +61,14 @@
     return new PendingCall<>(c.result, () -> scheduler.execute(c::giveUp));
   }
 
+  /**
+   * Closes the connections that are kept for later calls; on the scheduler. Connections fall silent
+   * together: when one brought no answer, a call on another could wait in vain for its whole time.
+   */
+  void distrustIdle() {
+    pool.closeIdle();
+  }
+
   /** The connector, for calls that keep a connection to themselves. */
   Connector connector() {
     return connector;
@@ -159,16 +167,22 @@
     }
 
     private void timedOut() {
-      Sent sent = connection == null ? Sent.NO : Sent.MAYBE;
-      acquiring.cancel(false);
-      finish(null, new HttpCallException(sent, "no answer within " + timeout));
+      end("no answer within " + timeout);
     }
 
     /** Ends the call, whose answer nobody takes any more. */
     void giveUp() {
+      end("given up");
+    }
+
+    private void end(String detail) {
+      if (result.isDone()) {
+        return;
+      }
+      distrustIdle();
       Sent sent = connection == null ? Sent.NO : Sent.MAYBE;
       acquiring.cancel(false);
-      finish(null, new HttpCallException(sent, "given up"));
+      finish(null, new HttpCallException(sent, detail));
     }
 
     private void finish(HttpReply reply, Throwable failure) {
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpObjectCalls.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpObjectCalls.java
@@ -95,7 +95,7 @@
             + version
             + "&timeoutSeconds="
             + Math.max(1, timeout.toSeconds());
-    HttpWatch w = new HttpWatch(collection, listener);
+    HttpWatch w = new HttpWatch(collection, listener, caller);
     w.start(caller.connector(), new HttpRequestData(Methods.GET, path, ""), timeout);
     return w;
   }
@@ -126,12 +126,14 @@
   private static final class HttpWatch implements Watch {
     private final String collection;
     private final Consumer<WatchEvent> listener;
+    private final HttpCaller caller;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private HttpLineStream stream;
 
-    HttpWatch(String collection, Consumer<WatchEvent> listener) {
+    HttpWatch(String collection, Consumer<WatchEvent> listener, HttpCaller caller) {
       this.collection = collection;
       this.listener = listener;
+      this.caller = caller;
     }
 
     void start(Connector connector, HttpRequestData request, Duration timeout) {
@@ -154,6 +156,7 @@
     private void end(HttpReply reply, Throwable broken) {
       String name = "watch " + collection;
       if (broken != null) {
+        caller.distrustIdle();
         ended.completeExceptionally(Failures.of(Effect.READ, name, broken));
       } else if (reply.status() / 100 != 2) {
         ended.completeExceptionally(Failures.of(Effect.READ, name, reply));
