Soak connections to the store that fall silent, and what is in force

The soak of real processes could not show late configurations: its nodes had watches of 2 s where deployed ones have 15, versions differed in their number only, and nothing was asked of them. Nodes now have the deployed watches, each version adds a route, and nodes that nothing disturbs are asked for it 2, 2.5 and 3 s after it is in the store.

--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -51,6 +51,18 @@
   private static final int KEEPER_FROM = 2;
 
   private static final int MAX_NODES = 60;
+
+  /**
+   * Within this time after a configuration is in the store, it is in force on undisturbed nodes.
+   */
+  private static final long IN_FORCE_MILLIS = 2_000;
+
+  /** With a seed that this divides, the connections of all nodes to the store fall silent. */
+  private static final int SILENT_SEEDS = 5;
+
+  /** One of so many faults beside silent connections. */
+  private static final int FEWER_FAULTS = 4;
+
   private static volatile Soak current;
 
   /** Faults of upstreams and their entries, counted in the last line. */
@@ -60,7 +72,9 @@
     RESTART_BEFORE_ENTRY,
     BAD_ENTRY,
     TURNS_BAD,
-    NOT_UP
+    NOT_UP,
+    SILENCE,
+    IN_FORCE_ASKED
   }
 
   /** A time in which something was harmed; node -1 concerns all. */
@@ -166,13 +180,20 @@
     for (int i = 0; i < CALLERS; i++) {
       callers.submit(new SoakCaller(this, ledger, "c" + i, random.nextLong()));
     }
+    boolean silent = seed % SILENT_SEEDS == 0;
+    if (silent) {
+      silences(new SplittableRandom(~seed));
+    }
     // The pauses are added up as drawn, so that the number of draws does not depend on the machine.
     long left = TimeUnit.SECONDS.toMillis(seconds);
     while (left > 0) {
       int pause = random.nextInt(100, 1_800);
       left -= pause;
       Thread.sleep(pause);
-      strike();
+      // A node that starts again hears of changes and tells the others, so that few may start.
+      if (!silent || random.nextInt(FEWER_FAULTS) == 0) {
+        strike();
+      }
     }
     Thread.sleep(1_000);
     loaded = false;
@@ -199,10 +220,15 @@
     }
   }
 
-  private void configure() {
+  /** A new version, which adds a route. */
+  private synchronized void configure() {
     ObjectNode config = Json.object();
-    config.put("version", version++);
+    long added = version++;
+    config.put("version", added);
     var routes = config.putArray("routes");
+    for (long v = 1; v <= added; v++) {
+      route(routes.addObject(), added(v), "safe", "app", false);
+    }
     route(routes.addObject(), "safe", "safe", "app", false);
     route(routes.addObject(), "once", "unsafe", "app", false);
     route(routes.addObject(), "stream", "streaming", "model", false);
@@ -213,6 +239,37 @@
         services.addObject().put("name", "model").put("max_connections", 100).putObject("engine");
     engine.put("kv_tokens", 90_000).put("stride", 10);
     store.put("config", "main", config);
+    for (int again = 0; again < 3; again++) {
+      after(IN_FORCE_MILLIS + 500L * again, () -> askForAdded(added));
+    }
+  }
+
+  private static String added(long version) {
+    return "safe-" + version;
+  }
+
+  /** Asks the nodes that nothing disturbs for the route that a version added. */
+  private void askForAdded(long added) {
+    for (int i = 0; i < nodes && loaded; i++) {
+      if (knowsList(i)) {
+        int node = i;
+        drawn(Drawn.IN_FORCE_ASKED);
+        Thread.ofVirtual().start(() -> askForAdded(added, node));
+      }
+    }
+  }
+
+  private void askForAdded(long added, int node) {
+    String name = "version-" + added + "-at-" + node + "-" + System.nanoTime();
+    SoakCaller caller = new SoakCaller(this, ledger, name, added);
+    try {
+      caller.goTo(node);
+      caller.request(added(added));
+    } catch (IOException e) {
+      // It is not there, which says nothing of what is in force.
+    } finally {
+      caller.hangUp();
+    }
   }
 
   private void route(ObjectNode r, String name, String kind, String service, boolean resume) {
@@ -237,7 +294,7 @@
         .putObject("store")
         .put("address", storeProxies.get(node).address())
         .put("timeoutMillis", 1_000)
-        .put("watchMillis", 2_000);
+        .put("watchMillis", 15_000);
     settings.putObject("stop").put("leaveMillis", 500).put("graceSeconds", "6");
     return settings.toString();
   }
@@ -301,6 +358,18 @@
     }
   }
 
+  /** All connections to the store fall silent, again and again, and a configuration follows. */
+  private void silences(SplittableRandom apart) {
+    if (!loaded) {
+      return;
+    }
+    harm(-1, "store-connections-silent", 0);
+    drawn(Drawn.SILENCE);
+    storeProxies.forEach(SoakProxy::strand);
+    after(apart.nextInt(1_500), this::configure);
+    after(apart.nextInt(4_000, 7_000), () -> silences(apart));
+  }
+
   private void signal(int node, String name, long harmMillis) {
     if (harmMillis > 0) {
       harm(node, "signal-" + name, harmMillis);
@@ -411,7 +480,7 @@
     timer.schedule(change, millis, TimeUnit.MILLISECONDS);
   }
 
-  private void drawn(Drawn kind) {
+  private synchronized void drawn(Drawn kind) {
     drawn.merge(kind, 1, Integer::sum);
   }
 
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
@@ -16,6 +16,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Passes connections on to an address on 127.0.0.1, and harms them on request.
@@ -43,6 +44,7 @@
   private final ServerSocket listener;
   private final InetSocketAddress target;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger strandings = new AtomicInteger();
   private volatile Mode mode = Mode.PASS;
 
   SoakProxy(InetSocketAddress target) {
@@ -66,6 +68,11 @@
     }
   }
 
+  /** Lets all connections that are open now fall silent for good, without an end. New ones work. */
+  void strand() {
+    strandings.incrementAndGet();
+  }
+
   private void accept() {
     while (!listener.isClosed()) {
       try {
@@ -82,14 +89,15 @@
       reset(near);
       return;
     }
+    int made = strandings.get();
     Socket far = new Socket();
     open.add(near);
     open.add(far);
     try (near;
         far) {
       far.connect(target, CONNECT_MILLIS);
-      Thread back = Thread.ofVirtual().start(() -> pump(far, near, true));
-      pump(near, far, false);
+      Thread back = Thread.ofVirtual().start(() -> pump(far, near, true, made));
+      pump(near, far, false, made);
       back.join();
     } catch (IOException | InterruptedException e) {
       reset(near);
@@ -99,13 +107,13 @@
     }
   }
 
-  private void pump(Socket from, Socket to, boolean answers) {
+  private void pump(Socket from, Socket to, boolean answers, int made) {
     byte[] buffer = new byte[8_192];
     try {
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-        hold(answers);
+        hold(answers, made);
         out.write(buffer, 0, n);
         out.flush();
       }
@@ -116,13 +124,16 @@
     }
   }
 
-  private void hold(boolean answers) throws InterruptedException {
+  private void hold(boolean answers, int made) throws InterruptedException {
     if (mode == Mode.DELAY) {
       Thread.sleep(DELAY_MILLIS);
     }
     while (mode == Mode.SILENT || (mode == Mode.ONE_WAY && answers)) {
       Thread.sleep(10);
     }
+    while (made < strandings.get() && !listener.isClosed()) {
+      Thread.sleep(100);
+    }
   }
 
   private static void reset(Socket socket) {
