Split what a mirror knows from how it hears of it

CollectionMirror held the copy of a collection, what differs from what was told, and the protocol of list, watch and others' word, 410 lines. CollectionCopy has the first two now; nothing else changes.

--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -219,52 +219,27 @@
 
   /** Changes that come in series, in a fleet whose watches all end with each of them. */
   public static class InSeries {
-    /** Nodes that follow a collection, and the calls that they make of the store. */
-    private static final class Fleet {
-      final ManualScheduler time = new ManualScheduler();
-      final InMemoryStore store = new InMemoryStore(time);
-      final List<CollectionMirror> mirrors = new ArrayList<>();
-
-      Fleet(int nodes) {
-        SplittableRandom random = new SplittableRandom(1);
-        for (int i = 0; i < nodes; i++) {
-          int rank = i;
-          ManualScheduler.Process process = time.newProcess();
-          InMemoryObjectApi api = new InMemoryObjectApi(store, process);
-          api.setWatchLag(Duration.ofMillis(4));
-          api.endWatchesWithEvents();
-          CollectionMirror mirror =
-              new CollectionMirror(
-                  api,
-                  COLLECTION,
-                  process,
-                  new Backoff(Duration.ofMillis(100), Duration.ofSeconds(1), random.split()),
-                  WatchTimes.spread(
-                      Duration.ofSeconds(15), random.split(), () -> nodes, () -> rank),
-                  change -> {});
-          mirror.start();
-          mirrors.add(mirror);
-        }
-        time.advance(Duration.ofSeconds(1));
-      }
-
-      /** A change each 50 ms, as when many upstreams register. */
-      int watchesDuring(int changes) {
-        int before = store.watches();
-        for (int i = 0; i < changes; i++) {
-          store.create(
-              new ObjectKey(COLLECTION, "o-" + i), "thing", JsonNodeFactory.instance.objectNode());
-          time.advance(Duration.ofMillis(50));
-        }
-        time.advance(Duration.ofSeconds(1));
-        return store.watches() - before;
+    private static MirrorFleet fleet(int nodes) {
+      MirrorFleet fleet = new MirrorFleet(nodes, Duration.ofMillis(4), new SplittableRandom(1));
+      fleet.time.advance(Duration.ofSeconds(1));
+      return fleet;
+    }
+
+    /** The watches of a fleet while a change comes each 50 ms, as when many upstreams register. */
+    private static int watchesDuring(MirrorFleet fleet, int changes) {
+      int before = fleet.store.watches();
+      for (int i = 0; i < changes; i++) {
+        fleet.create("o-" + i);
+        fleet.time.advance(Duration.ofMillis(50));
       }
+      fleet.time.advance(Duration.ofSeconds(1));
+      return fleet.store.watches() - before;
     }
 
     @Test
     public void areSeenByFewCallsOfLargeFleets() {
-      Fleet fleet = new Fleet(95);
-      int calls = fleet.watchesDuring(80);
+      MirrorFleet fleet = fleet(95);
+      int calls = watchesDuring(fleet, 80);
       // Four seconds at 160 calls a second, the first call of each and the last.
       assertTrue(calls <= 4 * 160 + 3 * 95, "calls " + calls);
       fleet.mirrors.forEach(m -> assertEquals(m.objects().size(), 80));
@@ -272,12 +247,10 @@
 
     @Test
     public void areSeenSoonBySmallFleets() {
-      Fleet fleet = new Fleet(8);
-      fleet.store.create(
-          new ObjectKey(COLLECTION, "a"), "thing", JsonNodeFactory.instance.objectNode());
+      MirrorFleet fleet = fleet(8);
+      fleet.create("a");
       fleet.time.advance(Duration.ofMillis(20));
-      fleet.store.create(
-          new ObjectKey(COLLECTION, "b"), "thing", JsonNodeFactory.instance.objectNode());
+      fleet.create("b");
       fleet.time.advance(Duration.ofMillis(200));
       fleet.mirrors.forEach(m -> assertEquals(m.objects().size(), 2));
     }
--- /dev/null
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/MirrorFleet.java
@@ -0,0 +1,80 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.store;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Nodes that each follow one collection of one store, in virtual time. */
+final class MirrorFleet {
+  static final String COLLECTION = "things";
+
+  final ManualScheduler time = new ManualScheduler();
+  final InMemoryStore store = new InMemoryStore(time);
+  final List<ManualScheduler.Process> processes = new ArrayList<>();
+  final List<InMemoryObjectApi> apis = new ArrayList<>();
+  final List<CollectionMirror> mirrors = new ArrayList<>();
+
+  /**
+   * Starts all nodes.
+   *
+   * @param nodes how many
+   * @param watchLag how late events of watches come
+   * @param random the source of all that is drawn
+   */
+  MirrorFleet(int nodes, Duration watchLag, SplittableRandom random) {
+    for (int rank = 0; rank < nodes; rank++) {
+      start(nodes, rank, watchLag, random);
+    }
+  }
+
+  private void start(int nodes, int rank, Duration watchLag, SplittableRandom random) {
+    ManualScheduler.Process process = time.newProcess();
+    InMemoryObjectApi api = new InMemoryObjectApi(store, process).setWatchLag(watchLag);
+    api.endWatchesWithEvents();
+    CollectionMirror mirror =
+        new CollectionMirror(
+            api,
+            COLLECTION,
+            process,
+            new Backoff(Duration.ofMillis(250), Duration.ofMillis(1_200), random.split()),
+            WatchTimes.spread(Duration.ofSeconds(15), random.split(), () -> nodes, () -> rank),
+            change -> {});
+    mirror.start();
+    processes.add(process);
+    apis.add(api);
+    mirrors.add(mirror);
+  }
+
+  /**
+   * From now on each node tells all what it has seen, at such distances, from a drawn moment on.
+   */
+  void tellEach(Duration period, SplittableRandom random) {
+    for (int i = 0; i < mirrors.size(); i++) {
+      ManualScheduler.Process process = processes.get(i);
+      CollectionMirror mirror = mirrors.get(i);
+      Duration first = Duration.ofMillis(random.nextLong(period.toMillis()));
+      process.schedule(first, () -> tell(process, mirror, period));
+    }
+  }
+
+  private void tell(ManualScheduler.Process process, CollectionMirror mirror, Duration period) {
+    mirrors.forEach(m -> m.others(mirror.changeVersion()));
+    process.schedule(period, () -> tell(process, mirror, period));
+  }
+
+  static ObjectKey key(String name) {
+    return new ObjectKey(COLLECTION, name);
+  }
+
+  void create(String name) {
+    store.create(key(name), "thing", JsonNodeFactory.instance.objectNode());
+  }
+}
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/SilentFleetTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/SilentFleetTest.java
@@ -10,8 +10,6 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.SplittableRandom;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -26,7 +24,8 @@
  * the one whose watch was over first, 5.4 s after the change, and the others followed by its word.
  */
 public class SilentFleetTest {
-  private static final ObjectKey KEY = new ObjectKey("things", "main");
+  private static final String NAME = "main";
+  private static final ObjectKey KEY = MirrorFleet.key(NAME);
 
   /** Within this time after a change is confirmed, it is in force everywhere. */
   private static final Duration IN_FORCE = Duration.ofSeconds(2);
@@ -40,62 +39,43 @@
   /** The longest time of a call of the store. */
   private static final Duration CALL = Duration.ofSeconds(1);
 
-  /** Nodes that follow one collection and tell each other what they have seen of it. */
+  /** Nodes that follow one object and tell each other what they have seen of it. */
   private static final class Fleet {
-    final ManualScheduler time = new ManualScheduler();
-    final InMemoryStore store = new InMemoryStore(time);
-    final List<CollectionMirror> mirrors = new ArrayList<>();
-    final List<InMemoryObjectApi> apis = new ArrayList<>();
-    final List<ManualScheduler.Process> processes = new ArrayList<>();
+    final MirrorFleet nodes;
 
-    Fleet(int nodes, long seed) {
+    Fleet(int count, long seed) {
       SplittableRandom random = new SplittableRandom(seed);
-      for (int i = 0; i < nodes; i++) {
-        start(nodes, i, random);
-      }
-      store.create(KEY, "thing", JsonNodeFactory.instance.objectNode());
-      time.advance(Duration.ofSeconds(1).plusMillis(random.nextInt(15_000)));
-    }
-
-    private void start(int nodes, int rank, SplittableRandom random) {
-      ManualScheduler.Process process = time.newProcess();
-      InMemoryObjectApi api = new InMemoryObjectApi(store, process).setAnswerTime(CALL);
-      api.endWatchesWithEvents();
-      CollectionMirror mirror =
-          new CollectionMirror(
-              api,
-              KEY.collection(),
-              process,
-              new Backoff(Duration.ofMillis(250), Duration.ofMillis(1_200), random.split()),
-              WatchTimes.spread(Duration.ofSeconds(15), random.split(), () -> nodes, () -> rank),
-              change -> {});
-      mirror.start();
-      processes.add(process);
-      apis.add(api);
-      mirrors.add(mirror);
-      process.schedule(Duration.ofMillis(random.nextInt(400)), () -> tell(process, mirror));
+      nodes = new MirrorFleet(count, Duration.ZERO, random);
+      nodes.apis.forEach(api -> api.setAnswerTime(CALL));
+      nodes.tellEach(TOLD, random);
+      nodes.create(NAME);
+      advance(Duration.ofSeconds(1).plusMillis(random.nextInt(15_000)));
     }
 
-    private void tell(ManualScheduler.Process process, CollectionMirror mirror) {
-      mirrors.forEach(m -> m.others(mirror.changeVersion()));
-      process.schedule(TOLD, () -> tell(process, mirror));
+    void advance(Duration d) {
+      nodes.time.advance(d);
     }
 
     void fallSilent() {
-      apis.forEach(InMemoryObjectApi::fallSilent);
+      nodes.apis.forEach(InMemoryObjectApi::fallSilent);
     }
 
     void change() {
-      long version = store.get(KEY).resourceVersion();
-      store.update(KEY, "thing", JsonNodeFactory.instance.objectNode().put("is", version), version);
+      long version = newest();
+      nodes.store.update(
+          KEY, "thing", JsonNodeFactory.instance.objectNode().put("is", version), version);
+    }
+
+    private long newest() {
+      return nodes.store.get(KEY).resourceVersion();
     }
 
     /** How many nodes do not know the newest, but for the first so many. */
     long behind(int first) {
-      long newest = store.get(KEY).resourceVersion();
-      return mirrors.stream()
+      long newest = newest();
+      return nodes.mirrors.stream()
           .skip(first)
-          .filter(m -> m.objects().get(KEY.name()).resourceVersion() < newest)
+          .filter(m -> m.objects().get(NAME).resourceVersion() < newest)
           .count();
     }
   }
@@ -118,12 +98,12 @@
     Fleet fleet = new Fleet(nodes, seed);
     if (!before.isZero()) {
       fleet.change();
-      fleet.time.advance(before);
+      fleet.advance(before);
     }
     fleet.fallSilent();
-    fleet.time.advance(changeAfter);
+    fleet.advance(changeAfter);
     fleet.change();
-    fleet.time.advance(bound(changeAfter));
+    fleet.advance(bound(changeAfter));
     return fleet.behind(0);
   }
 
@@ -156,12 +136,12 @@
     for (int change : CHANGES) {
       for (int seed = 0; seed < 20; seed++) {
         Fleet fleet = new Fleet(8, seed);
-        fleet.processes.get(0).pause();
-        fleet.processes.get(1).pause();
+        fleet.nodes.processes.get(0).pause();
+        fleet.nodes.processes.get(1).pause();
         fleet.fallSilent();
-        fleet.time.advance(Duration.ofMillis(change));
+        fleet.advance(Duration.ofMillis(change));
         fleet.change();
-        fleet.time.advance(bound(Duration.ofMillis(change)));
+        fleet.advance(bound(Duration.ofMillis(change)));
         assertEquals(fleet.behind(2), 0, "nodes behind, change after " + change + " ms, " + seed);
       }
     }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -6,14 +6,10 @@
 
 package org.larkkeel.store;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.NavigableSet;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -44,14 +40,12 @@
   private final Backoff backoff;
   private final WatchTimes watchTimes;
   private final Consumer<CollectionChange> listener;
-  private TreeMap<String, StoredObject> objects = new TreeMap<>();
-  private TreeMap<String, EntryProblem> unreadable = new TreeMap<>();
+  private final CollectionCopy copy = new CollectionCopy();
   private TreeMap<String, StoredObject> listing;
   private TreeMap<String, EntryProblem> unreadableListing;
   private long version;
   private Watch watch;
   private long shownVersion;
-  private long changeVersion;
 
   /** The version of the newest list that was taken over, which shows all changes up to it. */
   private long listedVersion;
@@ -60,9 +54,6 @@
   private boolean namelessChange;
   private boolean closed;
 
-  /** Names whose objects have changed, appeared or gone since the listener was told. */
-  private final NavigableSet<String> touched = new TreeSet<>();
-
   private boolean publishPlanned;
 
   /** When the store last said something of the collection. */
@@ -148,7 +139,7 @@
    * removal was seen by what a list lacks; 0 before the first.
    */
   public long changeVersion() {
-    return changeVersion;
+    return copy.changeVersion();
   }
 
   /**
@@ -172,7 +163,7 @@
    * keeps silent about a change is just what others' word is to show.
    */
   private boolean isNews(long change) {
-    return change > Math.max(changeVersion, listedVersion);
+    return change > Math.max(copy.changeVersion(), listedVersion);
   }
 
   private void suspect(Watch suspect, long change) {
@@ -186,28 +177,30 @@
 
   /** The copy. */
   public ImmutableSortedMap<String, StoredObject> objects() {
-    return ImmutableSortedMap.copyOf(objects);
+    return copy.objects();
   }
 
   /** Why objects can not be read, by their names; under the empty name one that has none. */
   public ImmutableSortedMap<String, EntryProblem> unreadable() {
-    return ImmutableSortedMap.copyOf(unreadable);
+    return copy.unreadable();
   }
 
   /**
    * Takes over a newer copy that came by another way while the store can not be reached; on the
    * scheduler.
    *
+   * @param newer its version
+   * @param others its objects
    * @return whether it was taken over
    */
-  public boolean offer(long newer, Collection<StoredObject> copy) {
+  public boolean offer(long newer, Collection<StoredObject> others) {
     if (closed || !failing || newer <= shownVersion) {
       return false;
     }
     TreeMap<String, StoredObject> offered = new TreeMap<>();
-    copy.forEach(o -> offered.put(o.key().name(), o));
-    copy.forEach(this::seen);
-    replace(offered, new TreeMap<>());
+    others.forEach(o -> offered.put(o.key().name(), o));
+    others.forEach(copy::seen);
+    copy.replace(offered, new TreeMap<>(), shownVersion);
     shownVersion = newer;
     publish(Source.PEER);
     return true;
@@ -231,7 +224,7 @@
   private void received(ListQuery q, ObjectPage page) {
     heardAt = scheduler.nanoTime();
     page.items().forEach(o -> listing.put(o.key().name(), o));
-    page.items().forEach(this::seen);
+    page.items().forEach(copy::seen);
     page.unreadable().forEach(u -> unreadableListing.put(u.name(), u.problem()));
     version = version == 0 ? page.resourceVersion() : Math.min(version, page.resourceVersion());
     if (!page.isLast()) {
@@ -248,7 +241,7 @@
           "event=list_behind collection={} version={} shown={}", collection, version, shownVersion);
       version = shownVersion;
     } else {
-      replace(listing, unreadableListing);
+      copy.replace(listing, unreadableListing, shownVersion);
       shownVersion = version;
       listedVersion = version;
       publish(Source.LIST);
@@ -292,86 +285,23 @@
     version = Math.max(version, e.resourceVersion());
     shownVersion = Math.max(shownVersion, version);
     switch (e) {
-      case WatchEvent.Changed c -> change(c.object());
-      case WatchEvent.Deleted d -> remove(d.object());
+      case WatchEvent.Changed c -> copy.change(c.object());
+      case WatchEvent.Deleted d -> copy.remove(d.object());
       case WatchEvent.Unreadable u -> turnedUnreadable(u.object());
       case WatchEvent.Bookmark b -> {}
     }
+    planPublishing();
   }
 
-  private void seen(StoredObject o) {
-    changeVersion = Math.max(changeVersion, o.resourceVersion());
-  }
-
-  /**
-   * Notes a removal that no watch told of, else others whose watches are silent would not be told
-   * that something has changed. Its version is not known; the least that it can have makes no node
-   * that watched it doubt its watch.
-   */
-  private void seenRemovalAfter(long before) {
-    changeVersion = Math.max(changeVersion, before + 1);
-  }
-
-  private void change(StoredObject o) {
-    seen(o);
-    StoredObject old = objects.get(o.key().name());
-    if (old == null || old.resourceVersion() < o.resourceVersion()) {
-      unreadable.remove(o.key().name());
-      objects.put(o.key().name(), o);
-      touch(o.key().name());
-    }
-  }
-
-  private void remove(StoredObject o) {
-    seen(o);
-    String name = o.key().name();
-    boolean wasUnreadable = unreadable.remove(name) != null;
-    if (forget(name, o.resourceVersion()) || wasUnreadable) {
-      touch(name);
-    }
-  }
-
-  /**
-   * An object that was read before and can not be read any more is gone. Which one it is without
-   * its name only a list can tell, where it is missing; that is asked for once the watch has ended.
-   */
+  /** Which object has none of a name only a list can tell; that is asked for after the watch. */
   private void turnedUnreadable(UnreadableObject o) {
     namelessChange |= o.name().isEmpty();
-    forget(o.name(), o.resourceVersion());
-    if (!objects.containsKey(o.name())) {
-      unreadable.put(o.name(), o.problem());
-      touch(o.name());
-    }
-  }
-
-  private boolean forget(String name, long upTo) {
-    StoredObject old = objects.get(name);
-    return old != null && old.resourceVersion() <= upTo && objects.remove(name) != null;
-  }
-
-  /** Takes over a whole copy, of which only what differs is told. */
-  private void replace(
-      TreeMap<String, StoredObject> whole, TreeMap<String, EntryProblem> wholeUnreadable) {
-    for (StoredObject o : whole.values()) {
-      StoredObject old = objects.get(o.key().name());
-      if (old == null || old.resourceVersion() != o.resourceVersion()) {
-        touched.add(o.key().name());
-      }
-    }
-    for (String name : objects.keySet()) {
-      if (!whole.containsKey(name)) {
-        touched.add(name);
-        seenRemovalAfter(shownVersion);
-      }
-    }
-    objects = whole;
-    unreadable = wholeUnreadable;
+    copy.turnUnreadable(o);
   }
 
   /** Lets the listener be told once all that came together has been taken in. */
-  private void touch(String name) {
-    touched.add(name);
-    if (!publishPlanned) {
+  private void planPublishing() {
+    if (copy.isTouched() && !publishPlanned) {
       publishPlanned = true;
       scheduler.execute(this::publishTouched);
     }
@@ -379,30 +309,19 @@
 
   private void publishTouched() {
     publishPlanned = false;
-    if (!closed && !touched.isEmpty()) {
+    if (!closed && copy.isTouched()) {
       publish(Source.WATCH);
     }
   }
 
   private void publish(Source source) {
-    ImmutableList.Builder<StoredObject> changed = ImmutableList.builder();
-    ImmutableSet.Builder<String> removed = ImmutableSet.builder();
-    for (String name : touched) {
-      StoredObject o = objects.get(name);
-      if (o == null) {
-        removed.add(name);
-      } else {
-        changed.add(o);
-      }
-    }
-    touched.clear();
-    CollectionChange change = new CollectionChange(changed.build(), removed.build());
+    CollectionChange change = copy.takeChange();
     if (!change.isEmpty()) {
       LOG.info(
           "event=collection_changed collection={} version={} change={} by={} changed={} removed={}",
           collection,
           shownVersion,
-          changeVersion,
+          copy.changeVersion(),
           source,
           change.changed().size(),
           change.removed().size());
@@ -418,7 +337,7 @@
           "event=collection_lost collection={} version={} change={} silent_ms={} cause=\"{}\"",
           collection,
           version,
-          changeVersion,
+          copy.changeVersion(),
           silence().toMillis(),
           failure.getMessage());
     }
