Let nodes of the fleet model end, start again and stand still

All that reaches a node goes through SimProcess. Callers whose connections break come back at once where that is no harm. Sums of calls and tokens close under each, or the run fails: eight combinations on 3 and 20 nodes.

--- a/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
+++ b/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
@@ -92,6 +92,78 @@
     }
   }
 
+  /** Nodes whose processes end, or stand still. */
+  public static class NodeFaults {
+    private static final String KILLED = fault("killed", 0, 1);
+    private static final String FROZEN = fault("frozen", 0, 1);
+    private static final String NONE = "";
+
+    private static String fault(String kind, int first, int count) {
+      return "{\"kind\": \"%s\", \"atSecond\": 2.5, \"seconds\": 1.5, \"first\": %d, \"count\": %d},"
+          .formatted(kind, first, count);
+    }
+
+    private static FleetResult run(int nodes, String faults, long seed) {
+      String text =
+          FULL.formatted(nodes, "0.001")
+              .replace("\"bursts\"", "\"nodeFaults\": [" + faults + "],\n\"bursts\"");
+      return new FleetModel(FleetScenarioReader.read(text), seed).run();
+    }
+
+    private static int streams(FleetResult result, CallOutcome outcome) {
+      return result.kinds().getFirst().outcomes().getOrDefault(outcome, 0);
+    }
+
+    @DataProvider
+    static Object[][] faults() {
+      return new Object[][] {
+        {3, KILLED},
+        {3, FROZEN},
+        {20, KILLED},
+        {20, FROZEN},
+        {20, fault("killed", 0, 20)},
+        {20, fault("frozen", 0, 20)},
+        {20, KILLED + KILLED + FROZEN},
+        {20, FROZEN + fault("killed", 0, 2) + fault("frozen", 1, 3)},
+      };
+    }
+
+    /** {@link FleetModel#run} fails by itself if a call or a token has no outcome. */
+    @Test(dataProvider = "faults")
+    public void leaveNoCallAndNoTokenWithoutOutcome(int nodes, String faults) {
+      FleetResult result = run(nodes, faults, 1);
+      for (FleetResult.Kind kind : result.kinds()) {
+        int sum = kind.outcomes().values().stream().mapToInt(Integer::intValue).sum();
+        assertEquals(sum, kind.calls());
+        assertTrue(kind.share(CallOutcome.IN_TIME) > 0, kind.toString());
+      }
+    }
+
+    @Test(dataProvider = "faults")
+    public void areTheSameForTheSameSeed(int nodes, String faults) {
+      assertEquals(run(nodes, faults, 3), run(nodes, faults, 3));
+    }
+
+    @Test
+    public void failTheStreamsOfProcessesThatEnd() {
+      assertEquals(streams(run(3, NONE, 1), CallOutcome.FAILED), 0);
+      assertTrue(streams(run(3, fault("killed", 0, 3), 1), CallOutcome.FAILED) > 0);
+    }
+
+    @Test
+    public void onlyDelayWhatAnIdleNodeHas() {
+      String text =
+          FULL.formatted(2, "0")
+              .replace("\"perSecond\": 3,", "\"perSecond\": 0,")
+              .replace("\"bursts\"", "\"nodeFaults\": [" + FROZEN + "],\n\"bursts\"");
+      FleetResult.Kind lookups =
+          new FleetModel(FleetScenarioReader.read(text), 1).run().kinds().get(1);
+      // One of two nodes stands still for 1.5 of 8 s; callers wait for 3 s.
+      assertEquals(lookups.share(CallOutcome.IN_TIME) + lookups.share(CallOutcome.LATE), 1.0);
+      assertTrue(lookups.share(CallOutcome.LATE) > 0.02, lookups.toString());
+    }
+  }
+
   /** The scenarios that come with the project. */
   public static class Shipped {
     @Test
@@ -119,6 +191,17 @@
         {"\"perSecond\": 3,", "", "fleet.calls[0].perSecond is missing: add it"},
         {"{\"count\": 2, ", "{\"count\": 0, ", "fleet.plain.count is 0: write 1 or more"},
         {"\"bursts\"", "bursts", "fleet is not JSON with comments"},
+        {
+          "\"bursts\"",
+          "\"nodeFaults\": [{\"kind\": \"tired\", \"atSecond\": 1, \"seconds\": 1}], \"bursts\"",
+          "fleet.nodeFaults[0].kind is \"tired\": write one of killed, frozen"
+        },
+        {
+          "\"bursts\"",
+          "\"nodeFaults\": [{\"kind\": \"killed\", \"atSecond\": 1, \"seconds\": 1, \"count\": 4}],"
+              + " \"bursts\"",
+          "fleet.nodeFaults.count is 4: write 3 or less"
+        },
       };
     }
 
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/Caller.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/Caller.java
@@ -105,14 +105,45 @@
     call = null;
     heardAt = fleet.time().now();
     watch();
+    SimNode to = node;
     fleet.overNetwork(
         () -> {
           if (!over) {
-            call = node.arrive(this, (deadlineAt - fleet.time().now()) / MILLI);
+            to.arrive(this);
           }
         });
   }
 
+  boolean isOver() {
+    return over;
+  }
+
+  /** The node has read its call. */
+  void isRead(RequestId id) {
+    call = id;
+  }
+
+  /** What is left until its deadline. */
+  long leftMillis() {
+    return (deadlineAt - fleet.time().now()) / MILLI;
+  }
+
+  /**
+   * Its connection breaks without an answer. It comes back at once if that is no harm: with what
+   * was not read, or may run again.
+   */
+  void lost(boolean read) {
+    if (over) {
+      return;
+    }
+    if (returnsLeft == 0 || read && kind.isStream()) {
+      end(CallOutcome.FAILED);
+    } else {
+      returnsLeft--;
+      attempt();
+    }
+  }
+
   private void watch() {
     if (!kind.isStream()) {
       return;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
@@ -15,7 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 import org.larkkeel.bench.experiment.fake.Timeline;
 import org.larkkeel.daemon.relay.LoadSharing;
 import org.larkkeel.lib.DataCentreName;
@@ -79,7 +79,14 @@
   private final SplittableRandom network;
   private final SplittableRandom arrivals;
   private final SplittableRandom choices;
+  private final SplittableRandom seeds;
   private final long upstreamNanos;
+
+  /** What each node has sent, over all its lives. */
+  private final long[] datagrams;
+
+  private final long[] bytes;
+  private final List<SimNode> ended = new ArrayList<>();
   private long lastCaller;
 
   /**
@@ -99,7 +106,9 @@
     this.upstreams = buildUpstreams(root.split());
     this.configuration = buildConfiguration();
     scenario.calls().forEach(k -> calls.put(k, new CallLedger(k)));
-    SplittableRandom seeds = root.split();
+    this.seeds = root.split();
+    this.datagrams = new long[scenario.nodes().count()];
+    this.bytes = new long[scenario.nodes().count()];
     for (int i = 0; i < scenario.nodes().count(); i++) {
       SimNode node = new SimNode(this, i, seeds.nextLong());
       nodes.add(node);
@@ -207,13 +216,14 @@
   }
 
   /** Carries a datagram, late or never. */
-  void datagram(InetSocketAddress from, InetSocketAddress to, byte[] message) {
+  void datagram(SimNode from, InetSocketAddress to, byte[] message) {
+    datagrams[from.index]++;
+    bytes[from.index] += message.length;
     if (network.nextDouble() < scenario.nodes().datagramLoss()) {
       return;
     }
     double millis = scenario.nodes().datagramMillis() * (0.5 + network.nextDouble());
-    SimNode node = byAddress.get(to);
-    time.after((long) (millis * MILLI), () -> node.receive(from, message));
+    time.after((long) (millis * MILLI), () -> byAddress.get(to).receive(from.address, message));
   }
 
   /** A node at random, another than the one before where there is one. */
@@ -239,23 +249,24 @@
     long begin = START + LEAD;
     scenario.calls().forEach(kind -> plan(kind, begin));
     scenario.dark().forEach(d -> plan(d, begin));
+    scenario.nodeFaults().forEach(f -> plan(f, begin));
     time.runUntil(begin);
-    long[] datagrams = nodes.stream().mapToLong(SimNode::sent).toArray();
-    long[] bytes = nodes.stream().mapToLong(SimNode::sentBytes).toArray();
+    final long[] datagramsBefore = datagrams.clone();
+    final long[] bytesBefore = bytes.clone();
     long end = begin + (long) (scenario.seconds() * SECOND);
     time.runUntil(end);
-    FleetResult.Sent sentDatagrams = since(datagrams, SimNode::sent);
-    FleetResult.Sent sentBytes = since(bytes, SimNode::sentBytes);
+    final FleetResult.Sent sentDatagrams = since(datagramsBefore, datagrams);
+    final FleetResult.Sent sentBytes = since(bytesBefore, bytes);
     time.runUntil(end + longestCall());
     return result(sentDatagrams, sentBytes);
   }
 
   /** What nodes have sent in a second since they had sent so much. */
-  private FleetResult.Sent since(long[] before, ToLongFunction<SimNode> sent) {
+  private FleetResult.Sent since(long[] before, long[] now) {
     double mean = 0;
     double most = 0;
     for (int i = 0; i < before.length; i++) {
-      double rate = (sent.applyAsLong(nodes.get(i)) - before[i]) / scenario.seconds();
+      double rate = (now[i] - before[i]) / scenario.seconds();
       mean += rate / before.length;
       most = Math.max(most, rate);
     }
@@ -278,6 +289,36 @@
     time.at(from + (long) (d.seconds() * SECOND), () -> some.forEach(SimEngine::restart));
   }
 
+  private void plan(FleetScenario.NodeFault fault, long begin) {
+    long from = begin + (long) (fault.atSecond() * SECOND);
+    long until = from + (long) (fault.seconds() * SECOND);
+    for (int i = fault.first(); i < fault.first() + fault.count(); i++) {
+      int index = i;
+      switch (fault.kind()) {
+        case KILLED -> {
+          time.at(from, () -> nodes.get(index).kill());
+          time.at(until, () -> startAgain(index));
+        }
+        case FROZEN -> {
+          time.at(from, () -> nodes.get(index).freeze());
+          time.at(until, () -> nodes.get(index).thaw());
+        }
+      }
+    }
+  }
+
+  /** A process takes the place of one that has ended, unless another already has. */
+  private void startAgain(int index) {
+    SimNode before = nodes.get(index);
+    if (before.hasEnded()) {
+      ended.add(before);
+      SimNode node = new SimNode(this, index, seeds.nextLong());
+      nodes.set(index, node);
+      byAddress.put(node.address, node);
+      node.start(choices.nextLong(LoadSharing.PERIOD_NANOS));
+    }
+  }
+
   /** Draws the calls of a kind by thinning a Poisson process of the greatest rate. */
   private void plan(FleetScenario.Calls kind, long begin) {
     SplittableRandom random = arrivals.split();
@@ -320,7 +361,7 @@
   }
 
   private FleetResult result(FleetResult.Sent datagrams, FleetResult.Sent bytes) {
-    int inProgress = nodes.stream().mapToInt(SimNode::inProgress).sum();
+    int inProgress = nodes.stream().filter(n -> !n.hasEnded()).mapToInt(SimNode::inProgress).sum();
     if (inProgress > 0) {
       throw new IllegalStateException(inProgress + " calls are in progress at nodes after the end");
     }
@@ -328,7 +369,7 @@
         seed,
         calls.values().stream().map(CallLedger::close).collect(ImmutableList.toImmutableList()),
         tokens.close(),
-        nodes.stream().mapToLong(SimNode::wastedByRouter).sum(),
+        Stream.concat(nodes.stream(), ended.stream()).mapToLong(SimNode::wastedByRouter).sum(),
         engines.values().stream().mapToInt(SimEngine::preemptions).sum(),
         engines.values().stream().mapToInt(SimEngine::declined).sum()
             + plains.values().stream().mapToInt(SimPlain::declined).sum(),
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetScenario.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetScenario.java
@@ -19,6 +19,7 @@
  * @param calls the kinds of calls
  * @param bursts times at which more calls come
  * @param dark times at which engines do not answer
+ * @param nodeFaults what happens to nodes
  * @param seconds how long calls come
  * @since 0.1
  */
@@ -29,6 +30,7 @@
     ImmutableList<Calls> calls,
     ImmutableList<Burst> bursts,
     ImmutableList<Dark> dark,
+    ImmutableList<NodeFault> nodeFaults,
     double seconds) {
   /** The largest prompt or output, as a multiple of the mean of its kind. */
   static final double LARGEST = 2.4;
@@ -148,6 +150,18 @@
    */
   public record Dark(double atSecond, double seconds, int prefill, int decode) {}
 
+  /**
+   * Something that happens to nodes that follow each other by name.
+   *
+   * @param kind what
+   * @param atSecond when it begins
+   * @param seconds how long it lasts
+   * @param first how many nodes come before the first of them
+   * @param count how many nodes
+   */
+  public record NodeFault(
+      NodeFaultKind kind, double atSecond, double seconds, int first, int count) {}
+
   /** By how many times rates are multiplied at a time. */
   double rateAt(double second) {
     double times = 1;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetScenarioReader.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetScenarioReader.java
@@ -11,6 +11,7 @@
 import org.larkkeel.bench.experiment.fleet.FleetScenario.Calls;
 import org.larkkeel.bench.experiment.fleet.FleetScenario.Dark;
 import org.larkkeel.bench.experiment.fleet.FleetScenario.Engines;
+import org.larkkeel.bench.experiment.fleet.FleetScenario.NodeFault;
 import org.larkkeel.bench.experiment.fleet.FleetScenario.Nodes;
 import org.larkkeel.bench.experiment.fleet.FleetScenario.Plain;
 import org.larkkeel.bench.experiment.scenario.Fields;
@@ -52,6 +53,9 @@
             f.list("calls", FleetScenarioReader::calls),
             f.list("bursts", FleetScenarioReader::burst),
             f.has("dark") ? f.list("dark", FleetScenarioReader::dark) : ImmutableList.of(),
+            f.has("nodeFaults")
+                ? f.list("nodeFaults", FleetScenarioReader::nodeFault)
+                : ImmutableList.of(),
             f.number("seconds", 0.1, MOST_SECONDS));
     f.finish();
     check(scenario, f);
@@ -66,6 +70,16 @@
     if (plain && s.plain().count() == 0) {
       throw f.error("plain.count", 0, "write 1 or more, as there are calls without a prompt");
     }
+    for (NodeFault fault : s.nodeFaults()) {
+      if (fault.first() + fault.count() > s.nodes().count()) {
+        throw f.error(
+            "nodeFaults.count",
+            fault.count(),
+            "write "
+                + (s.nodes().count() - fault.first())
+                + " or less, as there are no more nodes");
+      }
+    }
     long largest =
         s.calls().stream()
             .mapToLong(c -> (long) (FleetScenario.LARGEST * c.promptTokens()) + c.mostOutput() + 1)
@@ -79,6 +93,15 @@
     }
   }
 
+  private static NodeFault nodeFault(Fields f) {
+    return new NodeFault(
+        f.choice("kind", NodeFaultKind.class),
+        f.number("atSecond", 0, MOST_SECONDS),
+        f.number("seconds", 1e-3, MOST_SECONDS),
+        f.integer("first", 0, MOST_NODES, 0),
+        f.integer("count", 1, MOST_NODES, 1));
+  }
+
   private static Dark dark(Fields f) {
     return new Dark(
         f.number("atSecond", 0, MOST_SECONDS),
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -11,6 +11,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
@@ -45,8 +46,13 @@
   private static final long MISSING = 1_500 * MILLI;
 
   final InetSocketAddress address;
+
+  /** How many nodes come before it by name. */
+  final int index;
+
   private final FleetModel fleet;
   private final Timeline time;
+  private final SimProcess process;
   private final RelayRouter router;
   private final LoadSharing sharing;
   private final Map<AttemptId, Job> live = new HashMap<>();
@@ -61,13 +67,13 @@
 
   private long tickAt = Long.MAX_VALUE;
   private Timeline.Timer tick;
-  private long sent;
-  private long sentBytes;
   private long wastedByRouter;
 
   SimNode(FleetModel fleet, int index, long seed) {
     this.fleet = fleet;
+    this.index = index;
     this.time = fleet.time();
+    this.process = new SimProcess(time);
     this.address = new InetSocketAddress("10.1." + index / 250 + "." + (index % 250 + 1), 7_000);
     this.router =
         new RelayRouter(
@@ -90,22 +96,36 @@
     fleet.nodes().stream().filter(n -> n != this).forEach(n -> sharing.meet(n.address));
     submit(new RelayEvent.ConfigurationRead(now(), fleet.configuration()));
     submit(new RelayEvent.UpstreamsChanged(now(), fleet.upstreams(), ImmutableSet.of()));
-    time.after(phase, this::periodic);
+    process.after(phase, this::periodic);
   }
 
-  private void periodic() {
-    sharing.periodic();
-    time.after(LoadSharing.PERIOD_NANOS, this::periodic);
+  /** Its process stands still. */
+  void freeze() {
+    process.freeze();
   }
 
-  /** Datagrams that it has sent. */
-  long sent() {
-    return sent;
+  /** Its process goes on. */
+  void thaw() {
+    process.thaw();
   }
 
-  /** Bytes in the datagrams that it has sent. */
-  long sentBytes() {
-    return sentBytes;
+  /** Its process ends: callers and upstreams see their connections break. */
+  void kill() {
+    process.end();
+    live.values().forEach(job -> fleet.overNetwork(() -> fleet.cancel(job)));
+    live.clear();
+    followed.clear();
+    List.copyOf(callers.values()).forEach(c -> fleet.overNetwork(() -> c.lost(true)));
+    callers.clear();
+  }
+
+  private void periodic() {
+    sharing.periodic();
+    process.after(LoadSharing.PERIOD_NANOS, this::periodic);
+  }
+
+  boolean hasEnded() {
+    return process.hasEnded();
   }
 
   /** Tokens that the reducer itself has reported as read for nothing. */
@@ -126,9 +146,21 @@
   // Callers.
 
   /** A try of a caller arrives. */
-  RequestId arrive(Caller caller, long leftMillis) {
+  void arrive(Caller caller) {
+    if (process.hasEnded()) {
+      fleet.overNetwork(() -> caller.lost(false));
+    } else {
+      process.run(() -> read(caller));
+    }
+  }
+
+  private void read(Caller caller) {
+    if (caller.isOver()) {
+      return;
+    }
     RequestId id = new RequestId(++lastCall);
     callers.put(id, caller);
+    caller.isRead(id);
     FleetScenario.Calls kind = caller.kind();
     submit(
         new RelayEvent.Arrived(
@@ -138,25 +170,32 @@
                 caller.name(),
                 FleetModel.HOST,
                 FleetModel.path(kind),
-                leftMillis,
+                caller.leftMillis(),
                 caller.size(),
                 new PromptKey(caller.name()),
                 false)));
-    return id;
   }
 
   /** The caller of a call closes its connection. */
   void left(RequestId id) {
-    if (callers.remove(id) != null) {
-      submit(new RelayEvent.CallerLeft(now(), id));
-    }
+    process.run(
+        () -> {
+          if (callers.remove(id) != null) {
+            submit(new RelayEvent.CallerLeft(now(), id));
+          }
+        });
+  }
+
+  /** Does something once a message from an upstream has come. */
+  private void heard(Runnable action) {
+    fleet.overNetwork(() -> process.run(action));
   }
 
   // Upstreams.
 
   @Override
   public void reply(Job job, LongFunction<RelayEvent> event) {
-    fleet.overNetwork(
+    heard(
         () -> {
           if (live.remove(job.attempt) != null) {
             submit(event.apply(now()));
@@ -171,7 +210,7 @@
 
   @Override
   public void event(Job job, boolean first) {
-    fleet.overNetwork(
+    heard(
         () -> {
           if (!live.containsKey(job.attempt)) {
             return;
@@ -190,7 +229,11 @@
   /** Its prompt was of use if the caller gets the answer. */
   @Override
   public void complete(Job job, LongFunction<RelayEvent> event) {
-    fleet.overNetwork(
+    if (process.hasEnded()) {
+      job.settle(ReadCause.CANCELLED);
+      return;
+    }
+    heard(
         () -> {
           if (live.remove(job.attempt) != null) {
             completing = job;
@@ -205,18 +248,16 @@
 
   @Override
   public void send(InetSocketAddress to, byte[] message) {
-    sent++;
-    sentBytes += message.length;
-    fleet.datagram(address, to, message);
+    fleet.datagram(this, to, message);
   }
 
   void receive(InetSocketAddress from, byte[] message) {
-    sharing.heard(from, message);
+    process.run(() -> sharing.heard(from, message));
   }
 
   @Override
   public void after(long nanos, Runnable action) {
-    time.after(nanos, action);
+    process.after(nanos, action);
   }
 
   @Override
@@ -249,7 +290,7 @@
     }
     tickAt = due;
     tick =
-        time.at(
+        process.at(
             due,
             () -> {
               tick = null;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/scenario/Fields.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/scenario/Fields.java
@@ -124,6 +124,11 @@
     return value.asBoolean();
   }
 
+  /** A word that has to be there, one of those of an enum, in lower case with hyphens. */
+  public <E extends Enum<E>> E choice(String name, Class<E> type) {
+    return choice(name, type, null);
+  }
+
   <E extends Enum<E>> E choice(String name, Class<E> type, E fallback) {
     if (fallback != null && !has(name)) {
       return fallback;
