--- a/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
+++ b/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
@@ -150,6 +150,31 @@
       assertTrue(streams(run(3, fault("killed", 0, 3), 1), CallOutcome.FAILED) > 0);
     }
 
+    /**
+     * The first node by name sets memory aside for the calls of all. Load: three streams a second,
+     * which take half of the memory, so that the nodes that are left would have room for all.
+     */
+    @Test
+    public void ofTheAllocatorMakeNoCallOfAnotherLate() {
+      for (int seed = 1; seed <= 5; seed++) {
+        FleetResult.Kind streams = calm(fault("killed", 0, 1), seed).kinds().getFirst();
+        assertTrue(streams.calls() >= 10, streams.toString());
+        assertEquals(streams.share(CallOutcome.LATE), 0.0, "seed " + seed + " " + streams);
+        assertEquals(streams.share(CallOutcome.REFUSED), 0.0, "seed " + seed + " " + streams);
+        int own = streams.outcomes().getOrDefault(CallOutcome.FAILED, 0);
+        assertTrue(own <= 3, "seed " + seed + " " + streams);
+      }
+    }
+
+    private static FleetResult calm(String faults, long seed) {
+      String text =
+          FULL.formatted(20, "0.001")
+              .replace(
+                  "\"bursts\": [{\"atSecond\": 2, \"seconds\": 3, \"times\": 3}]", "\"bursts\": []")
+              .replace("\"bursts\"", "\"nodeFaults\": [" + faults + "],\n\"bursts\"");
+      return new FleetModel(FleetScenarioReader.read(text), seed).run();
+    }
+
     @Test
     public void onlyDelayWhatAnIdleNodeHas() {
       String text =
