--- a/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
+++ b/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
@@ -99,8 +99,9 @@
     private static final String NONE = "";
 
     private static String fault(String kind, int first, int count) {
-      return "{\"kind\": \"%s\", \"atSecond\": 2.5, \"seconds\": 1.5, \"first\": %d, \"count\": %d},"
-          .formatted(kind, first, count);
+      String when = "\"atSecond\": 2.5, \"seconds\": 1.5";
+      return "{\"kind\": \"%s\", %s, \"first\": %d, \"count\": %d},"
+          .formatted(kind, when, first, count);
     }
 
     private static FleetResult run(int nodes, String faults, long seed) {
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
@@ -303,22 +303,11 @@
           time.at(from, () -> nodes.get(index).freeze());
           time.at(until, () -> nodes.get(index).thaw());
         }
+        default -> throw new IllegalStateException("no such kind: " + fault.kind());
       }
     }
   }
 
-  /** A process takes the place of one that has ended, unless another already has. */
-  private void startAgain(int index) {
-    SimNode before = nodes.get(index);
-    if (before.hasEnded()) {
-      ended.add(before);
-      SimNode node = new SimNode(this, index, seeds.nextLong());
-      nodes.set(index, node);
-      byAddress.put(node.address, node);
-      node.start(choices.nextLong(LoadSharing.PERIOD_NANOS));
-    }
-  }
-
   /** Draws the calls of a kind by thinning a Poisson process of the greatest rate. */
   private void plan(FleetScenario.Calls kind, long begin) {
     SplittableRandom random = arrivals.split();
@@ -339,6 +328,18 @@
     }
   }
 
+  /** A process takes the place of one that has ended, unless another already has. */
+  private void startAgain(int index) {
+    SimNode before = nodes.get(index);
+    if (before.hasEnded()) {
+      ended.add(before);
+      SimNode node = new SimNode(this, index, seeds.nextLong());
+      nodes.set(index, node);
+      byAddress.put(node.address, node);
+      node.start(choices.nextLong(LoadSharing.PERIOD_NANOS));
+    }
+  }
+
   /** Draws a size from a log-normal distribution of a mean, cut off at a multiple of it. */
   private static int size(int mean, double spread, SplittableRandom random) {
     double factor = Math.exp(spread * gaussian(random) - spread * spread / 2);
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -11,8 +11,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import org.larkkeel.bench.experiment.fake.Timeline;
@@ -58,6 +60,10 @@
   private final Map<AttemptId, Job> live = new HashMap<>();
   private final Map<RequestId, Caller> callers = new HashMap<>();
   private final Map<AttemptId, Caller> followed = new HashMap<>();
+
+  /** Whose whole answers are on their way to this node. */
+  private final Set<Job> answers = new LinkedHashSet<>();
+
   private final Deque<RelayEvent> queue = new ArrayDeque<>();
   private long lastCall;
   private boolean applying;
@@ -115,6 +121,8 @@
     live.values().forEach(job -> fleet.overNetwork(() -> fleet.cancel(job)));
     live.clear();
     followed.clear();
+    answers.forEach(job -> job.settle(ReadCause.CANCELLED));
+    answers.clear();
     List.copyOf(callers.values()).forEach(c -> fleet.overNetwork(() -> c.lost(true)));
     callers.clear();
   }
@@ -233,8 +241,10 @@
       job.settle(ReadCause.CANCELLED);
       return;
     }
+    answers.add(job);
     heard(
         () -> {
+          answers.remove(job);
           if (live.remove(job.attempt) != null) {
             completing = job;
             submit(event.apply(now()));
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimProcess.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimProcess.java
@@ -33,10 +33,10 @@
 
   /** Does something, now or once it goes on; or never, if it has ended. */
   void run(Runnable action) {
-    switch (state) {
-      case RUNS -> action.run();
-      case STANDS_STILL -> held.add(action);
-      case HAS_ENDED -> {}
+    if (state == State.RUNS) {
+      action.run();
+    } else if (state == State.STANDS_STILL) {
+      held.add(action);
     }
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -199,6 +199,7 @@
   /** Text from outside without what could end its line or its quotes. */
   static String text(String text) {
     String cut = text.length() > MAX_TEXT ? text.substring(0, MAX_TEXT) : text;
+    // Nearly all text is plain, and a regular expression is dear until it has been compiled.
     for (int i = 0; i < cut.length(); i++) {
       if (!isPlain(cut.charAt(i))) {
         return cleaned(cut);
@@ -207,7 +208,6 @@
     return cut;
   }
 
-  /** Nearly all text is plain, and a regular expression is dear until it has been compiled. */
   private static boolean isPlain(char c) {
     return c >= ' ' && c <= '~' && c != '"';
   }
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -154,7 +154,7 @@
       World w = new World(Duration.ofMillis(1));
       w.create("a");
       w.create("b");
-      CollectionMirror watching = w.another();
+      final CollectionMirror watching = w.another();
       w.time.advance(Duration.ofSeconds(1));
       w.api.fallSilent();
       w.store.delete(A, w.store.get(A).resourceVersion());
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
@@ -167,15 +167,15 @@
     }
 
     private void timedOut() {
-      end("no answer within " + timeout);
+      abandon("no answer within " + timeout);
     }
 
     /** Ends the call, whose answer nobody takes any more. */
     void giveUp() {
-      end("given up");
+      abandon("given up");
     }
 
-    private void end(String detail) {
+    private void abandon(String detail) {
       if (result.isDone()) {
         return;
       }
