--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/capacity/RelaySlopes.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/capacity/RelaySlopes.java
@@ -11,12 +11,14 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.RuleName;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.CallSize;
@@ -64,7 +66,9 @@
   /** A router and the attempts that it has in flight. */
   private static final class Driver {
     private final RelayRouter router =
-        new RelayRouter(new RelaySettings(PLACE, 0.2, 20, 10_000 * GAP_NANOS, 1, 512, 1, 7));
+        new RelayRouter(
+            new RelaySettings(
+                PLACE, 0.2, 20, 10_000 * GAP_NANOS, 1, 512, 1, 7, QuotaTolerance.NONE));
     private final List<AttemptId> sent = new ArrayList<>();
     private long now = 1_000_000 * GAP_NANOS;
     private long lastCall;
@@ -98,7 +102,8 @@
           1,
           900,
           300,
-          1);
+          1,
+          false);
     }
 
     void apply(RelayEvent event) {
@@ -139,7 +144,18 @@
       RequestIdentity identity = new RequestIdentity("POST", HOST, path, "", new byte[0]);
       apply(
           new RelayEvent.Arrived(
-              now, new RelayCall(id, "c", HOST, path, 0, size, PromptKey.NONE, false, identity)));
+              now,
+              new RelayCall(
+                  id,
+                  "c",
+                  HOST,
+                  path,
+                  0,
+                  size,
+                  PromptKey.NONE,
+                  false,
+                  identity,
+                  Optional.empty())));
       if (size.prompt() > 0) {
         apply(new RelayEvent.PromptRead(now, sent.removeLast(), "h"));
         apply(new RelayEvent.Began(now, sent.getLast()));
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
@@ -202,7 +202,8 @@
         kind.isStream() ? 1 : PLAIN_RUNS,
         (long) kind.targetMillis(),
         (long) kind.gapMillis(),
-        1);
+        1,
+        false);
   }
 
   static String path(FleetScenario.Calls kind) {
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
@@ -24,6 +25,7 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RelayCall;
@@ -93,11 +95,13 @@
                 1,
                 STAGE_TOKENS,
                 MISSING,
-                seed));
+                seed,
+                QuotaTolerance.NONE));
     HostName name = new HostName("node-%04d".formatted(index));
     this.sharing =
         new LoadSharing(name, FleetModel.PLACE, fleet.scenario().nodes().allocatorFrom(), this);
     sharing.suspects(() -> router.suspects(now()));
+    sharing.quotas(router);
   }
 
   /** Meets the others and takes over the configuration and the upstreams. */
@@ -212,7 +216,8 @@
                 caller.size(),
                 new PromptKey(caller.name()),
                 false,
-                caller.identity())));
+                caller.identity(),
+                Optional.empty())));
   }
 
   /** The caller of a call closes its connection. */
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
@@ -30,6 +30,7 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.relay.RelayConfiguration;
 import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.relay.RelaySettings;
@@ -190,7 +191,9 @@
       time = new VirtualTime();
       worker = closer.add(new HttpWorker(1));
       router =
-          new RelayRouter(new RelaySettings(new DataCentreName("dc-1"), 0.2, 20, 1, 1, 512, 1, 7));
+          new RelayRouter(
+              new RelaySettings(
+                  new DataCentreName("dc-1"), 0.2, 20, 1, 1, 512, 1, 7, QuotaTolerance.NONE));
       RelayLoop loop =
           closer.add(new RelayLoop(worker.worker().getIoThread(), router, BootClock.SYSTEM));
       StageController stages =
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
@@ -20,6 +20,10 @@
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.WorkspaceName;
+import org.larkkeel.quota.QuotaAsk;
+import org.larkkeel.quota.QuotaGrant;
+import org.larkkeel.quota.QuotaLevels;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.ServiceName;
@@ -34,6 +38,7 @@
           new DataCentreName("north"),
           NodeState.YOUNG,
           new FeedChanges(7, 12));
+  private static final WorkspaceName WEAVERS = new WorkspaceName("weavers");
   private static final RoomAsk ASK =
       new RoomAsk(
           new RequestId(5),
@@ -59,7 +64,20 @@
           .withSuspects(
               ImmutableList.of(
                   new Suspect(Fingerprint.of("one"), 0, ImmutableMap.of(life("i-1"), 12L)),
-                  new Suspect(Fingerprint.of("two"), 3, ImmutableMap.of())));
+                  new Suspect(Fingerprint.of("two"), 3, ImmutableMap.of())))
+          .withQuotaAsk(
+              new QuotaAsk(
+                  4,
+                  17,
+                  400_000_000L,
+                  60,
+                  ImmutableList.of(new QuotaAsk.Want(WEAVERS, 3_200, 200, 600, 40))))
+          .withQuotaGrant(
+              new QuotaGrant(
+                  4,
+                  16,
+                  ImmutableList.of(new QuotaGrant.Share(WEAVERS, 3_800, 20_000, 12_000_000L))))
+          .withQuotaLevels(new QuotaLevels(ImmutableMap.of(WEAVERS, 7_000L)));
 
   private static UpstreamLife life(String name) {
     return new UpstreamLife(new UpstreamName(name), new Incarnation(1_790_000_000_123L));
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -34,9 +35,13 @@
 import org.larkkeel.lib.RuleName;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.WorkspaceName;
+import org.larkkeel.quota.QuotaTolerance;
+import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.CallSize;
+import org.larkkeel.relay.CallerKey;
 import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RefusalCause;
@@ -48,11 +53,14 @@
 import org.larkkeel.relay.RelayRule;
 import org.larkkeel.relay.RelaySettings;
 import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.RelayWorkspace;
+import org.larkkeel.relay.RelayWorkspace.QuotaUnit;
 import org.larkkeel.relay.RequestIdentity;
 import org.larkkeel.relay.RoomKeeping;
 import org.larkkeel.relay.ServiceBounds;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Stage;
+import org.larkkeel.relay.Workspaces;
 
 /**
  * Nodes with their routers, engines with memory and a network that delays and loses, in virtual
@@ -73,6 +81,7 @@
 
   private static final ServiceName MODEL = new ServiceName("model");
   private static final ServiceName APP = new ServiceName("app");
+  private static final QuotaTolerance TOLERANCE = new QuotaTolerance(8, 0.1, 120_000);
   private static final int APPS = 4;
   private static final int APP_SLOTS = 6;
   private static final int APP_QUEUE = 24;
@@ -224,6 +233,11 @@
     offer(calls, millis, Node::arrive);
   }
 
+  /** As the other, of calls of a workspace to a plain service. */
+  void loadFor(String workspace, int calls, long millis) {
+    offer(calls, millis, n -> n.arriveFor(workspace));
+  }
+
   /** As the other, of calls to a plain service. */
   void loadPlain(int calls, long millis) {
     offer(calls, millis, Node::arrivePlain);
@@ -303,14 +317,16 @@
       HostName name = new HostName("node-%03d".formatted(index));
       router =
           new RelayRouter(
-              new RelaySettings(HERE, 0.2, 100, 10_000 * MILLI, 1, 512, 1_500 * MILLI, index));
+              new RelaySettings(
+                  HERE, 0.2, 100, 10_000 * MILLI, 1, 512, 1_500 * MILLI, index, TOLERANCE));
       sharing = new LoadSharing(name, HERE, keeperFrom, this);
       sharing.suspects(() -> router.suspects(now));
+      sharing.quotas(router);
     }
 
     void start() {
       nodes.stream().filter(n -> n != this).forEach(n -> sharing.meet(n.address));
-      submit(new RelayEvent.ConfigurationRead(now, configuration()));
+      submit(new RelayEvent.ConfigurationRead(now, configuration(1, Workspaces.OPEN)));
       readUpstreams();
       tick();
       after(random.nextLong(LoadSharing.PERIOD_NANOS), this::periodic);
@@ -373,6 +389,12 @@
       call("/model/a", 14_000, new CallSize(PROMPT, 100, 70), address + "-" + lastCall);
     }
 
+    void arriveFor(String workspace) {
+      CallSize size = new CallSize(PROMPT, 100, 70);
+      String body = address + "-" + lastCall;
+      call("/app/a", 3_000, size, body, Optional.of(CallerKey.of(workspace)));
+    }
+
     void arrivePlain() {
       call("/app/a", 3_000, CallSize.NONE, address + "-" + lastCall);
     }
@@ -383,6 +405,11 @@
     }
 
     private void call(String path, long deadline, CallSize size, String body) {
+      call(path, deadline, size, body, Optional.empty());
+    }
+
+    private void call(
+        String path, long deadline, CallSize size, String body, Optional<CallerKey> key) {
       RequestId id = new RequestId(++lastCall);
       RequestIdentity identity =
           new RequestIdentity("POST", "a.example", path, "", body.getBytes(US_ASCII));
@@ -399,7 +426,8 @@
                   size,
                   PromptKey.NONE,
                   false,
-                  identity)));
+                  identity,
+                  key)));
     }
 
     @Override
@@ -545,16 +573,29 @@
     }
   }
 
-  private static RelayConfiguration configuration() {
+  /** All nodes read that there are workspaces, of one limit, whose keys are their names. */
+  void workspaces(long revision, TokenLimit limit, String... names) {
+    Workspaces.Builder all = Workspaces.builder();
+    for (String name : names) {
+      all.add(
+          new RelayWorkspace(new WorkspaceName(name), limit, QuotaUnit.TOKENS, 0),
+          ImmutableList.of(CallerKey.of(name)));
+    }
+    RelayConfiguration read = configuration(revision, all.build());
+    nodes.forEach(n -> n.submit(new RelayEvent.ConfigurationRead(now, read)));
+  }
+
+  private static RelayConfiguration configuration(long revision, Workspaces workspaces) {
     return new RelayConfiguration(
-        1,
+        revision,
         ImmutableList.of(rule(MODEL, CallKind.STREAM, 900), rule(APP, CallKind.IDEMPOTENT, 300)),
         ImmutableMap.of(
             MODEL,
             new ServiceBounds(700, MEMORY, 1, false),
             APP,
             new ServiceBounds(700, 0, 0, false)),
-        1 << 20);
+        1 << 20,
+        workspaces);
   }
 
   private static RelayRule rule(ServiceName service, CallKind kind, long target) {
@@ -568,6 +609,7 @@
         1,
         target,
         kind.isStream() ? 300 : 0,
-        1);
+        1,
+        false);
   }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -21,6 +21,7 @@
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
+import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.Suspect;
 import org.larkkeel.time.BootClock;
@@ -141,6 +142,11 @@
     sharing.suspects(known);
   }
 
+  /** Sets whose quotas of workspaces are shared with the other nodes. */
+  void quotas(RelayRouter router) {
+    sharing.quotas(router);
+  }
+
   /** Tells all nodes what this one has found out of a request. */
   void tellSuspect(RelayEffect.TellSuspect news) {
     sharing.tellSuspect(news);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -22,8 +22,12 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamLife;
+import org.larkkeel.quota.QuotaAsk;
+import org.larkkeel.quota.QuotaGrant;
+import org.larkkeel.quota.QuotaLevels;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
+import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.RoomKeeping;
 import org.larkkeel.relay.Suspect;
@@ -78,6 +82,7 @@
   private final RoomClient client;
   private final RoomServer server;
   private final SuspectSharing suspects;
+  private final QuotaSharing quotas;
   private final LoadChange change = new LoadChange();
   private long startedAt;
   private ImmutableList<PeerTable.Keeper> keepers = ImmutableList.of();
@@ -137,6 +142,7 @@
     this.client = new RoomClient(clock, around::after, this::report, this::keeperLost);
     this.server = new RoomServer(clock, this::answer);
     this.suspects = new SuspectSharing(self, peers, around, this::sendSuspects);
+    this.quotas = new QuotaSharing(self, peers, around, new QuotaChannel());
   }
 
   /** Sets where what the store says comes from and where others' word of it goes. */
@@ -150,6 +156,34 @@
     suspects.known(known);
   }
 
+  /** Sets whose quotas of workspaces are shared with the other nodes. */
+  public void quotas(RelayRouter router) {
+    quotas.router(router);
+  }
+
+  /** Carries asks and grants of quotas. */
+  private final class QuotaChannel implements QuotaSharing.Channel {
+    @Override
+    public void send(PeerTable.Peer to, QuotaAsk ask) {
+      LoadSharing.this.send(to, message(PeerMessage.Kind.QUOTA_ASK).withQuotaAsk(ask));
+    }
+
+    @Override
+    public void send(PeerTable.Peer to, QuotaGrant grant) {
+      LoadSharing.this.send(to, message(PeerMessage.Kind.QUOTA_GRANT).withQuotaGrant(grant));
+    }
+
+    @Override
+    public void send(PeerTable.Peer to, QuotaLevels levels) {
+      LoadSharing.this.send(to, message(PeerMessage.Kind.QUOTA_LEVELS).withQuotaLevels(levels));
+    }
+
+    @Override
+    public NodeState state() {
+      return LoadSharing.this.state();
+    }
+  }
+
   /** Tells all nodes what this one has found out of a request. */
   public void tellSuspect(RelayEffect.TellSuspect news) {
     suspects.tell(news.suspect());
@@ -199,6 +233,7 @@
   public void resumed() {
     startedAt = around.now();
     peers.resumed(startedAt);
+    quotas.resumed();
     sendToAll(message(PeerMessage.Kind.PRESENCE));
     choose();
   }
@@ -219,6 +254,7 @@
     news |= client.asking(asks);
     server.own(loads);
     server.tellGrants();
+    quotas.tell();
     if (large && change.isAny() && !smallPlanned) {
       smallPlanned = true;
       around.after(SMALL_CHANGE_NANOS, this::tellSmall);
@@ -331,6 +367,7 @@
   public void periodic() {
     long now = around.now();
     suspects.periodic();
+    quotas.periodic();
     peers.look(now, SILENT_PERIODS * Math.max(PERIOD_NANOS, large ? presencePeriod() : 0));
     resize();
     choose();
@@ -467,6 +504,9 @@
         around.submit(new RelayEvent.SuspectsHeard(around.now(), message.suspects()));
         suspects.heard(message.suspects());
       }
+      case QUOTA_ASK -> message.quotaAsk().ifPresent(a -> quotas.asked(from, a));
+      case QUOTA_GRANT -> message.quotaGrant().ifPresent(quotas::granted);
+      case QUOTA_LEVELS -> quotas.heard(message.quotaLevels());
       default -> throw new IllegalStateException("no such kind: " + message.kind());
     }
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
@@ -9,9 +9,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamLife;
+import org.larkkeel.quota.QuotaAsk;
+import org.larkkeel.quota.QuotaGrant;
+import org.larkkeel.quota.QuotaLevels;
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.Suspect;
 
@@ -28,6 +32,9 @@
  * @param asks the calls for which the sender asks room
  * @param grants room for calls of the receiver
  * @param suspects requests under which upstreams ended
+ * @param quotaAsk what the sender asks of the coordinator of quotas
+ * @param quotaGrant the coordinator's answer
+ * @param quotaLevels what the coordinator has left
  */
 record PeerMessage(
     Kind kind,
@@ -36,7 +43,10 @@
     ImmutableSet<UpstreamLife> lapsing,
     ImmutableList<RoomAsk> asks,
     ImmutableList<RoomGrant> grants,
-    ImmutableList<Suspect> suspects) {
+    ImmutableList<Suspect> suspects,
+    Optional<QuotaAsk> quotaAsk,
+    Optional<QuotaGrant> quotaGrant,
+    QuotaLevels quotaLevels) {
 
   /** What a message is for. */
   enum Kind {
@@ -61,7 +71,16 @@
     CHANGED_SUMS,
 
     /** What the sender knows of requests under which upstreams ended. */
-    SUSPECTS
+    SUSPECTS,
+
+    /** An ask of the coordinator of quotas. */
+    QUOTA_ASK,
+
+    /** The coordinator's answer. */
+    QUOTA_GRANT,
+
+    /** What the coordinator of quotas has left, to the node that would take over. */
+    QUOTA_LEVELS
   }
 
   /**
@@ -83,26 +102,69 @@
         ImmutableSet.of(),
         ImmutableList.of(),
         ImmutableList.of(),
-        ImmutableList.of());
+        ImmutableList.of(),
+        Optional.empty(),
+        Optional.empty(),
+        new QuotaLevels(ImmutableMap.of()));
   }
 
   /** This message with a load. */
   PeerMessage withLoads(ImmutableMap<UpstreamLife, Long> now, ImmutableSet<UpstreamLife> lost) {
-    return new PeerMessage(kind, sender, now, lost, asks, grants, suspects);
+    return new PeerMessage(
+        kind, sender, now, lost, asks, grants, suspects, quotaAsk, quotaGrant, quotaLevels);
   }
 
   /** This message with asks. */
   PeerMessage withAsks(ImmutableList<RoomAsk> now) {
-    return new PeerMessage(kind, sender, loads, lapsing, now, grants, suspects);
+    return new PeerMessage(
+        kind, sender, loads, lapsing, now, grants, suspects, quotaAsk, quotaGrant, quotaLevels);
   }
 
   /** This message with grants. */
   PeerMessage withGrants(ImmutableList<RoomGrant> now) {
-    return new PeerMessage(kind, sender, loads, lapsing, asks, now, suspects);
+    return new PeerMessage(
+        kind, sender, loads, lapsing, asks, now, suspects, quotaAsk, quotaGrant, quotaLevels);
   }
 
   /** This message with suspects. */
   PeerMessage withSuspects(ImmutableList<Suspect> now) {
-    return new PeerMessage(kind, sender, loads, lapsing, asks, grants, now);
+    return new PeerMessage(
+        kind, sender, loads, lapsing, asks, grants, now, quotaAsk, quotaGrant, quotaLevels);
+  }
+
+  /** This message with an ask of the coordinator of quotas. */
+  PeerMessage withQuotaAsk(QuotaAsk ask) {
+    return new PeerMessage(
+        kind,
+        sender,
+        loads,
+        lapsing,
+        asks,
+        grants,
+        suspects,
+        Optional.of(ask),
+        quotaGrant,
+        quotaLevels);
+  }
+
+  /** This message with a grant of tokens. */
+  PeerMessage withQuotaGrant(QuotaGrant grant) {
+    return new PeerMessage(
+        kind,
+        sender,
+        loads,
+        lapsing,
+        asks,
+        grants,
+        suspects,
+        quotaAsk,
+        Optional.of(grant),
+        quotaLevels);
+  }
+
+  /** This message with what the coordinator has left. */
+  PeerMessage withQuotaLevels(QuotaLevels now) {
+    return new PeerMessage(
+        kind, sender, loads, lapsing, asks, grants, suspects, quotaAsk, quotaGrant, now);
   }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
@@ -38,7 +38,7 @@
   /** The largest message; what does not fit a datagram is not sent. */
   static final int MAX_BYTES = 60_000;
 
-  private static final byte VERSION = 8;
+  private static final byte VERSION = 9;
   private static final int FIRST_BYTES = 256;
   private static final int MAX_ITEMS = 10_000;
 
@@ -95,6 +95,9 @@
     for (Suspect suspect : m.suspects()) {
       writeSuspect(out, suspect);
     }
+    QuotaCodec.writeAsk(out, m.quotaAsk());
+    QuotaCodec.writeGrant(out, m.quotaGrant());
+    QuotaCodec.writeLevels(out, m.quotaLevels());
   }
 
   private static void writeSuspect(TCompactProtocol out, Suspect suspect) throws TException {
@@ -166,7 +169,10 @@
         lapsing,
         asks.build(),
         grants.build(),
-        suspects.build());
+        suspects.build(),
+        QuotaCodec.readAsk(in),
+        QuotaCodec.readGrant(in),
+        QuotaCodec.readLevels(in));
   }
 
   private static Suspect readSuspect(TCompactProtocol in) throws TException {
@@ -187,7 +193,8 @@
     return all[ordinal];
   }
 
-  private static int size(TCompactProtocol in) throws TException {
+  /** The length of a list, within bounds. */
+  static int size(TCompactProtocol in) throws TException {
     int size = in.readListBegin().size;
     if (size < 0 || size > MAX_ITEMS) {
       throw new IllegalArgumentException(size + " items");
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -29,11 +29,12 @@
     switch (fact) {
       case RelayFact.Admitted f ->
           log.info(
-              "event=admitted call={} rule={} service={} revision={} left_ms={} prompt={}"
-                  + " most_output={} likely_output={} resumes={}",
+              "event=admitted call={} rule={} service={} workspace={} revision={} left_ms={}"
+                  + " prompt={} most_output={} likely_output={} resumes={}",
               id(f.call()),
               f.rule(),
               f.service(),
+              f.workspace(),
               f.revision(),
               f.leftMillis(),
               f.size().prompt(),
@@ -178,6 +179,18 @@
               f.sends(),
               f.runs(),
               millis(f.nanos()));
+      case RelayFact.QuotaDecided f ->
+          log.info(
+              "event=quota call={} workspace={} revision={} tokens={} outcome={} left={} age_ms={}"
+                  + " wait_ms={}",
+              id(f.call()),
+              f.workspace(),
+              f.revision(),
+              f.tokens(),
+              f.outcome(),
+              f.left(),
+              millis(f.ageNanos()),
+              millis(f.waitNanos()));
       case RelayFact.CallerLeft f ->
           log.info(
               "event=caller_left call={} rule={} ms={}", id(f.call()), f.rule(), millis(f.nanos()));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -69,6 +69,11 @@
     switch (fact) {
       case RelayFact.Answered f -> answered(f);
       case RelayFact.Refused f -> refused(f);
+      case RelayFact.QuotaDecided f ->
+          registry
+              .counter(
+                  "larkkeel.relay.quota", "outcome", f.outcome().name().toLowerCase(Locale.ROOT))
+              .increment();
       case RelayFact.CallerLeft f -> calls(f.rule(), "caller_left").increment();
       case RelayFact.AttemptFailed f ->
           registry.counter("larkkeel.relay.attempts.failed", "cause", f.cause()).increment();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -111,6 +111,7 @@
     this.loads = closer.add(new LoadExchange(settings, worker.worker(), loop));
     executor.tells(loads::grant, this::tell);
     thread.execute(() -> loads.suspects(() -> router.suspects(loop.now())));
+    thread.execute(() -> loads.quotas(router));
     loop.afterEach(this::observe);
     this.status =
         closer.add(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsKeys.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsKeys.java
@@ -27,6 +27,7 @@
   static final String SLACK = "slack";
   static final String WINDOW_SECONDS = "windowSeconds";
   static final String NODES = "nodes";
+  static final String QUOTAS = "quotas";
   static final String STAGE_TOKENS = "stageTokens";
   static final String MISSING_MILLIS = "missingMillis";
   static final String PREFILL_SHARE = "prefillShare";
@@ -44,6 +45,7 @@
           SEEDS,
           STORE,
           REPEATS,
+          QUOTAS,
           STAGE_TOKENS,
           PREFILL_SHARE,
           KEEPER_FROM_NODES,
@@ -56,6 +58,7 @@
       ImmutableSet.of(ADDRESS, TIMEOUT_MILLIS, WATCH_MILLIS);
   static final ImmutableSet<String> IN_REPEATS =
       ImmutableSet.of(SHARE, SLACK, WINDOW_SECONDS, NODES);
+  static final ImmutableSet<String> IN_QUOTAS = ImmutableSet.of(SHARE, SLACK, WINDOW_SECONDS);
   static final ImmutableSet<String> IN_STOP = ImmutableSet.of(LEAVE_MILLIS, GRACE_SECONDS);
 
   private RelaySettingsKeys() {}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsReader.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelaySettingsReader.java
@@ -25,6 +25,7 @@
 import org.larkkeel.daemon.settings.LogLevel;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.relay.RelaySettings;
 
 /**
@@ -121,7 +122,16 @@
         (int) repeats.whole(RelaySettingsKeys.NODES, 1, MAX_NODES, 1),
         (int) top.whole(RelaySettingsKeys.STAGE_TOKENS, 1, Integer.MAX_VALUE, 512),
         missing(top).toNanos(),
-        host == null ? 0 : host.value().hashCode());
+        host == null ? 0 : host.value().hashCode(),
+        tolerance(top));
+  }
+
+  private static QuotaTolerance tolerance(FieldReader top) {
+    FieldReader quotas = top.child(RelaySettingsKeys.QUOTAS, RelaySettingsKeys.IN_QUOTAS);
+    return new QuotaTolerance(
+        seconds(quotas, RelaySettingsKeys.WINDOW_SECONDS, Duration.ofSeconds(1)).toNanos() / NANOS,
+        number(quotas, RelaySettingsKeys.SHARE, 0),
+        number(quotas, RelaySettingsKeys.SLACK, 0));
   }
 
   /**
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallFacts.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallFacts.java
@@ -6,7 +6,9 @@
 
 package org.larkkeel.http.relay;
 
+import java.util.Optional;
 import org.larkkeel.relay.CallSize;
+import org.larkkeel.relay.CallerKey;
 import org.larkkeel.relay.PromptKey;
 
 /**
@@ -19,7 +21,7 @@
  * @param size the size of its generation
  * @param prompt names its prompt
  * @param resumes whether it has had the beginning of its stream
- * @param caller its credential; empty if it has none
+ * @param key shows for which workspace it calls; empty if it has none
  * @since 0.1
  */
 public record CallFacts(
@@ -28,7 +30,8 @@
     CallSize size,
     PromptKey prompt,
     boolean resumes,
-    String caller) {
+    Optional<CallerKey> key) {
   /** Of a caller whose headers can not be read. */
-  static final CallFacts NONE = new CallFacts("", 0, CallSize.NONE, PromptKey.NONE, false, "");
+  static final CallFacts NONE =
+      new CallFacts("", 0, CallSize.NONE, PromptKey.NONE, false, Optional.empty());
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
@@ -13,6 +13,7 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -67,7 +68,12 @@
     long millis = TimeUnit.NANOSECONDS.toMillis(nanos);
     dialect.prepare(
         headers,
-        new SendFacts(upstream, new RelayEffect.Purpose.Run(), millis, OptionalLong.empty()));
+        new SendFacts(
+            upstream,
+            new RelayEffect.Purpose.Run(),
+            millis,
+            OptionalLong.empty(),
+            Optional.empty()));
     headers.put(Headers.CONTENT_TYPE, JSON);
     UpstreamRequest wire =
         new UpstreamRequest(
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -186,7 +186,8 @@
       RelayRequest request, RelayEffect.Send e, long left) {
     ListMultimap<HttpString, String> headers = LinkedListMultimap.create(request.headers);
     OptionalLong resume = request.headSent ? request.lastEvent : OptionalLong.empty();
-    dialect.prepare(headers, new SendFacts(e.upstream(), e.purpose(), left / MILLI, resume));
+    dialect.prepare(
+        headers, new SendFacts(e.upstream(), e.purpose(), left / MILLI, resume, e.workspace()));
     return ImmutableListMultimap.copyOf(headers);
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -156,7 +156,8 @@
             facts.size(),
             facts.prompt(),
             facts.resumes(),
-            identity(exchange, target, facts, body.bytes()));
+            identity(exchange, target, facts, body.bytes()),
+            facts.key());
     RelayRequest request =
         new RelayRequest(
             call,
@@ -175,7 +176,11 @@
   private static RequestIdentity identity(
       HttpServerExchange exchange, String target, CallFacts facts, byte[] body) {
     return new RequestIdentity(
-        exchange.getRequestMethod().toString(), host(exchange), target, facts.caller(), body);
+        exchange.getRequestMethod().toString(),
+        host(exchange),
+        target,
+        facts.key().map(k -> k.digest().toString()).orElse(""),
+        body);
   }
 
   private void refuse(HttpServerExchange exchange, CallFacts facts) {
--- /dev/null
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaFleet.java
@@ -0,0 +1,239 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.quota;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.WorkspaceName;
+
+/**
+ * Nodes that share one quota in virtual time, each of which may be a coordinator. Messages take a
+ * step. Used by one test each.
+ */
+final class QuotaFleet {
+  static final WorkspaceName WORKSPACE = new WorkspaceName("weavers");
+  private static final long MILLI = 1_000_000L;
+  private static final long STEP = 5 * MILLI;
+  private static final long HEARTBEAT = 400 * MILLI;
+  private static final long PATIENCE = 120 * MILLI;
+  private static final long AVOIDED = 1_000 * MILLI;
+
+  final List<Node> nodes = new ArrayList<>();
+  final SplittableRandom random;
+  private final QuotaTolerance tolerance;
+  private final List<Runnable> due = new ArrayList<>();
+  private final List<Sent> sent = new ArrayList<>();
+  TokenLimit limit;
+  double loss;
+  long now = 1_000_000 * MILLI;
+  private long calls;
+  int refused;
+  long refusedTokens;
+
+  private record Sent(long at, long tokens) {}
+
+  QuotaFleet(int count, TokenLimit limit, QuotaTolerance tolerance, long seed) {
+    this.limit = limit;
+    this.tolerance = tolerance;
+    this.random = new SplittableRandom(seed);
+    for (int i = 0; i < count; i++) {
+      nodes.add(new Node(i));
+    }
+  }
+
+  /** One node. */
+  final class Node {
+    final int index;
+    final HostName name;
+    QuotaHolder holder;
+    QuotaPool pool;
+
+    /** Which of the first two nodes it asks, the other if that does not answer; -1 for none. */
+    int coordinator;
+
+    long suspendedUntil;
+    private long otherUntil;
+    private final List<Waiting> waiting = new ArrayList<>();
+    private long heartbeatAt;
+    private long sequence;
+    private int sends;
+
+    private record Waiting(RequestId call, long tokens, long until) {}
+
+    Node(int index) {
+      this.index = index;
+      this.name = new HostName("node-" + index);
+      start();
+      heartbeatAt = now + random.nextLong(HEARTBEAT);
+    }
+
+    /** Begins a new process, which has forgotten everything. */
+    void start() {
+      holder = new QuotaHolder(tolerance, now, now);
+      holder.nodes(now, Math.max(1, nodes.size()));
+      pool = new QuotaPool();
+      waiting.clear();
+    }
+
+    void suspend(long millis) {
+      suspendedUntil = now + millis * MILLI;
+    }
+
+    boolean isSuspended() {
+      return now < suspendedUntil;
+    }
+
+    void call(long tokens) {
+      if (isSuspended()) {
+        return;
+      }
+      RequestId id = new RequestId(++calls);
+      decided(id, tokens, holder.take(now, id, WORKSPACE, limit, tokens, PATIENCE));
+    }
+
+    private void decided(RequestId id, long tokens, QuotaHolder.Decision decision) {
+      switch (decision) {
+        case QuotaHolder.Decision.Granted g -> sent.add(new Sent(now, tokens));
+        case QuotaHolder.Decision.Refused r -> {
+          refused++;
+          refusedTokens += tokens;
+        }
+        case QuotaHolder.Decision.Waits w ->
+            waiting.add(new Waiting(id, tokens, now + QuotaHolder.WAIT_NANOS));
+      }
+    }
+
+    private void step() {
+      if (isSuspended()) {
+        return;
+      }
+      if (suspendedUntil > 0) {
+        suspendedUntil = 0;
+        holder.resumed(now);
+        pool.clear();
+      }
+      for (Waiting w : List.copyOf(waiting)) {
+        if (w.until() <= now) {
+          waiting.remove(w);
+          holder
+              .decideNow(now, w.call(), WORKSPACE)
+              .ifPresent(d -> decided(w.call(), w.tokens(), d));
+        }
+      }
+      boolean heartbeat = now >= heartbeatAt;
+      if (heartbeat) {
+        heartbeatAt = now + HEARTBEAT;
+      }
+      holder.ask(now, heartbeat).ifPresent(this::send);
+    }
+
+    private void send(QuotaAsk ask) {
+      sends = ask.sequence() == sequence ? sends + 1 : 1;
+      sequence = ask.sequence();
+      if (sends > 3) {
+        holder.coordinatorChanged();
+        otherUntil = now + AVOIDED;
+        return;
+      }
+      if (coordinator >= 0 && !isLost()) {
+        Node to = asks();
+        due.add(() -> to.asked(this, ask));
+      }
+    }
+
+    /** One that did not answer is asked again after a while, once it was heard. */
+    private Node asks() {
+      Node first = nodes.get(coordinator);
+      if (now >= otherUntil && !first.isSuspended()) {
+        otherUntil = 0;
+      }
+      return otherUntil > 0 ? nodes.get(1 - coordinator) : first;
+    }
+
+    private void asked(Node from, QuotaAsk ask) {
+      if (isSuspended()) {
+        return;
+      }
+      QuotaGrant grant = pool.ask(now, from.name, ask, nodes.size(), w -> Optional.of(limit));
+      if (!isLost()) {
+        due.add(() -> from.granted(grant));
+      }
+    }
+
+    private void granted(QuotaGrant grant) {
+      if (isSuspended()) {
+        return;
+      }
+      for (QuotaHolder.Outcome outcome : holder.granted(now, grant)) {
+        waiting.stream()
+            .filter(w -> w.call().equals(outcome.call()))
+            .findFirst()
+            .ifPresent(
+                w -> {
+                  waiting.remove(w);
+                  decided(w.call(), w.tokens(), outcome.decision());
+                });
+      }
+    }
+  }
+
+  private boolean isLost() {
+    return random.nextDouble() < loss;
+  }
+
+  /** Sets the number of nodes as each knows it. */
+  void count() {
+    nodes.forEach(n -> n.holder.nodes(now, nodes.size()));
+  }
+
+  /** Lets time pass while calls of some sizes come to some of the nodes, at a rate of tokens. */
+  void pass(long millis, double tokensPerSecond, int someNodes) {
+    double owed = 0;
+    for (long t = 0; t < millis * MILLI; t += STEP) {
+      now += STEP;
+      List<Runnable> arrived = List.copyOf(due);
+      due.clear();
+      arrived.forEach(Runnable::run);
+      owed += tokensPerSecond * STEP / 1e9;
+      while (owed > 0) {
+        long tokens = random.nextInt(4) == 0 ? 1_000 + random.nextInt(4_000) : 200;
+        nodes.get(random.nextInt(someNodes)).call(tokens);
+        owed -= tokens;
+      }
+      nodes.forEach(Node::step);
+    }
+  }
+
+  void pass(long millis, double tokensPerSecond) {
+    pass(millis, tokensPerSecond, nodes.size());
+  }
+
+  /** All tokens that were sent. */
+  long sentTokens() {
+    return sent.stream().mapToLong(Sent::tokens).sum();
+  }
+
+  /** The most tokens that were sent within a window of some seconds. */
+  long mostInWindow(double seconds) {
+    long window = (long) (seconds * 1e9);
+    long sum = 0;
+    long most = 0;
+    int first = 0;
+    for (Sent s : sent) {
+      sum += s.tokens();
+      while (sent.get(first).at() <= s.at() - window) {
+        sum -= sent.get(first++).tokens();
+      }
+      most = Math.max(most, sum);
+    }
+    return most;
+  }
+}
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.DataCentreName;
@@ -23,6 +24,7 @@
 import org.larkkeel.lib.RuleName;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.quota.QuotaTolerance;
 
 /** A router with a clock of its own, and what it wanted done. Used by one test each. */
 final class RelayWorld {
@@ -48,7 +50,8 @@
   RelayWorld(double slack) {
     router =
         new RelayRouter(
-            new RelaySettings(HERE, 0.2, slack, 10_000 * MILLI, 1, 512, 1_500 * MILLI, 7));
+            new RelaySettings(
+                HERE, 0.2, slack, 10_000 * MILLI, 1, 512, 1_500 * MILLI, 7, QuotaTolerance.NONE));
   }
 
   /** With the usual rules, two app upstreams, one prefill and two decode upstreams. */
@@ -84,10 +87,15 @@
         runs,
         kind.isStream() ? 900 : 300,
         kind.isStream() ? 300 : 0,
-        1);
+        1,
+        false);
   }
 
   void configure(long revision, ImmutableList<RelayRule> rules) {
+    configure(revision, rules, Workspaces.OPEN);
+  }
+
+  void configure(long revision, ImmutableList<RelayRule> rules, Workspaces workspaces) {
     apply(
         new RelayEvent.ConfigurationRead(
             now,
@@ -101,7 +109,8 @@
                     new ServiceBounds(100, MEMORY, EVENT_TOKENS, true),
                     OTHER,
                     new ServiceBounds(100, MEMORY, EVENT_TOKENS, true)),
-                1 << 20)));
+                1 << 20,
+                workspaces)));
   }
 
   /** The life of an upstream that was added and has not started again. */
@@ -196,7 +205,8 @@
 
   RequestId arrive(
       String path, long deadlineMillis, CallSize size, PromptKey prompt, boolean resumes) {
-    return arrive(path, deadlineMillis, size, prompt, resumes, "body of " + (lastCall + 1));
+    return arrive(
+        path, deadlineMillis, size, prompt, resumes, "body of " + (lastCall + 1), Optional.empty());
   }
 
   private RequestId arrive(
@@ -205,7 +215,8 @@
       CallSize size,
       PromptKey prompt,
       boolean resumes,
-      String body) {
+      String body,
+      Optional<CallerKey> key) {
     RequestId id = new RequestId(++lastCall);
     RequestIdentity identity =
         new RequestIdentity("POST", "a.example", path, "", body.getBytes(StandardCharsets.UTF_8));
@@ -221,13 +232,26 @@
                 size,
                 prompt,
                 resumes,
-                identity)));
+                identity,
+                key)));
     return id;
   }
 
+  /** A call that shows a key. */
+  RequestId arriveWithKey(String path, CallSize size, String key) {
+    return arrive(
+        path,
+        0,
+        size,
+        PromptKey.NONE,
+        false,
+        "body of " + (lastCall + 1),
+        Optional.of(CallerKey.of(key)));
+  }
+
   /** A request that may come again as another call. */
   RequestId arriveWithBody(String path, CallSize size, String body) {
-    return arrive(path, 14_000, size, PromptKey.NONE, false, body);
+    return arrive(path, 14_000, size, PromptKey.NONE, false, body, Optional.empty());
   }
 
   /** A run that fetches what an upstream keeps of its prompt. */
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaTolerance.java
@@ -0,0 +1,44 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.quota;
+
+/**
+ * By how much a quota may be exceeded within a window of time.
+ *
+ * <p>Nodes use it to keep some tokens ahead of need, and to admit calls while they reach no
+ * coordinator. Without any, each call is decided by the coordinator. Immutable and safe for use by
+ * several threads.
+ *
+ * @param windowSeconds the length of the window
+ * @param share the part of what a quota allows in a window that may be used beyond it
+ * @param slack tokens that may be used beyond that
+ * @since 0.1
+ */
+public record QuotaTolerance(double windowSeconds, double share, double slack) {
+  /** No tolerance. */
+  public static final QuotaTolerance NONE = new QuotaTolerance(1, 0, 0);
+
+  /** The part of the tolerance that is kept ahead; the rest is for nodes without coordinator. */
+  private static final double AHEAD = 0.25;
+
+  /** The part of all nodes that may be without coordinator at the same time. */
+  private static final double ALONE = 1 / 3.0;
+
+  private double tokens(TokenLimit limit) {
+    return slack + share * (limit.perSecond() * windowSeconds + limit.burst());
+  }
+
+  /** The tokens that each of some nodes may keep ahead of need. */
+  long ahead(TokenLimit limit, int nodes) {
+    return (long) (AHEAD * tokens(limit) / nodes);
+  }
+
+  /** The tokens that each of some nodes may be in debt while it reaches no coordinator. */
+  long overdraft(TokenLimit limit, int nodes) {
+    return (long) ((1 - AHEAD) * tokens(limit) / (ALONE * nodes));
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay;
 
+import java.util.Optional;
 import org.larkkeel.lib.RequestId;
 
 /**
@@ -22,6 +23,7 @@
  * @param prompt names its prompt
  * @param resumes whether its caller has had the beginning of its stream
  * @param identity tells whether another call is the same request
+ * @param key shows for which workspace it is; empty if it has none
  * @since 0.1
  */
 public record RelayCall(
@@ -33,4 +35,5 @@
     CallSize size,
     PromptKey prompt,
     boolean resumes,
-    RequestIdentity identity) {}
+    RequestIdentity identity,
+    Optional<CallerKey> key) {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayConfiguration.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayConfiguration.java
@@ -28,6 +28,16 @@
   private final ImmutableMap<ServiceName, ServiceBounds> services;
   private final ImmutableSet<ServiceName> named;
   private final int maxBodyBytes;
+  private final Workspaces workspaces;
+
+  /** Makes a revision without workspaces. */
+  public RelayConfiguration(
+      long revision,
+      ImmutableList<RelayRule> rules,
+      ImmutableMap<ServiceName, ServiceBounds> services,
+      int maxBodyBytes) {
+    this(revision, rules, services, maxBodyBytes, Workspaces.OPEN);
+  }
 
   /**
    * Makes a revision.
@@ -36,13 +46,16 @@
    * @param rules the rules; of one host and prefix the first counts
    * @param services what upstreams bear
    * @param maxBodyBytes the largest body of a request
+   * @param workspaces whose calls are taken
    */
   public RelayConfiguration(
       long revision,
       ImmutableList<RelayRule> rules,
       ImmutableMap<ServiceName, ServiceBounds> services,
-      int maxBodyBytes) {
+      int maxBodyBytes,
+      Workspaces workspaces) {
     this.revision = revision;
+    this.workspaces = workspaces;
     this.services = services;
     this.maxBodyBytes = maxBodyBytes;
     ImmutableListMultimap.Builder<String, RelayRule> hosts = ImmutableListMultimap.builder();
@@ -67,6 +80,11 @@
     return maxBodyBytes;
   }
 
+  /** Whose calls are taken. */
+  public Workspaces workspaces() {
+    return workspaces;
+  }
+
   /** How many rules there are. */
   public int size() {
     return byHost.size();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -12,6 +12,7 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamLife;
+import org.larkkeel.lib.WorkspaceName;
 
 /**
  * What the relay's reducer wants done.
@@ -51,6 +52,7 @@
    * @param purpose what for
    * @param until when the upstream may stop, in nanoseconds of the events' clock
    * @param silenceNanos the longest pause within the answer; 0 for no bound
+   * @param workspace for whom, as the upstream is told; empty for an anonymous call
    */
   record Send(
       AttemptId attempt,
@@ -58,7 +60,8 @@
       RelayUpstream upstream,
       Purpose purpose,
       long until,
-      long silenceNanos)
+      long silenceNanos,
+      Optional<WorkspaceName> workspace)
       implements RelayEffect {}
 
   /** Give an attempt up and close its connection; no more is heard of it. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -18,6 +18,7 @@
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.quota.QuotaGrant;
 
 /**
  * What the relay's reducer is told. Each carries the time at which it happened, in nanoseconds of a
@@ -151,6 +152,12 @@
   /** Who gives room from now on. */
   record KeepingChanged(long at, RoomKeeping keeping) implements RelayEvent {}
 
+  /** The coordinator of quotas has answered. */
+  record QuotaGranted(long at, QuotaGrant grant) implements RelayEvent {}
+
+  /** Another node, or none, is the coordinator of quotas from now on. */
+  record QuotaCoordinatorChanged(long at) implements RelayEvent {}
+
   /** How many nodes share the budget of repeats. */
   record NodesCounted(long at, int nodes) implements RelayEvent {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -12,6 +12,7 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.WorkspaceName;
 
 /**
  * A decision or a change of belief, with the inputs that decided it.
@@ -26,6 +27,7 @@
       String call,
       String rule,
       String service,
+      String workspace,
       long revision,
       long leftMillis,
       CallSize size,
@@ -218,6 +220,29 @@
       long nanos)
       implements RelayFact {}
 
+  /**
+   * It was decided whether a call is within its workspace's quota.
+   *
+   * @param call what the caller calls it
+   * @param workspace whose quota
+   * @param revision of the configuration that has the quota
+   * @param tokens that the call takes
+   * @param outcome what was decided
+   * @param left the tokens that this node holds then; less than 0 for a debt
+   * @param ageNanos how old the coordinator's last word is
+   * @param waitNanos when a refused call may come back; 0 if never
+   */
+  record QuotaDecided(
+      String call,
+      WorkspaceName workspace,
+      long revision,
+      long tokens,
+      QuotaOutcome outcome,
+      long left,
+      long ageNanos,
+      long waitNanos)
+      implements RelayFact {}
+
   /** The caller left. */
   record CallerLeft(String call, String rule, long nanos) implements RelayFact {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -13,6 +13,9 @@
 import java.util.function.Consumer;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamLife;
+import org.larkkeel.lib.WorkspaceName;
+import org.larkkeel.quota.QuotaAsk;
+import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.internal.Flow;
 
 /**
@@ -62,7 +65,9 @@
       case RelayEvent.SuspectsHeard e -> flow.suspectsHeard(at, e.suspects());
       case RelayEvent.Released e -> flow.released(at, e.request());
       case RelayEvent.KeepingChanged e -> flow.keeping(at, e.keeping());
-      case RelayEvent.NodesCounted e -> flow.nodes(e.nodes());
+      case RelayEvent.NodesCounted e -> flow.nodes(at, e.nodes());
+      case RelayEvent.QuotaGranted e -> flow.quotaGranted(at, e.grant());
+      case RelayEvent.QuotaCoordinatorChanged e -> flow.quotaCoordinatorChanged(at);
       case RelayEvent.Draining e -> flow.drain(at);
       case RelayEvent.Resumed e -> flow.resumed(at, e.suspendedNanos());
       case RelayEvent.Ticked e -> flow.ticked(at);
@@ -112,6 +117,26 @@
     return flow.quarantinedNanos(at, request);
   }
 
+  /**
+   * What the coordinator of quotas is to be asked now; empty if nothing is due.
+   *
+   * @param at now
+   * @param heartbeat whether an ask is due in any case while there are quotas
+   */
+  public Optional<QuotaAsk> quotaAsk(long at, boolean heartbeat) {
+    return flow.quotaAsk(at, heartbeat);
+  }
+
+  /** Whether calls wait for tokens of their quotas, so that asks may become due. */
+  public boolean awaitsQuota() {
+    return flow.awaitsQuota();
+  }
+
+  /** The limit of a workspace; empty if there is no such workspace. */
+  public Optional<TokenLimit> limit(WorkspaceName workspace) {
+    return flow.limit(workspace);
+  }
+
   /** How many upstreams are known, those included that leave. */
   public int upstreams() {
     return flow.upstreamCount();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRule.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRule.java
@@ -24,6 +24,7 @@
  * @param targetMillis the latency that callers aim at: whole answer, or first event
  * @param gapMillis the longest pause between events that is on time; 0 for none
  * @param priority the rank, 0 first
+ * @param anonymous whether callers need no key
  * @since 0.1
  */
 public record RelayRule(
@@ -36,7 +37,8 @@
     int maxRuns,
     long targetMillis,
     long gapMillis,
-    int priority) {
+    int priority,
+    boolean anonymous) {
   /**
    * A service and its weight.
    *
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelaySettings.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelaySettings.java
@@ -7,6 +7,7 @@
 package org.larkkeel.relay;
 
 import org.larkkeel.lib.DataCentreName;
+import org.larkkeel.quota.QuotaTolerance;
 
 /**
  * What bounds and steers the relay's reducer.
@@ -21,6 +22,7 @@
  * @param stageTokens the size from which prompts are read at a prefill upstream
  * @param missingNanos how long an upstream may be used after it was removed without a notice
  * @param seed of random choices
+ * @param tolerance by how much the quota of a workspace may be exceeded
  * @since 0.1
  */
 public record RelaySettings(
@@ -31,4 +33,5 @@
     int nodes,
     int stageTokens,
     long missingNanos,
-    long seed) {}
+    long seed,
+    QuotaTolerance tolerance) {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RequestIdentity.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RequestIdentity.java
@@ -31,7 +31,7 @@
    * @param method the method
    * @param host the host that it names
    * @param target path and query
-   * @param caller the caller's credential; empty if it has none
+   * @param caller tells callers apart; empty for those without a key
    * @param body the whole body, which is not copied and must not change
    */
   public RequestIdentity(String method, String host, String target, String caller, byte[] body) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
@@ -15,6 +15,7 @@
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayRule;
+import org.larkkeel.relay.RelayWorkspace;
 import org.larkkeel.relay.ServiceName;
 
 /**
@@ -89,20 +90,28 @@
       answers.refuse(call, ErrorKind.QUARANTINED, left / MILLI, CrashGuard.REFUSAL);
       return Optional.empty();
     }
-    return Optional.of(admit(at, call, rule.get()));
+    Optional<RelayWorkspace> workspace = workspace(call);
+    if (workspace.isEmpty() && !mayBeAnonymous(rule.get())) {
+      answers.refuse(call, ErrorKind.UNAUTHENTICATED, 0, refusal(call));
+      return Optional.empty();
+    }
+    return Optional.of(admit(at, call, rule.get(), workspace));
   }
 
-  private CallState admit(long at, RelayCall call, RelayRule rule) {
+  private CallState admit(
+      long at, RelayCall call, RelayRule rule, Optional<RelayWorkspace> workspace) {
     long millis = rule.timeoutMillis();
     if (call.deadlineMillis() > 0) {
       millis = Math.min(millis, call.deadlineMillis());
     }
     CallState c = new CallState(call, rule, service(rule), at, at + millis * MILLI);
+    c.workspace = workspace;
     report(
         new RelayFact.Admitted(
             call.wireId(),
             rule.name().value(),
             c.service.value(),
+            workspace.map(w -> w.name().value()).orElse(""),
             revision(),
             millis,
             call.size(),
@@ -110,6 +119,29 @@
     return c;
   }
 
+  /** Looks up anew for whom a call is; whether its caller may still have it sent. */
+  boolean isAllowed(CallState c) {
+    Optional<RelayWorkspace> now = workspace(c.call);
+    if (now.isEmpty() && !mayBeAnonymous(c.rule)) {
+      return false;
+    }
+    c.workspace = now;
+    return true;
+  }
+
+  /** What the caller of a call without a known key is told. */
+  static String refusal(RelayCall call) {
+    return call.key().isEmpty() ? "the request has no key" : "no workspace holds the key";
+  }
+
+  private Optional<RelayWorkspace> workspace(RelayCall call) {
+    return call.key().flatMap(configuration.workspaces()::find);
+  }
+
+  private boolean mayBeAnonymous(RelayRule rule) {
+    return rule.anonymous() || !configuration.workspaces().areRequired();
+  }
+
   private ServiceName service(RelayRule rule) {
     int total = 0;
     for (RelayRule.Share share : rule.split()) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
@@ -15,6 +15,7 @@
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.RelayWorkspace;
 
 /**
  * The sends that are in flight.
@@ -77,7 +78,13 @@
     }
     effects.accept(
         new RelayEffect.Send(
-            id, c.call.id(), choice.best().upstream(), purpose, c.deadline, Patience.silence(a)));
+            id,
+            c.call.id(),
+            choice.best().upstream(),
+            purpose,
+            c.deadline,
+            Patience.silence(a),
+            c.workspace.map(RelayWorkspace::name)));
   }
 
   private static RelayFact placed(CallState c, AttemptState a, Choice choice) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -7,11 +7,14 @@
 package org.larkkeel.relay.internal;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.larkkeel.lib.UpstreamLife;
+import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayRule;
+import org.larkkeel.relay.RelayWorkspace;
 import org.larkkeel.relay.ServiceName;
 
 /**
@@ -31,6 +34,21 @@
   final long arrivedAt;
   final long deadline;
 
+  /** For whom it is; empty for an anonymous call. */
+  Optional<RelayWorkspace> workspace = Optional.empty();
+
+  /** From whose quota it takes tokens; null if from none. */
+  WorkspaceName quotaOf;
+
+  /** How many it takes. */
+  long quotaTokens;
+
+  /** Whether it waits for tokens. */
+  boolean awaitsQuota;
+
+  /** Whether it has them. */
+  boolean holdsQuota;
+
   /** The upstreams to which it is not sent again. */
   final Set<UpstreamLife> without = new HashSet<>();
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/FinalAnswers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/FinalAnswers.java
@@ -8,6 +8,7 @@
 
 import java.util.function.Consumer;
 import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.Execution;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayFact;
@@ -35,9 +36,7 @@
   void end(long at, CallState c, ErrorKind kind, long retryAfterMillis, String detail) {
     boolean mayHaveRun = c.runs > 0;
     ErrorKind told =
-        mayHaveRun && kind.status() == ErrorKind.OVERLOADED.status()
-            ? ErrorKind.UPSTREAM_FAILED
-            : kind;
+        mayHaveRun && kind.execution() == Execution.NOT_RUN ? ErrorKind.UPSTREAM_FAILED : kind;
     report(
         new RelayFact.Refused(
             c.call.wireId(),
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -27,6 +27,11 @@
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.WorkspaceName;
+import org.larkkeel.quota.QuotaAsk;
+import org.larkkeel.quota.QuotaGrant;
+import org.larkkeel.quota.QuotaHolder;
+import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.ProbeResult;
@@ -85,6 +90,7 @@
   private final FinalAnswers answers;
   private final RetryBudget repeats;
   private final Admission admission;
+  private final Quotas quotas;
   private Consumer<RelayEffect> effects = e -> {};
   private boolean draining;
 
@@ -102,6 +108,14 @@
     this.endedLives = new EndedLives(rooms, evacuation, new Endable());
     this.guard = new CrashGuard(~settings.seed(), this::emit, new Guarded());
     this.admission = new Admission(fleet, random, guard, answers, this::emit);
+    this.quotas =
+        new Quotas(
+            timers,
+            new SplittableRandom(settings.seed() + 1),
+            settings.tolerance(),
+            settings.nodes(),
+            new Counted(),
+            this::emit);
   }
 
   /** Sets where effects go. */
@@ -228,8 +242,9 @@
   }
 
   /** Sets over how many nodes the slack of the budget is split. */
-  public void nodes(int count) {
+  public void nodes(long at, int count) {
     repeats.nodes(count);
+    quotas.nodes(at, count);
   }
 
   /** A call has arrived. */
@@ -239,8 +254,13 @@
 
   private void admitted(long at, CallState c) {
     calls.put(c.call.id(), c);
-    repeats.first(at, c.service);
     timers.add(new Timers.Due.Deadline(c.deadline, c.call.id()));
+    quotas.admit(at, c);
+  }
+
+  /** Goes on with a call that is within its quota. */
+  private void withinQuota(long at, CallState c) {
+    repeats.first(at, c.service);
     if (rooms.needsRoom(c)) {
       rooms.settle(at, c);
     } else {
@@ -310,7 +330,10 @@
   }
 
   private void send(long at, CallState c, Choice choice, Purpose purpose, long units) {
-    boolean repeat = c.arrivals > 0;
+    if (!(purpose instanceof Purpose.Continue) && !admission.isAllowed(c)) {
+      giveUp(at, c, ErrorKind.UNAUTHENTICATED, 0, Admission.refusal(c.call));
+      return;
+    }
     long left = guard.remainingNanos(at, c.call);
     if (left > 0) {
       giveUp(at, c, ErrorKind.QUARANTINED, left / MILLI, CrashGuard.REFUSAL);
@@ -320,6 +343,7 @@
       giveUp(at, c, ErrorKind.OVERLOADED, "sent " + c.sends + " times");
       return;
     }
+    boolean repeat = c.arrivals > 0;
     if (repeat && !repeats.take(at, c.service)) {
       report(repeats.spent(at, c));
       giveUp(at, c, ErrorKind.OVERLOADED, "the budget of repeats is used up");
@@ -345,6 +369,7 @@
     calls.remove(c.call.id());
     prompts.free(c);
     rooms.remove(c);
+    quotas.remove(c);
     c.moveOut();
   }
 
@@ -736,6 +761,56 @@
     }
   }
 
+  // Quotas.
+
+  /** The coordinator of quotas has answered. */
+  public void quotaGranted(long at, QuotaGrant grant) {
+    quotas.granted(at, grant);
+  }
+
+  /** Another node is the coordinator of quotas now. */
+  public void quotaCoordinatorChanged(long at) {
+    quotas.coordinatorChanged(at);
+  }
+
+  /** What the coordinator of quotas is to be asked now. */
+  public Optional<QuotaAsk> quotaAsk(long at, boolean heartbeat) {
+    return quotas.ask(at, heartbeat);
+  }
+
+  /** Whether calls wait for tokens of their quotas. */
+  public boolean awaitsQuota() {
+    return quotas.hasWaiting();
+  }
+
+  /** The limit of a workspace; empty if there is no such workspace. */
+  public Optional<TokenLimit> limit(WorkspaceName workspace) {
+    return quotas.limit(workspace);
+  }
+
+  /** Whose quotas are counted. */
+  private final class Counted implements Quotas.Calls {
+    @Override
+    public RelayConfiguration configuration() {
+      return admission.configuration();
+    }
+
+    @Override
+    public Optional<CallState> find(QuotaHolder.Outcome outcome) {
+      return Optional.ofNullable(calls.get(outcome.call()));
+    }
+
+    @Override
+    public void admitted(long at, CallState c) {
+      withinQuota(at, c);
+    }
+
+    @Override
+    public void refuse(long at, CallState c, ErrorKind kind, long retryAfter, String detail) {
+      giveUp(at, c, kind, retryAfter, detail);
+    }
+  }
+
   /** What room is needed for. */
   private final class Roomy implements Rooms.Calls {
     @Override
@@ -810,6 +885,7 @@
    */
   public void resumed(long at, long suspendedNanos) {
     report(new RelayFact.Resumed(suspendedNanos));
+    quotas.resumed(at);
     ticked(at);
   }
 
@@ -823,6 +899,8 @@
         case Timers.Due.Evacuate e -> evacuation.due(at, e.upstream());
         case Timers.Due.OrderOver o -> orderOver(at, o.upstream());
         case Timers.Due.MoveOver m -> evacuation.overdue(at, m.attempt());
+        case Timers.Due.Quota q ->
+            Optional.ofNullable(calls.get(q.call())).ifPresent(c -> quotas.due(at, c));
         case Timers.Due.Patience p -> impatient(at, p.attempt());
       }
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -44,6 +44,9 @@
     /** The end of a move that was begun. */
     record MoveOver(long at, AttemptId attempt) implements Due {}
 
+    /** The coordinator's answer for a call. */
+    record Quota(long at, RequestId call) implements Due {}
+
     /** The answer of an attempt that may be made elsewhere. */
     record Patience(long at, AttemptId attempt) implements Due {}
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
@@ -7,18 +7,24 @@
 package org.larkkeel.platform;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import com.google.common.collect.ArrayListMultimap;
 import com.google.common.collect.ListMultimap;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.http.relay.AnswerVerdict;
 import org.larkkeel.http.relay.SendFacts;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.lib.WorkspaceName;
+import org.larkkeel.relay.CallerKey;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayUpstream;
@@ -87,6 +93,38 @@
       assertEquals(new PlatformDialect().facts(new HeaderMap()).prompt(), PromptKey.NONE);
     }
 
+    @Test
+    public void haveTheKeyOnce() {
+      HeaderMap headers = new HeaderMap();
+      headers.put(PlatformNames.CREDENTIAL, "key-a");
+      assertEquals(new PlatformDialect().facts(headers).key(), Optional.of(CallerKey.of("key-a")));
+      headers.add(PlatformNames.CREDENTIAL, "key-b");
+      assertMalformed(headers);
+    }
+
+    @DataProvider
+    static Object[][] unfitKeys() {
+      return new Object[][] {{""}, {"two words"}, {"clé"}, {"x".repeat(300)}};
+    }
+
+    @Test(dataProvider = "unfitKeys")
+    public void haveNoUnfitKey(String key) {
+      HeaderMap headers = new HeaderMap();
+      headers.put(PlatformNames.CREDENTIAL, key);
+      assertMalformed(headers);
+    }
+
+    private static void assertMalformed(HeaderMap headers) {
+      try {
+        new PlatformDialect().facts(headers);
+      } catch (LarkkeelException e) {
+        assertEquals(e.kind(), ErrorKind.MALFORMED_REQUEST);
+        assertFalse(e.getMessage().contains("key-"), e.getMessage());
+        return;
+      }
+      throw new AssertionError("was read");
+    }
+
     @DataProvider
     static Object[][] lastEvents() {
       return new Object[][] {{null, false}, {"0", false}, {"12", true}, {"no-number", true}};
@@ -104,23 +142,63 @@
 
   /** What runners are told. */
   public static class Sent {
+    private static final RelayUpstream SOURCE =
+        new RelayUpstream(
+            UpstreamLife.unknownStart(new UpstreamName("i-1")),
+            new ServiceName("model"),
+            "10.0.0.1:80",
+            new DataCentreName("dc-1"),
+            6,
+            Stage.PREFILL,
+            false);
+
+    private static SendFacts facts(Purpose purpose, Optional<WorkspaceName> workspace) {
+      return new SendFacts(SOURCE, purpose, 1_000, OptionalLong.empty(), workspace);
+    }
+
+    /** Each kind of send. */
+    @DataProvider
+    static Object[][] purposes() {
+      return new Object[][] {
+        {new Purpose.Run()},
+        {new Purpose.Fetch(SOURCE)},
+        {new Purpose.ReadPrompt()},
+        {new Purpose.TakeOver(SOURCE, "h")},
+        {new Purpose.Continue(SOURCE, "h")}
+      };
+    }
+
+    private static ListMultimap<HttpString, String> forged() {
+      ListMultimap<HttpString, String> headers = ArrayListMultimap.create();
+      headers.put(PlatformNames.CREDENTIAL, "key-a");
+      headers.put(new HttpString("x-credential"), "key-b");
+      headers.put(new HttpString("x-tenant"), "forged");
+      headers.put(PlatformNames.TENANT, "forged-too");
+      return headers;
+    }
+
+    @Test(dataProvider = "purposes")
+    public void tellTheTenantAndNoKey(Purpose purpose) {
+      ListMultimap<HttpString, String> headers = forged();
+      new PlatformDialect()
+          .prepare(headers, facts(purpose, Optional.of(new WorkspaceName("huka270"))));
+      assertEquals(headers.get(PlatformNames.TENANT), List.of("huka270"));
+      assertFalse(headers.containsKey(PlatformNames.CREDENTIAL));
+    }
+
+    @Test(dataProvider = "purposes")
+    public void tellNoTenantForAnonymousClients(Purpose purpose) {
+      ListMultimap<HttpString, String> headers = forged();
+      new PlatformDialect().prepare(headers, facts(purpose, Optional.empty()));
+      assertFalse(headers.containsKey(PlatformNames.TENANT));
+      assertFalse(headers.containsKey(PlatformNames.CREDENTIAL));
+    }
+
     @Test
     public void namesWhereThePromptMayBeKept() {
-      RelayUpstream source =
-          new RelayUpstream(
-              UpstreamLife.unknownStart(new UpstreamName("i-1")),
-              new ServiceName("model"),
-              "10.0.0.1:80",
-              new DataCentreName("dc-1"),
-              6,
-              Stage.PREFILL,
-              false);
       ListMultimap<HttpString, String> headers = ArrayListMultimap.create();
       headers.put(PlatformNames.KV_FETCH, "10.9.9.9:80");
-      new PlatformDialect()
-          .prepare(
-              headers,
-              new SendFacts(source, new Purpose.Fetch(source), 1_000, OptionalLong.empty()));
+      new PlatformDialect().prepare(headers, facts(new Purpose.Fetch(SOURCE), Optional.empty()));
       assertEquals(headers.get(PlatformNames.KV_FETCH), List.of("10.0.0.1:80"), "not the client's");
     }
   }
