Save up a part of a quota's tolerance, and admit large calls alone by chance

Cause: a stream counts some 14,000 tokens, half a second of a small workspace's rate. A node without coordinator never admitted one, as its debt may not be as large.

Ways: the burst alone | the burst and 0.4, 0.5 or 0.65 of the tolerance that the settings tell.

Conclusion: kept at 0.4.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuotaSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuotaSharing.java
@@ -15,6 +15,7 @@
 import org.larkkeel.quota.QuotaHolder;
 import org.larkkeel.quota.QuotaLevels;
 import org.larkkeel.quota.QuotaPool;
+import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayRouter;
 import org.slf4j.Logger;
@@ -47,7 +48,7 @@
   private final PeerTable peers;
   private final LoadSharing.Surroundings around;
   private final Channel channel;
-  private final QuotaPool pool = new QuotaPool();
+  private QuotaPool pool = new QuotaPool(QuotaTolerance.NONE);
   private final Map<HostName, Long> unansweredAt = new HashMap<>();
   private Optional<RelayRouter> router = Optional.empty();
   private Optional<PeerTable.Keeper> coordinator = Optional.empty();
@@ -82,6 +83,7 @@
   /** Sets whose quotas these are; before that, nothing is asked or granted. */
   void router(RelayRouter now) {
     router = Optional.of(now);
+    pool = new QuotaPool(now.quotaTolerance());
   }
 
   /** Asks for what is needed now, if anything is. */
--- a/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaFleet.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaFleet.java
@@ -79,7 +79,7 @@
     void start() {
       holder = new QuotaHolder(tolerance, now, now);
       holder.nodes(now, Math.max(1, nodes.size()));
-      pool = new QuotaPool();
+      pool = new QuotaPool(tolerance);
       waiting.clear();
     }
 
@@ -131,10 +131,18 @@
       boolean heartbeat = now >= heartbeatAt;
       if (heartbeat) {
         heartbeatAt = now + HEARTBEAT;
+        tellLevels();
       }
       holder.ask(now, heartbeat).ifPresent(this::send);
     }
 
+    private void tellLevels() {
+      if (index == 0 && !pool.levels().left().isEmpty() && !isLost()) {
+        QuotaLevels levels = pool.levels();
+        due.add(() -> nodes.get(1).pool.heard(now, levels));
+      }
+    }
+
     private void send(QuotaAsk ask) {
       sends = ask.sequence() == sequence ? sends + 1 : 1;
       sequence = ask.sequence();
--- a/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaFleetTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaFleetTest.java
@@ -63,6 +63,19 @@
       assertEquals(fleet.refused, 0);
     }
 
+    /** Calls of half a second's tokens each, in bursts of four, at half of the limit. */
+    @Test
+    public void isNotRefusedWhereLargeCallsComeTogether() {
+      QuotaFleet fleet = fleet(60, SMALL, 10);
+      for (int i = 0; i < 10; i++) {
+        for (int call = 0; call < 4; call++) {
+          fleet.nodes.get(fleet.random.nextInt(60)).call(SMALL.perSecond() / 2);
+        }
+        fleet.pass(4_000, 0);
+      }
+      assertEquals(fleet.refused, 0);
+    }
+
     @Test
     public void losesLittleWhereMessagesAreLost() {
       QuotaFleet fleet = fleet(60, LARGE, 3);
@@ -199,7 +212,7 @@
 
     @Test
     public void askGetsTheSameGrant() {
-      QuotaPool pool = new QuotaPool();
+      QuotaPool pool = new QuotaPool(QuotaTolerance.NONE);
       QuotaAsk ask = ask(1, 1_000_000_000L);
       QuotaGrant first = grant(pool, ask);
       assertEquals(first.shares().getFirst().tokens(), 500);
@@ -211,7 +224,9 @@
     public void grantCountsOnce() {
       QuotaHolder holder = new QuotaHolder(QuotaTolerance.NONE, 1, 0);
       holder.take(0, new RequestId(1), QuotaFleet.WORKSPACE, SMALL, 500, 0);
-      QuotaGrant grant = grant(new QuotaPool(), holder.ask(1_000_000_000L, false).orElseThrow());
+      QuotaGrant grant =
+          grant(
+              new QuotaPool(QuotaTolerance.NONE), holder.ask(1_000_000_000L, false).orElseThrow());
       assertEquals(holder.granted(1_000_000_000L, grant).size(), 1);
       assertEquals(holder.granted(1_000_000_000L, grant).size(), 0);
       assertEquals(holder.held(QuotaFleet.WORKSPACE), 0);
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/WorkspacesTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/WorkspacesTest.java
@@ -19,6 +19,7 @@
 import org.larkkeel.quota.QuotaAsk;
 import org.larkkeel.quota.QuotaGrant;
 import org.larkkeel.quota.QuotaPool;
+import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.RelayWorkspace.QuotaUnit;
 import org.testng.annotations.DataProvider;
@@ -231,7 +232,7 @@
 
     /** A coordinator to which the node's earlier process has lent a second. */
     private static QuotaPool full(RelayWorld w) {
-      QuotaPool pool = new QuotaPool();
+      QuotaPool pool = new QuotaPool(QuotaTolerance.NONE);
       pool.ask(
           w.now(),
           NODE,
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.WorkspaceName;
 
@@ -50,6 +51,7 @@
 
   private final QuotaTolerance tolerance;
   private final long epoch;
+  private final SplittableRandom random;
   private final Map<WorkspaceName, Account> accounts = new HashMap<>();
   private int nodes = 1;
   private long sequence;
@@ -120,6 +122,7 @@
   public QuotaHolder(QuotaTolerance tolerance, long epoch, long at) {
     this.tolerance = tolerance;
     this.epoch = epoch;
+    this.random = new SplittableRandom(epoch);
     this.grantedAt = at;
     this.accountedAt = at;
   }
@@ -159,7 +162,7 @@
       long longestNanos) {
     Account a = account(at, workspace, limit);
     a.usedAt = at;
-    if (tokens > limit.burst()) {
+    if (tokens > tolerance.saved(limit)) {
       return new Decision.Refused(0);
     }
     if (a.waiting.isEmpty() && a.held >= tokens) {
@@ -182,8 +185,10 @@
   }
 
   private Decision decideAlone(Account a, long tokens) {
-    double missing = tokens - a.held - tolerance.overdraft(a.limit, nodes);
-    if (missing <= 0) {
+    double there = a.held + tolerance.overdraft(a.limit, nodes);
+    double missing = tokens - there;
+    // A call that is larger is admitted as seldom as makes the same on the whole.
+    if (missing <= 0 || (a.held >= 0 && random.nextDouble() * tokens < there)) {
       return grant(a, tokens);
     }
     double rate = (double) a.limit.perSecond() / nodes;
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaPool.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaPool.java
@@ -19,9 +19,9 @@
  * The quotas of all workspaces at the coordinator, which refill with the time that nodes lend.
  *
  * <p>Invariants: a quota gains its rate times the lent time, divided by the number of nodes, and
- * never holds more than the part of its burst that the nodes which lend are of all, so that two
- * coordinators do not save up twice; an ask that comes twice counts once. Not safe for use by
- * several threads.
+ * never holds more than the part of what can be saved up that the nodes which lend are of all, so
+ * that two coordinators do not save up twice; an ask that comes twice counts once. Not safe for use
+ * by several threads.
  *
  * @since 0.1
  */
@@ -51,6 +51,7 @@
 
   private static final QuotaGrant NOTHING = new QuotaGrant(0, 0, ImmutableList.of());
 
+  private final QuotaTolerance tolerance;
   private final Map<WorkspaceName, Level> levels = new HashMap<>();
   private final Map<HostName, Answered> answered = new HashMap<>();
   private Map<WorkspaceName, Long> told = Map.of();
@@ -104,6 +105,15 @@
     }
   }
 
+  /**
+   * Begins without tokens.
+   *
+   * @param tolerance by how much quotas may be exceeded
+   */
+  public QuotaPool(QuotaTolerance tolerance) {
+    this.tolerance = tolerance;
+  }
+
   /**
    * Grants what an ask may have.
    *
@@ -171,7 +181,7 @@
   }
 
   private double most(TokenLimit limit) {
-    return limit.burst() * Math.min(1.0, (double) lenders / nodes);
+    return tolerance.saved(limit) * Math.min(1.0, (double) lenders / nodes);
   }
 
   private static long granted(Level level, QuotaAsk.Want want) {
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaTolerance.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaTolerance.java
@@ -22,8 +22,11 @@
   /** No tolerance. */
   public static final QuotaTolerance NONE = new QuotaTolerance(1, 0, 0);
 
-  /** The part of the tolerance that is kept ahead; the rest is for nodes without coordinator. */
-  private static final double AHEAD = 0.25;
+  /** The part of the tolerance that is added to what can be saved up. */
+  private static final double SAVED = 0.4;
+
+  /** The part that nodes keep ahead of need; the rest is for nodes without coordinator. */
+  private static final double AHEAD = 0.2;
 
   /** The part of all nodes that may be without coordinator at the same time. */
   private static final double ALONE = 1 / 3.0;
@@ -32,6 +35,14 @@
     return slack + share * (limit.perSecond() * windowSeconds + limit.burst());
   }
 
+  /**
+   * The most that can be saved up: the burst, and beyond it a part of what may be exceeded, so that
+   * large calls that come together are not refused while the window allows them.
+   */
+  double saved(TokenLimit limit) {
+    return limit.burst() + SAVED * tokens(limit);
+  }
+
   /** The tokens that each of some nodes may keep ahead of need. */
   long ahead(TokenLimit limit, int nodes) {
     return (long) (AHEAD * tokens(limit) / nodes);
@@ -39,6 +50,6 @@
 
   /** The tokens that each of some nodes may be in debt while it reaches no coordinator. */
   long overdraft(TokenLimit limit, int nodes) {
-    return (long) ((1 - AHEAD) * tokens(limit) / (ALONE * nodes));
+    return (long) ((1 - SAVED - AHEAD) * tokens(limit) / (ALONE * nodes));
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -15,6 +15,7 @@
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.quota.QuotaAsk;
+import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.internal.Flow;
 
@@ -28,10 +29,12 @@
  */
 public final class RelayRouter {
   private final Flow flow;
+  private final QuotaTolerance tolerance;
 
   /** Begins without a configuration and without upstreams. */
   public RelayRouter(RelaySettings settings) {
     this.flow = new Flow(settings);
+    this.tolerance = settings.tolerance();
   }
 
   /**
@@ -127,6 +130,11 @@
     return flow.quotaAsk(at, heartbeat);
   }
 
+  /** By how much quotas may be exceeded. */
+  public QuotaTolerance quotaTolerance() {
+    return tolerance;
+  }
+
   /** Whether calls wait for tokens of their quotas, so that asks may become due. */
   public boolean awaitsQuota() {
     return flow.awaitsQuota();
