--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/WatchTimes.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/WatchTimes.java
@@ -30,8 +30,8 @@
  * they may: of 95 nodes 7.4 instead of 14.6 calls a second.
  *
  * <p>A watch that has told of a change begins anew after a pause, so that changes that follow are
- * told together. The pause grows with the fleet, whose watches all end with each change; sentinels have
- * the least, so that others do not take their watches for dead before they begin anew.
+ * told together. The pause grows with the fleet, whose watches all end with each change; sentinels
+ * have the least, so that others do not take their watches for dead before they begin anew.
  *
  * <p>Not safe for use by several threads.
  */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -49,12 +49,12 @@
     switch (event) {
       case RelayEvent.Arrived e -> flow.arrived(at, e.call());
       case RelayEvent.CallerLeft e -> flow.callerLeft(at, e.call());
-      case RelayEvent.PromptRead e -> flow.promptRead(at, e.attempt(), e.handle());
-      case RelayEvent.Began e -> flow.began(at, e.attempt());
-      case RelayEvent.Progressed e -> flow.progressed(e.attempt(), e.events());
-      case RelayEvent.Answered e -> flow.answered(at, e.attempt(), e.grade());
-      case RelayEvent.Refused e -> flow.refused(at, e.attempt(), e.cause());
-      case RelayEvent.Lost e -> flow.lost(at, e.attempt(), e.cause());
+      case RelayEvent.PromptRead e -> flow.outcomes().promptRead(at, e.attempt(), e.handle());
+      case RelayEvent.Began e -> flow.outcomes().began(at, e.attempt());
+      case RelayEvent.Progressed e -> flow.outcomes().progressed(e.attempt(), e.events());
+      case RelayEvent.Answered e -> flow.outcomes().answered(at, e.attempt(), e.grade());
+      case RelayEvent.Refused e -> flow.outcomes().refused(at, e.attempt(), e.cause());
+      case RelayEvent.Lost e -> flow.outcomes().lost(at, e.attempt(), e.cause());
       case RelayEvent.Moved e -> flow.moved(at, e.attempt(), e.result());
       case RelayEvent.UpstreamsChanged e -> flow.upstreams(at, e.changed(), e.removed());
       case RelayEvent.Ordered e -> flow.ordered(at, e.upstream(), e.longestNanos());
