Remember asks of quotas for a minute, and let callers of nodes alone come back sooner

Cause: found by reading. The coordinator forgot an ask a second after it came, to count who lends; a copy that came later would have been counted and granted again. A node without coordinator told its callers to come back when its own share had refilled, up to 30 s, though other nodes can admit them.

Change: asks are remembered for a minute and lenders counted by their age; such callers are told at most 1 s.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaFleetTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaFleetTest.java
@@ -220,6 +220,17 @@
       assertEquals(pool.left(QuotaFleet.WORKSPACE, SMALL), 28_500);
     }
 
+    @Test
+    public void askThatComesMuchLaterCountsOnce() {
+      QuotaPool pool = new QuotaPool(QuotaTolerance.NONE);
+      QuotaAsk ask = ask(1, 100_000_000L);
+      QuotaGrant first = grant(pool, ask);
+      long later = 5_000_000_000L;
+      HostName other = new HostName("node-2");
+      pool.ask(later, other, ask(1, 0), 1, w -> Optional.of(SMALL));
+      assertEquals(pool.ask(later, NODE, ask, 1, w -> Optional.of(SMALL)), first);
+    }
+
     @Test
     public void grantCountsOnce() {
       QuotaHolder holder = new QuotaHolder(QuotaTolerance.NONE, 1, 0);
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
@@ -46,6 +46,9 @@
   /** The least time between two asks that no call waits for. */
   private static final long UNHURRIED_NANOS = 100_000_000L;
 
+  /** After this time at most a caller comes back, as other nodes may reach the coordinator. */
+  private static final long LONGEST_ALONE_NANOS = 1_000_000_000L;
+
   /** How long tokens are kept of a workspace that has no calls here. */
   private static final long IDLE_NANOS = 2_000_000_000L;
 
@@ -192,7 +195,8 @@
       return grant(a, tokens);
     }
     double rate = (double) a.limit.perSecond() / nodes;
-    return new Decision.Refused((long) (missing / rate * NANOS_PER_SECOND));
+    long refill = (long) (missing / rate * NANOS_PER_SECOND);
+    return new Decision.Refused(Math.min(refill, LONGEST_ALONE_NANOS));
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaPool.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaPool.java
@@ -34,6 +34,9 @@
   /** A node lends as long as its last ask is not older. */
   private static final long LENDING_NANOS = 1_000_000_000L;
 
+  /** How long an ask is remembered, in case that it comes again. */
+  private static final long FORGET_NANOS = 60_000_000_000L;
+
   /** How long a coordinator is new, and takes over what the one before had left. */
   private static final long NEW_NANOS = 1_000_000_000L;
 
@@ -172,8 +175,8 @@
     }
     if (at - countedAt > LENDING_NANOS / 10) {
       countedAt = at;
-      answered.values().removeIf(a -> at - a.at() > LENDING_NANOS);
-      lenders = answered.size();
+      answered.values().removeIf(a -> at - a.at() > FORGET_NANOS);
+      lenders = (int) answered.values().stream().filter(a -> at - a.at() <= LENDING_NANOS).count();
     }
     if (lenders < FEW * nodes) {
       newUntil = at + NEW_NANOS;
