Read the limits that upstreams name, tell of them, and show that they are not held

Two plain upstreams named the requests a second that they take from all nodes, and got almost twice what is promised. The log had no line that tells whether such a limit was read.

Answers are now read for it, by life and by the order in which requests were sent, and each change is told (rate_limit) and counted. Nothing is decided by it yet.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadSharingTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadSharingTest.java
@@ -117,7 +117,7 @@
       SimFleet fleet = started(NODES, ALWAYS);
       fleet.loadPlain(800, 4_000);
       fleet.loadPlain(1_080, 3_000);
-      assertTrue(fleet.shed <= FEW_SHED, "shed " + fleet.shed);
+      assertTrue(fleet.shed() <= FEW_SHED, "shed " + fleet.shed());
     }
 
     @Test
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimFleet.java
@@ -83,9 +83,6 @@
   private static final ServiceName APP = new ServiceName("app");
   private static final QuotaTolerance TOLERANCE = new QuotaTolerance(8, 0.1, 120_000);
   private static final int APPS = 4;
-  private static final int APP_SLOTS = 6;
-  private static final int APP_QUEUE = 24;
-  private static final long APP_MILLIS = 60;
   private static final DataCentreName HERE = new DataCentreName("here");
 
   final List<Node> nodes = new ArrayList<>();
@@ -99,10 +96,9 @@
   private long now = 1_000_000 * MILLI;
   private long order;
   private double loss;
-  private final Map<UpstreamName, App> apps = new HashMap<>();
+  final Map<UpstreamName, SimApp> apps = new HashMap<>();
   int messages;
   long bytes;
-  int shed;
   int placed;
   int refused;
   int cancelled;
@@ -135,7 +131,7 @@
     }
     for (int i = 0; i < APPS; i++) {
       UpstreamName id = new UpstreamName("app-" + i);
-      apps.put(id, new App());
+      apps.put(id, new SimApp(this));
       all.put(
           id,
           new RelayUpstream(
@@ -143,7 +139,7 @@
               APP,
               "10.0.0.2:80",
               HERE,
-              APP_SLOTS,
+              SimApp.SLOTS,
               Stage.WHOLE,
               false));
     }
@@ -217,6 +213,21 @@
     at(now + millis * MILLI, action);
   }
 
+  /** How many requests upstreams of the plain service have turned away. */
+  int shed() {
+    return apps.values().stream().mapToInt(a -> a.shed).sum();
+  }
+
+  /** An upstream of the plain service. */
+  SimApp app(int index) {
+    return apps.get(new UpstreamName("app-" + index));
+  }
+
+  /** Cuts some nodes off from all others for a time. */
+  void cut(List<Node> some, long millis) {
+    some.forEach(n -> n.cutUntil = now + millis * MILLI);
+  }
+
   /** Lets time pass. */
   void pass(long millis) {
     long end = now + millis * MILLI;
@@ -255,33 +266,6 @@
     return live.get(random.nextInt(live.size()));
   }
 
-  /** An upstream of the plain service: slots, and a queue of bounded length. */
-  private final class App {
-    private final PriorityQueue<Long> free = new PriorityQueue<>();
-    private int present;
-
-    App() {
-      for (int i = 0; i < APP_SLOTS; i++) {
-        free.add(0L);
-      }
-    }
-
-    void take(Node node, AttemptId attempt) {
-      if (present == APP_SLOTS + APP_QUEUE) {
-        shed++;
-        node.after(
-            MILLI, () -> node.submit(new RelayEvent.Refused(now, attempt, RefusalCause.DECLINED)));
-        return;
-      }
-      present++;
-      long end = Math.max(now, free.poll()) + APP_MILLIS * MILLI;
-      free.add(end);
-      at(end, () -> present--);
-      node.after(
-          end - now, () -> node.submit(new RelayEvent.Answered(now, attempt, AnswerGrade.GOOD)));
-    }
-  }
-
   /** The node that gives room; fails if there is not exactly one. */
   Node keeper() {
     List<Node> all =
@@ -309,6 +293,9 @@
     boolean up = true;
     boolean left;
 
+    /** Until when no message reaches it or leaves it. */
+    private long cutUntil;
+
     /** Until when its machine is suspended. */
     private long suspendedUntil;
 
@@ -366,6 +353,10 @@
           });
     }
 
+    private boolean isCut() {
+      return now < cutUntil;
+    }
+
     private boolean isSuspended() {
       return now < suspendedUntil;
     }
@@ -434,7 +425,7 @@
     public void send(InetSocketAddress to, byte[] message) {
       messages++;
       bytes += message.length;
-      if (!up || random.nextDouble() < loss) {
+      if (!up || isCut() || random.nextDouble() < loss) {
         return;
       }
       long delay = MILLI / 2 + random.nextLong(MILLI);
@@ -446,7 +437,7 @@
     }
 
     private void receive(InetSocketAddress from, byte[] message) {
-      if (up && !isSuspended()) {
+      if (up && !isSuspended() && !isCut()) {
         sharing.heard(from, message);
       }
     }
@@ -529,7 +520,7 @@
         return;
       }
       if (send.upstream().service().equals(APP)) {
-        apps.get(send.upstream().id()).take(this, send.attempt());
+        apps.get(send.upstream().id()).take(this, send.attempt(), send.upstream());
         return;
       }
       placed++;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -6,8 +6,10 @@
 
 package org.larkkeel.daemon.relay;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.RequestRate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -218,6 +220,15 @@
               f.change());
       case RelayFact.Rests f ->
           log.warn("event=rests upstream={} for_ms={}", f.upstream(), millis(f.forNanos()));
+      case RelayFact.RateLimit f ->
+          log.warn(
+              "event=rate_limit upstream={} start={} change={} before={} per_second={} age_ms={}",
+              f.upstream().name(),
+              f.upstream().start(),
+              f.change(),
+              rate(f.before()),
+              rate(f.now()),
+              millis(f.ageNanos()));
       case RelayFact.Ejected f ->
           log.warn(
               "event=ejected upstream={} cause={} for_ms={}",
@@ -235,6 +246,10 @@
     }
   }
 
+  private static String rate(Optional<RequestRate> rate) {
+    return rate.map(RequestRate::toString).orElse("none");
+  }
+
   private static long millis(long nanos) {
     return Math.round(nanos / MILLI);
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -119,6 +119,13 @@
       case RelayFact.BudgetSpent f ->
           registry.counter("larkkeel.relay.budget.spent", "service", f.service()).increment();
       case RelayFact.Rests f -> registry.counter("larkkeel.relay.rests").increment();
+      case RelayFact.RateLimit f ->
+          registry
+              .counter(
+                  "larkkeel.relay.rate.limits",
+                  "change",
+                  f.change().name().toLowerCase(Locale.ROOT))
+              .increment();
       case RelayFact.Ejected f ->
           registry.counter("larkkeel.relay.ejections", "cause", f.cause()).increment();
       case RelayFact.UpstreamChanged f ->
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
@@ -64,6 +64,7 @@
       BooleanSupplier allowed,
       Consumer<WholeAnswer.Answer> done,
       Consumer<UpstreamFailure> failed) {
+    final long sentAt = notices.now();
     ListMultimap<HttpString, String> headers = LinkedListMultimap.create();
     long millis = TimeUnit.NANOSECONDS.toMillis(nanos);
     dialect.prepare(
@@ -90,7 +91,7 @@
         new WholeAnswer(
             MAX_BYTES,
             answer -> {
-              notices.read(upstream.life(), answer);
+              notices.read(upstream.life(), sentAt, answer);
               done.accept(answer);
             },
             failed));
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -61,6 +61,7 @@
   private RecordedAnswer head = new RecordedAnswer(0, ImmutableList.of(), new byte[0]);
   private boolean endsWithConnection;
   private boolean sent;
+  private long sentAt;
   private boolean sawEvent;
   private boolean begun;
   private boolean followed;
@@ -100,6 +101,7 @@
   /** Notes that the request is about to be written; says whether it still may be. */
   boolean mayBeSent() {
     sent = !over && loop.mayReach(upstream);
+    sentAt = loop.now();
     return sent;
   }
 
@@ -125,8 +127,9 @@
 
   @Override
   public void onHeaders(int status, HeaderMap headers) {
-    notices.read(upstream, status, headers::getFirst);
     verdict = dialect.verdict(request.call.wireId(), purpose, status, headers);
+    boolean isOwn = verdict != AnswerVerdict.UNUSABLE;
+    notices.read(upstream, sentAt, status, headers::get, isOwn);
     ImmutableList.Builder<RecordedAnswer.Header> list = ImmutableList.builder();
     RelayRequest.endToEnd(headers, false)
         .forEach((name, value) -> list.add(new RecordedAnswer.Header(name.toString(), value)));
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.ListMultimap;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import org.larkkeel.http.Problem;
@@ -50,12 +51,13 @@
 
   /**
    * What the head of an answer says of the upstream itself, whatever the answer is to. A time that
-   * can not be meant counts as none; a very long one is shortened.
+   * can not be meant counts as none; a very long one is shortened. A rate that can not be read says
+   * nothing.
    *
    * @param status the status
-   * @param header the first value of a header; null if there is none
+   * @param headers the values of a header; null or empty if there is none
    */
-  UpstreamNotice notice(int status, Function<HttpString, String> header);
+  UpstreamNotice notice(int status, Function<HttpString, List<String>> headers);
 
   /** The handle in the answer of an upstream that has read a prompt. */
   Optional<String> promptHandle(byte[] body);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -204,6 +204,7 @@
     if (!loop.mayReach(source.life())) {
       return;
     }
+    final long sentAt = loop.now();
     UpstreamRequest wire =
         new UpstreamRequest(
             Methods.DELETE, dialect.freePath(handle), ImmutableListMultimap.of(), new byte[0]);
@@ -213,7 +214,7 @@
         AnswerTimeout.whole(FREE_NANOS),
         ConnectionUse.CONTROL,
         new WholeAnswer(
-            MAX_FREE_BYTES, answer -> notices.read(source.life(), answer), failure -> {}));
+            MAX_FREE_BYTES, answer -> notices.read(source.life(), sentAt, answer), failure -> {}));
   }
 
   private void move(RelayEffect.Move e) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
@@ -71,6 +71,11 @@
     return router.mayReach(now(), upstream);
   }
 
+  /** Whether an upstream limits its requests; on the loop's thread. */
+  boolean isRateLimited(UpstreamLife upstream) {
+    return router.isRateLimited(upstream);
+  }
+
   /** Applies no more events. */
   @Override
   public void close() {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/LeavingAndRestTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/LeavingAndRestTest.java
@@ -28,11 +28,13 @@
   private static final long SECOND = 1_000 * RelayWorld.MILLI;
 
   private static void leaves(RelayWorld w, UpstreamLife life) {
-    w.apply(new RelayEvent.Noticed(w.now(), life, new UpstreamNotice(true, 0)));
+    w.apply(new RelayEvent.Noticed(w.now(), life, w.now(), new UpstreamNotice(true, 0)));
   }
 
   private static void rests(RelayWorld w, UpstreamLife life, long seconds) {
-    w.apply(new RelayEvent.Noticed(w.now(), life, new UpstreamNotice(false, seconds * SECOND)));
+    w.apply(
+        new RelayEvent.Noticed(
+            w.now(), life, w.now(), new UpstreamNotice(false, seconds * SECOND)));
   }
 
   /** The upstreams that calls of a plain service are sent to. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -137,8 +137,16 @@
   record RoomGranted(long at, RequestId call, UpstreamLife home, Optional<UpstreamLife> reader)
       implements RelayEvent {}
 
-  /** An answer of an upstream says something of the upstream itself. */
-  record Noticed(long at, UpstreamLife upstream, UpstreamNotice notice) implements RelayEvent {}
+  /**
+   * An answer of an upstream says something of the upstream itself.
+   *
+   * @param at when it was received
+   * @param upstream the life that was asked
+   * @param sentAt when its request was sent: what it says is not older
+   * @param notice what it says
+   */
+  record Noticed(long at, UpstreamLife upstream, long sentAt, UpstreamNotice notice)
+      implements RelayEvent {}
 
   /** The answer to {@code RelayEffect.Probe}. */
   record Probed(long at, UpstreamLife upstream, ProbeResult result) implements RelayEvent {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay;
 
+import java.util.Optional;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.Fingerprint;
@@ -272,6 +273,23 @@
   /** An upstream wants no requests of this node for a while. */
   record Rests(UpstreamName upstream, long forNanos) implements RelayFact {}
 
+  /**
+   * The limit of the requests that an upstream takes has changed, as far as is known here.
+   *
+   * @param upstream whose
+   * @param change how
+   * @param before the limit of before; empty for none
+   * @param now the limit; empty for none
+   * @param ageNanos how long ago the request was sent whose answer has shown it
+   */
+  record RateLimit(
+      UpstreamLife upstream,
+      RateChange change,
+      Optional<RequestRate> before,
+      Optional<RequestRate> now,
+      long ageNanos)
+      implements RelayFact {}
+
   /** An upstream is avoided for a while. */
   record Ejected(UpstreamName upstream, String cause, long forNanos) implements RelayFact {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -63,7 +63,7 @@
       case RelayEvent.LoadHeard e -> flow.heard(at, e.node(), e.loads(), e.lapsing());
       case RelayEvent.RoomAsked e -> flow.roomAsked(at, e.node(), e.place(), e.asks());
       case RelayEvent.RoomGranted e -> flow.roomGranted(at, e.call(), e.home(), e.reader());
-      case RelayEvent.Noticed e -> flow.noticed(at, e.upstream(), e.notice());
+      case RelayEvent.Noticed e -> flow.noticed(at, e.upstream(), e.sentAt(), e.notice());
       case RelayEvent.Probed e -> flow.probed(at, e.upstream(), e.result());
       case RelayEvent.SuspectsHeard e -> flow.suspectsHeard(at, e.suspects());
       case RelayEvent.Released e -> flow.released(at, e.request());
@@ -110,6 +110,11 @@
     return flow.mayReach(at, upstream);
   }
 
+  /** Whether an upstream limits its requests, so that each of its answers counts. */
+  public boolean isRateLimited(UpstreamLife upstream) {
+    return flow.isRateLimited(upstream);
+  }
+
   /** What other nodes are to know of requests under which upstreams ended. */
   public ImmutableList<Suspect> suspects(long at) {
     return flow.suspects(at);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/UpstreamNotice.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/UpstreamNotice.java
@@ -13,12 +13,10 @@
  *
  * @param leaving whether it is about to leave and takes no new work
  * @param restNanos for how long it wants no requests of this node; 0 if it does not say
+ * @param rate how many requests it takes of all nodes, never null
  * @since 0.1
  */
-public record UpstreamNotice(boolean leaving, long restNanos) {
-  /** Nothing. */
-  public static final UpstreamNotice NONE = new UpstreamNotice(false, 0);
-
+public record UpstreamNotice(boolean leaving, long restNanos, RateNotice rate) {
   /** Checks the time. */
   public UpstreamNotice {
     if (restNanos < 0) {
@@ -26,8 +24,18 @@
     }
   }
 
-  /** Whether it says nothing. */
+  /** Without a word of the rate. */
+  public UpstreamNotice(boolean leaving, long restNanos) {
+    this(leaving, restNanos, RateNotice.UNSAID);
+  }
+
+  /** This notice, if it can not be relied on to be newer than what was said before. */
+  public UpstreamNotice withoutEndOfLimit() {
+    return rate instanceof RateNotice.Unlimited ? new UpstreamNotice(leaving, restNanos) : this;
+  }
+
+  /** Whether it changes nothing about an upstream that is taken to have no limit. */
   public boolean isEmpty() {
-    return !leaving && restNanos == 0;
+    return !leaving && restNanos == 0 && !(rate instanceof RateNotice.Limited);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -26,12 +26,14 @@
 import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.ProbeResult;
+import org.larkkeel.relay.RateNotice;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayConfiguration;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelaySettings;
 import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.RequestRate;
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.RoomKeeping;
 import org.larkkeel.relay.Suspect;
@@ -206,11 +208,12 @@
   // What upstreams say of themselves.
 
   /** An answer of an upstream says something of the upstream itself. */
-  public void noticed(long at, UpstreamLife life, UpstreamNotice notice) {
-    parts.fleet.find(life).ifPresent(s -> noticed(at, s, notice));
+  public void noticed(long at, UpstreamLife life, long sentAt, UpstreamNotice notice) {
+    parts.fleet.find(life).ifPresent(s -> noticed(at, s, sentAt, notice));
   }
 
-  private void noticed(long at, UpstreamState s, UpstreamNotice notice) {
+  private void noticed(long at, UpstreamState s, long sentAt, UpstreamNotice notice) {
+    noticedRate(at, s, sentAt, notice.rate());
     if (notice.leaving() && parts.fleet.saysLeaving(s, parts::report)) {
       parts.evacuation.look(at);
     }
@@ -221,6 +224,22 @@
     }
   }
 
+  private void noticedRate(long at, UpstreamState s, long sentAt, RateNotice notice) {
+    Optional<RequestRate> before = s.rate().limit();
+    s.rate()
+        .noticed(sentAt, at, notice)
+        .ifPresent(
+            change ->
+                parts.report(
+                    new RelayFact.RateLimit(
+                        s.life(), change, before, s.rate().limit(), at - sentAt)));
+  }
+
+  /** Whether an upstream limits its requests, so that each of its answers counts. */
+  public boolean isRateLimited(UpstreamLife life) {
+    return parts.fleet.find(life).map(s -> s.rate().limit().isPresent()).orElse(false);
+  }
+
   /** Whether requests may be sent to a life of an upstream, as far as it has said itself. */
   public boolean mayReach(long at, UpstreamLife life) {
     return parts.fleet.find(life).map(s -> s.takesWork(at)).orElse(true);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -52,6 +52,7 @@
   private long missingSince = Long.MAX_VALUE;
   private boolean saidLeaving;
   private long restUntil = Long.MIN_VALUE;
+  private final RateBelief rate = new RateBelief();
   private boolean evacuating;
   private long orderUnits;
 
@@ -151,6 +152,11 @@
     restUntil = Math.max(restUntil, at + nanos);
   }
 
+  /** The limit of the requests that it takes, as far as it has said. */
+  RateBelief rate() {
+    return rate;
+  }
+
   /** Whether it takes new work, as far as it has said. */
   boolean takesWork(long at) {
     return !isLeaving() && !isResting(at);
--- /dev/null
+++ b/platform.test/src/test/java/org/larkkeel/platform/RateLimitTest.java
@@ -0,0 +1,152 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.larkkeel.relay.RateNotice;
+import org.larkkeel.relay.RequestRate;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Runners that name in their answers how many requests a second they take of all nodes.
+ *
+ * <p>Guards against requests beyond such a limit.
+ */
+public class RateLimitTest {
+  private static final String STAMP = "X-Request-Id: id-1\r\nX-Server-Stamp: s\r\n";
+  private static final int SLOW_MILLIS = 100;
+
+  private static String limit(String value) {
+    return "Server-Limit: " + value + "\r\n";
+  }
+
+  private static void ok(OutputStream out, String headers) throws IOException {
+    RawServer.write(out, "HTTP/1.1 200 OK\r\n" + STAMP + headers + "Content-Length: 2\r\n\r\nok");
+  }
+
+  /** A runner without a limit, and a quicker one whose headers may change. */
+  private static AtomicInteger runners(World w, String[] headers) {
+    AtomicInteger got = new AtomicInteger();
+    w.runner(
+        "i-1",
+        "app",
+        "",
+        (r, out, s) -> {
+          got.incrementAndGet();
+          ok(out, headers[0]);
+        });
+    w.runner(
+        "i-2",
+        "app",
+        "",
+        (r, out, s) -> {
+          Thread.sleep(SLOW_MILLIS);
+          ok(out, "");
+        });
+    return got;
+  }
+
+  private static void callFor(World w, long millis) throws IOException {
+    long end = System.nanoTime() + millis * 1_000_000L;
+    while (System.nanoTime() < end) {
+      String answer = w.exchange("POST", "/once/a", "", "x");
+      assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+    }
+  }
+
+  /** Requests at the runner. */
+  public static class Requests extends RateLimitTest {
+    @Test
+    public void areAsManyAsItTakes() throws Exception {
+      try (World w = new World().configured()) {
+        AtomicInteger got = runners(w, new String[] {limit("5")});
+        callFor(w, 1_000);
+        int before = got.get();
+        callFor(w, 4_000);
+        int inWindow = got.get() - before;
+        assertTrue(inWindow <= 35, inWindow + " requests in 4 s at 5 a second");
+        assertTrue(inWindow >= 12, inWindow + " requests in 4 s at 5 a second");
+      }
+    }
+
+    @Test
+    public void areAsManyAsBeforeOnceItNamesNoLimit() throws Exception {
+      try (World w = new World().configured()) {
+        String[] headers = {limit("2")};
+        AtomicInteger got = runners(w, headers);
+        callFor(w, 1_500);
+        headers[0] = "";
+        callFor(w, 1_500);
+        int before = got.get();
+        callFor(w, 1_000);
+        assertTrue(got.get() - before >= 20, got.get() - before + " requests");
+      }
+    }
+
+    @Test
+    public void areBoundedByTheLastLimitThatCouldBeRead() throws Exception {
+      try (World w = new World().configured()) {
+        String[] headers = {limit("2")};
+        AtomicInteger got = runners(w, headers);
+        callFor(w, 1_000);
+        headers[0] = limit("much");
+        int before = got.get();
+        callFor(w, 3_000);
+        int inWindow = got.get() - before;
+        assertTrue(inWindow <= 14, inWindow + " requests in 3 s at 2 a second");
+      }
+    }
+  }
+
+  /** What a header says. */
+  public static class Reading extends RateLimitTest {
+    private static RateNotice read(String... values) {
+      return new PlatformDialect()
+          .notice(
+              200,
+              name -> name.equals(new HttpString("Server-Limit")) ? List.of(values) : List.of())
+          .rate();
+    }
+
+    @Test
+    public void takesDecimalNumbers() {
+      assertEquals(read("5.2"), new RateNotice.Limited(RequestRate.perSecond(5.2)));
+      assertEquals(read(" 40 "), new RateNotice.Limited(RequestRate.perSecond(40)));
+    }
+
+    @Test
+    public void takesAnswersWithoutIt() {
+      assertEquals(read(), new RateNotice.Unlimited());
+    }
+
+    /** Values that can not be meant. */
+    @DataProvider
+    public static Object[][] values() {
+      return new Object[][] {
+        {"0"}, {"0.0"}, {"-1"}, {"5,2"}, {"NaN"}, {"1e3"}, {""}, {"9".repeat(400)}, {"1000001"}
+      };
+    }
+
+    @Test(dataProvider = "values")
+    public void saysNothingOfWhatCanNotBeMeant(String value) {
+      assertEquals(read(value), RateNotice.UNSAID);
+    }
+
+    @Test
+    public void saysNothingOfTwoValues() {
+      assertEquals(read("5", "50"), RateNotice.UNSAID);
+    }
+  }
+}
