--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -492,7 +492,7 @@
   }
 
   private void heard(PeerTable.Peer from, PeerMessage message) {
-    boolean news = !from.isHeard() || from.state != message.sender().state();
+    final boolean news = !from.isHeard() || from.state != message.sender().state();
     peers.heard(from, message.sender(), around.now());
     others.accept(message.sender().changes());
     if (!message.sender().rates().isEmpty()) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/NoticeReader.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/NoticeReader.java
@@ -62,10 +62,6 @@
     }
   }
 
-  private static boolean endsLimit(UpstreamNotice notice) {
-    return notice.rate() instanceof RateNotice.Unlimited;
-  }
-
   /**
    * As the other, of a whole answer to what is no request of a caller. That it names no limit does
    * not show that requests have none.
@@ -73,4 +69,8 @@
   void read(UpstreamLife asked, long sentAt, WholeAnswer.Answer answer) {
     read(asked, sentAt, answer.status(), name -> answer.headers().get(name), false);
   }
+
+  private static boolean endsLimit(UpstreamNotice notice) {
+    return notice.rate() instanceof RateNotice.Unlimited;
+  }
 }
