--- a/platform.test/src/test/java/org/larkkeel/platform/RateLimitTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RateLimitTest.java
@@ -85,7 +85,7 @@
     public void areAsManyAsBeforeOnceItNamesNoLimit() throws Exception {
       try (World w = new World().configured()) {
         String[] headers = {limit("2")};
-        AtomicInteger got = runners(w, headers);
+        final AtomicInteger got = runners(w, headers);
         callFor(w, 1_500);
         headers[0] = "";
         callFor(w, 1_500);
