Tell of eras of the store, and show what a store from a copy does

A confirmed configuration and a confirmed leave were not in force in time after the store had come back from a copy some seconds old. The log could not tell such a store from an answer that is late.

--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Failures.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/Failures.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.store.internal.http;
 
+import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -46,7 +47,7 @@
       case StatusCodes.GONE -> new ObjectApiFailure.Expired();
       case StatusCodes.REQUEST_ENTITY_TOO_LARGE -> new ObjectApiFailure.TooLarge();
       case StatusCodes.TOO_MANY_REQUESTS ->
-          new ObjectApiFailure.Throttled(retryAfter(reply.retryAfter()));
+          new ObjectApiFailure.Throttled(retryAfter(reply.header(Headers.RETRY_AFTER)));
       case StatusCodes.SERVICE_UNAVAILABLE -> new ObjectApiFailure.Unavailable();
       default ->
           reply.status() >= StatusCodes.INTERNAL_SERVER_ERROR
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpCaller.java
@@ -9,14 +9,13 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
-import io.undertow.util.Headers;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.StringWriteChannelListener;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.Scheduler;
@@ -90,7 +89,7 @@
     private ClientConnection connection;
     private Scheduler.Timer timer;
     private int status;
-    private Optional<String> retryAfter = Optional.empty();
+    private HeaderMap headers = new HeaderMap();
 
     Call(HttpRequestData request, Connections connections, Duration timeout) {
       this.request = request;
@@ -134,9 +133,7 @@
         @Override
         public void completed(ClientExchange x) {
           status = x.getResponse().getResponseCode();
-          retryAfter =
-              Optional.ofNullable(
-                  x.getResponse().getResponseHeaders().getFirst(Headers.RETRY_AFTER));
+          headers = x.getResponse().getResponseHeaders();
           new ResponseReader(Call.this).start(x.getResponseChannel());
         }
 
@@ -157,7 +154,7 @@
 
     @Override
     public void end() {
-      scheduler.execute(() -> finish(new HttpReply(status, retryAfter, body.toByteArray()), null));
+      scheduler.execute(() -> finish(new HttpReply(status, headers, body.toByteArray()), null));
     }
 
     @Override
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpLineStream.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpLineStream.java
@@ -9,12 +9,12 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.larkkeel.store.Scheduler;
@@ -61,7 +61,7 @@
   }
 
   void close() {
-    scheduler.execute(() -> finish(new HttpReply(StatusCodes.OK, Optional.empty(), new byte[0])));
+    scheduler.execute(() -> finish(new HttpReply(StatusCodes.OK, new HeaderMap(), new byte[0])));
   }
 
   private void connected(ClientConnection c, Throwable failure) {
@@ -96,7 +96,7 @@
 
   @Override
   public void end() {
-    HttpReply reply = new HttpReply(status, Optional.empty(), line.toByteArray());
+    HttpReply reply = new HttpReply(status, new HeaderMap(), line.toByteArray());
     scheduler.execute(() -> finish(reply));
   }
 
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpReply.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpReply.java
@@ -6,13 +6,20 @@
 
 package org.larkkeel.store.internal.http;
 
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
 import java.util.Optional;
 
 /**
  * A whole answer.
  *
  * @param status the HTTP status
- * @param retryAfter the value of {@code Retry-After}, if any
+ * @param headers the headers, not to be changed
  * @param body the body, owned by the reply
  */
-public record HttpReply(int status, Optional<String> retryAfter, byte[] body) {}
+public record HttpReply(int status, HeaderMap headers, byte[] body) {
+  /** The first value of a header; empty if there is none. */
+  public Optional<String> header(HttpString name) {
+    return Optional.ofNullable(headers.getFirst(name));
+  }
+}
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpWeightCalls.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpWeightCalls.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
@@ -66,7 +67,7 @@
     return switch (reply.status()) {
       case StatusCodes.ACCEPTED -> started(reply);
       case StatusCodes.TOO_MANY_REQUESTS ->
-          new PullResult.Throttled(Failures.retryAfter(reply.retryAfter()));
+          new PullResult.Throttled(Failures.retryAfter(reply.header(Headers.RETRY_AFTER)));
       default -> new PullResult.Failed();
     };
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
@@ -38,11 +38,14 @@
   private static final Pattern AFTER = Pattern.compile("after=([^&]+)");
   private static final int PAGE = 2;
   private static final long LONGEST_WAIT = 200;
+  private static final int HISTORY_GONE = 410;
 
   private final RawServer server = new RawServer(this::answer);
   private final Map<String, Map<String, ObjectNode>> kinds = new TreeMap<>();
   private final Map<String, TreeMap<Long, ObjectNode>> events = new TreeMap<>();
   private long revision = 100;
+  private long era = 1;
+  private int calls;
   private int refusing;
   private boolean losing;
 
@@ -61,6 +64,34 @@
     losing = answers;
   }
 
+  /** What the store holds at some time. */
+  record Copy(Map<String, Map<String, ObjectNode>> kinds, long revision) {}
+
+  /** Copies all that it holds. */
+  synchronized Copy copy() {
+    Map<String, Map<String, ObjectNode>> copied = new TreeMap<>();
+    kinds.forEach((kind, objects) -> copied.put(kind, new TreeMap<>(objects)));
+    return new Copy(copied, revision);
+  }
+
+  /**
+   * Comes back from a copy: what was written since is gone, its revisions are given out again, and
+   * waiting watches are cut.
+   */
+  synchronized void restore(Copy copy) {
+    kinds.clear();
+    copy.kinds().forEach((kind, objects) -> kinds.put(kind, new TreeMap<>(objects)));
+    events.values().forEach(e -> e.tailMap(copy.revision(), false).clear());
+    revision = copy.revision();
+    era++;
+    notifyAll();
+  }
+
+  /** How many calls it has had. */
+  synchronized int calls() {
+    return calls;
+  }
+
   /** Writes an object, whatever its content is. */
   synchronized void put(String kind, String name, JsonNode spec) {
     revision++;
@@ -96,6 +127,8 @@
     synchronized (this) {
       String path = r.target().substring("/larkkeel/objects/".length());
       String kind = path.split("[/?]", 2)[0];
+      final long before = era;
+      calls++;
       if (refusing != 0) {
         status = refusing;
       } else if (r.method().equals("POST")) {
@@ -108,13 +141,15 @@
         Matcher watch = WATCH.matcher(path);
         Matcher after = AFTER.matcher(path);
         if (watch.find()) {
-          watch(kind, Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), body);
+          status =
+              watch(kind, Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)), body);
         } else {
           list(kind, after.find() ? after.group(1) : "", body);
+          status = 200;
         }
-        status = refusing == 0 ? 200 : refusing;
+        status = refusing == 0 ? status : refusing;
       }
-      if (losing && !r.method().equals("GET")) {
+      if (era != before || (losing && !r.method().equals("GET"))) {
         socket.close();
         return;
       }
@@ -124,7 +159,9 @@
         out,
         "HTTP/1.1 "
             + status
-            + " X\r\nContent-Type: application/json\r\nContent-Length: "
+            + " X\r\nStore-Era: "
+            + era
+            + "\r\nContent-Type: application/json\r\nContent-Length: "
             + bytes.length
             + "\r\n\r\n"
             + new String(bytes, StandardCharsets.ISO_8859_1)
@@ -186,8 +223,11 @@
     body.put("as_of", revision);
   }
 
-  private void watch(String kind, long from, long waitMillis, ObjectNode body)
+  private int watch(String kind, long from, long waitMillis, ObjectNode body)
       throws InterruptedException {
+    if (from > revision) {
+      return HISTORY_GONE;
+    }
     TreeMap<Long, ObjectNode> all = events.computeIfAbsent(kind, k -> new TreeMap<>());
     if (all.tailMap(from, false).isEmpty()) {
       wait(Math.min(LONGEST_WAIT, waitMillis));
@@ -195,6 +235,7 @@
     ArrayNode list = body.putArray("events");
     all.tailMap(from, false).values().forEach(list::add);
     body.put("as_of", revision);
+    return 200;
   }
 
   @Override
--- a/platform.test/src/test/java/org/larkkeel/platform/World.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/World.java
@@ -71,13 +71,23 @@
 
   /** Writes a configuration with a rule of each kind and waits until it is in force. */
   World configured() {
+    configure(1);
+    await(node::isReady);
+    return this;
+  }
+
+  /** Writes a configuration with a rule of each kind, and some more rules of the plain service. */
+  void configure(long version, String... more) {
     ObjectNode config = Json.object();
-    config.put("version", 1);
+    config.put("version", version);
     var routes = config.putArray("routes");
     route(routes.addObject(), "safe", "safe", "app", false);
     route(routes.addObject(), "once", "unsafe", "app", false);
     route(routes.addObject(), "stream", "streaming", "model", false);
     route(routes.addObject(), "resume", "streaming", "model", true);
+    for (String name : more) {
+      route(routes.addObject(), name, "safe", "app", false);
+    }
     var services = config.putArray("services");
     services.addObject().put("name", "app").put("max_connections", 100);
     services
@@ -89,8 +99,6 @@
         .put("stride", 1)
         .put("moves", true);
     store.put("config", "main", config);
-    await(node::isReady);
-    return this;
   }
 
   private static void route(
@@ -122,6 +130,11 @@
     store.put("servers", id, entry.put("born", born).put("sequence", sequence));
   }
 
+  /** Writes the state of a plain runner anew. */
+  void state(String id, String service, String state) {
+    register(id, service, "", started.get(id).address(), state);
+  }
+
   private void register(String id, String service, String stage, String address, String state) {
     store.put("servers", id, entry(service, stage, address, state));
   }
