--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Store.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/Store.java
@@ -18,6 +18,7 @@
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.WatchEvent;
 
@@ -32,9 +33,9 @@
   private final Map<String, TreeMap<String, StoredObject>> collections = new TreeMap<>();
   private final List<Change> history = new ArrayList<>();
   private final List<Runnable> observers = new ArrayList<>();
-  private long version = 1;
+  private StoreVersion version = new StoreVersion(0, 1);
 
-  private record Change(long version, String collection, WatchEvent event) {}
+  private record Change(StoreVersion version, String collection, WatchEvent event) {}
 
   StoredObject get(ObjectKey key) {
     return find(key).orElseThrow(() -> failure(new ObjectApiFailure.NotFound(), key));
@@ -66,27 +67,27 @@
     return put(key, kind, spec);
   }
 
-  StoredObject update(ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+  StoredObject update(ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
     check(key, resourceVersion);
     return put(key, kind, spec);
   }
 
-  Void delete(ObjectKey key, long resourceVersion) {
+  Void delete(ObjectKey key, StoreVersion resourceVersion) {
     StoredObject o = check(key, resourceVersion);
     objects(key.collection()).remove(key.name());
-    version++;
+    version = version.next();
     StoredObject last = new StoredObject(key, o.kind(), version, o.spec());
     record(new Change(version, key.collection(), new WatchEvent.Deleted(last)));
     return null;
   }
 
-  long version() {
+  StoreVersion version() {
     return version;
   }
 
-  List<WatchEvent> since(String collection, long from) {
+  List<WatchEvent> since(String collection, StoreVersion from) {
     return history.stream()
-        .filter(c -> c.version > from && c.collection.equals(collection))
+        .filter(c -> c.version.isAfter(from) && c.collection.equals(collection))
         .map(c -> c.event)
         .toList();
   }
@@ -108,16 +109,16 @@
     return collections.computeIfAbsent(collection, c -> new TreeMap<>());
   }
 
-  private StoredObject check(ObjectKey key, long resourceVersion) {
+  private StoredObject check(ObjectKey key, StoreVersion resourceVersion) {
     StoredObject o = get(key);
-    if (o.resourceVersion() != resourceVersion) {
+    if (!o.resourceVersion().equals(resourceVersion)) {
       throw failure(new ObjectApiFailure.Conflict(), key);
     }
     return o;
   }
 
   private StoredObject put(ObjectKey key, String kind, JsonNode spec) {
-    version++;
+    version = version.next();
     StoredObject o = new StoredObject(key, kind, version, spec.deepCopy());
     objects(key.collection()).put(key.name(), o);
     record(new Change(version, key.collection(), new WatchEvent.Changed(o)));
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/StoreClient.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/proof/world/StoreClient.java
@@ -17,6 +17,7 @@
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
@@ -64,18 +65,21 @@
 
   @Override
   public CompletableFuture<StoredObject> update(
-      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+      ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
     return call(true, () -> world.store().update(key, kind, spec, resourceVersion));
   }
 
   @Override
-  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+  public CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion) {
     return call(true, () -> world.store().delete(key, resourceVersion));
   }
 
   @Override
   public Watch watch(
-      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+      String collection,
+      StoreVersion resourceVersion,
+      Duration timeout,
+      Consumer<WatchEvent> listener) {
     StoreWatch watch = new StoreWatch(collection, resourceVersion, listener);
     world.platform().after(ONE_WAY, watch::begin);
     process.schedule(timeout, () -> watch.ended.complete(null));
@@ -142,10 +146,10 @@
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final String collection;
     private final Consumer<WatchEvent> listener;
-    private long told;
+    private StoreVersion told;
     private long next;
 
-    StoreWatch(String collection, long from, Consumer<WatchEvent> listener) {
+    StoreWatch(String collection, StoreVersion from, Consumer<WatchEvent> listener) {
       this.collection = collection;
       this.told = from;
       this.listener = listener;
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
@@ -44,6 +44,7 @@
 import org.larkkeel.store.ObjectPage;
 import org.larkkeel.store.Reading;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
@@ -76,7 +77,7 @@
       return new StoredObject(
           new ObjectKey(UPSTREAMS, "i-%04d".formatted(i)),
           UPSTREAMS,
-          ++version,
+          new StoreVersion(1, ++version),
           JsonNodeFactory.instance.objectNode());
     }
 
@@ -84,12 +85,13 @@
     public CompletableFuture<ObjectPage> list(ListQuery query) {
       List<StoredObject> items = query.collection().equals(UPSTREAMS) ? entries : List.of();
       return CompletableFuture.completedFuture(
-          new ObjectPage(ImmutableList.copyOf(items), ImmutableList.of(), version, ""));
+          new ObjectPage(
+              ImmutableList.copyOf(items), ImmutableList.of(), new StoreVersion(1, version), ""));
     }
 
     @Override
     public Watch watch(
-        String collection, long from, Duration timeout, Consumer<WatchEvent> listener) {
+        String collection, StoreVersion from, Duration timeout, Consumer<WatchEvent> listener) {
       CompletableFuture<Void> end = new CompletableFuture<>();
       if (collection.equals(UPSTREAMS)) {
         upstreamWatch = listener;
@@ -118,12 +120,12 @@
 
     @Override
     public CompletableFuture<StoredObject> update(
-        ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+        ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
       throw new UnsupportedOperationException();
     }
 
     @Override
-    public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+    public CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion) {
       throw new UnsupportedOperationException();
     }
   }
@@ -234,7 +236,7 @@
       for (int i = from; i < to; i++) {
         store.upstreamWatch.accept(new WatchEvent.Changed(store.entry(i)));
       }
-      store.upstreamWatch.accept(new WatchEvent.Bookmark(store.version));
+      store.upstreamWatch.accept(new WatchEvent.Bookmark(new StoreVersion(1, store.version)));
       store.watchEnd.complete(null);
       time.advance(Duration.ofMillis(500));
     }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
@@ -25,6 +25,7 @@
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.UnreadableObject;
 import org.testng.annotations.DataProvider;
@@ -36,7 +37,8 @@
 
   private static StoredObject node(String name, String spec) throws Exception {
     JsonNode n = Json.parse(spec.getBytes(StandardCharsets.UTF_8));
-    return new StoredObject(new ObjectKey("relay-nodes", name), "relay-nodes", 1, n);
+    return new StoredObject(
+        new ObjectKey("relay-nodes", name), "relay-nodes", new StoreVersion(1, 1), n);
   }
 
   /** Entries of other writers among them. */
@@ -65,8 +67,10 @@
                   node("c", "{\"address\":\"10.0.0.3:80\"}")),
               ImmutableList.of(
                   new UnreadableObject(
-                      "", 1, new EntryProblem(Reason.NO_JSON, "object", "'x'", "JSON"))),
-              1,
+                      "",
+                      new StoreVersion(1, 1),
+                      new EntryProblem(Reason.NO_JSON, "object", "'x'", "JSON"))),
+              new StoreVersion(1, 1),
               "");
       List<InetSocketAddress> met = new ArrayList<>();
       List<String> counted = new ArrayList<>();
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
@@ -31,6 +31,7 @@
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Suspect;
+import org.larkkeel.store.StoreVersion;
 import org.testng.annotations.Test;
 
 /** The bytes of what nodes tell each other. */
@@ -40,7 +41,7 @@
           new HostName("node-1"),
           new DataCentreName("north"),
           NodeState.YOUNG,
-          new FeedChanges(7, 12),
+          new FeedChanges(new StoreVersion(1, 7), new StoreVersion(2, 12)),
           ImmutableList.of(
               new RateWord(life("i-1"), Optional.of(RequestRate.perSecond(5.2)), 40_000_000L),
               new RateWord(life("i-2"), Optional.empty(), 7)));
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
@@ -38,6 +38,7 @@
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
@@ -50,7 +51,7 @@
   /** A store of the leases, with conditional updates. */
   private static final class Leases implements ObjectApi {
     private final Map<ObjectKey, StoredObject> objects = new HashMap<>();
-    private long version;
+    private StoreVersion version = StoreVersion.NONE;
     private int calls;
     private boolean down;
 
@@ -82,19 +83,20 @@
     }
 
     private StoredObject put(ObjectKey key, String kind, JsonNode spec) {
-      StoredObject made = new StoredObject(key, kind, ++version, spec);
+      version = version.next();
+      StoredObject made = new StoredObject(key, kind, version, spec);
       objects.put(key, made);
       return made;
     }
 
     @Override
     public CompletableFuture<StoredObject> update(
-        ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+        ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
       calls++;
       if (down) {
         return answer(new ObjectApiFailure.Unavailable());
       }
-      return objects.get(key).resourceVersion() == resourceVersion
+      return objects.get(key).resourceVersion().equals(resourceVersion)
           ? CompletableFuture.completedFuture(put(key, kind, spec))
           : answer(new ObjectApiFailure.Conflict());
     }
@@ -105,13 +107,16 @@
     }
 
     @Override
-    public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+    public CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion) {
       throw new UnsupportedOperationException();
     }
 
     @Override
     public Watch watch(
-        String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+        String collection,
+        StoreVersion resourceVersion,
+        Duration timeout,
+        Consumer<WatchEvent> listener) {
       throw new UnsupportedOperationException();
     }
   }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/UpstreamEntriesTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/UpstreamEntriesTest.java
@@ -7,10 +7,12 @@
 package org.larkkeel.daemon.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
@@ -19,6 +21,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamLife;
@@ -31,6 +34,7 @@
 import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.Reading;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -62,14 +66,38 @@
               new DataCentreName("dc-1"),
               1,
               Stage.WHOLE,
-              false));
+              o.spec().path("leaves").asBoolean()));
+    }
+
+    StoredObject leaving(String name, long start) {
+      StoredObject o = entry(name, "app", start);
+      ((ObjectNode) o.spec()).put("leaves", true);
+      return o;
+    }
+
+    /** The store has come back from a copy, which has these entries. */
+    UpstreamEntries.Difference restore(StoredObject... all) {
+      ImmutableSet<String> removed =
+          followed.keySet().stream()
+              .map(UpstreamName::value)
+              .filter(n -> Stream.of(all).noneMatch(o -> o.key().name().equals(n)))
+              .collect(ImmutableSet.toImmutableSet());
+      return apply(new CollectionChange(ImmutableList.copyOf(all), removed, true));
+    }
+
+    boolean leaves(String name) {
+      return followed.get(new UpstreamName(name)).leaving();
+    }
+
+    long start(String name) {
+      return followed.get(new UpstreamName(name)).life().start().value();
     }
 
     StoredObject entry(String name, String service, long start) {
       return new StoredObject(
           new ObjectKey("upstreams", name),
           "upstream",
-          ++version,
+          new StoreVersion(1, ++version),
           JsonNodeFactory.instance.objectNode().put("service", service).put("start", start));
     }
 
@@ -82,7 +110,7 @@
     }
 
     private UpstreamEntries.Difference apply(CollectionChange change) {
-      UpstreamEntries.Difference d = entries.apply(change);
+      UpstreamEntries.Difference d = entries.apply(0, change);
       followed.putAll(d.changed());
       d.removed().forEach(followed::remove);
       return d;
@@ -204,4 +232,74 @@
       }
     }
   }
+
+  /** What a store that comes back from a copy says against what was seen before. */
+  public static class Restored {
+    @Test
+    public void doesNotTakeBackThatAnUpstreamLeaves() {
+      World w = new World();
+      w.put(w.leaving("one", 7));
+      w.restore(w.entry("one", "app", 7));
+      assertTrue(w.leaves("one"));
+      w.put(w.entry("one", "app", 7));
+      assertTrue(w.leaves("one"));
+    }
+
+    @Test
+    public void doesNotConcernTheNextLife() {
+      World w = new World();
+      w.put(w.leaving("one", 7));
+      w.restore(w.entry("one", "app", 7));
+      w.put(w.entry("one", "app", 8));
+      assertFalse(w.leaves("one"));
+    }
+
+    @Test
+    public void doesNotBringBackOneThatIsGone() {
+      World w = new World();
+      w.put(w.entry("one", "app", 7), w.entry("two", "app", 7));
+      w.remove("one");
+      w.restore(w.entry("one", "app", 7), w.entry("two", "app", 7));
+      assertEquals(w.names(), Set.of("two"));
+    }
+
+    @Test
+    public void doesNotBringBackTheLifeBefore() {
+      World w = new World();
+      w.put(w.entry("one", "app", 7));
+      w.put(w.entry("one", "app", 8));
+      w.restore(w.entry("one", "app", 7));
+      assertEquals(w.start("one"), 8);
+    }
+
+    @Test
+    public void countsOnceItIsWrittenAgain() {
+      World w = new World();
+      w.put(w.entry("one", "app", 7));
+      w.remove("one");
+      w.restore(w.entry("one", "app", 7));
+      w.put(w.entry("one", "app", 7));
+      assertEquals(w.names(), Set.of("one"));
+    }
+
+    @Test
+    public void countsOnceItHasOutlivedTheSilenceOfUpstreams() {
+      World w = new World();
+      w.put(w.entry("one", "app", 7));
+      w.remove("one");
+      w.restore(w.entry("one", "app", 7));
+      UpstreamEntries.Difference d = w.entries.release(1);
+      assertEquals(d.changed().size(), 1);
+    }
+
+    @Test
+    public void isOverOnceTheEntryIsRemoved() {
+      World w = new World();
+      w.put(w.entry("one", "app", 7));
+      w.remove("one");
+      w.restore(w.entry("one", "app", 7));
+      w.remove("one");
+      assertEquals(w.entries.release(1).changed().size(), 0);
+    }
+  }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ObservedObjectApi.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/ObservedObjectApi.java
@@ -16,6 +16,8 @@
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoreEra;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
@@ -47,18 +49,26 @@
 
   @Override
   public CompletableFuture<StoredObject> update(
-      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+      ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
     return observe(target.update(key, kind, spec, resourceVersion));
   }
 
   @Override
-  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+  public CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion) {
     return observe(target.delete(key, resourceVersion));
   }
 
+  @Override
+  public StoreEra era() {
+    return target.era();
+  }
+
   @Override
   public Watch watch(
-      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+      String collection,
+      StoreVersion resourceVersion,
+      Duration timeout,
+      Consumer<WatchEvent> listener) {
     return target.watch(
         collection,
         resourceVersion,
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/FeedChanges.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/FeedChanges.java
@@ -6,15 +6,17 @@
 
 package org.larkkeel.daemon.relay;
 
+import org.larkkeel.store.StoreVersion;
+
 /**
- * The newest changes that a node has seen in the store, as versions of the store; 0 for none.
+ * The newest changes that a node has seen in the store, as versions of the store.
  *
  * <p>Immutable and safe for use by several threads.
  *
  * @param configurations of the configurations
  * @param upstreams of the upstreams
  */
-record FeedChanges(long configurations, long upstreams) {
+record FeedChanges(StoreVersion configurations, StoreVersion upstreams) {
   /** None. */
-  static final FeedChanges NONE = new FeedChanges(0, 0);
+  static final FeedChanges NONE = new FeedChanges(StoreVersion.NONE, StoreVersion.NONE);
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/FeedCopy.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/FeedCopy.java
@@ -14,6 +14,7 @@
 import org.larkkeel.http.Json;
 import org.larkkeel.store.CollectionMirror;
 import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 
 /**
@@ -35,20 +36,20 @@
   /**
    * One collection.
    *
-   * @param version the store's version of it; 0 if it is not newer than asked for
+   * @param version the store's version of it; none if it is not newer than asked for
    * @param named its objects, in JSON
    */
-  record Part(long version, ArrayNode named) {
+  record Part(StoreVersion version, ArrayNode named) {
     /** The copy of a mirror, if it is newer. */
-    static Part of(CollectionMirror mirror, long after) {
+    static Part of(CollectionMirror mirror, StoreVersion after) {
       ArrayNode list = Json.object().putArray(OBJECTS);
-      if (mirror.version() <= after) {
-        return new Part(0, list);
+      if (!mirror.version().isAfter(after)) {
+        return new Part(StoreVersion.NONE, list);
       }
       for (StoredObject o : mirror.objects().values()) {
         ObjectNode n = list.addObject();
         n.put(NAME, o.key().name());
-        n.put(VERSION, o.resourceVersion());
+        n.put(VERSION, o.resourceVersion().toString());
         n.set(SPEC, o.spec());
       }
       return new Part(mirror.version(), list);
@@ -67,7 +68,8 @@
       try {
         ObjectKey key = new ObjectKey(collection, n.path(NAME).asText());
         return Optional.of(
-            new StoredObject(key, collection, n.path(VERSION).asLong(), n.path(SPEC)));
+            new StoredObject(
+                key, collection, StoreVersion.parse(n.path(VERSION).asText()), n.path(SPEC)));
       } catch (IllegalArgumentException e) {
         return Optional.empty();
       }
@@ -75,11 +77,11 @@
 
     private static Part read(JsonNode n) {
       ArrayNode list = n.path(OBJECTS) instanceof ArrayNode a ? a : Json.object().putArray(OBJECTS);
-      return new Part(n.path(VERSION).asLong(), list);
+      return new Part(StoreVersion.parse(n.path(VERSION).asText()), list);
     }
 
     private void write(ObjectNode to) {
-      to.put(VERSION, version);
+      to.put(VERSION, version.toString());
       to.set(OBJECTS, named);
     }
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -47,6 +47,7 @@
   private static final Logger log = LoggerFactory.getLogger(NodeRegistry.class);
   private static final String COLLECTION = "relay-nodes";
   private static final String ADDRESS = "address";
+  private static final long RESTORED_SPREAD_MILLIS = 1_000;
   private static final Duration SECOND_LOOK = Duration.ofSeconds(2);
   private static final Duration LATER = Duration.ofSeconds(30);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
@@ -58,6 +59,7 @@
   private final InetSocketAddress address;
   private final Consumer<InetSocketAddress> meet;
   private final Consumer<ImmutableList<Suspect>> heard;
+  private final SplittableRandom random;
   private final Backoff backoff;
   private final QuarantineEntries quarantine = new QuarantineEntries();
   private final UnreadableEntries problems;
@@ -78,14 +80,22 @@
     this.address = address;
     this.meet = meet;
     this.heard = heard;
-    this.backoff =
-        new Backoff(FIRST_BACKOFF, LONGEST_BACKOFF, new SplittableRandom(self.value().hashCode()));
+    this.random = new SplittableRandom(self.value().hashCode());
+    this.backoff = new Backoff(FIRST_BACKOFF, LONGEST_BACKOFF, random.split());
   }
 
   void start() {
     store.create(key, COLLECTION, spec()).whenComplete(this::created);
   }
 
+  /**
+   * The store has come back from a copy, in which this node's entry may be missing or older. All
+   * nodes learn of it in the same moment, so that they write spread over some time.
+   */
+  void restored() {
+    scheduler.schedule(Duration.ofMillis(random.nextLong(RESTORED_SPREAD_MILLIS)), this::start);
+  }
+
   private ObjectNode spec() {
     ObjectNode spec = JsonNodeFactory.instance.objectNode().put(ADDRESS, text(address));
     quarantine.write(spec);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
@@ -21,6 +21,7 @@
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.internal.http.Failures.Effect;
 import org.larkkeel.store.internal.http.HttpCaller;
 import org.larkkeel.store.internal.http.JsonCalls;
@@ -78,8 +79,8 @@
       exchange.endExchange();
       return;
     }
-    long configurations = number(exchange, CONFIGURATIONS);
-    long upstreams = number(exchange, UPSTREAMS);
+    StoreVersion configurations = version(exchange, CONFIGURATIONS);
+    StoreVersion upstreams = version(exchange, UPSTREAMS);
     exchange.dispatch(
         scheduler,
         () -> {
@@ -89,13 +90,9 @@
         });
   }
 
-  private static long number(HttpServerExchange exchange, String name) {
+  private static StoreVersion version(HttpServerExchange exchange, String name) {
     Deque<String> values = exchange.getQueryParameters().get(name);
-    try {
-      return values == null ? 0 : Long.parseLong(values.getFirst());
-    } catch (NumberFormatException e) {
-      return 0;
-    }
+    return values == null ? StoreVersion.NONE : StoreVersion.parse(values.getFirst());
   }
 
   private void look() {
@@ -117,9 +114,17 @@
         new JsonCalls(
             new HttpCaller(
                 HttpClientOptions.of(base).withTimeout(TIMEOUT), worker.worker(), scheduler));
-    long[] versions = feed.versions();
+    FeedChanges has = feed.versions();
     String path =
-        PATH + "?" + CONFIGURATIONS + "=" + versions[0] + "&" + UPSTREAMS + "=" + versions[1];
+        PATH
+            + "?"
+            + CONFIGURATIONS
+            + "="
+            + has.configurations()
+            + "&"
+            + UPSTREAMS
+            + "="
+            + has.upstreams();
     calls
         .call(Effect.READ, Methods.GET, path, "", FeedCopy::fromJson)
         .whenComplete(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
@@ -30,6 +30,7 @@
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Suspect;
+import org.larkkeel.store.StoreVersion;
 
 /**
  * The bytes of messages between nodes, in Thrift's compact protocol.
@@ -40,7 +41,7 @@
   /** The largest message; what does not fit a datagram is not sent. */
   static final int MAX_BYTES = 60_000;
 
-  private static final byte VERSION = 10;
+  private static final byte VERSION = 11;
   private static final int FIRST_BYTES = 256;
   private static final int MAX_ITEMS = 10_000;
 
@@ -75,8 +76,8 @@
     out.writeString(sender.node().value());
     out.writeString(sender.place().value());
     out.writeByte((byte) sender.state().ordinal());
-    out.writeI64(sender.changes().configurations());
-    out.writeI64(sender.changes().upstreams());
+    writeVersion(out, sender.changes().configurations());
+    writeVersion(out, sender.changes().upstreams());
     out.writeListBegin(new TList(TType.STRUCT, sender.rates().size()));
     for (RateWord word : sender.rates()) {
       writeLife(out, word.life());
@@ -151,7 +152,7 @@
     final HostName node = new HostName(in.readString());
     final DataCentreName place = new DataCentreName(in.readString());
     final NodeState state = constant(NodeState.values(), in.readByte());
-    final FeedChanges changes = new FeedChanges(in.readI64(), in.readI64());
+    final FeedChanges changes = new FeedChanges(readVersion(in), readVersion(in));
     ImmutableList.Builder<RateWord> rates = ImmutableList.builder();
     for (int i = size(in); i > 0; i--) {
       rates.add(readRate(in));
@@ -227,6 +228,15 @@
     return new UpstreamLife(name, new Incarnation(in.readI64()));
   }
 
+  private static void writeVersion(TCompactProtocol out, StoreVersion version) throws TException {
+    out.writeI64(version.era());
+    out.writeI64(version.number());
+  }
+
+  private static StoreVersion readVersion(TCompactProtocol in) throws TException {
+    return new StoreVersion(in.readI64(), in.readI64());
+  }
+
   private static RateWord readRate(TCompactProtocol in) throws TException {
     UpstreamLife life = readLife(in);
     long thousandths = in.readI64();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -22,6 +22,7 @@
 import org.larkkeel.store.ObjectApi;
 import org.larkkeel.store.Reading;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.WatchTimes;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -47,6 +48,7 @@
   private final UnreadableEntries configurationProblems;
   private final UnreadableEntries upstreamProblems;
   private final UpstreamEntries entries;
+  private Runnable restored = () -> {};
   private Optional<RelayConfiguration> newest = Optional.empty();
   private volatile FeedChanges changes = FeedChanges.NONE;
 
@@ -94,6 +96,11 @@
     return new Backoff(FIRST_BACKOFF, LONGEST_BACKOFF, random.split());
   }
 
+  /** Sets what is to be done when the store has come back from a copy; before the start. */
+  void onRestored(Runnable action) {
+    restored = action;
+  }
+
   void start() {
     configurations.start();
     upstreams.start();
@@ -107,7 +114,8 @@
   /** Another node has seen changes; on any thread. */
   void others(FeedChanges theirs) {
     FeedChanges own = changes;
-    if (theirs.configurations() > own.configurations() || theirs.upstreams() > own.upstreams()) {
+    if (theirs.configurations().isAfter(own.configurations())
+        || theirs.upstreams().isAfter(own.upstreams())) {
       scheduler.execute(
           () -> {
             configurations.others(theirs.configurations());
@@ -144,7 +152,19 @@
 
   private void upstreams(CollectionChange change) {
     noteChanges();
-    UpstreamEntries.Difference d = entries.apply(change);
+    apply(entries.apply(scheduler.nanoTime(), change));
+    if (change.isRestored()) {
+      scheduler.schedule(UpstreamEntries.HELD_BACK, this::release);
+      restored.run();
+    }
+  }
+
+  /** Lets entries count that have outlived what was known of their upstreams before. */
+  private void release() {
+    apply(entries.release(scheduler.nanoTime()));
+  }
+
+  private void apply(UpstreamEntries.Difference d) {
     stages.upstreams(d.changed(), d.removed());
     loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), d.changed(), d.removed()));
     tellUpstreamProblems();
@@ -162,15 +182,15 @@
   }
 
   /** What this node has read, of each collection that is newer than the versions given. */
-  FeedCopy copy(long configurationsAfter, long upstreamsAfter) {
+  FeedCopy copy(StoreVersion configurationsAfter, StoreVersion upstreamsAfter) {
     return new FeedCopy(
         FeedCopy.Part.of(configurations, configurationsAfter),
         FeedCopy.Part.of(upstreams, upstreamsAfter));
   }
 
-  /** The versions of what this node has read: of configurations, then of upstreams. */
-  long[] versions() {
-    return new long[] {configurations.version(), upstreams.version()};
+  /** The versions of what this node has read. */
+  FeedChanges versions() {
+    return new FeedChanges(configurations.version(), upstreams.version());
   }
 
   /** Takes over what another node has read, where it is newer. */
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -169,6 +169,7 @@
             loads::meet,
             suspects -> loop.submit(new RelayEvent.SuspectsHeard(loop.now(), suspects)),
             meters::unreadable);
+    scheduler.execute(() -> feed.onRestored(registry::restored));
     scheduler.execute(registry::start);
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/UpstreamEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/UpstreamEntries.java
@@ -6,8 +6,10 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,15 +28,23 @@
 import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.Reading;
 import org.larkkeel.store.StoredObject;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The upstreams that entries of the store name, kept by difference: a change costs what the entries
  * that have changed cost, however many there are.
  *
  * <p>Invariant: an upstream counts if its entry can be read and does not lack a start that most
- * entries have ({@link MissingStarts}). Not safe for use by several threads.
+ * entries have ({@link MissingStarts}). What a store that came back from a copy says against what
+ * was seen before is corrected ({@link PastLives}). Not safe for use by several threads.
  */
 final class UpstreamEntries {
+  private static final Logger log = LoggerFactory.getLogger(UpstreamEntries.class);
+
+  /** After this time the store has removed the entries of upstreams that are silent. */
+  static final Duration HELD_BACK = Duration.ofSeconds(6);
+
   private final Function<StoredObject, Reading<RelayUpstream>> reader;
   private final Map<String, RelayUpstream> readable = new HashMap<>();
   private final Map<String, EntryProblem> unreadable = new TreeMap<>();
@@ -44,6 +54,11 @@
   private final Map<String, RelayUpstream> counted = new HashMap<>();
 
   private final Map<ServiceName, Set<UpstreamName>> byService = new HashMap<>();
+  private final PastLives past = new PastLives();
+
+  /** Entries of a copy whose upstreams were seen to end before it. */
+  private final Map<String, StoredObject> heldBack = new HashMap<>();
+
   private boolean startsExpected;
 
   /**
@@ -61,30 +76,71 @@
   }
 
   /** Takes over changes of entries. */
-  Difference apply(CollectionChange change) {
+  Difference apply(long at, CollectionChange change) {
+    if (change.isRestored()) {
+      past.restored(readable.values());
+    }
     Set<String> touched = new LinkedHashSet<>();
     for (StoredObject o : change.changed()) {
       touched.add(o.key().name());
-      read(o);
+      heldBack.remove(o.key().name());
+      if (change.isRestored() && isPast(at, o)) {
+        hold(o);
+      } else {
+        read(at, o);
+      }
     }
     for (String name : change.removed()) {
       touched.add(name);
+      heldBack.remove(name);
+      if (!change.isRestored()) {
+        past.ended(at, readable.get(name));
+      }
       forget(name);
     }
+    return difference(at, touched);
+  }
+
+  /**
+   * Lets entries count that are still there although their upstreams were seen to end: those of
+   * upstreams that are silent have been removed by now.
+   */
+  Difference release(long at) {
+    Set<String> touched = new LinkedHashSet<>(heldBack.keySet());
+    ImmutableList.copyOf(heldBack.values()).forEach(o -> read(at, o));
+    heldBack.clear();
+    return difference(at, touched);
+  }
+
+  private boolean isPast(long at, StoredObject o) {
+    return reader.apply(o) instanceof Reading.Readable<RelayUpstream> r
+        && past.isEnded(at, r.value().life());
+  }
+
+  /** Keeps to what was known: that the upstream is gone, or the life that has followed. */
+  private void hold(StoredObject o) {
+    log.warn("event=entry_held_back entry={} version={}", o.key().name(), o.resourceVersion());
+    heldBack.put(o.key().name(), o);
+  }
+
+  private Difference difference(long at, Set<String> changed) {
+    Set<String> touched = new LinkedHashSet<>(changed);
     boolean before = startsExpected;
     startsExpected = MissingStarts.areExpected(withoutStart.size(), readable.size());
     if (before != startsExpected) {
       touched.addAll(withoutStart);
     }
-    return difference(touched);
+    return compare(touched);
   }
 
-  private void read(StoredObject o) {
+  private void read(long at, StoredObject o) {
     String name = o.key().name();
+    RelayUpstream before = readable.get(name);
     forget(name);
     switch (reader.apply(o)) {
       case Reading.Readable<RelayUpstream> r -> {
-        readable.put(name, r.value());
+        past.replaced(at, before, r.value());
+        readable.put(name, past.correct(r.value()));
         if (!r.value().life().hasStart()) {
           withoutStart.add(name);
         }
@@ -99,7 +155,7 @@
     withoutStart.remove(name);
   }
 
-  private Difference difference(Set<String> touched) {
+  private Difference compare(Set<String> touched) {
     ImmutableMap.Builder<UpstreamName, RelayUpstream> changed = ImmutableMap.builder();
     ImmutableSet.Builder<UpstreamName> removed = ImmutableSet.builder();
     for (String name : touched) {
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ClosedWorkerTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/ClosedWorkerTest.java
@@ -50,7 +50,7 @@
       ExecutorScheduler scheduler = new ExecutorScheduler("test");
       XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
       HttpObjectApi api = new HttpObjectApi(HttpClientOptions.of(server.uri()), worker, scheduler);
-      final Watch w = api.watch("test", 5, Duration.ofSeconds(1), e -> {});
+      final Watch w = api.watch("test", new StoreVersion(0, 5), Duration.ofSeconds(1), e -> {});
       server.nextRequest();
       worker.shutdownNow();
       worker.awaitTermination(5, TimeUnit.SECONDS);
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -74,11 +74,11 @@
       return m;
     }
 
-    long version(String name) {
+    StoreVersion version(String name) {
       return store.get(new ObjectKey(COLLECTION, name)).resourceVersion();
     }
 
-    long create(String name) {
+    StoreVersion create(String name) {
       return store
           .create(new ObjectKey(COLLECTION, name), "thing", JsonNodeFactory.instance.objectNode())
           .resourceVersion();
@@ -92,7 +92,7 @@
     @Test
     public void isReadAnewOnceOthersKnowMore() {
       World w = new World(NEVER);
-      long change = w.create("a");
+      StoreVersion change = w.create("a");
       w.time.advance(Duration.ofSeconds(5));
       assertEquals(w.names, Set.of());
       w.mirror.others(change);
@@ -287,8 +287,8 @@
       }
 
       void change(String name) {
-        long version = store.get(key(name)).resourceVersion();
-        store.update(key(name), "thing", spec((int) version), version);
+        StoreVersion version = store.get(key(name)).resourceVersion();
+        store.update(key(name), "thing", spec((int) version.number()), version);
       }
 
       void remove(String name) {
@@ -400,7 +400,7 @@
       World w =
           behind(
               x -> {
-                long made = x.create("c");
+                StoreVersion made = x.create("c");
                 x.time.advance(Duration.ofSeconds(1));
                 x.stale = x.store.list(ListQuery.of(COLLECTION));
                 x.store.delete(new ObjectKey(COLLECTION, "c"), made);
@@ -443,19 +443,19 @@
     @Test
     public void isNotReadAnewForChangesThatCome() {
       World w = new World(Duration.ofMillis(200));
-      long change = w.create("a");
+      StoreVersion change = w.create("a");
       w.mirror.others(change);
       w.api.setReadFaults(() -> Fault.REFUSE);
       w.time.advance(Duration.ofSeconds(2));
       assertEquals(w.names, Set.of("a"));
       assertFalse(w.mirror.isFailing(), "nothing was read");
-      assertTrue(w.mirror.changeVersion() >= change);
+      assertFalse(change.isAfter(w.mirror.changeVersion()));
     }
 
     @Test
     public void isNotReadAnewForWhatItKnows() {
       World w = new World(Duration.ofMillis(1));
-      long change = w.create("a");
+      StoreVersion change = w.create("a");
       w.time.advance(Duration.ofSeconds(1));
       w.api.setReadFaults(() -> Fault.REFUSE);
       w.mirror.others(change);
@@ -479,7 +479,10 @@
       Rig(UnreadableObject bad) {
         page =
             new ObjectPage(
-                ImmutableList.of(object("a", 1), object("b", 5)), ImmutableList.of(bad), 9, "");
+                ImmutableList.of(object("a", 1), object("b", 5)),
+                ImmutableList.of(bad),
+                new StoreVersion(1, 9),
+                "");
         ObjectApi api =
             (ObjectApi)
                 Proxy.newProxyInstance(
@@ -515,20 +518,24 @@
 
     private static StoredObject object(String name, long version) {
       return new StoredObject(
-          new ObjectKey(COLLECTION, name), "thing", version, JsonNodeFactory.instance.objectNode());
+          new ObjectKey(COLLECTION, name),
+          "thing",
+          new StoreVersion(1, version),
+          JsonNodeFactory.instance.objectNode());
     }
 
     @Test
     public void leavesTheOthersOfItsPage() {
-      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      Rig r = new Rig(new UnreadableObject("c", new StoreVersion(1, 9), PROBLEM));
       assertEquals(r.mirror.objects().keySet(), Set.of("a", "b"));
       assertEquals(r.mirror.unreadable().keySet(), Set.of("c"));
     }
 
     @Test
     public void takesTheNameAwayThatWasGood() {
-      Rig r = new Rig(new UnreadableObject("", 9, PROBLEM));
-      r.watch.accept(new WatchEvent.Unreadable(new UnreadableObject("b", 10, PROBLEM)));
+      Rig r = new Rig(new UnreadableObject("", new StoreVersion(1, 9), PROBLEM));
+      r.watch.accept(
+          new WatchEvent.Unreadable(new UnreadableObject("b", new StoreVersion(1, 10), PROBLEM)));
       assertEquals(r.mirror.objects().keySet(), Set.of("a"));
       assertEquals(r.mirror.unreadable().keySet(), Set.of("", "b"));
       assertFalse(r.mirror.isFailing());
@@ -536,7 +543,7 @@
 
     @Test
     public void isForgottenOnceItIsGood() {
-      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      Rig r = new Rig(new UnreadableObject("c", new StoreVersion(1, 9), PROBLEM));
       r.watch.accept(new WatchEvent.Changed(object("c", 11)));
       assertEquals(r.mirror.objects().keySet(), Set.of("a", "b", "c"));
       assertTrue(r.mirror.unreadable().isEmpty());
@@ -544,16 +551,17 @@
 
     @Test
     public void isForgottenOnceItIsDeleted() {
-      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      Rig r = new Rig(new UnreadableObject("c", new StoreVersion(1, 9), PROBLEM));
       r.watch.accept(new WatchEvent.Deleted(object("c", 11)));
       assertTrue(r.mirror.unreadable().isEmpty());
     }
 
     @Test
     public void takesNothingNewerAway() {
-      Rig r = new Rig(new UnreadableObject("c", 9, PROBLEM));
+      Rig r = new Rig(new UnreadableObject("c", new StoreVersion(1, 9), PROBLEM));
       r.watch.accept(new WatchEvent.Changed(object("a", 12)));
-      r.watch.accept(new WatchEvent.Unreadable(new UnreadableObject("a", 10, PROBLEM)));
+      r.watch.accept(
+          new WatchEvent.Unreadable(new UnreadableObject("a", new StoreVersion(1, 10), PROBLEM)));
       assertEquals(r.mirror.objects().keySet(), Set.of("a", "b"));
     }
   }
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/HttpObjectApiTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/HttpObjectApiTest.java
@@ -92,7 +92,7 @@
     public void createSendsTheObjectAndReadsItBack() throws Exception {
       server.then(ScriptedServer.answer(201, "", OBJECT));
       StoredObject o = await(api.create(KEY, "T", spec()));
-      assertEquals(o.resourceVersion(), 7);
+      assertEquals(o.resourceVersion(), new StoreVersion(0, 7));
       assertEquals(o.spec().path("a").asInt(), 1);
       String request = server.nextRequest();
       assertTrue(request.startsWith("POST /apis/larkkeel.org/v1/test HTTP/1.1"), request);
@@ -114,7 +114,9 @@
           ScriptedServer.answer(403, "", "{}"));
       assertEquals(failure(api.get(KEY)), new ObjectApiFailure.NotFound());
       assertEquals(failure(api.create(KEY, "T", spec())), new ObjectApiFailure.AlreadyExists());
-      assertEquals(failure(api.update(KEY, "T", spec(), 1)), new ObjectApiFailure.Conflict());
+      assertEquals(
+          failure(api.update(KEY, "T", spec(), new StoreVersion(0, 1))),
+          new ObjectApiFailure.Conflict());
       assertEquals(failure(api.create(KEY, "T", spec())), new ObjectApiFailure.TooLarge());
       assertEquals(failure(api.get(KEY)), new ObjectApiFailure.Throttled(Duration.ofSeconds(3)));
       assertEquals(failure(api.create(KEY, "T", spec())), new ObjectApiFailure.Unavailable());
@@ -146,7 +148,9 @@
     public void silenceEndsWithTheTimeout() throws Exception {
       server.then(ScriptedServer.SILENCE, ScriptedServer.SILENCE);
       HttpObjectApi hasty = client(Duration.ofMillis(200));
-      assertEquals(failure(hasty.delete(KEY, 1)), new ObjectApiFailure.OutcomeUnknown());
+      assertEquals(
+          failure(hasty.delete(KEY, new StoreVersion(0, 1))),
+          new ObjectApiFailure.OutcomeUnknown());
       assertEquals(failure(hasty.get(KEY)), new ObjectApiFailure.Unavailable());
       hasty.close();
     }
@@ -207,7 +211,7 @@
               + "{\"type\":\"BOOKMARK\",\"object\":{\"metadata\":{\"resourceVersion\":\"9\"}}}\n";
       server.then(ScriptedServer.answer(200, "", body));
       BlockingQueue<WatchEvent> events = new LinkedBlockingQueue<>();
-      Watch w = api.watch("test", 5, Duration.ofSeconds(30), events::add);
+      Watch w = api.watch("test", new StoreVersion(0, 5), Duration.ofSeconds(30), events::add);
       await(w.ended());
       List<Class<?>> types = events.stream().<Class<?>>map(Object::getClass).toList();
       assertEquals(
@@ -219,7 +223,7 @@
     @Test
     public void closedWatchIsReset() throws Exception {
       server.then(ScriptedServer.LISTEN);
-      Watch w = api.watch("test", 5, Duration.ofSeconds(30), e -> {});
+      Watch w = api.watch("test", new StoreVersion(0, 5), Duration.ofSeconds(30), e -> {});
       server.nextRequest();
       w.close();
       assertTrue(server.isResetSoon());
@@ -230,9 +234,9 @@
       server.then(
           ScriptedServer.answer(410, "", "{}"),
           "HTTP/1.1 200 X\r\nCut: yes\r\nContent-Length: 99\r\n\r\n{");
-      Watch expired = api.watch("test", 5, Duration.ofSeconds(30), e -> {});
+      Watch expired = api.watch("test", new StoreVersion(0, 5), Duration.ofSeconds(30), e -> {});
       assertEquals(failure(expired.ended()), new ObjectApiFailure.Expired());
-      Watch cut = api.watch("test", 5, Duration.ofSeconds(30), e -> {});
+      Watch cut = api.watch("test", new StoreVersion(0, 5), Duration.ofSeconds(30), e -> {});
       assertEquals(failure(cut.ended()), new ObjectApiFailure.Unavailable());
     }
   }
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
@@ -25,6 +25,7 @@
   private Duration watchLag = Duration.ZERO;
   private ObjectPage nextList;
   private boolean watchesEnd;
+  private StoreEra era = StoreEra.NONE;
   private final List<FakeWatch> open = new ArrayList<>();
   private Duration answerTime = Duration.ZERO;
   private Supplier<Fault> writeFaults = () -> Fault.NONE;
@@ -107,12 +108,12 @@
 
   @Override
   public CompletableFuture<StoredObject> update(
-      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+      ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
     return write(() -> store.update(key, kind, spec, resourceVersion));
   }
 
   @Override
-  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+  public CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion) {
     return write(() -> store.delete(key, resourceVersion));
   }
 
@@ -152,10 +153,24 @@
     }
     if (fault == Fault.LOSE_ANSWER) {
       failure = exception(lost);
+    } else {
+      long now = store.version().era();
+      process.schedule(oneWay, () -> seen(now));
     }
     answer(result, value, failure);
   }
 
+  private void seen(long now) {
+    if (now > era.number()) {
+      era = new StoreEra(now, process.nanoTime());
+    }
+  }
+
+  @Override
+  public StoreEra era() {
+    return era;
+  }
+
   private <T> void answer(CompletableFuture<T> result, T value, ObjectApiException failure) {
     process.schedule(
         oneWay,
@@ -174,7 +189,10 @@
 
   @Override
   public Watch watch(
-      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+      String collection,
+      StoreVersion resourceVersion,
+      Duration timeout,
+      Consumer<WatchEvent> listener) {
     store.countWatch();
     FakeWatch w = new FakeWatch(collection, resourceVersion, listener);
     store.process().schedule(oneWay, w::begin);
@@ -189,11 +207,11 @@
     final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final String collection;
     private final Consumer<WatchEvent> listener;
-    private long told;
+    private StoreVersion told;
     private boolean ending;
     private boolean silent;
 
-    FakeWatch(String collection, long from, Consumer<WatchEvent> listener) {
+    FakeWatch(String collection, StoreVersion from, Consumer<WatchEvent> listener) {
       this.collection = collection;
       this.told = from;
       this.listener = listener;
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryStore.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryStore.java
@@ -22,8 +22,8 @@
   private final List<StoredObject> created = new ArrayList<>();
   private final List<Runnable> observers = new ArrayList<>();
   private final ManualScheduler.Process process;
-  private long version = 1;
-  private long forgotten;
+  private StoreVersion version = new StoreVersion(0, 1);
+  private StoreVersion forgotten = StoreVersion.NONE;
   private boolean outage;
   private int reads;
   private int writes;
@@ -43,6 +43,36 @@
     return outage;
   }
 
+  /** What a store holds at some time. */
+  public record Copy(Map<String, TreeMap<String, StoredObject>> collections, StoreVersion at) {}
+
+  /** Copies all that the store holds. */
+  public Copy copy() {
+    Map<String, TreeMap<String, StoredObject>> copied = new HashMap<>();
+    collections.forEach((name, objects) -> copied.put(name, new TreeMap<>(objects)));
+    return new Copy(copied, version);
+  }
+
+  /** Comes back from a copy; versions since are given out again, in another era. */
+  public void restore(Copy copy) {
+    version = new StoreVersion(version.era() + 1, copy.at().number());
+    collections.clear();
+    copy.collections().forEach((name, objects) -> collections.put(name, ofThisEra(objects)));
+    history.clear();
+    forgotten = version;
+    List.copyOf(observers).forEach(Runnable::run);
+  }
+
+  private TreeMap<String, StoredObject> ofThisEra(TreeMap<String, StoredObject> objects) {
+    TreeMap<String, StoredObject> now = new TreeMap<>();
+    objects.forEach(
+        (name, o) -> {
+          StoreVersion changed = new StoreVersion(version.era(), o.resourceVersion().number());
+          now.put(name, new StoredObject(o.key(), o.kind(), changed, o.spec()));
+        });
+    return now;
+  }
+
   /** Makes watches from before now expire. */
   public void forgetHistory() {
     forgotten = version;
@@ -112,17 +142,17 @@
     return o;
   }
 
-  StoredObject update(ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+  StoredObject update(ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
     writes++;
     checkVersion(key, resourceVersion);
     return put(key, kind, spec);
   }
 
-  Void delete(ObjectKey key, long resourceVersion) {
+  Void delete(ObjectKey key, StoreVersion resourceVersion) {
     writes++;
     StoredObject o = checkVersion(key, resourceVersion);
     objects(key.collection()).remove(key.name());
-    version++;
+    version = version.next();
     record(
         new Change(
             version,
@@ -136,18 +166,18 @@
   }
 
   /** The changes of a collection after a version; empty if they are forgotten. */
-  Optional<List<WatchEvent>> since(String collection, long from) {
-    if (from < forgotten) {
+  Optional<List<WatchEvent>> since(String collection, StoreVersion from) {
+    if (forgotten.isAfter(from) || !from.isOfEraOf(version) || from.isAfter(version)) {
       return Optional.empty();
     }
     return Optional.of(
         history.stream()
-            .filter(c -> c.version > from && c.collection.equals(collection))
+            .filter(c -> c.version.isAfter(from) && c.collection.equals(collection))
             .map(c -> c.event)
             .toList());
   }
 
-  long version() {
+  StoreVersion version() {
     return version;
   }
 
@@ -163,9 +193,9 @@
     return collections.computeIfAbsent(collection, c -> new TreeMap<>());
   }
 
-  private StoredObject checkVersion(ObjectKey key, long resourceVersion) {
+  private StoredObject checkVersion(ObjectKey key, StoreVersion resourceVersion) {
     StoredObject o = find(key).orElseThrow(() -> failure(new ObjectApiFailure.NotFound(), key));
-    if (o.resourceVersion() != resourceVersion) {
+    if (!o.resourceVersion().equals(resourceVersion)) {
       throw failure(new ObjectApiFailure.Conflict(), key);
     }
     return o;
@@ -175,7 +205,7 @@
     if (spec.toString().length() > ObjectApi.MAX_OBJECT_BYTES) {
       throw failure(new ObjectApiFailure.TooLarge(), key);
     }
-    version++;
+    version = version.next();
     StoredObject o = new StoredObject(key, kind, version, spec.deepCopy());
     objects(key.collection()).put(key.name(), o);
     record(new Change(version, key.collection(), new WatchEvent.Changed(o)));
@@ -191,5 +221,5 @@
     return new ObjectApiException(f, key.toString());
   }
 
-  private record Change(long version, String collection, WatchEvent event) {}
+  private record Change(StoreVersion version, String collection, WatchEvent event) {}
 }
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/SilentFleetTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/SilentFleetTest.java
@@ -61,21 +61,21 @@
     }
 
     void change() {
-      long version = newest();
+      StoreVersion version = newest();
       nodes.store.update(
-          KEY, "thing", JsonNodeFactory.instance.objectNode().put("is", version), version);
+          KEY, "thing", JsonNodeFactory.instance.objectNode().put("is", version.number()), version);
     }
 
-    private long newest() {
+    private StoreVersion newest() {
       return nodes.store.get(KEY).resourceVersion();
     }
 
     /** How many nodes do not know the newest, but for the first so many. */
     long behind(int first) {
-      long newest = newest();
+      StoreVersion newest = newest();
       return nodes.mirrors.stream()
           .skip(first)
-          .filter(m -> m.objects().get(NAME).resourceVersion() < newest)
+          .filter(m -> m.objects().get(NAME).resourceVersion().compareTo(newest) < 0)
           .count();
     }
   }
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/lease/LeaseTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/lease/LeaseTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.store.Fault;
@@ -20,6 +21,7 @@
 import org.larkkeel.store.InMemoryStore;
 import org.larkkeel.store.ManualScheduler;
 import org.larkkeel.store.log.WriterId;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link Lease}. */
@@ -162,4 +164,64 @@
           : Fault.NONE;
     }
   }
+
+  /** Leases in a store that comes back from a copy. */
+  public static class Restored {
+    @Test
+    public void takesGreaterNumberAfterTheHolderOfBeforeMustHaveLostIt() {
+      Rig rig = new Rig();
+      final InMemoryStore.Copy empty = rig.store.copy();
+      final Rig.Node a = rig.node("a");
+      rig.time.advance(Duration.ofSeconds(1));
+      rig.node("b");
+      rig.time.advance(Duration.ofSeconds(20));
+      assertEquals(rig.held(), List.of(1L));
+      a.process.pause();
+      rig.store.restore(empty);
+      rig.time.advance(DURATION.minusSeconds(1));
+      assertTrue(rig.nodes.get(1).lease.tenure().isEmpty(), "held by two");
+      a.process.resume();
+      rig.time.advance(DURATION.multipliedBy(3));
+      assertEquals(rig.held().size(), 1);
+      assertTrue(rig.held().getFirst() > 1, "held by " + rig.held());
+    }
+
+    /** Seeds of histories. */
+    @DataProvider
+    public static Object[][] seeds() {
+      return IntStream.range(0, 40).mapToObj(i -> new Object[] {i}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void isHeldByOneAtTimeWithNumbersThatGrow(int seed) {
+      Random random = new Random(seed);
+      Rig rig = new Rig();
+      for (String host : List.of("a", "b", "c")) {
+        rig.node(host);
+      }
+      InMemoryStore.Copy copy = rig.store.copy();
+      long greatest = 0;
+      for (int i = 0; i < 1_500; i++) {
+        switch (random.nextInt(150)) {
+          case 0 -> rig.store.restore(copy);
+          case 1, 2 -> copy = rig.store.copy();
+          case 3 -> rig.store.setOutage(true);
+          case 4, 5, 6 -> rig.store.setOutage(false);
+          case 7 -> rig.nodes.get(random.nextInt(3)).process.pause();
+          default -> {}
+        }
+        if (random.nextInt(10) == 0) {
+          rig.nodes.forEach(n -> n.process.resume());
+        }
+        rig.time.advance(Duration.ofMillis(200));
+        List<Long> held = rig.held();
+        assertTrue(held.size() <= 1, "held by " + held + " at step " + i);
+        for (long number : held) {
+          assertTrue(number >= greatest, number + " after " + greatest + " at step " + i);
+          greatest = number;
+        }
+      }
+      assertTrue(greatest > 0, "never held");
+    }
+  }
 }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/BudgetedObjectApi.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/BudgetedObjectApi.java
@@ -71,18 +71,26 @@
 
   @Override
   public CompletableFuture<StoredObject> update(
-      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+      ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
     return submit(writes, () -> target.update(key, kind, spec, resourceVersion));
   }
 
   @Override
-  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+  public CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion) {
     return submit(writes, () -> target.delete(key, resourceVersion));
   }
 
+  @Override
+  public StoreEra era() {
+    return target.era();
+  }
+
   @Override
   public Watch watch(
-      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+      String collection,
+      StoreVersion resourceVersion,
+      Duration timeout,
+      Consumer<WatchEvent> listener) {
     BudgetedWatch w = new BudgetedWatch(listener);
     CompletableFuture<Void> begun =
         submit(reads, gate::admitLong, () -> w.begin(collection, resourceVersion, timeout));
@@ -179,7 +187,7 @@
       this.listener = listener;
     }
 
-    CompletableFuture<Void> begin(String collection, long version, Duration timeout) {
+    CompletableFuture<Void> begin(String collection, StoreVersion version, Duration timeout) {
       if (ended.isDone()) {
         return CompletableFuture.completedFuture(null);
       }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionCopy.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionCopy.java
@@ -16,13 +16,14 @@
 /**
  * What is known of a small collection, and by what it differs from what was told of last.
  *
- * <p>Invariants: an object never goes back to an older version; an object that can not be read is
- * not among the objects. Confined to one thread.
+ * <p>Invariants: an object never goes back to an older version, in the order of eras; an object
+ * that can not be read is not among the objects. Confined to one thread.
  */
 final class CollectionCopy {
   private TreeMap<String, StoredObject> objects = new TreeMap<>();
   private TreeMap<String, EntryProblem> unreadable = new TreeMap<>();
-  private long changeVersion;
+  private StoreVersion changeVersion = StoreVersion.NONE;
+  private boolean restored;
 
   /** Names whose objects have changed, appeared or gone since the last {@link #takeChange}. */
   private final NavigableSet<String> touched = new TreeSet<>();
@@ -40,13 +41,13 @@
    * The version of the newest change of an object that was seen, or a lower bound of it where a
    * removal was seen by what a whole copy lacks; 0 before the first.
    */
-  long changeVersion() {
+  StoreVersion changeVersion() {
     return changeVersion;
   }
 
   /** Notes that a version of an object was seen, whether it is taken over or not. */
   void seen(StoredObject o) {
-    changeVersion = Math.max(changeVersion, o.resourceVersion());
+    changeVersion = StoreVersion.max(changeVersion, o.resourceVersion());
   }
 
   /** An object appeared or changed. */
@@ -54,7 +55,7 @@
     seen(o);
     String name = o.key().name();
     StoredObject old = objects.get(name);
-    if (old == null || old.resourceVersion() < o.resourceVersion()) {
+    if (old == null || o.resourceVersion().isAfter(old.resourceVersion())) {
       unreadable.remove(name);
       objects.put(name, o);
       touched.add(name);
@@ -80,9 +81,9 @@
     }
   }
 
-  private boolean forget(String name, long upTo) {
+  private boolean forget(String name, StoreVersion upTo) {
     StoredObject old = objects.get(name);
-    return old != null && old.resourceVersion() <= upTo && objects.remove(name) != null;
+    return old != null && !old.resourceVersion().isAfter(upTo) && objects.remove(name) != null;
   }
 
   /**
@@ -91,21 +92,25 @@
    * @param whole its objects
    * @param wholeUnreadable its objects that can not be read
    * @param before the version of the state that it replaces
+   * @param now its version, of the same era or a later one
    */
   void replace(
       TreeMap<String, StoredObject> whole,
       TreeMap<String, EntryProblem> wholeUnreadable,
-      long before) {
+      StoreVersion before,
+      StoreVersion now) {
+    boolean isOfEra = before.isOfEraOf(now);
+    restored |= !before.isNone() && !isOfEra;
     for (StoredObject o : whole.values()) {
       StoredObject old = objects.get(o.key().name());
-      if (old == null || old.resourceVersion() != o.resourceVersion()) {
+      if (old == null || !old.resourceVersion().equals(o.resourceVersion())) {
         touched.add(o.key().name());
       }
     }
     for (String name : objects.keySet()) {
       if (!whole.containsKey(name)) {
         touched.add(name);
-        seenRemovalAfter(before);
+        seenRemovalAfter(isOfEra ? before : new StoreVersion(now.era(), 0));
       }
     }
     objects = whole;
@@ -117,8 +122,8 @@
    * that something has changed. Its version is not known; the least that it can have makes no node
    * that watched it doubt its watch.
    */
-  private void seenRemovalAfter(long before) {
-    changeVersion = Math.max(changeVersion, before + 1);
+  private void seenRemovalAfter(StoreVersion before) {
+    changeVersion = StoreVersion.max(changeVersion, before.next());
   }
 
   /** Whether there is news since the last {@link #takeChange}. */
@@ -139,6 +144,8 @@
       }
     }
     touched.clear();
-    return new CollectionChange(changed.build(), removed.build());
+    boolean isRestored = restored;
+    restored = false;
+    return new CollectionChange(changed.build(), removed.build(), isRestored);
   }
 }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -20,10 +20,11 @@
  * Keeps a copy of a small collection by list and watch.
  *
  * <p>Invariants: an object never goes back to an older version, and the copy never to an older
- * state of the collection: a list that is behind what was seen is not taken over. This relies on
- * versions of the store that only grow. While the store can not be reached the last copy stays. An
- * object that can not be read is not in the copy, and changes nothing about the others. Confined to
- * the scheduler, but for {@link #silence} and {@link #losses}, which any thread may ask for.
+ * state of the collection: a list that is behind what was seen is not taken over, unless the store
+ * has begun another era, in which versions begin again. While the store can not be reached the last
+ * copy stays. An object that can not be read is not in the copy, and changes nothing about the
+ * others. Confined to the scheduler, but for {@link #silence} and {@link #losses}, which any thread
+ * may ask for.
  *
  * @since 0.1
  */
@@ -43,12 +44,12 @@
   private final CollectionCopy copy = new CollectionCopy();
   private TreeMap<String, StoredObject> listing;
   private TreeMap<String, EntryProblem> unreadableListing;
-  private long version;
+  private StoreVersion version = StoreVersion.NONE;
   private Watch watch;
-  private long shownVersion;
+  private StoreVersion shownVersion = StoreVersion.NONE;
 
   /** The version of the newest list that was taken over, which shows all changes up to it. */
-  private long listedVersion;
+  private StoreVersion listedVersion = StoreVersion.NONE;
 
   private boolean failing;
   private boolean namelessChange;
@@ -102,7 +103,7 @@
     namelessChange = false;
     listing = new TreeMap<>();
     unreadableListing = new TreeMap<>();
-    version = 0;
+    version = StoreVersion.NONE;
     page(ListQuery.of(collection));
   }
 
@@ -129,16 +130,16 @@
     return losses.get();
   }
 
-  /** The version of the copy; 0 before the first one. */
-  public long version() {
+  /** The version of the copy; none before the first one. */
+  public StoreVersion version() {
     return shownVersion;
   }
 
   /**
    * The version of the newest change of an object that was seen, or a lower bound of it where a
-   * removal was seen by what a list lacks; 0 before the first.
+   * removal was seen by what a list lacks; none before the first.
    */
-  public long changeVersion() {
+  public StoreVersion changeVersion() {
     return copy.changeVersion();
   }
 
@@ -149,7 +150,7 @@
    *
    * @param change its version, as of {@link #changeVersion}
    */
-  public void others(long change) {
+  public void others(StoreVersion change) {
     if (!closed && !failing && isNews(change) && watch != null) {
       Watch suspect = watch;
       Duration begins = watch.ended().isDone() ? watchTimes.pause() : Duration.ZERO;
@@ -162,11 +163,11 @@
    * here, so the list's own counts too. What a watch says to be up to date with does not: that it
    * keeps silent about a change is just what others' word is to show.
    */
-  private boolean isNews(long change) {
-    return change > Math.max(copy.changeVersion(), listedVersion);
+  private boolean isNews(StoreVersion change) {
+    return change.isAfter(StoreVersion.max(copy.changeVersion(), listedVersion));
   }
 
-  private void suspect(Watch suspect, long change) {
+  private void suspect(Watch suspect, StoreVersion change) {
     if (closed || watch != suspect || !isNews(change)) {
       return;
     }
@@ -193,15 +194,15 @@
    * @param others its objects
    * @return whether it was taken over
    */
-  public boolean offer(long newer, Collection<StoredObject> others) {
-    if (closed || !failing || newer <= shownVersion) {
+  public boolean offer(StoreVersion newer, Collection<StoredObject> others) {
+    if (closed || !failing || !newer.isAfter(shownVersion)) {
       return false;
     }
     TreeMap<String, StoredObject> offered = new TreeMap<>();
     others.forEach(o -> offered.put(o.key().name(), o));
     others.forEach(copy::seen);
-    copy.replace(offered, new TreeMap<>(), shownVersion);
-    shownVersion = newer;
+    copy.replace(offered, new TreeMap<>(), shownVersion, newer);
+    show(newer);
     publish(Source.PEER);
     return true;
   }
@@ -223,10 +224,18 @@
 
   private void received(ListQuery q, ObjectPage page) {
     heardAt = scheduler.nanoTime();
+    if (!version.isNone() && !version.isOfEraOf(page.resourceVersion())) {
+      // The store came back from a copy between two pages, which are of no one state.
+      start();
+      return;
+    }
     page.items().forEach(o -> listing.put(o.key().name(), o));
     page.items().forEach(copy::seen);
     page.unreadable().forEach(u -> unreadableListing.put(u.name(), u.problem()));
-    version = version == 0 ? page.resourceVersion() : Math.min(version, page.resourceVersion());
+    version =
+        version.isNone()
+            ? page.resourceVersion()
+            : StoreVersion.min(version, page.resourceVersion());
     if (!page.isLast()) {
       page(q.after(page.continueToken()));
       return;
@@ -236,19 +245,30 @@
       failing = false;
       LOG.info("event=collection_regained collection={} version={}", collection, version);
     }
-    if (version < shownVersion) {
+    if (shownVersion.isAfter(version)) {
       LOG.info(
           "event=list_behind collection={} version={} shown={}", collection, version, shownVersion);
       version = shownVersion;
     } else {
-      copy.replace(listing, unreadableListing, shownVersion);
-      shownVersion = version;
+      copy.replace(listing, unreadableListing, shownVersion, version);
+      show(version);
       listedVersion = version;
       publish(Source.LIST);
     }
     watch();
   }
 
+  private void show(StoreVersion now) {
+    if (!shownVersion.isNone() && !shownVersion.isOfEraOf(now)) {
+      LOG.warn(
+          "event=collection_restored collection={} version={} shown={}",
+          collection,
+          now,
+          shownVersion);
+    }
+    shownVersion = now;
+  }
+
   private void watch() {
     Watch w = api.watch(collection, version, watchTimes.next(), this::event);
     watch = w;
@@ -282,8 +302,8 @@
       return;
     }
     heardAt = scheduler.nanoTime();
-    version = Math.max(version, e.resourceVersion());
-    shownVersion = Math.max(shownVersion, version);
+    version = StoreVersion.max(version, e.resourceVersion());
+    shownVersion = StoreVersion.max(shownVersion, version);
     switch (e) {
       case WatchEvent.Changed c -> copy.change(c.object());
       case WatchEvent.Deleted d -> copy.remove(d.object());
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/HttpObjectApi.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/HttpObjectApi.java
@@ -50,18 +50,21 @@
 
   @Override
   public CompletableFuture<StoredObject> update(
-      ObjectKey key, String kind, JsonNode spec, long resourceVersion) {
+      ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion) {
     return calls.update(key, kind, spec, resourceVersion);
   }
 
   @Override
-  public CompletableFuture<Void> delete(ObjectKey key, long resourceVersion) {
+  public CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion) {
     return calls.delete(key, resourceVersion);
   }
 
   @Override
   public Watch watch(
-      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener) {
+      String collection,
+      StoreVersion resourceVersion,
+      Duration timeout,
+      Consumer<WatchEvent> listener) {
     return calls.watch(collection, resourceVersion, timeout, listener);
   }
 
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/ObjectApi.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/ObjectApi.java
@@ -51,7 +51,7 @@
   CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec);
 
   /**
-   * Replaces an object if it still has a version.
+   * Replaces an object if it still has a version. One of an era before is in conflict with any.
    *
    * @param key the object
    * @param kind its kind
@@ -60,7 +60,7 @@
    * @return the object as kept
    */
   CompletableFuture<StoredObject> update(
-      ObjectKey key, String kind, JsonNode spec, long resourceVersion);
+      ObjectKey key, String kind, JsonNode spec, StoreVersion resourceVersion);
 
   /**
    * Deletes an object if it still has a version.
@@ -69,10 +69,16 @@
    * @param resourceVersion the version that it must have
    * @return completes when it is gone
    */
-  CompletableFuture<Void> delete(ObjectKey key, long resourceVersion);
+  CompletableFuture<Void> delete(ObjectKey key, StoreVersion resourceVersion);
+
+  /** The era of the store, by the newest answer; that of a store without eras if none says so. */
+  default StoreEra era() {
+    return StoreEra.NONE;
+  }
 
   /**
-   * Waits for changes of a collection.
+   * Waits for changes of a collection. A watch whose store has come back from a copy fails as one
+   * whose history is gone.
    *
    * @param collection the collection
    * @param resourceVersion tells changes after this version
@@ -81,5 +87,8 @@
    * @return the watch
    */
   Watch watch(
-      String collection, long resourceVersion, Duration timeout, Consumer<WatchEvent> listener);
+      String collection,
+      StoreVersion resourceVersion,
+      Duration timeout,
+      Consumer<WatchEvent> listener);
 }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/ObjectPage.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/ObjectPage.java
@@ -20,11 +20,12 @@
 public record ObjectPage(
     ImmutableList<StoredObject> items,
     ImmutableList<UnreadableObject> unreadable,
-    long resourceVersion,
+    StoreVersion resourceVersion,
     String continueToken) {
 
   /** A page of which everything can be read. */
-  public ObjectPage(ImmutableList<StoredObject> items, long resourceVersion, String continueToken) {
+  public ObjectPage(
+      ImmutableList<StoredObject> items, StoreVersion resourceVersion, String continueToken) {
     this(items, ImmutableList.of(), resourceVersion, continueToken);
   }
 
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/StoredObject.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/StoredObject.java
@@ -15,8 +15,9 @@
  *
  * @param key collection and name, never null
  * @param kind the kind of object, never null
- * @param resourceVersion the version of its last change, which grows over the whole store
+ * @param resourceVersion the version of its last change, never null
  * @param spec the content, never null
  * @since 0.1
  */
-public record StoredObject(ObjectKey key, String kind, long resourceVersion, JsonNode spec) {}
+public record StoredObject(
+    ObjectKey key, String kind, StoreVersion resourceVersion, JsonNode spec) {}
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/UnreadableObject.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/UnreadableObject.java
@@ -17,4 +17,4 @@
  * @param problem why it can not be read, never null
  * @since 0.1
  */
-public record UnreadableObject(String name, long resourceVersion, EntryProblem problem) {}
+public record UnreadableObject(String name, StoreVersion resourceVersion, EntryProblem problem) {}
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/WatchEvent.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/WatchEvent.java
@@ -18,7 +18,7 @@
    *
    * @return a resource version to resume from
    */
-  long resourceVersion();
+  StoreVersion resourceVersion();
 
   /**
    * An object was created or changed.
@@ -27,7 +27,7 @@
    */
   record Changed(StoredObject object) implements WatchEvent {
     @Override
-    public long resourceVersion() {
+    public StoreVersion resourceVersion() {
       return object.resourceVersion();
     }
   }
@@ -39,7 +39,7 @@
    */
   record Deleted(StoredObject object) implements WatchEvent {
     @Override
-    public long resourceVersion() {
+    public StoreVersion resourceVersion() {
       return object.resourceVersion();
     }
   }
@@ -51,7 +51,7 @@
    */
   record Unreadable(UnreadableObject object) implements WatchEvent {
     @Override
-    public long resourceVersion() {
+    public StoreVersion resourceVersion() {
       return object.resourceVersion();
     }
   }
@@ -61,5 +61,5 @@
    *
    * @param resourceVersion the version to resume from
    */
-  record Bookmark(long resourceVersion) implements WatchEvent {}
+  record Bookmark(StoreVersion resourceVersion) implements WatchEvent {}
 }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpObjectCalls.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpObjectCalls.java
@@ -21,6 +21,7 @@
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
@@ -68,31 +69,31 @@
 
   /** See {@link org.larkkeel.store.ObjectApi#create}. */
   public CompletableFuture<StoredObject> create(ObjectKey key, String kind, JsonNode spec) {
-    String body = ObjectCodec.toText(key, kind, spec, 0);
+    String body = ObjectCodec.toText(key, kind, spec, StoreVersion.NONE);
     return call(Effect.WRITE, Methods.POST, BASE + key.collection(), body, object(key));
   }
 
   /** See {@link org.larkkeel.store.ObjectApi#update}. */
   public CompletableFuture<StoredObject> update(
-      ObjectKey key, String kind, JsonNode spec, long version) {
+      ObjectKey key, String kind, JsonNode spec, StoreVersion version) {
     String body = ObjectCodec.toText(key, kind, spec, version);
     return call(Effect.WRITE, Methods.PUT, path(key), body, object(key));
   }
 
   /** See {@link org.larkkeel.store.ObjectApi#delete}. */
-  public CompletableFuture<Void> delete(ObjectKey key, long version) {
-    String path = path(key) + "?resourceVersion=" + version;
+  public CompletableFuture<Void> delete(ObjectKey key, StoreVersion version) {
+    String path = path(key) + "?resourceVersion=" + version.number();
     return call(Effect.WRITE, Methods.DELETE, path, "", o -> null);
   }
 
   /** See {@link org.larkkeel.store.ObjectApi#watch}. */
   public Watch watch(
-      String collection, long version, Duration timeout, Consumer<WatchEvent> listener) {
+      String collection, StoreVersion version, Duration timeout, Consumer<WatchEvent> listener) {
     String path =
         BASE
             + collection
             + "?watch=true&resourceVersion="
-            + version
+            + version.number()
             + "&timeoutSeconds="
             + Math.max(1, timeout.toSeconds());
     HttpWatch w = new HttpWatch(collection, listener, caller);
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ObjectCodec.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ObjectCodec.java
@@ -17,6 +17,7 @@
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.WatchEvent;
 
@@ -29,20 +30,20 @@
 
   private ObjectCodec() {}
 
-  /** Writes an object; a version of 0 is left out. */
-  public static ObjectNode toJson(ObjectKey key, String kind, JsonNode spec, long version) {
+  /** Writes an object; no version is left out. */
+  public static ObjectNode toJson(ObjectKey key, String kind, JsonNode spec, StoreVersion version) {
     ObjectNode o = JsonNodeFactory.instance.objectNode();
     o.put("apiVersion", API_VERSION);
     o.put("kind", kind);
     ObjectNode metadata = o.putObject("metadata").put("name", key.name());
-    if (version != 0) {
-      metadata.put("resourceVersion", Long.toString(version));
+    if (!version.isNone()) {
+      metadata.put("resourceVersion", Long.toString(version.number()));
     }
     o.set("spec", spec);
     return o;
   }
 
-  static String toText(ObjectKey key, String kind, JsonNode spec, long version) {
+  static String toText(ObjectKey key, String kind, JsonNode spec, StoreVersion version) {
     try {
       return MAPPER.writeValueAsString(toJson(key, kind, spec, version));
     } catch (JsonProcessingException e) {
@@ -61,7 +62,7 @@
 
   static StoredObject object(String collection, JsonNode o) {
     String name = required(o.path("metadata").path("name"), "metadata.name").asText();
-    long version = version(o.path("metadata"));
+    StoreVersion version = version(o.path("metadata"));
     JsonNode spec = required(o.path("spec"), "spec");
     return new StoredObject(
         new ObjectKey(collection, name), o.path("kind").asText(), version, spec);
@@ -85,9 +86,9 @@
     };
   }
 
-  private static long version(JsonNode metadata) {
+  private static StoreVersion version(JsonNode metadata) {
     JsonNode v = required(metadata.path("resourceVersion"), "metadata.resourceVersion");
-    return v.asLong();
+    return new StoreVersion(0, v.asLong());
   }
 
   private static JsonNode required(JsonNode node, String field) {
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/lease/Lease.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/lease/Lease.java
@@ -15,6 +15,8 @@
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreEra;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.log.AppendId;
 import org.larkkeel.store.log.WriterId;
@@ -29,7 +31,10 @@
  * of their own monotonic time. Invariants: the fencing number grows with each take-over; while
  * clocks run at rates that differ by less than the margin, two processes do not hold the lease at
  * once. A process that is paused may still act after its lease has lapsed: what it does must carry
- * the fencing number. Confined to the scheduler, but for its public methods.
+ * the fencing number. A store that comes back from a copy may have lost the lease, or bring an
+ * older one back: in each era the lease is taken only after a duration in which the holder of
+ * before must have lost it, by a number that is greater than all of earlier eras. Confined to the
+ * scheduler, but for its public methods.
  *
  * @since 0.1
  */
@@ -41,6 +46,9 @@
   private static final int STEPS_PER_DURATION = 4;
   private static final int MARGIN_DIVISOR = 10;
 
+  /** More take-overs than an era can have. */
+  private static final long NUMBERS_PER_ERA = 1_000_000;
+
   private final ObjectApi api;
   private final ObjectKey key;
   private final WriterId self;
@@ -48,7 +56,8 @@
   private final RandomGenerator random;
   private final Duration duration;
   private volatile Optional<Tenure> tenure = Optional.empty();
-  private long observedVersion;
+  private StoreVersion observedVersion = StoreVersion.NONE;
+  private long era;
   private long observedAt;
   private long writes;
   private Optional<Attempt> unresolved = Optional.empty();
@@ -119,7 +128,7 @@
     }
   }
 
-  private void markReleased(long version) {
+  private void markReleased(StoreVersion version) {
     LeaseRecord held = last.orElseThrow();
     writes++;
     LeaseRecord r = new LeaseRecord(self, held.fencing(), new AppendId(self, writes), true);
@@ -151,20 +160,48 @@
     api.get(key)
         .whenComplete(
             (object, failure) -> {
+              followEra();
               if (failure == null) {
                 observed(object);
-              } else if (isNotFound(failure)) {
-                write(Optional.empty(), new FencingNumber(1));
+              } else if (isNotFound(failure) && isSettled()) {
+                write(Optional.empty(), first());
               } else {
                 again();
               }
             });
   }
 
+  /** What was held, or may have been written, in another era is held no more. */
+  private void followEra() {
+    if (era != api.era().number()) {
+      era = api.era().number();
+      tenure = Optional.empty();
+      unresolved = Optional.empty();
+    }
+  }
+
+  /** Whether a holder of the era before has lost the lease by now. */
+  private boolean isSettled() {
+    StoreEra now = api.era();
+    return now.number() == 0 || scheduler.nanoTime() - now.sinceNanos() >= patience();
+  }
+
+  private FencingNumber first() {
+    return new FencingNumber(era * NUMBERS_PER_ERA + 1);
+  }
+
+  private FencingNumber after(FencingNumber before) {
+    return new FencingNumber(Math.max(before.value() + 1, first().value()));
+  }
+
+  private boolean isOfEra(FencingNumber number) {
+    return number.value() >= first().value();
+  }
+
   private void observed(StoredObject o) {
     LeaseRecord r = LeaseRecord.read(o.spec());
     long now = scheduler.nanoTime();
-    if (o.resourceVersion() != observedVersion) {
+    if (!o.resourceVersion().equals(observedVersion)) {
       observedVersion = o.resourceVersion();
       observedAt = now;
     }
@@ -173,12 +210,12 @@
     }
     unresolved.filter(a -> a.record.equals(r)).ifPresent(a -> granted(a, o));
     unresolved = Optional.empty();
-    if (r.released()) {
-      write(Optional.of(o), new FencingNumber(r.fencing().value() + 1));
-    } else if (r.holder().equals(self)) {
+    if (!isSettled()) {
+      again();
+    } else if (r.holder().equals(self) && !r.released() && isOfEra(r.fencing())) {
       write(Optional.of(o), r.fencing());
-    } else if (now - observedAt >= patience()) {
-      write(Optional.of(o), new FencingNumber(r.fencing().value() + 1));
+    } else if (r.released() || now - observedAt >= patience()) {
+      write(Optional.of(o), after(r.fencing()));
     } else {
       again();
     }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogFollower.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogFollower.java
@@ -11,6 +11,7 @@
 import org.larkkeel.store.ObjectApiException;
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
@@ -33,7 +34,7 @@
   private final Listener listener;
   private final Backoff backoff;
   private long last;
-  private long version;
+  private StoreVersion version = StoreVersion.NONE;
   private long contact;
   private Watch watch;
   private Scheduler.Timer timer;
@@ -140,7 +141,7 @@
       return;
     }
     contact = log.scheduler().nanoTime();
-    version = Math.max(version, e.resourceVersion());
+    version = StoreVersion.max(version, e.resourceVersion());
     if (e instanceof WatchEvent.Changed c) {
       changed(c.object());
     }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogReads.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogReads.java
@@ -19,6 +19,7 @@
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 
 /** Reads of one log. Confined to the scheduler. */
@@ -104,7 +105,7 @@
   }
 
   private void gather(Gathered g, ObjectPage page) {
-    if (g.version == 0) {
+    if (g.version.isNone()) {
       g.version = page.resourceVersion();
     }
     for (StoredObject o : page.items()) {
@@ -163,7 +164,7 @@
   private static final class Gathered {
     final ImmutableList.Builder<LogEntry> entries = ImmutableList.builder();
     long last;
-    long version;
+    StoreVersion version = StoreVersion.NONE;
     boolean torn;
 
     Gathered(long base) {
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogSnapshots.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogSnapshots.java
@@ -88,7 +88,7 @@
   }
 
   private CompletableFuture<StoredObject> put(Manifest m) {
-    return m.version() == 0
+    return m.version().isNone()
         ? api.create(name.manifest(), Manifest.KIND, m.toSpec())
         : api.update(name.manifest(), Manifest.KIND, m.toSpec(), m.version());
   }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogView.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/LogView.java
@@ -8,6 +8,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import org.larkkeel.store.StoreVersion;
 
 /**
  * What a read of a log returned.
@@ -25,4 +26,4 @@
     Optional<LogSnapshot> snapshot,
     ImmutableList<LogEntry> entries,
     long tail,
-    long resourceVersion) {}
+    StoreVersion resourceVersion) {}
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/log/ObjectLog.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/log/ObjectLog.java
@@ -12,6 +12,7 @@
 import org.larkkeel.store.Backoff;
 import org.larkkeel.store.ObjectApi;
 import org.larkkeel.store.Scheduler;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
 
@@ -154,7 +155,7 @@
   }
 
   /** Watches the entries, for the follower. */
-  Watch watch(long resourceVersion, Consumer<WatchEvent> listener) {
+  Watch watch(StoreVersion resourceVersion, Consumer<WatchEvent> listener) {
     return api.watch(name.value(), resourceVersion, options.watchTimeout(), listener);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayUpstream.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayUpstream.java
@@ -36,4 +36,9 @@
   public UpstreamName id() {
     return life.name();
   }
+
+  /** This upstream, about to leave. */
+  public RelayUpstream withLeaving() {
+    return new RelayUpstream(life, service, address, place, slots, stage, true);
+  }
 }
--- a/platform.test/src/test/java/org/larkkeel/platform/Entries.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Entries.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.larkkeel.http.Json;
 import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 
 /** Entries as runners write them. Stateless. */
@@ -26,6 +27,6 @@
 
   static StoredObject object(String name, JsonNode spec) {
     ObjectKey key = new ObjectKey(PlatformNames.SERVERS_KIND, name);
-    return new StoredObject(key, PlatformNames.SERVERS_KIND, 1, spec);
+    return new StoredObject(key, PlatformNames.SERVERS_KIND, new StoreVersion(1, 1), spec);
   }
 }
--- a/platform.test/src/test/java/org/larkkeel/platform/EntryFuzzTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/EntryFuzzTest.java
@@ -234,7 +234,9 @@
               + ScriptedStore.item("zz", 4);
       ObjectPage page =
           PlatformObjectApi.page(
-              ListQuery.of(PlatformNames.SERVERS_KIND), PAGE.formatted(items).getBytes(ISO_8859_1));
+              ListQuery.of(PlatformNames.SERVERS_KIND),
+              1,
+              PAGE.formatted(items).getBytes(ISO_8859_1));
       List<String> names = page.items().stream().map(o -> o.key().name()).toList();
       assertTrue(names.containsAll(OTHERS), bad + " " + names);
       page.unreadable().forEach(u -> check(u.problem()));
--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformUpstreamsTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformUpstreamsTest.java
@@ -19,6 +19,7 @@
 import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.Reading;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -29,7 +30,8 @@
     ObjectNode spec = Entries.good();
     spec.setAll((ObjectNode) Json.parse(change.getBytes(UTF_8)));
     return PlatformUpstreams.read(
-        new StoredObject(new ObjectKey(PlatformNames.SERVERS_KIND, name), "", 1, spec));
+        new StoredObject(
+            new ObjectKey(PlatformNames.SERVERS_KIND, name), "", new StoreVersion(1, 1), spec));
   }
 
   private static RelayUpstream readable(String change) throws Exception {
--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformWatchTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformWatchTest.java
@@ -28,6 +28,7 @@
 import org.larkkeel.store.ExecutorScheduler;
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.ListQuery;
+import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.Watch;
 import org.larkkeel.store.WatchEvent;
 import org.testng.annotations.AfterMethod;
@@ -80,7 +81,7 @@
     }
 
     Watch watch(Duration wait) {
-      return api.watch("things", 5, wait, events::add);
+      return api.watch("things", new StoreVersion(0, 5), wait, events::add);
     }
 
     private void serve(RawServer.Request r, OutputStream out, Socket socket) throws Exception {
--- a/platform.test/src/test/java/org/larkkeel/platform/UnreadableObjectsTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/UnreadableObjectsTest.java
@@ -245,7 +245,8 @@
 
     @Test(dataProvider = "frames", expectedExceptions = ObjectApiException.class)
     public void isNotTakenForAnEmptyPage(String frame) {
-      PlatformObjectApi.page(ListQuery.of(PlatformNames.SERVERS_KIND), frame.getBytes(ISO_8859_1));
+      PlatformObjectApi.page(
+          ListQuery.of(PlatformNames.SERVERS_KIND), 1, frame.getBytes(ISO_8859_1));
     }
   }
 
