--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -63,19 +63,13 @@
    */
   private static final long IN_FORCE_MILLIS = 2_000;
 
-  /** With a seed that this divides, the connections of all nodes to the store fall silent. */
-  private static final int SILENT_SEEDS = 5;
-
-  /** With a seed that this divides, requests end runners, and runners want rest. */
-  private static final int CRASH_SEEDS = 7;
-
   /** One of so many faults beside silent connections. */
   private static final int FEWER_FAULTS = 4;
 
   private static volatile Soak current;
 
   /** Faults of upstreams and their entries, counted in the last line. */
-  private enum Drawn {
+  enum Drawn {
     RESTART,
     RESTART_CLOCK_BACK,
     RESTART_BEFORE_ENTRY,
@@ -85,6 +79,8 @@
     SILENCE,
     CRASH,
     REST,
+    LIMIT,
+    RESTORE,
     IN_FORCE_ASKED
   }
 
@@ -150,6 +146,11 @@
     return !current.isHarmed(node, System.nanoTime(), h -> !h.what().startsWith(RUNNER));
   }
 
+  /** Whether a node was harmed a moment ago, so that a limit does not bind it. */
+  static boolean isHarmedNode(int node) {
+    return current.isHarmed(node, System.nanoTime(), h -> h.node() == node);
+  }
+
   /** The requests that end runners. */
   static SoakCrashes crashes() {
     return current.crashes;
@@ -208,7 +209,7 @@
     }
   }
 
-  private synchronized void harm(int node, String what, long millis) {
+  synchronized void harm(int node, String what, long millis) {
     long now = System.nanoTime();
     harms.add(new Harm(now, now + TimeUnit.MILLISECONDS.toNanos(millis), node, what));
     tell("fault node=%d %s for_ms=%d", node, what, millis);
@@ -229,14 +230,8 @@
     for (int i = 0; i < CALLERS; i++) {
       callers.submit(new SoakCaller(this, ledger, "c" + i, random.nextLong()));
     }
-    boolean silent = seed % SILENT_SEEDS == 0;
-    if (seed % CRASH_SEEDS == 0) {
-      crashes.begin();
-      rests(new SplittableRandom(seed + 2));
-    }
-    if (silent) {
-      silences(new SplittableRandom(~seed));
-    }
+    boolean silent = seed % SoakSeries.SILENT_SEEDS == 0;
+    new SoakSeries(this, seed, store, storeProxies, runners).begin();
     // The pauses are added up as drawn, so that the number of draws does not depend on the machine.
     long left = TimeUnit.SECONDS.toMillis(seconds);
     while (left > 0) {
@@ -274,9 +269,22 @@
   }
 
   /** A new version, which adds a route. */
-  private synchronized void configure() {
-    ObjectNode config = Json.object();
+  synchronized void configure() {
     long added = version++;
+    writeConfiguration(added);
+    for (int again = 0; again < 3; again++) {
+      after(IN_FORCE_MILLIS + 500L * again, () -> askForAdded(added));
+    }
+  }
+
+  /** What the operator and the runners wrote last is written again. */
+  synchronized void writeAgain() {
+    writeConfiguration(version - 1);
+    runners.forEach(SoakRunner::register);
+  }
+
+  private void writeConfiguration(long added) {
+    ObjectNode config = Json.object();
     config.put("version", added);
     var routes = config.putArray("routes");
     for (long v = 1; v <= added; v++) {
@@ -292,9 +300,6 @@
         services.addObject().put("name", "model").put("max_connections", 100).putObject("engine");
     engine.put("kv_tokens", 90_000).put("stride", 10);
     store.put("config", "main", config);
-    for (int again = 0; again < 3; again++) {
-      after(IN_FORCE_MILLIS + 500L * again, () -> askForAdded(added));
-    }
   }
 
   private static String added(long version) {
@@ -411,33 +416,6 @@
     }
   }
 
-  /** All connections to the store fall silent, again and again, and a configuration follows. */
-  private void silences(SplittableRandom apart) {
-    if (!loaded) {
-      return;
-    }
-    harm(-1, "store-connections-silent", 0);
-    drawn(Drawn.SILENCE);
-    storeProxies.forEach(SoakProxy::strand);
-    after(apart.nextInt(1_500), this::configure);
-    after(apart.nextInt(4_000, 7_000), () -> silences(apart));
-  }
-
-  /** Runners turn all away and want rest, one after the other. */
-  private void rests(SplittableRandom apart) {
-    if (!loaded) {
-      return;
-    }
-    SoakRunner runner = runners.get(apart.nextInt(runners.size()));
-    drawn(Drawn.REST);
-    lasting(
-        -1,
-        RUNNER + "-wants-rest",
-        apart.nextInt(300, 2_000),
-        on -> runner.fault(on > 0 ? SoakRunner.Fault.WANTS_REST : SoakRunner.Fault.NONE));
-    after(apart.nextInt(2_000, 5_000), () -> rests(apart));
-  }
-
   private void signal(int node, String name, long harmMillis) {
     if (harmMillis > 0) {
       harm(node, "signal-" + name, harmMillis);
@@ -451,7 +429,7 @@
     timer.schedule(() -> tell("signal %d CONT", node), millis, TimeUnit.MILLISECONDS);
   }
 
-  private void lasting(int node, String what, long millis, IntConsumer change) {
+  void lasting(int node, String what, long millis, IntConsumer change) {
     harm(node, what, millis);
     change.accept(1);
     timer.schedule(() -> change.accept(0), millis, TimeUnit.MILLISECONDS);
@@ -548,7 +526,7 @@
     timer.schedule(change, millis, TimeUnit.MILLISECONDS);
   }
 
-  private synchronized void drawn(Drawn kind) {
+  synchronized void drawn(Drawn kind) {
     drawn.merge(kind, 1, Integer::sum);
   }
 
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -40,6 +40,11 @@
   }
 
   private static final String GONE = "gone";
+
+  /** Whose request the thread answers. */
+  private final ThreadLocal<OptionalInt> answeredNode =
+      ThreadLocal.withInitial(OptionalInt::empty);
+
   private static final AtomicLong STARTS = new AtomicLong();
   private static final Map<String, Prompt> HANDLES = new ConcurrentHashMap<>();
   private static final int EVENT_MILLIS = 20;
@@ -61,6 +66,7 @@
   private volatile Fault fault = Fault.NONE;
   private volatile String id = "";
   private volatile SoakWords words;
+  private volatile SoakLimit limit;
   private volatile long born;
   private volatile long drainingSince = Long.MAX_VALUE;
   private volatile long badSince = Long.MAX_VALUE;
@@ -101,6 +107,7 @@
 
   private void forget() {
     words = new SoakWords(ledger);
+    limit = new SoakLimit(ledger);
     HANDLES.values().removeIf(p -> p.holder() == this);
   }
 
@@ -152,6 +159,16 @@
     register();
   }
 
+  /** Names a limit of its requests in its answers. */
+  void limit(double perSecond) {
+    limit.name(perSecond);
+  }
+
+  /** Names no limit any more. */
+  void liftLimit() {
+    limit.lift();
+  }
+
   void fault(Fault next) {
     fault = next;
   }
@@ -190,6 +207,8 @@
     }
     OptionalInt node = ledger.nodeOf(wire);
     node.ifPresent(n -> words.reached(n, wire));
+    node.ifPresent(n -> limit.reached(n, wire));
+    answeredNode.set(node);
     if (leavingMillis() >= 0) {
       node.ifPresent(words::toldLeaving);
     }
@@ -310,7 +329,9 @@
 
   /** What it says of itself in all its answers. */
   private String own() {
-    return leavingMillis() < 0 ? "" : "Server-Leaving: 1\r\n";
+    String leaves = leavingMillis() < 0 ? "" : "Server-Leaving: 1\r\n";
+    OptionalInt node = answeredNode.get();
+    return node.isPresent() ? leaves + limit.header(node.getAsInt()) : leaves;
   }
 
   private void whole(OutputStream out, String status, String headers, String body)
