--- a/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
+++ b/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
@@ -38,6 +38,7 @@
 import org.larkkeel.cli.errors.ExitCode;
 import org.larkkeel.config.ConfigurationDocument;
 import org.larkkeel.config.Upstream;
+import org.larkkeel.http.operator.LimitStatus;
 import org.larkkeel.http.operator.OperatorApi;
 import org.larkkeel.http.operator.OperatorCodec;
 import org.larkkeel.http.operator.OperatorRole;
@@ -166,21 +167,20 @@
     }
   }
 
-  /** Requests in quarantine. */
-  public static class Quarantine extends Fixture {
-    private static final String REQUEST = "0123456789abcdef0123456789abcdef";
-
+  /** What relay nodes tell. */
+  private static class RelayFixture extends Fixture {
+    private final Object status;
     private Undertow relay;
-    private String asked;
+    String asked;
+
+    RelayFixture(Object status) {
+      this.status = status;
+    }
 
     /** Starts what answers as a relay node does. */
     @BeforeMethod
     public void startRelay() {
       asked = null;
-      QuarantineStatus status =
-          new QuarantineStatus(
-              List.of(
-                  new QuarantineStatus.Entry(REQUEST, 90_500, 1_200, List.of("i-1@5", "i-2@6"))));
       relay =
           Undertow.builder()
               .addHttpListener(0, "127.0.0.1")
@@ -203,6 +203,35 @@
     public void stopRelay() {
       relay.stop();
     }
+  }
+
+  /** Limits that upstreams name. */
+  public static class Limits extends RelayFixture {
+    /** Of a node that knows one. */
+    public Limits() {
+      super(new LimitStatus(List.of(new LimitStatus.Entry("i-1", 5, 5.2, 300, 17))));
+    }
+
+    @Test
+    public void areListed() {
+      assertEquals(run("limits"), ExitCode.OK, err());
+      assertEquals(asked, "GET /upstream-limits");
+      assertTrue(out().contains("5.2"), out());
+      assertTrue(out().contains("300 ms ago"), out());
+    }
+  }
+
+  /** Requests in quarantine. */
+  public static class Quarantine extends RelayFixture {
+    private static final String REQUEST = "0123456789abcdef0123456789abcdef";
+
+    /** Of a node that knows one. */
+    public Quarantine() {
+      super(
+          new QuarantineStatus(
+              List.of(
+                  new QuarantineStatus.Entry(REQUEST, 90_500, 1_200, List.of("i-1@5", "i-2@6")))));
+    }
 
     @Test
     public void listsRequests() {
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/client/OperatorClient.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/client/OperatorClient.java
@@ -24,6 +24,7 @@
 import org.larkkeel.http.operator.AuditPage;
 import org.larkkeel.http.operator.DryRun;
 import org.larkkeel.http.operator.ExplainRequest;
+import org.larkkeel.http.operator.LimitStatus;
 import org.larkkeel.http.operator.NodeStatus;
 import org.larkkeel.http.operator.OperatorCodec;
 import org.larkkeel.http.operator.OperatorPaths;
@@ -162,6 +163,15 @@
     return call(HttpCall.get(OperatorPaths.QUARANTINE), QuarantineStatus.class);
   }
 
+  /**
+   * Reads the limits that upstreams name, from the metrics address of a relay node.
+   *
+   * @return what that node knows
+   */
+  public LimitStatus limits() {
+    return call(HttpCall.get(OperatorPaths.UPSTREAM_LIMITS), LimitStatus.class);
+  }
+
   /**
    * Lets a request be sent again on all nodes.
    *
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/CommandCatalog.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/CommandCatalog.java
@@ -69,6 +69,7 @@
             GetCommand::new,
             HelpCommand::new,
             LabelCommand::new,
+            LimitsCommand::new,
             QuarantineCommand::new,
             RolloutCommand::new,
             StatusCommand::new);
--- /dev/null
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LimitDesk.java
@@ -0,0 +1,53 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+
+package org.larkkeel.daemon.relay;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.larkkeel.http.operator.LimitStatus;
+import org.larkkeel.http.operator.OperatorCodec;
+import org.larkkeel.http.relay.RelayLoop;
+import org.larkkeel.relay.RateUse;
+import org.larkkeel.relay.RelayRouter;
+
+/**
+ * Lets operators see the limits that upstreams name, and how much this node has used of each.
+ *
+ * <p>Used on the router's thread only.
+ */
+final class LimitDesk implements HttpHandler {
+  private final RelayLoop loop;
+  private final RelayRouter router;
+
+  LimitDesk(RelayLoop loop, RelayRouter router) {
+    this.loop = loop;
+    this.router = router;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    List<LimitStatus.Entry> limits =
+        router.rateUses(loop.now()).stream().map(LimitDesk::entry).toList();
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    byte[] body = OperatorCodec.write(new LimitStatus(limits));
+    exchange.getResponseSender().send(ByteBuffer.wrap(body));
+  }
+
+  private static LimitStatus.Entry entry(RateUse use) {
+    return new LimitStatus.Entry(
+        use.life().name().value(),
+        use.life().start().value(),
+        use.limit().perSecond(),
+        TimeUnit.NANOSECONDS.toMillis(use.ageNanos()),
+        use.sent());
+  }
+}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -121,7 +121,8 @@
                 settings.metrics(),
                 this::isReady,
                 meterRegistry::scrape,
-                new QuarantineDesk(loop, router)));
+                new QuarantineDesk(loop, router),
+                new LimitDesk(loop, router)));
     this.listener =
         closer.add(RelayListener.start(callers(settings), worker, loop, executor, dialect));
     HttpClientOptions options =
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StatusListener.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StatusListener.java
@@ -18,7 +18,8 @@
 import org.larkkeel.http.operator.OperatorPaths;
 
 /**
- * Tells whether the node takes callers, its metrics, and which requests are quarantined.
+ * Tells whether the node takes callers, its metrics, which requests are quarantined, and which limits
+ * upstreams name.
  *
  * <p>Safe for use by several threads.
  */
@@ -29,6 +30,7 @@
   private final BooleanSupplier ready;
   private final Supplier<String> scrape;
   private final HttpHandler quarantine;
+  private final HttpHandler limits;
   private final Undertow server;
 
   private StatusListener(
@@ -37,8 +39,10 @@
       InetSocketAddress metrics,
       BooleanSupplier ready,
       Supplier<String> scrape,
-      HttpHandler quarantine) {
+      HttpHandler quarantine,
+      HttpHandler limits) {
     this.quarantine = quarantine;
+    this.limits = limits;
     this.ready = ready;
     this.scrape = scrape;
     this.server =
@@ -52,16 +56,17 @@
             .build();
   }
 
-  /** Listens at both addresses; quarantine answers below its path at that of the metrics. */
+  /** Listens at both addresses; the desks of operators answer at that of the metrics. */
   static StatusListener start(
       HttpWorker worker,
       InetSocketAddress readiness,
       InetSocketAddress metrics,
       BooleanSupplier ready,
       Supplier<String> scrape,
-      HttpHandler quarantine) {
+      HttpHandler quarantine,
+      HttpHandler limits) {
     StatusListener listener =
-        new StatusListener(worker, readiness, metrics, ready, scrape, quarantine);
+        new StatusListener(worker, readiness, metrics, ready, scrape, quarantine, limits);
     listener.server.start();
     return listener;
   }
@@ -78,6 +83,10 @@
       quarantine.handleRequest(exchange);
       return;
     }
+    if (exchange.getRequestPath().equals(OperatorPaths.UPSTREAM_LIMITS)) {
+      limits.handleRequest(exchange);
+      return;
+    }
     if (!exchange.getRequestPath().equals(METRICS)) {
       exchange.setStatusCode(StatusCodes.NOT_FOUND);
       exchange.endExchange();
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorPaths.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/OperatorPaths.java
@@ -41,6 +41,9 @@
    */
   public static final String QUARANTINE = "/quarantine";
 
+  /** The limits that upstreams name, at the metrics address of a relay node; read by GET. */
+  public static final String UPSTREAM_LIMITS = "/upstream-limits";
+
   /** Whether a change is only checked. */
   public static final String DRY_RUN = "dryRun";
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -111,6 +111,11 @@
     return flow.mayReach(at, upstream);
   }
 
+  /** The limits that upstreams have, and how much this node has used of each. */
+  public ImmutableList<RateUse> rateUses(long at) {
+    return flow.rateUses(at);
+  }
+
   /** Whether an upstream limits its requests, so that each of its answers counts. */
   public boolean isRateLimited(UpstreamLife upstream) {
     return flow.isRateLimited(upstream);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -26,6 +26,7 @@
 import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.ProbeResult;
+import org.larkkeel.relay.RateUse;
 import org.larkkeel.relay.RateWord;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayConfiguration;
@@ -223,6 +224,11 @@
     }
   }
 
+  /** The limits that upstreams have, and how much this node has used of each. */
+  public ImmutableList<RateUse> rateUses(long at) {
+    return parts.fleet.rates().uses(at);
+  }
+
   /** Whether an upstream limits its requests, so that each of its answers counts. */
   public boolean isRateLimited(UpstreamLife life) {
     return parts.fleet.rates().isLimited(life);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RateBelief.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RateBelief.java
@@ -10,6 +10,7 @@
 import org.larkkeel.lib.UpstreamLife;
 import org.larkkeel.relay.RateChange;
 import org.larkkeel.relay.RateNotice;
+import org.larkkeel.relay.RateUse;
 import org.larkkeel.relay.RateWord;
 import org.larkkeel.relay.RequestRate;
 
@@ -43,6 +44,9 @@
   /** When the last answer that named a limit was received. */
   private long namedAt = NEVER;
 
+  /** Requests since there has been a limit. */
+  private long sent;
+
   /** When the last request was sent whose answer has shown that there is no limit any more. */
   private long liftedAt = NEVER;
 
@@ -87,6 +91,16 @@
     return limit.isPresent() && at - namedAt > OLD_NANOS;
   }
 
+  /** A request is sent. */
+  void countSend() {
+    sent++;
+  }
+
+  /** What is known of the limit, and what was sent meanwhile; empty without a limit. */
+  Optional<RateUse> use(long at, UpstreamLife life) {
+    return limit.map(rate -> new RateUse(life, rate, at - namedAt, sent));
+  }
+
   /** What other nodes are told. */
   RateWord word(long at, UpstreamLife life) {
     return new RateWord(life, limit, at - (limit.isPresent() ? namedAt : liftedAt));
@@ -99,6 +113,7 @@
     liftedAt = Math.max(liftedAt, sentAt);
     boolean was = limit.isPresent();
     limit = Optional.empty();
+    sent = 0;
     return was ? Optional.of(RateChange.LIFTED) : Optional.empty();
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamRates.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamRates.java
@@ -19,6 +19,7 @@
 import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.RateChange;
 import org.larkkeel.relay.RateNotice;
+import org.larkkeel.relay.RateUse;
 import org.larkkeel.relay.RateWord;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RequestRate;
@@ -100,6 +101,13 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /** The limits that hold, and how much this node has used of each. */
+  ImmutableList<RateUse> uses(long at) {
+    return news.stream()
+        .flatMap(s -> s.rate().use(at, s.life()).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Forgets limits that ended some time ago, and those of lives that are over. */
   private void prune(long at) {
     for (Iterator<UpstreamState> i = news.iterator(); i.hasNext(); ) {
@@ -145,6 +153,7 @@
   void spend(UpstreamState s) {
     if (s.rate().limit().isPresent()) {
       held.spend(key(s), QuotaKey.OfUpstream.REQUEST);
+      s.rate().countSend();
     }
   }
 
--- a/platform.test/src/test/java/org/larkkeel/platform/RateLimitTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RateLimitTest.java
@@ -81,6 +81,18 @@
       }
     }
 
+    @Test
+    public void areShownToOperators() throws Exception {
+      try (World w = new World().configured()) {
+        runners(w, new String[] {limit("5")});
+        callFor(w, 500);
+        String shown =
+            RawClient.exchange(w.metricsAddress(), "GET", "/upstream-limits", "", "");
+        assertTrue(shown.contains("\"upstream\":\"i-1\""), shown);
+        assertTrue(shown.contains("\"perSecond\":5.0"), shown);
+      }
+    }
+
     @Test
     public void areAsManyAsBeforeOnceItNamesNoLimit() throws Exception {
       try (World w = new World().configured()) {
