--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RateLimitTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RateLimitTest.java
@@ -114,6 +114,21 @@
       assertEquals(w.sends(), 1);
     }
 
+    @Test
+    public void goOnAtOnceWhenLimitEnds() {
+      RelayWorld w = limited(0.1);
+      w.arrive("/once/a");
+      assertEquals(w.sends(), 0);
+      w.pass(10);
+      w.apply(
+          new RelayEvent.Noticed(
+              w.now(),
+              RelayWorld.life("app-1"),
+              w.now(),
+              new UpstreamNotice(false, 0, new RateNotice.Unlimited())));
+      assertEquals(w.sends(), 1);
+    }
+
     @Test
     public void areToldAtOnceIfNoneComesInTime() {
       RelayWorld w = limited(0.1);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Flow.java
@@ -213,7 +213,9 @@
   }
 
   private void noticed(long at, UpstreamState s, long sentAt, UpstreamNotice notice) {
-    parts.fleet.rates().noticed(at, s, sentAt, notice.rate());
+    if (parts.fleet.rates().noticed(at, s, sentAt, notice.rate())) {
+      limitEnded(at);
+    }
     if (notice.leaving() && parts.fleet.saysLeaving(s, parts::report)) {
       parts.evacuation.look(at);
     }
@@ -236,7 +238,14 @@
 
   /** Other nodes tell of limits. */
   public void ratesHeard(long at, ImmutableList<RateWord> words) {
-    parts.fleet.rates().heard(at, words);
+    if (parts.fleet.rates().heard(at, words)) {
+      limitEnded(at);
+    }
+  }
+
+  private void limitEnded(long at) {
+    parts.permits.granted(at);
+    parts.rooms.admitWaiting(at);
   }
 
   /** What other nodes are to know of limits. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamRates.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamRates.java
@@ -61,32 +61,37 @@
     this.report = report;
   }
 
-  /** An answer says something of the limit. */
-  void noticed(long at, UpstreamState s, long sentAt, RateNotice notice) {
-    change(s, at - sentAt, "answer", rate -> rate.noticed(sentAt, at, notice));
+  /** An answer says something of the limit; says whether the limit has ended. */
+  boolean noticed(long at, UpstreamState s, long sentAt, RateNotice notice) {
+    return change(s, at - sentAt, "answer", rate -> rate.noticed(sentAt, at, notice));
   }
 
-  /** Another node tells of limits. */
-  void heard(long at, ImmutableList<RateWord> words) {
+  /** Another node tells of limits; says whether one has ended. */
+  boolean heard(long at, ImmutableList<RateWord> words) {
+    boolean ended = false;
     for (RateWord word : words) {
-      find.apply(word.life())
-          .ifPresent(s -> change(s, word.ageNanos(), "node", rate -> rate.heard(at, word)));
+      Optional<UpstreamState> s = find.apply(word.life());
+      ended |=
+          s.isPresent() && change(s.get(), word.ageNanos(), "node", rate -> rate.heard(at, word));
     }
+    return ended;
   }
 
-  private void change(
+  private boolean change(
       UpstreamState s, long age, String source, Function<RateBelief, Optional<RateChange>> apply) {
     final Optional<RequestRate> before = s.rate().limit();
     Optional<RateChange> change = apply.apply(s.rate());
     if (change.isEmpty()) {
-      return;
+      return false;
     }
     news.add(s);
-    if (change.get() == RateChange.LIFTED) {
-      held.forget(key(s));
-    }
     report.accept(
         new RelayFact.RateLimit(s.life(), change.get(), before, s.rate().limit(), source, age));
+    boolean ended = change.get() == RateChange.LIFTED;
+    if (ended) {
+      held.forget(key(s));
+    }
+    return ended;
   }
 
   /** What other nodes are to know. */
