One part of peers' messages for quotas, and a file for the account of one

A message had three parts of which at most one was used, copied by seven methods; there is one sealed type now, and one kind of message. What a node holds of one quota has a file of its own. No decision changes.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
@@ -32,6 +32,7 @@
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Suspect;
 import org.larkkeel.store.StoreVersion;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** The bytes of what nodes tell each other. */
@@ -71,22 +72,31 @@
           .withSuspects(
               ImmutableList.of(
                   new Suspect(Fingerprint.of("one"), 0, ImmutableMap.of(life("i-1"), 12L)),
-                  new Suspect(Fingerprint.of("two"), 3, ImmutableMap.of())))
-          .withQuotaAsk(
-              new QuotaAsk(
-                  4,
-                  17,
-                  400_000_000L,
-                  60,
-                  ImmutableList.of(new QuotaAsk.Want(WEAVERS, 3_200, 200, 600, 40))))
-          .withQuotaGrant(
-              new QuotaGrant(
-                  4,
-                  16,
-                  ImmutableList.of(new QuotaGrant.Share(WEAVERS, 3_800, 20_000, 12_000_000L))))
-          .withQuotaLevels(
-              new QuotaLevels(
-                  ImmutableMap.of(WEAVERS, 7_000L, new QuotaKey.OfUpstream(life("i-1")), 900L)));
+                  new Suspect(Fingerprint.of("two"), 3, ImmutableMap.of())));
+
+  private static final QuotaAsk QUOTA_ASK =
+      new QuotaAsk(
+          4,
+          17,
+          400_000_000L,
+          60,
+          ImmutableList.of(new QuotaAsk.Want(WEAVERS, 3_200, 200, 600, 40)));
+  private static final QuotaGrant QUOTA_GRANT =
+      new QuotaGrant(
+          4, 16, ImmutableList.of(new QuotaGrant.Share(WEAVERS, 3_800, 20_000, 12_000_000L)));
+  private static final QuotaLevels QUOTA_LEVELS =
+      new QuotaLevels(ImmutableMap.of(WEAVERS, 7_000L, new QuotaKey.OfUpstream(life("i-1")), 900L));
+
+  /** Messages with each kind of part. */
+  @DataProvider
+  public static Object[][] messages() {
+    return new Object[][] {
+      {MESSAGE},
+      {MESSAGE.withQuota(QUOTA_ASK)},
+      {MESSAGE.withQuota(QUOTA_GRANT)},
+      {MESSAGE.withQuota(QUOTA_LEVELS)}
+    };
+  }
 
   private static UpstreamLife life(String name) {
     return new UpstreamLife(new UpstreamName(name), new Incarnation(1_790_000_000_123L));
@@ -94,10 +104,10 @@
 
   /** Messages that were written by a node. */
   public static class Written {
-    @Test
-    public void isReadAsItWasWritten() {
+    @Test(dataProvider = "messages", dataProviderClass = PeerMessageCodecTest.class)
+    public void isReadAsItWasWritten(PeerMessage message) {
       assertEquals(
-          PeerMessageCodec.fromBytes(PeerMessageCodec.toBytes(MESSAGE)), Optional.of(MESSAGE));
+          PeerMessageCodec.fromBytes(PeerMessageCodec.toBytes(message)), Optional.of(message));
     }
   }
 
@@ -117,9 +127,9 @@
       }
     }
 
-    @Test
-    public void isNoMessageWhenItWasCut() {
-      byte[] whole = PeerMessageCodec.toBytes(MESSAGE);
+    @Test(dataProvider = "messages", dataProviderClass = PeerMessageCodecTest.class)
+    public void isNoMessageWhenItWasCut(PeerMessage message) {
+      byte[] whole = PeerMessageCodec.toBytes(message);
       for (int length = 0; length < whole.length; length++) {
         byte[] cut = java.util.Arrays.copyOf(whole, length);
         assertEquals(PeerMessageCodec.fromBytes(cut), Optional.empty(), "length " + length);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -22,9 +22,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamLife;
-import org.larkkeel.quota.QuotaAsk;
-import org.larkkeel.quota.QuotaGrant;
-import org.larkkeel.quota.QuotaLevels;
+import org.larkkeel.quota.QuotaMessage;
 import org.larkkeel.relay.RateWord;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
@@ -164,21 +162,11 @@
     quotas.router(router);
   }
 
-  /** Carries asks and grants of quotas. */
+  /** Carries what is told of quotas. */
   private final class QuotaChannel implements QuotaSharing.Channel {
     @Override
-    public void send(PeerTable.Peer to, QuotaAsk ask) {
-      LoadSharing.this.send(to, message(PeerMessage.Kind.QUOTA_ASK).withQuotaAsk(ask));
-    }
-
-    @Override
-    public void send(PeerTable.Peer to, QuotaGrant grant) {
-      LoadSharing.this.send(to, message(PeerMessage.Kind.QUOTA_GRANT).withQuotaGrant(grant));
-    }
-
-    @Override
-    public void send(PeerTable.Peer to, QuotaLevels levels) {
-      LoadSharing.this.send(to, message(PeerMessage.Kind.QUOTA_LEVELS).withQuotaLevels(levels));
+    public void send(PeerTable.Peer to, QuotaMessage message) {
+      LoadSharing.this.send(to, message(PeerMessage.Kind.QUOTA).withQuota(message));
     }
 
     @Override
@@ -511,9 +499,7 @@
         around.submit(new RelayEvent.SuspectsHeard(around.now(), message.suspects()));
         suspects.heard(message.suspects());
       }
-      case QUOTA_ASK -> message.quotaAsk().ifPresent(a -> quotas.asked(from, a));
-      case QUOTA_GRANT -> message.quotaGrant().ifPresent(quotas::granted);
-      case QUOTA_LEVELS -> quotas.heard(message.quotaLevels());
+      case QUOTA -> message.quota().ifPresent(m -> quotas.heard(from, m));
       default -> throw new IllegalStateException("no such kind: " + message.kind());
     }
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
@@ -13,9 +13,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamLife;
-import org.larkkeel.quota.QuotaAsk;
-import org.larkkeel.quota.QuotaGrant;
-import org.larkkeel.quota.QuotaLevels;
+import org.larkkeel.quota.QuotaMessage;
 import org.larkkeel.relay.RateWord;
 import org.larkkeel.relay.RoomAsk;
 import org.larkkeel.relay.Suspect;
@@ -33,9 +31,7 @@
  * @param asks the calls for which the sender asks room
  * @param grants room for calls of the receiver
  * @param suspects requests under which upstreams ended
- * @param quotaAsk what the sender asks of the coordinator of quotas
- * @param quotaGrant the coordinator's answer
- * @param quotaLevels what the coordinator has left
+ * @param quota what the sender tells of quotas
  */
 record PeerMessage(
     Kind kind,
@@ -45,9 +41,7 @@
     ImmutableList<RoomAsk> asks,
     ImmutableList<RoomGrant> grants,
     ImmutableList<Suspect> suspects,
-    Optional<QuotaAsk> quotaAsk,
-    Optional<QuotaGrant> quotaGrant,
-    QuotaLevels quotaLevels) {
+    Optional<QuotaMessage> quota) {
 
   /** What a message is for. */
   enum Kind {
@@ -74,14 +68,8 @@
     /** What the sender knows of requests under which upstreams ended. */
     SUSPECTS,
 
-    /** An ask of the coordinator of quotas. */
-    QUOTA_ASK,
-
-    /** The coordinator's answer. */
-    QUOTA_GRANT,
-
-    /** What the coordinator of quotas has left, to the node that would take over. */
-    QUOTA_LEVELS
+    /** What nodes and the coordinator of quotas tell each other. */
+    QUOTA
   }
 
   /**
@@ -110,68 +98,31 @@
         ImmutableList.of(),
         ImmutableList.of(),
         ImmutableList.of(),
-        Optional.empty(),
-        Optional.empty(),
-        new QuotaLevels(ImmutableMap.of()));
+        Optional.empty());
   }
 
   /** This message with a load. */
   PeerMessage withLoads(ImmutableMap<UpstreamLife, Long> now, ImmutableSet<UpstreamLife> lost) {
-    return new PeerMessage(
-        kind, sender, now, lost, asks, grants, suspects, quotaAsk, quotaGrant, quotaLevels);
+    return new PeerMessage(kind, sender, now, lost, asks, grants, suspects, quota);
   }
 
   /** This message with asks. */
   PeerMessage withAsks(ImmutableList<RoomAsk> now) {
-    return new PeerMessage(
-        kind, sender, loads, lapsing, now, grants, suspects, quotaAsk, quotaGrant, quotaLevels);
+    return new PeerMessage(kind, sender, loads, lapsing, now, grants, suspects, quota);
   }
 
   /** This message with grants. */
   PeerMessage withGrants(ImmutableList<RoomGrant> now) {
-    return new PeerMessage(
-        kind, sender, loads, lapsing, asks, now, suspects, quotaAsk, quotaGrant, quotaLevels);
+    return new PeerMessage(kind, sender, loads, lapsing, asks, now, suspects, quota);
   }
 
   /** This message with suspects. */
   PeerMessage withSuspects(ImmutableList<Suspect> now) {
-    return new PeerMessage(
-        kind, sender, loads, lapsing, asks, grants, now, quotaAsk, quotaGrant, quotaLevels);
+    return new PeerMessage(kind, sender, loads, lapsing, asks, grants, now, quota);
   }
 
-  /** This message with an ask of the coordinator of quotas. */
-  PeerMessage withQuotaAsk(QuotaAsk ask) {
-    return new PeerMessage(
-        kind,
-        sender,
-        loads,
-        lapsing,
-        asks,
-        grants,
-        suspects,
-        Optional.of(ask),
-        quotaGrant,
-        quotaLevels);
-  }
-
-  /** This message with a grant of tokens. */
-  PeerMessage withQuotaGrant(QuotaGrant grant) {
-    return new PeerMessage(
-        kind,
-        sender,
-        loads,
-        lapsing,
-        asks,
-        grants,
-        suspects,
-        quotaAsk,
-        Optional.of(grant),
-        quotaLevels);
-  }
-
-  /** This message with what the coordinator has left. */
-  PeerMessage withQuotaLevels(QuotaLevels now) {
-    return new PeerMessage(
-        kind, sender, loads, lapsing, asks, grants, suspects, quotaAsk, quotaGrant, now);
+  /** This message with what is told of quotas. */
+  PeerMessage withQuota(QuotaMessage now) {
+    return new PeerMessage(kind, sender, loads, lapsing, asks, grants, suspects, Optional.of(now));
   }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
@@ -41,7 +41,7 @@
   /** The largest message; what does not fit a datagram is not sent. */
   static final int MAX_BYTES = 60_000;
 
-  private static final byte VERSION = 11;
+  private static final byte VERSION = 12;
   private static final int FIRST_BYTES = 256;
   private static final int MAX_ITEMS = 10_000;
 
@@ -104,9 +104,7 @@
     for (Suspect suspect : m.suspects()) {
       writeSuspect(out, suspect);
     }
-    QuotaCodec.writeAsk(out, m.quotaAsk());
-    QuotaCodec.writeGrant(out, m.quotaGrant());
-    QuotaCodec.writeLevels(out, m.quotaLevels());
+    QuotaCodec.write(out, m.quota());
   }
 
   private static void writeSuspect(TCompactProtocol out, Suspect suspect) throws TException {
@@ -183,9 +181,7 @@
         asks.build(),
         grants.build(),
         suspects.build(),
-        QuotaCodec.readAsk(in),
-        QuotaCodec.readGrant(in),
-        QuotaCodec.readLevels(in));
+        QuotaCodec.read(in));
   }
 
   private static Suspect readSuspect(TCompactProtocol in) throws TException {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuotaCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuotaCodec.java
@@ -18,27 +18,46 @@
 import org.larkkeel.quota.QuotaGrant;
 import org.larkkeel.quota.QuotaKey;
 import org.larkkeel.quota.QuotaLevels;
+import org.larkkeel.quota.QuotaMessage;
 
 /**
- * The bytes of asks and grants of quotas, as parts of a message between nodes.
+ * The bytes of what nodes tell each other of quotas, as a part of a message.
  *
  * <p>Stateless and safe for use by several threads.
  */
 final class QuotaCodec {
+  private static final byte NOTHING = 0;
+  private static final byte ASK = 1;
+  private static final byte GRANT = 2;
+  private static final byte LEVELS = 3;
+
   private QuotaCodec() {}
 
-  static void writeAsk(TCompactProtocol out, Optional<QuotaAsk> ask) throws TException {
-    out.writeBool(ask.isPresent());
-    if (ask.isEmpty()) {
-      return;
+  static void write(TCompactProtocol out, Optional<QuotaMessage> message) throws TException {
+    switch (message.orElse(null)) {
+      case null -> out.writeByte(NOTHING);
+      case QuotaAsk ask -> {
+        out.writeByte(ASK);
+        write(out, ask);
+      }
+      case QuotaGrant grant -> {
+        out.writeByte(GRANT);
+        write(out, grant);
+      }
+      case QuotaLevels levels -> {
+        out.writeByte(LEVELS);
+        write(out, levels);
+      }
     }
-    QuotaAsk a = ask.get();
-    out.writeI64(a.epoch());
-    out.writeI64(a.sequence());
-    out.writeI64(a.lentNanos());
-    out.writeI32(a.nodes());
-    out.writeListBegin(new TList(TType.STRUCT, a.wants().size()));
-    for (QuotaAsk.Want w : a.wants()) {
+  }
+
+  private static void write(TCompactProtocol out, QuotaAsk ask) throws TException {
+    out.writeI64(ask.epoch());
+    out.writeI64(ask.sequence());
+    out.writeI64(ask.lentNanos());
+    out.writeI32(ask.nodes());
+    out.writeListBegin(new TList(TType.STRUCT, ask.wants().size()));
+    for (QuotaAsk.Want w : ask.wants()) {
       writeKey(out, w.key());
       out.writeI64(w.needed());
       out.writeI64(w.least());
@@ -47,10 +66,38 @@
     }
   }
 
-  static Optional<QuotaAsk> readAsk(TCompactProtocol in) throws TException {
-    if (!in.readBool()) {
-      return Optional.empty();
+  private static void write(TCompactProtocol out, QuotaGrant grant) throws TException {
+    out.writeI64(grant.epoch());
+    out.writeI64(grant.sequence());
+    out.writeListBegin(new TList(TType.STRUCT, grant.shares().size()));
+    for (QuotaGrant.Share s : grant.shares()) {
+      writeKey(out, s.key());
+      out.writeI64(s.tokens());
+      out.writeI64(s.left());
+      out.writeI64(s.waitNanos());
     }
+  }
+
+  private static void write(TCompactProtocol out, QuotaLevels levels) throws TException {
+    out.writeListBegin(new TList(TType.STRUCT, levels.left().size()));
+    for (var e : levels.left().entrySet()) {
+      writeKey(out, e.getKey());
+      out.writeI64(e.getValue());
+    }
+  }
+
+  static Optional<QuotaMessage> read(TCompactProtocol in) throws TException {
+    byte kind = in.readByte();
+    return switch (kind) {
+      case NOTHING -> Optional.empty();
+      case ASK -> Optional.of(readAsk(in));
+      case GRANT -> Optional.of(readGrant(in));
+      case LEVELS -> Optional.of(readLevels(in));
+      default -> throw new IllegalArgumentException("no kind " + kind);
+    };
+  }
+
+  private static QuotaAsk readAsk(TCompactProtocol in) throws TException {
     final long epoch = in.readI64();
     final long sequence = in.readI64();
     final long lent = in.readI64();
@@ -60,30 +107,10 @@
       QuotaKey key = readKey(in);
       wants.add(new QuotaAsk.Want(key, natural(in), natural(in), natural(in), natural(in)));
     }
-    return Optional.of(new QuotaAsk(epoch, sequence, lent, nodes, wants.build()));
-  }
-
-  static void writeGrant(TCompactProtocol out, Optional<QuotaGrant> grant) throws TException {
-    out.writeBool(grant.isPresent());
-    if (grant.isEmpty()) {
-      return;
-    }
-    QuotaGrant g = grant.get();
-    out.writeI64(g.epoch());
-    out.writeI64(g.sequence());
-    out.writeListBegin(new TList(TType.STRUCT, g.shares().size()));
-    for (QuotaGrant.Share s : g.shares()) {
-      writeKey(out, s.key());
-      out.writeI64(s.tokens());
-      out.writeI64(s.left());
-      out.writeI64(s.waitNanos());
-    }
+    return new QuotaAsk(epoch, sequence, lent, nodes, wants.build());
   }
 
-  static Optional<QuotaGrant> readGrant(TCompactProtocol in) throws TException {
-    if (!in.readBool()) {
-      return Optional.empty();
-    }
+  private static QuotaGrant readGrant(TCompactProtocol in) throws TException {
     final long epoch = in.readI64();
     final long sequence = in.readI64();
     ImmutableList.Builder<QuotaGrant.Share> shares = ImmutableList.builder();
@@ -91,18 +118,10 @@
       QuotaKey key = readKey(in);
       shares.add(new QuotaGrant.Share(key, natural(in), natural(in), natural(in)));
     }
-    return Optional.of(new QuotaGrant(epoch, sequence, shares.build()));
-  }
-
-  static void writeLevels(TCompactProtocol out, QuotaLevels levels) throws TException {
-    out.writeListBegin(new TList(TType.STRUCT, levels.left().size()));
-    for (var e : levels.left().entrySet()) {
-      writeKey(out, e.getKey());
-      out.writeI64(e.getValue());
-    }
+    return new QuotaGrant(epoch, sequence, shares.build());
   }
 
-  static QuotaLevels readLevels(TCompactProtocol in) throws TException {
+  private static QuotaLevels readLevels(TCompactProtocol in) throws TException {
     ImmutableMap.Builder<QuotaKey, Long> left = ImmutableMap.builder();
     for (int i = PeerMessageCodec.size(in); i > 0; i--) {
       QuotaKey key = readKey(in);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuotaSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuotaSharing.java
@@ -14,6 +14,7 @@
 import org.larkkeel.quota.QuotaGrant;
 import org.larkkeel.quota.QuotaHolder;
 import org.larkkeel.quota.QuotaLevels;
+import org.larkkeel.quota.QuotaMessage;
 import org.larkkeel.quota.QuotaPool;
 import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.relay.RelayEvent;
@@ -59,14 +60,8 @@
 
   /** Carries messages to other nodes, which may be lost. */
   interface Channel {
-    /** Sends an ask. */
-    void send(PeerTable.Peer to, QuotaAsk ask);
-
-    /** Sends a grant. */
-    void send(PeerTable.Peer to, QuotaGrant grant);
-
-    /** Sends what this node has left as the coordinator. */
-    void send(PeerTable.Peer to, QuotaLevels levels);
+    /** Sends an ask, an answer, or what this node has left as the coordinator. */
+    void send(PeerTable.Peer to, QuotaMessage message);
 
     /** What this node says of itself. */
     NodeState state();
@@ -112,9 +107,13 @@
         .forEach(p -> channel.send(p, levels));
   }
 
-  /** The coordinator tells what it has left. */
-  void heard(QuotaLevels levels) {
-    pool.heard(around.now(), levels);
+  /** Another node tells something of quotas. */
+  void heard(PeerTable.Peer from, QuotaMessage message) {
+    switch (message) {
+      case QuotaAsk ask -> asked(from, ask);
+      case QuotaGrant grant -> around.submit(new RelayEvent.QuotaGranted(around.now(), grant));
+      case QuotaLevels levels -> pool.heard(around.now(), levels);
+    }
   }
 
   private void ask(boolean heartbeat) {
@@ -195,8 +194,7 @@
     return answers;
   }
 
-  /** Another node asks this one. */
-  void asked(PeerTable.Peer from, QuotaAsk ask) {
+  private void asked(PeerTable.Peer from, QuotaAsk ask) {
     if (router.isPresent()) {
       channel.send(from, grant(from.name, ask));
     }
@@ -207,11 +205,6 @@
     return pool.ask(askedAt, node, ask, peers.size() + 1, router.orElseThrow()::limit);
   }
 
-  /** The coordinator has answered. */
-  void granted(QuotaGrant grant) {
-    around.submit(new RelayEvent.QuotaGranted(around.now(), grant));
-  }
-
   /** The machine was suspended: what it has saved up is of no use any more. */
   void resumed() {
     pool.clear();
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaAsk.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaAsk.java
@@ -21,7 +21,8 @@
  * @since 0.1
  */
 public record QuotaAsk(
-    long epoch, long sequence, long lentNanos, int nodes, ImmutableList<Want> wants) {
+    long epoch, long sequence, long lentNanos, int nodes, ImmutableList<Want> wants)
+    implements QuotaMessage {
   /**
    * What is wanted of one quota.
    *
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaGrant.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaGrant.java
@@ -18,7 +18,8 @@
  * @param shares by quota; those whose limit the coordinator does not know are missing
  * @since 0.1
  */
-public record QuotaGrant(long epoch, long sequence, ImmutableList<Share> shares) {
+public record QuotaGrant(long epoch, long sequence, ImmutableList<Share> shares)
+    implements QuotaMessage {
   /**
    * What is granted of one quota.
    *
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
@@ -7,10 +7,8 @@
 package org.larkkeel.quota;
 
 import com.google.common.collect.ImmutableList;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -49,19 +47,13 @@
   /** After this time at most a caller comes back, as other nodes may reach the coordinator. */
   private static final long LONGEST_ALONE_NANOS = 1_000_000_000L;
 
-  /** How long after a request found no tokens some are asked for; after that they go back. */
-  private static final long WANTED_NANOS = 250_000_000L;
-
   /** How long reserved tokens are of use. */
   private static final long RESERVED_NANOS = 1_000_000_000L;
 
-  /** How long tokens are kept of a quota that has no calls here. */
-  private static final long IDLE_NANOS = 2_000_000_000L;
-
   private final QuotaTolerance tolerance;
   private final long epoch;
   private final SplittableRandom random;
-  private final Map<QuotaKey, Account> accounts = new HashMap<>();
+  private final Map<QuotaKey, QuotaAccount> accounts = new HashMap<>();
   private int nodes = 1;
   private long sequence;
   private Optional<QuotaAsk> open = Optional.empty();
@@ -90,59 +82,6 @@
   /** The end of a call's wait. */
   public record Outcome(RequestId call, Decision decision) {}
 
-  private record Waiting(RequestId call, long tokens, long until) {}
-
-  private static final class Account {
-    private final QuotaKey key;
-    private TokenLimit limit;
-    private double held;
-    private double refilledAt;
-    private long usedAt;
-    private long askedAt = Long.MIN_VALUE / 2;
-
-    /** When what waits will have refilled; it is not asked for before. */
-    private long askFrom = Long.MIN_VALUE;
-
-    private final List<Waiting> waiting = new ArrayList<>();
-
-    /** What a request wanted to reserve last, and when; of no use once that is too long ago. */
-    private long wanted;
-
-    private long wantedAt = Long.MIN_VALUE / 2;
-    private long left;
-    private long leftAt = Long.MIN_VALUE / 2;
-    private long waitNanos;
-
-    Account(QuotaKey key, double refilledAt) {
-      this.key = key;
-      this.refilledAt = refilledAt;
-    }
-
-    boolean isWanted(long at) {
-      return at - wantedAt <= WANTED_NANOS && held < wanted;
-    }
-
-    boolean isIdle(long at) {
-      return waiting.isEmpty() && at - usedAt > IDLE_NANOS;
-    }
-
-    /** Whether an ask is in haste: calls wait, or the next ones would find no tokens. */
-    boolean isUrgent(long at) {
-      return !waiting.isEmpty() || isWanted(at);
-    }
-
-    long needed(long at) {
-      long debt = (long) Math.ceil(Math.max(0, -held));
-      long reserved = isWanted(at) ? wanted : 0;
-      return debt + reserved + waiting.stream().mapToLong(Waiting::tokens).sum();
-    }
-
-    long least(long at) {
-      long least = waiting.stream().mapToLong(Waiting::tokens).min().orElse(0);
-      return isWanted(at) ? wanted : least;
-    }
-  }
-
   /**
    * Begins without tokens.
    *
@@ -186,7 +125,7 @@
    */
   public Decision take(
       long at, RequestId call, QuotaKey key, TokenLimit limit, long tokens, long longestNanos) {
-    Account a = account(at, key, limit);
+    QuotaAccount a = account(at, key, limit);
     a.usedAt = at;
     if (tokens > tolerance(a).saved(limit)) {
       return new Decision.Refused(0);
@@ -201,7 +140,7 @@
     if (sinceLeft < FRESH_NANOS && tokens > a.left && a.waitNanos - sinceLeft > longestNanos) {
       return new Decision.Refused(a.waitNanos - sinceLeft);
     }
-    a.waiting.add(new Waiting(call, tokens, at + longestNanos));
+    a.waiting.add(new QuotaAccount.Waiting(call, tokens, at + longestNanos));
     return new Decision.Waits();
   }
 
@@ -210,7 +149,7 @@
    * the request goes elsewhere or waits.
    */
   public boolean reserve(long at, QuotaKey key, TokenLimit limit, long tokens) {
-    Account a = account(at, key, limit);
+    QuotaAccount a = account(at, key, limit);
     a.usedAt = at;
     if (a.held >= tokens) {
       return true;
@@ -222,7 +161,7 @@
 
   /** Takes tokens that were found to be held by {@link #reserve}. */
   public void spend(QuotaKey key, long tokens) {
-    Account a = accounts.get(key);
+    QuotaAccount a = accounts.get(key);
     if (a != null) {
       a.held -= tokens;
     }
@@ -230,7 +169,7 @@
 
   /** When tokens will have refilled, by what the coordinator has said last; past if unknown. */
   public long refillsAt(QuotaKey key) {
-    Account a = accounts.get(key);
+    QuotaAccount a = accounts.get(key);
     return a == null ? Long.MIN_VALUE : a.askFrom;
   }
 
@@ -239,12 +178,12 @@
     accounts.remove(key);
   }
 
-  private static Decision grant(Account a, long tokens) {
+  private static Decision grant(QuotaAccount a, long tokens) {
     a.held -= tokens;
     return new Decision.Granted((long) a.held);
   }
 
-  private Decision decideAlone(Account a, long tokens) {
+  private Decision decideAlone(QuotaAccount a, long tokens) {
     double there = a.held + tolerance(a).overdraft(a.limit, nodes);
     double missing = tokens - there;
     // A call that is larger is admitted as seldom as makes the same on the whole.
@@ -261,8 +200,8 @@
    * empty if it waits no more.
    */
   public Optional<Decision> decideNow(long at, RequestId call, QuotaKey key) {
-    Account a = accounts.get(key);
-    Optional<Waiting> found =
+    QuotaAccount a = accounts.get(key);
+    Optional<QuotaAccount.Waiting> found =
         a == null
             ? Optional.empty()
             : a.waiting.stream().filter(w -> w.call().equals(call)).findFirst();
@@ -288,7 +227,7 @@
 
   /** A call that waits has ended. */
   public void abandon(RequestId call, QuotaKey key) {
-    Account a = accounts.get(key);
+    QuotaAccount a = accounts.get(key);
     if (a != null) {
       a.waiting.removeIf(w -> w.call().equals(call));
     }
@@ -296,14 +235,14 @@
 
   /** Takes back the tokens of a call that no upstream has run. */
   public void giveBack(QuotaKey key, long tokens) {
-    Account a = accounts.get(key);
+    QuotaAccount a = accounts.get(key);
     if (a != null) {
       a.held += tokens;
     }
   }
 
-  private Account account(long at, QuotaKey key, TokenLimit limit) {
-    Account a = accounts.computeIfAbsent(key, k -> new Account(k, ownSeconds));
+  private QuotaAccount account(long at, QuotaKey key, TokenLimit limit) {
+    QuotaAccount a = accounts.computeIfAbsent(key, k -> new QuotaAccount(k, ownSeconds));
     a.limit = limit;
     if (isReserved(a) && at - a.usedAt > RESERVED_NANOS) {
       a.held = Math.min(a.held, 0);
@@ -313,7 +252,7 @@
   }
 
   /** Turns this node's own time, once it is without coordinator, into tokens. */
-  private void refill(long at, Account a) {
+  private void refill(long at, QuotaAccount a) {
     spendOwnTime(at);
     double gained = whole(a, (ownSeconds - a.refilledAt) * a.limit.perSecond());
     a.refilledAt = ownSeconds;
@@ -328,7 +267,7 @@
    * What was gained, in whole units: the part of one becomes one by chance, so that the mean is
    * kept however many nodes there are. A share of more than a second is of no use any more.
    */
-  private double whole(Account a, double gained) {
+  private double whole(QuotaAccount a, double gained) {
     long unit = a.key.unit();
     if (unit == 1) {
       return gained;
@@ -338,11 +277,11 @@
     return unit * (Math.floor(units) + (random.nextDouble() < rest ? 1 : 0));
   }
 
-  private static boolean isReserved(Account a) {
+  private static boolean isReserved(QuotaAccount a) {
     return a.key instanceof QuotaKey.OfUpstream;
   }
 
-  private QuotaTolerance tolerance(Account a) {
+  private QuotaTolerance tolerance(QuotaAccount a) {
     return a.key.tolerance(tolerance);
   }
 
@@ -353,7 +292,7 @@
     }
   }
 
-  private long ahead(Account a) {
+  private long ahead(QuotaAccount a) {
     long ahead = tolerance(a).ahead(a.limit, nodes);
     return ahead - ahead % a.key.unit();
   }
@@ -387,9 +326,10 @@
 
   private ImmutableList<QuotaAsk.Want> wants(long at) {
     ImmutableList.Builder<QuotaAsk.Want> wants = ImmutableList.builder();
-    for (Iterator<Map.Entry<QuotaKey, Account>> i = accounts.entrySet().iterator(); i.hasNext(); ) {
-      Map.Entry<QuotaKey, Account> entry = i.next();
-      Account a = entry.getValue();
+    for (Iterator<Map.Entry<QuotaKey, QuotaAccount>> i = accounts.entrySet().iterator();
+        i.hasNext(); ) {
+      Map.Entry<QuotaKey, QuotaAccount> entry = i.next();
+      QuotaAccount a = entry.getValue();
       boolean idle = a.isIdle(at);
       if (idle && a.held == 0) {
         i.remove();
@@ -400,9 +340,10 @@
     return wants.build();
   }
 
-  private Optional<QuotaAsk.Want> want(long at, QuotaKey key, Account a, boolean idle) {
+  private Optional<QuotaAsk.Want> want(long at, QuotaKey key, QuotaAccount a, boolean idle) {
     long keep = idle ? 0 : ahead(a);
-    boolean inUse = !a.waiting.isEmpty() || (isReserved(a) && at - a.usedAt <= WANTED_NANOS);
+    boolean inUse =
+        !a.waiting.isEmpty() || (isReserved(a) && at - a.usedAt <= QuotaAccount.WANTED_NANOS);
     long returned = !inUse && a.held > keep ? (long) a.held - keep : 0;
     long needed = a.needed(at);
     if (at < a.askFrom) {
@@ -437,7 +378,7 @@
     grantedAt = at;
     ImmutableList.Builder<Outcome> outcomes = ImmutableList.builder();
     for (QuotaGrant.Share share : grant.shares()) {
-      Account a = accounts.get(share.key());
+      QuotaAccount a = accounts.get(share.key());
       if (a != null) {
         a.held += share.tokens();
         a.left = share.left();
@@ -455,9 +396,9 @@
   }
 
   /** Lets those go that have enough, and refuses those that can not wait for the refill. */
-  private static void settle(long at, Account a, ImmutableList.Builder<Outcome> outcomes) {
-    for (Iterator<Waiting> i = a.waiting.iterator(); i.hasNext(); ) {
-      Waiting w = i.next();
+  private static void settle(long at, QuotaAccount a, ImmutableList.Builder<Outcome> outcomes) {
+    for (Iterator<QuotaAccount.Waiting> i = a.waiting.iterator(); i.hasNext(); ) {
+      QuotaAccount.Waiting w = i.next();
       if (a.held >= w.tokens()) {
         outcomes.add(new Outcome(w.call(), grant(a, w.tokens())));
         i.remove();
@@ -482,7 +423,7 @@
 
   /** The tokens that are held of a quota; less than 0 for a debt. */
   public long held(QuotaKey key) {
-    Account a = accounts.get(key);
+    QuotaAccount a = accounts.get(key);
     return a == null ? 0 : (long) a.held;
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaLevels.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaLevels.java
@@ -16,4 +16,4 @@
  * @param left tokens by quota
  * @since 0.1
  */
-public record QuotaLevels(ImmutableMap<QuotaKey, Long> left) {}
+public record QuotaLevels(ImmutableMap<QuotaKey, Long> left) implements QuotaMessage {}
