--- a/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
+++ b/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
@@ -168,7 +168,7 @@
   }
 
   /** What relay nodes tell. */
-  private static class RelayFixture extends Fixture {
+  private abstract static class RelayFixture extends Fixture {
     private final Object status;
     private Undertow relay;
     String asked;
