Tell why an attempt was not sent, and what a probe of an upstream found

NOT_SENT stood for a connection that is refused, one that does not open in time, a full pool and a send that is no longer permitted, so that the log did not distinguish a node without a path to upstreams from a full pool. The causes CONNECT_REFUSED and CONNECT_TIMED_OUT now stand for the first two, and each probe has a line and a counter with its result. What follows from a failure is unchanged.

--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimEngine.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimEngine.java
@@ -89,7 +89,7 @@
   void submit(Job job) {
     if (down) {
       job.settle(PrefillUse.CANCELLED);
-      refuse(job, RefusalCause.NOT_SENT);
+      refuse(job, RefusalCause.CONNECT_REFUSED);
       return;
     }
     if (isUnresponsive) {
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -543,7 +543,7 @@
       if (down.contains(target)) {
         after(
             NANOS_PER_MILLI,
-            () -> submit(new RelayEvent.Refused(nowNanos, send.attempt(), RefusalCause.NOT_SENT)));
+            () -> submit(new RelayEvent.Refused(nowNanos, send.attempt(), RefusalCause.CONNECT_REFUSED)));
         return;
       }
       if (crashing.contains(send.call())) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -159,6 +159,12 @@
               millis(f.sinceSentNanos()),
               f.sinceFirstEventNanos() < 0 ? "none" : millis(f.sinceFirstEventNanos()),
               f.otherAttempts());
+      case RelayFact.Probed f ->
+          log.info(
+              "event=upstream_probed upstream={} start={} result={}",
+              f.upstream().name(),
+              f.upstream().incarnation(),
+              f.result());
       case RelayFact.UpstreamEnded f ->
           log.warn(
               "event=upstream_ended upstream={} start={} proof={} requests={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -99,6 +99,10 @@
                   "begun",
                   String.valueOf(f.sinceFirstEventNanos() >= 0))
               .increment();
+      case RelayFact.Probed f ->
+          registry
+              .counter("larkkeel.relay.upstream.probes", "result", label(f.result()))
+              .increment();
       case RelayFact.UpstreamEnded f ->
           registry.counter("larkkeel.relay.upstream.ends", "proof", f.proof()).increment();
       case RelayFact.Suspected f ->
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/UpstreamFaultsTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/UpstreamFaultsTest.java
@@ -199,10 +199,9 @@
       try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.ofLiteral("127.0.0.1"))) {
         unusedAddress = (InetSocketAddress) closed.getLocalSocketAddress();
       }
-      assertFailure(
-          send(unusedAddress, Methods.POST, LONG_TIMEOUT_NANOS),
-          FailureCause.CONNECT_FAILED,
-          Exposure.NOT_SENT);
+      CompletableFuture<Object> sent = send(unusedAddress, Methods.POST, LONG_TIMEOUT_NANOS);
+      assertFailure(sent, FailureCause.CONNECT_FAILED, Exposure.NOT_SENT);
+      assertEquals(((UpstreamFailure) get(sent)).connect(), ConnectFailure.REFUSED);
       assertEquals(client.openConnections(new UpstreamAddress(unusedAddress)), 0);
     }
 
@@ -439,10 +438,9 @@
           sent.add(send(server, Methods.POST, LONG_TIMEOUT_NANOS));
           server.next();
         }
-        assertFailure(
-            send(server, Methods.POST, SHORT_TIMEOUT_NANOS),
-            FailureCause.CONNECT_FAILED,
-            Exposure.NOT_SENT);
+        CompletableFuture<Object> waiting = send(server, Methods.POST, SHORT_TIMEOUT_NANOS);
+        assertFailure(waiting, FailureCause.CONNECT_FAILED, Exposure.NOT_SENT);
+        assertEquals(((UpstreamFailure) get(waiting)).connect(), ConnectFailure.NONE);
         allowedResponses.release(MAX_CONNECTIONS);
         for (CompletableFuture<Object> outcome : sent) {
           assertEquals(status(outcome), 200);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -304,11 +304,19 @@
     long at = loop.now();
     boolean declined = verdict == AnswerVerdict.NOT_RUN || verdict == AnswerVerdict.WRONG_UPSTREAM;
     if (failure.exposure() != Exposure.MAY_HAVE_RUN) {
-      loop.submit(new RelayEvent.Refused(at, id, RefusalCause.NOT_SENT));
+      loop.submit(new RelayEvent.Refused(at, id, notSentCause(failure)));
     } else if (declined) {
       loop.submit(new RelayEvent.Refused(at, id, RefusalCause.DECLINED));
     } else {
       loop.submit(new RelayEvent.Lost(at, id, failure.cause()));
     }
   }
+
+  private static RefusalCause notSentCause(UpstreamFailure failure) {
+    return switch (failure.connect()) {
+      case NONE -> RefusalCause.NOT_SENT;
+      case REFUSED -> RefusalCause.CONNECT_REFUSED;
+      case TIMED_OUT -> RefusalCause.CONNECT_TIMED_OUT;
+    };
+  }
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
@@ -54,15 +54,21 @@
 
   /**
    * A request that needs a connection. For each {@code acquire}, exactly one of {@link
-   * #onConnection} and {@link #onUnavailable} is called, once.
+   * #onConnection}, {@link #onUnavailable} and {@link #onConnectFailed} is called, once.
    */
   interface Waiter {
     /** Receives a connection, which must be released. */
     void onConnection(PooledConnection connection);
 
-    /** Is notified that no connection is available. */
+    /** Is notified that a connection is being opened for it. */
+    void onConnecting();
+
+    /** Is notified that the pool has no connection for it and opens none. */
     void onUnavailable(String detail);
 
+    /** Is notified that the connection could not be opened. */
+    void onConnectFailed(String detail);
+
     /** Returns whether the connection is no longer needed. */
     boolean isAbandoned();
 
@@ -169,6 +175,7 @@
   }
 
   private void connect(Waiter waiter) {
+    waiter.onConnecting();
     URI uri = URI.create("http://" + address.hostHeader());
     UndertowClient.getInstance()
         .connect(
@@ -181,7 +188,7 @@
               @Override
               public void failed(IOException e) {
                 onClosed();
-                waiter.onUnavailable(String.valueOf(e.getMessage()));
+                waiter.onConnectFailed(String.valueOf(e.getMessage()));
               }
             },
             uri,
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/Refusals.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/Refusals.java
@@ -9,7 +9,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
-import org.larkkeel.event.Exposure;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.http.HeaderNames;
 import org.larkkeel.http.Json;
@@ -33,8 +32,7 @@
     String detail = response.status() + " " + code;
     return switch (response.status()) {
       case StatusCodes.SERVICE_UNAVAILABLE -> unavailable(code, detail);
-      case StatusCodes.GONE ->
-          new UpstreamFailure(FailureCause.KV_EVICTED, Exposure.REFUSED, detail);
+      case StatusCodes.GONE -> UpstreamFailure.refused(FailureCause.KV_EVICTED, detail);
       default ->
           response.status() < FIRST_SERVER_ERROR
               ? UpstreamFailure.mayHaveRun(FailureCause.REJECTED, detail)
@@ -55,15 +53,15 @@
             && response.headers().get(HeaderNames.NOT_RUN).stream()
                 .anyMatch(TRUE::equalsIgnoreCase);
     return notRun
-        ? new UpstreamFailure(FailureCause.BUSY, Exposure.REFUSED, detail)
+        ? UpstreamFailure.refused(FailureCause.BUSY, detail)
         : UpstreamFailure.mayHaveRun(FailureCause.BAD_ANSWER, detail);
   }
 
   private static UpstreamFailure unavailable(String code, String detail) {
     return switch (code) {
-      case "no_slot" -> new UpstreamFailure(FailureCause.NO_SLOT, Exposure.REFUSED, detail);
-      case "busy" -> new UpstreamFailure(FailureCause.BUSY, Exposure.REFUSED, detail);
-      case "draining" -> new UpstreamFailure(FailureCause.DRAINING, Exposure.REFUSED, detail);
+      case "no_slot" -> UpstreamFailure.refused(FailureCause.NO_SLOT, detail);
+      case "busy" -> UpstreamFailure.refused(FailureCause.BUSY, detail);
+      case "draining" -> UpstreamFailure.refused(FailureCause.DRAINING, detail);
       default -> UpstreamFailure.mayHaveRun(FailureCause.BAD_ANSWER, detail);
     };
   }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -57,6 +57,7 @@
   private volatile PooledConnection assigned;
   private volatile XnioExecutor.Key timer;
   private volatile long lastActivity;
+  private volatile boolean connecting;
   private boolean requestWritten;
   private boolean reusesConnection;
   private boolean retried;
@@ -108,6 +109,16 @@
     return !retried;
   }
 
+  @Override
+  public void onConnecting() {
+    connecting = true;
+  }
+
+  @Override
+  public void onConnectFailed(String detail) {
+    endWithFailure(UpstreamFailure.notConnected(ConnectFailure.REFUSED, detail));
+  }
+
   @Override
   public void onUnavailable(String detail) {
     endWithFailure(UpstreamFailure.notSent(FailureCause.CONNECT_FAILED, detail));
@@ -115,6 +126,7 @@
 
   @Override
   public void onConnection(PooledConnection connection) {
+    connecting = false;
     connection.connection().getIoThread().execute(() -> send(connection));
   }
 
@@ -281,7 +293,10 @@
       current.connection().getIoThread().execute(() -> fail(cause, detail));
     } else if (endedHere) {
       stopTimer();
-      handler.onFailure(UpstreamFailure.notSent(FailureCause.CONNECT_FAILED, detail));
+      handler.onFailure(
+          connecting
+              ? UpstreamFailure.notConnected(ConnectFailure.TIMED_OUT, detail)
+              : UpstreamFailure.notSent(FailureCause.CONNECT_FAILED, detail));
     }
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamFailure.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamFailure.java
@@ -16,10 +16,12 @@
  *
  * @param cause the cause of the failure
  * @param exposure whether the request was sent and may have run
+ * @param connect whether the request failed because no connection could be opened
  * @param detail a short description for the log
  * @since 0.1
  */
-public record UpstreamFailure(FailureCause cause, Exposure exposure, String detail) {
+public record UpstreamFailure(
+    FailureCause cause, Exposure exposure, ConnectFailure connect, String detail) {
   /**
    * Creates a failure after which the request may have run.
    *
@@ -28,7 +30,7 @@
    * @return the failure
    */
   public static UpstreamFailure mayHaveRun(FailureCause cause, String detail) {
-    return new UpstreamFailure(cause, Exposure.MAY_HAVE_RUN, detail);
+    return new UpstreamFailure(cause, Exposure.MAY_HAVE_RUN, ConnectFailure.NONE, detail);
   }
 
   /**
@@ -39,6 +41,28 @@
    * @return the failure
    */
   public static UpstreamFailure notSent(FailureCause cause, String detail) {
-    return new UpstreamFailure(cause, Exposure.NOT_SENT, detail);
+    return new UpstreamFailure(cause, Exposure.NOT_SENT, ConnectFailure.NONE, detail);
+  }
+
+  /**
+   * Creates a failure to open a connection, before any byte was sent.
+   *
+   * @param connect how opening the connection failed
+   * @param detail a short description for the log
+   * @return the failure
+   */
+  public static UpstreamFailure notConnected(ConnectFailure connect, String detail) {
+    return new UpstreamFailure(FailureCause.CONNECT_FAILED, Exposure.NOT_SENT, connect, detail);
+  }
+
+  /**
+   * Creates a failure of a request that the upstream refused to run.
+   *
+   * @param cause the cause of the refusal
+   * @param detail a short description for the log
+   * @return the failure
+   */
+  public static UpstreamFailure refused(FailureCause cause, String detail) {
+    return new UpstreamFailure(cause, Exposure.REFUSED, ConnectFailure.NONE, detail);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RefusalCause.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RefusalCause.java
@@ -12,9 +12,15 @@
  * @since 0.1
  */
 public enum RefusalCause {
-  /** No byte of the request reached the upstream. */
+  /** The request was not sent, though not for want of a connection that can be opened. */
   NOT_SENT,
 
+  /** No connection could be opened: it was refused, or the upstream could not be reached. */
+  CONNECT_REFUSED,
+
+  /** No connection was opened in time: nothing answered. */
+  CONNECT_TIMED_OUT,
+
   /** The upstream answered that it did not run the request. */
   DECLINED,
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -243,6 +243,9 @@
       int otherAttempts)
       implements RelayFact {}
 
+  /** An upstream was probed for whether its process listens. */
+  record Probed(UpstreamIncarnation upstream, ProbeResult result) implements RelayFact {}
+
   /**
    * An upstream is proven to have crashed while it had requests of this node.
    *
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -349,6 +349,7 @@
 
   /** Handles the result of a probe of an upstream. */
   public void probed(long at, UpstreamIncarnation incarnation, ProbeResult result) {
+    core.report(new RelayFact.Probed(incarnation, result));
     core.crashGuard.probed(at, incarnation, result);
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -185,7 +185,7 @@
     core.attempts.reportFailed(a, cause.name(), false);
     boolean continues =
         switch (cause) {
-          case NOT_SENT -> notSent(at, a);
+          case NOT_SENT, CONNECT_REFUSED, CONNECT_TIMED_OUT -> notSent(at, a, cause);
           case WRONG_UPSTREAM -> replaced(at, a);
           case DECLINED -> declined(at, a);
         };
@@ -202,12 +202,12 @@
   }
 
   /** Undoes the counts of an attempt that reached no upstream; the call is sent to another one. */
-  private boolean notSent(long at, AttemptState a) {
+  private boolean notSent(long at, AttemptState a, RefusalCause cause) {
     a.call().arrivalCount--;
     if (a.retry()) {
       core.retryBudget.release(a.sentAt(), a.call().service);
     }
-    recordHardFailure(at, a, RefusalCause.NOT_SENT.name(), true);
+    recordHardFailure(at, a, cause.name(), true);
     return false;
   }
 
