--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -242,6 +242,11 @@
     return apps.get(new UpstreamName("app-" + index));
   }
 
+  /** Cuts the paths of some nodes to all upstreams for a time; nodes reach each other. */
+  void loseUpstreams(List<Node> selected, SimPaths.Cut cut, long millis) {
+    selected.forEach(n -> n.paths.lose(cut, millis));
+  }
+
   /** Partitions some nodes from all others for a time. */
   void partition(List<Node> selected, long millis) {
     selected.forEach(n -> n.partitionedUntilNanos = nowNanos + millis * NANOS_PER_MILLI);
@@ -283,6 +288,11 @@
     advance(millis);
   }
 
+  /** Returns a random live node. */
+  Node anyNode() {
+    return randomNode();
+  }
+
   private Node randomNode() {
     List<Node> live = nodes.stream().filter(n -> n.up && !n.leaving && !n.isSuspended()).toList();
     return live.get(random.nextInt(live.size()));
@@ -310,6 +320,11 @@
     private final Map<RequestId, Long> arrivalNanos = new HashMap<>();
     private final Set<RequestId> crashing = new HashSet<>();
     private long lastCall;
+
+    /** The first tries of calls at this node and their outcomes. */
+    final SimTries tries = new SimTries();
+
+    final SimPaths paths = new SimPaths(SimCluster.this, this);
     private boolean applying;
     private final List<RelayEvent> pendingEvents = new ArrayList<>();
     boolean up = true;
@@ -397,6 +412,11 @@
       sharing.leave();
     }
 
+    /** Closes this node's connections to all upstreams, so that its attempts are lost. */
+    void closeConnections() {
+      ImmutableSet.copyOf(runs.values()).forEach(this::closeConnections);
+    }
+
     /** Closes this node's connections to an engine, so that its attempts there are lost. */
     private void closeConnections(UpstreamName engine) {
       for (AttemptId attempt : List.copyOf(runs.keySet())) {
@@ -422,6 +442,11 @@
       call("/app/a", 3_000, CallSize.NONE, address + "-" + lastCall);
     }
 
+    /** Submits a call of the plain service whose request is the same each time. */
+    void submitRepeatedCall() {
+      call("/app/a", 3_000, CallSize.NONE, "repeated");
+    }
+
     void submitCrashingCall(String body) {
       crashing.add(new RequestId(lastCall + 1));
       call("/model/a", 14_000, new CallSize(PROMPT_TOKENS, 100, 70), body);
@@ -437,6 +462,7 @@
       RequestIdentity identity =
           new RequestIdentity("POST", "a.example", path, "", body.getBytes(US_ASCII));
       arrivalNanos.put(id, nowNanos);
+      tries.arrived(id, nowNanos);
       submit(
           new RelayEvent.Arrived(
               nowNanos,
@@ -512,6 +538,7 @@
       switch (effect) {
         case RelayEffect.Send s -> handleSend(s);
         case RelayEffect.Refuse r -> refuse(r);
+        case RelayEffect.Deliver d -> tries.served(d.call());
         case RelayEffect.Cancel c -> {
           cancelled++;
           dropRun(c.attempt());
@@ -524,6 +551,9 @@
     }
 
     private void probe(RelayUpstream upstream) {
+      if (paths.probe(upstream)) {
+        return;
+      }
       ProbeResult result =
           down.contains(upstream.name()) ? ProbeResult.REFUSES : ProbeResult.LISTENS;
       after(
@@ -540,10 +570,16 @@
 
     private void handleSend(RelayEffect.Send send) {
       UpstreamName target = send.upstream().name();
+      if (paths.send(send)) {
+        return;
+      }
       if (down.contains(target)) {
         after(
             NANOS_PER_MILLI,
-            () -> submit(new RelayEvent.Refused(nowNanos, send.attempt(), RefusalCause.CONNECT_REFUSED)));
+            () ->
+                submit(
+                    new RelayEvent.Refused(
+                        nowNanos, send.attempt(), RefusalCause.CONNECT_REFUSED)));
         return;
       }
       if (crashing.contains(send.call())) {
