--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -376,7 +376,7 @@
           endCall(e.call(), c -> c.receiveRefusal(e.kind(), e.retryAfterMillis()));
       case RelayEffect.Cut e -> endCall(e.call(), Caller::onStreamCut);
       case RelayEffect.ReservationAnswer e -> sharing.answer(e);
-      case RelayEffect.Probe e -> probe(e.upstream());
+      case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspect e -> sharing.reportSuspect(e);
       case RelayEffect.Report e -> {
         if (e.fact() instanceof RelayFact.PromptWasted w) {
@@ -409,12 +409,15 @@
         });
   }
 
-  private void probe(RelayUpstream upstream) {
+  private void probe(RelayEffect.Probe e) {
     afterDelay(
         () ->
             submit(
                 new RelayEvent.Probed(
-                    now(), upstream.incarnation(), model.probe(upstream.name()))));
+                    now(),
+                    e.upstream().incarnation(),
+                    e.path(),
+                    model.probe(e.upstream().name()))));
   }
 
   private void cancel(AttemptId attempt) {
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LostPathsClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LostPathsClusterTest.java
@@ -108,6 +108,10 @@
     public void quarantinesNoRequestThatWasLostWithItsConnection() {
       SimCluster cluster = startedCluster(7);
       cluster.loseUpstreams(cluster.nodes.subList(0, 5), SimPaths.Cut.RESETS, CUT_MILLIS);
+      // Lost with pooled connections, before any node knows of the cut.
+      for (int i = 0; i < 3; i++) {
+        cluster.nodes.subList(0, 5).forEach(SimCluster.Node::submitRepeatedCall);
+      }
       for (int i = 0; i < 90; i++) {
         cluster.after(i * 100L, () -> cluster.anyNode().submitRepeatedCall());
       }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -544,21 +544,23 @@
           dropRun(c.attempt());
         }
         case RelayEffect.ReservationAnswer a -> sharing.answer(a);
-        case RelayEffect.Probe p -> probe(p.upstream());
+        case RelayEffect.Probe p -> probe(p);
         case RelayEffect.ReportSuspect t -> sharing.reportSuspect(t);
         default -> {}
       }
     }
 
-    private void probe(RelayUpstream upstream) {
-      if (paths.probe(upstream)) {
+    private void probe(RelayEffect.Probe probe) {
+      if (paths.probe(probe)) {
         return;
       }
       ProbeResult result =
-          down.contains(upstream.name()) ? ProbeResult.REFUSES : ProbeResult.LISTENS;
-      after(
-          NANOS_PER_MILLI,
-          () -> submit(new RelayEvent.Probed(nowNanos, upstream.incarnation(), result)));
+          down.contains(probe.upstream().name()) ? ProbeResult.REFUSES : ProbeResult.LISTENS;
+      after(NANOS_PER_MILLI, () -> probed(probe, result));
+    }
+
+    void probed(RelayEffect.Probe probe, ProbeResult result) {
+      submit(new RelayEvent.Probed(nowNanos, probe.upstream().incarnation(), probe.path(), result));
     }
 
     private void refuse(RelayEffect.Refuse refusal) {
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimPaths.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimPaths.java
@@ -14,7 +14,7 @@
 import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
-import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.UpstreamPath;
 
 /** The paths of a simulated node to the upstreams, which can be cut. */
 final class SimPaths {
@@ -63,7 +63,11 @@
 
   /** Handles an attempt if the path is cut; returns whether it did. */
   boolean send(RelayEffect.Send send) {
-    if (!isLost()) {
+    if (send.path() == UpstreamPath.TUNNEL && !canTunnel()) {
+      refuse(send, RefusalCause.CONNECT_TIMED_OUT, ROUND_TRIP_MILLIS);
+      return true;
+    }
+    if (send.path() == UpstreamPath.TUNNEL || !isLost()) {
       return false;
     }
     boolean isPooled = idle.merge(send.upstream().name(), 1, Integer::sum) <= IDLE_CONNECTIONS;
@@ -82,23 +86,34 @@
     }
     boolean hangs = cut == Cut.DROPS;
     RefusalCause cause = hangs ? RefusalCause.CONNECT_TIMED_OUT : RefusalCause.CONNECT_REFUSED;
+    refuse(send, cause, hangs ? CONNECT_TIMEOUT_MILLIS : ROUND_TRIP_MILLIS);
+    return true;
+  }
+
+  private void refuse(RelayEffect.Send send, RefusalCause cause, long afterMillis) {
     cluster.after(
-        hangs ? CONNECT_TIMEOUT_MILLIS : ROUND_TRIP_MILLIS,
+        afterMillis,
         () -> node.submit(new RelayEvent.Refused(cluster.nowNanos(), send.attempt(), cause)));
-    return true;
   }
 
-  /** Handles a probe if the path is cut; returns whether it did. */
-  boolean probe(RelayUpstream upstream) {
-    if (!isLost()) {
+  /** Handles a probe if its path is cut; returns whether it did. */
+  boolean probe(RelayEffect.Probe probe) {
+    if (probe.path() == UpstreamPath.TUNNEL && !canTunnel()) {
+      cluster.after(ROUND_TRIP_MILLIS, () -> node.probed(probe, ProbeResult.SILENT));
+      return true;
+    }
+    if (probe.path() == UpstreamPath.TUNNEL || !isLost()) {
       return false;
     }
     boolean hangs = cut == Cut.DROPS;
     ProbeResult result = hangs ? ProbeResult.SILENT : ProbeResult.REFUSES;
     cluster.after(
-        hangs ? PROBE_TIMEOUT_MILLIS : ROUND_TRIP_MILLIS,
-        () ->
-            node.submit(new RelayEvent.Probed(cluster.nowNanos(), upstream.incarnation(), result)));
+        hangs ? PROBE_TIMEOUT_MILLIS : ROUND_TRIP_MILLIS, () -> node.probed(probe, result));
     return true;
   }
+
+  /** Returns whether another node reaches the upstreams. */
+  private boolean canTunnel() {
+    return cluster.nodes.stream().anyMatch(n -> n != node && n.up && !n.paths.isLost());
+  }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -39,8 +39,8 @@
 /**
  * Sends and receives the datagrams of {@link LoadSharing}.
  *
- * <p>{@link #addPeer}, {@link #addRegistered}, {@link #leave}, {@link #livePeers} and {@link #rank}
- * are thread-safe; all else is used on the I/O thread only.
+ * <p>{@link #addPeer}, {@link #addRegistered}, {@link #leave}, {@link #livePeers}, {@link
+ * #tunnelPeers} and {@link #rank} are thread-safe; all else is used on the I/O thread only.
  */
 final class LoadExchange implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(LoadExchange.class);
@@ -57,6 +57,7 @@
   private long suspendedNanos;
   private volatile int rank;
   private volatile List<InetSocketAddress> livePeers = List.of();
+  private volatile List<InetSocketAddress> tunnelPeers = List.of();
 
   /** Connects {@link LoadSharing} to the socket and the event loop. */
   private final class NodeEnvironment implements LoadSharing.Environment {
@@ -141,6 +142,11 @@
     return livePeers;
   }
 
+  /** Returns the addresses of the peers that may offer tunnels; thread-safe. */
+  List<InetSocketAddress> tunnelPeers() {
+    return tunnelPeers;
+  }
+
   /** Returns the number of live peers whose names sort before that of this node. */
   int rank() {
     return rank;
@@ -187,6 +193,7 @@
     }
     sharing.periodic();
     livePeers = sharing.livePeers();
+    tunnelPeers = sharing.tunnelPeers();
     rank = sharing.rank();
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -228,6 +228,11 @@
     return peers.liveAddresses();
   }
 
+  /** Returns the addresses of the peers that may offer tunnels. */
+  ImmutableList<InetSocketAddress> tunnelPeers() {
+    return peers.tunnelPeers();
+  }
+
   /** Returns the number of live peers whose names sort before that of this node. */
   int rank() {
     return peers.rank();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.larkkeel.http.HttpWorker;
+import org.larkkeel.http.tunnel.TunnelHandler;
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.StoreVersion;
@@ -29,8 +30,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Serves this node's copy of the store to its peers, and reads copies from them while this node's
- * calls to the store fail.
+ * Serves this node's copy of the store and tunnels to upstreams to its peers, and reads copies from
+ * them while this node's calls to the store fail.
  *
  * <p>Peers are queried one after the other, and only for newer versions. Runs on the scheduler.
  */
@@ -46,6 +47,7 @@
   private final HttpWorker worker;
   private final Scheduler scheduler;
   private final Supplier<List<InetSocketAddress>> peers;
+  private final TunnelHandler tunnels;
   private final Undertow server;
   private int nextPeer;
   private boolean closed;
@@ -55,11 +57,13 @@
       RelayFeed feed,
       HttpWorker worker,
       Scheduler scheduler,
-      Supplier<List<InetSocketAddress>> peers) {
+      Supplier<List<InetSocketAddress>> peers,
+      TunnelHandler tunnels) {
     this.feed = feed;
     this.worker = worker;
     this.scheduler = scheduler;
     this.peers = peers;
+    this.tunnels = tunnels;
     this.server =
         Undertow.builder()
             .setWorker(worker.worker())
@@ -74,6 +78,10 @@
   }
 
   private void handle(HttpServerExchange exchange) {
+    if (exchange.getRequestMethod().equals(Methods.CONNECT)) {
+      tunnels.handleRequest(exchange);
+      return;
+    }
     if (!exchange.getRequestPath().equals(PATH)) {
       exchange.setStatusCode(StatusCodes.NOT_FOUND);
       exchange.endExchange();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
@@ -262,6 +262,17 @@
     return liveAddresses.get();
   }
 
+  /** Returns the addresses of the live peers that have reported and are not stopping. */
+  ImmutableList<InetSocketAddress> tunnelPeers() {
+    ImmutableList.Builder<InetSocketAddress> offering = ImmutableList.builder();
+    for (Peer p : peers.values()) {
+      if (!p.unresponsive && p.reported && p.state != NodeState.LEAVING) {
+        offering.add(p.address);
+      }
+    }
+    return offering.build();
+  }
+
   /** Returns the number of live peers whose names sort before that of this node. */
   int rank() {
     int rank = 0;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -128,12 +128,13 @@
               f.change().name().toLowerCase(Locale.ROOT));
       case RelayFact.Placed f ->
           log.info(
-              "event=placed call={} attempt={} purpose={} upstream={} cost={} runner_up={}"
+              "event=placed call={} attempt={} purpose={} upstream={} path={} cost={} runner_up={}"
                   + " runner_up_cost={} send={} candidates={}",
               id(f.call()),
               f.attempt(),
               f.purpose(),
               f.upstream(),
+              f.path(),
               round(f.cost()),
               f.runnerUp(),
               round(f.runnerUpCost()),
@@ -161,10 +162,18 @@
               f.otherAttempts());
       case RelayFact.Probed f ->
           log.info(
-              "event=upstream_probed upstream={} start={} result={}",
+              "event=upstream_probed upstream={} start={} path={} result={}",
               f.upstream().name(),
               f.upstream().incarnation(),
+              f.path(),
               f.result());
+      case RelayFact.PathChanged f ->
+          log.warn(
+              "event=path_changed upstream={} service={} change={} cause={}",
+              f.upstream(),
+              f.service(),
+              f.change().name().toLowerCase(Locale.ROOT),
+              f.cause());
       case RelayFact.UpstreamEnded f ->
           log.warn(
               "event=upstream_ended upstream={} start={} proof={} requests={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -101,7 +101,16 @@
               .increment();
       case RelayFact.Probed f ->
           registry
-              .counter("larkkeel.relay.upstream.probes", "result", label(f.result()))
+              .counter(
+                  "larkkeel.relay.upstream.probes",
+                  "path",
+                  label(f.path()),
+                  "result",
+                  label(f.result()))
+              .increment();
+      case RelayFact.PathChanged f ->
+          registry
+              .counter("larkkeel.relay.paths", "service", f.service(), "change", label(f.change()))
               .increment();
       case RelayFact.UpstreamEnded f ->
           registry.counter("larkkeel.relay.upstream.ends", "proof", f.proof()).increment();
@@ -141,7 +150,9 @@
                   f.change().name().toLowerCase(Locale.ROOT))
               .increment();
       case RelayFact.Placed f ->
-          registry.counter("larkkeel.relay.attempts", "purpose", f.purpose()).increment();
+          registry
+              .counter("larkkeel.relay.attempts", "purpose", f.purpose(), "path", label(f.path()))
+              .increment();
       case RelayFact.PromptRead f ->
           latency("larkkeel.relay.prompt", "all").record(f.nanos(), TimeUnit.NANOSECONDS);
       case RelayFact.RunMoved f ->
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -22,6 +22,8 @@
 import org.larkkeel.http.relay.RelayExecutor;
 import org.larkkeel.http.relay.RelayListener;
 import org.larkkeel.http.relay.RelayLoop;
+import org.larkkeel.http.tunnel.PeerTunnelOpener;
+import org.larkkeel.http.tunnel.TunnelHandler;
 import org.larkkeel.http.upstream.UpstreamClient;
 import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.lib.Closer;
@@ -76,6 +78,7 @@
   private final RelayExecutor executor;
   private final XnioIoThread thread;
   private final NodeRegistry registry;
+  private final TunnelHandler tunnels;
   private final StatusListener status;
   private volatile boolean ready;
   private volatile int inProgress;
@@ -151,8 +154,19 @@
     loadExchange.storeVersions(feed::newestVersions, feed::onPeerVersions);
     closer.add(loop);
     scheduler.execute(feed::start);
+    client.setTunnelOpener(
+        new PeerTunnelOpener(
+            worker,
+            loadExchange::tunnelPeers,
+            BootClock.SYSTEM::nanoTime,
+            settings.host().hashCode()));
+    this.tunnels =
+        closer.add(
+            new TunnelHandler(worker, new RouterTunnelGate(router, loadExchange::livePeers)));
     PeerFeed peerFeed =
-        closer.add(new PeerFeed(settings.peer(), feed, worker, scheduler, loadExchange::livePeers));
+        closer.add(
+            new PeerFeed(
+                settings.peer(), feed, worker, scheduler, loadExchange::livePeers, tunnels));
     scheduler.execute(peerFeed::start);
     settings.seeds().stream()
         .map(seed -> new InetSocketAddress(seed.getAddress(), settings.peer().getPort()))
@@ -296,11 +310,13 @@
   }
 
   /**
-   * Refuses new calls. The calls in progress are checked only after a delay, when the I/O thread
-   * has counted those accepted before; otherwise the process could exit with a call just accepted.
+   * Refuses new calls and tunnels. The calls in progress are checked only after a delay, when the
+   * I/O thread has counted those accepted before; otherwise the process could exit with a call just
+   * accepted.
    */
   private void refuseNewCalls(long beginNanos) {
     listener.refuseNew();
+    tunnels.refuseNew();
     loop.submit(new RelayEvent.Ticked(loop.now()));
     scheduler.schedule(DRAIN_CHECK_PERIOD.multipliedBy(2), () -> checkDrained(beginNanos));
   }
@@ -308,8 +324,9 @@
   private void checkDrained(long beginNanos) {
     long leftNanos =
         settings.graceTime().minus(EXIT_MARGIN).toNanos() - (scheduler.nanoTime() - beginNanos);
-    if (inProgress == 0 || leftNanos <= 0) {
-      log.info("event=drain_done in_progress={}", inProgress);
+    int openTunnels = tunnels.activeTunnels();
+    if ((inProgress == 0 && openTunnels == 0) || leftNanos <= 0) {
+      log.info("event=drain_done in_progress={} tunnels={}", inProgress, openTunnels);
       thread.execute(this::abandonRemaining);
     } else {
       scheduler.schedule(DRAIN_CHECK_PERIOD, () -> checkDrained(beginNanos));
--- /dev/null
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -0,0 +1,329 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.tunnel;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import io.undertow.Undertow;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.larkkeel.event.FailureCause;
+import org.larkkeel.http.HttpWorker;
+import org.larkkeel.http.ScriptedServer;
+import org.larkkeel.http.upstream.ConnectFailure;
+import org.larkkeel.http.upstream.ConnectionUse;
+import org.larkkeel.http.upstream.Destination;
+import org.larkkeel.http.upstream.InFlightRequest;
+import org.larkkeel.http.upstream.ResponseCollector;
+import org.larkkeel.http.upstream.ResponseTimeout;
+import org.larkkeel.http.upstream.UpstreamAddress;
+import org.larkkeel.http.upstream.UpstreamClient;
+import org.larkkeel.http.upstream.UpstreamClientSettings;
+import org.larkkeel.http.upstream.UpstreamFailure;
+import org.larkkeel.http.upstream.UpstreamRequest;
+import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.ProbeResult;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of tunnels between two nodes, over sockets. */
+public class TunnelTest {
+  private static final long TIMEOUT_SECONDS = 10;
+  private static final UpstreamName NAME = new UpstreamName("engine-1");
+
+  /** The address by which the asking node knows the upstream, where nothing listens. */
+  private static final UpstreamAddress UNREACHABLE = UpstreamAddress.parse("127.0.0.9:9");
+
+  /** A node that offers tunnels, and a client that asks for them. */
+  public abstract static class Fixture {
+    final List<Undertow> servers = new ArrayList<>();
+    final List<InetSocketAddress> peers = new ArrayList<>();
+    final List<TunnelHandler> handlers = new ArrayList<>();
+    HttpWorker worker;
+    HttpWorker peerWorker;
+    UpstreamClient client;
+    boolean isPeer;
+    UpstreamAddress target;
+    ImmutableList<UpstreamAddress> siblings;
+
+    /** Starts the client. */
+    @BeforeMethod
+    public void start() {
+      isPeer = true;
+      target = UNREACHABLE;
+      siblings = ImmutableList.of();
+      worker = new HttpWorker(1);
+      peerWorker = new HttpWorker(1);
+      client = new UpstreamClient(worker, UpstreamClientSettings.DEFAULT, System::nanoTime);
+      client.setTunnelOpener(new PeerTunnelOpener(worker, () -> peers, System::nanoTime, 1));
+    }
+
+    /** Stops the client and the peers. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+      client.close();
+      servers.forEach(Undertow::stop);
+      handlers.forEach(TunnelHandler::close);
+      servers.clear();
+      handlers.clear();
+      peers.clear();
+      worker.close();
+      peerWorker.close();
+    }
+
+    /** Starts a peer. */
+    TunnelHandler startPeer() {
+      TunnelHandler handler = new TunnelHandler(peerWorker, new Gate());
+      Undertow server =
+          Undertow.builder()
+              .setWorker(peerWorker.worker())
+              .setByteBufferPool(peerWorker.buffers())
+              .addHttpListener(0, "127.0.0.1", handler)
+              .build();
+      server.start();
+      servers.add(server);
+      handlers.add(handler);
+      peers.add((InetSocketAddress) server.getListenerInfo().getFirst().getAddress());
+      return handler;
+    }
+
+    /** Adds a peer that refuses connections. */
+    void addDeadPeer() throws IOException {
+      try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.ofLiteral("127.0.0.1"))) {
+        peers.add((InetSocketAddress) closed.getLocalSocketAddress());
+      }
+    }
+
+    private final class Gate implements TunnelGate {
+      @Override
+      public boolean isPeer(InetAddress host) {
+        return isPeer;
+      }
+
+      @Override
+      public Optional<UpstreamAddress> address(UpstreamName upstream) {
+        return Optional.of(target).filter(t -> upstream.equals(NAME));
+      }
+
+      @Override
+      public ImmutableList<UpstreamAddress> siblings(UpstreamName upstream) {
+        return siblings;
+      }
+    }
+
+    InFlightRequest send(byte[] body, CompletableFuture<Object> outcome) {
+      return client.send(
+          new Destination.Tunnel(UNREACHABLE, NAME),
+          new UpstreamRequest(Methods.POST, "/x", ImmutableListMultimap.of(), body),
+          ResponseTimeout.total(TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)),
+          ConnectionUse.REQUEST,
+          new ResponseCollector(1 << 24, outcome::complete, outcome::complete));
+    }
+
+    Object exchange(byte[] body) throws Exception {
+      CompletableFuture<Object> outcome = new CompletableFuture<>();
+      send(body, outcome);
+      return outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    static String body(Object outcome) {
+      assertTrue(outcome instanceof ResponseCollector.Response, String.valueOf(outcome));
+      return new String(((ResponseCollector.Response) outcome).body());
+    }
+
+    static UpstreamFailure failure(Object outcome) {
+      assertTrue(outcome instanceof UpstreamFailure, String.valueOf(outcome));
+      return (UpstreamFailure) outcome;
+    }
+
+    ProbeResult probe() throws Exception {
+      CompletableFuture<ProbeResult> result = new CompletableFuture<>();
+      client.probe(
+          new Destination.Tunnel(UNREACHABLE, NAME), Duration.ofSeconds(2), result::complete);
+      return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+      long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+      while (!condition.getAsBoolean()) {
+        assertTrue(System.nanoTime() < end, "the condition was not met in time");
+        Thread.sleep(5);
+      }
+    }
+  }
+
+  /** Requests through tunnels. */
+  public static class Requests extends Fixture {
+    @Test
+    public void reachUpstreamAndReuseTunnel() throws Exception {
+      startPeer();
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.answer(200, "ok " + q.body()))) {
+        target = new UpstreamAddress(server.address());
+        assertEquals(body(exchange("a".getBytes())), "ok a");
+        assertEquals(body(exchange("b".getBytes())), "ok b");
+        ScriptedServer.Request first = server.next();
+        assertEquals(first.target(), "/x");
+        assertEquals(server.next().body(), "b");
+      }
+    }
+
+    @Test
+    public void carryLargeBodiesBothWays() throws Exception {
+      startPeer();
+      byte[] large = "x".repeat(3 << 20).getBytes();
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.answer(200, q.body()))) {
+        target = new UpstreamAddress(server.address());
+        assertEquals(body(exchange(large)).length(), large.length);
+      }
+    }
+
+    /** An answer that breaks off must not look complete behind a tunnel. */
+    @Test
+    public void failWhenUpstreamResetsItsAnswer() throws Exception {
+      startPeer();
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (q, a) -> {
+                a.raw("HTTP/1.1 200 X\r\n\r\npart");
+                Thread.sleep(50);
+                a.socket().setSoLinger(true, 0);
+                a.socket().close();
+              })) {
+        target = new UpstreamAddress(server.address());
+        UpstreamFailure failure = failure(exchange(new byte[0]));
+        assertEquals(failure.cause(), FailureCause.CONNECTION_LOST, failure.detail());
+      }
+    }
+
+    /** An upstream must learn of a cancelled request through the tunnel. */
+    @Test
+    public void resetUpstreamWhenTheyAreAborted() throws Exception {
+      startPeer();
+      CountDownLatch ended = new CountDownLatch(1);
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (q, a) -> {
+                try {
+                  while (a.socket().getInputStream().read() >= 0) {
+                    // The client sends nothing more.
+                  }
+                } catch (IOException e) {
+                  // The connection was reset.
+                }
+                ended.countDown();
+              })) {
+        target = new UpstreamAddress(server.address());
+        CompletableFuture<Object> outcome = new CompletableFuture<>();
+        InFlightRequest sent = send(new byte[1], outcome);
+        server.next();
+        sent.abort();
+        assertTrue(ended.await(500, TimeUnit.MILLISECONDS), "the upstream learns of the abort");
+      }
+    }
+
+    @Test
+    public void useAnotherPeerIfOneIsDead() throws Exception {
+      addDeadPeer();
+      addDeadPeer();
+      startPeer();
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.answer(200, "ok"))) {
+        target = new UpstreamAddress(server.address());
+        assertEquals(body(exchange(new byte[0])), "ok");
+      }
+    }
+  }
+
+  /** Requests for which no tunnel opens. */
+  public static class Failures extends Fixture {
+    /** A node that has lost its own paths must not report that an upstream has ended. */
+    @Test
+    public void areNoProofIfPeerReachesNoOtherUpstream() throws Exception {
+      startPeer();
+      UpstreamFailure failure = failure(exchange(new byte[0]));
+      assertEquals(failure.connect(), ConnectFailure.TIMED_OUT, failure.detail());
+      assertEquals(probe(), ProbeResult.SILENT);
+    }
+
+    @Test
+    public void areProofIfPeerReachesAnotherUpstream() throws Exception {
+      startPeer();
+      try (ScriptedServer sibling = new ScriptedServer((q, a) -> a.answer(200, "ok"))) {
+        siblings = ImmutableList.of(new UpstreamAddress(sibling.address()));
+        assertEquals(probe(), ProbeResult.REFUSES);
+        assertEquals(failure(exchange(new byte[0])).connect(), ConnectFailure.REFUSED);
+      }
+    }
+
+    @Test
+    public void areNotSentWithoutPeers() throws Exception {
+      UpstreamFailure failure = failure(exchange(new byte[0]));
+      assertEquals(failure.connect(), ConnectFailure.TIMED_OUT, failure.detail());
+    }
+
+    /** Hosts that are no nodes of the cluster must not reach upstreams through a node. */
+    @Test
+    public void followFromForeignHost() throws Exception {
+      startPeer();
+      isPeer = false;
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.answer(200, "ok"))) {
+        target = new UpstreamAddress(server.address());
+        assertEquals(probe(), ProbeResult.SILENT);
+        assertEquals(server.pendingRequests(), 0);
+      }
+    }
+
+    @Test
+    public void followFromStoppingPeer() throws Exception {
+      TunnelHandler handler = startPeer();
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.answer(200, "ok"))) {
+        target = new UpstreamAddress(server.address());
+        handler.refuseNew();
+        assertEquals(probe(), ProbeResult.SILENT);
+      }
+    }
+  }
+
+  /** What a stopping node waits for. */
+  public static class Activity extends Fixture {
+    @Test
+    public void lastsUntilAnswerHasPassed() throws Exception {
+      TunnelHandler handler = startPeer();
+      Semaphore allowed = new Semaphore(0);
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (q, a) -> {
+                allowed.acquire();
+                a.answer(200, "ok");
+              })) {
+        target = new UpstreamAddress(server.address());
+        CompletableFuture<Object> outcome = new CompletableFuture<>();
+        send(new byte[1], outcome);
+        server.next();
+        Thread.sleep(1_700);
+        assertEquals(handler.activeTunnels(), 1);
+        allowed.release();
+        assertEquals(body(outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)), "ok");
+        await(() -> handler.activeTunnels() == 0);
+      }
+    }
+  }
+}
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
@@ -19,9 +19,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.larkkeel.http.upstream.ConnectionUse;
+import org.larkkeel.http.upstream.Destination;
 import org.larkkeel.http.upstream.ResponseCollector;
 import org.larkkeel.http.upstream.ResponseTimeout;
-import org.larkkeel.http.upstream.UpstreamAddress;
 import org.larkkeel.http.upstream.UpstreamClient;
 import org.larkkeel.http.upstream.UpstreamFailure;
 import org.larkkeel.http.upstream.UpstreamRequest;
@@ -51,6 +51,7 @@
    * Sends a control call to one incarnation of an upstream.
    *
    * @param upstream the upstream
+   * @param destination the way to the upstream
    * @param call the path and the body
    * @param timeoutNanos the timeout for the complete answer, nanoseconds
    * @param mayBeWritten called right before the call is written; if it returns false, the call is
@@ -60,6 +61,7 @@
    */
   void send(
       RelayUpstream upstream,
+      Destination destination,
       ControlCall call,
       long timeoutNanos,
       BooleanSupplier mayBeWritten,
@@ -85,7 +87,7 @@
             call.body().getBytes(StandardCharsets.UTF_8),
             mayBeWritten);
     client.send(
-        UpstreamAddress.parse(upstream.address()),
+        destination,
         wire,
         ResponseTimeout.total(timeoutNanos),
         ConnectionUse.CONTROL,
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/OrderSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/OrderSender.java
@@ -11,6 +11,8 @@
 import java.util.function.BooleanSupplier;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
+import org.larkkeel.http.upstream.Destination;
+import org.larkkeel.http.upstream.UpstreamAddress;
 import org.larkkeel.http.upstream.UpstreamClient;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.Stage;
@@ -43,8 +45,9 @@
   }
 
   /**
-   * Orders an upstream to change to another stage. The order is not sent to an upstream that has a
-   * rate limit.
+   * Orders an upstream to change to another stage. An order is never sent by a tunnel: upstreams
+   * tell the holders of orders apart by the hosts from which they come. The order is not sent to an
+   * upstream that has a rate limit.
    *
    * @param upstream the upstream
    * @param stage the stage
@@ -63,6 +66,7 @@
     CompletableFuture<Integer> answered = new CompletableFuture<>();
     sender.send(
         upstream,
+        new Destination.Direct(UpstreamAddress.parse(upstream.address())),
         dialect.order(stage, holder, fencing),
         TIMEOUT.toNanos(),
         () -> mayBeWritten.getAsBoolean() && !loop.isRateLimited(upstream.incarnation()),
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -13,6 +13,7 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -21,6 +22,7 @@
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.upstream.ConnectProbe;
 import org.larkkeel.http.upstream.ConnectionUse;
+import org.larkkeel.http.upstream.Destination;
 import org.larkkeel.http.upstream.ResponseCollector;
 import org.larkkeel.http.upstream.ResponseTimeout;
 import org.larkkeel.http.upstream.UpstreamAddress;
@@ -29,10 +31,12 @@
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.relay.MoveResult;
+import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.UpstreamPath;
 import org.xnio.XnioIoThread;
 
 /**
@@ -52,6 +56,10 @@
   private static final long MOVE_TIMEOUT_NANOS = 900 * NANOS_PER_MILLI;
 
   private static final long FREE_TIMEOUT_NANOS = 500 * NANOS_PER_MILLI;
+
+  /** The timeout for a tunnel, including the time for peers that offer none. */
+  private static final Duration TUNNEL_PROBE_TIMEOUT = Duration.ofMillis(1_100);
+
   private static final int MAX_FREE_ANSWER_BYTES = 64 << 10;
 
   private final RelayLoop loop;
@@ -136,7 +144,7 @@
       case RelayEffect.Refuse e -> refuse(e);
       case RelayEffect.Cut e -> dropCaller(e);
       case RelayEffect.ReservationAnswer e -> answerSender.accept(e);
-      case RelayEffect.Probe e -> probe(e.upstream());
+      case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspect e -> suspectReporter.accept(e);
       case RelayEffect.Report e -> facts.accept(e.fact());
     }
@@ -176,14 +184,18 @@
             attempt::markSentIfAllowed);
     attempt.inFlight(
         client.send(
-            UpstreamAddress.parse(e.upstream().address()),
-            wire,
-            timeout,
-            ConnectionUse.REQUEST,
-            attempt));
+            destination(e.upstream(), e.path()), wire, timeout, ConnectionUse.REQUEST, attempt));
     thread.executeAfter(attempt::abortIfNotSent, settings.connectMillis(), TimeUnit.MILLISECONDS);
   }
 
+  private static Destination destination(RelayUpstream upstream, UpstreamPath path) {
+    UpstreamAddress address = UpstreamAddress.parse(upstream.address());
+    return switch (path) {
+      case DIRECT -> new Destination.Direct(address);
+      case TUNNEL -> new Destination.Tunnel(address, upstream.name());
+    };
+  }
+
   private ImmutableListMultimap<HttpString, String> headers(
       RelayRequest request, RelayEffect.Send e, long leftNanos) {
     ListMultimap<HttpString, String> headers = LinkedListMultimap.create(request.headers);
@@ -216,7 +228,7 @@
         new UpstreamRequest(
             Methods.DELETE, dialect.freePath(handle), ImmutableListMultimap.of(), new byte[0]);
     client.send(
-        UpstreamAddress.parse(source.address()),
+        destination(source, loop.path(source.incarnation())),
         wire,
         ResponseTimeout.total(FREE_TIMEOUT_NANOS),
         ConnectionUse.CONTROL,
@@ -234,6 +246,7 @@
     }
     control.send(
         e.source(),
+        destination(e.source(), loop.path(e.source().incarnation())),
         dialect.move(request.call.wireId(), e.destination(), e.step()),
         MOVE_TIMEOUT_NANOS,
         () -> true,
@@ -257,10 +270,15 @@
     loop.submit(new RelayEvent.Moved(loop.now(), attempt, result));
   }
 
-  private void probe(RelayUpstream upstream) {
-    probe.start(
-        UpstreamAddress.parse(upstream.address()).address(),
-        result -> loop.submit(new RelayEvent.Probed(loop.now(), upstream.incarnation(), result)));
+  private void probe(RelayEffect.Probe e) {
+    Consumer<ProbeResult> done =
+        result ->
+            loop.submit(
+                new RelayEvent.Probed(loop.now(), e.upstream().incarnation(), e.path(), result));
+    switch (destination(e.upstream(), e.path())) {
+      case Destination.Direct d -> probe.start(d.address().address(), done);
+      case Destination.Tunnel t -> client.probe(t, TUNNEL_PROBE_TIMEOUT, done);
+    }
   }
 
   private void startForwarding(RelayEffect.ForwardStream e) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
@@ -16,6 +16,7 @@
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayRouter;
+import org.larkkeel.relay.UpstreamPath;
 import org.larkkeel.time.BootClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -92,6 +93,14 @@
     return router.isRateLimited(upstream);
   }
 
+  /**
+   * Returns the path by which requests to an incarnation of an upstream are sent now. Must be
+   * called on the loop's thread.
+   */
+  UpstreamPath path(UpstreamIncarnation upstream) {
+    return router.path(upstream);
+  }
+
   /** Stops applying events. */
   @Override
   public void close() {
--- /dev/null
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
@@ -0,0 +1,196 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.http.tunnel;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Copies the bytes of two connections to each other until both directions have ended.
+ *
+ * <p>Invariants: each direction buffers at most one buffer, which is allocated only while bytes are
+ * pending; a reset of one connection resets the other, so that no answer that breaks off looks
+ * complete. Confined to the I/O thread.
+ */
+final class Splice {
+  private final StreamConnection caller;
+  private final StreamConnection upstream;
+  private final ByteBufferPool buffers;
+  private final Runnable onEnd;
+  private int openDirections = 2;
+  private boolean ended;
+  private boolean awaitsUpstream;
+  private boolean hasMoved;
+
+  Splice(
+      StreamConnection caller, StreamConnection upstream, ByteBufferPool buffers, Runnable onEnd) {
+    this.caller = caller;
+    this.upstream = upstream;
+    this.buffers = buffers;
+    this.onEnd = onEnd;
+  }
+
+  void start() {
+    caller.getCloseSetter().set(c -> abort());
+    upstream.getCloseSetter().set(c -> abort());
+    new Direction(caller.getSourceChannel(), upstream.getSinkChannel(), true).start();
+    if (!ended) {
+      new Direction(upstream.getSourceChannel(), caller.getSinkChannel(), false).start();
+    }
+  }
+
+  /** Returns whether the last bytes were those of a request, so that an answer is due. */
+  boolean awaitsUpstream() {
+    return awaitsUpstream;
+  }
+
+  /** Returns whether bytes were copied since the last call. */
+  boolean takeMoved() {
+    boolean moved = hasMoved;
+    hasMoved = false;
+    return moved;
+  }
+
+  /** Resets both connections. */
+  void abort() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    reset(caller);
+    reset(upstream);
+    onEnd.run();
+  }
+
+  private static void reset(StreamConnection connection) {
+    try {
+      connection.setOption(Options.CLOSE_ABORT, true);
+    } catch (IOException | IllegalArgumentException e) {
+      // The connection is closed already.
+    }
+    IoUtils.safeClose(connection);
+  }
+
+  private void directionEnded() {
+    openDirections--;
+    if (openDirections == 0 && !ended) {
+      ended = true;
+      IoUtils.safeClose(caller, upstream);
+      onEnd.run();
+    }
+  }
+
+  /** One direction of the copy. */
+  private final class Direction {
+    private final StreamSourceChannel source;
+    private final StreamSinkChannel sink;
+    private final boolean toUpstream;
+    private PooledByteBuffer pending;
+    private boolean sourceEnded;
+
+    Direction(StreamSourceChannel source, StreamSinkChannel sink, boolean toUpstream) {
+      this.source = source;
+      this.sink = sink;
+      this.toUpstream = toUpstream;
+    }
+
+    void start() {
+      source.getReadSetter().set(c -> copy());
+      sink.getWriteSetter().set(c -> copy());
+      copy();
+    }
+
+    private void copy() {
+      try {
+        while (!ended && flushPending()) {
+          if (sourceEnded) {
+            finish();
+            return;
+          }
+          if (!fill()) {
+            return;
+          }
+        }
+      } catch (IOException e) {
+        release();
+        abort();
+      }
+      if (ended) {
+        release();
+      }
+    }
+
+    /** Writes what is pending; returns false if the sink does not take all of it now. */
+    private boolean flushPending() throws IOException {
+      if (pending == null) {
+        return true;
+      }
+      ByteBuffer bytes = pending.getBuffer();
+      while (bytes.hasRemaining()) {
+        if (sink.write(bytes) == 0) {
+          source.suspendReads();
+          sink.resumeWrites();
+          return false;
+        }
+      }
+      release();
+      sink.suspendWrites();
+      return true;
+    }
+
+    /** Reads into the buffer; returns false if there is nothing to read now. */
+    private boolean fill() throws IOException {
+      PooledByteBuffer buffer = buffers.allocate();
+      int n;
+      try {
+        n = source.read(buffer.getBuffer());
+      } catch (IOException e) {
+        buffer.close();
+        throw e;
+      }
+      if (n > 0) {
+        buffer.getBuffer().flip();
+        pending = buffer;
+        hasMoved = true;
+        awaitsUpstream = toUpstream;
+        return true;
+      }
+      buffer.close();
+      if (n < 0) {
+        sourceEnded = true;
+        return true;
+      }
+      source.resumeReads();
+      return false;
+    }
+
+    private void finish() throws IOException {
+      source.suspendReads();
+      sink.shutdownWrites();
+      if (sink.flush()) {
+        sink.suspendWrites();
+        directionEnded();
+      } else {
+        sink.resumeWrites();
+      }
+    }
+
+    private void release() {
+      if (pending != null) {
+        pending.close();
+        pending = null;
+      }
+    }
+  }
+}
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
@@ -23,7 +23,7 @@
 import org.xnio.OptionMap;
 
 /**
- * A bounded pool of connections to one upstream.
+ * A bounded pool of connections to one destination.
  *
  * <p>Invariants: at most {@code maxConnections} connections are open or being opened for requests,
  * plus {@code reservedConnections} for urgent use; a connection is either idle or assigned to
@@ -33,7 +33,8 @@
   private static final OptionMap OPTIONS =
       OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
 
-  private final UpstreamAddress address;
+  private final Destination destination;
+  private final TunnelOpener tunnels;
   private final UpstreamClientSettings settings;
   private final HttpWorker worker;
   private final LongSupplier clock;
@@ -42,11 +43,13 @@
   private int openCount;
 
   ConnectionPool(
-      UpstreamAddress address,
+      Destination destination,
+      TunnelOpener tunnels,
       UpstreamClientSettings settings,
       HttpWorker worker,
       LongSupplier clock) {
-    this.address = address;
+    this.destination = destination;
+    this.tunnels = tunnels;
     this.settings = settings;
     this.worker = worker;
     this.clock = clock;
@@ -67,7 +70,7 @@
     void onUnavailable(String detail);
 
     /** Is notified that the connection could not be opened. */
-    void onConnectFailed(String detail);
+    void onConnectFailed(ConnectFailure failure, String detail);
 
     /** Returns whether the connection is no longer needed. */
     boolean isAbandoned();
@@ -160,12 +163,19 @@
 
   private PooledConnection pollIdle() {
     PooledConnection candidate = idle.pollFirst();
-    while (candidate != null && !candidate.isOpen()) {
+    while (candidate != null && !isReusable(candidate)) {
+      IoUtils.safeClose(candidate.connection());
       candidate = idle.pollFirst();
     }
     return candidate;
   }
 
+  private boolean isReusable(PooledConnection candidate) {
+    return candidate.isOpen()
+        && (destination instanceof Destination.Direct
+            || tunnels.isReusable(candidate.connection()));
+  }
+
   private Waiter pollWaiter() {
     Waiter next = waiters.pollFirst();
     while (next != null && next.isAbandoned()) {
@@ -176,7 +186,14 @@
 
   private void connect(Waiter waiter) {
     waiter.onConnecting();
-    URI uri = URI.create("http://" + address.hostHeader());
+    switch (destination) {
+      case Destination.Direct d -> connectDirectly(d, waiter);
+      case Destination.Tunnel t -> tunnels.open(t, new TunnelResult(waiter));
+    }
+  }
+
+  private void connectDirectly(Destination.Direct direct, Waiter waiter) {
+    URI uri = URI.create("http://" + direct.address().hostHeader());
     UndertowClient.getInstance()
         .connect(
             new ClientCallback<ClientConnection>() {
@@ -188,7 +205,7 @@
               @Override
               public void failed(IOException e) {
                 onClosed();
-                waiter.onConnectFailed(String.valueOf(e.getMessage()));
+                waiter.onConnectFailed(ConnectFailure.REFUSED, String.valueOf(e.getMessage()));
               }
             },
             uri,
@@ -197,6 +214,26 @@
             OPTIONS);
   }
 
+  /** Passes the result of opening a tunnel on to a waiting request. */
+  private final class TunnelResult implements TunnelOpener.Result {
+    private final Waiter waiter;
+
+    TunnelResult(Waiter waiter) {
+      this.waiter = waiter;
+    }
+
+    @Override
+    public void opened(ClientConnection connection) {
+      onOpened(connection, waiter);
+    }
+
+    @Override
+    public void failed(ConnectFailure failure, String detail) {
+      onClosed();
+      waiter.onConnectFailed(failure, detail);
+    }
+  }
+
   private void onOpened(ClientConnection connection, Waiter waiter) {
     PooledConnection pooled = new PooledConnection(connection, this);
     connection.addCloseListener(
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClient.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClient.java
@@ -6,11 +6,14 @@
 
 package org.larkkeel.http.upstream;
 
+import java.time.Duration;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.larkkeel.http.HttpWorker;
+import org.larkkeel.relay.ProbeResult;
 import org.xnio.XnioExecutor;
 
 /**
@@ -25,8 +28,9 @@
   private final HttpWorker worker;
   private final UpstreamClientSettings settings;
   private final LongSupplier clock;
-  private final ConcurrentMap<UpstreamAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
+  private final ConcurrentMap<Destination, ConnectionPool> pools = new ConcurrentHashMap<>();
   private final XnioExecutor.Key idleTimer;
+  private volatile TunnelOpener tunnels = TunnelOpener.NONE;
 
   /**
    * Creates a client.
@@ -48,7 +52,16 @@
   }
 
   /**
-   * Sends a request.
+   * Sets how tunnels are opened. Must be called before the first request by a tunnel.
+   *
+   * @param opener opens tunnels
+   */
+  public void setTunnelOpener(TunnelOpener opener) {
+    tunnels = opener;
+  }
+
+  /**
+   * Sends a request by direct connections.
    *
    * @param address the upstream
    * @param request the request
@@ -64,14 +77,57 @@
       ResponseTimeout timeout,
       ConnectionUse use,
       ResponseHandler handler) {
-    ConnectionPool pool =
-        pools.computeIfAbsent(address, a -> new ConnectionPool(a, settings, worker, clock));
+    return send(new Destination.Direct(address), request, timeout, use, handler);
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param destination the upstream and the way to it
+   * @param request the request
+   * @param timeout the timeout of the request; its full duration also limits the wait for a
+   *     connection
+   * @param use the connections that may be used
+   * @param handler receives the response
+   * @return a handle to abort the request
+   */
+  public InFlightRequest send(
+      Destination destination,
+      UpstreamRequest request,
+      ResponseTimeout timeout,
+      ConnectionUse use,
+      ResponseHandler handler) {
     UpstreamExchange exchange =
-        new UpstreamExchange(worker, pool, address, request, timeout, use, clock, handler);
+        new UpstreamExchange(
+            worker,
+            pool(destination),
+            destination.address(),
+            request,
+            timeout,
+            use,
+            clock,
+            handler);
     exchange.start();
     return exchange;
   }
 
+  private ConnectionPool pool(Destination destination) {
+    return pools.computeIfAbsent(
+        destination, d -> new ConnectionPool(d, tunnels, settings, worker, clock));
+  }
+
+  /**
+   * Probes whether a tunnel to an upstream opens; one that does is kept for later requests.
+   *
+   * @param destination the upstream
+   * @param timeout the maximum time until the result
+   * @param done receives the result, exactly once
+   */
+  public void probe(Destination.Tunnel destination, Duration timeout, Consumer<ProbeResult> done) {
+    TunnelProbe probe = new TunnelProbe(done);
+    probe.start(pool(destination), worker.worker().getIoThread(), timeout);
+  }
+
   /**
    * Returns the limits of connections and sizes.
    *
@@ -82,13 +138,13 @@
   }
 
   /**
-   * Counts the connections to an upstream.
+   * Counts the direct connections to an upstream.
    *
    * @param address the upstream
    * @return the number of connections that are open or being opened
    */
   public int openConnections(UpstreamAddress address) {
-    ConnectionPool pool = pools.get(address);
+    ConnectionPool pool = pools.get(new Destination.Direct(address));
     return pool == null ? 0 : pool.openConnections();
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -115,8 +115,8 @@
   }
 
   @Override
-  public void onConnectFailed(String detail) {
-    endWithFailure(UpstreamFailure.notConnected(ConnectFailure.REFUSED, detail));
+  public void onConnectFailed(ConnectFailure failure, String detail) {
+    endWithFailure(UpstreamFailure.notConnected(failure, detail));
   }
 
   @Override
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingRequestsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingRequestsTest.java
@@ -93,7 +93,7 @@
   /** Answers the last probe. */
   private static void answerProbe(RelayWorld w, ProbeResult result) {
     RelayEffect.Probe probe = w.of(RelayEffect.Probe.class).getLast();
-    w.apply(new RelayEvent.Probed(w.now(), probe.upstream().incarnation(), result));
+    w.apply(new RelayEvent.Probed(w.now(), probe.upstream().incarnation(), probe.path(), result));
   }
 
   /** Breaks the connection of the request at an upstream and answers the probe of that upstream. */
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/EngineSim.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/EngineSim.java
@@ -117,7 +117,7 @@
     void apply(RelayEvent event) {
       List<RelayEffect> effects = new ArrayList<>();
       router.apply(event, effects::add);
-      effects.forEach(e -> carryOut(this, e));
+      effects.forEach(e -> carryOut(this, event, e));
     }
   }
 
@@ -333,7 +333,7 @@
         .sum();
   }
 
-  private void carryOut(Node n, RelayEffect effect) {
+  private void carryOut(Node n, RelayEvent event, RelayEffect effect) {
     switch (effect) {
       case RelayEffect.Report r -> {
         facts.add(r.fact());
@@ -358,6 +358,12 @@
         decisions.add(effect);
         refused++;
       }
+      case RelayEffect.Probe p -> {
+        // The probe of an engine that is silent for a moment places no work.
+        if (event instanceof RelayEvent.Lost) {
+          decisions.add(effect);
+        }
+      }
       default -> decisions.add(effect);
     }
   }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/EvenEnginesTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/EvenEnginesTest.java
@@ -51,7 +51,8 @@
 
   static String digest(EngineSim sim) {
     Hasher h = Hashing.murmur3_128().newHasher();
-    sim.decisions.forEach(d -> h.putString(d.toString(), StandardCharsets.UTF_8));
+    sim.decisions.forEach(
+        d -> h.putString(RandomHistory.textWithoutDirectPath(d), StandardCharsets.UTF_8));
     return h.hash().toString();
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/ProbeResult.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/ProbeResult.java
@@ -15,9 +15,12 @@
   /** A connection was accepted, by the known incarnation or by a later one. */
   LISTENS,
 
-  /** The connection was refused: the process has ended. */
+  /**
+   * The connection was refused. By a tunnel, this proves that the process has ended; directly, the
+   * path of this node may be broken.
+   */
   REFUSES,
 
-  /** No answer was received before the timeout. */
+  /** No answer was received before the timeout, or no other node offers a tunnel. */
   SILENT
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -49,6 +49,7 @@
    * @param attempt the id of the new attempt
    * @param call the call
    * @param upstream the destination
+   * @param path the path to the destination
    * @param purpose the purpose of the attempt
    * @param deadline the time at which the upstream may stop, in nanoseconds of the events' clock
    * @param idleTimeoutNanos the maximum pause within the answer; 0 for no limit
@@ -58,6 +59,7 @@
       AttemptId attempt,
       RequestId call,
       RelayUpstream upstream,
+      UpstreamPath path,
       Purpose purpose,
       long deadline,
       long idleTimeoutNanos,
@@ -142,7 +144,7 @@
   }
 
   /** Probe whether the upstream's process listens. Answered by {@code RelayEvent.Probed}. */
-  record Probe(RelayUpstream upstream) implements RelayEffect {}
+  record Probe(RelayUpstream upstream, UpstreamPath path) implements RelayEffect {}
 
   /** Report new information about a suspect request to all other nodes. */
   record ReportSuspect(SuspectRequest suspect) implements RelayEffect {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -193,7 +193,8 @@
   record RatesHeard(long at, ImmutableList<RateLimitReport> reports) implements RelayEvent {}
 
   /** The answer to {@code RelayEffect.Probe}. */
-  record Probed(long at, UpstreamIncarnation upstream, ProbeResult result) implements RelayEvent {}
+  record Probed(long at, UpstreamIncarnation upstream, UpstreamPath path, ProbeResult result)
+      implements RelayEvent {}
 
   /** Another node's report about suspect requests was received. */
   record SuspectsHeard(long at, ImmutableList<SuspectRequest> suspects) implements RelayEvent {}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -197,6 +197,7 @@
    * @param attempt the attempt
    * @param purpose the purpose of the attempt
    * @param upstream the chosen upstream
+   * @param path the path to the upstream
    * @param cost the estimated cost of the chosen upstream
    * @param runnerUp the second-best upstream; empty if there was none
    * @param runnerUpCost the estimated cost of the second-best upstream
@@ -208,6 +209,7 @@
       AttemptId attempt,
       String purpose,
       UpstreamName upstream,
+      UpstreamPath path,
       double cost,
       String runnerUp,
       double runnerUpCost,
@@ -244,7 +246,31 @@
       implements RelayFact {}
 
   /** An upstream was probed for whether its process listens. */
-  record Probed(UpstreamIncarnation upstream, ProbeResult result) implements RelayFact {}
+  record Probed(UpstreamIncarnation upstream, UpstreamPath path, ProbeResult result)
+      implements RelayFact {}
+
+  /**
+   * The path of this node to an upstream has changed.
+   *
+   * @param upstream the upstream
+   * @param service the service of the upstream
+   * @param change the change
+   * @param cause the event that caused it
+   */
+  record PathChanged(UpstreamName upstream, String service, Change change, String cause)
+      implements RelayFact {
+    /** The changes of a path. */
+    public enum Change {
+      /** Direct connections fail; a tunnel is probed. */
+      LOST,
+      /** Requests are sent by tunnels. */
+      TUNNELLED,
+      /** No node reaches the upstream; it is ejected. */
+      UNREACHABLE,
+      /** Direct connections work again. */
+      RESTORED
+    }
+  }
 
   /**
    * An upstream is proven to have crashed while it had requests of this node.
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -15,6 +15,7 @@
 import org.larkkeel.balance.UpstreamSpeed;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.quota.QuotaKey;
 import org.larkkeel.quota.QuotaRequest;
 import org.larkkeel.quota.QuotaTolerance;
@@ -76,7 +77,7 @@
       case RelayEvent.ForecastsHeard e -> eventHandler.forecastsReceived(at, e.services());
       case RelayEvent.Noticed e -> eventHandler.noticed(at, e.upstream(), e.sentAt(), e.notice());
       case RelayEvent.RatesHeard e -> eventHandler.rateLimitReportsReceived(at, e.reports());
-      case RelayEvent.Probed e -> eventHandler.probed(at, e.upstream(), e.result());
+      case RelayEvent.Probed e -> eventHandler.probed(at, e.upstream(), e.path(), e.result());
       case RelayEvent.SuspectsHeard e -> eventHandler.suspectRequestsReceived(at, e.suspects());
       case RelayEvent.Released e -> eventHandler.released(at, e.request());
       case RelayEvent.KeepingChanged e -> eventHandler.reservationModeChanged(at, e.mode());
@@ -148,6 +149,24 @@
     return eventHandler.acceptsRequests(at, upstream);
   }
 
+  /** Returns the path by which requests to an incarnation of an upstream are sent now. */
+  public UpstreamPath path(UpstreamIncarnation upstream) {
+    return eventHandler.path(upstream);
+  }
+
+  /**
+   * Returns the listed upstream of a name if this node reaches it directly, as far as is known, so
+   * that it may pass on connections of other nodes.
+   */
+  public Optional<RelayUpstream> directUpstream(UpstreamName name) {
+    return eventHandler.directUpstream(name);
+  }
+
+  /** Returns some other upstreams of the service of an upstream. */
+  public ImmutableList<RelayUpstream> siblings(RelayUpstream upstream) {
+    return eventHandler.siblings(upstream);
+  }
+
   /** Returns the rate limits of upstreams and this node's usage of each. */
   public ImmutableList<RateLimitUsage> rateLimitUsages(long at) {
     return eventHandler.rateLimitUsages(at);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/AttemptState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/AttemptState.java
@@ -8,6 +8,7 @@
 
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.relay.RelayEffect.Purpose;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * One attempt of a call.
@@ -15,6 +16,7 @@
  * @param id the identifier of the attempt
  * @param call the call
  * @param upstream the upstream to which the attempt was sent
+ * @param path the path by which the attempt was sent
  * @param purpose the purpose of the attempt
  * @param sentAt the time at which the attempt was sent
  * @param retry whether the attempt is a retry that counts against the retry budget
@@ -25,6 +27,7 @@
     AttemptId id,
     CallState call,
     UpstreamState upstream,
+    UpstreamPath path,
     Purpose purpose,
     long sentAt,
     boolean retry,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
@@ -16,6 +16,7 @@
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayWorkspace;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * Tracks the attempts in flight.
@@ -62,7 +63,15 @@
     AttemptId id = new AttemptId(++lastId);
     AttemptState a =
         new AttemptState(
-            id, c, choice.best(), purpose, at, isRetry, loadUnits, choice.best().totalLoad());
+            id,
+            c,
+            choice.best(),
+            choice.best().path(),
+            purpose,
+            at,
+            isRetry,
+            loadUnits,
+            choice.best().totalLoad());
     c.attemptCount++;
     c.arrivalCount++;
     if (a.startsRun()) {
@@ -80,11 +89,15 @@
     if (timeoutNanos < c.deadline - at) {
       timers.add(new Timers.Timer.AttemptTimeout(at + timeoutNanos, id));
     }
+    if (a.path() == UpstreamPath.DIRECT) {
+      timers.add(new Timers.Timer.SilenceCheck(at + UpstreamPaths.SILENCE_NANOS, id));
+    }
     effects.accept(
         new RelayEffect.Send(
             id,
             c.call.id(),
             choice.best().upstream(),
+            a.path(),
             purpose,
             c.deadline,
             AttemptTimeouts.idleTimeoutNanos(a),
@@ -97,6 +110,7 @@
         a.id(),
         a.purpose().getClass().getSimpleName(),
         choice.best().upstream().name(),
+        a.path(),
         choice.cost() / MILLI,
         choice.runnerUp(),
         choice.runnerUpCost() / MILLI,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -77,6 +77,9 @@
   /** The upstreams to which the call is not sent again. */
   final Set<UpstreamIncarnation> excluded = new HashSet<>();
 
+  /** Those of {@link #excluded} that become eligible again once a path to them is found. */
+  final Set<UpstreamIncarnation> excludedForPath = new HashSet<>();
+
   /** The attempt in flight; null if there is none. */
   AttemptState attempt;
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
@@ -33,6 +33,7 @@
   final RetryBudget retryBudget;
   final Evacuation evacuation;
   final EndedIncarnations endedIncarnations;
+  final UpstreamPaths paths;
   final CrashGuard crashGuard;
   final Admission admission;
   final HeldQuotas heldQuotas;
@@ -64,7 +65,10 @@
     this.endedIncarnations =
         new EndedIncarnations(
             reservations, evacuation, adapters.new EndedIncarnationsEnvironment());
-    this.crashGuard = new CrashGuard(~settings.seed(), this::emit, adapters.new CrashGuardCalls());
+    this.paths = new UpstreamPaths(this);
+    this.crashGuard =
+        new CrashGuard(
+            ~settings.seed(), this::emit, adapters.new CrashGuardCalls(), paths::probeNow);
     this.admission = new Admission(upstreams, random, crashGuard, answers, this::emit);
     this.quotas =
         new Quotas(
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
@@ -53,6 +53,7 @@
   private final Map<UpstreamIncarnation, Pending> pending = new HashMap<>();
   private final Consumer<RelayEffect> effects;
   private final EndListener endListener;
+  private final Consumer<UpstreamState> prober;
 
   /** Is notified of proven ends of incarnations. */
   interface EndListener {
@@ -71,9 +72,11 @@
     }
   }
 
-  CrashEvidence(Consumer<RelayEffect> effects, EndListener endListener) {
+  CrashEvidence(
+      Consumer<RelayEffect> effects, EndListener endListener, Consumer<UpstreamState> prober) {
     this.effects = effects;
     this.endListener = endListener;
+    this.prober = prober;
   }
 
   /** Handles a connection that broke while its upstream had the attempt. */
@@ -90,7 +93,7 @@
       }
       p = new Pending(at + PROOF_WAIT_NANOS);
       pending.put(incarnation, p);
-      effects.accept(new RelayEffect.Probe(a.upstream().upstream()));
+      prober.accept(a.upstream());
     }
     if (p.requests.size() < MAX_PENDING) {
       p.requests.add(a.call().call.identity().fingerprint());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -46,11 +46,12 @@
     void refuse(long at, CallState c, long remainingNanos);
   }
 
-  CrashGuard(long seed, Consumer<RelayEffect> effects, Calls calls) {
+  CrashGuard(
+      long seed, Consumer<RelayEffect> effects, Calls calls, Consumer<UpstreamState> prober) {
     this.calls = calls;
     this.effects = effects;
     this.quarantine = new Quarantine(new SplittableRandom(seed));
-    this.evidence = new CrashEvidence(effects, this::crashed);
+    this.evidence = new CrashEvidence(effects, this::crashed, prober);
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
@@ -104,7 +104,7 @@
 
   /**
    * Sends the call to the upstream with the lowest cost. If there is none, the call waits for a
-   * permit, or fails if none can come.
+   * path or a permit, or fails if none can come.
    */
   void place(long at, CallState c, CallDemand demand) {
     Optional<Choice> choice =
@@ -125,6 +125,10 @@
   }
 
   private void awaitPermitOrFail(long at, CallState c) {
+    if (core.paths.mayOpen(c)) {
+      core.paths.await(c);
+      return;
+    }
     OptionalLong opensAt = core.upstreams.availability().acceptsWorkAt(at, c.service, c.excluded);
     if (opensAt.isPresent()) {
       core.permits.await(at, c, opensAt.getAsLong());
@@ -144,10 +148,7 @@
   }
 
   boolean isUsable(long at, CallState c, UpstreamState s) {
-    return s.acceptsWork(at)
-        && !s.isMissing()
-        && !s.isEjected(at)
-        && !c.excluded.contains(s.incarnation());
+    return s.acceptsWork(at) && s.isHealthy(at) && !c.excluded.contains(s.incarnation());
   }
 
   void send(long at, CallState c, Choice choice, Purpose purpose, long loadUnits) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -41,6 +41,7 @@
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.SuspectRequest;
 import org.larkkeel.relay.UpstreamNotice;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * Handles the events of the relay router by passing each to the component that it concerns.
@@ -248,6 +249,7 @@
    */
   public void nodesCounted(long at, int count) {
     core.retryBudget.nodes(count);
+    core.paths.setNodes(count);
     core.heldQuotas.nodes(at, count);
     core.upstreams.speeds().nodes(count);
   }
@@ -348,9 +350,29 @@
   // Requests that are suspected of crashing upstreams.
 
   /** Handles the result of a probe of an upstream. */
-  public void probed(long at, UpstreamIncarnation incarnation, ProbeResult result) {
-    core.report(new RelayFact.Probed(incarnation, result));
+  public void probed(
+      long at, UpstreamIncarnation incarnation, UpstreamPath path, ProbeResult result) {
+    core.report(new RelayFact.Probed(incarnation, path, result));
     core.crashGuard.probed(at, incarnation, result);
+    core.paths.probed(at, incarnation, path, result);
+  }
+
+  /** Returns the path by which requests to an incarnation are sent now. */
+  public UpstreamPath path(UpstreamIncarnation incarnation) {
+    return core.upstreams.find(incarnation).map(UpstreamState::path).orElse(UpstreamPath.DIRECT);
+  }
+
+  /** Returns the listed upstream of a name if this node reaches it directly. */
+  public Optional<RelayUpstream> directUpstream(UpstreamName name) {
+    return core.upstreams
+        .find(name)
+        .filter(s -> !s.isMissing() && s.reach() == UpstreamState.Reach.DIRECT)
+        .map(UpstreamState::upstream);
+  }
+
+  /** Returns some other upstreams of the service of an upstream. */
+  public ImmutableList<RelayUpstream> siblings(RelayUpstream upstream) {
+    return core.paths.siblings(upstream);
   }
 
   /** Returns the suspect requests to report to other nodes. */
@@ -453,6 +475,10 @@
         case Timers.Timer.PermitTimeout p ->
             core.openCalls.find(p.call()).ifPresent(c -> core.permits.waitEnded(at, c));
         case Timers.Timer.AttemptTimeout p -> core.outcomes.timedOut(at, p.attempt());
+        case Timers.Timer.SilenceCheck s ->
+            core.attempts.find(s.attempt()).ifPresent(a -> core.paths.checkSilence(at, a));
+        case Timers.Timer.DirectPathCheck d ->
+            core.upstreams.find(d.incarnation()).ifPresent(core.paths::probeDirect);
       }
     }
     dropUnresponsive(at);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/OpenCalls.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/OpenCalls.java
@@ -67,6 +67,7 @@
     core.reservations.remove(c);
     core.quotas.remove(c);
     core.permits.remove(c);
+    core.paths.remove(c);
     c.releaseReservation();
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -45,6 +45,7 @@
       return;
     }
     core.openCalls.attemptEnded(a);
+    core.paths.heard(at, a);
     CallState c = a.call();
     recordSuccess(at, a);
     if (!a.retry()) {
@@ -74,6 +75,7 @@
     if (a == null) {
       return;
     }
+    core.paths.heard(at, a);
     CallState c = a.call();
     if (a.continuesRun()) {
       core.evacuation.attemptBegan(id);
@@ -98,6 +100,7 @@
     if (a == null || a.call().reservedUpstream == null) {
       return;
     }
+    core.paths.heard(at, a);
     CallState c = a.call();
     ServiceBounds bounds = core.bounds(c.service);
     c.generatedTokens += (long) events * bounds.tokensPerEvent();
@@ -115,6 +118,7 @@
     if (a == null || core.evacuation.withholdsEnd(at, id, Optional.of(grade))) {
       return;
     }
+    core.paths.heard(at, a);
     CallState c = a.call();
     core.crashGuard.answered(at, c.call);
     if (grade == AnswerGrade.GOOD && !c.streamBegan) {
@@ -185,9 +189,13 @@
     core.attempts.reportFailed(a, cause.name(), false);
     boolean continues =
         switch (cause) {
-          case NOT_SENT, CONNECT_REFUSED, CONNECT_TIMED_OUT -> notSent(at, a, cause);
+          case NOT_SENT -> notSent(at, a, cause);
+          case CONNECT_REFUSED, CONNECT_TIMED_OUT -> notConnected(at, a, cause);
           case WRONG_UPSTREAM -> replaced(at, a);
-          case DECLINED -> declined(at, a);
+          case DECLINED -> {
+            core.paths.heard(at, a);
+            yield declined(at, a);
+          }
         };
     if (continues) {
       return;
@@ -203,12 +211,35 @@
 
   /** Undoes the counts of an attempt that reached no upstream; the call is sent to another one. */
   private boolean notSent(long at, AttemptState a, RefusalCause cause) {
+    releaseArrival(a);
+    recordHardFailure(at, a, cause.name(), true);
+    return false;
+  }
+
+  /**
+   * Handles an attempt for which no connection could be opened; returns whether the call continues
+   * by another path.
+   */
+  private boolean notConnected(long at, AttemptState a, RefusalCause cause) {
+    CallState c = a.call();
+    if (!core.paths.connectFailed(at, a, cause.name())) {
+      return notSent(at, a, cause);
+    }
+    releaseArrival(a);
+    c.attemptCount--;
+    if (!a.upstream().isHealthy(at) && c.excluded.add(a.upstream().incarnation())) {
+      c.excludedForPath.add(a.upstream().incarnation());
+    }
+    core.dispatch.run(at, c);
+    return true;
+  }
+
+  /** Undoes the counts of an attempt that reached no upstream. */
+  private void releaseArrival(AttemptState a) {
     a.call().arrivalCount--;
     if (a.retry()) {
       core.retryBudget.release(a.sentAt(), a.call().service);
     }
-    recordHardFailure(at, a, cause.name(), true);
-    return false;
   }
 
   /** Ejects an upstream that is not the listed one; the call is sent to another one. */
@@ -292,6 +323,10 @@
   }
 
   private void recordHardFailure(long at, AttemptState a, String cause, boolean ejectNow) {
+    if (a.path() != a.upstream().path() || !a.upstream().isPathKnown()) {
+      // The failure is one of a path that is no longer used, and not one of the upstream.
+      return;
+    }
     long ejectedNanos = a.upstream().failedHard(at, ejectNow);
     if (ejectedNanos > 0) {
       core.report(new RelayFact.Ejected(a.upstream().upstream().name(), cause, ejectedNanos));
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -17,11 +17,14 @@
  * The pending timers. Timers of calls and attempts that have ended remain and have no effect when
  * they are due.
  *
- * <p>Not thread-safe.
+ * <p>Timers of paths are queued apart, so that they do not change the order of others that are due
+ * at the same time. Not thread-safe.
  */
 final class Timers {
   private final PriorityQueue<Timer> queue =
       new PriorityQueue<>(Comparator.comparingLong(Timer::at));
+  private final PriorityQueue<Timer> pathQueue =
+      new PriorityQueue<>(Comparator.comparingLong(Timer::at));
 
   /** A timer. */
   sealed interface Timer {
@@ -61,23 +64,49 @@
     /** The end of a call's maximum wait for a permit. */
     record PermitTimeout(long at, RequestId call) implements Timer {}
 
+    /** A timer of the paths to upstreams. */
+    sealed interface OfPath extends Timer {}
+
+    /** The time at which an attempt without any answer makes its path suspect. */
+    record SilenceCheck(long at, AttemptId attempt) implements OfPath {}
+
+    /** The time at which the direct path to an upstream with a tunnel is probed. */
+    record DirectPathCheck(long at, UpstreamIncarnation incarnation) implements OfPath {}
+
     /** The timeout of an attempt that another one may replace. */
     record AttemptTimeout(long at, AttemptId attempt) implements Timer {}
   }
 
   void add(Timer due) {
-    queue.add(due);
+    if (due instanceof Timer.OfPath) {
+      pathQueue.add(due);
+    } else {
+      queue.add(due);
+    }
   }
 
   /** Removes and returns the next timer that is due by now; null if there is none. */
   Timer poll(long at) {
-    Timer head = queue.peek();
-    return head != null && head.at() <= at ? queue.poll() : null;
+    PriorityQueue<Timer> next = pathNext() < callNext() ? pathQueue : queue;
+    Timer head = next.peek();
+    return head != null && head.at() <= at ? next.poll() : null;
+  }
+
+  private long callNext() {
+    return due(queue);
+  }
+
+  private long pathNext() {
+    return due(pathQueue);
+  }
+
+  private static long due(PriorityQueue<Timer> timers) {
+    Timer head = timers.peek();
+    return head == null ? Long.MAX_VALUE : head.at();
   }
 
   /** Returns the time at which the next timer is due; {@link Long#MAX_VALUE} if there is none. */
   long next() {
-    Timer head = queue.peek();
-    return head == null ? Long.MAX_VALUE : head.at();
+    return Math.min(callNext(), pathNext());
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamChooser.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamChooser.java
@@ -96,9 +96,9 @@
   /**
    * Returns the upstream of a service with the lowest cost.
    *
-   * <p>Healthy upstreams come first, then ejected ones, then missing ones. No memory is sought at
-   * the last two while there is a healthy upstream, even a full one: memory reserved at an upstream
-   * that does not answer is of no use.
+   * <p>Healthy upstreams come first, then ejected ones, then missing ones; one to which no path is
+   * known is not chosen. No memory is sought at the last two while there is a healthy upstream,
+   * even a full one: memory reserved at an upstream that does not answer is of no use.
    *
    * @param at now
    * @param service the service
@@ -134,7 +134,7 @@
         }
         if (isHealthy) {
           healthy.add(s);
-        } else {
+        } else if (s.isPathKnown()) {
           others.add(s);
         }
       }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -9,6 +9,7 @@
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * The estimates and known state of one incarnation of an upstream; a later incarnation gets a state
@@ -72,6 +73,20 @@
   private final EngineSpeed speed;
   private boolean evacuating;
   private long orderUnits;
+  private Reach reach = Reach.DIRECT;
+  private long heardAt = Long.MIN_VALUE;
+
+  /** How this node reaches the upstream. */
+  enum Reach {
+    /** By direct connections, as far as is known. */
+    DIRECT,
+
+    /** Direct connections fail, and it is not known yet whether a tunnel opens. */
+    UNKNOWN,
+
+    /** By tunnels. */
+    TUNNEL
+  }
 
   /** Callbacks to the owner of the state. */
   interface Environment {
@@ -196,6 +211,33 @@
     backoffUntil = Math.max(backoffUntil, at + nanos);
   }
 
+  Reach reach() {
+    return reach;
+  }
+
+  void setReach(Reach next) {
+    reach = next;
+  }
+
+  /** Returns whether a path to the upstream is known. */
+  boolean isPathKnown() {
+    return reach != Reach.UNKNOWN;
+  }
+
+  /** Returns the path by which a request is sent now. */
+  UpstreamPath path() {
+    return reach == Reach.TUNNEL ? UpstreamPath.TUNNEL : UpstreamPath.DIRECT;
+  }
+
+  /** Returns when this node last received something from the upstream. */
+  long heardAt() {
+    return heardAt;
+  }
+
+  void heard(long at) {
+    heardAt = at;
+  }
+
   /** Returns the speed of the incarnation, as far as it was measured. */
   EngineSpeed speed() {
     return speed;
@@ -336,6 +378,13 @@
     return ejectionNanos;
   }
 
+  /** Ends an ejection whose failures were those of the path and not of the upstream. */
+  void endEjection() {
+    hardFailures = 0;
+    failureRate = 0;
+    ejectedUntil = Long.MIN_VALUE;
+  }
+
   /** Returns whether the upstream was ejected and has not succeeded since. */
   boolean hasBeenEjected() {
     return hardFailures > 1 || ejectedUntil != Long.MIN_VALUE;
@@ -349,9 +398,9 @@
     return ejectedUntil != Long.MIN_VALUE && (at < ejectedUntil || inFlight > 0);
   }
 
-  /** Returns whether the upstream is neither ejected nor missing. */
+  /** Returns whether the upstream is neither ejected nor missing, and a path to it is known. */
   boolean isHealthy(long at) {
-    return !isMissing() && !isEjected(at);
+    return !isMissing() && !isEjected(at) && isPathKnown();
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamTable.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamTable.java
@@ -218,6 +218,11 @@
     return Optional.ofNullable(current(incarnation));
   }
 
+  /** Returns the state of the last known incarnation of an upstream. */
+  Optional<UpstreamState> find(UpstreamName name) {
+    return Optional.ofNullable(byName.get(name));
+  }
+
   /** Returns the state of an incarnation; null if the incarnation is not the current one. */
   private UpstreamState current(UpstreamIncarnation incarnation) {
     UpstreamState state = byName.get(incarnation.name());
