Prove the end of an upstream by a peer, not by own refused connects

Nodes that lost their paths reported 20 ends of upstreams that ran, each proven by connections refused to themselves, and all nodes quarantined a request for 638 s that had crashed nothing.

Cause: a node took what it saw at its own end for a fact about the upstream, and told it to others. The list of upstreams and other incarnations prove an end as before.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
@@ -23,10 +23,10 @@
  * requests may have caused the crash.
  *
  * <p>A broken connection alone proves nothing: answers are lost, and connections are reset. The end
- * of an incarnation is proven if its address refuses connections, if the discovery list shows
- * another incarnation or none, or if another upstream answers at the address. A request whose
- * stream had run for a while is not suspect, nor is one whose upstream had announced that it
- * leaves.
+ * of an incarnation is proven if its address refuses connections, also to another node if there is
+ * one, since the path of this node may be broken; if the discovery list shows another incarnation
+ * or none, or if another upstream answers at the address. A request whose stream had run for a
+ * while is not suspect, nor is one whose upstream had announced that it leaves.
  *
  * <p>Not thread-safe.
  */
@@ -117,10 +117,14 @@
     }
   }
 
-  /** Handles the result of a probe. */
-  void probed(long at, UpstreamIncarnation incarnation, ProbeResult result) {
+  /**
+   * Handles the result of a probe.
+   *
+   * @param isProof whether a refusal proves that the upstream has ended
+   */
+  void probed(long at, UpstreamIncarnation incarnation, ProbeResult result, boolean isProof) {
     Pending p = pending.get(incarnation);
-    if (result == ProbeResult.REFUSES) {
+    if (result == ProbeResult.REFUSES && isProof) {
       incarnationEnded(at, incarnation, "refuses_connections");
     } else if (result == ProbeResult.LISTENS && p != null) {
       p.until = Math.min(p.until, at + LISTENING_PROOF_WAIT_NANOS);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -99,9 +99,13 @@
     evidence.incarnationEnded(at, incarnation, proof);
   }
 
-  /** Handles the result of a probe of an upstream. */
-  void probed(long at, UpstreamIncarnation incarnation, ProbeResult result) {
-    evidence.probed(at, incarnation, result);
+  /**
+   * Handles the result of a probe of an upstream.
+   *
+   * @param isProof whether a refusal proves that the upstream has ended
+   */
+  void probed(long at, UpstreamIncarnation incarnation, ProbeResult result, boolean isProof) {
+    evidence.probed(at, incarnation, result, isProof);
   }
 
   /** Returns the suspect requests to report to other nodes. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -353,7 +353,8 @@
   public void probed(
       long at, UpstreamIncarnation incarnation, UpstreamPath path, ProbeResult result) {
     core.report(new RelayFact.Probed(incarnation, path, result));
-    core.crashGuard.probed(at, incarnation, result);
+    boolean isProof = path == UpstreamPath.TUNNEL || !core.paths.hasPeers();
+    core.crashGuard.probed(at, incarnation, result, isProof);
     core.paths.probed(at, incarnation, path, result);
   }
 
