Leave orders to a node that reaches the engines

A node that has lost its paths to the engines went on to hold the lease of orders and to send orders that reach none, so that no node changed stages while its paths were lost. An order is now due at a node only for upstreams that it reaches directly; the lease is then sought by the next node.

Found by looking for other users of paths to upstreams. StageControllerTest fails without the change: the first node gives the order.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StageControllerTest.java
@@ -17,9 +17,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -127,10 +129,37 @@
     private final Leases leases = new Leases();
     private final List<String> orders = new ArrayList<>();
     private final List<StageController> nodes = new ArrayList<>();
+
+    /** The nodes that reach no engine. */
+    private final Set<String> lost = new HashSet<>();
+
     private ImmutableSet<UpstreamName> previousNames = ImmutableSet.of();
     private BooleanSupplier lastAllowed;
     private long incarnation;
 
+    /** Records the orders of a node. */
+    private final class NodeOrders implements StageController.Orders {
+      private final String name;
+
+      NodeOrders(String name) {
+        this.name = name;
+      }
+
+      @Override
+      public CompletableFuture<Integer> send(
+          RelayUpstream u, Stage stage, String holder, long fencing, BooleanSupplier allowed) {
+        assertTrue(allowed.getAsBoolean());
+        lastAllowed = allowed;
+        orders.add(u.name() + " " + stage + " " + holder + " " + fencing);
+        return CompletableFuture.completedFuture(202);
+      }
+
+      @Override
+      public boolean reaches(UpstreamIncarnation upstream) {
+        return !lost.contains(name);
+      }
+    }
+
     void node(String name, int rank) {
       StageController node =
           new StageController(
@@ -138,12 +167,7 @@
               new HostName(name),
               leases,
               times.computeIfAbsent(name, n -> new VirtualTime()),
-              (u, stage, holder, fencing, allowed) -> {
-                assertTrue(allowed.getAsBoolean());
-                lastAllowed = allowed;
-                orders.add(u.name() + " " + stage + " " + holder + " " + fencing);
-                return CompletableFuture.completedFuture(202);
-              },
+              new NodeOrders(name),
               () -> rank);
       nodes.add(node);
       node.start();
@@ -218,6 +242,18 @@
       assertEquals(w.orders.getLast().split(" ")[3], "2");
     }
 
+    /** A node whose orders reach no engine must not keep others from giving them. */
+    @Test
+    public void areOrderedByAnotherNodeIfTheFirstReachesNone() {
+      Fixture w = new Fixture();
+      w.lost.add("a");
+      w.node("a", 0);
+      w.node("b", 1);
+      w.engines(3, 3);
+      w.pass(9);
+      assertEquals(w.orders, List.of("i-0 DECODE b 1"));
+    }
+
     @Test
     public void areNotOrderedWithoutTheLease() {
       Fixture w = new Fixture();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.google.common.collect.ImmutableSet;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.undertow.util.StatusCodes;
@@ -13,6 +14,7 @@
 import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.caller.CallerSettings;
@@ -32,6 +34,8 @@
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayRouter;
+import org.larkkeel.relay.RelayUpstream;
+import org.larkkeel.relay.Stage;
 import org.larkkeel.store.ExecutorScheduler;
 import org.larkkeel.store.HttpClientOptions;
 import org.larkkeel.store.ObjectApi;
@@ -83,6 +87,7 @@
   private volatile boolean ready;
   private volatile int inProgress;
   private volatile int upstreams;
+  private volatile ImmutableSet<UpstreamIncarnation> indirectUpstreams = ImmutableSet.of();
   private volatile boolean draining;
 
   private RelayNode(RelayNodeSettings settings, RelayAdapter adapter, Closer closer) {
@@ -136,7 +141,7 @@
                 settings.host(),
                 store,
                 scheduler,
-                announcedOrders(new OrderSender(client, dialect, loop)),
+                new AnnouncedOrders(new OrderSender(client, dialect, loop)),
                 loadExchange::rank));
     RelayFeed feed =
         closer.add(
@@ -193,18 +198,31 @@
   }
 
   /**
-   * Returns orders that are announced to the router first, so that it places no work on the
-   * upstreams concerned.
+   * Announces orders to the router before they are sent, so that it places no work on the upstreams
+   * concerned.
    */
-  private StageController.Orders announcedOrders(OrderSender sender) {
-    return (upstream, stage, holder, fencing, allowed) -> {
+  private final class AnnouncedOrders implements StageController.Orders {
+    private final OrderSender sender;
+
+    AnnouncedOrders(OrderSender sender) {
+      this.sender = sender;
+    }
+
+    @Override
+    public CompletableFuture<Integer> send(
+        RelayUpstream upstream, Stage stage, String holder, long fencing, BooleanSupplier allowed) {
       loop.submit(
           new RelayEvent.Ordered(
               loop.now(), upstream.incarnation(), StageController.MAX_ORDER_TIME.toNanos()));
       return sender
           .send(upstream, stage, holder, fencing, allowed)
           .whenComplete((status, failure) -> refusedOrder(upstream.incarnation(), status));
-    };
+    }
+
+    @Override
+    public boolean reaches(UpstreamIncarnation upstream) {
+      return !indirectUpstreams.contains(upstream);
+    }
   }
 
   private void refusedOrder(UpstreamIncarnation upstream, Integer status) {
@@ -248,6 +266,7 @@
 
   private void observe() {
     upstreams = router.upstreamCount();
+    indirectUpstreams = router.indirectUpstreams();
     long nowNanos = loop.now();
     loadExchange.update(
         router.loads(), router.losingHandles(nowNanos), router.reservationRequests(nowNanos));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StageController.java
@@ -43,7 +43,8 @@
  * <p>Only the holder of a lease gives orders, and the lease is sought only while an order is due,
  * so that a balanced cluster makes no calls to the store. Invariants: only one order is in progress
  * at a time; the lease is kept until the order must have been carried out, so that no two holders
- * give an upstream alternating orders; no order is sent once the upstream has restarted. An order
+ * give an upstream alternating orders; no order is due for an upstream that this node does not
+ * reach, so that another node gives it; no order is sent once the upstream has restarted. An order
  * on its way may still reach the new incarnation, so the next order waits as long as after any
  * other. Runs on the scheduler.
  */
@@ -113,6 +114,11 @@
   interface Orders {
     CompletableFuture<Integer> send(
         RelayUpstream upstream, Stage stage, String holder, long fencing, BooleanSupplier allowed);
+
+    /** Returns whether orders of this node reach an upstream, as far as is known; thread-safe. */
+    default boolean reaches(UpstreamIncarnation upstream) {
+      return true;
+    }
   }
 
   StageController(
@@ -235,8 +241,9 @@
   }
 
   private boolean mayBeOrdered(RelayUpstream u, long nowNanos) {
-    return nowNanos - orderNanos.getOrDefault(u.incarnation(), nowNanos - REORDER_TIME.toNanos())
-        >= REORDER_TIME.toNanos();
+    return orders.reaches(u.incarnation())
+        && nowNanos - orderNanos.getOrDefault(u.incarnation(), nowNanos - REORDER_TIME.toNanos())
+            >= REORDER_TIME.toNanos();
   }
 
   private static Comparator<RelayUpstream> byRunnerCount(List<RelayUpstream> all) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -154,6 +154,11 @@
     return eventHandler.path(upstream);
   }
 
+  /** Returns the upstreams that this node does not reach directly, as far as is known. */
+  public ImmutableSet<UpstreamIncarnation> indirectUpstreams() {
+    return eventHandler.indirectUpstreams();
+  }
+
   /**
    * Returns the listed upstream of a name if this node reaches it directly, as far as is known, so
    * that it may pass on connections of other nodes.
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -363,6 +363,11 @@
     return core.upstreams.find(incarnation).map(UpstreamState::path).orElse(UpstreamPath.DIRECT);
   }
 
+  /** Returns the upstreams that this node does not reach directly. */
+  public ImmutableSet<UpstreamIncarnation> indirectUpstreams() {
+    return core.paths.indirect();
+  }
+
   /** Returns the listed upstream of a name if this node reaches it directly. */
   public Optional<RelayUpstream> directUpstream(UpstreamName name) {
     return core.upstreams
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
@@ -7,6 +7,7 @@
 package org.larkkeel.relay.internal;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -61,14 +62,17 @@
 
   private static final long DIRECT_CHECK_NANOS = 500 * MILLI;
 
-  /** The time by which direct checks are further apart for each upstream with a tunnel. */
+  /** The time by which direct checks are further apart for each upstream not reached directly. */
   private static final long DIRECT_CHECK_SPREAD_NANOS = 20 * MILLI;
 
   private final Core core;
   private final Map<ServiceName, ServicePaths> services = new HashMap<>();
   private final Map<UpstreamPath, Set<UpstreamIncarnation>> probing =
       Map.of(UpstreamPath.DIRECT, new HashSet<>(), UpstreamPath.TUNNEL, new HashSet<>());
-  private final Set<UpstreamIncarnation> tunnelled = new HashSet<>();
+
+  /** The upstreams that this node does not reach directly. */
+  private ImmutableSet<UpstreamIncarnation> indirect = ImmutableSet.of();
+
   private final Set<CallState> waiting = new LinkedHashSet<>();
   private final SplittableRandom random;
   private boolean hasPeers;
@@ -266,16 +270,33 @@
     }
   }
 
+  private void setReach(UpstreamState s, Reach reach) {
+    s.setReach(reach);
+    // An upstream that has restarted or left has a state of its own or none.
+    Set<UpstreamIncarnation> all = new LinkedHashSet<>(indirect);
+    all.removeIf(i -> core.upstreams.find(i).isEmpty());
+    if (reach == Reach.DIRECT) {
+      all.remove(s.incarnation());
+    } else {
+      all.add(s.incarnation());
+    }
+    indirect = ImmutableSet.copyOf(all);
+  }
+
+  /** Returns the upstreams that this node does not reach directly. */
+  ImmutableSet<UpstreamIncarnation> indirect() {
+    return indirect;
+  }
+
   private void lost(long at, UpstreamState s, String cause) {
-    s.setReach(Reach.UNKNOWN);
+    setReach(s, Reach.UNKNOWN);
     report(s, Change.LOST, cause);
     probe(s, UpstreamPath.TUNNEL);
   }
 
   private void tunnelled(long at, UpstreamState s, String cause) {
-    s.setReach(Reach.TUNNEL);
+    setReach(s, Reach.TUNNEL);
     s.endEjection();
-    tunnelled.add(s.incarnation());
     report(s, Change.TUNNELLED, cause);
     scheduleDirectCheck(at, s);
     pathFound(at, s);
@@ -285,16 +306,14 @@
     if (s.reach() == Reach.DIRECT) {
       return;
     }
-    s.setReach(Reach.DIRECT);
+    setReach(s, Reach.DIRECT);
     s.endEjection();
-    tunnelled.remove(s.incarnation());
     report(s, Change.RESTORED, "probe");
     pathFound(at, s);
   }
 
   private void unreachable(long at, UpstreamState s, String cause) {
-    s.setReach(Reach.DIRECT);
-    tunnelled.remove(s.incarnation());
+    setReach(s, Reach.DIRECT);
     report(s, Change.UNREACHABLE, cause);
     long ejectedNanos = s.failedHard(at, true);
     core.report(new RelayFact.Ejected(s.upstream().name(), cause, ejectedNanos));
@@ -302,7 +321,7 @@
   }
 
   private void scheduleDirectCheck(long at, UpstreamState s) {
-    long delay = DIRECT_CHECK_NANOS + DIRECT_CHECK_SPREAD_NANOS * tunnelled.size();
+    long delay = DIRECT_CHECK_NANOS + DIRECT_CHECK_SPREAD_NANOS * indirect.size();
     core.timers.add(new Timers.Timer.DirectPathCheck(at + delay, s.incarnation()));
   }
 
