Measure no engine by a path that is lost

A node sent the times of streams that had stood still with its own path, and of prompts that were prefilled by tunnels, to the other nodes as speeds of the engines. Such times are now left out.

Found by looking for other facts that a node tells about upstreams from what it sees at its own end. UpstreamPathsTest.Speeds fails without the change; the other tests of that class cover the choice of paths.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EngineSpeeds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EngineSpeeds.java
@@ -25,6 +25,7 @@
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.ReservationMode;
 import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * The speeds of the engines of all services: samples from the attempts of this node and from other
@@ -91,6 +92,10 @@
    */
   void runProgressed(long at, AttemptState a, int events, long memoryTokens) {
     CallState c = a.call();
+    if (!isByDirectPath(a)) {
+      c.pace.reset();
+      return;
+    }
     c.pace
         .progressed(at, events)
         .ifPresent(
@@ -102,11 +107,19 @@
 
   /** Handles a prompt that was prefilled for another engine. */
   void promptPrefilled(long at, AttemptState a) {
+    if (!isByDirectPath(a)) {
+      return;
+    }
     long prompt = Math.max(1, a.call().call.size().prompt());
     long nanos = (at - a.sentAt()) / prompt;
     measured(at, a.upstream(), WorkKind.PREFILL, nanos, 1_000 * a.queuedUnits() / prompt);
   }
 
+  /** Returns whether the times of an attempt are those of its engine, and not of a broken path. */
+  private static boolean isByDirectPath(AttemptState a) {
+    return a.path() == UpstreamPath.DIRECT && a.upstream().reach() == UpstreamState.Reach.DIRECT;
+  }
+
   private void measured(long at, UpstreamState s, WorkKind kind, long nanos, long load) {
     if (nanos == 0) {
       // An answer in no measurable time shows nothing about the speed.
