Model nodes that lose their paths to upstreams in the fleet model

Three kinds of node faults: packets to upstreams are dropped, connections are reset, new connections are refused.

--- a/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
+++ b/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/FleetModelTest.java
@@ -212,6 +212,10 @@
         {20, fault("frozen", 0, 20)},
         {20, KILLED + KILLED + FROZEN},
         {20, FROZEN + fault("killed", 0, 2) + fault("frozen", 1, 3)},
+        {3, fault("paths-dropped", 0, 2)},
+        {20, fault("paths-dropped", 0, 8)},
+        {20, fault("paths-reset", 0, 8) + fault("killed", 10, 3)},
+        {20, fault("paths-refused", 0, 20)},
       };
     }
 
@@ -253,6 +257,39 @@
       }
     }
 
+    @DataProvider
+    static Object[][] lostPaths() {
+      return new Object[][] {{"paths-dropped"}, {"paths-reset"}, {"paths-refused"}};
+    }
+
+    /**
+     * Nodes that lose their paths to upstreams must serve at least two thirds of the calls that
+     * they serve otherwise, from 1 s after the begin: callers reach them as before.
+     */
+    @Test(dataProvider = "lostPaths")
+    public void ofPathsToUpstreamsLeaveCallsServed(String kind) {
+      String fault =
+          "{\"kind\": \"%s\", \"atSecond\": 1, \"seconds\": 7, \"first\": 0, \"count\": 10},"
+              .formatted(kind);
+      for (int seed = 1; seed <= 3; seed++) {
+        FleetResult lost = runWithoutBurst(fault, seed);
+        double before = served(runWithoutBurst(NONE, seed));
+        double now = served(lost);
+        // Half of the nodes for seven of eight seconds, of which the first may be lost.
+        double bound = before * (1 - 0.5 * (1.0 / 8 + 6.0 / 8 / 3));
+        assertTrue(now >= bound, kind + " seed " + seed + ": " + now + " of " + before);
+        assertEquals(lost.quarantined(), 0);
+      }
+    }
+
+    private static double served(FleetResult result) {
+      double share = 0;
+      for (FleetResult.Kind kind : result.kinds()) {
+        share += kind.share(CallOutcome.IN_TIME) + kind.share(CallOutcome.LATE);
+      }
+      return share / result.kinds().size();
+    }
+
     private static FleetResult runWithoutBurst(String faults, long seed) {
       String text =
           SCENARIO
--- a/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/SimEngineTest.java
+++ b/org.larkkeel.bench.test/src/test/java/org/larkkeel/bench/experiment/fleet/SimEngineTest.java
@@ -27,6 +27,7 @@
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Stage;
+import org.larkkeel.relay.UpstreamPath;
 import org.testng.annotations.Test;
 
 /** Tests of {@link SimEngine} against times and sums calculated by hand. */
@@ -55,7 +56,15 @@
     }
 
     Job job(long id, Purpose purpose, int prompt, int output) {
-      return new Job(this, new AttemptId(id), DECODE_ENGINE, purpose, prompt, output, false);
+      return new Job(
+          this,
+          new AttemptId(id),
+          DECODE_ENGINE,
+          UpstreamPath.DIRECT,
+          purpose,
+          prompt,
+          output,
+          false);
     }
 
     Job decode(long id, int prompt, int output) {
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/FleetModel.java
@@ -379,6 +379,8 @@
           time.at(from, () -> nodes.get(index).suspend());
           time.at(until, () -> nodes.get(index).resume());
         }
+        case PATHS_DROPPED, PATHS_RESET, PATHS_REFUSED ->
+            time.at(from, () -> nodes.get(index).losePaths(fault.kind(), until));
         default -> throw new IllegalStateException("unknown kind of node fault: " + fault.kind());
       }
     }
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/Job.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/Job.java
@@ -14,6 +14,7 @@
 import org.larkkeel.relay.RateLimitNotice;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayEvent;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * An attempt at an upstream.
@@ -45,6 +46,7 @@
   final Sender sender;
   final AttemptId attempt;
   final UpstreamName upstream;
+  final UpstreamPath path;
   final Purpose purpose;
   final int prompt;
   final int output;
@@ -65,6 +67,7 @@
       Sender sender,
       AttemptId attempt,
       UpstreamName upstream,
+      UpstreamPath path,
       Purpose purpose,
       int prompt,
       int output,
@@ -72,6 +75,7 @@
     this.sender = sender;
     this.attempt = attempt;
     this.upstream = upstream;
+    this.path = path;
     this.purpose = purpose;
     this.prompt = prompt;
     this.output = output;
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/NodeFaultKind.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/NodeFaultKind.java
@@ -20,5 +20,11 @@
    * The machine is suspended: like {@link #FROZEN}, but timers are delayed by the length of the
    * fault, while the clock includes it.
    */
-  SUSPENDED
+  SUSPENDED,
+  /** Packets between the node and all upstreams are dropped: its connections to them hang. */
+  PATHS_DROPPED,
+  /** The connections of the node to all upstreams are reset, and new ones are refused. */
+  PATHS_RESET,
+  /** New connections of the node to all upstreams are refused, while open ones work. */
+  PATHS_REFUSED
 }
--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -21,6 +21,7 @@
 import java.util.function.LongFunction;
 import org.larkkeel.bench.experiment.fake.Timeline;
 import org.larkkeel.daemon.relay.LoadSharing;
+import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
@@ -28,8 +29,10 @@
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.quota.QuotaTolerance;
 import org.larkkeel.relay.MoveResult;
+import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RateLimitNotice;
+import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
@@ -38,6 +41,7 @@
 import org.larkkeel.relay.RelaySettings;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.UpstreamNotice;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * One node: the production reducer and load sharing, connected to the models in place of the
@@ -52,6 +56,9 @@
   private static final double RETRY_SLACK = 100;
   private static final long RETRY_WINDOW_NANOS = 10_000 * NANOS_PER_MILLI;
   private static final int STAGE_TOKENS = 512;
+  private static final long RESET_NANOS = 2 * NANOS_PER_MILLI;
+  private static final long CONNECT_TIMEOUT_NANOS = 600 * NANOS_PER_MILLI;
+  private static final long PROBE_TIMEOUT_NANOS = 500 * NANOS_PER_MILLI;
   private static final long MISSING_NANOS = 1_500 * NANOS_PER_MILLI;
 
   final InetSocketAddress address;
@@ -71,6 +78,7 @@
   /** The attempts whose complete answers are in transit to this node. */
   private final Set<Job> answersInTransit = new LinkedHashSet<>();
 
+  private final SimPaths paths = new SimPaths();
   private final Deque<RelayEvent> eventQueue = new ArrayDeque<>();
   private long callCount;
   private boolean isApplying;
@@ -144,6 +152,36 @@
     }
   }
 
+  /** Cuts the direct paths to all upstreams until a time; callers and nodes are still reached. */
+  void losePaths(NodeFaultKind kind, long until) {
+    paths.lose(kind, until);
+    if (kind == NodeFaultKind.PATHS_RESET) {
+      List.copyOf(activeJobs.values()).stream()
+          .filter(job -> job.path == UpstreamPath.DIRECT)
+          .forEach(this::resetConnection);
+    }
+  }
+
+  private void resetConnection(Job job) {
+    activeJobs.remove(job.attempt);
+    model.afterUpstreamDelay(() -> model.cancel(job));
+    failLater(job.attempt, 0, FailureCause.CONNECTION_LOST);
+  }
+
+  private void failLater(AttemptId attempt, long nanos, FailureCause cause) {
+    process.after(nanos, () -> submit(new RelayEvent.Lost(now(), attempt, cause)));
+  }
+
+  private void refuseLater(AttemptId attempt, long nanos, RefusalCause cause) {
+    process.after(nanos, () -> submit(new RelayEvent.Refused(now(), attempt, cause)));
+  }
+
+  /** Returns whether another node reaches the upstreams, so that it offers tunnels. */
+  private boolean hasTunnel() {
+    return model.nodes().stream()
+        .anyMatch(n -> n != this && !n.hasEnded() && !n.paths.isLost(now()));
+  }
+
   /** Handles a change of an upstream in the discovery list. */
   void upstreamChanged(RelayUpstream upstream) {
     process.run(
@@ -235,6 +273,17 @@
         });
   }
 
+  /** Schedules an action for the arrival of a message about an attempt. */
+  private void afterDelay(Job job, Runnable action) {
+    Optional<Long> healedAt =
+        job.path == UpstreamPath.DIRECT ? paths.delayedUntil(now()) : Optional.empty();
+    if (healedAt.isPresent()) {
+      time.at(healedAt.get(), () -> process.run(action));
+    } else {
+      afterDelay(action);
+    }
+  }
+
   /** Schedules an action for the arrival of a message from an upstream. */
   private void afterDelay(Runnable action) {
     model.afterUpstreamDelay(() -> process.run(action));
@@ -245,6 +294,7 @@
   @Override
   public void reply(Job job, LongFunction<RelayEvent> event) {
     afterDelay(
+        job,
         () -> {
           if (activeJobs.remove(job.attempt) != null) {
             submit(event.apply(now()));
@@ -255,6 +305,7 @@
   @Override
   public void noticed(Job job, long sentAt, RateLimitNotice rate) {
     afterDelay(
+        job,
         () -> {
           UpstreamIncarnation life = model.upstreams().get(job.upstream).incarnation();
           if (rate instanceof RateLimitNotice.Limited || router.isRateLimited(life)) {
@@ -272,6 +323,7 @@
   @Override
   public void event(Job job, boolean first) {
     afterDelay(
+        job,
         () -> {
           if (!activeJobs.containsKey(job.attempt)) {
             return;
@@ -296,6 +348,7 @@
     }
     answersInTransit.add(job);
     afterDelay(
+        job,
         () -> {
           answersInTransit.remove(job);
           if (activeJobs.remove(job.attempt) != null) {
@@ -391,11 +444,15 @@
     if (caller == null) {
       return;
     }
+    if (!reachesUpstream(e)) {
+      return;
+    }
     Job job =
         new Job(
             this,
             e.attempt(),
             e.upstream().name(),
+            e.path(),
             e.purpose(),
             caller.prompt(),
             caller.output(),
@@ -409,15 +466,36 @@
         });
   }
 
+  /** Returns whether an attempt reaches its upstream; else schedules its failure. */
+  private boolean reachesUpstream(RelayEffect.Send e) {
+    if (e.path() == UpstreamPath.TUNNEL && !hasTunnel()) {
+      refuseLater(e.attempt(), 0, RefusalCause.CONNECT_TIMED_OUT);
+      return false;
+    }
+    SimPaths.Outcome outcome = paths.send(now(), e.upstream().name(), e.path());
+    switch (outcome) {
+      case ARRIVES, VANISHES -> {}
+      case IS_RESET -> failLater(e.attempt(), RESET_NANOS, FailureCause.CONNECTION_LOST);
+      case IS_REFUSED -> refuseLater(e.attempt(), RESET_NANOS, RefusalCause.CONNECT_REFUSED);
+      case TIMES_OUT ->
+          refuseLater(e.attempt(), CONNECT_TIMEOUT_NANOS, RefusalCause.CONNECT_TIMED_OUT);
+    }
+    return outcome == SimPaths.Outcome.ARRIVES;
+  }
+
   private void probe(RelayEffect.Probe e) {
-    afterDelay(
-        () ->
-            submit(
-                new RelayEvent.Probed(
-                    now(),
-                    e.upstream().incarnation(),
-                    e.path(),
-                    model.probe(e.upstream().name()))));
+    boolean isDirect = e.path() == UpstreamPath.DIRECT;
+    if (isDirect ? paths.isLost(now()) : !hasTunnel()) {
+      boolean hangs = isDirect && paths.connect(now()) == SimPaths.Outcome.TIMES_OUT;
+      ProbeResult result = isDirect && !hangs ? ProbeResult.REFUSES : ProbeResult.SILENT;
+      process.after(hangs ? PROBE_TIMEOUT_NANOS : RESET_NANOS, () -> submit(probed(e, result)));
+      return;
+    }
+    afterDelay(() -> submit(probed(e, model.probe(e.upstream().name()))));
+  }
+
+  private RelayEvent probed(RelayEffect.Probe e, ProbeResult result) {
+    return new RelayEvent.Probed(now(), e.upstream().incarnation(), e.path(), result);
   }
 
   private void cancel(AttemptId attempt) {
