Prove crashes by other upstreams while no peer offers tunnels

A node that is refused by an upstream and reaches another one of its service now takes that as the proof.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
@@ -185,6 +185,53 @@
     }
   }
 
+  /** Proofs that an upstream has ended. */
+  public static class Ends {
+    private static boolean isEndReported(RelayWorld w) {
+      return w.of(RelayEffect.Report.class).stream()
+          .anyMatch(r -> r.fact() instanceof RelayFact.UpstreamEnded);
+    }
+
+    /** Loses a call with its connection; its upstream refuses new ones. */
+    private static RelayWorld lostCall(ProbeResult others, ProbeResult tunnels) {
+      RelayWorld w = clusterNode();
+      w.arrive("/once/a");
+      String lost = w.sent().upstream().name().value();
+      w.lost();
+      for (int from = 0; from < w.of(RelayEffect.Probe.class).size(); ) {
+        RelayEffect.Probe p = w.of(RelayEffect.Probe.class).get(from++);
+        boolean isOther = !p.upstream().name().value().equals(lost);
+        ProbeResult direct = isOther ? others : ProbeResult.REFUSES;
+        ProbeResult result = p.path() == UpstreamPath.DIRECT ? direct : tunnels;
+        w.apply(new RelayEvent.Probed(w.now(), p.upstream().incarnation(), p.path(), result));
+      }
+      return w;
+    }
+
+    @Test
+    public void areGivenByPeers() {
+      assertTrue(isEndReported(lostCall(ProbeResult.LISTENS, ProbeResult.REFUSES)));
+    }
+
+    /** A node that lost its own paths must not report that upstreams have ended. */
+    @Test
+    public void areNotGivenIfTunnelOpens() {
+      assertFalse(isEndReported(lostCall(ProbeResult.LISTENS, ProbeResult.LISTENS)));
+      assertFalse(isEndReported(lostCall(ProbeResult.REFUSES, ProbeResult.LISTENS)));
+    }
+
+    /** Beside peers of an older version, which offer no tunnels, crashes must still be found. */
+    @Test
+    public void areGivenByAnotherUpstreamIfNoPeerCanTell() {
+      assertTrue(isEndReported(lostCall(ProbeResult.LISTENS, ProbeResult.SILENT)));
+    }
+
+    @Test
+    public void areNotGivenIfNothingIsReached() {
+      assertFalse(isEndReported(lostCall(ProbeResult.REFUSES, ProbeResult.SILENT)));
+    }
+  }
+
   /** What is measured while paths are lost. */
   public static class Speeds {
     /** A broken path must not make an engine look slow to other nodes. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
@@ -87,6 +87,12 @@
 
     private int failed;
     private boolean listens;
+
+    /**
+     * The upstreams that refuse connections, and for which no tunnel could be probed. They have
+     * ended if this node reaches another upstream of the service.
+     */
+    private final Set<UpstreamIncarnation> refusing = new HashSet<>();
   }
 
   UpstreamPaths(Core core) {
@@ -201,6 +207,7 @@
     }
     p.surveyedAt = at;
     p.listens = false;
+    p.refusing.clear();
     chosen.forEach(s -> p.surveyed.add(s.incarnation()));
     chosen.forEach(s -> probe(s, UpstreamPath.DIRECT));
   }
@@ -220,11 +227,15 @@
       return;
     }
     boolean listens = result == ProbeResult.LISTENS;
+    if (path == UpstreamPath.DIRECT) {
+      s.setRefusesDirectly(result == ProbeResult.REFUSES);
+    }
     if (path == UpstreamPath.TUNNEL) {
       if (s.reach() == Reach.UNKNOWN && listens) {
         tunnelled(at, s, "probe");
       } else if (s.reach() == Reach.UNKNOWN) {
         unreachable(at, s, "probe_" + result);
+        witnessEnd(at, s);
       }
       return;
     }
@@ -241,6 +252,19 @@
     surveyAnswered(at, s, listens);
   }
 
+  /**
+   * Takes an upstream that refuses connections as ended if this node reaches another one of its
+   * service; used if no peer could tell, as while all peers run an older version.
+   */
+  private void witnessEnd(long at, UpstreamState s) {
+    ServicePaths p = service(s);
+    if (s.refusesDirectly() && p.listens) {
+      core.crashGuard.incarnationEnded(at, s.incarnation(), "refuses_connections");
+    } else if (s.refusesDirectly()) {
+      p.refusing.add(s.incarnation());
+    }
+  }
+
   private void surveyAnswered(long at, UpstreamState s, boolean listens) {
     ServicePaths p = service(s);
     if (!p.surveyed.remove(s.incarnation())) {
@@ -250,6 +274,10 @@
       return;
     }
     p.listens |= listens;
+    if (listens) {
+      p.refusing.forEach(i -> core.crashGuard.incarnationEnded(at, i, "refuses_connections"));
+      p.refusing.clear();
+    }
     p.failed += listens ? 0 : 1;
     if (p.surveyed.isEmpty() && !p.listens && p.failed > 1) {
       serviceLost(at, s.upstream().service());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -74,6 +74,7 @@
   private boolean evacuating;
   private long orderUnits;
   private Reach reach = Reach.DIRECT;
+  private boolean refusesDirectly;
   private long heardAt = Long.MIN_VALUE;
 
   /** How this node reaches the upstream. */
@@ -219,6 +220,15 @@
     reach = next;
   }
 
+  /** Returns whether the last direct probe was refused. */
+  boolean refusesDirectly() {
+    return refusesDirectly;
+  }
+
+  void setRefusesDirectly(boolean refuses) {
+    refusesDirectly = refuses;
+  }
+
   /** Returns whether a path to the upstream is known. */
   boolean isPathKnown() {
     return reach != Reach.UNKNOWN;
