Request tunnels from the address that peers know; soak with lost paths

On a host with several addresses, a tunnel was requested from whichever one the system chose, and peers refused it as foreign. It is now bound to the address of the peer listener.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -162,6 +162,7 @@
     client.setTunnelOpener(
         new PeerTunnelOpener(
             worker,
+            settings.peer().getAddress(),
             loadExchange::tunnelPeers,
             BootClock.SYSTEM::nanoTime,
             settings.host().hashCode()));
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -50,6 +50,9 @@
   private static final long TIMEOUT_SECONDS = 10;
   private static final UpstreamName NAME = new UpstreamName("engine-1");
 
+  /** The address of the asking node. */
+  private static final InetAddress SELF = InetAddress.ofLiteral("127.0.0.5");
+
   /** The address by which the asking node knows the upstream, where nothing listens. */
   private static final UpstreamAddress UNREACHABLE = UpstreamAddress.parse("127.0.0.9:9");
 
@@ -74,7 +77,7 @@
       worker = new HttpWorker(1);
       peerWorker = new HttpWorker(1);
       client = new UpstreamClient(worker, UpstreamClientSettings.DEFAULT, System::nanoTime);
-      client.setTunnelOpener(new PeerTunnelOpener(worker, () -> peers, System::nanoTime, 1));
+      client.setTunnelOpener(new PeerTunnelOpener(worker, SELF, () -> peers, System::nanoTime, 1));
     }
 
     /** Stops the client and the peers. */
@@ -116,7 +119,7 @@
     private final class Gate implements TunnelGate {
       @Override
       public boolean isPeer(InetAddress host) {
-        return isPeer;
+        return isPeer && host.equals(SELF);
       }
 
       @Override
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
@@ -17,6 +17,7 @@
 import io.undertow.util.Protocols;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
@@ -59,6 +60,7 @@
 
   private final HttpWorker worker;
   private final XnioIoThread thread;
+  private final InetAddress self;
   private final Supplier<List<InetSocketAddress>> peers;
   private final LongSupplier clock;
   private final int salt;
@@ -68,14 +70,20 @@
    * Creates an opener.
    *
    * @param worker the I/O thread and buffers
+   * @param self the address under which peers know this node, from which tunnels are requested
    * @param peers returns the peers that may offer tunnels
    * @param clock the node's monotonic clock, nanoseconds
    * @param salt differs between nodes, so that they prefer different peers
    */
   public PeerTunnelOpener(
-      HttpWorker worker, Supplier<List<InetSocketAddress>> peers, LongSupplier clock, int salt) {
+      HttpWorker worker,
+      InetAddress self,
+      Supplier<List<InetSocketAddress>> peers,
+      LongSupplier clock,
+      int salt) {
     this.worker = worker;
     this.thread = worker.worker().getIoThread();
+    this.self = self;
     this.peers = peers;
     this.clock = clock;
     this.salt = salt;
@@ -154,6 +162,7 @@
       UndertowClient.getInstance()
           .connect(
               this,
+              new InetSocketAddress(self, 0),
               URI.create("http://" + new UpstreamAddress(peer).hostHeader()),
               thread,
               worker.buffers(),
--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Predicate;
 import org.larkkeel.http.Json;
@@ -79,6 +80,7 @@
     REST,
     LIMIT,
     RESTORE,
+    PATH_CUT,
     IN_FORCE_ASKED
   }
 
@@ -99,6 +101,7 @@
   private final TreeMap<Counted, Integer> eventCounts = new TreeMap<>();
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final SoakCrashes crashes;
+  private final SoakPathCuts pathCuts;
   private long version = 1;
   private volatile boolean loaded = true;
 
@@ -109,6 +112,7 @@
     this.seed = seed;
     this.random = new SplittableRandom(seed);
     this.crashes = new SoakCrashes(this, ledger, new SplittableRandom(seed + 1));
+    this.pathCuts = new SoakPathCuts(this, ledger, runners, nodes, new SplittableRandom(seed + 5));
     current = this;
   }
 
@@ -136,6 +140,11 @@
     return source.nextInt(nodes);
   }
 
+  /** Returns the cuts of paths to runners. */
+  SoakPathCuts pathCuts() {
+    return pathCuts;
+  }
+
   /** Returns whether anything is disturbed, or was within the last 3 s. */
   static boolean isDisturbed() {
     return current.wasDisturbed(-1, System.nanoTime());
@@ -171,10 +180,10 @@
     crashes.crashed(body);
     count(Counted.CRASH);
     disturb(-1, RUNNER + "-crashes body=" + body, 500);
-    runner.proxy.down();
+    runner.paths.down();
     final String name = runner.id();
     runner.crash();
-    after(DOWN_MILLIS, runner.proxy::up);
+    after(DOWN_MILLIS, runner.paths::up);
     after(DOWN_MILLIS, runner::start);
     after(EXPIRY_MILLIS, () -> runner.expire(name));
   }
@@ -259,15 +268,16 @@
 
   private void prepare() throws IOException {
     for (int i = 0; i < APPS; i++) {
-      runners.add(new SoakRunner(ledger, store, "app", "", random.nextLong()));
+      runners.add(new SoakRunner(ledger, store, "app", "", nodes, random.nextLong()));
     }
     for (int i = 0; i < PREFILLS + DECODES; i++) {
       String stage = i < PREFILLS ? "prefill" : "decode";
-      runners.add(new SoakRunner(ledger, store, "model", stage, random.nextLong()));
+      runners.add(new SoakRunner(ledger, store, "model", stage, nodes, random.nextLong()));
     }
     configure();
     for (int i = 0; i < nodes; i++) {
-      String[] address = store.address().split(":");
+      int node = i;
+      String[] address = store.addView(text -> addressesFor(node, text)).split(":");
       storeProxies.add(
           new SoakProxy(new java.net.InetSocketAddress(address[0], Integer.parseInt(address[1]))));
       Files.writeString(folder.resolve("node-" + i + ".json"), settings(i));
@@ -275,6 +285,17 @@
     }
   }
 
+  /** Returns a text of the store with the addresses at which a node reaches the runners. */
+  private String addressesFor(int node, String text) {
+    String changed = text;
+    for (SoakRunner runner : runners) {
+      changed =
+          changed.replace(
+              '"' + runner.paths.address() + '"', '"' + runner.paths.address(node) + '"');
+    }
+    return changed;
+  }
+
   /** Writes a new version of the configuration, which adds a route. */
   synchronized void configure() {
     long added = version++;
@@ -405,8 +426,8 @@
       case 7 -> disturbFor(-1, "store-503", millis, on -> store.refuseWith(on > 0 ? 503 : 0));
       case 8 -> disturbFor(-1, "store-429", millis, on -> store.refuseWith(on > 0 ? 429 : 0));
       case 9 -> disturbFor(-1, "store-loses", millis, on -> store.loseWriteAnswers(on > 0));
-      case 10 -> disturbProxy(node, "store", storeProxies.get(node), millis);
-      case 11, 12 -> disturbProxy(-1, RUNNER, runner.proxy, millis);
+      case 10 -> disturbProxy(node, "store", storeProxies.get(node)::setMode, millis);
+      case 11, 12 -> disturbProxy(-1, RUNNER, runner.paths::setMode, millis);
       case 13 -> {
         SoakRunner.Fault f = SoakRunner.Fault.values()[random.nextInt(1, 7)];
         disturbFor(
@@ -445,10 +466,10 @@
     timer.schedule(() -> change.accept(0), millis, TimeUnit.MILLISECONDS);
   }
 
-  private void disturbProxy(int node, String what, SoakProxy proxy, long millis) {
+  private void disturbProxy(int node, String what, Consumer<SoakProxy.Mode> proxy, long millis) {
     SoakProxy.Mode mode = SoakProxy.Mode.values()[random.nextInt(1, 5)];
     disturbFor(
-        node, what + "-" + mode, millis, on -> proxy.setMode(on > 0 ? mode : SoakProxy.Mode.PASS));
+        node, what + "-" + mode, millis, on -> proxy.accept(on > 0 ? mode : SoakProxy.Mode.PASS));
   }
 
   /** Lets a runner leave, with or without notice; another one takes its address. */
@@ -468,11 +489,11 @@
           TimeUnit.MILLISECONDS);
     } else {
       disturb(-1, RUNNER + "-crashes", 1_000);
-      runner.proxy.setMode(SoakProxy.Mode.RESET);
+      runner.paths.setMode(SoakProxy.Mode.RESET);
       runner.end();
       timer.schedule(
           () -> {
-            runner.proxy.setMode(SoakProxy.Mode.PASS);
+            runner.paths.setMode(SoakProxy.Mode.PASS);
             runner.start();
           },
           800,
@@ -504,8 +525,8 @@
         RUNNER + "-restarts back_ms=" + backMillis + " entry_late_ms=" + entryDelayMillis,
         downMillis + 200);
     if (downMillis > 0) {
-      runner.proxy.setMode(SoakProxy.Mode.RESET);
-      after(downMillis, () -> runner.proxy.setMode(SoakProxy.Mode.PASS));
+      runner.paths.setMode(SoakProxy.Mode.RESET);
+      after(downMillis, () -> runner.paths.setMode(SoakProxy.Mode.PASS));
     }
     runner.restart(backMillis);
     after(entryDelayMillis, runner::register);
@@ -547,6 +568,8 @@
   private boolean finish() throws Exception {
     Thread.sleep(2_500);
     storeProxies.forEach(p -> p.setMode(SoakProxy.Mode.PASS));
+    pathCuts.healAll();
+    pathCuts.check();
     if (!awaitReady(25)) {
       ledger.violation("recover", "not all nodes are ready after the faults");
     }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
@@ -91,11 +91,14 @@
       }
       ledger.sent(id, new SoakLedger.Sent(node, method, path, text, runsOnce));
       Answer answer = exchange(id, method, path, text);
-      return check(id, kind, answer, startNanos);
+      boolean served = check(id, kind, answer, startNanos);
+      soak.pathCuts().tried(node, startNanos, served);
+      return served;
     } catch (IOException e) {
       disconnect();
       soak.connectionLost(name, node, id, startNanos, e);
       ledger.outcome(kind + "-cut");
+      soak.pathCuts().tried(node, startNanos, false);
       return false;
     }
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
@@ -14,8 +14,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.xnio.IoUtils;
 
@@ -42,10 +45,12 @@
 
   private static final long DELAY_MILLIS = 120;
   private static final int BACKLOG = 200;
+  private static final int QUEUE_FILLERS = 4;
 
   private volatile ServerSocket listener;
   private final InetSocketAddress target;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final List<SocketChannel> fillers = new CopyOnWriteArrayList<>();
   private final AtomicInteger stalls = new AtomicInteger();
   private volatile Mode mode = Mode.PASS;
 
@@ -70,8 +75,34 @@
     open.forEach(SoakProxy::reset);
   }
 
+  /** Refuses new connections; open ones stay. */
+  void refuseNew() {
+    IoUtils.safeClose(listener);
+  }
+
+  /** Forwards nothing, and lets new connections hang, as when packets are dropped. */
+  void hang() {
+    setMode(Mode.SILENT);
+    int port = listener.getLocalPort();
+    IoUtils.safeClose(listener);
+    try {
+      listener = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
+      // Further connections do not open while the queue of those not accepted is full.
+      for (int i = 0; i < QUEUE_FILLERS; i++) {
+        fillers.add(SocketChannel.open());
+        fillers.getLast().configureBlocking(false);
+        fillers.getLast().connect(listener.getLocalSocketAddress());
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Listens again at the same port. */
   void up() {
+    fillers.forEach(IoUtils::safeClose);
+    fillers.clear();
+    IoUtils.safeClose(listener);
     listen(listener.getLocalPort());
   }
 
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -20,7 +20,7 @@
 import org.larkkeel.http.Json;
 
 /**
- * A stand-in for a runner behind a proxy: a plain service, or an engine of one stage. It restarts
+ * A stand-in for a runner behind proxies: a plain service, or an engine of one stage. It restarts
  * under a new name or under its current one, always at the same address.
  *
  * <p>Invariant: it holds no prefilled prompt from before its latest start. Safe for use by several
@@ -61,7 +61,7 @@
   private final String stage;
   private final RawServer server;
   private final SplittableRandom random;
-  final SoakProxy proxy;
+  final SoakPaths paths;
   private volatile Fault fault = Fault.NONE;
   private volatile String id = "";
   private volatile SoakNotices notices;
@@ -71,7 +71,8 @@
   private volatile long invalidSince = Long.MAX_VALUE;
   private Optional<InvalidEntry> invalidShape = Optional.empty();
 
-  SoakRunner(SoakLedger ledger, StoreStandin store, String service, String stage, long seed) {
+  SoakRunner(
+      SoakLedger ledger, StoreStandin store, String service, String stage, int nodes, long seed) {
     this.ledger = ledger;
     this.store = store;
     this.service = service;
@@ -79,7 +80,8 @@
     this.random = new SplittableRandom(seed);
     this.server = new RawServer(this::answer);
     String[] address = server.address().split(":");
-    this.proxy = new SoakProxy(new InetSocketAddress(address[0], Integer.parseInt(address[1])));
+    this.paths =
+        new SoakPaths(new InetSocketAddress(address[0], Integer.parseInt(address[1])), nodes);
     start();
   }
 
@@ -191,7 +193,7 @@
       return;
     }
     ObjectNode entry = Json.object();
-    entry.put("service", service).put("address", proxy.address()).put("zone", "dc-1");
+    entry.put("service", service).put("address", paths.address()).put("zone", "dc-1");
     entry.put("slots", 8).put("state", leavingMillis() < 0 ? "ready" : "draining");
     entry.put("stage", stage).put("born", startMillis).put("sequence", 0);
     store.put("servers", id, invalidShape.isEmpty() ? entry : invalidShape.get().applyTo(entry));
@@ -358,7 +360,7 @@
 
   @Override
   public void close() throws IOException {
-    proxy.close();
+    paths.close();
     server.close();
   }
 }
--- a/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/StoreStandin.java
@@ -13,8 +13,11 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.larkkeel.http.Json;
@@ -40,7 +43,10 @@
   private static final long MAX_WAIT_MILLIS = 200;
   private static final int HISTORY_GONE = 410;
 
-  private final RawServer server = new RawServer(this::answer);
+  private final RawServer server =
+      new RawServer((r, out, socket) -> answer(r, out, socket, UnaryOperator.identity()));
+
+  private final List<RawServer> views = new CopyOnWriteArrayList<>();
   private final Map<String, Map<String, ObjectNode>> kinds = new TreeMap<>();
   private final Map<String, TreeMap<Long, ObjectNode>> events = new TreeMap<>();
   private long revision = 100;
@@ -53,6 +59,18 @@
     return server.address();
   }
 
+  /**
+   * Serves the content at a further address, with the text of each answer changed.
+   *
+   * @param change changes the text, which is JSON
+   * @return the address
+   */
+  String addView(UnaryOperator<String> change) {
+    RawServer view = new RawServer((r, out, socket) -> answer(r, out, socket, change));
+    views.add(view);
+    return view.address();
+  }
+
   /** Answers every call with the given status until it is reset to 0. */
   synchronized void refuseWith(int status) {
     refusalStatus = status;
@@ -121,7 +139,9 @@
     notifyAll();
   }
 
-  private void answer(RawServer.Request r, OutputStream out, Socket socket) throws Exception {
+  private void answer(
+      RawServer.Request r, OutputStream out, Socket socket, UnaryOperator<String> change)
+      throws Exception {
     int status;
     ObjectNode body = Json.object();
     synchronized (this) {
@@ -154,7 +174,10 @@
         return;
       }
     }
-    byte[] bytes = Json.bytes(body);
+    byte[] bytes =
+        change
+            .apply(new String(Json.bytes(body), StandardCharsets.UTF_8))
+            .getBytes(StandardCharsets.UTF_8);
     RawServer.write(
         out,
         "HTTP/1.1 "
@@ -241,5 +264,8 @@
   @Override
   public void close() throws IOException {
     server.close();
+    for (RawServer view : views) {
+      view.close();
+    }
   }
 }
