Refuse calls at once that no node can place

While no peer offered a tunnel, each call at a node without paths tried every upstream again, asked for tunnels again, and logged five lines for each.

UpstreamPathsTest.Lost fails without the change.

--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -479,6 +479,7 @@
       case IS_REFUSED -> refuseLater(e.attempt(), RESET_NANOS, RefusalCause.CONNECT_REFUSED);
       case TIMES_OUT ->
           refuseLater(e.attempt(), CONNECT_TIMEOUT_NANOS, RefusalCause.CONNECT_TIMED_OUT);
+      default -> throw new IllegalStateException("unknown outcome: " + outcome);
     }
     return outcome == SimPaths.Outcome.ARRIVES;
   }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LostPathsClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LostPathsClusterTest.java
@@ -93,7 +93,7 @@
     @Test(dataProvider = "cuts", dataProviderClass = LostPathsClusterTest.class)
     public void areServedWhileOtherNodesReachUpstreams(SimPaths.Cut cut, int nodes, long seed) {
       SimCluster cluster = startedCluster(seed);
-      long begin = cluster.nowNanos();
+      final long begin = cluster.nowNanos();
       cluster.loseUpstreams(cluster.nodes.subList(0, nodes), cut, CUT_MILLIS);
       load(cluster, CUT_MILLIS);
       long end = cluster.nowNanos();
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -538,7 +538,7 @@
       switch (effect) {
         case RelayEffect.Send s -> handleSend(s);
         case RelayEffect.Refuse r -> refuse(r);
-        case RelayEffect.Deliver d -> tries.served(d.call());
+        case RelayEffect.Deliver d -> tries.markServed(d.call());
         case RelayEffect.Cancel c -> {
           cancelled++;
           dropRun(c.attempt());
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimTries.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimTries.java
@@ -21,7 +21,7 @@
     arrivals.put(call, atNanos);
   }
 
-  void served(RequestId call) {
+  void markServed(RequestId call) {
     served.add(call);
   }
 
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
@@ -149,6 +149,24 @@
       assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
     }
 
+    /** A call must not wait for connections that were found not to open a moment ago. */
+    @Test
+    public void areNotTriedAgainAtOnceIfNoTunnelOpens() {
+      RelayWorld w = clusterNode();
+      w.arrive("/once/a");
+      refuseConnect(w);
+      refuseConnect(w);
+      int probes = answerProbes(w, 0, ProbeResult.REFUSES, ProbeResult.SILENT);
+      answerProbes(w, probes, ProbeResult.REFUSES, ProbeResult.SILENT);
+      final int sends = w.sendCount();
+      w.arrive("/once/a");
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+      assertEquals(w.sendCount(), sends);
+      w.pass(300);
+      w.arrive("/once/a");
+      assertEquals(w.sendCount(), sends + 1);
+    }
+
     /** Attempts without a connection reach no upstream and must not use up the retry budget. */
     @Test
     public void doNotUseUpRetryBudget() {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamChooser.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamChooser.java
@@ -134,7 +134,7 @@
         }
         if (isHealthy) {
           healthy.add(s);
-        } else if (s.isPathKnown()) {
+        } else if (s.isPathKnown() && !s.isUnreachable(at)) {
           others.add(s);
         }
       }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
@@ -60,6 +60,9 @@
   /** The number of upstreams of a lost service to which tunnels are probed at once. */
   private static final int MAX_TUNNEL_PROBES = 16;
 
+  /** The time for which an upstream that no node reaches is not tried again. */
+  private static final long UNREACHABLE_NANOS = 250 * MILLI;
+
   private static final long DIRECT_CHECK_NANOS = 500 * MILLI;
 
   /** The time by which direct checks are further apart for each upstream not reached directly. */
@@ -144,7 +147,7 @@
    */
   boolean connectFailed(long at, AttemptState a, String cause) {
     UpstreamState s = a.upstream();
-    if (!hasPeers) {
+    if (!hasPeers || s.isUnreachable(at)) {
       return false;
     }
     if (a.path() == UpstreamPath.TUNNEL) {
@@ -336,6 +339,7 @@
     }
     setReach(s, Reach.DIRECT);
     s.endEjection();
+    s.unreachableUntil(at);
     report(s, Change.RESTORED, "probe");
     pathFound(at, s);
   }
@@ -343,6 +347,7 @@
   private void unreachable(long at, UpstreamState s, String cause) {
     setReach(s, Reach.DIRECT);
     report(s, Change.UNREACHABLE, cause);
+    s.unreachableUntil(at + UNREACHABLE_NANOS);
     long ejectedNanos = s.failedHard(at, true);
     core.report(new RelayFact.Ejected(s.upstream().name(), cause, ejectedNanos));
     resume(at);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -75,6 +75,7 @@
   private long orderUnits;
   private Reach reach = Reach.DIRECT;
   private boolean refusesDirectly;
+  private long unreachableUntil = Long.MIN_VALUE;
   private long heardAt = Long.MIN_VALUE;
 
   /** How this node reaches the upstream. */
@@ -220,6 +221,18 @@
     reach = next;
   }
 
+  /**
+   * Returns whether neither this node nor another one reached the upstream a moment ago, so that
+   * another attempt is hopeless.
+   */
+  boolean isUnreachable(long at) {
+    return at < unreachableUntil;
+  }
+
+  void unreachableUntil(long time) {
+    unreachableUntil = time;
+  }
+
   /** Returns whether the last direct probe was refused. */
   boolean refusesDirectly() {
     return refusesDirectly;
