Take the failure of a tunnel for that of its peer first

An attempt that was lost or timed out by a tunnel ejected its upstream, though the peer of the tunnel may have ended; and idle tunnels of a peer that had lost power were written to until the peer counted as gone. A tunnel is now probed by a new one, from another peer if the first does not answer, and only its result ejects the upstream. A call that waits for the path to an upstream that leaves the list no longer waits for its deadline.

UpstreamPathsTest.Tunnels, doNotKeepCallIfTheyAreRemoved and TunnelTest.FailingPeers fail without the change.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -255,6 +255,35 @@
     }
   }
 
+  /** Peers that fail while they have tunnels. */
+  public static class FailingPeers extends Fixture {
+    /** Requests must not be written to the idle tunnels of a peer that no longer answers. */
+    @Test
+    public void loseTheirIdleTunnels() throws Exception {
+      startPeer();
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.answer(200, "ok"))) {
+        target = new UpstreamAddress(server.address());
+        assertEquals(body(exchange(new byte[0])), "ok");
+        CountDownLatch stopped = new CountDownLatch(1);
+        peerWorker
+            .worker()
+            .getIoThread()
+            .execute(
+                () -> {
+                  try {
+                    stopped.await();
+                  } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                  }
+                });
+        assertEquals(probe(), ProbeResult.SILENT);
+        UpstreamFailure failure = failure(exchange(new byte[0]));
+        stopped.countDown();
+        assertEquals(failure.connect(), ConnectFailure.TIMED_OUT, failure.detail());
+      }
+    }
+  }
+
   /** Requests for which no tunnel opens. */
   public static class Failures extends Fixture {
     /** A node that has lost its own paths must not report that an upstream has ended. */
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
@@ -22,10 +22,10 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -43,7 +43,8 @@
  *
  * <p>Peers are tried in an order that depends on the upstream, so that the tunnels of a node to
  * many upstreams spread over the peers, and those to one upstream prefer one. A peer that opened
- * none is left out for some time. Confined to the I/O thread, but for {@link #open}.
+ * none is left out for some time; one that did not answer is left out with its idle connections.
+ * Safe for use by several threads; peers are asked on the I/O thread.
  *
  * @since 0.1
  */
@@ -64,7 +65,10 @@
   private final Supplier<List<InetSocketAddress>> peers;
   private final LongSupplier clock;
   private final int salt;
-  private final Map<InetSocketAddress, Long> avoidedUntil = new HashMap<>();
+  private final Map<InetSocketAddress, Long> avoidedUntil = new ConcurrentHashMap<>();
+
+  /** The peers that did not answer, and until when their idle connections are not used. */
+  private final Map<InetSocketAddress, Long> unresponsiveUntil = new ConcurrentHashMap<>();
 
   /**
    * Creates an opener.
@@ -96,14 +100,16 @@
 
   @Override
   public boolean isReusable(ClientConnection connection) {
-    return peers.get().contains(connection.getPeerAddress(InetSocketAddress.class));
+    InetSocketAddress peer = connection.getPeerAddress(InetSocketAddress.class);
+    return peers.get().contains(peer) && !isIn(unresponsiveUntil, peer, clock.getAsLong());
   }
 
   private List<InetSocketAddress> candidates(Destination.Tunnel destination) {
     long now = clock.getAsLong();
     avoidedUntil.values().removeIf(until -> until <= now);
+    unresponsiveUntil.values().removeIf(until -> until <= now);
     return peers.get().stream()
-        .filter(p -> !avoidedUntil.containsKey(p))
+        .filter(p -> !isIn(avoidedUntil, p, now))
         .sorted(Comparator.comparingInt(p -> rank(p, destination)))
         .limit(MAX_PEERS_TRIED)
         .toList();
@@ -117,6 +123,11 @@
     return hash ^ (hash >>> 16);
   }
 
+  private static boolean isIn(
+      Map<InetSocketAddress, Long> until, InetSocketAddress peer, long now) {
+    return until.getOrDefault(peer, Long.MIN_VALUE) > now;
+  }
+
   private void avoid(InetSocketAddress peer, Duration time) {
     avoidedUntil.put(peer, clock.getAsLong() + time.toNanos());
   }
@@ -240,6 +251,7 @@
     @Override
     public void failed(IOException e) {
       if (!ended) {
+        unresponsiveUntil.put(peer, clock.getAsLong() + AVOID.toNanos());
         fail(AVOID);
       }
     }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
@@ -192,6 +192,17 @@
       assertTrue(w.of(RelayEffect.Probe.class).isEmpty());
     }
 
+    /** A call must not wait for the path to an upstream that is no longer listed. */
+    @Test
+    public void doNotKeepCallIfTheyAreRemoved() {
+      RelayWorld w = clusterNode();
+      w.arrive("/once/a");
+      refuseConnect(w);
+      refuseConnect(w);
+      w.remove("app-1", "app-2");
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
     @Test
     public void doNotKeepCallPastItsDeadline() {
       RelayWorld w = clusterNode();
@@ -203,6 +214,62 @@
     }
   }
 
+  /** Tunnels that fail. */
+  public static class Tunnels {
+    private static RelayEffect.Probe lastProbe(RelayWorld w) {
+      return w.of(RelayEffect.Probe.class).getLast();
+    }
+
+    /** The end of a tunnel's peer must not eject the upstreams that were reached by it. */
+    @Test
+    public void doNotEjectUpstreamThatAnotherPeerReaches() {
+      RelayWorld w = clusterNode();
+      losePaths(w);
+      for (int i = 0; i < 4; i++) {
+        w.lost();
+        assertEquals(lastProbe(w).path(), UpstreamPath.TUNNEL);
+        w.apply(
+            new RelayEvent.Probed(
+                w.now(),
+                lastProbe(w).upstream().incarnation(),
+                UpstreamPath.TUNNEL,
+                ProbeResult.LISTENS));
+        w.arrive("/once/a");
+      }
+      assertTrue(
+          w.of(RelayEffect.Report.class).stream()
+              .noneMatch(r -> r.fact() instanceof RelayFact.Ejected));
+      assertEquals(w.sent().path(), UpstreamPath.TUNNEL);
+    }
+
+    /** A peer that loses power leaves its tunnels silent; others must be opened soon. */
+    @Test
+    public void areProbedIfSilent() {
+      RelayWorld w = clusterNode();
+      losePaths(w);
+      int probes = w.of(RelayEffect.Probe.class).size();
+      w.pass(210);
+      assertTrue(w.of(RelayEffect.Probe.class).size() > probes);
+      assertEquals(lastProbe(w).path(), UpstreamPath.TUNNEL);
+    }
+
+    @Test
+    public void ejectUpstreamThatNoPeerReaches() {
+      RelayWorld w = clusterNode();
+      losePaths(w);
+      w.lost();
+      w.apply(
+          new RelayEvent.Probed(
+              w.now(),
+              lastProbe(w).upstream().incarnation(),
+              UpstreamPath.TUNNEL,
+              ProbeResult.REFUSES));
+      assertTrue(
+          w.of(RelayEffect.Report.class).stream()
+              .anyMatch(r -> r.fact() instanceof RelayFact.Ejected));
+    }
+  }
+
   /** Proofs that an upstream has ended. */
   public static class Ends {
     private static boolean isEndReported(RelayWorld w) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
@@ -16,7 +16,6 @@
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayWorkspace;
-import org.larkkeel.relay.UpstreamPath;
 
 /**
  * Tracks the attempts in flight.
@@ -89,9 +88,7 @@
     if (timeoutNanos < c.deadline - at) {
       timers.add(new Timers.Timer.AttemptTimeout(at + timeoutNanos, id));
     }
-    if (a.path() == UpstreamPath.DIRECT) {
-      timers.add(new Timers.Timer.SilenceCheck(at + UpstreamPaths.SILENCE_NANOS, id));
-    }
+    timers.add(new Timers.Timer.SilenceCheck(at + UpstreamPaths.SILENCE_NANOS, id));
     effects.accept(
         new RelayEffect.Send(
             id,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -143,6 +143,7 @@
     core.endedIncarnations.end(at, ended);
     core.upstreams.removeMissing(at, core::report);
     core.evacuation.scheduleEvacuations(at);
+    core.paths.upstreamsChanged(at);
     core.reservations.placePending(at);
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -21,6 +21,7 @@
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceBounds;
 import org.larkkeel.relay.Stage;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * Decides what follows from the outcome of an attempt: the final answer, another attempt, or a
@@ -306,7 +307,11 @@
       core.attempts.reportBroken(at, a);
       core.crashGuard.connectionLost(at, a);
     }
-    recordHardFailure(at, a, cause.name(), cause == FailureCause.TIMED_OUT);
+    if (a.path() == UpstreamPath.TUNNEL) {
+      core.paths.tunnelFailed(at, a.upstream());
+    } else {
+      recordHardFailure(at, a, cause.name(), cause == FailureCause.TIMED_OUT);
+    }
     retryOrFail(at, a, cause.name());
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
@@ -119,8 +119,8 @@
 
   /** Handles anything that was received in answer to an attempt. */
   void heard(long at, AttemptState a) {
+    a.upstream().heard(at);
     if (a.path() == UpstreamPath.DIRECT) {
-      a.upstream().heard(at);
       service(a.upstream()).heardAt = at;
     }
   }
@@ -128,10 +128,13 @@
   /** Probes the path to an upstream if its answer is overdue. */
   void checkSilence(long at, AttemptState a) {
     UpstreamState s = a.upstream();
-    if (!hasPeers || s.reach() != Reach.DIRECT || s.heardAt() >= a.sentAt()) {
+    if (!hasPeers || a.path() != s.path() || !s.isPathKnown() || s.heardAt() >= a.sentAt()) {
       return;
     }
-    if (service(s).heardAt < a.sentAt()) {
+    if (a.path() == UpstreamPath.TUNNEL) {
+      // The peer of the tunnel may have failed; a new one is opened by another peer then.
+      probe(s, UpstreamPath.TUNNEL);
+    } else if (service(s).heardAt < a.sentAt()) {
       survey(at, s);
     } else if (at - a.sentAt() >= SINGLE_SILENCE_NANOS) {
       probe(s, UpstreamPath.DIRECT);
@@ -140,6 +143,12 @@
     }
   }
 
+  /** Handles an attempt by a tunnel that failed, which may be the failure of the tunnel's peer. */
+  void tunnelFailed(long at, UpstreamState s) {
+    s.failed(at);
+    probe(s, UpstreamPath.TUNNEL);
+  }
+
   /**
    * Handles an attempt whose connection could not be opened.
    *
@@ -222,7 +231,10 @@
         .find(incarnation)
         .ifPresentOrElse(
             s -> probed(at, s, path, result),
-            () -> services.values().forEach(p -> p.surveyed.remove(incarnation)));
+            () -> {
+              services.values().forEach(p -> p.surveyed.remove(incarnation));
+              resume(at);
+            });
   }
 
   private void probed(long at, UpstreamState s, UpstreamPath path, ProbeResult result) {
@@ -236,7 +248,7 @@
     if (path == UpstreamPath.TUNNEL) {
       if (s.reach() == Reach.UNKNOWN && listens) {
         tunnelled(at, s, "probe");
-      } else if (s.reach() == Reach.UNKNOWN) {
+      } else if (s.reach() != Reach.DIRECT && !listens) {
         unreachable(at, s, "probe_" + result);
         witnessEnd(at, s);
       }
@@ -383,6 +395,13 @@
     resume(at);
   }
 
+  /** Places the calls again that wait for a path to an upstream that may have gone. */
+  void upstreamsChanged(long at) {
+    if (!waiting.isEmpty()) {
+      resume(at);
+    }
+  }
+
   private void resume(long at) {
     List<CallState> calls = List.copyOf(waiting);
     waiting.clear();
