Probe a silent upstream at most once a second

Each attempt without an answer for half a second probed its upstream, however many waited in its queue. A path counts as sound for a second after a probe was accepted, and the check of an attempt is put off until then.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
@@ -65,6 +65,19 @@
       assertEquals(w.sent().path(), UpstreamPath.DIRECT);
     }
 
+    /** Many calls in the queue of one upstream must not each cause a probe. */
+    @Test
+    public void isProbedAtMostOnceInASecond() {
+      RelayWorld w = clusterNode();
+      for (int i = 0; i < 40; i++) {
+        w.arrive("/once/a");
+        w.pass(50);
+        List<RelayEffect.Probe> all = w.of(RelayEffect.Probe.class);
+        answerProbes(w, Math.max(0, all.size() - 2), ProbeResult.LISTENS, ProbeResult.LISTENS);
+      }
+      assertTrue(w.of(RelayEffect.Probe.class).size() <= 4, w.of(RelayEffect.Probe.class) + "");
+    }
+
     @Test
     public void isNotProbedIfAnswersCome() {
       RelayWorld w = clusterNode();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
@@ -52,6 +52,9 @@
   /** The silence of one upstream that makes it suspect while others of its service answer. */
   private static final long SINGLE_SILENCE_NANOS = 500 * MILLI;
 
+  /** The time for which a path counts as sound after a probe was accepted. */
+  private static final long PROBE_PERIOD_NANOS = 1_000 * MILLI;
+
   private static final long SURVEY_PERIOD_NANOS = 1_000 * MILLI;
 
   /** The number of upstreams that are probed to find out whether a service is reached at all. */
@@ -131,7 +134,10 @@
     if (!hasPeers || a.path() != s.path() || !s.isPathKnown() || s.heardAt() >= a.sentAt()) {
       return;
     }
-    if (a.path() == UpstreamPath.TUNNEL) {
+    long provenUntil = s.listenedAt() + PROBE_PERIOD_NANOS;
+    if (at < provenUntil) {
+      core.timers.add(new Timers.Timer.SilenceCheck(provenUntil, a.id()));
+    } else if (a.path() == UpstreamPath.TUNNEL) {
       // The peer of the tunnel may have failed; a new one is opened by another peer then.
       probe(s, UpstreamPath.TUNNEL);
     } else if (service(s).heardAt < a.sentAt()) {
@@ -242,6 +248,9 @@
       return;
     }
     boolean listens = result == ProbeResult.LISTENS;
+    if (listens && path == s.path()) {
+      s.listened(at);
+    }
     if (path == UpstreamPath.DIRECT) {
       s.setRefusesDirectly(result == ProbeResult.REFUSES);
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -77,6 +77,7 @@
   private boolean refusesDirectly;
   private long unreachableUntil = Long.MIN_VALUE;
   private long heardAt = Long.MIN_VALUE;
+  private long listenedAt = Long.MIN_VALUE / 2;
 
   /** How this node reaches the upstream. */
   enum Reach {
@@ -261,6 +262,15 @@
     heardAt = at;
   }
 
+  /** Returns when the upstream last accepted a probe by the path that is used. */
+  long listenedAt() {
+    return listenedAt;
+  }
+
+  void listened(long at) {
+    listenedAt = at;
+  }
+
   /** Returns the speed of the incarnation, as far as it was measured. */
   EngineSpeed speed() {
     return speed;
