Split the survey of a service off the paths, and retry by the path found

A call on a silent connection was sent again as soon as its own upstream was known to be lost, which could be to another one that was known a moment later. It is sent again once a path is found. The survey of a service is a class of its own.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
@@ -55,8 +55,6 @@
   /** The time for which a path counts as sound after a probe was accepted. */
   private static final long PROBE_PERIOD_NANOS = 1_000 * MILLI;
 
-  private static final long SURVEY_PERIOD_NANOS = 1_000 * MILLI;
-
   /** The number of upstreams that are probed to find out whether a service is reached at all. */
   private static final int SURVEY_SIZE = 4;
 
@@ -83,22 +81,10 @@
   private final SplittableRandom random;
   private boolean hasPeers;
 
-  /** The evidence about the paths to one service. */
+  /** What is known of the paths to one service. */
   private static final class ServicePaths {
+    private final PathSurvey survey = new PathSurvey();
     private long heardAt = Long.MIN_VALUE;
-    private long surveyedAt = Long.MIN_VALUE;
-
-    /** The upstreams of the survey in progress that have not answered yet. */
-    private final Set<UpstreamIncarnation> surveyed = new HashSet<>();
-
-    private int failed;
-    private boolean listens;
-
-    /**
-     * The upstreams that refuse connections, and for which no tunnel could be probed. They have
-     * ended if this node reaches another upstream of the service.
-     */
-    private final Set<UpstreamIncarnation> refusing = new HashSet<>();
   }
 
   UpstreamPaths(Core core) {
@@ -200,16 +186,22 @@
     }
   }
 
-  /** Probes the path to an upstream and to some others of its service. */
+  /** Probes the path to an upstream, if it may work, and to some others of its service. */
   private void survey(long at, UpstreamState first) {
-    ServicePaths p = service(first);
-    if (!p.surveyed.isEmpty()
-        || (p.surveyedAt != Long.MIN_VALUE && at - p.surveyedAt < SURVEY_PERIOD_NANOS)) {
-      if (first.reach() == Reach.DIRECT) {
-        probe(first, UpstreamPath.DIRECT);
-      }
-      return;
+    List<UpstreamState> surveyed = new ArrayList<>();
+    if (first.reach() == Reach.DIRECT) {
+      surveyed.add(first);
+    }
+    PathSurvey survey = service(first).survey;
+    if (survey.mayBegin(at)) {
+      surveyed.addAll(othersToSurvey(first));
+      List<UpstreamIncarnation> names = surveyed.stream().map(UpstreamState::incarnation).toList();
+      survey.begin(at, names, first.reach() == Reach.DIRECT ? 0 : 1);
     }
+    surveyed.forEach(s -> probe(s, UpstreamPath.DIRECT));
+  }
+
+  private List<UpstreamState> othersToSurvey(UpstreamState first) {
     List<UpstreamState> others = new ArrayList<>();
     for (UpstreamState s : core.upstreams.ofService(first.upstream().service())) {
       if (s != first && s.reach() == Reach.DIRECT && !s.isLeavingOrMissing()) {
@@ -217,17 +209,7 @@
       }
     }
     Collections.shuffle(others, random);
-    List<UpstreamState> chosen =
-        new ArrayList<>(others.subList(0, Math.min(SURVEY_SIZE - 1, others.size())));
-    p.failed = first.reach() == Reach.DIRECT ? 0 : 1;
-    if (first.reach() == Reach.DIRECT) {
-      chosen.add(first);
-    }
-    p.surveyedAt = at;
-    p.listens = false;
-    p.refusing.clear();
-    chosen.forEach(s -> p.surveyed.add(s.incarnation()));
-    chosen.forEach(s -> probe(s, UpstreamPath.DIRECT));
+    return others.subList(0, Math.min(SURVEY_SIZE - 1, others.size()));
   }
 
   /** Handles the result of a probe. */
@@ -238,7 +220,7 @@
         .ifPresentOrElse(
             s -> probed(at, s, path, result),
             () -> {
-              services.values().forEach(p -> p.surveyed.remove(incarnation));
+              services.values().forEach(p -> p.survey.removed(incarnation));
               resume(at);
             });
   }
@@ -247,65 +229,60 @@
     if (!hasPeers) {
       return;
     }
-    boolean listens = result == ProbeResult.LISTENS;
-    if (listens && path == s.path()) {
+    if (result == ProbeResult.LISTENS && path == s.path()) {
       s.listened(at);
     }
-    if (path == UpstreamPath.DIRECT) {
-      s.setRefusesDirectly(result == ProbeResult.REFUSES);
+    switch (path) {
+      case DIRECT -> probedDirectly(at, s, result);
+      case TUNNEL -> probedByTunnel(at, s, result);
+      default -> throw new IllegalStateException("unknown path: " + path);
     }
-    if (path == UpstreamPath.TUNNEL) {
-      if (s.reach() == Reach.UNKNOWN && listens) {
-        tunnelled(at, s, "probe");
-      } else if (s.reach() != Reach.DIRECT && !listens) {
-        unreachable(at, s, "probe_" + result);
-        witnessEnd(at, s);
+  }
+
+  private void probedByTunnel(long at, UpstreamState s, ProbeResult result) {
+    if (result != ProbeResult.LISTENS && s.reach() != Reach.DIRECT) {
+      unreachable(at, s, "probe_" + result);
+      if (s.directResult() == ProbeResult.REFUSES) {
+        service(s).survey.addRefusing(s.incarnation());
+        reportEnded(at, s);
       }
-      return;
+    } else if (s.reach() == Reach.UNKNOWN) {
+      tunnelled(at, s, "probe");
     }
+  }
+
+  private void probedDirectly(long at, UpstreamState s, ProbeResult result) {
+    final boolean listens = result == ProbeResult.LISTENS;
+    s.setDirectResult(result);
     if (listens) {
       restored(at, s);
     } else if (s.reach() == Reach.DIRECT) {
       lost(at, s, "probe_" + result);
-      if (result == ProbeResult.SILENT) {
-        retryUnanswered(at, s);
-      }
     } else if (s.reach() == Reach.TUNNEL) {
       scheduleDirectCheck(at, s);
     }
-    surveyAnswered(at, s, listens);
+    PathSurvey survey = service(s).survey;
+    switch (survey.answered(s.incarnation(), listens)) {
+      case LOST -> serviceLost(at, s.upstream().service());
+      case OPEN -> reportEnded(at, s);
+      case NOT_SURVEYED -> {
+        if (!listens && !survey.isInProgress()) {
+          survey(at, s);
+        }
+      }
+      default -> throw new IllegalStateException("unknown result of a survey");
+    }
   }
 
   /**
-   * Takes an upstream that refuses connections as ended if this node reaches another one of its
+   * Reports upstreams as ended that refuse connections while this node reaches another one of the
    * service; used if no peer could tell, as while all peers run an older version.
    */
-  private void witnessEnd(long at, UpstreamState s) {
-    ServicePaths p = service(s);
-    if (s.refusesDirectly() && p.listens) {
-      core.crashGuard.incarnationEnded(at, s.incarnation(), "refuses_connections");
-    } else if (s.refusesDirectly()) {
-      p.refusing.add(s.incarnation());
-    }
-  }
-
-  private void surveyAnswered(long at, UpstreamState s, boolean listens) {
-    ServicePaths p = service(s);
-    if (!p.surveyed.remove(s.incarnation())) {
-      if (!listens && p.surveyed.isEmpty()) {
-        survey(at, s);
-      }
-      return;
-    }
-    p.listens |= listens;
-    if (listens) {
-      p.refusing.forEach(i -> core.crashGuard.incarnationEnded(at, i, "refuses_connections"));
-      p.refusing.clear();
-    }
-    p.failed += listens ? 0 : 1;
-    if (p.surveyed.isEmpty() && !p.listens && p.failed > 1) {
-      serviceLost(at, s.upstream().service());
-    }
+  private void reportEnded(long at, UpstreamState s) {
+    service(s)
+        .survey
+        .takeEnded()
+        .forEach(i -> core.crashGuard.incarnationEnded(at, i, "refuses_connections"));
   }
 
   private void serviceLost(long at, ServiceName service) {
@@ -352,6 +329,9 @@
     report(s, Change.TUNNELLED, cause);
     scheduleDirectCheck(at, s);
     pathFound(at, s);
+    if (s.directResult() == ProbeResult.SILENT) {
+      retryUnanswered(at, s);
+    }
   }
 
   private void restored(long at, UpstreamState s) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -8,6 +8,7 @@
 
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.UpstreamPath;
 
@@ -74,7 +75,7 @@
   private boolean evacuating;
   private long orderUnits;
   private Reach reach = Reach.DIRECT;
-  private boolean refusesDirectly;
+  private ProbeResult directResult = ProbeResult.LISTENS;
   private long unreachableUntil = Long.MIN_VALUE;
   private long heardAt = Long.MIN_VALUE;
   private long listenedAt = Long.MIN_VALUE / 2;
@@ -234,13 +235,13 @@
     unreachableUntil = time;
   }
 
-  /** Returns whether the last direct probe was refused. */
-  boolean refusesDirectly() {
-    return refusesDirectly;
+  /** Returns the result of the last direct probe. */
+  ProbeResult directResult() {
+    return directResult;
   }
 
-  void setRefusesDirectly(boolean refuses) {
-    refusesDirectly = refuses;
+  void setDirectResult(ProbeResult result) {
+    directResult = result;
   }
 
   /** Returns whether a path to the upstream is known. */
