--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.ScriptedServer;
@@ -165,7 +166,7 @@
       return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
-    static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+    static void await(BooleanSupplier condition) throws InterruptedException {
       long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
       while (!condition.getAsBoolean()) {
         assertTrue(System.nanoTime() < end, "the condition was not met in time");
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.http.tunnel;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
@@ -27,6 +28,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.larkkeel.http.HttpWorker;
@@ -57,7 +59,7 @@
   private static final Duration AVOID_UNSUITABLE = Duration.ofSeconds(5);
 
   private static final OptionMap OPTIONS =
-      OptionMap.create(io.undertow.UndertowOptions.ENABLE_STATISTICS, true);
+      OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
 
   private final HttpWorker worker;
   private final XnioIoThread thread;
@@ -201,8 +203,7 @@
           request, callback(exchange -> exchange.setResponseListener(callback(this::answered))));
     }
 
-    private ClientCallback<ClientExchange> callback(
-        java.util.function.Consumer<ClientExchange> action) {
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> action) {
       return new ClientCallback<>() {
         @Override
         public void completed(ClientExchange exchange) {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/UpstreamPathsTest.java
@@ -67,7 +67,7 @@
 
     /** Many calls in the queue of one upstream must not each cause a probe. */
     @Test
-    public void isProbedAtMostOnceInASecond() {
+    public void isProbedAtMostOncePerSecond() {
       RelayWorld w = clusterNode();
       for (int i = 0; i < 40; i++) {
         w.arrive("/once/a");
