Never begin a moved run again by another path

A stream that was moved off a leaving upstream, and whose copy could not be reached, was placed anew once a path was found, though its first run had begun: it could have run twice. Only a call that has not run is placed by another path; this one is cut as before.

Found by reading the change. RelayEvacuationTest fails without it.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayEvacuationTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayEvacuationTest.java
@@ -129,6 +129,27 @@
     assertEquals(w.router.loads(), ImmutableMap.of());
   }
 
+  /** A stream that runs once must not run again after its copy could not be reached. */
+  @Test
+  public void isCutWhenNoConnectionToItsCopyOpens() {
+    RelayWorld w = leaving("/stream/a");
+    w.apply(new RelayEvent.NodesCounted(w.now(), 3));
+    w.moved(COPIED);
+    w.lost();
+    w.moved(COPIED);
+    final int sends = w.sendCount();
+    w.apply(new RelayEvent.Refused(w.now(), w.sent().attempt(), RefusalCause.CONNECT_REFUSED));
+    RelayEffect.Probe probe = w.of(RelayEffect.Probe.class).getLast();
+    for (UpstreamPath path : UpstreamPath.values()) {
+      w.apply(
+          new RelayEvent.Probed(
+              w.now(), probe.upstream().incarnation(), path, ProbeResult.LISTENS));
+    }
+    w.pass(500);
+    assertEquals(w.sendCount(), sends);
+    assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
+  }
+
   @Test
   public void runsAgainWhenItsCopyIsLostAndItIsResumable() {
     RelayWorld w = leaving("/resume/a");
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -223,7 +223,8 @@
    */
   private boolean notConnected(long at, AttemptState a, RefusalCause cause) {
     CallState c = a.call();
-    if (!core.paths.connectFailed(at, a, cause.name())) {
+    // A run that is continued may only go on from its copy, not begin again by another path.
+    if (!core.paths.connectFailed(at, a, cause.name()) || a.continuesRun()) {
       return notSent(at, a, cause);
     }
     releaseArrival(a);
