--- a/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
@@ -10,16 +10,21 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.xnio.IoUtils;
 
 /**
@@ -46,6 +51,9 @@
   private static final long DELAY_MILLIS = 120;
   private static final int BACKLOG = 200;
   private static final int QUEUE_FILLERS = 4;
+  private static final int NOTHING_DUE = -2;
+  private static final long BIND_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long BIND_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
   private volatile ServerSocket listener;
   private final InetSocketAddress target;
@@ -60,15 +68,29 @@
   }
 
   private void listen(int port) {
-    try {
-      listener = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    bind(port, BACKLOG);
     ServerSocket accepting = listener;
     Thread.ofVirtual().start(() -> accept(accepting));
   }
 
+  /** Binds the listener; a port is still in use for a moment after its listener was closed. */
+  private void bind(int port, int backlog) {
+    long end = System.nanoTime() + BIND_NANOS;
+    while (true) {
+      try {
+        listener = new ServerSocket(port, backlog, InetAddress.getByName("127.0.0.1"));
+        return;
+      } catch (BindException e) {
+        if (System.nanoTime() > end) {
+          throw new UncheckedIOException(e);
+        }
+        LockSupport.parkNanos(BIND_PAUSE_NANOS);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
   /** Resets all connections and refuses new ones, as when the process behind it has ended. */
   void down() {
     IoUtils.safeClose(listener);
@@ -85,8 +107,8 @@
     setMode(Mode.SILENT);
     int port = listener.getLocalPort();
     IoUtils.safeClose(listener);
+    bind(port, 1);
     try {
-      listener = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
       // Further connections do not open while the queue of those not accepted is full.
       for (int i = 0; i < QUEUE_FILLERS; i++) {
         fillers.add(SocketChannel.open());
@@ -163,8 +185,16 @@
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-        awaitForwarding(answers, stallsAtAccept);
+        boolean held = awaitForwarding(answers, stallsAtAccept);
+        int next = held ? readNext(from) : NOTHING_DUE;
+        if (next < 0 && next != NOTHING_DUE) {
+          // As in a network: what a partition has held up is lost once its sender has reset.
+          throw new IOException("the sender has left");
+        }
         out.write(buffer, 0, n);
+        if (next >= 0) {
+          out.write(next);
+        }
         out.flush();
       }
       to.shutdownOutput();
@@ -174,16 +204,36 @@
     }
   }
 
-  private void awaitForwarding(boolean answers, int stallsAtAccept) throws InterruptedException {
+  /** Waits while nothing is forwarded; returns whether a partition held bytes up. */
+  private boolean awaitForwarding(boolean answers, int stallsAtAccept) throws InterruptedException {
     if (mode == Mode.DELAY) {
       Thread.sleep(DELAY_MILLIS);
     }
+    boolean held = mode == Mode.SILENT;
     while (mode == Mode.SILENT || (mode == Mode.ONE_WAY && answers)) {
       Thread.sleep(10);
     }
     while (stallsAtAccept < stalls.get() && !listener.isClosed()) {
       Thread.sleep(100);
     }
+    return held;
+  }
+
+  /**
+   * Returns the next byte of a connection, -1 if its other side has closed or reset it, or {@link
+   * #NOTHING_DUE}.
+   */
+  private static int readNext(Socket socket) throws IOException {
+    socket.setSoTimeout(1);
+    try {
+      return socket.getInputStream().read();
+    } catch (SocketTimeoutException e) {
+      return NOTHING_DUE;
+    } catch (SocketException e) {
+      return -1;
+    } finally {
+      socket.setSoTimeout(0);
+    }
   }
 
   private static void reset(Socket socket) {
