Tell what holds the event loop up, and why a collection is not read

Logs could not tell a handler that does not return from a loop whose turns are long, nor why a node whose collection is lost goes without it: a failed copy was logged at level DEBUG, a list that failed again not at all.

Each failed attempt to read a collection and each failed copy has a line, copies and passes over the queue of waiting calls are counted. No decision changes.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -46,6 +46,9 @@
   private static final Logger log = LoggerFactory.getLogger(LoadExchange.class);
   private static final int RECEIVE_BYTES = 1 << 16;
 
+  /** The time for which the messages of one turn may keep other work of the thread waiting. */
+  private static final long MAX_TURN_NANOS = 100_000_000L;
+
   private final RelayLoop loop;
   private final Consumer<RelayFact> facts;
   private final XnioIoThread thread;
@@ -198,10 +201,13 @@
   }
 
   private void receive() {
+    final long begin = loop.now();
+    int messages = 0;
     try {
       receiveBuffer.clear();
       while (channel.receiveFrom(receivedFrom, receiveBuffer) > 0) {
         InetSocketAddress source = receivedFrom.getSourceAddress(InetSocketAddress.class);
+        messages++;
         if (source != null) {
           sharing.received(source, receiveBuffer.array(), receiveBuffer.position());
         }
@@ -210,6 +216,10 @@
     } catch (IOException e) {
       log.debug("event=load_not_heard cause=\"{}\"", e.getMessage());
     }
+    long nanos = loop.now() - begin;
+    if (nanos > MAX_TURN_NANOS) {
+      facts.accept(new RelayFact.MessagesHeldLoop(messages, nanos));
+    }
   }
 
   @Override
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.tunnel.TunnelHandler;
@@ -42,12 +43,14 @@
   private static final String UPSTREAMS = "upstreams";
   private static final Duration CHECK_PERIOD = Duration.ofMillis(300);
   private static final Duration TIMEOUT = Duration.ofMillis(600);
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final RelayFeed feed;
   private final HttpWorker worker;
   private final Scheduler scheduler;
   private final Supplier<List<InetSocketAddress>> peers;
   private final TunnelHandler tunnels;
+  private final Consumer<String> results;
   private final Undertow server;
   private int nextPeer;
   private boolean closed;
@@ -58,12 +61,14 @@
       HttpWorker worker,
       Scheduler scheduler,
       Supplier<List<InetSocketAddress>> peers,
-      TunnelHandler tunnels) {
+      TunnelHandler tunnels,
+      Consumer<String> results) {
     this.feed = feed;
     this.worker = worker;
     this.scheduler = scheduler;
     this.peers = peers;
     this.tunnels = tunnels;
+    this.results = results;
     this.server =
         Undertow.builder()
             .setWorker(worker.worker())
@@ -122,6 +127,7 @@
         new JsonHttpClient(
             new HttpServiceClient(
                 HttpClientOptions.of(base).withTimeout(TIMEOUT), worker.worker(), scheduler));
+    final long beginNanos = scheduler.nanoTime();
     FeedChanges ownVersions = feed.versions();
     String path =
         PATH
@@ -139,9 +145,14 @@
             (copy, failure) -> {
               calls.close();
               if (failure == null) {
-                feed.offer(copy);
+                results.accept(feed.offer(copy) ? "newer" : "not_newer");
               } else {
-                log.debug("event=peer_not_asked peer={} cause=\"{}\"", peer, failure.getMessage());
+                results.accept("failed");
+                log.info(
+                    "event=copy_not_received peer={} ms={} cause=\"{}\"",
+                    peer,
+                    (scheduler.nanoTime() - beginNanos) / NANOS_PER_MILLI,
+                    failure.getMessage());
               }
             });
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -345,6 +345,10 @@
       case RelayFact.Restored f -> log.info("event=restored upstream={}", f.upstream());
       case RelayFact.Resumed f ->
           log.warn("event=resumed suspended_ms={}", millis(f.suspendedNanos()));
+      case RelayFact.LoopStalled f -> log.warn("event=loop_stalled ms={}", millis(f.nanos()));
+      case RelayFact.MessagesHeldLoop f ->
+          log.warn(
+              "event=loop_held by=messages messages={} ms={}", f.messages(), millis(f.nanos()));
       case RelayFact.InForce f ->
           log.info(
               "event=in_force revision={} before={} rules={}", f.revision(), f.before(), f.rules());
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -199,16 +199,22 @@
     return new FeedChanges(configurations.version(), upstreams.version());
   }
 
-  /** Accepts the collections that a peer has read, where they are newer. */
-  void offer(FeedCopy copy) {
+  /**
+   * Accepts the collections that a peer has read, where they are newer; returns whether one was.
+   */
+  boolean offer(FeedCopy copy) {
+    boolean accepted = false;
     FeedCopy.Part c = copy.configurations();
     if (configurations.offer(c.version(), c.objects(adapter.configurationCollection()))) {
       log.info("event=taken_from_peer collection=configurations version={}", c.version());
+      accepted = true;
     }
     FeedCopy.Part u = copy.upstreams();
     if (upstreams.offer(u.version(), u.objects(adapter.upstreamCollection()))) {
       log.info("event=taken_from_peer collection=upstreams version={}", u.version());
+      accepted = true;
     }
+    return accepted;
   }
 
   @Override
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallRank;
@@ -208,6 +209,10 @@
       case RelayFact.UpstreamChanged f ->
           registry.counter("larkkeel.relay.upstream.changes", "change", f.change()).increment();
       case RelayFact.Resumed f -> registry.counter("larkkeel.relay.suspensions").increment();
+      case RelayFact.LoopStalled f ->
+          registry.timer("larkkeel.relay.loop.stalls").record(f.nanos(), TimeUnit.NANOSECONDS);
+      case RelayFact.MessagesHeldLoop f ->
+          registry.counter("larkkeel.relay.loop.held", "by", "messages").increment();
       case RelayFact.InForce f -> {
         revision.set(f.revision());
         revisionNanos.set(BootClock.SYSTEM.nanoTime());
@@ -275,6 +280,17 @@
         .register(registry);
   }
 
+  /** Registers the count of passes over the queue of waiting calls. */
+  void watchPlacement(Supplier<Number> passes) {
+    FunctionCounter.builder("larkkeel.relay.placement.passes", passes, p -> p.get().doubleValue())
+        .register(registry);
+  }
+
+  /** Records the result of a request for a copy of the store's state. */
+  void copy(String result) {
+    registry.counter("larkkeel.relay.copies", "result", result).increment();
+  }
+
   private static String label(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT);
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -87,6 +87,7 @@
   private volatile boolean ready;
   private volatile int inProgress;
   private volatile int upstreams;
+  private volatile long placementPasses;
   private volatile ImmutableSet<UpstreamIncarnation> indirectUpstreams = ImmutableSet.of();
   private volatile boolean draining;
 
@@ -108,6 +109,7 @@
           factLog.accept(fact);
           meters.accept(fact);
         };
+    meters.watchPlacement(() -> placementPasses);
     RelayDialect dialect = adapter.dialect();
     UpstreamClient client =
         closer.add(new UpstreamClient(worker, CLIENT_SETTINGS, BootClock.SYSTEM::nanoTime));
@@ -172,7 +174,13 @@
     PeerFeed peerFeed =
         closer.add(
             new PeerFeed(
-                settings.peer(), feed, worker, scheduler, loadExchange::livePeers, tunnels));
+                settings.peer(),
+                feed,
+                worker,
+                scheduler,
+                loadExchange::livePeers,
+                tunnels,
+                meters::copy));
     scheduler.execute(peerFeed::start);
     settings.seeds().stream()
         .map(seed -> new InetSocketAddress(seed.getAddress(), settings.peer().getPort()))
@@ -267,6 +275,7 @@
 
   private void observe() {
     upstreams = router.upstreamCount();
+    placementPasses = router.placementPasses();
     indirectUpstreams = router.indirectUpstreams();
     long nowNanos = loop.now();
     loadExchange.update(
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
@@ -46,12 +46,18 @@
   private XnioExecutor.Key timer;
   private long timerAt = Long.MAX_VALUE;
   private long suspendedNanos;
+  private final StallDetector stalls;
+  private final XnioExecutor.Key heartbeat;
 
   /** Creates a loop that runs a router on a thread. */
   public RelayLoop(XnioIoThread thread, RelayRouter router, BootClock clock) {
     this.thread = thread;
     this.router = router;
     this.clock = clock;
+    this.stalls = new StallDetector(clock::nanoTime);
+    this.heartbeat =
+        thread.executeAtInterval(
+            this::turned, StallDetector.PERIOD.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /** Sets the consumer that executes effects. Must be called before the first event. */
@@ -105,6 +111,7 @@
   @Override
   public void close() {
     closed = true;
+    heartbeat.remove();
   }
 
   /** Returns whether the loop was closed. */
@@ -129,6 +136,7 @@
     try {
       for (RelayEvent next = queue.poll(); next != null; next = queue.poll()) {
         reportSuspension(next.at());
+        reportStall(next.at());
         apply(next);
       }
     } finally {
@@ -148,6 +156,22 @@
     }
   }
 
+  /** Reports a stall of the loop to the router before the next event is applied. */
+  private void reportStall(long at) {
+    long nanos = stalls.takeStallNanos();
+    if (nanos > 0) {
+      apply(new RelayEvent.Stalled(at, nanos));
+    }
+  }
+
+  private void turned() {
+    long nanos = stalls.takeStallNanos();
+    stalls.turned();
+    if (nanos > 0) {
+      submit(new RelayEvent.Stalled(now(), nanos));
+    }
+  }
+
   private void apply(RelayEvent event) {
     try {
       router.apply(event, setEffectSink);
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -389,6 +389,13 @@
           copy.changeVersion(),
           timeSinceLastAnswer().toMillis(),
           failure.getMessage());
+    } else {
+      LOG.info(
+          "event=collection_not_read collection={} version={} silent_ms={} cause=\"{}\"",
+          collection,
+          copyVersion,
+          timeSinceLastAnswer().toMillis(),
+          failure.getMessage());
     }
     scheduler.schedule(backoff.nextDelay(), this::restart);
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -232,6 +232,9 @@
   /** The machine was suspended for some time, which the events' clock includes. */
   record Resumed(long at, long suspendedNanos) implements RelayEvent {}
 
+  /** The event loop was held up, so that nothing was read, sent or timed for the given time. */
+  record Stalled(long at, long nanos) implements RelayEvent {}
+
   /** Time has passed. */
   record Ticked(long at) implements RelayEvent {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -494,6 +494,12 @@
   /** The machine was suspended; timers that expired during the suspension have fired. */
   record Resumed(long suspendedNanos) implements RelayFact {}
 
+  /** The event loop was held up for the given time. */
+  record LoopStalled(long nanos) implements RelayFact {}
+
+  /** One turn of reading messages of other nodes took longer than it should. */
+  record MessagesHeldLoop(int messages, long nanos) implements RelayFact {}
+
   /** A configuration came into force. */
   record InForce(long revision, long before, int rules) implements RelayFact {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -90,6 +90,7 @@
       case RelayEvent.QuotaCoordinatorChanged e -> eventHandler.quotaCoordinatorChanged(at);
       case RelayEvent.Draining e -> eventHandler.drain(at);
       case RelayEvent.Resumed e -> eventHandler.resumed(at, e.suspendedNanos());
+      case RelayEvent.Stalled e -> eventHandler.stalled(at, e.nanos());
       case RelayEvent.Ticked e -> eventHandler.ticked(at);
     }
   }
@@ -102,6 +103,11 @@
     return eventHandler.isReady();
   }
 
+  /** Returns how often the queue of waiting calls was gone over to place them. */
+  public long placementPasses() {
+    return eventHandler.placementPasses();
+  }
+
   /** Returns the configuration in force; empty if there is none. */
   public Optional<RelayConfiguration> configuration() {
     return eventHandler.configuration();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -92,6 +92,11 @@
     return core.admission.isReady();
   }
 
+  /** Returns how often the queue of waiting calls was gone over to place them. */
+  public long placementPasses() {
+    return core.reservations.placementPasses();
+  }
+
   /** Returns the number of calls without a final answer. */
   public int inProgress() {
     return core.openCalls.size();
@@ -463,6 +468,11 @@
     ticked(at);
   }
 
+  /** Handles the end of a time in which the event loop was held up. */
+  public void stalled(long at, long nanos) {
+    core.report(new RelayFact.LoopStalled(nanos));
+  }
+
   /** Handles all timers that are due. */
   public void ticked(long at) {
     for (Timers.Timer due = core.timers.poll(at); due != null; due = core.timers.poll(at)) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
@@ -71,6 +71,7 @@
   private final RemoteReservations remote;
   private ReservationMode mode = ReservationMode.EACH;
   private boolean awaitsContentionDelay;
+  private long placementPasses;
 
   MemoryReservations(
       UpstreamTable upstreams,
@@ -309,7 +310,13 @@
     }
   }
 
+  /** Returns how often the queue was gone over. */
+  long placementPasses() {
+    return placementPasses;
+  }
+
   private PlacementOrder placeInOrder(long at, DedicatedEngines.Pass pass) {
+    placementPasses++;
     PlacementOrder order = queue.inOrder(at, calls.configuration(), floors);
     for (var turn = order.next(at); turn.isPresent(); turn = order.next(at)) {
       PendingReservation reservation = turn.get().reservation();
