--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -234,6 +234,12 @@
     apply(new RelayEvent.Resumed(now, millis * MILLI));
   }
 
+  /** Holds the event loop up for some time. */
+  void stall(long millis) {
+    now += millis * MILLI;
+    apply(new RelayEvent.Stalled(now, millis * MILLI));
+  }
+
   /** Advances the time in one step. */
   void skip(long millis) {
     now += millis * MILLI;
