Read messages of other nodes in bounded turns

Callers of a node were refused by a configuration that was 3.7 s out of date. The node had made no call to the store, accepted no connection and answered no readiness check for 19 s: LoadExchange read messages for as long as there were any, and under load they arrive faster than a coordinator handles them.

A turn ends after 20 ms; the selector comes back to the channel after all else that is ready.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -46,8 +46,15 @@
   private static final Logger log = LoggerFactory.getLogger(LoadExchange.class);
   private static final int RECEIVE_BYTES = 1 << 16;
 
-  /** The time for which the messages of one turn may keep other work of the thread waiting. */
-  private static final long MAX_TURN_NANOS = 100_000_000L;
+  /**
+   * The time for which messages are read before connections, timers and answers of the store have
+   * their turn. Messages that remain are read in the next turn; those beyond the socket's buffer
+   * are lost, and repeated by their senders.
+   */
+  private static final long MAX_TURN_NANOS = 20_000_000L;
+
+  /** The duration of a turn from which it is reported. */
+  private static final long MIN_REPORTED_TURN_NANOS = 100_000_000L;
 
   private final RelayLoop loop;
   private final Consumer<RelayFact> facts;
@@ -200,12 +207,14 @@
     rank = sharing.rank();
   }
 
+  /** Reads messages for at most one turn; the channel stays readable while there are more. */
   private void receive() {
     final long begin = loop.now();
     int messages = 0;
     try {
       receiveBuffer.clear();
-      while (channel.receiveFrom(receivedFrom, receiveBuffer) > 0) {
+      while (loop.now() - begin < MAX_TURN_NANOS
+          && channel.receiveFrom(receivedFrom, receiveBuffer) > 0) {
         InetSocketAddress source = receivedFrom.getSourceAddress(InetSocketAddress.class);
         messages++;
         if (source != null) {
@@ -217,7 +226,7 @@
       log.debug("event=load_not_heard cause=\"{}\"", e.getMessage());
     }
     long nanos = loop.now() - begin;
-    if (nanos > MAX_TURN_NANOS) {
+    if (nanos > MIN_REPORTED_TURN_NANOS) {
       facts.accept(new RelayFact.MessagesHeldLoop(messages, nanos));
     }
   }
