Place waiting calls once for the reports that arrive together

The reservation coordinator went over its queue of waiting calls twice for each report of a node: for its load and for its requests.

The reports of one turn of reading messages are one event, after which the queue is gone over once. A placement that is put off by a fixed time instead would leave capacity idle, which WorkspaceSharesTest does not allow.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -225,6 +225,7 @@
     } catch (IOException e) {
       log.debug("event=load_not_heard cause=\"{}\"", e.getMessage());
     }
+    sharing.submitReports();
     long nanos = loop.now() - begin;
     if (nanos > MIN_REPORTED_TURN_NANOS) {
       facts.accept(new RelayFact.MessagesHeldLoop(messages, nanos));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -21,6 +21,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.NodeReport;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
@@ -68,6 +69,7 @@
   private final ReservationServer server;
   private final SuspectSharing suspects;
   private final QuotaSharing quotas;
+  private final List<PeerMessage> pendingReports = new ArrayList<>();
   private final ReceivedTotals receivedTotals = new ReceivedTotals();
   private Consumer<FeedChanges> peerVersionsListener = c -> {};
 
@@ -344,10 +346,12 @@
   /** Handles a datagram from a peer; datagrams that are no valid messages are ignored. */
   public void received(InetSocketAddress from, byte[] bytes) {
     received(from, bytes, bytes.length);
+    submitReports();
   }
 
   /**
-   * Handles a datagram from a peer as {@link #received(InetSocketAddress, byte[])} does.
+   * Handles a datagram from a peer as {@link #received(InetSocketAddress, byte[])} does, but holds
+   * reports back until {@link #submitReports}.
    *
    * @param buffer holds the datagram from its beginning; it is not kept
    * @param length the length of the datagram in bytes
@@ -372,7 +376,7 @@
     }
     switch (message.kind()) {
       case LOADS -> receivedLoads(message);
-      case REPORT -> receivedReport(from, message);
+      case REPORT -> receivedReport(message);
       case SUMS, CHANGED_SUMS -> totalLoads(from, message);
       case GRANTS -> receivedGrants(from, message);
       case PRESENCE -> receivedPresence(from, message, isFirst);
@@ -397,23 +401,42 @@
             environment.now(), m.sender().node(), m.loads(), m.losingHandles()));
   }
 
-  private void receivedReport(PeerTable.Peer from, PeerMessage m) {
+  private void receivedReport(PeerMessage m) {
     server.received(m);
-    submitLoad(m);
     speeds.reportReceived(m);
     if (!m.requests().isEmpty() && choice.reservationMode() == ReservationMode.ASK) {
       choice.requestedFromStandby();
     }
-    if (choice.reservationMode() != ReservationMode.KEEP) {
+    pendingReports.add(m);
+  }
+
+  /**
+   * Submits the reports that were received since the last call, together, so that the coordinator
+   * goes over the waiting calls once for all of them. To be called after the messages that have
+   * arrived together.
+   */
+  void submitReports() {
+    if (pendingReports.isEmpty()) {
       return;
     }
+    ImmutableList<NodeReport> reports =
+        pendingReports.stream().map(this::report).collect(ImmutableList.toImmutableList());
+    pendingReports.clear();
+    environment.submit(new RelayEvent.ReportsHeard(environment.now(), reports));
+  }
+
+  private NodeReport report(PeerMessage m) {
     PeerMessage.Sender s = m.sender();
-    if (!m.requests().isEmpty()) {
+    boolean grants = choice.reservationMode() == ReservationMode.KEEP;
+    if (grants && !m.requests().isEmpty()) {
       server.acknowledge(s.node());
     }
-    environment.submit(
-        new RelayEvent.RoomAsked(
-            environment.now(), s.node(), s.dataCentre(), NotEligibleCodec.requests(m)));
+    return new NodeReport(
+        s.node(),
+        s.dataCentre(),
+        m.loads(),
+        m.losingHandles(),
+        grants ? Optional.of(NotEligibleCodec.requests(m)) : Optional.empty());
   }
 
   private void totalLoads(PeerTable.Peer from, PeerMessage m) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -232,6 +232,9 @@
   /** The machine was suspended for some time, which the events' clock includes. */
   record Resumed(long at, long suspendedNanos) implements RelayEvent {}
 
+  /** Reports of other nodes that arrived together. */
+  record ReportsHeard(long at, ImmutableList<NodeReport> reports) implements RelayEvent {}
+
   /** The event loop was held up, so that nothing was read, sent or timed for the given time. */
   record Stalled(long at, long nanos) implements RelayEvent {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -68,6 +68,7 @@
       case RelayEvent.ConfigurationRead e -> eventHandler.configurationRead(at, e.configuration());
       case RelayEvent.LoadHeard e ->
           eventHandler.loadReceived(at, e.node(), e.loads(), e.losingHandles());
+      case RelayEvent.ReportsHeard e -> eventHandler.reportsReceived(at, e.reports());
       case RelayEvent.RoomAsked e ->
           eventHandler.reservationsRequested(at, e.node(), e.dataCentre(), e.requests());
       case RelayEvent.RoomGranted e ->
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -27,6 +27,7 @@
 import org.larkkeel.quota.QuotaRequest;
 import org.larkkeel.quota.TokenLimit;
 import org.larkkeel.relay.MoveResult;
+import org.larkkeel.relay.NodeReport;
 import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.RateLimitReport;
 import org.larkkeel.relay.RateLimitUsage;
@@ -158,10 +159,38 @@
       HostName node,
       ImmutableMap<UpstreamIncarnation, Long> loads,
       ImmutableSet<UpstreamIncarnation> losingHandles) {
+    mergeLoads(at, node, loads, losingHandles);
+    dropUnresponsive(at);
+    core.reservations.loadChanged(at);
+  }
+
+  private void mergeLoads(
+      long at,
+      HostName node,
+      ImmutableMap<UpstreamIncarnation, Long> loads,
+      ImmutableSet<UpstreamIncarnation> losingHandles) {
     core.upstreams.loads().receive(at, node, loads);
     losingHandles.forEach(id -> core.upstreams.find(id).ifPresent(s -> s.handleLossReported(at)));
+  }
+
+  /**
+   * Merges reports of other nodes that arrived together, with one placement of the waiting calls
+   * for all of them.
+   */
+  public void reportsReceived(long at, ImmutableList<NodeReport> reports) {
+    for (NodeReport r : reports) {
+      mergeLoads(at, r.node(), r.loads(), r.losingHandles());
+      r.requests()
+          .ifPresent(
+              requests ->
+                  core.reservations.replaceRequests(at, r.node(), r.dataCentre(), requests));
+    }
     dropUnresponsive(at);
-    core.reservations.loadChanged(at);
+    if (reports.stream().anyMatch(r -> r.requests().isPresent())) {
+      core.reservations.placePending(at);
+    } else {
+      core.reservations.loadChanged(at);
+    }
   }
 
   private void dropUnresponsive(long at) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
@@ -412,10 +412,19 @@
       HostName node,
       DataCentreName dataCentre,
       ImmutableList<ReservationRequest> requests) {
-    remote.replaceRequests(at, node, dataCentre, requests).forEach(waits::sendAnswer);
+    replaceRequests(at, node, dataCentre, requests);
     placePending(at);
   }
 
+  /** Replaces the reservation requests of another node, without placing any. */
+  void replaceRequests(
+      long at,
+      HostName node,
+      DataCentreName dataCentre,
+      ImmutableList<ReservationRequest> requests) {
+    remote.replaceRequests(at, node, dataCentre, requests).forEach(waits::sendAnswer);
+  }
+
   /** Returns the reservation requests to send to the reservation coordinator. */
   ImmutableList<ReservationRequest> requests(long at) {
     if (mode != ReservationMode.ASK || queue.size() == 0) {
