Let large answers of the store arrive over slow links

A node whose link is slow or full stayed behind for seconds, or for good, while its peers had the change: a list, a watch with a large answer and the copy of a peer were ended by a timeout of 1 s, or 0.6 s, in all, while their bytes arrived, and began anew. A peer's word of the change ended a watch in the midst of its answer, and another peer was asked for a copy each 0.3 s beside the copy that was under way.

The timeout of a call is that for the begin of its answer and for pauses within it, 20 s in all. A watch that receives an answer is not in doubt. One peer is asked at a time.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerFeed.java
@@ -34,7 +34,8 @@
  * Serves this node's copy of the store and tunnels to upstreams to its peers, and reads copies from
  * them while this node's calls to the store fail.
  *
- * <p>Peers are queried one after the other, and only for newer versions. Runs on the scheduler.
+ * <p>Peers are queried one at a time, and only for newer versions, so that copies do not compete
+ * for a slow link. Runs on the scheduler.
  */
 final class PeerFeed implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(PeerFeed.class);
@@ -53,6 +54,10 @@
   private final Consumer<String> results;
   private final Undertow server;
   private int nextPeer;
+
+  /** Whether a peer was asked whose copy is not complete. */
+  private boolean fetching;
+
   private boolean closed;
 
   PeerFeed(
@@ -114,7 +119,7 @@
     }
     scheduler.schedule(CHECK_PERIOD, this::check);
     List<InetSocketAddress> live = peers.get();
-    if (!feed.isFailing() || live.isEmpty()) {
+    if (!feed.isFailing() || live.isEmpty() || fetching) {
       return;
     }
     nextPeer = (nextPeer + 1) % live.size();
@@ -127,6 +132,7 @@
         new JsonHttpClient(
             new HttpServiceClient(
                 HttpClientOptions.of(base).withTimeout(TIMEOUT), worker.worker(), scheduler));
+    fetching = true;
     final long beginNanos = scheduler.nanoTime();
     FeedChanges ownVersions = feed.versions();
     String path =
@@ -143,6 +149,7 @@
         .call(Effect.READ, Methods.GET, path, "", FeedCopy::fromJson)
         .whenComplete(
             (copy, failure) -> {
+              fetching = false;
               calls.close();
               if (failure == null) {
                 results.accept(feed.offer(copy) ? "newer" : "not_newer");
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -450,6 +450,17 @@
 
   /** Watches that work, but deliver with a delay. */
   public static class LaggingWatch {
+    /** Guards against the end of a watch whose large answer is on its way over a slow link. */
+    @Test
+    public void isKeptWhileItReceivesAnAnswer() {
+      Rig w = new Rig(Duration.ZERO);
+      w.api.setTransferTime(Duration.ofMillis(900));
+      w.mirror.changeSeenByPeer(w.create("a"));
+      w.time.advance(Duration.ofSeconds(1));
+      assertEquals(w.names, Set.of("a"));
+      assertEquals(w.mirror.losses(), 0);
+    }
+
     @Test
     public void isKeptWhenReportedChangeArrives() {
       Rig w = new Rig(Duration.ofMillis(200));
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
@@ -22,6 +22,7 @@
   private final InMemoryStore store;
   private final ManualScheduler.Process process;
   private Duration oneWayDelay = Duration.ofMillis(1);
+  private Duration transferTime = Duration.ZERO;
   private Duration watchLag = Duration.ZERO;
   private ObjectPage nextList;
   private boolean watchesEndWithEvents;
@@ -79,6 +80,11 @@
     openWatches.clear();
   }
 
+  /** Sets the time for which a watch receives an answer with events. */
+  public void setTransferTime(Duration time) {
+    transferTime = time;
+  }
+
   /** Sets the additional delay of watch events. */
   public InMemoryObjectApi setWatchLag(Duration lag) {
     watchLag = lag;
@@ -210,6 +216,7 @@
     private StoreVersion delivered;
     private boolean ending;
     private boolean unresponsive;
+    private boolean receiving;
 
     FakeWatch(String collection, StoreVersion from, Consumer<WatchEvent> listener) {
       this.collection = collection;
@@ -248,8 +255,9 @@
         return;
       }
       delivered = store.version();
+      receiving = !transferTime.isZero() && !events.get().isEmpty();
       for (WatchEvent e : events.get()) {
-        process.schedule(oneWayDelay.plus(watchLag), () -> deliver(e));
+        process.schedule(oneWayDelay.plus(watchLag).plus(transferTime), () -> deliver(e));
       }
       if (watchesEndWithEvents && !events.get().isEmpty()) {
         ending = true;
@@ -258,6 +266,7 @@
     }
 
     private void deliver(WatchEvent e) {
+      receiving = false;
       if (!ended.isDone() && !unresponsive) {
         listener.accept(e);
       }
@@ -273,6 +282,11 @@
       process.schedule(oneWayDelay, () -> ended.completeExceptionally(exception(f)));
     }
 
+    @Override
+    public boolean isReceiving() {
+      return receiving;
+    }
+
     @Override
     public CompletableFuture<Void> ended() {
       return ended;
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/BudgetedObjectApi.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/BudgetedObjectApi.java
@@ -221,6 +221,11 @@
       return ended;
     }
 
+    @Override
+    public boolean isReceiving() {
+      return inner != null && inner.isReceiving();
+    }
+
     @Override
     public void close() {
       scheduler.execute(
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -194,6 +194,11 @@
     if (closed || watch != checked || !isUnseen(change)) {
       return;
     }
+    if (checked.isReceiving()) {
+      // Ended and listed anew, the same state would only take longer.
+      scheduler.schedule(MAX_WATCH_LAG, () -> replaceWatchIfBehind(checked, change));
+      return;
+    }
     watch = null;
     checked.close();
     retry(
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/HttpClientOptions.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/HttpClientOptions.java
@@ -20,7 +20,8 @@
  * @param ssl the TLS settings, empty for plain HTTP, never null
  * @param maxConnections the maximum number of pooled connections; watches use connections outside
  *     the pool
- * @param timeout the maximum duration of one call, including the wait for a connection
+ * @param timeout the maximum time until the begin of an answer, including the wait for a
+ *     connection, and for each pause within it
  * @param maxBodyBytes the maximum size of an answer, in bytes
  * @since 0.1
  */
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/Watch.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/Watch.java
@@ -23,6 +23,14 @@
    */
   CompletableFuture<Void> ended();
 
+  /**
+   * Returns whether an answer with changes is being received. A large one takes some time, in which
+   * nothing is delivered.
+   */
+  default boolean isReceiving() {
+    return false;
+  }
+
   @Override
   void close();
 }
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpServiceClient.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpServiceClient.java
@@ -27,6 +27,9 @@
  * scheduler; they fail with {@link HttpCallException} if no complete response is received.
  */
 public final class HttpServiceClient implements AutoCloseable {
+  /** The maximum duration of an answer whose bytes keep arriving. */
+  private static final Duration MAX_TRANSFER = Duration.ofSeconds(20);
+
   private final Connector connector;
   private final ConnectionPool pool;
   private final Scheduler scheduler;
@@ -40,7 +43,13 @@
     this.pool = new ConnectionPool(connector);
   }
 
-  /** Sends a request on a pooled connection; the future completes with the complete response. */
+  /**
+   * Sends a request on a pooled connection; the future completes with the complete response.
+   *
+   * <p>The timeout of the options is that for the begin of the response and for each pause within
+   * it: how long a large response takes depends on the link, and beginning it anew would only load
+   * the link more.
+   */
   public CompletableFuture<HttpReply> call(HttpRequestData request) {
     Call c = new Call(request, pool, options.timeout());
     scheduler.execute(c::start);
@@ -52,13 +61,13 @@
    * closed at the end of the call.
    *
    * @param request the request
-   * @param timeout the maximum time until the complete response
+   * @param timeout the maximum time until the begin of the response
    * @return the call, which can be cancelled by closing it
    */
   public PendingCall<HttpReply> callOnOwnConnection(HttpRequestData request, Duration timeout) {
     Call c = new Call(request, new SingleUseConnections(connector), timeout);
     scheduler.execute(c::start);
-    return new PendingCall<>(c.result, () -> scheduler.execute(c::cancel));
+    return new PendingCall<>(c.result, () -> scheduler.execute(c::cancel), () -> c.receiving);
   }
 
   /**
@@ -95,6 +104,12 @@
     private final Runnable workerEnded =
         () -> failed(new IOException("the I/O threads have ended"));
     private Scheduler.Timer timer;
+    private long firstByteNanos;
+    private volatile long lastByteNanos;
+
+    /** Whether the response has begun. */
+    private volatile boolean receiving;
+
     private int status;
     private HeaderMap headers = new HeaderMap();
 
@@ -142,6 +157,9 @@
         public void completed(ClientExchange x) {
           status = x.getResponse().getResponseCode();
           headers = x.getResponse().getResponseHeaders();
+          firstByteNanos = scheduler.nanoTime();
+          lastByteNanos = firstByteNanos;
+          receiving = true;
           new ResponseReader(Call.this).start(x.getResponseChannel());
         }
 
@@ -158,6 +176,7 @@
         throw new IOException(
             "the response body is larger than " + options.maxBodyBytes() + " bytes");
       }
+      lastByteNanos = scheduler.nanoTime();
       body.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
     }
 
@@ -172,7 +191,19 @@
     }
 
     private void timedOut() {
-      abort("no response within " + timeout);
+      if (!receiving) {
+        abort("no response within " + timeout);
+        return;
+      }
+      Duration pause = Duration.ofNanos(scheduler.nanoTime() - lastByteNanos);
+      Duration maxPause = options.timeout();
+      if (pause.compareTo(maxPause) >= 0) {
+        abort("no byte of the response within " + maxPause);
+      } else if (scheduler.nanoTime() - firstByteNanos > MAX_TRANSFER.toNanos()) {
+        abort("no complete response within " + MAX_TRANSFER);
+      } else {
+        timer = scheduler.schedule(maxPause.minus(pause), this::timedOut);
+      }
     }
 
     /** Ends the call, whose response is no longer needed. */
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/JsonHttpClient.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/JsonHttpClient.java
@@ -76,7 +76,7 @@
    * Sends a GET request to which the service may delay its response, on a connection of its own.
    *
    * @param path the path and query
-   * @param timeout the maximum time until the complete response
+   * @param timeout the maximum time until the begin of the response
    * @param converter converts the complete response, as in {@link #callRaw}; not called once the
    *     call is cancelled
    * @return the call, which can be cancelled by closing it
@@ -86,7 +86,7 @@
     PendingCall<HttpReply> call = client.callOnOwnConnection(request, timeout);
     CompletableFuture<T> answer =
         convert(Effect.READ, Methods.GET + " " + path, call.answer(), converter);
-    return new PendingCall<>(answer, call.cancelAction());
+    return new PendingCall<>(answer, call.cancelAction(), call.receiving());
   }
 
   private <T> CompletableFuture<T> convert(
