Confirm the state of the store after a node was held up

A node that had been held up for 19 s answered calls by the configuration from before, 0.35 s after it ran again: calls are read before answers of the store are, and readiness asked for a configuration of whatever age.

After a stall of 0.5 s no call is admitted, and the node is not ready, until both collections were read again by a short watch, for 2 s at most if the store does not answer. The same holds while peers have had a newer configuration for more than 1 s; what the store refutes is ignored. Refused calls may go to another node at once.

The in-memory store answered a watch at its timeout also while it was down; it takes the time of a round trip now, as the others.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -346,6 +346,9 @@
       case RelayFact.Resumed f ->
           log.warn("event=resumed suspended_ms={}", millis(f.suspendedNanos()));
       case RelayFact.LoopStalled f -> log.warn("event=loop_stalled ms={}", millis(f.nanos()));
+      case RelayFact.StateDoubted f -> log.warn("event=state_doubted cause={}", f.cause());
+      case RelayFact.StateTrusted f ->
+          log.info("event=state_trusted result={} after_ms={}", f.result(), millis(f.nanos()));
       case RelayFact.MessagesHeldLoop f ->
           log.warn(
               "event=loop_held by=messages messages={} ms={}", f.messages(), millis(f.nanos()));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
 import org.larkkeel.http.relay.RelayLoop;
 import org.larkkeel.relay.RelayConfiguration;
@@ -48,6 +49,8 @@
   private final UnreadableEntries configurationProblems;
   private final UnreadableEntries upstreamProblems;
   private final UpstreamEntries entries;
+  private final PeerLead lead;
+  private boolean behind;
   private Runnable restoredListener = () -> {};
   private Optional<RelayConfiguration> newestConfiguration = Optional.empty();
   private volatile FeedChanges newestVersions = FeedChanges.NONE;
@@ -88,6 +91,7 @@
             backoff(random),
             WatchTimes.spread(watchTime, random.split(), nodes, rank),
             this::upstreams);
+    this.lead = new PeerLead(configurations::isUnseen);
     meters.watchMirror("configurations", configurations);
     meters.watchMirror("upstreams", upstreams);
   }
@@ -123,16 +127,58 @@
           () -> {
             configurations.changeSeenByPeer(theirs.configurations());
             upstreams.changeSeenByPeer(theirs.upstreams());
+            lead.reported(theirs.configurations(), scheduler.nanoTime());
+            if (lead.exists()) {
+              scheduler.schedule(PeerLead.MAX_LEAD, this::checkLead);
+            }
           });
     }
   }
 
+  /**
+   * Takes the configuration for outdated while peers have known a newer one for too long. The store
+   * is read again, as what they report may be wrong.
+   */
+  private void checkLead() {
+    boolean isBehind = lead.isTooLong(scheduler.nanoTime());
+    if (isBehind == behind) {
+      return;
+    }
+    behind = isBehind;
+    loop.submit(new RelayEvent.ConfigurationBehind(loop.now(), behind));
+    if (behind) {
+      configurations.confirm().thenRun(this::leadRefuted);
+    }
+  }
+
+  private void leadRefuted() {
+    lead.refuted();
+    checkLead();
+  }
+
+  /**
+   * Reads the state of the store again, and then answers a request of the router.
+   *
+   * @param number the number of the request
+   */
+  void confirm(long number) {
+    CompletableFuture.allOf(configurations.confirm(), upstreams.confirm())
+        .thenRun(() -> loop.submit(new RelayEvent.StateConfirmed(loop.now(), number)));
+  }
+
   private void updateVersions() {
     newestVersions = new FeedChanges(configurations.changeVersion(), upstreams.changeVersion());
   }
 
   private void configuration(CollectionChange change) {
     updateVersions();
+    readConfiguration();
+    if (behind) {
+      checkLead();
+    }
+  }
+
+  private void readConfiguration() {
     Map<String, EntryProblem> problems = new TreeMap<>(configurations.unreadable());
     adapter
         .configuration(configurations.objects().values())
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -211,6 +211,12 @@
       case RelayFact.Resumed f -> registry.counter("larkkeel.relay.suspensions").increment();
       case RelayFact.LoopStalled f ->
           registry.timer("larkkeel.relay.loop.stalls").record(f.nanos(), TimeUnit.NANOSECONDS);
+      case RelayFact.StateDoubted f ->
+          registry.counter("larkkeel.relay.state.doubts", "cause", label(f.cause())).increment();
+      case RelayFact.StateTrusted f ->
+          registry
+              .timer("larkkeel.relay.state.doubt", "result", label(f.result()))
+              .record(f.nanos(), TimeUnit.NANOSECONDS);
       case RelayFact.MessagesHeldLoop f ->
           registry.counter("larkkeel.relay.loop.held", "by", "messages").increment();
       case RelayFact.InForce f -> {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -159,6 +159,7 @@
                 stages,
                 meters));
     loadExchange.storeVersions(feed::newestVersions, feed::onPeerVersions);
+    executor.setStateReader(number -> scheduler.execute(() -> feed.confirm(number)));
     closer.add(loop);
     scheduler.execute(feed::start);
     client.setTunnelOpener(
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -19,6 +19,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.upstream.ConnectProbe;
 import org.larkkeel.http.upstream.ConnectionUse;
@@ -75,6 +76,7 @@
   private final Map<AttemptId, RelayAttempt> attempts = new HashMap<>();
   private Consumer<RelayEffect.ReservationAnswer> answerSender = e -> {};
   private Consumer<RelayEffect.ReportSuspect> suspectReporter = e -> {};
+  private LongConsumer stateReader = n -> {};
 
   /**
    * Creates an executor.
@@ -117,6 +119,14 @@
     suspectReporter = suspects;
   }
 
+  /**
+   * Sets the consumer that reads the state of the store again, for the number of a request. Must be
+   * called before the first event.
+   */
+  public void setStateReader(LongConsumer reader) {
+    stateReader = reader;
+  }
+
   /** Adds a request. Must be called before its arrival is submitted. */
   void add(RelayRequest request) {
     requests.put(request.call.id(), request);
@@ -146,6 +156,7 @@
       case RelayEffect.ReservationAnswer e -> answerSender.accept(e);
       case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspect e -> suspectReporter.accept(e);
+      case RelayEffect.ConfirmState e -> stateReader.accept(e.number());
       case RelayEffect.Report e -> facts.accept(e.fact());
     }
   }
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -448,6 +448,44 @@
     }
   }
 
+  /** Confirmations that the copy is up to date. */
+  public static class Confirmed {
+    /** Guards against a confirmation that waits for the time of a watch. */
+    @Test
+    public void completesSoonWithoutAnyChange() {
+      Rig w = new Rig(Duration.ZERO);
+      CompletableFuture<Void> confirmation = w.mirror.confirm();
+      w.time.advance(Duration.ofMillis(100));
+      assertTrue(confirmation.isDone());
+      assertEquals(w.mirror.losses(), 0);
+    }
+
+    /** Guards against a confirmation by a watch whose connection delivers nothing. */
+    @Test
+    public void completesWithTheChangesThatAnUnresponsiveWatchHasMissed() {
+      Rig w = new Rig(Duration.ZERO);
+      w.api.makeConnectionsUnresponsive();
+      w.create("a");
+      w.time.advance(Duration.ofSeconds(5));
+      assertEquals(w.names, Set.of());
+      w.mirror.confirm().thenRun(() -> assertEquals(w.names, Set.of("a")));
+      w.time.advance(Duration.ofMillis(500));
+      assertEquals(w.names, Set.of("a"));
+    }
+
+    @Test
+    public void doesNotCompleteWhileTheStoreIsUnreachable() {
+      Rig w = new Rig(Duration.ZERO);
+      w.store.setOutage(true);
+      CompletableFuture<Void> confirmation = w.mirror.confirm();
+      w.time.advance(Duration.ofSeconds(5));
+      assertFalse(confirmation.isDone());
+      w.store.setOutage(false);
+      w.time.advance(Duration.ofSeconds(3));
+      assertTrue(confirmation.isDone());
+    }
+  }
+
   /** Watches that work, but deliver with a delay. */
   public static class LaggingWatch {
     /** Guards against the end of a watch whose large answer is on its way over a slow link. */
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
@@ -204,7 +204,7 @@
     store.process().schedule(oneWayDelay, w::start);
     openWatches.removeIf(old -> old.ended.isDone());
     openWatches.add(w);
-    process.schedule(timeout, w::timeOut);
+    process.schedule(timeout.plus(oneWayDelay.multipliedBy(2)), w::timeOut);
     return w;
   }
 
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -8,7 +8,9 @@
 
 import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -34,6 +36,9 @@
   /** The maximum delay until a live watch delivers a change that a peer has already seen. */
   private static final Duration MAX_WATCH_LAG = Duration.ofMillis(250);
 
+  /** The time for which a watch that confirms the copy waits for a change. */
+  private static final Duration CONFIRMATION_TIMEOUT = Duration.ofMillis(1);
+
   private final ObjectApi api;
   private final String collection;
   private final Scheduler scheduler;
@@ -57,6 +62,9 @@
 
   private boolean failing;
 
+  /** The confirmations that the next watch is to give. */
+  private List<CompletableFuture<Void>> confirmations = new ArrayList<>();
+
   /** True if a watch reported an unreadable object without a name. */
   private boolean listAfterWatch;
 
@@ -116,6 +124,25 @@
     this.lastAnswerNanos = scheduler.nanoTime();
   }
 
+  /**
+   * Reads what has changed by now, without waiting for a change; called on the scheduler. A watch
+   * in progress is replaced by a short one, since its connection may be unresponsive.
+   *
+   * @return completes on the scheduler once the copy is as new as the store was at the call, and
+   *     the listener was told of it; not while the store is unreachable
+   */
+  public CompletableFuture<Void> confirm() {
+    CompletableFuture<Void> confirmation = new CompletableFuture<>();
+    confirmations.add(confirmation);
+    if (watch != null && !failing) {
+      Watch replaced = watch;
+      watch = null;
+      replaced.close();
+      watch();
+    }
+    return confirmation;
+  }
+
   /** Starts to list and watch the collection; called once, on the scheduler. */
   public void start() {
     listAfterWatch = false;
@@ -186,7 +213,7 @@
    * claims to be current does not count: the peer's report is to reveal a watch that fails to
    * deliver a change.
    */
-  private boolean isUnseen(StoreVersion change) {
+  public boolean isUnseen(StoreVersion change) {
     return change.isAfter(StoreVersion.max(copy.changeVersion(), listedVersion));
   }
 
@@ -301,15 +328,25 @@
   }
 
   private void watch() {
-    Watch w = api.watch(collection, version, watchTimes.nextTimeout(), this::receivedEvent);
+    List<CompletableFuture<Void>> confirmed = confirmations;
+    confirmations = new ArrayList<>();
+    Duration timeout = confirmed.isEmpty() ? watchTimes.nextTimeout() : CONFIRMATION_TIMEOUT;
+    Watch w = api.watch(collection, version, timeout, this::receivedEvent);
     watch = w;
-    w.ended().whenComplete((ok, failure) -> watchEnded(w, failure));
+    w.ended().whenComplete((ok, failure) -> watchEnded(w, failure, confirmed));
   }
 
-  private void watchEnded(Watch w, Throwable failure) {
+  private void watchEnded(Watch w, Throwable failure, List<CompletableFuture<Void>> confirmed) {
     if (closed || watch != w) {
+      confirmations.addAll(confirmed);
       return;
     }
+    if (failure == null) {
+      // After the listener was told of the events, which is scheduled already.
+      scheduler.execute(() -> confirmed.forEach(c -> c.complete(null)));
+    } else {
+      confirmations.addAll(confirmed);
+    }
     if (failure == null) {
       lastAnswerNanos = scheduler.nanoTime();
     }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StalledNodeTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StalledNodeTest.java
@@ -7,6 +7,8 @@
 package org.larkkeel.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import org.larkkeel.errors.ErrorKind;
 import org.testng.annotations.Test;
@@ -31,5 +33,84 @@
       w.arrive("/added/a");
       assertEquals(w.refusal(), ErrorKind.NOT_READY);
     }
+
+    /** Guards against sends by a rule that may have been removed or changed. */
+    @Test
+    public void sendsNoCall() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(STALL_MILLIS);
+      w.arrive("/safe/a");
+      assertEquals(w.sendCount(), 0);
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+    }
+
+    /** Guards against a node that serves nobody while the store is down. */
+    @Test
+    public void servesAgainByTheLastStateIfTheStoreDoesNotAnswer() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(STALL_MILLIS);
+      w.pass(2_000);
+      w.arrive("/safe/a");
+      assertEquals(w.sendCount(), 1);
+    }
+
+    /** Guards against readiness of a node that has read nothing for seconds. */
+    @Test
+    public void isNotReady() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(STALL_MILLIS);
+      assertFalse(w.router.isReady());
+    }
+  }
+
+  /** Answers to the request to read the state again. */
+  public static class Confirmation {
+    private static RelayEffect.ConfirmState request(RelayWorld w) {
+      return w.of(RelayEffect.ConfirmState.class).getLast();
+    }
+
+    @Test
+    public void admitsCallsByTheStateThatWasRead() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(STALL_MILLIS);
+      w.configure(2, RelayWorld.rules().subList(1, 3));
+      w.apply(new RelayEvent.StateConfirmed(w.now(), request(w).number()));
+      assertTrue(w.router.isReady());
+      w.arrive("/once/a");
+      assertEquals(w.sendCount(), 1);
+      w.arrive("/safe/a");
+      assertEquals(w.refusal(), ErrorKind.NO_RULE);
+    }
+
+    /** Guards against the answer to an earlier request, which may have been read before a stall. */
+    @Test
+    public void ofAnEarlierStallIsNotEnough() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(STALL_MILLIS);
+      final long first = request(w).number();
+      w.stall(STALL_MILLIS);
+      w.apply(new RelayEvent.StateConfirmed(w.now(), first));
+      assertFalse(w.router.isReady());
+      w.apply(new RelayEvent.StateConfirmed(w.now(), request(w).number()));
+      assertTrue(w.router.isReady());
+    }
+  }
+
+  /** A node whose peers have a newer configuration. */
+  public static class Behind {
+    /** Guards against answers by a configuration that is known to be outdated. */
+    @Test
+    public void admitsNoCallUntilItHasReadTheConfiguration() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.apply(new RelayEvent.ConfigurationBehind(w.now(), true));
+      w.pass(10_000);
+      w.arrive("/safe/a");
+      w.arrive("/added/a");
+      assertEquals(w.sendCount(), 0);
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+      w.apply(new RelayEvent.ConfigurationBehind(w.now(), false));
+      w.arrive("/safe/a");
+      assertEquals(w.sendCount(), 1);
+    }
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -149,6 +149,14 @@
   /** Report new information about a suspect request to all other nodes. */
   record ReportSuspect(SuspectRequest suspect) implements RelayEffect {}
 
+  /**
+   * Read the state of the store again. Answered by {@code RelayEvent.StateConfirmed}, after the
+   * events of what has changed.
+   *
+   * @param number the number of the request, which grows
+   */
+  record ConfirmState(long number) implements RelayEffect {}
+
   /** Log and count a fact. */
   record Report(RelayFact fact) implements RelayEffect {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -238,6 +238,20 @@
   /** The event loop was held up, so that nothing was read, sent or timed for the given time. */
   record Stalled(long at, long nanos) implements RelayEvent {}
 
+  /**
+   * The state of the store was read again since {@code RelayEffect.ConfirmState}.
+   *
+   * @param at the time at which the state was read
+   * @param number the number of the effect
+   */
+  record StateConfirmed(long at, long number) implements RelayEvent {}
+
+  /**
+   * Other nodes have known of a newer configuration for some time that this node has not read, or
+   * no longer do.
+   */
+  record ConfigurationBehind(long at, boolean behind) implements RelayEvent {}
+
   /** Time has passed. */
   record Ticked(long at) implements RelayEvent {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -497,6 +497,30 @@
   /** The event loop was held up for the given time. */
   record LoopStalled(long nanos) implements RelayFact {}
 
+  /** What was read from the store may be outdated, so that no call is admitted by it. */
+  record StateDoubted(Cause cause) implements RelayFact {
+    /** Why the state is in doubt. */
+    public enum Cause {
+      /** The event loop was held up. */
+      STALLED,
+
+      /** Other nodes know of a newer configuration. */
+      BEHIND
+    }
+  }
+
+  /** Calls are admitted again after a doubt, because it was resolved or lasted too long. */
+  record StateTrusted(Result result, long nanos) implements RelayFact {
+    /** How a doubt ended. */
+    public enum Result {
+      /** The state was read again, or the newer configuration was. */
+      CONFIRMED,
+
+      /** The store has not answered in time; the last state that was read is used. */
+      TIMED_OUT
+    }
+  }
+
   /** One turn of reading messages of other nodes took longer than it should. */
   record MessagesHeldLoop(int messages, long nanos) implements RelayFact {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -92,6 +92,8 @@
       case RelayEvent.Draining e -> eventHandler.drain(at);
       case RelayEvent.Resumed e -> eventHandler.resumed(at, e.suspendedNanos());
       case RelayEvent.Stalled e -> eventHandler.stalled(at, e.nanos());
+      case RelayEvent.StateConfirmed e -> eventHandler.stateConfirmed(at, e.number());
+      case RelayEvent.ConfigurationBehind e -> eventHandler.configurationBehind(at, e.behind());
       case RelayEvent.Ticked e -> eventHandler.ticked(at);
     }
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
@@ -23,7 +23,8 @@
 /**
  * Admits calls by the configuration in force, or refuses them immediately.
  *
- * <p>Invariant: the revision in force never decreases. Not thread-safe.
+ * <p>Invariants: the revision in force never decreases; no call is admitted or refused by a
+ * configuration that is in doubt. Not thread-safe.
  */
 final class Admission {
   private static final long MILLI = 1_000_000L;
@@ -33,6 +34,7 @@
   private final SplittableRandom random;
   private final CrashGuard crashGuard;
   private final FinalAnswers answers;
+  private final StateConfirmation confirmation;
   private final Consumer<RelayEffect> effects;
   private RelayConfiguration configuration;
 
@@ -50,11 +52,13 @@
       SplittableRandom random,
       CrashGuard crashGuard,
       FinalAnswers answers,
+      StateConfirmation confirmation,
       Consumer<RelayEffect> effects) {
     this.upstreams = upstreams;
     this.random = random;
     this.crashGuard = crashGuard;
     this.answers = answers;
+    this.confirmation = confirmation;
     this.effects = effects;
   }
 
@@ -65,6 +69,10 @@
 
   /** Returns whether calls can be placed. */
   boolean isReady() {
+    return isStateReceived() && confirmation.isTrusted();
+  }
+
+  private boolean isStateReceived() {
     return configuration != null && upstreams.isListReceived();
   }
 
@@ -93,7 +101,8 @@
   /** Admits a call; returns empty if the call was refused. */
   Optional<CallState> admit(long at, RelayCall call) {
     if (!isReady()) {
-      answers.refuse(call, ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, "no configuration yet");
+      String detail = isStateReceived() ? confirmation.detail() : "no configuration yet";
+      answers.refuse(call, ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, detail);
       return Optional.empty();
     }
     Optional<RelayRule> rule = configuration.match(call.host(), call.path());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
@@ -35,6 +35,7 @@
   final EndedIncarnations endedIncarnations;
   final UpstreamPaths paths;
   final CrashGuard crashGuard;
+  final StateConfirmation confirmation;
   final Admission admission;
   final HeldQuotas heldQuotas;
   final Quotas quotas;
@@ -69,7 +70,9 @@
     this.crashGuard =
         new CrashGuard(
             ~settings.seed(), this::emit, adapters.new CrashGuardCalls(), paths::probeNow);
-    this.admission = new Admission(upstreams, random, crashGuard, answers, this::emit);
+    this.confirmation = new StateConfirmation(timers, this::emit);
+    this.admission =
+        new Admission(upstreams, random, crashGuard, answers, confirmation, this::emit);
     this.quotas =
         new Quotas(
             timers,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -500,6 +500,19 @@
   /** Handles the end of a time in which the event loop was held up. */
   public void stalled(long at, long nanos) {
     core.report(new RelayFact.LoopStalled(nanos));
+    if (core.admission.configuration() != null) {
+      core.confirmation.stalled(at);
+    }
+  }
+
+  /** Handles the answer to a request to read the state of the store again. */
+  public void stateConfirmed(long at, long number) {
+    core.confirmation.confirmed(at, number);
+  }
+
+  /** Sets whether other nodes know of a newer configuration. */
+  public void configurationBehind(long at, boolean behind) {
+    core.confirmation.setBehind(at, behind);
   }
 
   /** Handles all timers that are due. */
@@ -513,6 +526,7 @@
         case Timers.Timer.ReservationTimeout r ->
             core.openCalls.find(r.call()).ifPresent(c -> core.reservations.waitTimedOut(at, c));
         case Timers.Timer.EvacuationStart e -> core.evacuation.moveRuns(at, e.incarnation());
+        case Timers.Timer.ConfirmationTimeout c -> core.confirmation.timedOut(at, c.number());
         case Timers.Timer.OrderTimeout o -> orderEnded(at, o.incarnation());
         case Timers.Timer.MoveTimeout m -> core.evacuation.stopTimedOut(at, m.attempt());
         case Timers.Timer.QuotaTimeout q ->
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -49,6 +49,9 @@
     /** The time at which the runs at a leaving upstream are to be moved. */
     record EvacuationStart(long at, UpstreamIncarnation incarnation) implements Timer {}
 
+    /** The end of the maximum wait until the state of the store was read again. */
+    record ConfirmationTimeout(long at, long number) implements Timer {}
+
     /** The end of the maximum duration of an order. */
     record OrderTimeout(long at, UpstreamIncarnation incarnation) implements Timer {}
 
