--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
@@ -11,6 +11,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import java.util.Optional;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.overload.GatheredCapacity;
@@ -101,9 +102,18 @@
       assertEquals(
           line(
               new RelayFact.Admitted(
-                  "c", "r", "model", "w", rank, 7, 900, new CallSize(1, 2, 3), false)),
+                  "c",
+                  "r",
+                  "model",
+                  "w",
+                  rank,
+                  7,
+                  900,
+                  new CallSize(1, 2, 3),
+                  false,
+                  Optional.empty())),
           "event=admitted call=c rule=r service=model workspace=w rank=0.2 revision=7 left_ms=900"
-              + " prompt=1 most_output=2 likely_output=3 resumes=false");
+              + " prompt=1 most_output=2 likely_output=3 resumes=false stream=");
       assertEquals(
           line(
               new RelayFact.ReservationGranted(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RequestRate;
+import org.larkkeel.relay.StreamId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,7 +34,7 @@
       case RelayFact.Admitted f ->
           log.info(
               "event=admitted call={} rule={} service={} workspace={} rank={} revision={}"
-                  + " left_ms={} prompt={} most_output={} likely_output={} resumes={}",
+                  + " left_ms={} prompt={} most_output={} likely_output={} resumes={} stream={}",
               id(f.call()),
               f.rule(),
               f.service(),
@@ -44,7 +45,8 @@
               f.size().prompt(),
               f.size().maxOutput(),
               f.size().expectedOutput(),
-              f.resumes());
+              f.resumes(),
+              id(f.resumedStream().map(StreamId::value).orElse("")));
       case RelayFact.ReservationMade f ->
           log.info(
               "event=room_taken call={} upstream={} need={} load={} memory={} nodes_heard={}"
@@ -72,10 +74,11 @@
               millis(f.waitedNanos()));
       case RelayFact.Began f ->
           log.info(
-              "event=began call={} attempt={} upstream={} ms={}",
+              "event=began call={} attempt={} upstream={} build={} ms={}",
               id(f.call()),
               f.attempt(),
               f.upstream(),
+              f.build(),
               millis(f.nanos()));
       case RelayFact.Waiting f ->
           log.info(
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallMetadata.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallMetadata.java
@@ -10,6 +10,7 @@
 import org.larkkeel.relay.CallSize;
 import org.larkkeel.relay.CallerKey;
 import org.larkkeel.relay.PromptKey;
+import org.larkkeel.relay.StreamId;
 
 /**
  * The properties of a call that the caller declares in headers.
@@ -22,6 +23,7 @@
  * @param size the declared sizes of prompt and output
  * @param prompt identifies the prompt
  * @param resumesStream true if the caller has received the beginning of the stream before
+ * @param resumedStream the stream that the caller takes up; empty if the caller names none
  * @param key the key that identifies the workspace of the caller; empty if the caller sent none
  * @since 0.1
  */
@@ -31,8 +33,10 @@
     CallSize size,
     PromptKey prompt,
     boolean resumesStream,
+    Optional<StreamId> resumedStream,
     Optional<CallerKey> key) {
   /** The value for a call whose headers cannot be parsed. */
   static final CallMetadata NONE =
-      new CallMetadata("", 0, CallSize.NONE, PromptKey.NONE, false, Optional.empty());
+      new CallMetadata(
+          "", 0, CallSize.NONE, PromptKey.NONE, false, Optional.empty(), Optional.empty());
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -193,6 +193,7 @@
             metadata.size(),
             metadata.prompt(),
             metadata.resumesStream(),
+            metadata.resumedStream(),
             identity(exchange, target, metadata, body.bytes()),
             metadata.key());
     RelayRequest request =
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -138,6 +138,13 @@
         new RelayUpstream(incarnation(id), service, "10.0.0.1:80", HERE, 6, stage, false));
   }
 
+  /** Adds an upstream that names its build. */
+  void add(String id, ServiceName service, Stage stage, BuildName build) {
+    upstreams.put(
+        new UpstreamName(id),
+        new RelayUpstream(incarnation(id), service, "10.0.0.1:80", HERE, 6, stage, build, false));
+  }
+
   void leave(String id) {
     upstreams.computeIfPresent(
         new UpstreamName(id),
@@ -149,6 +156,7 @@
                 u.dataCentre(),
                 u.slots(),
                 u.stage(),
+                u.build(),
                 true));
     applyDiscoveryList();
   }
@@ -165,6 +173,7 @@
                 u.dataCentre(),
                 u.slots(),
                 u.stage(),
+                u.build(),
                 u.leaving()));
     applyDiscoveryList();
   }
@@ -260,6 +269,29 @@
         path, deadlineMillis, size, prompt, resumes, "body of " + (lastCall + 1), Optional.empty());
   }
 
+  /** Starts a call that takes up a stream, named by the call that brought its first event. */
+  RequestId resume(String path, CallSize size, String stream) {
+    RequestId id = new RequestId(++lastCall);
+    RequestIdentity identity =
+        new RequestIdentity("POST", "a.example", path, "", stream.getBytes(StandardCharsets.UTF_8));
+    apply(
+        new RelayEvent.Arrived(
+            now,
+            new RelayCall(
+                id,
+                "call-" + lastCall,
+                "a.example",
+                path,
+                10_000,
+                size,
+                PromptKey.NONE,
+                true,
+                Optional.of(new StreamId(stream)),
+                identity,
+                Optional.empty())));
+    return id;
+  }
+
   private RequestId arrive(
       String path,
       long deadlineMillis,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
@@ -23,6 +23,8 @@
  * @param size the declared size of the generation
  * @param prompt identifies the prompt
  * @param resumes true if the caller already has the beginning of the stream
+ * @param resumedStream the stream that the caller takes up; empty if it is a new one, or the caller
+ *     does not name it
  * @param identity identifies the request, which is the same in all calls that retry it
  * @param key identifies the caller's workspace; empty if the call has no key
  * @since 0.1
@@ -36,5 +38,32 @@
     CallSize size,
     PromptKey prompt,
     boolean resumes,
+    Optional<StreamId> resumedStream,
     RequestIdentity identity,
-    Optional<CallerKey> key) {}
+    Optional<CallerKey> key) {
+  /** Creates a call that names no stream to be taken up. */
+  public RelayCall(
+      RequestId id,
+      String wireId,
+      String host,
+      String path,
+      long deadlineMillis,
+      CallSize size,
+      PromptKey prompt,
+      boolean resumes,
+      RequestIdentity identity,
+      Optional<CallerKey> key) {
+    this(
+        id,
+        wireId,
+        host,
+        path,
+        deadlineMillis,
+        size,
+        prompt,
+        resumes,
+        Optional.empty(),
+        identity,
+        key);
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -37,7 +37,8 @@
       long revision,
       long leftMillis,
       CallSize size,
-      boolean resumes)
+      boolean resumes,
+      Optional<StreamId> resumedStream)
       implements RelayFact {}
 
   /**
@@ -90,7 +91,7 @@
       implements RelayFact {}
 
   /** The first event of a stream is being forwarded to the caller. */
-  record Began(String call, AttemptId attempt, UpstreamName upstream, long nanos)
+  record Began(String call, AttemptId attempt, UpstreamName upstream, BuildName build, long nanos)
       implements RelayFact {}
 
   /** A call waits for a memory reservation. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayUpstream.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayUpstream.java
@@ -21,6 +21,7 @@
  * @param dataCentre the data centre of the upstream
  * @param slots the number of requests that it serves at once, at least 1
  * @param stage the part of the work that it takes
+ * @param build the build of its software
  * @param leaving true if it has announced that it is leaving and takes no new work
  * @since 0.1
  */
@@ -31,7 +32,20 @@
     DataCentreName dataCentre,
     int slots,
     Stage stage,
+    BuildName build,
     boolean leaving) {
+  /** Creates an upstream that does not name its build. */
+  public RelayUpstream(
+      UpstreamIncarnation incarnation,
+      ServiceName service,
+      String address,
+      DataCentreName dataCentre,
+      int slots,
+      Stage stage,
+      boolean leaving) {
+    this(incarnation, service, address, dataCentre, slots, stage, BuildName.UNKNOWN, leaving);
+  }
+
   /** Returns the name, which is the same for all incarnations of the upstream. */
   public UpstreamName name() {
     return incarnation.name();
@@ -39,6 +53,6 @@
 
   /** Returns this upstream, marked as leaving. */
   public RelayUpstream withLeaving() {
-    return new RelayUpstream(incarnation, service, address, dataCentre, slots, stage, true);
+    return new RelayUpstream(incarnation, service, address, dataCentre, slots, stage, build, true);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
@@ -143,7 +143,8 @@
             revision(),
             millis,
             call.size(),
-            call.resumes()));
+            call.resumes(),
+            call.resumedStream()));
     return c;
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -91,7 +91,12 @@
       c.streamBeganAt = at;
     }
     core.report(
-        new RelayFact.Began(c.call.wireId(), id, a.upstream().upstream().name(), at - c.arrivedAt));
+        new RelayFact.Began(
+            c.call.wireId(),
+            id,
+            a.upstream().upstream().name(),
+            a.upstream().upstream().build(),
+            at - c.arrivedAt));
     core.emit(new RelayEffect.ForwardStream(c.call.id(), id));
   }
 
