Keep each stream at the build that began it

Nothing looked at builds: runs were moved off leaving engines to another build, broken streams went on at any engine, and so did those that callers took up at any node.

Once a stream has begun, engines of other builds are excluded for its call, whatever the reason for another attempt. Where nobody knows the build, or none of it is left, the call is refused as not run. While one build serves, no message is sent and no call waits; streams of that time are recorded when another appears.

Digests of recorded histories leave out the empty build of upstreams in the text of effects, as they do the direct path.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -546,6 +546,7 @@
         case RelayEffect.ReservationAnswer a -> sharing.answer(a);
         case RelayEffect.Probe p -> probe(p);
         case RelayEffect.ReportSuspect t -> sharing.reportSuspect(t);
+        case RelayEffect.OfStream s -> sharing.execute(s);
         case RelayEffect.ConfirmState c ->
             submit(new RelayEvent.StateConfirmed(nowNanos, c.number()));
         default -> {}
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/ExtensionId.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/ExtensionId.java
@@ -39,6 +39,9 @@
   /** The times for which the callers of a {@link PeerMessage.Kind#REPORT}'s requests wait. */
   REQUEST_TERMS(14),
 
+  /** A {@link StreamMessage}, in {@link PeerMessage.Kind#STREAM}. */
+  STREAM(15),
+
   /** The services with a forecast in {@link PeerMessage.Kind#GRANTS}. */
   FORECASTS(13);
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -188,6 +188,11 @@
     sharing.quotas(router);
   }
 
+  /** Records or finds the build of a stream at the peers. */
+  void execute(RelayEffect.OfStream effect) {
+    sharing.execute(effect);
+  }
+
   /** Reports news of a suspect request to the peers. */
   void reportSuspect(RelayEffect.ReportSuspect news) {
     sharing.reportSuspect(news);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -69,6 +69,7 @@
   private final ReservationServer server;
   private final SuspectSharing suspects;
   private final QuotaSharing quotas;
+  private final StreamSharing streams;
   private final List<PeerMessage> pendingReports = new ArrayList<>();
   private final ReceivedTotals receivedTotals = new ReceivedTotals();
   private Consumer<FeedChanges> peerVersionsListener = c -> {};
@@ -117,6 +118,7 @@
     this.server = new ReservationServer(clock, this::sendAnswer);
     this.suspects = new SuspectSharing(self, peers, environment, messenger::sendSuspects);
     this.quotas = new QuotaSharing(self, peers, environment, messenger);
+    this.streams = new StreamSharing(peers, environment, messenger::sendStream);
   }
 
   /** Passes the choice of the coordinator on to the parts that depend on it. */
@@ -173,13 +175,14 @@
   }
 
   /**
-   * Sets the router whose quotas, rate limits of upstreams, speeds of engines and forecasts are
-   * shared with the peers.
+   * Sets the router whose quotas, rate limits of upstreams, speeds of engines, forecasts and builds
+   * of streams are shared with the peers.
    */
   public void quotas(RelayRouter router) {
     messenger.rateLimits(() -> router.rateLimitReports(environment.now()));
     reporter.notEligible(service -> router.notEligibleUpstreams(environment.now(), service));
     quotas.router(router);
+    streams.router(router);
     server.forecasts(() -> router.forecastServices(environment.now()));
     speeds.router(router);
   }
@@ -194,6 +197,11 @@
     suspects.report(news.suspect());
   }
 
+  /** Records or finds the build of a stream at other nodes. */
+  public void execute(RelayEffect.OfStream effect) {
+    streams.execute(effect);
+  }
+
   /** Adds a node of unknown name as a peer and announces this node to it. */
   public void addPeer(InetSocketAddress address) {
     announcements.announceToUnheard(ImmutableList.of(peerAt(address)));
@@ -384,6 +392,7 @@
         environment.submit(new RelayEvent.SuspectsHeard(environment.now(), message.suspects()));
         suspects.received(message.suspects());
       }
+      case STREAM -> StreamMessage.read(message).ifPresent(m -> streams.received(from, m));
       case QUOTA -> message.quota().ifPresent(m -> quotas.received(from, m));
       default -> throw new IllegalStateException("unknown kind of message: " + message.kind());
     }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
@@ -75,7 +75,10 @@
     SUSPECTS,
 
     /** A message between quota holders and the quota coordinator. */
-    QUOTA
+    QUOTA,
+
+    /** A message about the build that began a stream. */
+    STREAM
   }
 
   /**
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessenger.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessenger.java
@@ -142,6 +142,13 @@
         : message.withExtension(ExtensionId.FORECASTS, ForecastsCodec.toBytes(answer.forecasts()));
   }
 
+  void sendStream(PeerTable.Peer to, StreamMessage content) {
+    send(
+        to,
+        message(PeerMessage.Kind.STREAM)
+            .withExtension(ExtensionId.STREAM, StreamMessage.toBytes(content)));
+  }
+
   void sendSuspects(PeerTable.Peer to, ImmutableList<SuspectRequest> batch) {
     send(to, message(PeerMessage.Kind.SUSPECTS).withSuspects(batch));
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -349,6 +349,13 @@
       case RelayFact.Resumed f ->
           log.warn("event=resumed suspended_ms={}", millis(f.suspendedNanos()));
       case RelayFact.LoopStalled f -> log.warn("event=loop_stalled ms={}", millis(f.nanos()));
+      case RelayFact.StreamResolved f ->
+          log.info(
+              "event=stream_resolved call={} stream={} source={} build={}",
+              id(f.call()),
+              id(f.stream()),
+              f.source(),
+              f.build());
       case RelayFact.StateDoubted f -> log.warn("event=state_doubted cause={}", f.cause());
       case RelayFact.StateTrusted f ->
           log.info("event=state_trusted result={} after_ms={}", f.result(), millis(f.nanos()));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -211,6 +211,10 @@
       case RelayFact.Resumed f -> registry.counter("larkkeel.relay.suspensions").increment();
       case RelayFact.LoopStalled f ->
           registry.timer("larkkeel.relay.loop.stalls").record(f.nanos(), TimeUnit.NANOSECONDS);
+      case RelayFact.StreamResolved f ->
+          registry
+              .counter("larkkeel.relay.streams.resumed", "source", label(f.source()))
+              .increment();
       case RelayFact.StateDoubted f ->
           registry.counter("larkkeel.relay.state.doubts", "cause", label(f.cause())).increment();
       case RelayFact.StateTrusted f ->
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -117,7 +117,7 @@
         new RelayExecutor(loop, dialect, client, thread, RelayClientSettings.DEFAULT, facts);
     loop.setEffectSink(executor);
     this.loadExchange = closer.add(new LoadExchange(settings, worker.worker(), loop, facts));
-    executor.setPeerReporters(loadExchange::answer, this::reportSuspect);
+    executor.setPeerReporters(loadExchange::answer, this::reportSuspect, loadExchange::execute);
     thread.execute(() -> loadExchange.suspects(() -> router.suspects(loop.now())));
     thread.execute(() -> loadExchange.quotas(router));
     loop.setAfterBatch(this::observe);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -76,6 +76,7 @@
   private final Map<AttemptId, RelayAttempt> attempts = new HashMap<>();
   private Consumer<RelayEffect.ReservationAnswer> answerSender = e -> {};
   private Consumer<RelayEffect.ReportSuspect> suspectReporter = e -> {};
+  private Consumer<RelayEffect.OfStream> streamSharing = e -> {};
   private LongConsumer stateReader = n -> {};
 
   /**
@@ -111,12 +112,15 @@
    *
    * @param answers sends an answer to a reservation request of another node
    * @param suspects reports a suspect request
+   * @param streams records or finds the build of a stream
    */
   public void setPeerReporters(
       Consumer<RelayEffect.ReservationAnswer> answers,
-      Consumer<RelayEffect.ReportSuspect> suspects) {
+      Consumer<RelayEffect.ReportSuspect> suspects,
+      Consumer<RelayEffect.OfStream> streams) {
     answerSender = answers;
     suspectReporter = suspects;
+    streamSharing = streams;
   }
 
   /**
@@ -156,6 +160,7 @@
       case RelayEffect.ReservationAnswer e -> answerSender.accept(e);
       case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspect e -> suspectReporter.accept(e);
+      case RelayEffect.OfStream e -> streamSharing.accept(e);
       case RelayEffect.ConfirmState e -> stateReader.accept(e.number());
       case RelayEffect.Report e -> facts.accept(e.fact());
     }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/EvenEnginesTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/EvenEnginesTest.java
@@ -52,7 +52,7 @@
   static String digest(EngineSim sim) {
     Hasher h = Hashing.murmur3_128().newHasher();
     sim.decisions.forEach(
-        d -> h.putString(RandomHistory.textWithoutDirectPath(d), StandardCharsets.UTF_8));
+        d -> h.putString(RandomHistory.textWithoutDefaults(d), StandardCharsets.UTF_8));
     return h.hash().toString();
   }
 
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RandomHistory.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RandomHistory.java
@@ -193,16 +193,20 @@
         default -> {}
       }
       if (!(effect instanceof RelayEffect.Report)) {
-        hasher.putInt(event).putString(textWithoutDirectPath(effect), StandardCharsets.UTF_8);
+        hasher.putInt(event).putString(textWithoutDefaults(effect), StandardCharsets.UTF_8);
       }
     }
   }
 
   /**
-   * Returns the text of an effect without the direct path of sends and probes, which the recorded
-   * digests do not have.
+   * Returns the text of an effect without the direct path of sends and probes and the empty build
+   * of upstreams, which the recorded digests do not have.
    */
-  static String textWithoutDirectPath(RelayEffect effect) {
-    return effect.toString().replace("path=DIRECT, ", "").replace(", path=DIRECT]", "]");
+  static String textWithoutDefaults(RelayEffect effect) {
+    return effect
+        .toString()
+        .replace("path=DIRECT, ", "")
+        .replace(", path=DIRECT]", "]")
+        .replace("build=, ", "");
   }
 }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -7,7 +7,10 @@
 package org.larkkeel.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import java.util.List;
+import org.larkkeel.errors.ErrorKind;
 import org.testng.annotations.Test;
 
 /**
@@ -53,6 +56,36 @@
       assertEquals(w.sendCount(), 2);
       assertEquals(w.sent().upstream().build(), OLD);
     }
+
+    /** Guards against a stream that waits for an engine of a build that no longer serves. */
+    @Test
+    public void endAtOnceIfNoEngineOfTheirBuildIsLeft() {
+      RelayWorld w = world();
+      w.arrive("/resume/a", 14_000, SIZE);
+      w.began();
+      addNew(w);
+      w.remove("old-1");
+      w.pass(2_000);
+      w.lost();
+      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
+      assertEquals(w.sendCount(), 1);
+    }
+
+    /** Guards against a move of a run to an engine of another build. */
+    @Test
+    public void areMovedToTheirBuildOnly() {
+      RelayWorld w = world();
+      w.arrive("/resume/a", 14_000, SIZE);
+      w.began();
+      addNew(w);
+      w.leave("old-1");
+      w.pass(2_000);
+      assertTrue(w.of(RelayEffect.Move.class).isEmpty());
+      w.add("old-2", RelayWorld.MODEL, Stage.DECODE, OLD);
+      w.applyDiscoveryList();
+      w.pass(1_000);
+      assertEquals(w.of(RelayEffect.Move.class).getFirst().destination().build(), OLD);
+    }
   }
 
   /** Streams that callers take up. */
@@ -75,5 +108,122 @@
         assertEquals(w.sent().upstream().build(), OLD);
       }
     }
+
+    private static StreamId stream() {
+      return new StreamId("other-node-1");
+    }
+
+    /** Returns a world with engines of both builds. */
+    private static RelayWorld mixed() {
+      RelayWorld w = world();
+      addNew(w);
+      return w;
+    }
+
+    private static void found(RelayWorld w, StreamLookup result) {
+      w.apply(new RelayEvent.StreamFound(w.now(), stream(), result));
+    }
+
+    /** Guards against a guess while the nodes that may know the build are asked. */
+    @Test
+    public void atAnotherNodeWaitForTheirBuild() {
+      RelayWorld w = mixed();
+      w.resume("/resume/a", SIZE, stream().value());
+      assertEquals(w.sendCount(), 0);
+      assertEquals(
+          w.of(RelayEffect.FindStream.class).getFirst(),
+          new RelayEffect.FindStream(stream(), RelayWorld.MODEL));
+      found(w, new StreamLookup.Known(OLD));
+      assertEquals(w.sent().upstream().build(), OLD);
+    }
+
+    @Test
+    public void ofWhichAnotherNodeToldGoOnAtOnce() {
+      RelayWorld w = mixed();
+      w.apply(
+          new RelayEvent.StreamRecorded(w.now(), new StreamBuild(stream(), RelayWorld.MODEL, OLD)));
+      w.resume("/resume/a", SIZE, stream().value());
+      assertEquals(w.sent().upstream().build(), OLD);
+    }
+
+    /** Guards against a guess where nobody knows the build. */
+    @Test
+    public void areRefusedAsNotRunIfNobodyKnowsTheirBuild() {
+      RelayWorld w = mixed();
+      w.resume("/resume/a", SIZE, stream().value());
+      w.pass(250);
+      assertEquals(w.sendCount(), 0);
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
+    /** Guards against a wait for a build that no longer serves. */
+    @Test
+    public void areRefusedAtOnceIfNoEngineOfTheirBuildIsLeft() {
+      RelayWorld w = mixed();
+      w.remove("old-1");
+      w.pass(2_000);
+      w.resume("/resume/a", SIZE, stream().value());
+      found(w, new StreamLookup.Known(OLD));
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
+    /** Guards against refusals of all streams after all nodes have restarted. */
+    @Test
+    public void goOnAtTheOnlyBuildOfANodeThatHasJustStarted() {
+      RelayWorld w = world();
+      w.resume("/resume/a", SIZE, stream().value());
+      w.pass(250);
+      assertEquals(w.sent().upstream().build(), OLD);
+    }
+  }
+
+  /** The records of streams at other nodes. */
+  public static class Records {
+    @Test
+    public void areNotMadeWhileThereIsOneBuild() {
+      RelayWorld w = world();
+      w.arrive("/resume/a", 14_000, SIZE);
+      w.began();
+      assertTrue(w.of(RelayEffect.RecordStream.class).isEmpty());
+    }
+
+    /** Guards against streams that began before the second build and are known to one node only. */
+    @Test
+    public void areMadeOfEarlierStreamsWhenAnotherBuildAppears() {
+      RelayWorld w = world();
+      w.arrive("/resume/a", 14_000, SIZE);
+      w.began();
+      addNew(w);
+      assertEquals(
+          w.of(RelayEffect.RecordStream.class),
+          List.of(
+              new RelayEffect.RecordStream(
+                  new StreamBuild(new StreamId("call-1"), RelayWorld.MODEL, OLD))));
+    }
+
+    /** Guards against a second attempt of a caller that is recorded under its own id. */
+    @Test
+    public void ofStreamThatWasTakenUpHaveTheIdOfItsFirstCall() {
+      RelayWorld w = world();
+      addNew(w);
+      w.resume("/resume/a", SIZE, "first");
+      w.apply(
+          new RelayEvent.StreamFound(w.now(), new StreamId("first"), new StreamLookup.Known(NEW)));
+      w.began();
+      assertEquals(
+          w.of(RelayEffect.RecordStream.class).getLast().stream(),
+          new StreamBuild(new StreamId("first"), RelayWorld.MODEL, NEW));
+    }
+
+    @Test
+    public void areForgottenOnceTheStreamCanNotGoOn() {
+      RelayWorld w = world();
+      StreamId stream = new StreamId("told");
+      w.apply(
+          new RelayEvent.StreamRecorded(w.now(), new StreamBuild(stream, RelayWorld.MODEL, NEW)));
+      w.pass(31_000);
+      assertEquals(
+          w.router.streamLookup(w.now(), stream, RelayWorld.MODEL), new StreamLookup.Sole(OLD));
+    }
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -157,6 +157,18 @@
    */
   record ConfirmState(long number) implements RelayEffect {}
 
+  /** An effect that concerns the builds of streams, which a few other nodes keep. */
+  sealed interface OfStream extends RelayEffect {}
+
+  /** Tell a few other nodes which build began a stream. */
+  record RecordStream(StreamBuild stream) implements OfStream {}
+
+  /**
+   * Ask the nodes that may keep a stream which build began it. Answered by {@code
+   * RelayEvent.StreamFound}.
+   */
+  record FindStream(StreamId stream, ServiceName service) implements OfStream {}
+
   /** Log and count a fact. */
   record Report(RelayFact fact) implements RelayEffect {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -252,6 +252,12 @@
    */
   record ConfigurationBehind(long at, boolean behind) implements RelayEvent {}
 
+  /** Another node told which build began a stream. */
+  record StreamRecorded(long at, StreamBuild stream) implements RelayEvent {}
+
+  /** The answer to {@code RelayEffect.FindStream}. */
+  record StreamFound(long at, StreamId stream, StreamLookup result) implements RelayEvent {}
+
   /** Time has passed. */
   record Ticked(long at) implements RelayEvent {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -522,6 +522,32 @@
     }
   }
 
+  /**
+   * It was decided where a stream that a caller takes up may go on.
+   *
+   * @param call the caller's id of the call
+   * @param stream the stream
+   * @param source how its build is known
+   * @param build the build; {@link BuildName#UNKNOWN} if it is not known
+   */
+  record StreamResolved(String call, String stream, Source source, BuildName build)
+      implements RelayFact {
+    /** How the build of a stream is known. */
+    public enum Source {
+      /** This node passed its first event on, or was told of it. */
+      OWN,
+
+      /** Another node was asked. */
+      PEER,
+
+      /** No other build has served. */
+      SOLE,
+
+      /** Nobody knows it. */
+      UNKNOWN
+    }
+  }
+
   /** One turn of reading messages of other nodes took longer than it should. */
   record MessagesHeldLoop(int messages, long nanos) implements RelayFact {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -94,6 +94,8 @@
       case RelayEvent.Stalled e -> eventHandler.stalled(at, e.nanos());
       case RelayEvent.StateConfirmed e -> eventHandler.stateConfirmed(at, e.number());
       case RelayEvent.ConfigurationBehind e -> eventHandler.configurationBehind(at, e.behind());
+      case RelayEvent.StreamRecorded e -> eventHandler.streamRecorded(at, e.stream());
+      case RelayEvent.StreamFound e -> eventHandler.streamFound(at, e.stream(), e.result());
       case RelayEvent.Ticked e -> eventHandler.ticked(at);
     }
   }
@@ -106,6 +108,11 @@
     return eventHandler.isReady();
   }
 
+  /** Returns what this node knows of the build that began a stream. */
+  public StreamLookup streamLookup(long at, StreamId stream, ServiceName service) {
+    return eventHandler.streamLookup(at, stream, service);
+  }
+
   /** Returns how often the queue of waiting calls was gone over to place them. */
   public long placementPasses() {
     return eventHandler.placementPasses();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -13,6 +13,7 @@
 import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.overload.CallLimits;
 import org.larkkeel.quota.QuotaKey;
+import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEffect.Purpose;
@@ -74,7 +75,10 @@
   /** The time until which the call waits for a permit. */
   long permitWaitUntil;
 
-  /** The upstreams to which the call is not sent again. */
+  /** The build of upstreams that began the stream of the call; null if it is not known yet. */
+  BuildName build;
+
+  /** The upstreams to which the call is not sent again, among them those of other builds. */
   final Set<UpstreamIncarnation> excluded = new HashSet<>();
 
   /** Those of {@link #excluded} that become eligible again once a path to them is found. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
@@ -42,6 +42,7 @@
   final EarlyQuotaRefusals earlyQuotaRefusals;
   final PermitQueue permits = new PermitQueue(this);
   final OpenCalls openCalls = new OpenCalls(this);
+  final StreamBuilds streamBuilds = new StreamBuilds(this);
   final Dispatch dispatch = new Dispatch(this);
   final Outcomes outcomes = new Outcomes(this);
   private Consumer<RelayEffect> effects = e -> {};
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
@@ -68,6 +68,10 @@
    * one without an upstream left that could reserve memory, sends the call regardless of memory.
    */
   void run(long at, CallState c) {
+    if (core.streamBuilds.isHopeless(at, c)) {
+      core.streamBuilds.failHopeless(at, c);
+      return;
+    }
     boolean needsReservation = core.reservations.needsReservation(c);
     if (needsReservation
         && ((c.reservedUpstream != null && isUsable(at, c, c.reservedUpstream))
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -40,6 +40,9 @@
 import org.larkkeel.relay.ReservationMode;
 import org.larkkeel.relay.ReservationRequest;
 import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.StreamBuild;
+import org.larkkeel.relay.StreamId;
+import org.larkkeel.relay.StreamLookup;
 import org.larkkeel.relay.SuspectRequest;
 import org.larkkeel.relay.UpstreamNotice;
 import org.larkkeel.relay.UpstreamPath;
@@ -150,6 +153,7 @@
     core.upstreams.removeMissing(at, core::report);
     core.evacuation.scheduleEvacuations(at);
     core.paths.upstreamsChanged(at);
+    core.streamBuilds.upstreamsChanged(at);
     core.reservations.placePending(at);
   }
 
@@ -297,7 +301,24 @@
   private void admitted(long at, CallState c) {
     core.openCalls.add(c);
     core.timers.add(new Timers.Timer.Deadline(c.deadline, c.call.id()));
-    core.quotas.admit(at, c);
+    if (core.streamBuilds.admit(at, c)) {
+      core.quotas.admit(at, c);
+    }
+  }
+
+  /** Handles another node's word of the build that began a stream. */
+  public void streamRecorded(long at, StreamBuild stream) {
+    core.streamBuilds.recorded(at, stream);
+  }
+
+  /** Handles the answer of other nodes to the question which build began a stream. */
+  public void streamFound(long at, StreamId stream, StreamLookup result) {
+    core.streamBuilds.found(at, stream, result);
+  }
+
+  /** Returns what this node knows of the build that began a stream. */
+  public StreamLookup streamLookup(long at, StreamId stream, ServiceName service) {
+    return core.streamBuilds.lookup(at, stream, service);
   }
 
   // Notices of upstreams about themselves.
@@ -527,6 +548,7 @@
             core.openCalls.find(r.call()).ifPresent(c -> core.reservations.waitTimedOut(at, c));
         case Timers.Timer.EvacuationStart e -> core.evacuation.moveRuns(at, e.incarnation());
         case Timers.Timer.ConfirmationTimeout c -> core.confirmation.timedOut(at, c.number());
+        case Timers.Timer.StreamLookupTimeout l -> core.streamBuilds.lookupTimedOut(at, l.call());
         case Timers.Timer.OrderTimeout o -> orderEnded(at, o.incarnation());
         case Timers.Timer.MoveTimeout m -> core.evacuation.stopTimedOut(at, m.attempt());
         case Timers.Timer.QuotaTimeout q ->
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -85,6 +85,7 @@
       recordSuccess(at, a);
     }
     c.prefilledPrompt = null;
+    core.streamBuilds.began(at, c, a.upstream());
     c.attemptFirstEventAt = at;
     if (!c.streamBegan) {
       c.streamBegan = true;
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -0,0 +1,344 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay.internal;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.RequestId;
+import org.larkkeel.relay.BuildName;
+import org.larkkeel.relay.CallKind;
+import org.larkkeel.relay.RelayEffect;
+import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.StreamBuild;
+import org.larkkeel.relay.StreamId;
+import org.larkkeel.relay.StreamLookup;
+
+/**
+ * Keeps each stream at the build of upstreams that began it.
+ *
+ * <p>Once a stream has begun, all upstreams of other builds are excluded for its call, whatever the
+ * reason for another attempt. For callers that take a stream up at another node, the build is
+ * recorded at a few other nodes; a call waits shortly for their answer. Where only one build has
+ * served for as long as a stream can last, nothing is sent and no call waits.
+ *
+ * <p>Invariant: a call whose caller has events of a build is sent to upstreams of that build only.
+ * Not thread-safe.
+ */
+final class StreamBuilds {
+  private static final long MILLI = 1_000_000L;
+
+  /** The time for which a stream can be taken up; callers wait for less. */
+  private static final long LIFE_NANOS = 30_000 * MILLI;
+
+  /** The maximum wait for the answers of other nodes. */
+  private static final long LOOKUP_NANOS = 200 * MILLI;
+
+  private static final int MAX_RECORDS = 50_000;
+
+  private final Core core;
+
+  /** The streams that began here or were told by other nodes, the oldest first. */
+  private final Map<StreamId, RecordedStream> records = new LinkedHashMap<>();
+
+  private final Map<ServiceName, ServedBuilds> services = new HashMap<>();
+
+  /** The calls that wait to learn the builds of their streams. */
+  private final Map<RequestId, CallState> waiting = new LinkedHashMap<>();
+
+  private record RecordedStream(StreamBuild stream, long at, boolean own) {}
+
+  /** The builds of a service that are listed, and those that were. */
+  private static final class ServedBuilds {
+    private final long firstAt;
+    private Set<BuildName> listed = Set.of();
+    private final Map<BuildName, Long> endedAt = new HashMap<>();
+
+    ServedBuilds(long firstAt) {
+      this.firstAt = firstAt;
+    }
+
+    /** Replaces the listed builds; returns whether a second one appeared. */
+    boolean update(long at, Set<BuildName> now) {
+      final boolean wereSeveral = all(at).size() > 1;
+      for (BuildName build : listed) {
+        if (!now.contains(build)) {
+          endedAt.put(build, at);
+        }
+      }
+      listed = now;
+      return !wereSeveral && all(at).size() > 1;
+    }
+
+    /** Returns the builds that have served within the life of a stream. */
+    Set<BuildName> all(long at) {
+      endedAt.values().removeIf(ended -> at - ended > LIFE_NANOS);
+      Set<BuildName> all = new HashSet<>(listed);
+      all.addAll(endedAt.keySet());
+      return all;
+    }
+
+    /** Returns what the builds tell of a stream that is not known. */
+    StreamLookup lookup(long at) {
+      Set<BuildName> all = all(at);
+      if (all.size() != 1) {
+        return new StreamLookup.Unknown();
+      }
+      BuildName build = all.iterator().next();
+      return build.equals(BuildName.UNKNOWN) || at - firstAt > LIFE_NANOS
+          ? new StreamLookup.Sole(build)
+          : new StreamLookup.Listed(build);
+    }
+  }
+
+  StreamBuilds(Core core) {
+    this.core = core;
+  }
+
+  /** Handles a change of the discovery list. */
+  void upstreamsChanged(long at) {
+    Map<ServiceName, Set<BuildName>> listed = new HashMap<>();
+    for (UpstreamState s : core.upstreams.all()) {
+      if (s.upstream().stage().runsCalls()) {
+        listed
+            .computeIfAbsent(s.upstream().service(), n -> new HashSet<>())
+            .add(s.upstream().build());
+      }
+    }
+    listed.keySet().forEach(n -> services.computeIfAbsent(n, x -> new ServedBuilds(at)));
+    services.forEach(
+        (service, builds) -> {
+          if (builds.update(at, listed.getOrDefault(service, Set.of()))) {
+            recordAll(at, service);
+          }
+        });
+    for (CallState c : core.openCalls.all()) {
+      if (c.build != null) {
+        excludeOtherBuilds(c);
+        if (c.awaitsReservation && isHopeless(at, c)) {
+          failHopeless(at, c);
+        }
+      }
+    }
+  }
+
+  /** Tells other nodes of the streams that began here while there was one build. */
+  private void recordAll(long at, ServiceName service) {
+    for (RecordedStream r : records.values()) {
+      if (r.own() && r.stream().service().equals(service) && at - r.at() <= LIFE_NANOS) {
+        core.emit(new RelayEffect.RecordStream(r.stream()));
+      }
+    }
+  }
+
+  /** Handles the first event of an attempt. */
+  void began(long at, CallState c, UpstreamState upstream) {
+    if (c.build == null) {
+      c.build = upstream.upstream().build();
+      excludeOtherBuilds(c);
+    }
+    if (c.rule.kind() != CallKind.RESUMABLE_STREAM) {
+      return;
+    }
+    streamOf(c)
+        .map(id -> new StreamBuild(id, c.service, c.build))
+        .ifPresent(
+            stream -> {
+              record(at, stream, true);
+              if (hasSeveralBuilds(at, c.service)) {
+                core.emit(new RelayEffect.RecordStream(stream));
+              }
+            });
+  }
+
+  private static Optional<StreamId> streamOf(CallState c) {
+    if (c.call.resumedStream().isPresent()) {
+      return c.call.resumedStream();
+    }
+    try {
+      return Optional.of(c.call.wireId()).filter(id -> !id.isEmpty()).map(StreamId::new);
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private boolean hasSeveralBuilds(long at, ServiceName service) {
+    ServedBuilds builds = services.get(service);
+    return builds != null && builds.all(at).size() > 1;
+  }
+
+  /** Records a stream of which another node told. */
+  void recorded(long at, StreamBuild stream) {
+    RecordedStream known = records.get(stream.stream());
+    if (known == null || !known.own()) {
+      record(at, stream, false);
+    }
+  }
+
+  private void record(long at, StreamBuild stream, boolean own) {
+    records.remove(stream.stream());
+    records.put(stream.stream(), new RecordedStream(stream, at, own));
+    Iterator<RecordedStream> oldest = records.values().iterator();
+    while (oldest.hasNext()) {
+      RecordedStream r = oldest.next();
+      if (at - r.at() <= LIFE_NANOS && records.size() <= MAX_RECORDS) {
+        break;
+      }
+      oldest.remove();
+    }
+  }
+
+  /** Returns what this node knows of a stream. */
+  StreamLookup lookup(long at, StreamId stream, ServiceName service) {
+    RecordedStream r = records.get(stream);
+    if (r != null && r.stream().service().equals(service) && at - r.at() <= LIFE_NANOS) {
+      return new StreamLookup.Known(r.stream().build());
+    }
+    return lookup(at, service);
+  }
+
+  private StreamLookup lookup(long at, ServiceName service) {
+    ServedBuilds builds = services.get(service);
+    return builds == null ? new StreamLookup.Unknown() : builds.lookup(at);
+  }
+
+  /**
+   * Restricts a call that takes a stream up to the build that began it. Returns whether the call
+   * may proceed now; else it waits for the answer of other nodes, or was refused.
+   */
+  boolean admit(long at, CallState c) {
+    if (!c.call.resumes() || c.rule.kind() != CallKind.RESUMABLE_STREAM) {
+      return true;
+    }
+    Optional<StreamId> stream = c.call.resumedStream();
+    StreamLookup own =
+        stream.map(id -> lookup(at, id, c.service)).orElseGet(() -> lookup(at, c.service));
+    return switch (own) {
+      case StreamLookup.Known k -> resolve(at, c, k.build(), RelayFact.StreamResolved.Source.OWN);
+      case StreamLookup.Sole s -> true;
+      case StreamLookup.Listed l when stream.isEmpty() -> true;
+      case StreamLookup.Unknown u when stream.isEmpty() -> {
+        refuseUnknown(at, c);
+        yield false;
+      }
+      case StreamLookup.Listed l -> ask(at, c, stream.get());
+      case StreamLookup.Unknown u -> ask(at, c, stream.get());
+    };
+  }
+
+  private boolean ask(long at, CallState c, StreamId stream) {
+    waiting.put(c.call.id(), c);
+    core.timers.add(new Timers.Timer.StreamLookupTimeout(at + LOOKUP_NANOS, c.call.id()));
+    core.emit(new RelayEffect.FindStream(stream, c.service));
+    return false;
+  }
+
+  /** Handles the answer of other nodes. */
+  void found(long at, StreamId stream, StreamLookup result) {
+    List<CallState> calls =
+        waiting.values().stream()
+            .filter(c -> c.call.resumedStream().filter(stream::equals).isPresent())
+            .toList();
+    calls.forEach(c -> proceed(at, c, result));
+  }
+
+  /**
+   * Handles the end of the maximum wait for the answer of other nodes: without any, what this node
+   * has found decides.
+   */
+  void lookupTimedOut(long at, RequestId call) {
+    CallState c = waiting.get(call);
+    if (c != null) {
+      proceed(at, c, lookup(at, c.call.resumedStream().orElseThrow(), c.service));
+    }
+  }
+
+  private void proceed(long at, CallState c, StreamLookup result) {
+    waiting.remove(c.call.id());
+    boolean proceeds =
+        switch (result) {
+          case StreamLookup.Known k ->
+              resolve(at, c, k.build(), RelayFact.StreamResolved.Source.PEER);
+          case StreamLookup.Sole s ->
+              resolve(at, c, s.build(), RelayFact.StreamResolved.Source.SOLE);
+          case StreamLookup.Listed l ->
+              resolve(at, c, l.build(), RelayFact.StreamResolved.Source.SOLE);
+          case StreamLookup.Unknown u -> {
+            refuseUnknown(at, c);
+            yield false;
+          }
+        };
+    if (proceeds) {
+      core.quotas.admit(at, c);
+    }
+  }
+
+  /** Removes a call that has ended. */
+  void remove(CallState c) {
+    waiting.remove(c.call.id());
+  }
+
+  private boolean resolve(
+      long at, CallState c, BuildName build, RelayFact.StreamResolved.Source source) {
+    c.build = build;
+    excludeOtherBuilds(c);
+    report(c, source, build);
+    if (isHopeless(at, c)) {
+      failHopeless(at, c);
+      return false;
+    }
+    return true;
+  }
+
+  private void refuseUnknown(long at, CallState c) {
+    report(c, RelayFact.StreamResolved.Source.UNKNOWN, BuildName.UNKNOWN);
+    core.openCalls.fail(
+        at, c, ErrorKind.NO_UPSTREAM, "the build that began the stream is not known");
+  }
+
+  /** Returns whether the stream of a call can not go on, as no upstream of its build is left. */
+  boolean isHopeless(long at, CallState c) {
+    return c.build != null
+        && core.upstreams.ofService(c.service).stream()
+            .noneMatch(
+                s ->
+                    s.upstream().build().equals(c.build)
+                        && s.upstream().stage().runsCalls()
+                        && !s.isLeaving()
+                        && !s.isMissingFor(at, core.settings.missingNanos()));
+  }
+
+  /** Fails a call whose stream can not go on. */
+  void failHopeless(long at, CallState c) {
+    core.openCalls.fail(
+        at, c, ErrorKind.NO_UPSTREAM, "no upstream of build " + c.build + " is left");
+  }
+
+  private void excludeOtherBuilds(CallState c) {
+    for (UpstreamState s : core.upstreams.ofService(c.service)) {
+      if (!s.upstream().build().equals(c.build)) {
+        c.excluded.add(s.incarnation());
+      }
+    }
+  }
+
+  private void report(CallState c, RelayFact.StreamResolved.Source source, BuildName build) {
+    core.report(
+        new RelayFact.StreamResolved(
+            c.call.wireId(),
+            c.call.resumedStream().map(StreamId::value).orElse(""),
+            source,
+            build));
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -52,6 +52,9 @@
     /** The end of the maximum wait until the state of the store was read again. */
     record ConfirmationTimeout(long at, long number) implements Timer {}
 
+    /** The end of the maximum wait to learn the build of a stream. */
+    record StreamLookupTimeout(long at, RequestId call) implements Timer {}
+
     /** The end of the maximum duration of an order. */
     record OrderTimeout(long at, UpstreamIncarnation incarnation) implements Timer {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamTable.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamTable.java
@@ -208,6 +208,11 @@
     return byService.getOrDefault(service, Map.of()).values();
   }
 
+  /** Returns all known upstreams. */
+  Collection<UpstreamState> all() {
+    return byName.values();
+  }
+
   /** Returns the number of known upstreams. */
   int size() {
     return byName.size();
