Start load sharing anew after a node was held up

Looked for elsewhere after the node that answered by an outdated configuration: a reservation coordinator that was held up for longer than its peers wait went on with loads and requests from before, as a steady node that others prefer. After a gap of 1.5 s it now behaves as after a suspension: as a newly started one, which receives the state of the others first.

LoadExchangeTest$Stall failed before: no message said that the node is new.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadExchangeTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadExchangeTest.java
@@ -36,20 +36,14 @@
 public class LoadExchangeTest {
   private static final DataCentreName DATA_CENTRE = new DataCentreName("dc-1");
 
-  /** Messages that arrive faster than this node handles them. */
-  public static class Overload {
-    private static final long HANDLING_MILLIS = 2;
-    private static final long MESSAGES_PER_MILLI = 2;
-    private static final long FLOOD_MILLIS = 4_000;
-
-    /** The time within which other work of the thread must have its turn. */
-    private static final long MAX_WAIT_MILLIS = 1_000;
-
+  /** An exchange on a free port. */
+  public abstract static class Fixture {
     private Closer closer;
-    private HttpWorker worker;
-    private InetSocketAddress address;
+    HttpWorker worker;
+    InetSocketAddress address;
+    LoadExchange exchange;
 
-    /** Starts an exchange that needs some time for each message. */
+    /** Starts an exchange. */
     @BeforeMethod
     public void start() throws IOException {
       closer = new Closer();
@@ -60,9 +54,7 @@
               new RelaySettings(DATA_CENTRE, 0.2, 20, 1, 1, 512, 1, 7, QuotaTolerance.NONE));
       RelayLoop loop =
           closer.add(new RelayLoop(worker.worker().getIoThread(), router, BootClock.SYSTEM));
-      LoadExchange exchange =
-          closer.add(new LoadExchange(settings(), worker.worker(), loop, fact -> {}));
-      exchange.storeVersions(() -> FeedChanges.NONE, versions -> pause());
+      exchange = closer.add(new LoadExchange(settings(), worker.worker(), loop, fact -> {}));
     }
 
     /** Stops all parts. */
@@ -96,6 +88,16 @@
           Duration.ofSeconds(5),
           LogLevel.INFO);
     }
+  }
+
+  /** Messages that arrive faster than this node handles them. */
+  public static class Overload extends Fixture {
+    private static final long HANDLING_MILLIS = 2;
+    private static final long MESSAGES_PER_MILLI = 2;
+    private static final long FLOOD_MILLIS = 4_000;
+
+    /** The time within which other work of the thread must have its turn. */
+    private static final long MAX_WAIT_MILLIS = 1_000;
 
     private static void pause() {
       try {
@@ -132,6 +134,7 @@
     /** Guards against a handler that reads messages for as long as any arrive. */
     @Test
     public void leavesTurnsToOtherWorkOfTheThread() throws Exception {
+      exchange.storeVersions(() -> FeedChanges.NONE, versions -> pause());
       CountDownLatch begun = new CountDownLatch(100);
       Thread flood = Thread.ofPlatform().start(() -> flood(begun));
       assertTrue(begun.await(FLOOD_MILLIS, TimeUnit.MILLISECONDS));
@@ -144,4 +147,53 @@
       assertTrue(inTime, "other work waited for more than " + MAX_WAIT_MILLIS + " ms");
     }
   }
+
+  /** A node that was held up for longer than its peers wait for its reports. */
+  public static class Stall extends Fixture {
+    private static final Duration STEADY = Duration.ofSeconds(2);
+    private static final int MAX_MESSAGES = 100;
+
+    private static NodeState nextState(DatagramSocket peer) throws IOException {
+      DatagramPacket packet = new DatagramPacket(new byte[PeerMessageCodec.MAX_BYTES], 0, 60_000);
+      peer.receive(packet);
+      return PeerMessageCodec.fromBytes(packet.getData(), packet.getLength())
+          .orElseThrow()
+          .sender()
+          .state();
+    }
+
+    private static void awaitState(DatagramSocket peer, NodeState state) throws IOException {
+      for (int i = 0; i < MAX_MESSAGES; i++) {
+        if (nextState(peer) == state) {
+          return;
+        }
+      }
+      throw new AssertionError("no message says " + state);
+    }
+
+    /** Guards against a coordinator that goes on with loads and requests from before the stall. */
+    @Test
+    public void makesTheNodeANewOne() throws Exception {
+      try (DatagramSocket peer = new DatagramSocket(0, InetAddress.ofLiteral("127.0.0.1"))) {
+        peer.setSoTimeout((int) STEADY.multipliedBy(2).toMillis());
+        exchange.addPeer(new InetSocketAddress(peer.getLocalAddress(), peer.getLocalPort()));
+        awaitState(peer, NodeState.STEADY);
+        CountDownLatch held = new CountDownLatch(1);
+        worker
+            .worker()
+            .getIoThread()
+            .execute(
+                () -> {
+                  try {
+                    Thread.sleep(LoadExchange.MAX_GAP.plus(STEADY));
+                  } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                  }
+                  held.countDown();
+                });
+        held.await();
+        awaitState(peer, NodeState.YOUNG);
+      }
+    }
+  }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -13,6 +13,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -53,6 +54,12 @@
    */
   private static final long MAX_TURN_NANOS = 20_000_000L;
 
+  /**
+   * The time without a period after which peers have replaced this node, and loads and requests
+   * that it knows are outdated.
+   */
+  static final Duration MAX_GAP = Duration.ofMillis(1_500);
+
   /** The duration of a turn from which it is reported. */
   private static final long MIN_REPORTED_TURN_NANOS = 100_000_000L;
 
@@ -65,6 +72,7 @@
   private final ByteBuffer receiveBuffer = ByteBuffer.allocate(RECEIVE_BYTES);
   private final SocketAddressBuffer receivedFrom = new SocketAddressBuffer();
   private long suspendedNanos;
+  private long lastPeriodNanos;
   private volatile int rank;
   private volatile List<InetSocketAddress> livePeers = List.of();
   private volatile List<InetSocketAddress> tunnelPeers = List.of();
@@ -118,6 +126,7 @@
             settings.dataCentre(),
             settings.coordinatorFrom(),
             new NodeEnvironment());
+    lastPeriodNanos = loop.now();
     channel.getReadSetter().set(c -> receive());
     channel.resumeReads();
     period =
@@ -201,7 +210,9 @@
   private void periodic() {
     BootClock.SYSTEM.check();
     long totalSuspendedNanos = BootClock.SYSTEM.suspendedNanos();
-    if (totalSuspendedNanos > suspendedNanos) {
+    boolean wasHeldUp = loop.now() - lastPeriodNanos > MAX_GAP.toNanos();
+    lastPeriodNanos = loop.now();
+    if (totalSuspendedNanos > suspendedNanos || wasHeldUp) {
       suspendedNanos = totalSuspendedNanos;
       loop.submit(new RelayEvent.Ticked(loop.now()));
       sharing.resumed();
