Check a lead of peers once, and test that it ends

A node that was behind scheduled a check for each message of its peers. A check is scheduled when a lead begins.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/FeedCostTest.java
@@ -67,10 +67,11 @@
   private static final String UPSTREAMS = "upstreams";
 
   /** A store whose changes are sent by the test. */
-  private static final class Store implements ObjectApi {
+  static final class Store implements ObjectApi {
     final List<StoredObject> entries = new ArrayList<>();
     Consumer<WatchEvent> upstreamWatch = e -> {};
     CompletableFuture<Void> watchEnd = new CompletableFuture<>();
+    CompletableFuture<Void> configurationWatchEnd = new CompletableFuture<>();
     long version = 1;
 
     StoredObject entry(int i) {
@@ -96,6 +97,8 @@
       if (collection.equals(UPSTREAMS)) {
         upstreamWatch = listener;
         watchEnd = end;
+      } else {
+        configurationWatchEnd = end;
       }
       return new Watch() {
         @Override
@@ -131,7 +134,7 @@
   }
 
   /** Counts the entries that are parsed. */
-  private static final class Adapter implements RelayAdapter {
+  static class Adapter implements RelayAdapter {
     int parseCount;
 
     @Override
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerLeadTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerLeadTest.java
@@ -31,7 +31,8 @@
   @Test
   public void isTooLongIfTheChangeIsNotRead() {
     PeerLead lead = lead();
-    lead.reported(version(6), 0);
+    assertTrue(lead.reported(version(6), 0));
+    assertFalse(lead.reported(version(6), 1));
     assertFalse(lead.isTooLong(MAX - 1));
     assertTrue(lead.isTooLong(MAX));
     read = version(6);
@@ -53,7 +54,7 @@
     PeerLead lead = lead();
     lead.reported(version(6), 0);
     read = version(6);
-    lead.reported(version(7), MAX);
+    assertTrue(lead.reported(version(7), MAX));
     assertFalse(lead.isTooLong(MAX));
     assertTrue(lead.isTooLong(2 * MAX));
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerLead.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerLead.java
@@ -38,15 +38,18 @@
     this.isUnseen = isUnseen;
   }
 
-  /** Records the newest change that a peer has seen. */
-  void reported(StoreVersion change, long nowNanos) {
+  /** Records the newest change that a peer has seen; returns whether a lead began with it. */
+  boolean reported(StoreVersion change, long nowNanos) {
     if (!change.isAfter(newest)) {
-      return;
-    }
-    if (!exists()) {
-      sinceNanos = nowNanos;
+      return false;
     }
+    final boolean existed = exists();
     newest = change;
+    if (existed || !exists()) {
+      return false;
+    }
+    sinceNanos = nowNanos;
+    return true;
   }
 
   /** Returns whether a peer has seen a change that this node has not read. */
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -127,8 +127,7 @@
           () -> {
             configurations.changeSeenByPeer(theirs.configurations());
             upstreams.changeSeenByPeer(theirs.upstreams());
-            lead.reported(theirs.configurations(), scheduler.nanoTime());
-            if (lead.exists()) {
+            if (lead.reported(theirs.configurations(), scheduler.nanoTime())) {
               scheduler.schedule(PeerLead.MAX_LEAD, this::checkLead);
             }
           });
