--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/InMemoryObjectApi.java
@@ -236,7 +236,7 @@
     private void timeOut() {
       if (unresponsive) {
         process.schedule(unresponsiveWatchDelay, () -> fail(new ObjectApiFailure.Unavailable()));
-      } else {
+      } else if (!receiving) {
         ended.complete(null);
       }
     }
@@ -261,7 +261,7 @@
       }
       if (watchesEndWithEvents && !events.get().isEmpty()) {
         ending = true;
-        process.schedule(oneWayDelay.plus(watchLag), this::delivered);
+        process.schedule(oneWayDelay.plus(watchLag).plus(transferTime), this::delivered);
       }
     }
 
