Find what waiting calls are ordered by once a pass

The order of the queue looked up streaming, lateness and freshness of both calls for each of its comparisons, twice a pass. They are found once for each call now.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/CallRank.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/CallRank.java
@@ -6,7 +6,6 @@
 
 package org.larkkeel.relay;
 
-import java.util.Comparator;
 import java.util.OptionalInt;
 
 /**
@@ -27,9 +26,6 @@
   /** The least urgent rank, which is that of calls whose rank is unknown. */
   public static final CallRank LOWEST = new CallRank(MAX_PRIORITY, MAX_PRIORITY);
 
-  private static final Comparator<CallRank> ORDER =
-      Comparator.comparingInt(CallRank::first).thenComparingInt(CallRank::second);
-
   /**
    * Validates the priorities.
    *
@@ -69,7 +65,8 @@
 
   @Override
   public int compareTo(CallRank other) {
-    return ORDER.compare(this, other);
+    int c = Integer.compare(first, other.first);
+    return c != 0 ? c : Integer.compare(second, other.second);
   }
 
   @Override
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ReservationQueue.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ReservationQueue.java
@@ -7,7 +7,6 @@
 package org.larkkeel.relay.internal;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -77,51 +76,87 @@
   }
 
   private List<PlacementOrder.Entry> entries(long at, RelayConfiguration configuration) {
-    Comparator<PlacementOrder.Entry> groups =
-        Comparator.comparing((PlacementOrder.Entry e) -> !e.reservation().isStreaming())
-            .thenComparing(PlacementOrder.Entry::rank)
-            .thenComparing(e -> overload.lateness(e.reservation(), at))
-            .thenComparing(e -> !overload.isFresh(e.reservation()));
-    Comparator<PlacementOrder.Entry> byArrival =
-        Comparator.comparingLong(e -> e.reservation().arrivedAt());
-    List<PlacementOrder.Entry> order = new ArrayList<>(pending.size());
+    List<Place> order = new ArrayList<>(pending.size());
     boolean shared = false;
     for (PendingReservation p : pending) {
       CallRank rank = configuration.ranks().orderingRank(p.service(), p.rank());
-      order.add(new PlacementOrder.Entry(p, rank, 0));
+      order.add(
+          new Place(
+              new PlacementOrder.Entry(p, rank, 0),
+              p.isStreaming(),
+              overload.lateness(p, at),
+              overload.isFresh(p),
+              p.arrivedAt()));
       shared |= configuration.ranks().isRanked(p.service());
     }
-    order.sort(groups.thenComparing(byArrival));
+    order.sort(Place::compareByArrival);
     if (shared) {
       order = withStartTags(order, configuration);
-      order.sort(groups.thenComparingLong(PlacementOrder.Entry::startTag).thenComparing(byArrival));
+      order.sort(Place::compareByStartTag);
     }
-    return order;
+    List<PlacementOrder.Entry> entries = new ArrayList<>(order.size());
+    order.forEach(p -> entries.add(p.entry));
+    return entries;
   }
 
   /**
    * Returns the calls with their start tags: in a ranked service that of the workspace, advanced by
    * the calls of the workspace that go before.
    */
-  private List<PlacementOrder.Entry> withStartTags(
-      List<PlacementOrder.Entry> order, RelayConfiguration configuration) {
+  private List<Place> withStartTags(List<Place> order, RelayConfiguration configuration) {
     order.stream()
-        .map(PlacementOrder.Entry::reservation)
+        .map(p -> p.entry.reservation())
         .filter(p -> configuration.ranks().isRanked(p.service()))
         .forEach(shares::join);
     Map<ServiceName, FairShares<Optional<WorkspaceName>>.Tags> tags = new HashMap<>();
-    List<PlacementOrder.Entry> tagged = new ArrayList<>(order.size());
-    for (PlacementOrder.Entry e : order) {
-      PendingReservation p = e.reservation();
+    List<Place> tagged = new ArrayList<>(order.size());
+    for (Place place : order) {
+      PendingReservation p = place.entry.reservation();
       tagged.add(
           configuration.ranks().isRanked(p.service())
-              ? e.withStartTag(
+              ? place.withStartTag(
                   tags.computeIfAbsent(p.service(), shares::tags).next(p.workspace(), p.units()))
-              : e);
+              : place);
     }
     return tagged;
   }
 
+  /** A call with what it is ordered by, so that this is found once and not for each comparison. */
+  private record Place(
+      PlacementOrder.Entry entry,
+      boolean streaming,
+      OverloadDecisions.Lateness lateness,
+      boolean fresh,
+      long arrivedAt) {
+    Place withStartTag(long tag) {
+      return new Place(entry.withStartTag(tag), streaming, lateness, fresh, arrivedAt);
+    }
+
+    int compareByArrival(Place other) {
+      int c = compareGroup(other);
+      return c != 0 ? c : Long.compare(arrivedAt, other.arrivedAt);
+    }
+
+    int compareByStartTag(Place other) {
+      int c = compareGroup(other);
+      if (c == 0) {
+        c = Long.compare(entry.startTag(), other.entry.startTag());
+      }
+      return c != 0 ? c : Long.compare(arrivedAt, other.arrivedAt);
+    }
+
+    private int compareGroup(Place other) {
+      int c = Boolean.compare(other.streaming, streaming);
+      if (c == 0) {
+        c = entry.rank().compareTo(other.entry.rank());
+      }
+      if (c == 0) {
+        c = lateness.compareTo(other.lateness);
+      }
+      return c != 0 ? c : Boolean.compare(other.fresh, fresh);
+    }
+  }
+
   /** Returns the calls of this node, in the order in which they began to wait. */
   List<CallState> own() {
     return pending.stream().filter(CallState.class::isInstance).map(CallState.class::cast).toList();
