Keep the count of placement passes reachable for its meter

Meters hold what they read weakly: the supplier of the count would have been collected, and the metric would have shown nothing. Found by reading the change.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallRank;
@@ -61,6 +60,7 @@
   private final MeterRegistry registry;
   private final AtomicLong revision = new AtomicLong();
   private final AtomicLong revisionNanos = new AtomicLong();
+  private final AtomicLong placementPasses = new AtomicLong();
 
   /** Registers the gauges; the names of all metrics are listed in docs/OPERATIONS.md. */
   public RelayMeters(MeterRegistry registry) {
@@ -68,6 +68,9 @@
     ExtensionCounts.PROCESS.register(registry);
     Gauge.builder("larkkeel.relay.configuration.revision", revision, AtomicLong::get)
         .register(registry);
+    FunctionCounter.builder(
+            "larkkeel.relay.placement.passes", placementPasses, AtomicLong::doubleValue)
+        .register(registry);
     Gauge.builder("larkkeel.relay.configuration.age", this, m -> m.ageSeconds())
         .baseUnit("seconds")
         .register(registry);
@@ -290,10 +293,9 @@
         .register(registry);
   }
 
-  /** Registers the count of passes over the queue of waiting calls. */
-  void watchPlacement(Supplier<Number> passes) {
-    FunctionCounter.builder("larkkeel.relay.placement.passes", passes, p -> p.get().doubleValue())
-        .register(registry);
+  /** Sets the number of passes over the queue of waiting calls so far. */
+  void placementPasses(long passes) {
+    placementPasses.set(passes);
   }
 
   /** Records the result of a request for a copy of the store's state. */
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -84,10 +84,10 @@
   private final NodeRegistry registry;
   private final TunnelHandler tunnels;
   private final StatusListener status;
+  private final RelayMeters meters;
   private volatile boolean ready;
   private volatile int inProgress;
   private volatile int upstreams;
-  private volatile long placementPasses;
   private volatile ImmutableSet<UpstreamIncarnation> indirectUpstreams = ImmutableSet.of();
   private volatile boolean draining;
 
@@ -102,14 +102,13 @@
     this.loop = new RelayLoop(thread, router, BootClock.SYSTEM);
     PrometheusMeterRegistry meterRegistry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     closer.add(meterRegistry::close);
-    RelayMeters meters = new RelayMeters(meterRegistry);
+    this.meters = new RelayMeters(meterRegistry);
     RelayFactLog factLog = new RelayFactLog();
     Consumer<RelayFact> facts =
         fact -> {
           factLog.accept(fact);
           meters.accept(fact);
         };
-    meters.watchPlacement(() -> placementPasses);
     RelayDialect dialect = adapter.dialect();
     UpstreamClient client =
         closer.add(new UpstreamClient(worker, CLIENT_SETTINGS, BootClock.SYSTEM::nanoTime));
@@ -276,7 +275,7 @@
 
   private void observe() {
     upstreams = router.upstreamCount();
-    placementPasses = router.placementPasses();
+    meters.placementPasses(router.placementPasses());
     indirectUpstreams = router.indirectUpstreams();
     long nowNanos = loop.now();
     loadExchange.update(
