Let a watch that receives an answer end before the state is confirmed

A confirmation ended the watch and began it anew. On a slow link that begins a large answer again for each stall of the node. Such a watch is followed by a short one at once instead. Found by reading the change; the test has an answer of 0.9 s and counts the watches.

--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -473,6 +473,24 @@
       assertEquals(w.names, Set.of("a"));
     }
 
+    /** Guards against a large answer that is begun anew for each confirmation. */
+    @Test
+    public void doesNotEndTheWatchThatReceivesAnAnswer() {
+      Rig w = new Rig(Duration.ZERO);
+      w.api.endWatchesWithEvents();
+      w.api.setTransferTime(Duration.ofMillis(900));
+      w.create("a");
+      w.time.advance(Duration.ofMillis(100));
+      final int watches = w.store.watches();
+      CompletableFuture<Void> confirmation = w.mirror.confirm();
+      w.time.advance(Duration.ofMillis(600));
+      assertFalse(confirmation.isDone());
+      assertEquals(w.store.watches(), watches);
+      w.time.advance(Duration.ofMillis(400));
+      assertTrue(confirmation.isDone());
+      assertEquals(w.names, Set.of("a"));
+    }
+
     @Test
     public void doesNotCompleteWhileTheStoreIsUnreachable() {
       Rig w = new Rig(Duration.ZERO);
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -126,7 +126,8 @@
 
   /**
    * Reads what has changed by now, without waiting for a change; called on the scheduler. A watch
-   * in progress is replaced by a short one, since its connection may be unresponsive.
+   * in progress is replaced by a short one, since its connection may be unresponsive; one that
+   * receives an answer is followed by a short one.
    *
    * @return completes on the scheduler once the copy is as new as the store was at the call, and
    *     the listener was told of it; not while the store is unreachable
@@ -134,7 +135,7 @@
   public CompletableFuture<Void> confirm() {
     CompletableFuture<Void> confirmation = new CompletableFuture<>();
     confirmations.add(confirmation);
-    if (watch != null && !failing) {
+    if (watch != null && !failing && !watch.isReceiving()) {
       Watch replaced = watch;
       watch = null;
       replaced.close();
@@ -353,7 +354,8 @@
     if (failure == null && listAfterWatch) {
       scheduler.schedule(backoff.nextDelay(), this::restart);
     } else if (failure == null) {
-      scheduler.schedule(watchTimes.pause(), () -> watchNext(w));
+      Duration pause = confirmations.isEmpty() ? watchTimes.pause() : Duration.ZERO;
+      scheduler.schedule(pause, () -> watchNext(w));
     } else {
       retry(failure);
     }
