Name the build of a stream to the coordinator instead of the other engines

A stream that waits for a reservation excluded all engines of other builds by name. In a service of 600 engines that is some 6 KB a request, and a report of ten such requests would exceed a datagram and not be sent (computed). The request names the build in an extension, and the coordinator excludes the others; an older coordinator ignores it, and its grant of another engine is refused by the node as before.

StreamBuildsTest$Coordinated and OverloadExtensionsTest$Builds failed before the change (no build in the request, a grant at the other build).

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/OverloadExtensionsTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/OverloadExtensionsTest.java
@@ -12,10 +12,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.List;
 import java.util.Optional;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RequestTerms;
@@ -60,6 +62,23 @@
     return PeerMessageCodec.fromBytes(PeerMessageCodec.toBytes(message)).orElseThrow();
   }
 
+  /** Builds of requests. */
+  public static class Builds extends OverloadExtensionsTest {
+    @Test
+    public void passWithTheirRequests() {
+      PeerMessage message =
+          report(request(1), request(2).withBuild(Optional.of(new BuildName("v1"))), request(3));
+      assertEquals(roundTrip(message), message);
+    }
+
+    /** Guards against the build of another request, which would leave a call without an engine. */
+    @Test(expectedExceptions = IllegalArgumentException.class)
+    public void ofAnotherNumberOfRequestsAreRejected() {
+      RequestBuildsCodec.fromBytes(
+          RequestBuildsCodec.toBytes(List.of(Optional.of(new BuildName("v1")))), 2);
+    }
+  }
+
   /** Terms of requests. */
   public static class Terms extends OverloadExtensionsTest {
     @Test
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/ExtensionId.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/ExtensionId.java
@@ -39,6 +39,9 @@
   /** The times for which the callers of a {@link PeerMessage.Kind#REPORT}'s requests wait. */
   REQUEST_TERMS(14),
 
+  /** The builds to which the requests of a {@link PeerMessage.Kind#REPORT} are restricted. */
+  REQUEST_BUILDS(16),
+
   /** A {@link StreamMessage}, in {@link PeerMessage.Kind#STREAM}. */
   STREAM(15),
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RequestExtensions.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RequestExtensions.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.apache.thrift.TException;
+import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.RequestTerms;
 import org.larkkeel.relay.ReservationRequest;
 
@@ -25,9 +26,11 @@
   static MessageExtensions of(PeerMessage message) {
     ImmutableList<ReservationRequest> requests = message.requests();
     MessageExtensions extensions =
-        RequestRanksCodec.toBytes(requests)
-            .map(b -> message.extensions().with(ExtensionId.REQUEST_RANKS, b))
-            .orElse(message.extensions());
+        withBuilds(
+            RequestRanksCodec.toBytes(requests)
+                .map(b -> message.extensions().with(ExtensionId.REQUEST_RANKS, b))
+                .orElse(message.extensions()),
+            requests.stream().map(ReservationRequest::build).toList());
     List<Optional<RequestTerms>> terms = requests.stream().map(ReservationRequest::terms).toList();
     return terms.stream().allMatch(Optional::isEmpty)
         ? extensions
@@ -36,10 +39,18 @@
             .with(ExtensionId.REQUEST_TERMS, RequestTermsCodec.toBytes(terms));
   }
 
+  private static MessageExtensions withBuilds(
+      MessageExtensions extensions, List<Optional<BuildName>> builds) {
+    return builds.stream().allMatch(Optional::isEmpty)
+        ? extensions
+        : extensions.with(ExtensionId.REQUEST_BUILDS, RequestBuildsCodec.toBytes(builds));
+  }
+
   /** Returns the extensions that do not add to requests. */
   static MessageExtensions without(MessageExtensions extensions) {
     return extensions
         .without(ExtensionId.REQUEST_RANKS)
+        .without(ExtensionId.REQUEST_BUILDS)
         .without(ExtensionId.REQUEST_IDENTITIES)
         .without(ExtensionId.REQUEST_TERMS);
   }
@@ -47,7 +58,22 @@
   /** Returns requests with what the extensions add to them; malformed extensions are ignored. */
   static ImmutableList<ReservationRequest> apply(
       MessageExtensions extensions, ImmutableList<ReservationRequest> requests) {
-    return withTerms(extensions, withRanks(requests, extensions));
+    return withBuilds(extensions, withTerms(extensions, withRanks(requests, extensions)));
+  }
+
+  private static ImmutableList<ReservationRequest> withBuilds(
+      MessageExtensions extensions, ImmutableList<ReservationRequest> requests) {
+    Optional<ImmutableList<Optional<BuildName>>> builds =
+        extensions.parse(
+            ExtensionId.REQUEST_BUILDS, b -> RequestBuildsCodec.fromBytes(b, requests.size()));
+    if (builds.isEmpty()) {
+      return requests;
+    }
+    ImmutableList.Builder<ReservationRequest> withBuilds = ImmutableList.builder();
+    for (int i = 0; i < requests.size(); i++) {
+      withBuilds.add(requests.get(i).withBuild(builds.get().get(i)));
+    }
+    return withBuilds.build();
   }
 
   private static ImmutableList<ReservationRequest> withTerms(
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -9,8 +9,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
+import java.util.Optional;
 import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.RequestId;
 import org.testng.annotations.Test;
 
 /**
@@ -177,6 +182,56 @@
     }
   }
 
+  /** Reservations by the coordinator. */
+  public static class Coordinated {
+    private static RelayWorld mixed(ReservationMode mode) {
+      RelayWorld w = world();
+      addNew(w);
+      w.apply(new RelayEvent.KeepingChanged(w.now(), mode));
+      return w;
+    }
+
+    /** Guards against reports that name all engines of a large service, and fit no message. */
+    @Test
+    public void nameTheBuildInsteadOfTheOtherEngines() {
+      RelayWorld w = mixed(ReservationMode.ASK);
+      w.resume("/resume/a", SIZE, "first");
+      w.apply(
+          new RelayEvent.StreamFound(w.now(), new StreamId("first"), new StreamLookup.Known(OLD)));
+      ReservationRequest request = w.router.reservationRequests(w.now()).getFirst();
+      assertEquals(request.build(), Optional.of(OLD));
+      assertTrue(request.excluded().isEmpty());
+    }
+
+    /** Guards against grants at engines of another build. */
+    @Test
+    public void areGrantedAtTheBuildOnly() {
+      RelayWorld w = mixed(ReservationMode.KEEP);
+      for (int i = 1; i <= STREAMS; i++) {
+        ReservationRequest request =
+            new ReservationRequest(
+                    new RequestId(i),
+                    "call-" + i,
+                    RelayWorld.MODEL,
+                    500,
+                    0,
+                    true,
+                    true,
+                    0,
+                    900,
+                    PromptKey.NONE,
+                    ImmutableSet.of())
+                .withBuild(Optional.of(OLD));
+        w.apply(
+            new RelayEvent.RoomAsked(
+                w.now(), new HostName("node-" + i), RelayWorld.HERE, ImmutableList.of(request)));
+      }
+      List<RelayEffect.GrantReservation> grants = w.of(RelayEffect.GrantReservation.class);
+      assertEquals(grants.size(), STREAMS);
+      grants.forEach(g -> assertEquals(g.reservedUpstream(), RelayWorld.incarnation("old-1")));
+    }
+  }
+
   /** The records of streams at other nodes. */
   public static class Records {
     @Test
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/ReservationRequest.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/ReservationRequest.java
@@ -34,6 +34,8 @@
  *     name it
  * @param terms what is known of the caller; empty for a call that may have run or whose service is
  *     not ranked, and from an older node
+ * @param build the only build of upstreams that may run the call, as it began its stream; empty if
+ *     any may
  * @since 0.1
  */
 public record ReservationRequest(
@@ -50,7 +52,8 @@
     ImmutableSet<UpstreamIncarnation> excluded,
     CallRank rank,
     Optional<WorkspaceName> workspace,
-    Optional<RequestTerms> terms) {
+    Optional<RequestTerms> terms,
+    Optional<BuildName> build) {
   /** Returns this request with further excluded upstreams. */
   public ReservationRequest withExcluded(ImmutableSet<UpstreamIncarnation> further) {
     if (further.isEmpty()) {
@@ -72,7 +75,8 @@
             : ImmutableSet.<UpstreamIncarnation>builder().addAll(excluded).addAll(further).build(),
         rank,
         workspace,
-        terms);
+        terms,
+        build);
   }
 
   /**
@@ -90,6 +94,40 @@
     }
   }
 
+  /** Creates a request that any build may run. */
+  public ReservationRequest(
+      RequestId call,
+      String wireId,
+      ServiceName service,
+      long units,
+      long prompt,
+      boolean firstTry,
+      boolean streaming,
+      long waitedMillis,
+      long targetMillis,
+      PromptKey promptKey,
+      ImmutableSet<UpstreamIncarnation> excluded,
+      CallRank rank,
+      Optional<WorkspaceName> workspace,
+      Optional<RequestTerms> terms) {
+    this(
+        call,
+        wireId,
+        service,
+        units,
+        prompt,
+        firstTry,
+        streaming,
+        waitedMillis,
+        targetMillis,
+        promptKey,
+        excluded,
+        rank,
+        workspace,
+        terms,
+        Optional.empty());
+  }
+
   /** Creates the request of a node that names neither rank, workspace nor terms. */
   public ReservationRequest(
       RequestId call,
@@ -136,7 +174,8 @@
         excluded,
         newRank,
         newWorkspace,
-        terms);
+        terms,
+        build);
   }
 
   /** Returns this request with what is known of the caller. */
@@ -155,6 +194,27 @@
         excluded,
         rank,
         workspace,
-        newTerms);
+        newTerms,
+        build);
+  }
+
+  /** Returns this request restricted to a build. */
+  public ReservationRequest withBuild(Optional<BuildName> newBuild) {
+    return new ReservationRequest(
+        call,
+        wireId,
+        service,
+        units,
+        prompt,
+        firstTry,
+        streaming,
+        waitedMillis,
+        targetMillis,
+        promptKey,
+        excluded,
+        rank,
+        workspace,
+        terms,
+        newBuild);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
@@ -19,6 +19,7 @@
 import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.overload.GatheredCapacity;
 import org.larkkeel.overload.OverloadControl;
+import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelaySettings;
@@ -422,7 +423,9 @@
       HostName node,
       DataCentreName dataCentre,
       ImmutableList<ReservationRequest> requests) {
-    remote.replaceRequests(at, node, dataCentre, requests).forEach(waits::sendAnswer);
+    ImmutableList<ReservationRequest> restricted =
+        requests.stream().map(this::withoutOtherBuilds).collect(ImmutableList.toImmutableList());
+    remote.replaceRequests(at, node, dataCentre, restricted).forEach(waits::sendAnswer);
   }
 
   /** Returns the reservation requests to send to the reservation coordinator. */
@@ -445,10 +448,45 @@
         (at - c.arrivedAt) / MILLI,
         c.rule.targetMillis(),
         c.call.prompt(),
-        ImmutableSet.copyOf(c.excluded),
+        excludedWithinBuild(c),
         c.rank,
         c.rankedWorkspace,
-        overload.isActive(c.service) ? c.terms() : Optional.empty());
+        overload.isActive(c.service) ? c.terms() : Optional.empty(),
+        namedBuild(c));
+  }
+
+  private static Optional<BuildName> namedBuild(CallState c) {
+    return Optional.ofNullable(c.build).filter(b -> !b.equals(BuildName.UNKNOWN));
+  }
+
+  /**
+   * Returns the excluded upstreams of a call without those of other builds than its own: the
+   * request names the build, as a report of many names may not fit a message.
+   */
+  private ImmutableSet<UpstreamIncarnation> excludedWithinBuild(CallState c) {
+    if (namedBuild(c).isEmpty()) {
+      return ImmutableSet.copyOf(c.excluded);
+    }
+    ImmutableSet.Builder<UpstreamIncarnation> excluded = ImmutableSet.builder();
+    for (UpstreamState s : upstreams.ofService(c.service)) {
+      if (s.upstream().build().equals(c.build) && c.excluded.contains(s.incarnation())) {
+        excluded.add(s.incarnation());
+      }
+    }
+    return excluded.build();
+  }
+
+  /** Returns a request that excludes the upstreams of other builds than that it names. */
+  private ReservationRequest withoutOtherBuilds(ReservationRequest request) {
+    if (request.build().isEmpty()) {
+      return request;
+    }
+    BuildName build = request.build().get();
+    return request.withExcluded(
+        upstreams.ofService(request.service()).stream()
+            .filter(s -> !s.upstream().build().equals(build))
+            .map(UpstreamState::incarnation)
+            .collect(ImmutableSet.toImmutableSet()));
   }
 
   /** Returns the upstreams of a service that this node would not choose now for any call. */
