--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
@@ -102,16 +102,16 @@
       submit(stream, router.streamLookup(environment.now(), stream, service));
       return;
     }
-    questions.put(stream, new Question(service, asked));
-    send(stream);
-    environment.after(REPEAT_NANOS, () -> send(stream));
-    environment.after(MAX_WAIT_NANOS, () -> finish(stream));
+    Question q = new Question(service, asked);
+    questions.put(stream, q);
+    send(stream, q);
+    environment.after(REPEAT_NANOS, () -> send(stream, q));
+    environment.after(MAX_WAIT_NANOS, () -> finish(stream, q));
   }
 
   /** Asks the peers that have not answered. */
-  private void send(StreamId stream) {
-    Question q = questions.get(stream);
-    if (q != null) {
+  private void send(StreamId stream, Question q) {
+    if (questions.get(stream) == q) {
       ImmutableList.copyOf(q.unanswered)
           .forEach(p -> sender.accept(p, new StreamMessage.Asked(stream, q.service)));
     }
@@ -141,7 +141,7 @@
       q.best = m.result();
     }
     if (q.best instanceof StreamLookup.Known || q.unanswered.isEmpty()) {
-      finish(m.stream());
+      finish(m.stream(), q);
     }
   }
 
@@ -159,9 +159,8 @@
   }
 
   /** Ends a question; without any answer the router decides by itself. */
-  private void finish(StreamId stream) {
-    Question q = questions.remove(stream);
-    if (q != null) {
+  private void finish(StreamId stream, Question q) {
+    if (questions.remove(stream, q)) {
       submit(
           stream,
           q.best != null ? q.best : router.streamLookup(environment.now(), stream, q.service));
