Accept builds that entries name by a number, or not at all

An entry is unreadable as a whole if a field that is used has another type. A build that is missing, null or a number must not cost a service its upstream; another type, or a name with spaces, is told as before for other fields. PlatformUpstreamsTest has the cases.

--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformUpstreamsTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformUpstreamsTest.java
@@ -73,6 +73,24 @@
       assertTrue(u.leaving());
     }
 
+    @DataProvider
+    static Object[][] builds() {
+      return new Object[][] {
+        {"{}", "v1"},
+        {"{\"version\":\"v1.1\"}", "v1.1"},
+        {"{\"version\":7}", "7"},
+        {"{\"version\":null}", ""},
+      };
+    }
+
+    /**
+     * Guards against an upstream that is not used since it does not name its build as others do.
+     */
+    @Test(dataProvider = "builds")
+    public void nameTheirBuilds(String change, String expected) throws Exception {
+      assertEquals(readable(change).build().value(), expected);
+    }
+
     @Test
     public void mayLackTheStart() throws Exception {
       assertEquals(readable("{}").incarnation().incarnation(), new Incarnation(0));
@@ -91,6 +109,8 @@
       return new Object[][] {
         {"{\"address\":\"10.0.0.1\"}", Reason.MALFORMED, "address"},
         {"{\"address\":\"10.0.0.1:0\"}", Reason.MALFORMED, "address"},
+        {"{\"version\":{}}", Reason.WRONG_TYPE, "version"},
+        {"{\"version\":\"v 1\"}", Reason.MALFORMED, "version"},
         {"{\"address\":\"10.0.0.1:99999\"}", Reason.MALFORMED, "address"},
         {"{\"address\":\"host:80\"}", Reason.MALFORMED, "address"},
         {"{\"address\":7}", Reason.WRONG_TYPE, "address"},
