--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadExchangeTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/LoadExchangeTest.java
@@ -140,7 +140,7 @@
       assertTrue(begun.await(FLOOD_MILLIS, TimeUnit.MILLISECONDS));
       CountDownLatch done = new CountDownLatch(1);
       worker.worker().getIoThread().execute(done::countDown);
-      boolean inTime = done.await(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+      final boolean inTime = done.await(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
       assertTrue(flood.isAlive(), "the flood has ended");
       flood.interrupt();
       flood.join();
@@ -173,7 +173,7 @@
 
     /** Guards against a coordinator that goes on with loads and requests from before the stall. */
     @Test
-    public void makesTheNodeANewOne() throws Exception {
+    public void makesTheNodeNewlyStarted() throws Exception {
       try (DatagramSocket peer = new DatagramSocket(0, InetAddress.ofLiteral("127.0.0.1"))) {
         peer.setSoTimeout((int) STEADY.multipliedBy(2).toMillis());
         exchange.addPeer(new InetSocketAddress(peer.getLocalAddress(), peer.getLocalPort()));
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
@@ -105,7 +105,7 @@
       this.address = new InetSocketAddress("127.0.1." + (index + 1), 7000);
       this.name = new HostName("node-" + index);
       this.peers = new PeerTable(name);
-      this.sharing = new StreamSharing(peers, this, this::send);
+      this.sharing = new StreamSharing(peers, this, this::sendTo);
       sharing.router(router);
       submit(
           new RelayEvent.UpstreamsChanged(
@@ -142,7 +142,7 @@
       sharing.execute(new RelayEffect.FindStream(stream, SERVICE));
     }
 
-    private void send(PeerTable.Peer to, StreamMessage message) {
+    private void sendTo(PeerTable.Peer to, StreamMessage message) {
       byte[] bytes = StreamMessage.toBytes(message);
       if (network.random.nextDouble() >= network.lossShare) {
         network.time.schedule(LATENCY, () -> network.nodes.get(to.address).receive(address, bytes));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -429,12 +429,12 @@
       return;
     }
     ImmutableList<NodeReport> reports =
-        pendingReports.stream().map(this::report).collect(ImmutableList.toImmutableList());
+        pendingReports.stream().map(this::nodeReport).collect(ImmutableList.toImmutableList());
     pendingReports.clear();
     environment.submit(new RelayEvent.ReportsHeard(environment.now(), reports));
   }
 
-  private NodeReport report(PeerMessage m) {
+  private NodeReport nodeReport(PeerMessage m) {
     PeerMessage.Sender s = m.sender();
     boolean grants = choice.reservationMode() == ReservationMode.KEEP;
     if (grants && !m.requests().isEmpty()) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RequestExtensions.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RequestExtensions.java
@@ -26,7 +26,7 @@
   static MessageExtensions of(PeerMessage message) {
     ImmutableList<ReservationRequest> requests = message.requests();
     MessageExtensions extensions =
-        withBuilds(
+        addBuilds(
             RequestRanksCodec.toBytes(requests)
                 .map(b -> message.extensions().with(ExtensionId.REQUEST_RANKS, b))
                 .orElse(message.extensions()),
@@ -39,7 +39,7 @@
             .with(ExtensionId.REQUEST_TERMS, RequestTermsCodec.toBytes(terms));
   }
 
-  private static MessageExtensions withBuilds(
+  private static MessageExtensions addBuilds(
       MessageExtensions extensions, List<Optional<BuildName>> builds) {
     return builds.stream().allMatch(Optional::isEmpty)
         ? extensions
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamMessage.java
@@ -24,7 +24,7 @@
   /** A build has begun a stream. */
   record Told(StreamBuild stream) implements StreamMessage {}
 
-  /** Which build began a stream? */
+  /** Asks which build began a stream. */
   record Asked(StreamId stream, ServiceName service) implements StreamMessage {}
 
   /** The answer to {@link Asked}. */
--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/LargeChangesTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/LargeChangesTest.java
@@ -42,7 +42,7 @@
   }
 
   @Test(dataProvider = "clusters")
-  public void arriveInTimeWithoutTheLossOfAWatch(int nodes, int intervalMillis) {
+  public void arriveInTimeWithoutLossOfWatches(int nodes, int intervalMillis) {
     for (int seed = 0; seed < 10; seed++) {
       SplittableRandom random = new SplittableRandom(seed);
       MirrorCluster cluster = new MirrorCluster(nodes, Duration.ZERO, random);
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -269,11 +269,17 @@
         path, deadlineMillis, size, prompt, resumes, "body of " + (lastCall + 1), Optional.empty());
   }
 
-  /** Starts a call that takes up a stream, named by the call that brought its first event. */
-  RequestId resume(String path, CallSize size, String stream) {
+  private RequestId arrive(
+      String path,
+      long deadlineMillis,
+      CallSize size,
+      PromptKey prompt,
+      boolean resumes,
+      String body,
+      Optional<CallerKey> key) {
     RequestId id = new RequestId(++lastCall);
     RequestIdentity identity =
-        new RequestIdentity("POST", "a.example", path, "", stream.getBytes(StandardCharsets.UTF_8));
+        new RequestIdentity("POST", "a.example", path, "", body.getBytes(StandardCharsets.UTF_8));
     apply(
         new RelayEvent.Arrived(
             now,
@@ -282,27 +288,20 @@
                 "call-" + lastCall,
                 "a.example",
                 path,
-                10_000,
+                deadlineMillis,
                 size,
-                PromptKey.NONE,
-                true,
-                Optional.of(new StreamId(stream)),
+                prompt,
+                resumes,
                 identity,
-                Optional.empty())));
+                key)));
     return id;
   }
 
-  private RequestId arrive(
-      String path,
-      long deadlineMillis,
-      CallSize size,
-      PromptKey prompt,
-      boolean resumes,
-      String body,
-      Optional<CallerKey> key) {
+  /** Starts a call that takes up a stream, named by the call that brought its first event. */
+  RequestId resume(String path, CallSize size, String stream) {
     RequestId id = new RequestId(++lastCall);
     RequestIdentity identity =
-        new RequestIdentity("POST", "a.example", path, "", body.getBytes(StandardCharsets.UTF_8));
+        new RequestIdentity("POST", "a.example", path, "", stream.getBytes(StandardCharsets.UTF_8));
     apply(
         new RelayEvent.Arrived(
             now,
@@ -311,12 +310,13 @@
                 "call-" + lastCall,
                 "a.example",
                 path,
-                deadlineMillis,
+                10_000,
                 size,
-                prompt,
-                resumes,
+                PromptKey.NONE,
+                true,
+                Optional.of(new StreamId(stream)),
                 identity,
-                key)));
+                Optional.empty())));
     return id;
   }
 
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -174,7 +174,7 @@
 
     /** Guards against refusals of all streams after all nodes have restarted. */
     @Test
-    public void goOnAtTheOnlyBuildOfANodeThatHasJustStarted() {
+    public void goOnAtTheOnlyBuildOfNewNode() {
       RelayWorld w = world();
       w.resume("/resume/a", SIZE, stream().value());
       w.pass(250);
--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -194,7 +194,7 @@
   }
 
   /** Crashes a runner that is serving, and starts it under a new name later. */
-  synchronized void crash(SoakRunner runner) {
+  synchronized void crashAndReplace(SoakRunner runner) {
     if (runner.isServing()) {
       restartLater(runner, "");
     }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
@@ -120,7 +120,7 @@
     }
     List<SoakRunner> engines = runners.stream().filter(SoakRunner::isEngine).toList();
     soak.count(Soak.Counted.BUILD_CHANGE);
-    soak.crash(engines.get(random.nextInt(engines.size())));
+    soak.crashAndReplace(engines.get(random.nextInt(engines.size())));
     soak.after(random.nextInt(1_000, 3_000), () -> changeBuilds(random));
   }
 
