Restrict a stream that is taken up to the only build, also while it waits

A call that took up a stream while one build served was not restricted to it. If it waited for memory and another build appeared meanwhile, it was placed there: found by reading the change.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -129,6 +129,22 @@
       w.apply(new RelayEvent.StreamFound(w.now(), stream(), result));
     }
 
+    /** Guards against a stream of the only build that waits until another one is added. */
+    @Test
+    public void whileThereIsOneBuildStayThereWhenAnotherIsAdded() {
+      RelayWorld w = world();
+      w.pass(31_000);
+      for (int i = 0; i < STREAMS; i++) {
+        w.arrive("/resume/a", 14_000, new CallSize(6_000, 1_000, 600));
+      }
+      RequestId call = w.resume("/resume/a", new CallSize(6_000, 1_000, 600), stream().value());
+      addNew(w);
+      w.pass(1_000);
+      w.of(RelayEffect.Send.class).stream()
+          .filter(s -> s.call().equals(call))
+          .forEach(s -> assertEquals(s.upstream().build(), OLD));
+    }
+
     /** Guards against a guess while the nodes that may know the build are asked. */
     @Test
     public void atAnotherNodeWaitForTheirBuild() {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -226,8 +226,8 @@
         stream.map(id -> lookup(at, id, c.service)).orElseGet(() -> lookup(at, c.service));
     return switch (own) {
       case StreamLookup.Known k -> resolve(at, c, k.build(), RelayFact.StreamResolved.Source.OWN);
-      case StreamLookup.Sole s -> true;
-      case StreamLookup.Listed l when stream.isEmpty() -> true;
+      case StreamLookup.Sole s -> restrict(c, s.build());
+      case StreamLookup.Listed l when stream.isEmpty() -> restrict(c, l.build());
       case StreamLookup.Unknown u when stream.isEmpty() -> {
         refuseUnknown(at, c);
         yield false;
@@ -237,6 +237,13 @@
     };
   }
 
+  /** Restricts a call to the only build, as another may appear while it waits. */
+  private boolean restrict(CallState c, BuildName build) {
+    c.build = build;
+    excludeOtherBuilds(c);
+    return true;
+  }
+
   private boolean ask(long at, CallState c, StreamId stream) {
     waiting.put(c.call.id(), c);
     core.timers.add(new Timers.Timer.StreamLookupTimeout(at + LOOKUP_NANOS, c.call.id()));
