Decode all parts of a prompt

Only the last part of a prompt was read from its header, so the router did not know what prompts share. They are decoded once now, into Prompt; the key of the last part ranks upstreams as before.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallMetadata.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/CallMetadata.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import org.larkkeel.relay.CallSize;
 import org.larkkeel.relay.CallerKey;
-import org.larkkeel.relay.PromptKey;
+import org.larkkeel.relay.Prompt;
 import org.larkkeel.relay.StreamId;
 
 /**
@@ -21,7 +21,7 @@
  * @param deadlineMillis the time for which the caller waits, milliseconds from arrival; 0 if not
  *     declared
  * @param size the declared sizes of prompt and output
- * @param prompt identifies the prompt
+ * @param prompt the named parts of the prompt
  * @param resumesStream true if the caller has received the beginning of the stream before
  * @param resumedStream the stream that the caller takes up; empty if the caller names none
  * @param key the key that identifies the workspace of the caller; empty if the caller sent none
@@ -31,12 +31,12 @@
     String wireId,
     long deadlineMillis,
     CallSize size,
-    PromptKey prompt,
+    Prompt prompt,
     boolean resumesStream,
     Optional<StreamId> resumedStream,
     Optional<CallerKey> key) {
   /** The value for a call whose headers cannot be parsed. */
   static final CallMetadata NONE =
       new CallMetadata(
-          "", 0, CallSize.NONE, PromptKey.NONE, false, Optional.empty(), Optional.empty());
+          "", 0, CallSize.NONE, Prompt.NONE, false, Optional.empty(), Optional.empty());
 }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -312,7 +312,7 @@
                 path,
                 10_000,
                 size,
-                PromptKey.NONE,
+                Prompt.NONE,
                 true,
                 Optional.of(new StreamId(stream)),
                 identity,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayCall.java
@@ -21,7 +21,7 @@
  * @param path the path without its query
  * @param deadlineMillis the time for which the caller waits; 0 if the caller sent none
  * @param size the declared size of the generation
- * @param prompt identifies the prompt
+ * @param prompt the named parts of the prompt
  * @param resumes true if the caller already has the beginning of the stream
  * @param resumedStream the stream that the caller takes up; empty if it is a new one, or the caller
  *     does not name it
@@ -36,12 +36,12 @@
     String path,
     long deadlineMillis,
     CallSize size,
-    PromptKey prompt,
+    Prompt prompt,
     boolean resumes,
     Optional<StreamId> resumedStream,
     RequestIdentity identity,
     Optional<CallerKey> key) {
-  /** Creates a call that names no stream to be taken up. */
+  /** Creates a call that names no stream to be taken up, and of its prompt only the last part. */
   public RelayCall(
       RequestId id,
       String wireId,
@@ -60,7 +60,7 @@
         path,
         deadlineMillis,
         size,
-        prompt,
+        Prompt.of(prompt),
         resumes,
         Optional.empty(),
         identity,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallDemands.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallDemands.java
@@ -57,7 +57,7 @@
         units,
         bounds.memoryTokens(),
         maxFill(c, configuration, at),
-        c.call.prompt());
+        c.call.prompt().key());
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
@@ -224,7 +224,7 @@
    * cached.
    */
   private static boolean mayBeCached(CallState c) {
-    return c.call.resumes() && c.call.prompt().isKnown();
+    return c.call.resumes() && c.call.prompt().key().isKnown();
   }
 
   /**
@@ -239,7 +239,9 @@
           .map(UpstreamState::upstream);
     }
     return mayBeCached(c)
-        ? upstreams.availability().firstRanked(at, c.service, c.call.prompt(), c.reservedUpstream)
+        ? upstreams
+            .availability()
+            .firstRanked(at, c.service, c.call.prompt().key(), c.reservedUpstream)
         : Optional.empty();
   }
 
@@ -447,7 +449,7 @@
         c.isStreaming(),
         (at - c.arrivedAt) / MILLI,
         c.rule.targetMillis(),
-        c.call.prompt(),
+        c.call.prompt().key(),
         excludedWithinBuild(c),
         c.rank,
         c.rankedWorkspace,
--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
@@ -10,6 +10,7 @@
 import static org.testng.Assert.assertFalse;
 
 import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ListMultimap;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
@@ -25,7 +26,9 @@
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.relay.CallerKey;
+import org.larkkeel.relay.Prompt;
 import org.larkkeel.relay.PromptKey;
+import org.larkkeel.relay.PromptPart;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
@@ -83,14 +86,33 @@
   public static class ClientHeaders {
     @Test
     public void identifyThePromptByItsLastPart() {
+      Prompt prompt = promptOf("5c1e07a2:800, e4402b7d:250");
+      assertEquals(prompt.key(), new PromptKey("e4402b7d"));
+    }
+
+    @Test
+    public void nameAllPartsOfThePromptInOrder() {
+      Prompt prompt = promptOf("5c1e07a2:800,91bd3f06:410 , e4402b7d:250");
+      assertEquals(
+          prompt.sharedParts(),
+          ImmutableList.of(new PromptPart("5c1e07a2"), new PromptPart("91bd3f06")));
+    }
+
+    @Test
+    public void mayHaveEmptyPartsInTheListOfThePrompt() {
+      assertEquals(promptOf(" ,:7,,5c1e07a2"), Prompt.of(new PromptKey("5c1e07a2")));
+      assertEquals(promptOf(""), Prompt.NONE);
+    }
+
+    private static Prompt promptOf(String entries) {
       HeaderMap headers = new HeaderMap();
-      headers.put(PlatformNames.PREFIX_HASH, "5c1e07a2:800, e4402b7d:250");
-      assertEquals(new PlatformDialect().readMetadata(headers).prompt(), new PromptKey("e4402b7d"));
+      headers.put(PlatformNames.PREFIX_HASH, entries);
+      return new PlatformDialect().readMetadata(headers).prompt();
     }
 
     @Test
     public void haveNoPromptKeyWithoutPromptParts() {
-      assertEquals(new PlatformDialect().readMetadata(new HeaderMap()).prompt(), PromptKey.NONE);
+      assertEquals(new PlatformDialect().readMetadata(new HeaderMap()).prompt(), Prompt.NONE);
     }
 
     @Test
