Log the shared parts of prompts and the sends of attempts that break

attempt_broken named the request only. With the record of deadly prompt parts all 38 suspected requests are different, and the logs could not tell a common part of their prompts from engines that end by themselves, nor a first send from a repeated one. It names the parts that other requests may share and how many upstreams the call was sent to.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
@@ -11,8 +11,12 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.overload.GatheredCapacity;
 import org.larkkeel.relay.CallRank;
@@ -37,6 +41,45 @@
     }
   }
 
+  /** Lines of attempts whose connection broke. */
+  public static class BrokenAttempt {
+    @Test
+    public void namesTheRequestAndTheSharedPartsOfItsPrompt() {
+      Fingerprint request = new Fingerprint(0, 1);
+      ImmutableList<Fingerprint> parts =
+          ImmutableList.of(new Fingerprint(0, 2), new Fingerprint(0, 3));
+      assertEquals(
+          line(
+              new RelayFact.AttemptBroken(
+                  "c-1",
+                  new AttemptId(4),
+                  UpstreamIncarnation.unknown(new UpstreamName("run-1")),
+                  request,
+                  parts,
+                  2,
+                  90_000_000,
+                  -1,
+                  5)),
+          "event=attempt_broken call=c-1 attempt=4 upstream=run-1 start=0 request="
+              + request
+              + " parts="
+              + parts.get(0)
+              + ","
+              + parts.get(1)
+              + " sends=2 sent_ms=90 begun_ms=none others=5");
+    }
+  }
+
+  private static String line(RelayFact fact) {
+    Logger logger = (Logger) LoggerFactory.getLogger("relay");
+    ListAppender<ILoggingEvent> lines = new ListAppender<>();
+    lines.start();
+    logger.addAppender(lines);
+    new RelayFactLog().accept(fact);
+    logger.detachAppender(lines);
+    return lines.list.getFirst().getFormattedMessage();
+  }
+
   /** Lines of calls that compete for capacity. */
   public static class Rank {
     @Test
@@ -63,16 +106,6 @@
           "event=return_promise call=c-1 service=model change=returned");
     }
 
-    private static String line(RelayFact fact) {
-      Logger logger = (Logger) LoggerFactory.getLogger("relay");
-      ListAppender<ILoggingEvent> lines = new ListAppender<>();
-      lines.start();
-      logger.addAppender(lines);
-      new RelayFactLog().accept(fact);
-      logger.detachAppender(lines);
-      return lines.list.getFirst().getFormattedMessage();
-    }
-
     @Test
     public void isNamedWithoutWhenWaitContinues() {
       assertEquals(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.google.common.base.Joiner;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -27,6 +28,7 @@
   private static final Logger log = LoggerFactory.getLogger("relay");
   private static final double NANOS_PER_MILLI = 1e6;
   private static final int MAX_TEXT_CHARS = 160;
+  private static final Joiner COMMA = Joiner.on(',');
 
   @Override
   public void accept(RelayFact fact) {
@@ -153,13 +155,15 @@
               f.mayHaveRun());
       case RelayFact.AttemptBroken f ->
           log.warn(
-              "event=attempt_broken call={} attempt={} upstream={} start={} request={} sent_ms={}"
-                  + " begun_ms={} others={}",
+              "event=attempt_broken call={} attempt={} upstream={} start={} request={} parts={}"
+                  + " sends={} sent_ms={} begun_ms={} others={}",
               id(f.call()),
               f.attempt(),
               f.upstream().name(),
               f.upstream().incarnation(),
               f.request(),
+              f.parts().isEmpty() ? "none" : COMMA.join(f.parts()),
+              f.sends(),
               millis(f.sinceSentNanos()),
               f.sinceFirstEventNanos() < 0 ? "none" : millis(f.sinceFirstEventNanos()),
               f.otherAttempts());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import org.larkkeel.balance.SampleResult;
 import org.larkkeel.balance.SpeedSample;
@@ -230,6 +231,9 @@
    * @param attempt the attempt
    * @param upstream the incarnation that had the attempt
    * @param request the fingerprint, equal for all calls of the same request
+   * @param parts the fingerprints of the first parts of its prompt that other requests may share,
+   *     equal for all calls of the same service with such a part
+   * @param sends the number of upstreams to which the call has been sent, this one included
    * @param sinceSentNanos the time since the attempt was sent
    * @param sinceFirstEventNanos the time since its first event was received; negative if none was
    *     received
@@ -241,6 +245,8 @@
       AttemptId attempt,
       UpstreamIncarnation upstream,
       Fingerprint request,
+      ImmutableList<Fingerprint> parts,
+      int sends,
       long sinceSentNanos,
       long sinceFirstEventNanos,
       int otherAttempts)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay.internal;
 
+import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,7 @@
  */
 final class Attempts {
   private static final double MILLI = 1e6;
+  private static final int MAX_REPORTED_PARTS = 16;
 
   private final UpstreamTable upstreams;
   private final Timers timers;
@@ -135,6 +137,11 @@
                 a.id(),
                 a.upstream().incarnation(),
                 c.call.identity().fingerprint(),
+                c.call.prompt().sharedParts().stream()
+                    .limit(MAX_REPORTED_PARTS)
+                    .map(p -> p.fingerprint(c.service))
+                    .collect(ImmutableList.toImmutableList()),
+                c.attemptCount,
                 at - a.sentAt(),
                 sinceFirstEvent,
                 a.upstream().inFlight())));
