--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -13,6 +13,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -25,6 +26,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.AttemptId;
@@ -43,7 +46,8 @@
 import org.larkkeel.relay.CallSize;
 import org.larkkeel.relay.CallerKey;
 import org.larkkeel.relay.ProbeResult;
-import org.larkkeel.relay.PromptKey;
+import org.larkkeel.relay.Prompt;
+import org.larkkeel.relay.PromptPart;
 import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayConfiguration;
@@ -121,6 +125,9 @@
   /** The refusals of requests that do not crash engines. */
   final Map<ErrorKind, Integer> refusals = new EnumMap<>(ErrorKind.class);
 
+  /** The parts of prompts that crash each engine that begins to run them. */
+  final Set<String> deadlyParts = new HashSet<>();
+
   private final Set<UpstreamName> down = new HashSet<>();
 
   private record Due(long at, long order, Runnable action) {}
@@ -219,6 +226,22 @@
     randomNode().submitCrashingCall(body);
   }
 
+  /**
+   * Sends a new request whose prompt begins with the given parts to a random live node. It crashes
+   * each engine that begins to run it if one of them is deadly.
+   */
+  void submitPrompt(String... sharedParts) {
+    randomNode().submitPrompt(sharedParts);
+  }
+
+  /**
+   * Sends such requests to random live nodes, evenly spread over the given time, and advances the
+   * time by it.
+   */
+  void loadPrompts(int calls, long millis, Supplier<String[]> sharedParts) {
+    submitCalls(calls, millis, n -> n.submitPrompt(sharedParts.get()));
+  }
+
   long nowNanos() {
     return nowNanos;
   }
@@ -452,12 +475,35 @@
       call("/model/a", 14_000, new CallSize(PROMPT_TOKENS, 100, 70), body);
     }
 
+    void submitPrompt(String... sharedParts) {
+      String own = address + "-" + lastCall;
+      ImmutableList<PromptPart> parts =
+          Stream.concat(Arrays.stream(sharedParts), Stream.of(own))
+              .map(PromptPart::new)
+              .collect(ImmutableList.toImmutableList());
+      if (Arrays.stream(sharedParts).anyMatch(deadlyParts::contains)) {
+        crashing.add(new RequestId(lastCall + 1));
+      }
+      CallSize size = new CallSize(PROMPT_TOKENS, 100, 70);
+      call("/model/a", 14_000, size, new Prompt(parts), own, Optional.empty());
+    }
+
     private void call(String path, long deadline, CallSize size, String body) {
       call(path, deadline, size, body, Optional.empty());
     }
 
     private void call(
         String path, long deadline, CallSize size, String body, Optional<CallerKey> key) {
+      call(path, deadline, size, Prompt.NONE, body, key);
+    }
+
+    private void call(
+        String path,
+        long deadline,
+        CallSize size,
+        Prompt prompt,
+        String body,
+        Optional<CallerKey> key) {
       RequestId id = new RequestId(++lastCall);
       RequestIdentity identity =
           new RequestIdentity("POST", "a.example", path, "", body.getBytes(US_ASCII));
@@ -473,8 +519,9 @@
                   path,
                   deadline,
                   size,
-                  PromptKey.NONE,
+                  prompt,
                   false,
+                  Optional.empty(),
                   identity,
                   key)));
     }
