--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -430,7 +430,7 @@
       case RelayEffect.Cut e -> endCall(e.call(), Caller::onStreamCut);
       case RelayEffect.ReservationAnswer e -> sharing.answer(e);
       case RelayEffect.Probe e -> probe(e);
-      case RelayEffect.ReportSuspect e -> sharing.reportSuspect(e);
+      case RelayEffect.ReportSuspects e -> sharing.reportSuspects(e);
       case RelayEffect.OfStream e -> sharing.execute(e);
       case RelayEffect.ConfirmState e -> submit(new RelayEvent.StateConfirmed(now(), e.number()));
       case RelayEffect.Report e -> {
--- a/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
+++ b/org.larkkeel.cli.test/src/test/java/org/larkkeel/cli/CliTest.java
@@ -230,7 +230,8 @@
       super(
           new QuarantineStatus(
               List.of(
-                  new QuarantineStatus.Entry(REQUEST, 90_500, 1_200, List.of("i-1@5", "i-2@6")))));
+                  new QuarantineStatus.Entry(
+                      REQUEST, "prompt_part", 90_500, 1_200, List.of("i-1@5", "i-2@6")))));
     }
 
     @Test
@@ -238,6 +239,7 @@
       assertEquals(run("quarantine"), ExitCode.OK, err());
       assertEquals(lastRequest, "GET /quarantine");
       assertTrue(out().contains(REQUEST), out());
+      assertTrue(out().contains("prompt_part"), out());
       assertTrue(out().contains("i-1@5, i-2@6"), out());
     }
 
--- a/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/QuarantineCommand.java
+++ b/org.larkkeel.cli/src/main/java/org/larkkeel/cli/command/QuarantineCommand.java
@@ -18,8 +18,8 @@
 @CommandInfo(
     name = "quarantine",
     summary =
-        "Lists the requests under which upstreams ended, or releases one on all nodes; --server is"
-            + " the metrics address of a relay node.",
+        "Lists the requests and parts of prompts under which upstreams ended, or releases one on"
+            + " all nodes; --server is the metrics address of a relay node.",
     example = "larkkeel quarantine --server 10.0.0.1:7660")
 final class QuarantineCommand extends Command {
   private static final long MILLIS_PER_SECOND = 1_000;
@@ -27,7 +27,7 @@
   @Option(
       name = "--release",
       metaVar = "REQUEST",
-      usage = "let this request be sent again, as its upstreams were mended")
+      usage = "let this request, or those with this part, be sent again, as upstreams were mended")
   private String release;
 
   @Override
@@ -47,10 +47,12 @@
   }
 
   private static Table toTable(QuarantineStatus status) {
-    Table table = new Table("REQUEST", "ENDS", "SECONDS LEFT", "LAST END", "UPSTREAMS");
+    Table table =
+        new Table("REQUEST OR PART", "KIND", "ENDS", "SECONDS LEFT", "LAST END", "UPSTREAMS");
     for (QuarantineStatus.Entry entry : status.requests()) {
       table.row(
           entry.request(),
+          entry.scope(),
           entry.upstreams().size(),
           entry.remainingMillis() / MILLIS_PER_SECOND,
           entry.lastEndMillis() / MILLIS_PER_SECOND + " s ago",
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingPromptPartsClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingPromptPartsClusterTest.java
@@ -6,8 +6,11 @@
 
 package org.larkkeel.daemon.relay;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.UpstreamName;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -64,6 +67,10 @@
     assertTrue(sends <= MAX_SENDS, sends + " sends, " + crashes + " crashes");
   }
 
+  private static void assertNoneQuarantined(SimCluster cluster) {
+    assertEquals(cluster.refusals.getOrDefault(ErrorKind.QUARANTINED, 0), Integer.valueOf(0));
+  }
+
   /** A single deadly part. */
   public static class One {
     @Test(dataProvider = "clusters", dataProviderClass = CrashingPromptPartsClusterTest.class)
@@ -74,5 +81,132 @@
       assertTrue(cluster.crashes.size() > 1, cluster.crashes.size() + " crashes");
       assertFewSends(cluster);
     }
+
+    @Test
+    public void isNotSentAfterFiveCrashesWhenMessagesAreLost() {
+      SimCluster cluster = startedCluster(SMALL, 6);
+      cluster.deadlyParts.add(DEADLY);
+      cluster.setLossShare(0.3);
+      repeat(cluster, 75, SYSTEM, DEADLY);
+      assertFewSends(cluster);
+    }
+
+    @Test
+    public void isNotSentAfterFiveCrashesIfOtherPartsFollowIt() {
+      SimCluster cluster = startedCluster(SMALL, 7);
+      cluster.deadlyParts.add(DEADLY);
+      for (int i = 0; i < 75; i++) {
+        String session = "session-" + i % 5;
+        cluster.after(i * 400L, () -> cluster.submitPrompt(SYSTEM, DEADLY, session));
+      }
+      cluster.loadPrompts(150, 30_000, () -> soundPrompt(cluster));
+      assertFewSends(cluster);
+    }
+  }
+
+  /** Several deadly parts at the same time. */
+  public static class Several {
+    @Test
+    public void areDistinguished() {
+      SimCluster cluster = startedCluster(SMALL, 8);
+      cluster.deadlyParts.add("deadly-0");
+      cluster.deadlyParts.add("deadly-1");
+      for (int i = 0; i < 40; i++) {
+        String part = "deadly-" + i % 2;
+        cluster.after(i * 400L, () -> cluster.submitPrompt(SYSTEM, part));
+      }
+      cluster.loadPrompts(80, 16_000, () -> soundPrompt(cluster));
+      int crashes = cluster.crashes.size();
+      repeat(cluster, 10, SYSTEM, "deadly-0");
+      repeat(cluster, 10, SYSTEM, "deadly-1");
+      assertEquals(cluster.crashes.size(), crashes);
+      assertNoneQuarantined(cluster);
+    }
+
+    @Test
+    public void areNotSentBesideDeadlyRequest() {
+      SimCluster cluster = startedCluster(SMALL, 9);
+      cluster.deadlyParts.add(DEADLY);
+      for (int i = 0; i < 40; i++) {
+        cluster.after(i * 400L, () -> cluster.submitPrompt(SYSTEM, DEADLY));
+        cluster.after(i * 400L + 200, () -> cluster.submitCrashingCall("crash"));
+      }
+      cluster.loadPrompts(80, 16_000, () -> soundPrompt(cluster));
+      final int crashes = cluster.crashes.size();
+      repeat(cluster, 10, SYSTEM, DEADLY);
+      cluster.submitCrashingCall("crash");
+      cluster.advance(1_000);
+      assertEquals(cluster.crashes.size(), crashes);
+      assertNoneQuarantined(cluster);
+    }
+  }
+
+  /** Requests that share other parts with the deadly ones. */
+  public static class Others {
+    @Test(dataProvider = "clusters", dataProviderClass = CrashingPromptPartsClusterTest.class)
+    public void areNotRefusedBecauseOfIt(int nodes, long seed) {
+      SimCluster cluster = startedCluster(nodes, seed + 100);
+      cluster.deadlyParts.add(DEADLY);
+      repeat(cluster, 75, SYSTEM, DEADLY);
+      assertNoneQuarantined(cluster);
+    }
+
+    @Test(dataProvider = "clusters", dataProviderClass = CrashingPromptPartsClusterTest.class)
+    public void areServedAgainWhenItIsQuarantined(int nodes, long seed) {
+      SimCluster cluster = startedCluster(nodes, seed + 200);
+      cluster.deadlyParts.add(DEADLY);
+      repeat(cluster, 25, SYSTEM, DEADLY);
+      final int placed = cluster.placed;
+      int crashes = cluster.crashes.size();
+      for (int i = 0; i < 25; i++) {
+        cluster.after(i * 400L, () -> cluster.submitPrompt(SYSTEM, DEADLY));
+      }
+      cluster.loadPrompts(100, 10_000, () -> soundPrompt(cluster));
+      assertEquals(cluster.crashes.size(), crashes);
+      assertEquals(cluster.placed - placed, 100);
+    }
+
+    @Test
+    public void areNotRefusedOnNodesThatHaveServedNothingYet() {
+      SimCluster cluster = startedCluster(SMALL, 10);
+      cluster.deadlyParts.add(DEADLY);
+      for (int i = 0; i < 20; i++) {
+        cluster.after(i * 100L, () -> cluster.submitPrompt(SYSTEM, DEADLY));
+      }
+      cluster.loadPrompts(60, 2_000, () -> soundPrompt(cluster));
+      cluster.loadPrompts(60, 10_000, () -> soundPrompt(cluster));
+      assertNoneQuarantined(cluster);
+    }
+  }
+
+  /** Crashes that no part causes. */
+  public static class Ordinary {
+    private static void crash(SimCluster cluster, int engine) {
+      cluster.crash(new UpstreamName("engine-" + engine), 1_500);
+    }
+
+    @Test
+    public void inSeriesQuarantineNothing() {
+      SimCluster cluster = startedCluster(SMALL, 11);
+      for (int i = 0; i < 60; i++) {
+        int engine = i % ENGINES;
+        cluster.after(200 + i * 500L, () -> crash(cluster, engine));
+      }
+      cluster.loadPrompts(300, 30_000, () -> soundPrompt(cluster));
+      assertNoneQuarantined(cluster);
+    }
+
+    @Test
+    public void ofAllEnginesQuarantineNothing() {
+      SimCluster cluster = startedCluster(SMALL, 12);
+      for (int i = 0; i < 5; i++) {
+        cluster.loadPrompts(40, 1_000, () -> soundPrompt(cluster));
+        for (int engine = 0; engine < ENGINES; engine++) {
+          crash(cluster, engine);
+        }
+        cluster.loadPrompts(40, 3_000, () -> soundPrompt(cluster));
+      }
+      assertNoneQuarantined(cluster);
+    }
   }
 }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
@@ -26,12 +26,13 @@
 import org.larkkeel.quota.QuotaKey;
 import org.larkkeel.quota.QuotaLevels;
 import org.larkkeel.quota.QuotaRequest;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RateLimitReport;
 import org.larkkeel.relay.RequestRate;
 import org.larkkeel.relay.ReservationRequest;
 import org.larkkeel.relay.ServiceName;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.SuspectScope;
 import org.larkkeel.store.StoreVersion;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -75,9 +76,17 @@
                   new ReservationGrant(new RequestId(10), incarnation("i-1"), Optional.empty())))
           .withSuspects(
               ImmutableList.of(
-                  new SuspectRequest(
-                      Fingerprint.of("one"), 0, ImmutableMap.of(incarnation("i-1"), 12L)),
-                  new SuspectRequest(Fingerprint.of("two"), 3, ImmutableMap.of())));
+                  suspect(
+                      "one",
+                      0,
+                      ImmutableMap.of(incarnation("i-1"), new CrashSuspect.Crash(12, 12, false))),
+                  suspect("two", 3, ImmutableMap.of())));
+
+  private static CrashSuspect suspect(
+      String request, int epoch, ImmutableMap<UpstreamIncarnation, CrashSuspect.Crash> crashes) {
+    return new CrashSuspect(
+        Fingerprint.of(request), SuspectScope.REQUEST, epoch, crashes, ImmutableSet.of());
+  }
 
   private static final QuotaRequest QUOTA_REQUEST =
       new QuotaRequest(
@@ -117,6 +126,45 @@
     }
   }
 
+  /** Suspects that are more than requests with their crashes. */
+  public static class Suspects {
+    @Test
+    public void keepTheirDetails() {
+      ImmutableList<CrashSuspect> suspects =
+          ImmutableList.of(
+              new CrashSuspect(
+                  Fingerprint.of("request"),
+                  SuspectScope.REQUEST,
+                  0,
+                  ImmutableMap.of(
+                      incarnation("i-1"), new CrashSuspect.Crash(12, 34, true),
+                      incarnation("i-2"), new CrashSuspect.Crash(5, 6, false)),
+                  ImmutableSet.of(Fingerprint.of("part"), Fingerprint.of("first"))),
+              new CrashSuspect(
+                  Fingerprint.of("part"),
+                  new SuspectScope.PromptPart(4),
+                  3,
+                  ImmutableMap.of(),
+                  ImmutableSet.of(Fingerprint.of("first"))));
+      byte[] bytes = PeerMessageCodec.toBytes(MESSAGE.withSuspects(suspects));
+      assertEquals(PeerMessageCodec.fromBytes(bytes).orElseThrow().suspects(), suspects);
+    }
+
+    @Test(expectedExceptions = IllegalArgumentException.class)
+    public void haveNoDetailsOfOtherSuspects() {
+      CrashSuspect one = suspect("one", 0, ImmutableMap.of());
+      CrashSuspect part =
+          new CrashSuspect(
+              Fingerprint.of("part"),
+              new SuspectScope.PromptPart(1),
+              0,
+              ImmutableMap.of(),
+              ImmutableSet.of());
+      byte[] bytes = SuspectDetailsCodec.toBytes(ImmutableList.of(part)).orElseThrow();
+      SuspectDetailsCodec.apply(bytes, ImmutableList.of(one, part));
+    }
+  }
+
   /** Messages without extensions. */
   public static class WithoutExtensions {
     /** Returns digests of the bytes that revision fb6adde, which knew no extensions, wrote. */
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
@@ -15,13 +15,15 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.nio.charset.StandardCharsets;
 import org.larkkeel.http.Json;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.CrashSuspect;
+import org.larkkeel.relay.SuspectScope;
 import org.larkkeel.store.ParseResult;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -31,13 +33,20 @@
   private static final long NOW = 1_790_000_000_000L;
   private static final long MILLI = 1_000_000L;
 
-  private static SuspectRequest suspect(String request, int ends) {
-    ImmutableMap.Builder<UpstreamIncarnation, Long> crashes = ImmutableMap.builder();
+  private static CrashSuspect suspect(String request, int ends) {
+    ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> crashes = ImmutableMap.builder();
     for (int i = 0; i < ends; i++) {
       UpstreamName name = new UpstreamName("i-" + i);
-      crashes.put(new UpstreamIncarnation(name, new Incarnation(NOW + i)), 1_000 * MILLI);
+      crashes.put(
+          new UpstreamIncarnation(name, new Incarnation(NOW + i)),
+          new CrashSuspect.Crash(1_000 * MILLI, 1_100 * MILLI, false));
     }
-    return new SuspectRequest(Fingerprint.of(request), 0, crashes.buildOrThrow());
+    return new CrashSuspect(
+        Fingerprint.of(request),
+        SuspectScope.REQUEST,
+        0,
+        crashes.buildOrThrow(),
+        ImmutableSet.of());
   }
 
   private static ObjectNode written(QuarantineEntries entries) {
@@ -46,10 +55,10 @@
     return node;
   }
 
-  private static ImmutableList<SuspectRequest> read(JsonNode entry, long wallMillis) {
+  private static ImmutableList<CrashSuspect> read(JsonNode entry, long wallMillis) {
     return switch (QuarantineEntries.read(entry, wallMillis)) {
-      case ParseResult.Readable<ImmutableList<SuspectRequest>> r -> r.value();
-      case ParseResult.Unreadable<ImmutableList<SuspectRequest>> u ->
+      case ParseResult.Readable<ImmutableList<CrashSuspect>> r -> r.value();
+      case ParseResult.Unreadable<ImmutableList<CrashSuspect>> u ->
           throw new AssertionError(u.problem());
     };
   }
@@ -59,26 +68,28 @@
     @Test
     public void isReadWithTheAgesOfTheCrashesAtThatTime() {
       QuarantineEntries entries = new QuarantineEntries();
-      assertTrue(entries.update(suspect("a", 3), NOW));
-      SuspectRequest read = read(written(entries), NOW + 500).getFirst();
-      assertEquals(read.request(), Fingerprint.of("a"));
+      assertTrue(entries.update(suspect("a", 3), true, NOW));
+      CrashSuspect read = read(written(entries), NOW + 500).getFirst();
+      assertEquals(read.id(), Fingerprint.of("a"));
       assertEquals(read.crashes().keySet(), suspect("a", 3).crashes().keySet());
-      assertTrue(read.crashes().values().stream().allMatch(age -> age == 1_500 * MILLI));
+      assertTrue(read.crashes().values().stream().allMatch(c -> c.ageNanos() == 1_500 * MILLI));
     }
 
     @Test
     public void isEmptyBelowThreeCrashes() {
       QuarantineEntries entries = new QuarantineEntries();
-      assertFalse(entries.update(suspect("a", 2), NOW));
+      assertFalse(entries.update(suspect("a", 2), false, NOW));
       assertEquals(written(entries).size(), 0);
     }
 
     @Test
     public void keepsClearedRequest() {
       QuarantineEntries entries = new QuarantineEntries();
-      entries.update(suspect("a", 3), NOW);
-      SuspectRequest cleared = new SuspectRequest(Fingerprint.of("a"), 1, ImmutableMap.of());
-      assertTrue(entries.update(cleared, NOW));
+      entries.update(suspect("a", 3), true, NOW);
+      CrashSuspect cleared =
+          new CrashSuspect(
+              Fingerprint.of("a"), SuspectScope.REQUEST, 1, ImmutableMap.of(), ImmutableSet.of());
+      assertTrue(entries.update(cleared, false, NOW));
       assertEquals(read(written(entries), NOW), ImmutableList.of(cleared));
     }
 
@@ -86,7 +97,7 @@
     public void isBounded() {
       QuarantineEntries entries = new QuarantineEntries();
       for (int i = 0; i < 200; i++) {
-        entries.update(suspect("request " + i, 3), NOW);
+        entries.update(suspect("request " + i, 3), true, NOW);
       }
       assertEquals(read(written(entries), NOW).size(), QuarantineEntries.MAX_REQUESTS);
     }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -8,6 +8,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
@@ -30,6 +31,7 @@
 import java.util.stream.Stream;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
+import org.larkkeel.http.Json;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
@@ -45,6 +47,7 @@
 import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.CallSize;
 import org.larkkeel.relay.CallerKey;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.Prompt;
 import org.larkkeel.relay.PromptPart;
@@ -65,6 +68,7 @@
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Stage;
 import org.larkkeel.relay.Workspaces;
+import org.larkkeel.store.ParseResult;
 
 /**
  * A simulated cluster in virtual time: nodes with their routers, engines with memory, and a network
@@ -80,6 +84,7 @@
   private static final long EVENT_MILLIS = 60;
   private static final long CRASH_MILLIS = 80;
   private static final long DOWN_MILLIS = 2_500;
+  private static final long STORE_MILLIS = 20;
 
   /** The maximum time until nodes read that an engine has restarted. */
   private static final long MAX_RESTART_DELAY_MILLIS = 500;
@@ -130,6 +135,9 @@
 
   private final Set<UpstreamName> down = new HashSet<>();
 
+  /** The entries of the nodes in the store. */
+  private final Map<InetSocketAddress, ObjectNode> nodeEntries = new HashMap<>();
+
   private record Due(long at, long order, Runnable action) {}
 
   SimCluster(int nodeCount, int engineCount, int coordinatorFrom, long seed) {
@@ -223,7 +231,7 @@
 
   /** Sends a request that crashes each engine that begins to run it to a random live node. */
   void submitCrashingCall(String body) {
-    randomNode().submitCrashingCall(body);
+    randomNode().ifPresent(n -> n.submitCrashingCall(body));
   }
 
   /**
@@ -231,7 +239,7 @@
    * each engine that begins to run it if one of them is deadly.
    */
   void submitPrompt(String... sharedParts) {
-    randomNode().submitPrompt(sharedParts);
+    randomNode().ifPresent(n -> n.submitPrompt(sharedParts));
   }
 
   /**
@@ -270,6 +278,19 @@
     selected.forEach(n -> n.paths.lose(cut, millis));
   }
 
+  /** Kills all nodes; new ones with the same names, which read the store, start after a time. */
+  void restartNodes(long downMillis) {
+    nodes.forEach(Node::kill);
+    after(
+        downMillis,
+        () -> {
+          for (int i = 0; i < nodes.size(); i++) {
+            nodes.set(i, new Node(i));
+          }
+          nodes.forEach(Node::start);
+        });
+  }
+
   /** Partitions some nodes from all others for a time. */
   void partition(List<Node> selected, long millis) {
     selected.forEach(n -> n.partitionedUntilNanos = nowNanos + millis * NANOS_PER_MILLI);
@@ -306,19 +327,20 @@
 
   private void submitCalls(int calls, long millis, Consumer<Node> submitCall) {
     for (int i = 0; i < calls; i++) {
-      after(i * millis / calls, () -> submitCall.accept(randomNode()));
+      after(i * millis / calls, () -> randomNode().ifPresent(submitCall));
     }
     advance(millis);
   }
 
   /** Returns a random live node. */
   Node anyNode() {
-    return randomNode();
+    return randomNode().orElseThrow();
   }
 
-  private Node randomNode() {
+  /** Returns a random live node; empty while all nodes are down. */
+  private Optional<Node> randomNode() {
     List<Node> live = nodes.stream().filter(n -> n.up && !n.leaving && !n.isSuspended()).toList();
-    return live.get(random.nextInt(live.size()));
+    return live.isEmpty() ? Optional.empty() : Optional.of(live.get(random.nextInt(live.size())));
   }
 
   /** Returns the reservation coordinator; fails if there is not exactly one. */
@@ -342,6 +364,10 @@
     private final Map<AttemptId, UpstreamName> runs = new HashMap<>();
     private final Map<RequestId, Long> arrivalNanos = new HashMap<>();
     private final Set<RequestId> crashing = new HashSet<>();
+
+    /** What this node has stored, which outlasts it. */
+    private final QuarantineEntries stored = new QuarantineEntries();
+
     private long lastCall;
 
     /** The first tries of calls at this node and their outcomes. */
@@ -383,10 +409,34 @@
       nodes.stream().filter(n -> n != this).forEach(n -> sharing.addPeer(n.address));
       submit(new RelayEvent.ConfigurationRead(nowNanos, configuration(1, Workspaces.OPEN)));
       readUpstreams();
+      readQuarantine();
       tick();
       after(random.nextLong(LoadSharing.PERIOD_NANOS), this::periodic);
     }
 
+    private void readQuarantine() {
+      for (ObjectNode entry : nodeEntries.values()) {
+        if (QuarantineEntries.read(entry, nowNanos / NANOS_PER_MILLI)
+            instanceof ParseResult.Readable<ImmutableList<CrashSuspect>> r) {
+          submit(new RelayEvent.SuspectsHeard(nowNanos, r.value()));
+        }
+      }
+    }
+
+    private void reportSuspects(RelayEffect.ReportSuspects news) {
+      sharing.reportSuspects(news);
+      boolean changed = false;
+      for (CrashSuspect s : news.suspects()) {
+        boolean quarantined = router.remainingQuarantineNanos(nowNanos, s.id()) > 0;
+        changed |= stored.update(s, quarantined, nowNanos / NANOS_PER_MILLI);
+      }
+      if (changed) {
+        after(
+            STORE_MILLIS * NANOS_PER_MILLI,
+            () -> stored.write(nodeEntries.computeIfAbsent(address, a -> Json.object())));
+      }
+    }
+
     private void readUpstreams() {
       submit(new RelayEvent.UpstreamsChanged(nowNanos, upstreams, ImmutableSet.of()));
     }
@@ -592,7 +642,7 @@
         }
         case RelayEffect.ReservationAnswer a -> sharing.answer(a);
         case RelayEffect.Probe p -> probe(p);
-        case RelayEffect.ReportSuspect t -> sharing.reportSuspect(t);
+        case RelayEffect.ReportSuspects t -> reportSuspects(t);
         case RelayEffect.OfStream s -> sharing.execute(s);
         case RelayEffect.ConfirmState c ->
             submit(new RelayEvent.StateConfirmed(nowNanos, c.number()));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/ExtensionId.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/ExtensionId.java
@@ -42,6 +42,9 @@
   /** The builds to which the requests of a {@link PeerMessage.Kind#REPORT} are restricted. */
   REQUEST_BUILDS(16),
 
+  /** What {@link PeerMessage.Kind#SUSPECTS} says of each suspect beyond its crashes. */
+  SUSPECT_DETAILS(17),
+
   /** A {@link StreamMessage}, in {@link PeerMessage.Kind#STREAM}. */
   STREAM(15),
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -20,12 +20,12 @@
 import java.util.function.Supplier;
 import org.larkkeel.http.relay.RelayLoop;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.relay.ReservationRequest;
-import org.larkkeel.relay.SuspectRequest;
 import org.larkkeel.time.BootClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -187,8 +187,8 @@
     sharing.answer(answer);
   }
 
-  /** Sets the source of the suspect requests that are known here. */
-  void suspects(Supplier<ImmutableList<SuspectRequest>> known) {
+  /** Sets the source of the suspects of crashes that are known here. */
+  void suspects(Supplier<ImmutableList<CrashSuspect>> known) {
     sharing.suspects(known);
   }
 
@@ -202,9 +202,9 @@
     sharing.execute(effect);
   }
 
-  /** Reports news of a suspect request to the peers. */
-  void reportSuspect(RelayEffect.ReportSuspect news) {
-    sharing.reportSuspect(news);
+  /** Reports news of suspects of crashes to the peers. */
+  void reportSuspects(RelayEffect.ReportSuspects news) {
+    sharing.reportSuspects(news);
   }
 
   private void periodic() {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -21,6 +21,7 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.NodeReport;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
@@ -29,7 +30,6 @@
 import org.larkkeel.relay.ReservationMode;
 import org.larkkeel.relay.ReservationRequest;
 import org.larkkeel.relay.ServiceName;
-import org.larkkeel.relay.SuspectRequest;
 
 /**
  * Exchanges load reports with the peers and chooses the reservation coordinator.
@@ -169,8 +169,8 @@
     peerVersionsListener = listener;
   }
 
-  /** Sets the source of the suspect requests that are known here. */
-  public void suspects(Supplier<ImmutableList<SuspectRequest>> known) {
+  /** Sets the source of the suspects of crashes that are known here. */
+  public void suspects(Supplier<ImmutableList<CrashSuspect>> known) {
     suspects.knownSuspects(known);
   }
 
@@ -192,9 +192,9 @@
     reporter.notEligible(source);
   }
 
-  /** Reports news of a suspect request to the peers. */
-  public void reportSuspect(RelayEffect.ReportSuspect news) {
-    suspects.report(news.suspect());
+  /** Reports news of suspects of crashes to the peers. */
+  public void reportSuspects(RelayEffect.ReportSuspects news) {
+    suspects.report(news.suspects());
   }
 
   /** Records or finds the build of a stream at other nodes. */
@@ -390,7 +390,7 @@
       case PRESENCE -> receivedPresence(from, message, isFirst);
       case SUSPECTS -> {
         environment.submit(new RelayEvent.SuspectsHeard(environment.now(), message.suspects()));
-        suspects.received(message.suspects());
+        suspects.received(from, message.suspects());
       }
       case STREAM -> StreamMessage.read(message).ifPresent(m -> streams.received(from, m));
       case QUOTA -> message.quota().ifPresent(m -> quotas.received(from, m));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -22,7 +22,7 @@
 import java.util.function.Consumer;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Names;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.store.Backoff;
 import org.larkkeel.store.EntryProblem;
 import org.larkkeel.store.EntryProblem.Reason;
@@ -60,7 +60,7 @@
   private final ObjectKey key;
   private final InetSocketAddress address;
   private final Consumer<ImmutableList<RegisteredNode>> peerListener;
-  private final Consumer<ImmutableList<SuspectRequest>> suspectListener;
+  private final Consumer<ImmutableList<CrashSuspect>> suspectListener;
   private final SplittableRandom random;
   private final Backoff backoff;
   private final QuarantineEntries quarantine = new QuarantineEntries();
@@ -73,7 +73,7 @@
       HostName self,
       InetSocketAddress address,
       Consumer<ImmutableList<RegisteredNode>> peerListener,
-      Consumer<ImmutableList<SuspectRequest>> suspectListener,
+      Consumer<ImmutableList<CrashSuspect>> suspectListener,
       BiConsumer<String, Reason> unreadable) {
     this.problems = new UnreadableEntries("nodes", scheduler::nanoTime, unreadable);
     this.store = store;
@@ -105,9 +105,18 @@
     return spec;
   }
 
-  /** Stores what this node has found about a request, if it is or was quarantined. */
-  void storeSuspect(SuspectRequest suspect) {
-    if (quarantine.update(suspect, scheduler.wallMillis())) {
+  /**
+   * Stores what this node has found about suspects of crashes that are or were quarantined.
+   *
+   * @param news the suspects of which something new is known
+   * @param quarantined those that are quarantined
+   */
+  void storeSuspects(ImmutableList<CrashSuspect> news, ImmutableList<CrashSuspect> quarantined) {
+    boolean changed = false;
+    for (CrashSuspect s : news) {
+      changed |= quarantine.update(s, quarantined.contains(s), scheduler.wallMillis());
+    }
+    if (changed) {
       store.get(key).whenComplete(this::found);
     }
   }
@@ -148,7 +157,7 @@
   private void restoreSuspects(StoredObject present) {
     long wallMillis = scheduler.wallMillis();
     if (QuarantineEntries.read(present.spec(), wallMillis)
-        instanceof ParseResult.Readable<ImmutableList<SuspectRequest>> r) {
+        instanceof ParseResult.Readable<ImmutableList<CrashSuspect>> r) {
       r.value().forEach(s -> quarantine.restore(s, wallMillis));
     }
   }
@@ -203,8 +212,8 @@
     page.unreadable().forEach(u -> unreadable.put(u.name(), u.problem()));
     for (StoredObject node : page.items()) {
       switch (QuarantineEntries.read(node.spec(), scheduler.wallMillis())) {
-        case ParseResult.Readable<ImmutableList<SuspectRequest>> r -> notifySuspects(r.value());
-        case ParseResult.Unreadable<ImmutableList<SuspectRequest>> u ->
+        case ParseResult.Readable<ImmutableList<CrashSuspect>> r -> notifySuspects(r.value());
+        case ParseResult.Unreadable<ImmutableList<CrashSuspect>> u ->
             unreadable.put(node.key().name(), u.problem());
       }
       if (!node.key().equals(key)) {
@@ -225,7 +234,7 @@
     return Names.isValid(name) ? Optional.of(new HostName(name)) : Optional.empty();
   }
 
-  private void notifySuspects(ImmutableList<SuspectRequest> suspects) {
+  private void notifySuspects(ImmutableList<CrashSuspect> suspects) {
     if (!suspects.isEmpty()) {
       suspectListener.accept(suspects);
     }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessage.java
@@ -14,9 +14,9 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.quota.QuotaMessage;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.RateLimitReport;
 import org.larkkeel.relay.ReservationRequest;
-import org.larkkeel.relay.SuspectRequest;
 
 /**
  * A message between two nodes; {@link PeerMessageCodec} encodes it.
@@ -32,7 +32,7 @@
  *     immediately
  * @param requests the pending reservations of the sender
  * @param grants reservations for calls of the receiver
- * @param suspects suspect requests, which were in progress at upstreams that crashed
+ * @param suspects what was in progress at upstreams that crashed
  * @param quota the message between quota holders and the quota coordinator, if there is one
  * @param extensions the content that older nodes pass over, without what is part of another
  *     component
@@ -44,7 +44,7 @@
     ImmutableSet<UpstreamIncarnation> losingHandles,
     ImmutableList<ReservationRequest> requests,
     ImmutableList<ReservationGrant> grants,
-    ImmutableList<SuspectRequest> suspects,
+    ImmutableList<CrashSuspect> suspects,
     Optional<QuotaMessage> quota,
     MessageExtensions extensions) {
 
@@ -71,7 +71,7 @@
      */
     CHANGED_SUMS,
 
-    /** The suspect requests known to the sender. */
+    /** The suspects of crashes known to the sender. */
     SUSPECTS,
 
     /** A message between quota holders and the quota coordinator. */
@@ -131,8 +131,8 @@
         kind, sender, loads, losingHandles, requests, newGrants, suspects, quota, extensions);
   }
 
-  /** Returns this message with suspect requests. */
-  PeerMessage withSuspects(ImmutableList<SuspectRequest> newSuspects) {
+  /** Returns this message with suspects of crashes. */
+  PeerMessage withSuspects(ImmutableList<CrashSuspect> newSuspects) {
     return new PeerMessage(
         kind, sender, loads, losingHandles, requests, grants, newSuspects, quota, extensions);
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
@@ -26,12 +26,13 @@
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.quota.QuotaMessage;
 import org.larkkeel.quota.QuotaRequest;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RateLimitReport;
 import org.larkkeel.relay.RequestRate;
 import org.larkkeel.relay.ReservationRequest;
 import org.larkkeel.relay.ServiceName;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.SuspectScope;
 import org.larkkeel.store.StoreVersion;
 
 /**
@@ -53,9 +54,12 @@
   static byte[] toBytes(PeerMessage message) {
     MessageExtensions extensions =
         with(
-            RequestExtensions.of(message),
-            ExtensionId.URGENT_DEMANDS,
-            UrgentDemandsCodec.toBytes(message.quota()));
+            with(
+                RequestExtensions.of(message),
+                ExtensionId.URGENT_DEMANDS,
+                UrgentDemandsCodec.toBytes(message.quota())),
+            ExtensionId.SUSPECT_DETAILS,
+            SuspectDetailsCodec.toBytes(message.suspects()));
     byte[] bytes = encode(message, extensions);
     return bytes.length > MAX_BYTES ? encode(message, MessageExtensions.NONE) : bytes;
   }
@@ -132,20 +136,20 @@
       writeIncarnations(out, grant.prefillUpstream().stream().toList());
     }
     out.writeListBegin(new TList(TType.STRUCT, m.suspects().size()));
-    for (SuspectRequest suspect : m.suspects()) {
+    for (CrashSuspect suspect : m.suspects()) {
       writeSuspect(out, suspect);
     }
     QuotaCodec.write(out, m.quota());
   }
 
-  private static void writeSuspect(TCompactProtocol out, SuspectRequest suspect) throws TException {
-    out.writeI64(suspect.request().high());
-    out.writeI64(suspect.request().low());
+  private static void writeSuspect(TCompactProtocol out, CrashSuspect suspect) throws TException {
+    out.writeI64(suspect.id().high());
+    out.writeI64(suspect.id().low());
     out.writeI32(suspect.clearanceEpoch());
     out.writeListBegin(new TList(TType.STRUCT, suspect.crashes().size()));
     for (var end : suspect.crashes().entrySet()) {
       writeIncarnation(out, end.getKey());
-      out.writeI64(end.getValue());
+      out.writeI64(end.getValue().ageNanos());
     }
   }
 
@@ -202,7 +206,7 @@
     for (int i = size(in); i > 0; i--) {
       grants.add(readGrant(in));
     }
-    ImmutableList.Builder<SuspectRequest> suspects = ImmutableList.builder();
+    ImmutableList.Builder<CrashSuspect> suspects = ImmutableList.builder();
     for (int i = size(in); i > 0; i--) {
       suspects.add(readSuspect(in));
     }
@@ -215,9 +219,18 @@
         losingHandles,
         RequestExtensions.apply(extensions, requests.build()),
         grants.build(),
-        suspects.build(),
+        withDetails(suspects.build(), extensions),
         quota.map(q -> withUrgentDemands(q, extensions)),
-        RequestExtensions.without(extensions).without(ExtensionId.URGENT_DEMANDS));
+        RequestExtensions.without(extensions)
+            .without(ExtensionId.URGENT_DEMANDS)
+            .without(ExtensionId.SUSPECT_DETAILS));
+  }
+
+  private static ImmutableList<CrashSuspect> withDetails(
+      ImmutableList<CrashSuspect> suspects, MessageExtensions extensions) {
+    return extensions
+        .parse(ExtensionId.SUSPECT_DETAILS, bytes -> SuspectDetailsCodec.apply(bytes, suspects))
+        .orElse(suspects);
   }
 
   private static QuotaMessage withUrgentDemands(QuotaMessage quota, MessageExtensions extensions) {
@@ -235,15 +248,17 @@
     }
   }
 
-  private static SuspectRequest readSuspect(TCompactProtocol in) throws TException {
-    final Fingerprint request = new Fingerprint(in.readI64(), in.readI64());
+  private static CrashSuspect readSuspect(TCompactProtocol in) throws TException {
+    final Fingerprint id = new Fingerprint(in.readI64(), in.readI64());
     final int epoch = in.readI32();
-    ImmutableMap.Builder<UpstreamIncarnation, Long> ends = ImmutableMap.builder();
+    ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> crashes = ImmutableMap.builder();
     for (int i = size(in); i > 0; i--) {
       UpstreamIncarnation incarnation = readIncarnation(in);
-      ends.put(incarnation, in.readI64());
+      long age = in.readI64();
+      crashes.put(incarnation, new CrashSuspect.Crash(age, age, false));
     }
-    return new SuspectRequest(request, epoch, ends.buildKeepingLast());
+    return new CrashSuspect(
+        id, SuspectScope.REQUEST, epoch, crashes.buildKeepingLast(), ImmutableSet.of());
   }
 
   /** Returns the constant with an ordinal. */
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessenger.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessenger.java
@@ -13,8 +13,8 @@
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.quota.QuotaMessage;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.RateLimitReport;
-import org.larkkeel.relay.SuspectRequest;
 
 /**
  * Creates messages of this node and sends them to peers.
@@ -149,7 +149,7 @@
             .withExtension(ExtensionId.STREAM, StreamMessage.toBytes(content)));
   }
 
-  void sendSuspects(PeerTable.Peer to, ImmutableList<SuspectRequest> batch) {
+  void sendSuspects(PeerTable.Peer to, ImmutableList<CrashSuspect> batch) {
     send(to, message(PeerMessage.Kind.SUSPECTS).withSuspects(batch));
   }
 }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineAdmin.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineAdmin.java
@@ -13,7 +13,6 @@
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -24,13 +23,13 @@
 import org.larkkeel.http.operator.QuarantineStatus;
 import org.larkkeel.http.relay.RelayLoop;
 import org.larkkeel.lib.Fingerprint;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayRouter;
-import org.larkkeel.relay.SuspectRequest;
 
 /**
- * Operator endpoint that lists the requests in progress when upstreams crashed, and releases one
- * from quarantine on all nodes.
+ * Operator endpoint that lists the requests in progress when upstreams crashed and the parts that
+ * their prompts share, and releases one from quarantine on all nodes.
  *
  * <p>Used on the router's thread only.
  */
@@ -62,16 +61,21 @@
     List<QuarantineStatus.Entry> requests =
         router.suspects(now).stream()
             .filter(s -> !s.crashes().isEmpty())
-            .map(s -> entry(s, router.remainingQuarantineNanos(now, s.request())))
+            .map(s -> entry(s, router.remainingQuarantineNanos(now, s.id())))
             .toList();
     answer(exchange, StatusCodes.OK, JSON, OperatorCodec.write(new QuarantineStatus(requests)));
   }
 
-  private static QuarantineStatus.Entry entry(SuspectRequest s, long remainingNanos) {
+  private static QuarantineStatus.Entry entry(CrashSuspect s, long remainingNanos) {
     return new QuarantineStatus.Entry(
-        s.request().toString(),
+        s.id().toString(),
+        s.scope().word(),
         TimeUnit.NANOSECONDS.toMillis(remainingNanos),
-        TimeUnit.NANOSECONDS.toMillis(Collections.min(s.crashes().values())),
+        TimeUnit.NANOSECONDS.toMillis(
+            s.crashes().values().stream()
+                .mapToLong(CrashSuspect.Crash::ageNanos)
+                .min()
+                .orElseThrow()),
         s.crashes().keySet().stream()
             .map(Object::toString)
             .collect(ImmutableList.toImmutableList()));
@@ -91,7 +95,7 @@
 
   private boolean isKnown(Fingerprint request) {
     return router.suspects(loop.now()).stream()
-        .anyMatch(s -> s.request().equals(request) && !s.crashes().isEmpty());
+        .anyMatch(s -> s.id().equals(request) && !s.crashes().isEmpty());
   }
 
   private static Optional<Fingerprint> parse(String text) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -18,13 +19,15 @@
 import org.larkkeel.lib.Incarnation;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.UpstreamName;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.CrashSuspect;
+import org.larkkeel.relay.SuspectScope;
 import org.larkkeel.store.EntryProblem;
 import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.ParseResult;
 
 /**
- * The quarantined requests that a node has detected, as stored in its entry in the store.
+ * The quarantined requests and parts of prompts that a node has detected, as stored in its entry in
+ * the store.
  *
  * <p>Crashes are stored with wall-clock times, because their ages must outlast the process.
  * Invariant: at most {@link #MAX_REQUESTS} requests. Not thread-safe.
@@ -36,40 +39,47 @@
   /** The age from which stored crashes are ignored; it exceeds the duration of any quarantine. */
   private static final long MAX_AGE_NANOS = TimeUnit.HOURS.toNanos(3);
 
+  /** The fingerprint of the request or part. */
   private static final String REQUEST = "request";
+
   private static final String EPOCH = "epoch";
   private static final String ENDS = "ends";
   private static final String UPSTREAM = "upstream";
   private static final String START = "start";
   private static final String AT = "atMillis";
+  private static final String SENT = "sentMillis";
+  private static final String BEGUN = "begun";
+  private static final String POSITION = "promptPosition";
+  private static final String WIDER = "wider";
 
   /** In order of their last change. */
   private final Map<Fingerprint, StoredSuspect> entries = new LinkedHashMap<>();
 
-  private record StoredSuspect(SuspectRequest suspect, long wallMillis) {}
+  private record StoredSuspect(CrashSuspect suspect, long wallMillis) {}
 
   /**
-   * Updates the known state of a request.
+   * Updates the known state of a suspect. One that is no longer quarantined is kept only if it was
+   * cleared, so that the clearance is known to nodes that start later.
    *
    * @return whether the node's entry must be written
    */
-  boolean update(SuspectRequest suspect, long wallMillis) {
-    if (!suspect.isQuarantined() && !entries.containsKey(suspect.request())) {
-      return false;
+  boolean update(CrashSuspect suspect, boolean isQuarantined, long wallMillis) {
+    boolean wasStored = entries.remove(suspect.id()) != null;
+    if (!isQuarantined && (!wasStored || !suspect.crashes().isEmpty())) {
+      return wasStored;
     }
-    entries.remove(suspect.request());
     if (entries.size() == MAX_REQUESTS) {
       entries.remove(entries.keySet().iterator().next());
     }
-    entries.put(suspect.request(), new StoredSuspect(suspect, wallMillis));
+    entries.put(suspect.id(), new StoredSuspect(suspect, wallMillis));
     return true;
   }
 
   /** Adds a suspect read from the node's stored entry, unless the request is known already. */
-  void restore(SuspectRequest suspect, long wallMillis) {
-    boolean isOld = suspect.crashes().values().stream().allMatch(age -> age > MAX_AGE_NANOS);
+  void restore(CrashSuspect suspect, long wallMillis) {
+    boolean isOld = suspect.crashes().values().stream().allMatch(c -> c.ageNanos() > MAX_AGE_NANOS);
     if (entries.size() < MAX_REQUESTS && !isOld) {
-      entries.putIfAbsent(suspect.request(), new StoredSuspect(suspect, wallMillis));
+      entries.putIfAbsent(suspect.id(), new StoredSuspect(suspect, wallMillis));
     }
   }
 
@@ -81,23 +91,35 @@
     ArrayNode all = entry.putArray(FIELD);
     for (StoredSuspect stored : entries.values()) {
       ObjectNode item = all.addObject();
-      item.put(REQUEST, stored.suspect().request().toString())
-          .put(EPOCH, stored.suspect().clearanceEpoch());
+      CrashSuspect suspect = stored.suspect();
+      item.put(REQUEST, suspect.id().toString()).put(EPOCH, suspect.clearanceEpoch());
+      if (suspect.scope() instanceof SuspectScope.PromptPart p) {
+        item.put(POSITION, p.position());
+      }
+      if (!suspect.wider().isEmpty()) {
+        ArrayNode wider = item.putArray(WIDER);
+        suspect.wider().forEach(f -> wider.add(f.toString()));
+      }
       ArrayNode ends = item.putArray(ENDS);
-      stored
-          .suspect()
+      suspect
           .crashes()
           .forEach(
-              (incarnation, age) ->
+              (incarnation, c) ->
                   ends.addObject()
                       .put(UPSTREAM, incarnation.name().value())
                       .put(START, incarnation.incarnation().value())
-                      .put(AT, stored.wallMillis() - TimeUnit.NANOSECONDS.toMillis(age)));
+                      .put(AT, wallTime(stored, c.ageNanos()))
+                      .put(SENT, wallTime(stored, c.sentAgeNanos()))
+                      .put(BEGUN, c.begun()));
     }
   }
 
+  private static long wallTime(StoredSuspect stored, long ageNanos) {
+    return stored.wallMillis() - TimeUnit.NANOSECONDS.toMillis(ageNanos);
+  }
+
   /** Reads the requests of an entry, which may come from another writer and be malformed. */
-  static ParseResult<ImmutableList<SuspectRequest>> read(JsonNode entry, long wallMillis) {
+  static ParseResult<ImmutableList<CrashSuspect>> read(JsonNode entry, long wallMillis) {
     JsonNode all = entry.path(FIELD);
     if (all.isMissingNode()) {
       return new ParseResult.Readable<>(ImmutableList.of());
@@ -105,7 +127,7 @@
     if (!all.isArray() || all.size() > MAX_REQUESTS) {
       return unreadable(all);
     }
-    ImmutableList.Builder<SuspectRequest> suspects = ImmutableList.builder();
+    ImmutableList.Builder<CrashSuspect> suspects = ImmutableList.builder();
     try {
       for (JsonNode item : all) {
         suspects.add(suspect(item, wallMillis));
@@ -116,17 +138,34 @@
     return new ParseResult.Readable<>(suspects.build());
   }
 
-  private static SuspectRequest suspect(JsonNode item, long wallMillis) {
-    ImmutableMap.Builder<UpstreamIncarnation, Long> ends = ImmutableMap.builder();
+  private static CrashSuspect suspect(JsonNode item, long wallMillis) {
+    ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> ends = ImmutableMap.builder();
     for (JsonNode end : item.path(ENDS)) {
       UpstreamName name = new UpstreamName(end.path(UPSTREAM).asText());
-      long age = Math.max(0, wallMillis - integer(end.path(AT)));
+      JsonNode sent = end.has(SENT) ? end.path(SENT) : end.path(AT);
       ends.put(
           new UpstreamIncarnation(name, new Incarnation(integer(end.path(START)))),
-          TimeUnit.MILLISECONDS.toNanos(age));
+          new CrashSuspect.Crash(
+              ageNanos(wallMillis, end.path(AT)),
+              ageNanos(wallMillis, sent),
+              end.path(BEGUN).asBoolean()));
     }
-    Fingerprint request = Fingerprint.parse(item.path(REQUEST).asText());
-    return new SuspectRequest(request, (int) integer(item.path(EPOCH)), ends.buildKeepingLast());
+    SuspectScope scope =
+        item.has(POSITION)
+            ? new SuspectScope.PromptPart((int) integer(item.path(POSITION)))
+            : SuspectScope.REQUEST;
+    ImmutableSet.Builder<Fingerprint> wider = ImmutableSet.builder();
+    item.path(WIDER).forEach(f -> wider.add(Fingerprint.parse(f.asText())));
+    return new CrashSuspect(
+        Fingerprint.parse(item.path(REQUEST).asText()),
+        scope,
+        (int) integer(item.path(EPOCH)),
+        ends.buildKeepingLast(),
+        wider.build());
+  }
+
+  private static long ageNanos(long wallMillis, JsonNode time) {
+    return TimeUnit.MILLISECONDS.toNanos(Math.max(0, wallMillis - integer(time)));
   }
 
   private static long integer(JsonNode number) {
@@ -136,7 +175,7 @@
     return number.longValue();
   }
 
-  private static ParseResult<ImmutableList<SuspectRequest>> unreadable(JsonNode found) {
+  private static ParseResult<ImmutableList<CrashSuspect>> unreadable(JsonNode found) {
     return new ParseResult.Unreadable<>(
         new EntryProblem(Reason.MALFORMED, FIELD, found.toString(), "requests with their ends"));
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -190,20 +190,22 @@
               f.requests());
       case RelayFact.Suspected f ->
           log.warn(
-              "event=suspected request={} ends={} left_ms={} source={}",
-              f.request(),
+              "event=suspected {}={} ends={} left_ms={} source={}",
+              f.scope().word(),
+              f.suspect(),
               f.crashes(),
               millis(f.remainingNanos()),
               f.source());
       case RelayFact.Quarantined f ->
           log.warn(
-              "event=quarantined call={} request={} ends={} left_ms={}",
+              "event=quarantined call={} {}={} ends={} left_ms={}",
               id(f.call()),
-              f.request(),
+              f.scope().word(),
+              f.suspect(),
               f.crashes(),
               millis(f.remainingNanos()));
       case RelayFact.Cleared f ->
-          log.info("event=cleared request={} cause={}", f.request(), f.cause());
+          log.info("event=cleared {}={} cause={}", f.scope().word(), f.suspect(), f.cause());
       case RelayFact.PromptRead f ->
           log.info(
               "event=prompt_read call={} attempt={} upstream={} ms={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -122,15 +122,22 @@
           registry
               .counter(
                   "larkkeel.relay.suspects",
+                  "scope",
+                  f.scope().word(),
                   "quarantined",
                   String.valueOf(f.remainingNanos() > 0),
                   "source",
                   f.source())
               .increment();
       case RelayFact.Quarantined f ->
-          registry.counter("larkkeel.relay.quarantine.refusals").increment();
+          registry
+              .counter("larkkeel.relay.quarantine.refusals", "scope", f.scope().word())
+              .increment();
       case RelayFact.Cleared f ->
-          registry.counter("larkkeel.relay.suspects.cleared", "cause", f.cause()).increment();
+          registry
+              .counter(
+                  "larkkeel.relay.suspects.cleared", "scope", f.scope().word(), "cause", f.cause())
+              .increment();
       case RelayFact.Cancelled f ->
           registry
               .counter("larkkeel.relay.attempts.cancelled", "progress", f.progress().name())
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/SuspectSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/SuspectSharing.java
@@ -8,25 +8,29 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Lists;
+import com.google.common.collect.Maps;
 import com.google.common.hash.Hashing;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Objects;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.CrashSuspect;
 
 /**
- * Shares suspect requests, which were in progress at upstreams that crashed, with the peers.
+ * Shares the suspects of crashes, which were in progress at the upstreams, with the peers.
  *
  * <p>In a small cluster each node reports its own findings to all peers at once. In a large cluster
  * most calls that were in progress at a crash never come again, and reporting each to all would
  * cost a number of messages that grows with the square of the nodes. There, findings go to a few
- * collector nodes, chosen by a hash of the request; a collector reports a request to all once it
+ * collector nodes, chosen by a hash of the suspect; a collector reports a suspect to all once it
  * has merged several crashes of it. Immediate reports are repeated a little later in case a message
  * is lost. In addition, all known suspects are gossiped to a few peers in turn, so that nodes that
  * were partitioned, suspended or started since receive them as well. Not thread-safe.
@@ -40,7 +44,7 @@
   /** The maximum number of peers with which every crash is reported to all. */
   private static final int MAX_PEERS_FOR_BROADCAST = 16;
 
-  /** The number of collectors of a request in a large cluster. */
+  /** The number of collectors of a suspect in a large cluster. */
   private static final int COLLECTORS = 3;
 
   /** The number of periods between two rounds of gossip. */
@@ -52,24 +56,24 @@
    * The maximum number of suspects in a message; they fit a datagram with the maximum number of
    * crashes each.
    */
-  private static final int MAX_IN_MESSAGE = 100;
+  private static final int MAX_IN_MESSAGE = 60;
 
   private static final int MAX_REMEMBERED = 1_024;
 
   private final HostName self;
   private final PeerTable peers;
   private final LoadSharing.Environment environment;
-  private final BiConsumer<PeerTable.Peer, ImmutableList<SuspectRequest>> sender;
+  private final BiConsumer<PeerTable.Peer, ImmutableList<CrashSuspect>> sender;
   private final Map<Fingerprint, Extent> reportedToAll = new HashMap<>();
-  private Supplier<ImmutableList<SuspectRequest>> knownSuspects = ImmutableList::of;
+  private Supplier<ImmutableList<CrashSuspect>> knownSuspects = ImmutableList::of;
   private int periods;
   private int nextPeer;
 
   /**
-   * The amount of knowledge about a request: its clearance epoch and the number of crashes in it.
+   * The amount of knowledge about a suspect: its clearance epoch and the number of crashes in it.
    */
   private record Extent(int clearanceEpoch, int crashes) {
-    static Extent of(SuspectRequest s) {
+    static Extent of(CrashSuspect s) {
       return new Extent(s.clearanceEpoch(), s.crashes().size());
     }
   }
@@ -86,7 +90,7 @@
       HostName self,
       PeerTable peers,
       LoadSharing.Environment environment,
-      BiConsumer<PeerTable.Peer, ImmutableList<SuspectRequest>> sender) {
+      BiConsumer<PeerTable.Peer, ImmutableList<CrashSuspect>> sender) {
     this.self = self;
     this.peers = peers;
     this.environment = environment;
@@ -95,70 +99,108 @@
   }
 
   /** Sets the source of all known suspects. */
-  void knownSuspects(Supplier<ImmutableList<SuspectRequest>> supplier) {
+  void knownSuspects(Supplier<ImmutableList<CrashSuspect>> supplier) {
     knownSuspects = supplier;
   }
 
-  /** Reports a finding of this node to the peers. */
-  void report(SuspectRequest suspect) {
-    if (peers.size() <= MAX_PEERS_FOR_BROADCAST || needsBroadcast(suspect)) {
-      broadcast(suspect);
-    } else {
-      collectors(suspect.request()).forEach(p -> sendTo(p, suspect));
-      scheduleResends(suspect, now -> collectors(now.request()).forEach(p -> sendTo(p, now)));
+  /** Reports findings of this node to the peers. */
+  void report(ImmutableList<CrashSuspect> news) {
+    if (peers.size() <= MAX_PEERS_FOR_BROADCAST) {
+      broadcast(news);
+      return;
     }
+    Map<Boolean, List<CrashSuspect>> byNeed =
+        news.stream().collect(Collectors.partitioningBy(this::needsBroadcast));
+    broadcast(byNeed.get(true));
+    collect(byNeed.get(false));
   }
 
   /**
-   * Handles suspects received from a peer, after the router has merged them. If more is known here
-   * of a request than the peer reported, crashes from several nodes have been merged here, and a
-   * collector reports the request to all.
+   * Handles suspects received from a peer, after the router has merged them. A peer that does not
+   * know of a clearance is told. If more is known here of a suspect than the peer reported, crashes
+   * from several nodes have been merged here, and a collector reports the suspect to all.
    */
-  void received(ImmutableList<SuspectRequest> suspects) {
-    if (peers.size() <= MAX_PEERS_FOR_BROADCAST) {
-      return;
-    }
-    for (SuspectRequest fromPeer : suspects) {
-      find(fromPeer.request())
-          .filter(s -> !Extent.of(s).equals(Extent.of(fromPeer)))
-          .filter(s -> isCollector(s.request()) && needsBroadcast(s))
-          .ifPresent(this::broadcast);
+  void received(PeerTable.Peer from, ImmutableList<CrashSuspect> suspects) {
+    List<CrashSuspect> cleared = new ArrayList<>();
+    List<CrashSuspect> collected = new ArrayList<>();
+    Map<Fingerprint, CrashSuspect> known = known();
+    for (CrashSuspect fromPeer : suspects) {
+      CrashSuspect s = known.get(fromPeer.id());
+      if (s == null || Extent.of(s).equals(Extent.of(fromPeer))) {
+        continue;
+      }
+      if (s.clearanceEpoch() > fromPeer.clearanceEpoch()) {
+        cleared.add(s);
+      }
+      if (peers.size() > MAX_PEERS_FOR_BROADCAST && isCollector(s.id()) && needsBroadcast(s)) {
+        collected.add(s);
+      }
     }
+    send(from, cleared);
+    broadcast(collected);
   }
 
   /**
-   * Returns whether a request must be reported to all peers: it has several crashes or was reported
+   * Returns whether a suspect must be reported to all peers: it has several crashes or was reported
    * to all before, and its state has changed since.
    */
-  private boolean needsBroadcast(SuspectRequest s) {
-    Extent previous = reportedToAll.get(s.request());
+  private boolean needsBroadcast(CrashSuspect s) {
+    Extent previous = reportedToAll.get(s.id());
     return !Extent.of(s).equals(previous) && (s.crashes().size() > 1 || previous != null);
   }
 
-  private void broadcast(SuspectRequest suspect) {
+  private void broadcast(List<CrashSuspect> suspects) {
+    if (suspects.isEmpty()) {
+      return;
+    }
     if (reportedToAll.size() >= MAX_REMEMBERED) {
       reportedToAll.clear();
     }
-    reportedToAll.put(suspect.request(), Extent.of(suspect));
-    peers.all().forEach(p -> sendTo(p, suspect));
-    scheduleResends(suspect, now -> peers.all().forEach(p -> sendTo(p, now)));
+    suspects.forEach(s -> reportedToAll.put(s.id(), Extent.of(s)));
+    sendNowAndLater(suspects, now -> peers.all().forEach(p -> send(p, now)));
   }
 
-  private void sendTo(PeerTable.Peer peer, SuspectRequest suspect) {
-    sender.accept(peer, ImmutableList.of(suspect));
+  /** Sends each suspect to its collectors. */
+  private void collect(List<CrashSuspect> suspects) {
+    if (!suspects.isEmpty()) {
+      sendNowAndLater(suspects, this::sendToCollectors);
+    }
   }
 
-  private void scheduleResends(SuspectRequest suspect, Consumer<SuspectRequest> resend) {
+  private void sendToCollectors(List<CrashSuspect> suspects) {
+    Map<PeerTable.Peer, List<CrashSuspect>> byPeer = new LinkedHashMap<>();
+    for (CrashSuspect s : suspects) {
+      for (PeerTable.Peer p : collectors(s.id())) {
+        byPeer.computeIfAbsent(p, x -> new ArrayList<>()).add(s);
+      }
+    }
+    byPeer.forEach(this::send);
+  }
+
+  private void sendNowAndLater(List<CrashSuspect> suspects, Consumer<List<CrashSuspect>> send) {
+    send.accept(suspects);
+    List<Fingerprint> ids = suspects.stream().map(CrashSuspect::id).toList();
     for (long nanos : RESEND_DELAYS_NANOS) {
-      environment.after(nanos, () -> find(suspect.request()).ifPresent(resend));
+      environment.after(
+          nanos,
+          () -> {
+            Map<Fingerprint, CrashSuspect> known = known();
+            send.accept(ids.stream().map(known::get).filter(Objects::nonNull).toList());
+          });
+    }
+  }
+
+  private void send(PeerTable.Peer peer, List<CrashSuspect> suspects) {
+    for (List<CrashSuspect> part : Lists.partition(suspects, MAX_IN_MESSAGE)) {
+      sender.accept(peer, ImmutableList.copyOf(part));
     }
   }
 
-  private Optional<SuspectRequest> find(Fingerprint request) {
-    return knownSuspects.get().stream().filter(s -> s.request().equals(request)).findFirst();
+  private Map<Fingerprint, CrashSuspect> known() {
+    return Maps.uniqueIndex(knownSuspects.get(), CrashSuspect::id);
   }
 
-  /** Returns the peers that collect the crashes of a request. */
+  /** Returns the peers that collect the crashes of a suspect. */
   private List<PeerTable.Peer> collectors(Fingerprint request) {
     return peers.lowestRanked(COLLECTORS, p -> rank(p.name, request));
   }
@@ -175,9 +217,7 @@
 
   /** Sends all known suspects to a peer. */
   void sendAllTo(PeerTable.Peer peer) {
-    for (var part : Lists.partition(knownSuspects.get(), MAX_IN_MESSAGE)) {
-      sender.accept(peer, ImmutableList.copyOf(part));
-    }
+    send(peer, knownSuspects.get());
   }
 
   /** Gossips the known suspects; to be called every {@link LoadSharing#PERIOD_NANOS}. */
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/QuarantineStatus.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/operator/QuarantineStatus.java
@@ -23,15 +23,20 @@
   }
 
   /**
-   * One suspect or quarantined request.
+   * One suspect or quarantined request, or part of prompts.
    *
-   * @param request the fingerprint of the request, in hexadecimal digits
+   * @param request the fingerprint of the request or part, in hexadecimal digits
+   * @param scope what it is, {@code request} or {@code prompt_part}
    * @param remainingMillis the remaining time of its quarantine; 0 if it is not quarantined
-   * @param lastEndMillis the time since the last crash of an upstream with this request
-   * @param upstreams the upstream incarnations that crashed with this request
+   * @param lastEndMillis the time since the last crash of an upstream that had it
+   * @param upstreams the upstream incarnations that crashed while they had it
    */
   public record Entry(
-      String request, long remainingMillis, long lastEndMillis, List<String> upstreams) {
+      String request,
+      String scope,
+      long remainingMillis,
+      long lastEndMillis,
+      List<String> upstreams) {
     /** Makes a defensive copy of the list. */
     public Entry {
       upstreams = List.copyOf(upstreams);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -75,7 +75,7 @@
   private final Map<RequestId, RelayRequest> requests = new HashMap<>();
   private final Map<AttemptId, RelayAttempt> attempts = new HashMap<>();
   private Consumer<RelayEffect.ReservationAnswer> answerSender = e -> {};
-  private Consumer<RelayEffect.ReportSuspect> suspectReporter = e -> {};
+  private Consumer<RelayEffect.ReportSuspects> suspectReporter = e -> {};
   private Consumer<RelayEffect.OfStream> streamSharing = e -> {};
   private LongConsumer stateReader = n -> {};
 
@@ -116,7 +116,7 @@
    */
   public void setPeerReporters(
       Consumer<RelayEffect.ReservationAnswer> answers,
-      Consumer<RelayEffect.ReportSuspect> suspects,
+      Consumer<RelayEffect.ReportSuspects> suspects,
       Consumer<RelayEffect.OfStream> streams) {
     answerSender = answers;
     suspectReporter = suspects;
@@ -159,7 +159,7 @@
       case RelayEffect.Cut e -> dropCaller(e);
       case RelayEffect.ReservationAnswer e -> answerSender.accept(e);
       case RelayEffect.Probe e -> probe(e);
-      case RelayEffect.ReportSuspect e -> suspectReporter.accept(e);
+      case RelayEffect.ReportSuspects e -> suspectReporter.accept(e);
       case RelayEffect.OfStream e -> streamSharing.accept(e);
       case RelayEffect.ConfirmState e -> stateReader.accept(e.number());
       case RelayEffect.Report e -> facts.accept(e.fact());
--- /dev/null
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
@@ -0,0 +1,371 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.Arrays;
+import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.Fingerprint;
+import org.larkkeel.lib.UpstreamIncarnation;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a failure in which different requests with a common part of their prompts crashed
+ * one upstream after the other: tests how one node detects the part, quarantines it and clears it.
+ */
+public class CrashingPromptPartsTest {
+  private static final CallSize SMALL = new CallSize(2_000, 1_000, 1_000);
+  private static final String FIRST = "first";
+  private static final String DEADLY = "deadly";
+
+  private static RelayWorld world() {
+    RelayWorld w = RelayWorld.withDefaults();
+    w.add("run-3", RelayWorld.MODEL, Stage.DECODE);
+    w.add("run-4", RelayWorld.MODEL, Stage.DECODE);
+    w.add("other-1", RelayWorld.OTHER, Stage.WHOLE);
+    w.applyDiscoveryList();
+    return w;
+  }
+
+  /** Sends a new request with the given parts; it is prefilled, but not begun. */
+  private static void send(RelayWorld w, String... sharedParts) {
+    w.arriveWithPrompt("/stream/a", SMALL, sharedParts);
+    w.promptRead();
+  }
+
+  /** Sends a new request with the given parts, and lets the upstream that runs it crash. */
+  private static void crash(RelayWorld w, long incarnation, String... sharedParts) {
+    send(w, sharedParts);
+    crashUpstream(w, incarnation);
+  }
+
+  private static void crashUpstream(RelayWorld w, long incarnation) {
+    String crashed = w.sent().upstream().name().value();
+    w.lost();
+    w.restart(crashed, incarnation);
+    w.pass(1_000);
+  }
+
+  private static boolean isSent(RelayWorld w, String path, String... sharedParts) {
+    int sends = w.sendCount();
+    w.arriveWithPrompt(path, SMALL, sharedParts);
+    return w.sendCount() > sends;
+  }
+
+  private static Fingerprint fingerprint(String part) {
+    return new PromptPart(part).fingerprint(RelayWorld.MODEL);
+  }
+
+  private static CrashSuspect report(String part, int position, int epoch, String... crashed) {
+    ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> crashes = ImmutableMap.builder();
+    for (int i = 0; i < crashed.length; i++) {
+      long age = (crashed.length - i) * 100 * RelayWorld.MILLI;
+      crashes.put(
+          RelayWorld.incarnation(crashed[i]),
+          new CrashSuspect.Crash(age, age + 90 * RelayWorld.MILLI, false));
+    }
+    return new CrashSuspect(
+        fingerprint(part),
+        new SuspectScope.PromptPart(position),
+        epoch,
+        crashes.buildOrThrow(),
+        ImmutableSet.of());
+  }
+
+  private static void receive(RelayWorld w, CrashSuspect... reports) {
+    w.apply(new RelayEvent.SuspectsHeard(w.now(), ImmutableList.copyOf(reports)));
+  }
+
+  /** After three crashes of upstreams that had different requests with the part. */
+  public static class AfterThreeCrashes {
+    private static RelayWorld crashed() {
+      RelayWorld w = world();
+      for (int i = 1; i <= 3; i++) {
+        crash(w, i, FIRST, DEADLY);
+      }
+      return w;
+    }
+
+    @Test
+    public void isNotSentAgain() {
+      RelayWorld w = crashed();
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+      assertEquals(w.refusal(), ErrorKind.QUARANTINED);
+      assertTrue(w.refused().retryAfterMillis() > 0, "Retry-After is set");
+    }
+
+    @Test
+    public void isNotSentBehindOtherParts() {
+      assertFalse(isSent(crashed(), "/stream/a", "another", FIRST, DEADLY, "more"));
+    }
+
+    @Test
+    public void othersWithTheSameFirstPartAreSent() {
+      RelayWorld w = crashed();
+      assertTrue(isSent(w, "/stream/a", FIRST));
+      assertTrue(isSent(w, "/stream/a", FIRST, "sound"));
+    }
+
+    @Test
+    public void isSentToUpstreamsOfOtherServices() {
+      assertTrue(isSent(crashed(), "/other/a", FIRST, DEADLY));
+    }
+
+    @Test
+    public void isSentIfItIsTheLastPart() {
+      RelayWorld w = crashed();
+      int sends = w.sendCount();
+      w.arrive("/stream/a", 14_000, SMALL, new PromptKey(DEADLY), false);
+      assertEquals(w.sendCount(), sends + 1, "the last part belongs to one request");
+    }
+
+    @Test
+    public void isSentOnceOperatorReleasesIt() {
+      RelayWorld w = crashed();
+      w.apply(new RelayEvent.Released(w.now(), fingerprint(DEADLY)));
+      assertTrue(isSent(w, "/stream/a", FIRST, DEADLY));
+      assertEquals(
+          w.of(RelayEffect.ReportSuspects.class).getLast().suspects().getFirst().clearanceEpoch(),
+          1);
+    }
+  }
+
+  /** The evidence that counts against a part. */
+  public static class Evidence {
+    @Test
+    public void answerInBetweenClearsThePart() {
+      RelayWorld w = world();
+      crash(w, 1, FIRST, DEADLY);
+      crash(w, 2, FIRST, DEADLY);
+      send(w, FIRST, DEADLY);
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      crash(w, 3, FIRST, DEADLY);
+      assertTrue(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
+    @Test
+    public void partThatWasServedBeforeIsNotSuspected() {
+      RelayWorld w = world();
+      send(w, FIRST, "popular");
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      for (int i = 1; i <= 4; i++) {
+        crash(w, i, FIRST, "popular");
+      }
+      assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
+    }
+
+    @Test
+    public void partThatWasServedLongAgoIsSuspected() {
+      RelayWorld w = world();
+      send(w, FIRST, DEADLY);
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      w.skip(61_000);
+      for (int i = 1; i <= 3; i++) {
+        crash(w, i, FIRST, DEADLY);
+      }
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
+    @Test
+    public void partThatAnotherBuildHasServedIsSuspected() {
+      RelayWorld w = world();
+      send(w, FIRST, DEADLY);
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      w.remove("run-1", "run-2", "run-3", "run-4");
+      for (int i = 1; i <= 4; i++) {
+        w.add("next-" + i, RelayWorld.MODEL, Stage.DECODE, new BuildName("v2"));
+      }
+      w.applyDiscoveryList();
+      for (int i = 1; i <= 3; i++) {
+        crash(w, i, FIRST, DEADLY);
+      }
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
+    @Test
+    public void crashesAfterSomeTimeOfStreamingAreNotCounted() {
+      RelayWorld w = world();
+      for (int i = 1; i <= 8; i++) {
+        send(w, FIRST, "slow");
+        w.began();
+        w.pass(600);
+        crashUpstream(w, i);
+        w.skip(61_000);
+      }
+      assertTrue(isSent(w, "/stream/a", FIRST, "slow"));
+    }
+
+    @Test
+    public void crashesOfStreamsThatHadBegunCountHalf() {
+      RelayWorld w = world();
+      for (int i = 1; i <= 6; i++) {
+        assertTrue(isSent(w, "/stream/a", FIRST, DEADLY), "after " + (i - 1) + " crashes");
+        w.promptRead();
+        w.began();
+        w.pass(100);
+        crashUpstream(w, i);
+      }
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
+    @Test
+    public void upstreamsThatCrashTogetherCountOnce() {
+      RelayWorld w = world();
+      receive(
+          w,
+          new CrashSuspect(
+              fingerprint("popular"),
+              new SuspectScope.PromptPart(1),
+              0,
+              ImmutableMap.of(
+                  RelayWorld.incarnation("a"), aged(100, 300),
+                  RelayWorld.incarnation("b"), aged(90, 200),
+                  RelayWorld.incarnation("c"), aged(80, 150),
+                  RelayWorld.incarnation("d"), aged(70, 110)),
+              ImmutableSet.of()));
+      assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
+    }
+
+    private static CrashSuspect.Crash aged(long ageMillis, long sentAgeMillis) {
+      return new CrashSuspect.Crash(
+          ageMillis * RelayWorld.MILLI, sentAgeMillis * RelayWorld.MILLI, false);
+    }
+
+    @Test
+    public void firstPartNeedsMoreCrashes() {
+      RelayWorld w = world();
+      receive(w, report(FIRST, 0, 0, "a", "b", "c", "d", "e", "f", "g"));
+      assertTrue(isSent(w, "/stream/a", FIRST));
+      receive(w, report(FIRST, 0, 0, "a", "b", "c", "d", "e", "f", "g", "h"));
+      assertFalse(isSent(w, "/stream/a", FIRST));
+    }
+
+    @Test
+    public void crashesOfQuarantinedRequestAreNotThoseOfItsParts() {
+      RelayWorld w = world();
+      for (int i = 1; i <= 3; i++) {
+        w.arriveWithBodyAndPrompt("/stream/a", SMALL, "the same body", FIRST, "sound");
+        w.promptRead();
+        crashUpstream(w, i);
+      }
+      assertTrue(isSent(w, "/stream/a", FIRST, "sound"));
+      int sends = w.sendCount();
+      w.arriveWithBodyAndPrompt("/stream/a", SMALL, "the same body", FIRST, "sound");
+      assertEquals(w.sendCount(), sends);
+    }
+  }
+
+  /** The exchange between nodes. */
+  public static class Exchange {
+    @Test
+    public void refusesWaitingCallsImmediately() {
+      RelayWorld w = world();
+      w.remove("run-1", "run-2", "run-3", "run-4");
+      w.pass(1_600);
+      w.arriveWithPrompt("/stream/a", SMALL, FIRST, DEADLY);
+      assertFalse(w.isRefused());
+      receive(w, report(DEADLY, 1, 0, "a", "b", "c"));
+      assertEquals(w.refusal(), ErrorKind.QUARANTINED);
+    }
+
+    @Test
+    public void preventsTheRunOfPromptsThatAreBeingPrefilled() {
+      RelayWorld w = world();
+      w.arriveWithPrompt("/stream/a", SMALL, FIRST, DEADLY);
+      receive(w, report(DEADLY, 1, 0, "a", "b", "c"));
+      int sends = w.sendCount();
+      w.promptRead();
+      assertEquals(w.sendCount(), sends);
+      assertEquals(w.refusal(), ErrorKind.QUARANTINED);
+    }
+
+    @Test
+    public void refutesReportsOfPartsThatWereServedHere() {
+      RelayWorld w = world();
+      send(w, FIRST, "popular");
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      receive(w, report("popular", 1, 0, "run-1", "run-2", "run-3"));
+      assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
+      CrashSuspect answer = w.router.suspects(w.now()).getFirst();
+      assertEquals(answer.clearanceEpoch(), 1);
+      assertTrue(answer.crashes().isEmpty());
+    }
+
+    @Test
+    public void refutesReportsOfPartsWhoseStreamsAreRunningHere() {
+      RelayWorld w = world();
+      send(w, FIRST, "popular");
+      w.began();
+      w.pass(600);
+      receive(w, report("popular", 1, 0, "run-1", "run-2", "run-3"));
+      assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
+    }
+
+    @Test
+    public void reportsAllSuspectsOfCrashTogether() {
+      RelayWorld w = world();
+      crash(w, 1, FIRST, DEADLY);
+      assertEquals(w.of(RelayEffect.ReportSuspects.class).size(), 1);
+      ImmutableList<CrashSuspect> suspects =
+          w.of(RelayEffect.ReportSuspects.class).getFirst().suspects();
+      assertEquals(
+          suspects.stream().map(s -> s.scope().word()).toList(),
+          Arrays.asList("request", "prompt_part", "prompt_part"));
+      assertEquals(
+          suspects.get(0).wider(), ImmutableSet.of(fingerprint(DEADLY), fingerprint(FIRST)));
+      assertEquals(suspects.get(1).wider(), ImmutableSet.of(fingerprint(FIRST)));
+    }
+  }
+
+  /** Callers that invent many parts. */
+  public static class ManyParts {
+    @Test
+    public void areBoundedAndQuarantinedOnesAreKept() {
+      RelayWorld w = world();
+      receive(w, report(DEADLY, 1, 0, "a", "b", "c"));
+      for (int i = 0; i < 2_000; i++) {
+        receive(w, report("made up " + i, 1, 0, "a"));
+      }
+      assertTrue(w.router.suspects(w.now()).size() <= 512);
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
+    @Test
+    public void doNotDisplaceRequests() {
+      RelayWorld w = world();
+      w.arriveWithBodyAndPrompt("/stream/a", SMALL, "body", FIRST, "sound");
+      w.promptRead();
+      crashUpstream(w, 1);
+      for (int i = 0; i < 2_000; i++) {
+        receive(w, report("made up " + i, 1, 0, "a"));
+      }
+      assertTrue(
+          w.router.suspects(w.now()).stream()
+              .anyMatch(s -> s.scope() instanceof SuspectScope.Request));
+    }
+
+    @Test
+    public void areToldApartUpToBound() {
+      RelayWorld w = world();
+      String[] parts = new String[100];
+      Arrays.setAll(parts, i -> "part-" + i);
+      crash(w, 1, parts);
+      assertEquals(w.of(RelayEffect.ReportSuspects.class).getFirst().suspects().size(), 33);
+    }
+  }
+}
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingRequestsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingRequestsTest.java
@@ -13,6 +13,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.Fingerprint;
@@ -105,6 +106,17 @@
     w.pass(9_000);
   }
 
+  private static CrashSuspect report(
+      Fingerprint request, int epoch, long ageMillis, String... crashed) {
+    long age = ageMillis * RelayWorld.MILLI;
+    ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> ends = ImmutableMap.builder();
+    for (String name : crashed) {
+      ends.put(RelayWorld.incarnation(name), new CrashSuspect.Crash(age, age, false));
+    }
+    return new CrashSuspect(
+        request, SuspectScope.REQUEST, epoch, ends.buildOrThrow(), ImmutableSet.of());
+  }
+
   private static boolean isSent(RelayWorld w) {
     int sends = w.sendCount();
     w.arriveWithBody("/stream/a", SMALL, BODY);
@@ -113,11 +125,7 @@
 
   /** Receives another node's report of crashes some time ago. */
   private static void receiveReport(RelayWorld w, int epoch, long ageMillis, String... crashed) {
-    ImmutableMap.Builder<UpstreamIncarnation, Long> ends = ImmutableMap.builder();
-    for (String name : crashed) {
-      ends.put(RelayWorld.incarnation(name), ageMillis * RelayWorld.MILLI);
-    }
-    SuspectRequest report = new SuspectRequest(fingerprint(), epoch, ends.buildOrThrow());
+    CrashSuspect report = report(fingerprint(), epoch, ageMillis, crashed);
     w.apply(new RelayEvent.SuspectsHeard(w.now(), ImmutableList.of(report)));
   }
 
@@ -264,20 +272,19 @@
       RelayWorld w = world();
       receiveReport(w, 0, 500, "a", "b", "c");
       w.pass(1_000);
-      SuspectRequest report = w.router.suspects(w.now()).getFirst();
+      CrashSuspect report = w.router.suspects(w.now()).getFirst();
       assertEquals(
-          report.crashes().get(RelayWorld.incarnation("a")),
-          Long.valueOf(1_500 * RelayWorld.MILLI));
+          report.crashes().get(RelayWorld.incarnation("a")).ageNanos(), 1_500 * RelayWorld.MILLI);
     }
 
     @Test
     public void reportsOwnObservationsOnce() {
       RelayWorld w = world();
       crash(w, "/stream/a", 1);
-      assertEquals(w.of(RelayEffect.ReportSuspect.class).size(), 1);
+      assertEquals(w.of(RelayEffect.ReportSuspects.class).size(), 1);
       receiveReport(w, 0, 500, "a");
       assertEquals(
-          w.of(RelayEffect.ReportSuspect.class).size(),
+          w.of(RelayEffect.ReportSuspects.class).size(),
           1,
           "the report of another node is not forwarded");
     }
@@ -304,8 +311,9 @@
       receiveReport(w, 0, 500, "a", "b", "c");
       w.apply(new RelayEvent.Released(w.now(), fingerprint()));
       assertTrue(isSent(w));
-      SuspectRequest report = w.of(RelayEffect.ReportSuspect.class).getLast().suspect();
-      assertEquals(report, new SuspectRequest(fingerprint(), 1, ImmutableMap.of()));
+      ImmutableList<CrashSuspect> reports =
+          w.of(RelayEffect.ReportSuspects.class).getLast().suspects();
+      assertEquals(reports, ImmutableList.of(report(fingerprint(), 1, 0)));
     }
 
     @Test
@@ -349,11 +357,7 @@
       RelayWorld w = world();
       receiveReport(w, 0, 0, "a", "b", "c");
       for (int i = 0; i < 2_000; i++) {
-        SuspectRequest other =
-            new SuspectRequest(
-                Fingerprint.of("made up " + i),
-                0,
-                ImmutableMap.of(RelayWorld.incarnation("a"), 0L));
+        CrashSuspect other = report(Fingerprint.of("made up " + i), 0, 0, "a");
         w.apply(new RelayEvent.SuspectsHeard(w.now(), ImmutableList.of(other)));
       }
       assertTrue(w.router.suspects(w.now()).size() <= 512);
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/EvenEnginesTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/EvenEnginesTest.java
@@ -61,13 +61,13 @@
   public Object[][] digests() {
     return new Object[][] {
       {1L, "4b07a8c8404975966332009ecf15ca2a"},
-      {2L, "5d6c770535824d125720592a6227d289"},
-      {3L, "a95106a0e8a279fbff70ce8cf1c1f53d"},
-      {4L, "8a2f139da2f792a4f527043bdfab072f"},
+      {2L, "f5326c096e1815f509c67f695275e82a"},
+      {3L, "308a9f69c21965939ba32917263a6157"},
+      {4L, "0e44454c5fe0ae4660147aeb136127f2"},
       {5L, "378631525c8629d1752e32f876c8b652"},
-      {6L, "6470cb4f1314b4c75c0a637fb898cc26"},
-      {7L, "a3eccaedb9d40ebaa5641da276152210"},
-      {8L, "9475ce258a911cd4f77193c21af7d928"}
+      {6L, "d8d4477bc3e51d706d048235742d029d"},
+      {7L, "87495e5b899f817a3d89b155f6f180c7"},
+      {8L, "97b9879f70f9eae8fafc2f6ab4a373b8"}
     };
   }
 
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -12,6 +12,7 @@
 import com.google.common.collect.Sets;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -337,6 +338,38 @@
     return arrive(path, 14_000, size, PromptKey.NONE, false, body, Optional.empty());
   }
 
+  /** Starts a call with a body of its own whose prompt begins with the given parts. */
+  RequestId arriveWithPrompt(String path, CallSize size, String... sharedParts) {
+    return arriveWithBodyAndPrompt(path, size, "body of " + (lastCall + 1), sharedParts);
+  }
+
+  /** Starts a call with a given body whose prompt begins with the given parts. */
+  RequestId arriveWithBodyAndPrompt(
+      String path, CallSize size, String body, String... sharedParts) {
+    ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
+    Arrays.stream(sharedParts).forEach(p -> parts.add(new PromptPart(p)));
+    parts.add(new PromptPart("own part of " + body));
+    RequestId id = new RequestId(++lastCall);
+    RequestIdentity identity =
+        new RequestIdentity("POST", "a.example", path, "", body.getBytes(StandardCharsets.UTF_8));
+    apply(
+        new RelayEvent.Arrived(
+            now,
+            new RelayCall(
+                id,
+                "call-" + lastCall,
+                "a.example",
+                path,
+                14_000,
+                size,
+                new Prompt(parts.build()),
+                false,
+                Optional.empty(),
+                identity,
+                Optional.empty())));
+    return id;
+  }
+
   /** Returns the purpose of a run that fetches what an upstream still holds of its prompt. */
   RelayEffect.Purpose fetch(String from) {
     return new RelayEffect.Purpose.Fetch(upstreams.get(new UpstreamName(from)));
--- a/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/errors/ErrorKind.java
@@ -125,8 +125,8 @@
       503,
       Execution.NOT_RUN,
       Repeat.LATER,
-      "Upstreams have ended that ran the request.",
-      "Repeat after Retry-After; operators can release the request."),
+      "Upstreams have ended that ran the request, or others with a part of its prompt.",
+      "Repeat after Retry-After; operators can release the request or part."),
   /** This node accepts no new requests. */
   NOT_READY(
       503,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.AttemptId;
@@ -146,8 +147,8 @@
   /** Probe whether the upstream's process listens. Answered by {@code RelayEvent.Probed}. */
   record Probe(RelayUpstream upstream, UpstreamPath path) implements RelayEffect {}
 
-  /** Report new information about a suspect request to all other nodes. */
-  record ReportSuspect(SuspectRequest suspect) implements RelayEffect {}
+  /** Report new information about suspects of crashes to other nodes. */
+  record ReportSuspects(ImmutableList<CrashSuspect> suspects) implements RelayEffect {}
 
   /**
    * Read the state of the store again. Answered by {@code RelayEvent.StateConfirmed}, after the
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -196,10 +196,10 @@
   record Probed(long at, UpstreamIncarnation upstream, UpstreamPath path, ProbeResult result)
       implements RelayEvent {}
 
-  /** Another node's report about suspect requests was received. */
-  record SuspectsHeard(long at, ImmutableList<SuspectRequest> suspects) implements RelayEvent {}
+  /** Another node's report about suspects of crashes was received. */
+  record SuspectsHeard(long at, ImmutableList<CrashSuspect> suspects) implements RelayEvent {}
 
-  /** An operator has released a request from quarantine. */
+  /** An operator has released a request or a part of prompts from quarantine. */
   record Released(long at, Fingerprint request) implements RelayEvent {}
 
   /** Another node's measurements of engines were received. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -290,29 +290,33 @@
       implements RelayFact {}
 
   /**
-   * A request is suspected of crashing upstreams.
+   * A request or a part of prompts is suspected of crashing upstreams.
    *
-   * @param request the fingerprint of the request
-   * @param crashes the number of upstreams that have crashed while they had the request
-   * @param remainingNanos the remaining time of the quarantine; 0 if the request is not quarantined
+   * @param suspect the fingerprint of the request or part
+   * @param scope what it is
+   * @param crashes the number of upstreams that have crashed while they had it
+   * @param remainingNanos the remaining time of the quarantine; 0 if it is not quarantined
    * @param source the node that detected it: this node or another
    */
-  record Suspected(Fingerprint request, int crashes, long remainingNanos, String source)
+  record Suspected(
+      Fingerprint suspect, SuspectScope scope, int crashes, long remainingNanos, String source)
       implements RelayFact {}
 
   /**
-   * A call was not sent because its request is quarantined.
+   * A call was not sent because its request or a part of its prompt is quarantined.
    *
    * @param call the caller's id of the call
-   * @param request the fingerprint of the request
-   * @param crashes the number of upstreams that have crashed while they had the request
+   * @param suspect the fingerprint of the request or part
+   * @param scope what it is
+   * @param crashes the number of upstreams that have crashed while they had it
    * @param remainingNanos the remaining time of the quarantine
    */
-  record Quarantined(String call, Fingerprint request, int crashes, long remainingNanos)
+  record Quarantined(
+      String call, Fingerprint suspect, SuspectScope scope, int crashes, long remainingNanos)
       implements RelayFact {}
 
-  /** A request was proven harmless by a complete answer, or an operator released it. */
-  record Cleared(Fingerprint request, String cause) implements RelayFact {}
+  /** A request or part was proven harmless by an answer, or an operator released it. */
+  record Cleared(Fingerprint suspect, SuspectScope scope, String cause) implements RelayFact {}
 
   /** A prompt was prefilled. */
   record PromptRead(String call, AttemptId attempt, UpstreamName upstream, long nanos)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -79,7 +79,7 @@
       case RelayEvent.Noticed e -> eventHandler.noticed(at, e.upstream(), e.sentAt(), e.notice());
       case RelayEvent.RatesHeard e -> eventHandler.rateLimitReportsReceived(at, e.reports());
       case RelayEvent.Probed e -> eventHandler.probed(at, e.upstream(), e.path(), e.result());
-      case RelayEvent.SuspectsHeard e -> eventHandler.suspectRequestsReceived(at, e.suspects());
+      case RelayEvent.SuspectsHeard e -> eventHandler.suspectsReceived(at, e.suspects());
       case RelayEvent.Released e -> eventHandler.released(at, e.request());
       case RelayEvent.KeepingChanged e -> eventHandler.reservationModeChanged(at, e.mode());
       case RelayEvent.SpeedSamplesHeard e -> eventHandler.speedSamplesReceived(at, e.samples());
@@ -222,14 +222,14 @@
     return eventHandler.speeds(at);
   }
 
-  /** Returns the report to other nodes about suspect requests. */
-  public ImmutableList<SuspectRequest> suspects(long at) {
+  /** Returns the suspects of crashes to report to other nodes. */
+  public ImmutableList<CrashSuspect> suspects(long at) {
     return eventHandler.suspects(at);
   }
 
-  /** Returns the remaining quarantine of a request, in nanoseconds; 0 if it is not quarantined. */
-  public long remainingQuarantineNanos(long at, Fingerprint request) {
-    return eventHandler.remainingQuarantineNanos(at, request);
+  /** Returns the remaining quarantine of a suspect, in nanoseconds; 0 if it is not quarantined. */
+  public long remainingQuarantineNanos(long at, Fingerprint suspect) {
+    return eventHandler.remainingQuarantineNanos(at, suspect);
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
@@ -110,7 +110,8 @@
       answers.refuse(call, ErrorKind.NO_RULE, 0, "revision " + revision());
       return Optional.empty();
     }
-    long remainingNanos = crashGuard.remainingNanos(at, call);
+    ServiceName service = drawService(rule.get());
+    long remainingNanos = crashGuard.remainingNanos(at, call, service);
     if (remainingNanos > 0) {
       answers.refuse(
           call, ErrorKind.QUARANTINED, remainingNanos / MILLI, CrashGuard.REFUSAL_DETAIL);
@@ -121,16 +122,20 @@
       answers.refuse(call, ErrorKind.UNAUTHENTICATED, 0, refusalDetail(call));
       return Optional.empty();
     }
-    return Optional.of(admit(at, call, rule.get(), workspace));
+    return Optional.of(admit(at, call, rule.get(), service, workspace));
   }
 
   private CallState admit(
-      long at, RelayCall call, RelayRule rule, Optional<RelayWorkspace> workspace) {
+      long at,
+      RelayCall call,
+      RelayRule rule,
+      ServiceName service,
+      Optional<RelayWorkspace> workspace) {
     long millis = rule.timeoutMillis();
     if (call.deadlineMillis() > 0) {
       millis = Math.min(millis, call.deadlineMillis());
     }
-    CallState c = new CallState(call, rule, drawService(rule), at, at + millis * MILLI);
+    CallState c = new CallState(call, rule, service, at, at + millis * MILLI);
     c.workspace = workspace;
     updateRank(c);
     report(
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
@@ -6,7 +6,6 @@
 
 package org.larkkeel.relay.internal;
 
-import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +25,6 @@
  */
 final class Attempts {
   private static final double MILLI = 1e6;
-  private static final int MAX_REPORTED_PARTS = 16;
 
   private final UpstreamTable upstreams;
   private final Timers timers;
@@ -137,10 +135,7 @@
                 a.id(),
                 a.upstream().incarnation(),
                 c.call.identity().fingerprint(),
-                c.call.prompt().sharedParts().stream()
-                    .limit(MAX_REPORTED_PARTS)
-                    .map(p -> p.fingerprint(c.service))
-                    .collect(ImmutableList.toImmutableList()),
+                CallTrait.sharedParts(c.call, c.service),
                 c.attemptCount,
                 at - a.sentAt(),
                 sinceFirstEvent,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallAdapters.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallAdapters.java
@@ -16,6 +16,7 @@
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.quota.QuotaHolder;
 import org.larkkeel.relay.AnswerGrade;
+import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.RelayConfiguration;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEffect.Purpose;
@@ -40,9 +41,14 @@
 
   /**
    * Gives {@link CrashGuard} access to the calls without an attempt in flight, which are refused
-   * once their request is quarantined.
+   * once they are quarantined.
    */
   final class CrashGuardCalls implements CrashGuard.Calls {
+    @Override
+    public List<AttemptState> attempts() {
+      return core.attempts.all();
+    }
+
     @Override
     public List<CallState> idle() {
       return core.openCalls.all().stream().filter(c -> c.attempt == null).toList();
@@ -55,6 +61,11 @@
             at, c, ErrorKind.QUARANTINED, remainingNanos / MILLI, CrashGuard.REFUSAL_DETAIL);
       }
     }
+
+    @Override
+    public Optional<BuildName> build(UpstreamIncarnation incarnation) {
+      return core.upstreams.find(incarnation).map(s -> s.upstream().build());
+    }
   }
 
   /** Gives {@link Evacuation} access to the runs that it moves. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
@@ -6,13 +6,12 @@
 
 package org.larkkeel.relay.internal;
 
-import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.RelayEffect;
@@ -20,12 +19,12 @@
 
 /**
  * Determines whether an upstream has crashed when the connection of an attempt breaks, and which
- * requests may have caused the crash.
+ * attempts may have caused the crash.
  *
  * <p>A broken connection alone proves nothing: answers are lost, and connections are reset. The end
  * of an incarnation is proven if its address refuses connections, also to another node if there is
  * one, since the path of this node may be broken; if the discovery list shows another incarnation
- * or none, or if another upstream answers at the address. A request whose stream had run for a
+ * or none, or if another upstream answers at the address. An attempt whose stream had run for a
  * while is not suspect, nor is one whose upstream had announced that it leaves.
  *
  * <p>Not thread-safe.
@@ -33,9 +32,15 @@
 final class CrashEvidence {
   private static final long MILLI = 1_000_000L;
 
-  /** A request whose stream has run for longer than this is not the cause of a crash. */
+  /** An attempt whose stream has run for longer than this is not the cause of a crash. */
   private static final long MAX_SUSPECT_STREAM_NANOS = 1_000 * MILLI;
 
+  /**
+   * A part of a prompt whose stream has run for longer than this did not cause a crash: what it
+   * does to an upstream shows when the upstream begins to generate.
+   */
+  private static final long MAX_SUSPECT_PART_NANOS = 500 * MILLI;
+
   /**
    * The maximum wait for a proof: the discovery list shows the end of an incarnation some
    * heartbeats later.
@@ -57,17 +62,27 @@
 
   /** Is notified of proven ends of incarnations. */
   interface EndListener {
-    /** Handles the proven end of an incarnation of an upstream that had these requests. */
-    void incarnationEnded(
-        long at, UpstreamIncarnation incarnation, ImmutableSet<Fingerprint> requests);
+    /** Handles the proven end of the upstream that had these attempts. */
+    void upstreamEnded(long at, UpstreamState upstream, ImmutableList<LostAttempt> attempts);
   }
 
-  /** The requests of one incarnation that wait for a proof of its end. */
+  /**
+   * An attempt that may have caused the end of its upstream.
+   *
+   * @param call the call
+   * @param time the time at which the attempt was sent, and that at which its connection broke
+   * @param arePartsSuspect whether a part of its prompt may be the cause
+   */
+  record LostAttempt(CallState call, SuspectRecord.CrashTime time, boolean arePartsSuspect) {}
+
+  /** The attempts at one incarnation that wait for a proof of its end. */
   private static final class Pending {
-    private final List<Fingerprint> requests = new ArrayList<>();
+    private final UpstreamState upstream;
+    private final List<LostAttempt> attempts = new ArrayList<>();
     private long until;
 
-    Pending(long until) {
+    Pending(UpstreamState upstream, long until) {
+      this.upstream = upstream;
       this.until = until;
     }
   }
@@ -91,20 +106,36 @@
       if (pending.size() >= MAX_PENDING) {
         return;
       }
-      p = new Pending(at + PROOF_WAIT_NANOS);
+      p = new Pending(a.upstream(), at + PROOF_WAIT_NANOS);
       pending.put(incarnation, p);
       prober.accept(a.upstream());
     }
-    if (p.requests.size() < MAX_PENDING) {
-      p.requests.add(a.call().call.identity().fingerprint());
+    if (p.attempts.size() < MAX_PENDING) {
+      p.attempts.add(lost(at, a));
     }
   }
 
-  private static boolean isSuspect(long at, AttemptState a) {
+  private static LostAttempt lost(long at, AttemptState a) {
+    boolean begun = a.call().attemptFirstEventAt != Long.MIN_VALUE;
+    return new LostAttempt(
+        a.call(), new SuspectRecord.CrashTime(at, a.sentAt(), begun), !arePartsHarmless(at, a));
+  }
+
+  /**
+   * Returns whether the stream of an attempt has run for long enough to prove that no part of its
+   * prompt crashes upstreams.
+   */
+  static boolean arePartsHarmless(long at, AttemptState a) {
+    return hasStreamed(at, a, MAX_SUSPECT_PART_NANOS);
+  }
+
+  private static boolean hasStreamed(long at, AttemptState a, long nanos) {
     long firstEventAt = a.call().attemptFirstEventAt;
-    boolean isHarmless =
-        firstEventAt != Long.MIN_VALUE && at - firstEventAt > MAX_SUSPECT_STREAM_NANOS;
-    return !isHarmless && !a.upstream().isLeaving();
+    return firstEventAt != Long.MIN_VALUE && at - firstEventAt > nanos;
+  }
+
+  private static boolean isSuspect(long at, AttemptState a) {
+    return !hasStreamed(at, a, MAX_SUSPECT_STREAM_NANOS) && !a.upstream().isLeaving();
   }
 
   /**
@@ -112,8 +143,7 @@
    */
   void endedWithAttempt(long at, AttemptState a, String proof) {
     if (isSuspect(at, a)) {
-      Fingerprint request = a.call().call.identity().fingerprint();
-      reportEnd(at, a.upstream().incarnation(), proof, ImmutableSet.of(request));
+      reportEnd(at, a.upstream(), proof, ImmutableList.of(lost(at, a)));
     }
   }
 
@@ -141,13 +171,14 @@
     if (p == null || at > p.until) {
       return;
     }
-    reportEnd(at, incarnation, proof, ImmutableSet.copyOf(p.requests));
+    reportEnd(at, p.upstream, proof, ImmutableList.copyOf(p.attempts));
   }
 
   private void reportEnd(
-      long at, UpstreamIncarnation incarnation, String proof, ImmutableSet<Fingerprint> requests) {
+      long at, UpstreamState upstream, String proof, ImmutableList<LostAttempt> attempts) {
     effects.accept(
-        new RelayEffect.Report(new RelayFact.UpstreamEnded(incarnation, proof, requests.size())));
-    endListener.incarnationEnded(at, incarnation, requests);
+        new RelayEffect.Report(
+            new RelayFact.UpstreamEnded(upstream.incarnation(), proof, attempts.size())));
+    endListener.upstreamEnded(at, upstream, attempts);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -8,42 +8,59 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.BuildName;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayFact;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.SuspectScope;
 
 /**
- * Keeps requests that crash upstreams from being sent to further upstreams.
+ * Keeps requests that crash upstreams from being sent to further upstreams, also if only a part of
+ * their prompts is the same.
  *
- * <p>{@link CrashEvidence} detects crashes and {@link Quarantine} counts them; this class applies
- * both to the calls of this node and to the reports of other nodes. Not thread-safe.
+ * <p>{@link CrashEvidence} detects crashes, {@link Quarantine} counts them for each {@link
+ * CallTrait}, and {@link HarmlessParts} knows what did not cause them; this class applies all to
+ * the calls of this node and to the reports of other nodes. Not thread-safe.
  */
 final class CrashGuard {
   /** The detail of the refusal of a quarantined request. */
-  static final String REFUSAL_DETAIL = "upstreams have ended that ran this request";
+  static final String REFUSAL_DETAIL =
+      "upstreams have ended that ran this request, or others with a part of its prompt";
 
   private final Calls calls;
   private final Consumer<RelayEffect> effects;
   private final Quarantine quarantine;
   private final CrashEvidence evidence;
+  private final HarmlessParts harmlessParts = new HarmlessParts();
 
-  /** Access to the calls. */
+  /** Access to the calls, and to the builds of upstreams. */
   interface Calls {
+    /** Returns the attempts in flight. */
+    List<AttemptState> attempts();
+
     /** Returns a copy of the calls without an attempt in flight. */
     List<CallState> idle();
 
     /**
-     * Refuses a call whose request is quarantined for {@code remainingNanos} more; does nothing if
-     * the call has ended.
+     * Refuses a call that is quarantined for {@code remainingNanos} more; does nothing if the call
+     * has ended.
      */
     void refuse(long at, CallState c, long remainingNanos);
+
+    /** Returns the build of an upstream; empty if the upstream is not known. */
+    Optional<BuildName> build(UpstreamIncarnation incarnation);
   }
 
   CrashGuard(
@@ -55,40 +72,80 @@
   }
 
   /**
-   * Returns the remaining quarantine of a call's request in nanoseconds and reports it; 0 if the
-   * call may be sent.
+   * Returns the remaining quarantine of a call in nanoseconds and reports it; 0 if the call may be
+   * sent.
    */
-  long remainingNanos(long at, RelayCall call) {
-    long remaining = quarantine.remainingNanos(at, call.identity());
-    if (remaining > 0) {
-      Fingerprint request = call.identity().fingerprint();
-      report(
-          new RelayFact.Quarantined(
-              call.wireId(), request, quarantine.crashCount(request), remaining));
+  long remainingNanos(long at, RelayCall call, ServiceName service) {
+    if (!quarantine.hasVerdicts()) {
+      return 0;
+    }
+    for (CallTrait trait : CallTrait.of(call, service)) {
+      long remaining = quarantine.remainingNanos(at, trait.id());
+      if (remaining > 0) {
+        report(
+            new RelayFact.Quarantined(
+                call.wireId(),
+                trait.id(),
+                trait.scope(),
+                quarantine.crashCount(trait.id()),
+                remaining));
+        return remaining;
+      }
     }
-    return remaining;
+    return 0;
   }
 
-  /** Returns the remaining quarantine of a request in nanoseconds; 0 if it is not quarantined. */
-  long remainingNanos(long at, Fingerprint request) {
-    return quarantine.remainingNanos(at, request);
+  /** Returns the remaining quarantine of a suspect in nanoseconds; 0 if it is not quarantined. */
+  long remainingNanos(long at, Fingerprint suspect) {
+    return quarantine.remainingNanos(at, suspect);
   }
 
   /**
-   * Handles the complete answer of an upstream to a call, which proves that the request did not
-   * crash it.
+   * Handles the complete answer of an upstream to a call, which proves that neither the request nor
+   * a part of its prompt crashed it.
    */
-  void answered(long at, RelayCall call) {
-    if (quarantine.clear(at, call.identity())) {
-      cleared(at, call.identity().fingerprint(), "answered");
+  void answered(long at, AttemptState a) {
+    partsServed(at, a);
+    if (!quarantine.isEmpty()) {
+      clear(at, CallTrait.of(a.call().call, a.call().service));
+    }
+  }
+
+  private void partsServed(long at, AttemptState a) {
+    BuildName build = a.upstream().upstream().build();
+    for (Fingerprint part : CallTrait.sharedParts(a.call().call, a.call().service)) {
+      harmlessParts.served(at, part, build);
     }
   }
 
+  private void clear(long at, List<CallTrait> harmless) {
+    Set<Fingerprint> cleared = new LinkedHashSet<>();
+    for (CallTrait trait : harmless) {
+      if (quarantine.clear(at, trait.id())) {
+        report(new RelayFact.Cleared(trait.id(), trait.scope(), "answered"));
+        cleared.add(trait.id());
+      }
+    }
+    sendReports(at, cleared);
+  }
+
   /** Handles a connection that broke while its upstream had the attempt. */
   void connectionLost(long at, AttemptState a) {
+    if (CrashEvidence.arePartsHarmless(at, a)) {
+      partsServed(at, a);
+      if (!quarantine.isEmpty()) {
+        clear(at, parts(a.call()));
+      }
+    }
     evidence.connectionLost(at, a);
   }
 
+  private static List<CallTrait> parts(CallState c) {
+    return CallTrait.of(c.call, c.service).stream()
+        .filter(t -> t.scope() instanceof SuspectScope.PromptPart)
+        .toList();
+  }
+
   /** Handles the proven end of an incarnation with an attempt that is still in flight. */
   void endedWithAttempt(long at, AttemptState a, String proof) {
     evidence.endedWithAttempt(at, a, proof);
@@ -108,59 +165,118 @@
     evidence.probed(at, incarnation, result, isProof);
   }
 
-  /** Returns the suspect requests to report to other nodes. */
-  ImmutableList<SuspectRequest> suspects(long at) {
+  /** Returns the suspects to report to other nodes. */
+  ImmutableList<CrashSuspect> suspects(long at) {
     return quarantine.reports(at);
   }
 
-  /** Merges the suspect requests that another node reports. */
-  void merge(long at, ImmutableList<SuspectRequest> reports) {
-    for (SuspectRequest s : reports) {
-      if (quarantine.merge(at, s)) {
-        suspected(at, s.request(), "peer");
+  /** Records the parts of prompts whose streams are running, and have been for long enough. */
+  private void recordRunningParts(long at) {
+    for (AttemptState a : calls.attempts()) {
+      if (CrashEvidence.arePartsHarmless(at, a)) {
+        partsServed(at, a);
       }
     }
   }
 
-  /** Releases a request from quarantine, as ordered by an operator. */
-  void released(long at, Fingerprint request) {
-    if (quarantine.clear(at, request)) {
-      cleared(at, request, "released");
+  /** Merges the suspects that another node reports. */
+  void merge(long at, ImmutableList<CrashSuspect> reports) {
+    recordRunningParts(at);
+    final ImmutableSet<Fingerprint> before = quarantine.quarantined(at);
+    for (CrashSuspect s : reports) {
+      if (isRefuted(at, s)) {
+        quarantine.refute(at, s);
+      } else {
+        quarantine.merge(at, s);
+      }
+    }
+    Set<Fingerprint> added = Sets.difference(quarantine.quarantined(at), before);
+    added.forEach(id -> reportSuspected(at, id, "peer"));
+    if (!added.isEmpty()) {
+      refuseQuarantined(at);
+    }
+  }
+
+  /** Returns whether this node knows that a reported part of prompts caused none of the crashes. */
+  private boolean isRefuted(long at, CrashSuspect s) {
+    return s.scope() instanceof SuspectScope.PromptPart
+        && !s.crashes().isEmpty()
+        && !quarantine.isOutdated(s)
+        && s.crashes().keySet().stream()
+            .allMatch(
+                incarnation ->
+                    calls
+                        .build(incarnation)
+                        .filter(build -> harmlessParts.contains(at, s.id(), build))
+                        .isPresent());
+  }
+
+  /** Releases a suspect from quarantine, as ordered by an operator. */
+  void released(long at, Fingerprint id) {
+    Optional<CrashSuspect> known = quarantine.find(at, id);
+    if (quarantine.clear(at, id)) {
+      report(new RelayFact.Cleared(id, known.orElseThrow().scope(), "released"));
+      sendReports(at, Set.of(id));
     }
   }
 
   private void crashed(
-      long at, UpstreamIncarnation incarnation, ImmutableSet<Fingerprint> requests) {
-    for (Fingerprint request : requests) {
-      if (quarantine.recordCrash(at, request, incarnation)) {
-        suspected(at, request, "self");
-        sendReport(at, request);
+      long at, UpstreamState upstream, ImmutableList<CrashEvidence.LostAttempt> attempts) {
+    recordRunningParts(at);
+    final ImmutableSet<Fingerprint> before = quarantine.quarantined(at);
+    Set<Fingerprint> suspected = new LinkedHashSet<>();
+    for (CrashEvidence.LostAttempt a : attempts) {
+      for (CallTrait trait : CallTrait.of(a.call().call, a.call().service)) {
+        if (!isHarmless(at, trait, upstream, a)
+            && quarantine.recordCrash(at, trait, upstream.incarnation(), a.time())) {
+          suspected.add(trait.id());
+        }
       }
     }
+    suspected.forEach(id -> reportSuspected(at, id, "self"));
+    sendReports(at, suspected);
+    if (!before.containsAll(quarantine.quarantined(at))) {
+      refuseQuarantined(at);
+    }
   }
 
-  private void cleared(long at, Fingerprint request, String cause) {
-    report(new RelayFact.Cleared(request, cause));
-    sendReport(at, request);
+  private boolean isHarmless(
+      long at, CallTrait trait, UpstreamState upstream, CrashEvidence.LostAttempt a) {
+    return trait.scope() instanceof SuspectScope.PromptPart
+        && (!a.arePartsSuspect()
+            || harmlessParts.contains(at, trait.id(), upstream.upstream().build()));
   }
 
-  private void sendReport(long at, Fingerprint request) {
-    quarantine.find(at, request).ifPresent(s -> effects.accept(new RelayEffect.ReportSuspect(s)));
+  private void reportSuspected(long at, Fingerprint id, String source) {
+    quarantine
+        .find(at, id)
+        .ifPresent(
+            s ->
+                report(
+                    new RelayFact.Suspected(
+                        id,
+                        s.scope(),
+                        s.crashes().size(),
+                        quarantine.remainingNanos(at, id),
+                        source)));
   }
 
-  /**
-   * Reports new crashes of a request; if the request is quarantined now, refuses the calls that
-   * wait with it.
-   */
-  private void suspected(long at, Fingerprint request, String source) {
-    long remaining = quarantine.remainingNanos(at, request);
-    report(new RelayFact.Suspected(request, quarantine.crashCount(request), remaining, source));
-    if (remaining == 0) {
-      return;
+  private void sendReports(long at, Set<Fingerprint> ids) {
+    ImmutableList<CrashSuspect> news =
+        ids.stream()
+            .flatMap(id -> quarantine.find(at, id).stream())
+            .collect(ImmutableList.toImmutableList());
+    if (!news.isEmpty()) {
+      effects.accept(new RelayEffect.ReportSuspects(news));
     }
+  }
+
+  /** Refuses the calls that wait and are quarantined now. */
+  private void refuseQuarantined(long at) {
     for (CallState c : calls.idle()) {
-      if (c.call.identity().fingerprint().equals(request)) {
-        calls.refuse(at, c, remainingNanos(at, c.call));
+      long remaining = remainingNanos(at, c.call, c.service);
+      if (remaining > 0) {
+        calls.refuse(at, c, remaining);
       }
     }
   }
--- /dev/null
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
@@ -0,0 +1,181 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay.internal;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.larkkeel.lib.Fingerprint;
+import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.SuspectScope;
+import org.larkkeel.relay.internal.SuspectRecord.CrashTime;
+
+/**
+ * Decides which of the suspects of crashes are to be quarantined.
+ *
+ * <p>A request is quarantined from its third crash on. Far more requests depend on a part of
+ * prompts, so its crashes are weighed: a crash counts in full if a stream with the part had not
+ * begun, because an upstream that runs the part ends as it begins to generate, and half if all had.
+ * Crashes of upstreams that had the part count together if it had been sent to all of them before
+ * the first one ended, as when a whole rack loses power.
+ *
+ * <p>A crash has one cause, but the upstream had several requests, and their prompts several parts.
+ * So the suspect with the greatest weight is quarantined first, and the crashes that it explains no
+ * longer count against the others. A part has the crashes of all requests with it, so it is
+ * examined after the narrower suspects that come with it. Each new crash of the true cause
+ * increases its lead, so that a wrong verdict does not outlast the next one.
+ *
+ * <p>Not thread-safe.
+ */
+final class CrashVerdicts {
+  private static final int FULL = 2;
+  private static final int HALF = 1;
+
+  /** The number of crashes from which a suspect is quarantined; two may be a coincidence. */
+  static final int CRASHES = 3;
+
+  /**
+   * The number of crashes for the first part of prompts: all requests of a rule may share it, so
+   * that a false verdict is an outage.
+   */
+  static final int CRASHES_OF_FIRST_PART = 8;
+
+  private final List<SuspectRecord> open = new ArrayList<>();
+  private final Set<UpstreamIncarnation> explained = new HashSet<>();
+  private final Map<Fingerprint, Verdict> verdicts = new HashMap<>();
+
+  /**
+   * The verdict on a suspect that is to be quarantined.
+   *
+   * @param excess the number of crashes beyond those required
+   * @param lastCrashAt the time of the last crash that counts
+   */
+  record Verdict(int excess, long lastCrashAt) {}
+
+  /**
+   * The evidence against a suspect.
+   *
+   * @param crashes the crashes that count, in the order of their times
+   * @param weight their weight
+   * @param unexplained the weight of those that no quarantined suspect explains
+   */
+  private record Case(SuspectRecord suspect, List<CrashTime> crashes, int weight, int unexplained) {
+    /**
+     * Returns whether the suspect is to be quarantined: the evidence suffices, and most of it has
+     * no other explanation, or for the first part of prompts all that is required.
+     */
+    boolean isProven() {
+      int required = FULL * required(suspect.scope());
+      return isFirstPart(suspect.scope())
+          ? unexplained >= required
+          : weight >= required && 3 * unexplained >= 2 * weight;
+    }
+
+    Verdict verdict() {
+      return new Verdict(weight / FULL - required(suspect.scope()), crashes.getLast().endedAt());
+    }
+  }
+
+  private CrashVerdicts(Collection<SuspectRecord> suspects) {
+    for (SuspectRecord s : suspects) {
+      if (s.crashes().size() >= CRASHES) {
+        open.add(s);
+      }
+    }
+  }
+
+  /** Returns the suspects to be quarantined. */
+  static ImmutableMap<Fingerprint, Verdict> of(Collection<SuspectRecord> suspects) {
+    CrashVerdicts verdicts = new CrashVerdicts(suspects);
+    verdicts.decide();
+    return ImmutableMap.copyOf(verdicts.verdicts);
+  }
+
+  private void decide() {
+    for (List<Case> proven = proven(); !proven.isEmpty(); proven = proven()) {
+      Case strongest = strongest(proven);
+      verdicts.put(strongest.suspect().id(), strongest.verdict());
+      explained.addAll(strongest.suspect().crashes().keySet());
+      open.remove(strongest.suspect());
+    }
+  }
+
+  private List<Case> proven() {
+    return open.stream().map(this::examine).filter(Case::isProven).toList();
+  }
+
+  private Case examine(SuspectRecord s) {
+    List<CrashTime> all = counted(s, Set.of());
+    return new Case(s, all, weight(s, all), weight(s, counted(s, explained)));
+  }
+
+  private static int weight(SuspectRecord s, List<CrashTime> crashes) {
+    return switch (s.scope()) {
+      case SuspectScope.Request r -> FULL * crashes.size();
+      case SuspectScope.PromptPart p ->
+          crashes.stream().mapToInt(c -> c.begun() ? HALF : FULL).sum();
+    };
+  }
+
+  /** Returns the crashes that count against a suspect, in the order of their times. */
+  private static List<CrashTime> counted(SuspectRecord s, Set<UpstreamIncarnation> explained) {
+    List<CrashTime> times = new ArrayList<>();
+    s.crashes()
+        .forEach(
+            (incarnation, time) -> {
+              if (!explained.contains(incarnation)) {
+                times.add(time);
+              }
+            });
+    times.sort(Comparator.comparingLong(CrashTime::endedAt));
+    return switch (s.scope()) {
+      case SuspectScope.Request r -> times;
+      case SuspectScope.PromptPart p -> independent(times);
+    };
+  }
+
+  /**
+   * Returns the case with the greatest weight among those without a narrower one; of equal ones the
+   * widest, as a request that was repeated beside the crashes is more likely than such a part. The
+   * first parts of prompts, which are beside every crash, come last.
+   */
+  private static Case strongest(List<Case> proven) {
+    return proven.stream()
+        .filter(c -> proven.stream().noneMatch(n -> n.suspect().isWithin(c.suspect())))
+        .max(
+            Comparator.comparing((Case c) -> !isFirstPart(c.suspect().scope()))
+                .thenComparingInt(Case::weight)
+                .thenComparingInt(c -> -c.suspect().scope().narrowness())
+                .thenComparing(c -> c.suspect().id().toString()))
+        .orElse(proven.getFirst());
+  }
+
+  private static int required(SuspectScope scope) {
+    return isFirstPart(scope) ? CRASHES_OF_FIRST_PART : CRASHES;
+  }
+
+  private static boolean isFirstPart(SuspectScope scope) {
+    return scope instanceof SuspectScope.PromptPart p && p.position() == 0;
+  }
+
+  /** Returns the crashes of upstreams to which the suspect was sent after the one before. */
+  private static List<CrashTime> independent(List<CrashTime> times) {
+    List<CrashTime> independent = new ArrayList<>();
+    for (CrashTime time : times) {
+      if (independent.isEmpty() || time.sentAt() >= independent.getLast().endedAt()) {
+        independent.add(time);
+      }
+    }
+    return independent;
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
@@ -160,7 +160,7 @@
       core.openCalls.fail(at, c, ErrorKind.UNAUTHENTICATED, 0, Admission.refusalDetail(c.call));
       return;
     }
-    long remaining = core.crashGuard.remainingNanos(at, c.call);
+    long remaining = core.crashGuard.remainingNanos(at, c.call, c.service);
     if (remaining > 0) {
       core.openCalls.fail(
           at, c, ErrorKind.QUARANTINED, remaining / MILLI, CrashGuard.REFUSAL_DETAIL);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -26,6 +26,7 @@
 import org.larkkeel.quota.QuotaKey;
 import org.larkkeel.quota.QuotaRequest;
 import org.larkkeel.quota.TokenLimit;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.NodeReport;
 import org.larkkeel.relay.ProbeResult;
@@ -43,7 +44,6 @@
 import org.larkkeel.relay.StreamBuild;
 import org.larkkeel.relay.StreamId;
 import org.larkkeel.relay.StreamLookup;
-import org.larkkeel.relay.SuspectRequest;
 import org.larkkeel.relay.UpstreamNotice;
 import org.larkkeel.relay.UpstreamPath;
 
@@ -403,7 +403,7 @@
     return core.upstreams.find(incarnation).map(s -> s.acceptsRequests(at)).orElse(true);
   }
 
-  // Requests that are suspected of crashing upstreams.
+  // Requests and parts of prompts that are suspected of crashing upstreams.
 
   /** Handles the result of a probe of an upstream. */
   public void probed(
@@ -437,24 +437,24 @@
     return core.paths.siblings(upstream);
   }
 
-  /** Returns the suspect requests to report to other nodes. */
-  public ImmutableList<SuspectRequest> suspects(long at) {
+  /** Returns the suspects of crashes to report to other nodes. */
+  public ImmutableList<CrashSuspect> suspects(long at) {
     return core.crashGuard.suspects(at);
   }
 
-  /** Returns the remaining quarantine of a request in nanoseconds; 0 if it is not quarantined. */
-  public long remainingQuarantineNanos(long at, Fingerprint request) {
-    return core.crashGuard.remainingNanos(at, request);
+  /** Returns the remaining quarantine of a suspect in nanoseconds; 0 if it is not quarantined. */
+  public long remainingQuarantineNanos(long at, Fingerprint suspect) {
+    return core.crashGuard.remainingNanos(at, suspect);
   }
 
-  /** Merges the suspect requests that another node reports. */
-  public void suspectRequestsReceived(long at, ImmutableList<SuspectRequest> suspects) {
+  /** Merges the suspects that another node reports. */
+  public void suspectsReceived(long at, ImmutableList<CrashSuspect> suspects) {
     core.crashGuard.merge(at, suspects);
   }
 
-  /** Releases a request from quarantine, as ordered by an operator. */
-  public void released(long at, Fingerprint request) {
-    core.crashGuard.released(at, request);
+  /** Releases a suspect from quarantine, as ordered by an operator. */
+  public void released(long at, Fingerprint suspect) {
+    core.crashGuard.released(at, suspect);
   }
 
   // Moves: runs at leaving upstreams continue elsewhere with their memory.
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -127,7 +127,7 @@
     }
     core.paths.heard(at, a);
     CallState c = a.call();
-    core.crashGuard.answered(at, c.call);
+    core.crashGuard.answered(at, a);
     if (grade == AnswerGrade.GOOD && !c.streamBegan) {
       recordSuccess(at, a);
     } else if (grade == AnswerGrade.FAILED) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -8,252 +8,239 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import java.util.Collections;
+import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
-import org.larkkeel.relay.RequestIdentity;
-import org.larkkeel.relay.SuspectRequest;
+import org.larkkeel.relay.CrashSuspect;
+import org.larkkeel.relay.SuspectScope;
 
 /**
- * The requests that upstreams had when they crashed, and which of them are quarantined.
+ * The requests and parts of prompts that upstreams had when they crashed, and which of them are
+ * quarantined.
  *
- * <p>A request is quarantined from the third crash on, for a time that doubles with each further
- * one. Then it may be tried again; the nodes do so at different times, so that usually only one of
- * them tries. A complete answer to the request on any node clears it.
+ * <p>{@link CrashVerdicts} decides from which crash on a suspect is quarantined; the time doubles
+ * with each further one. Then it may be tried again; the nodes do so at different times, so that
+ * usually only one of them tries. A complete answer to the suspect on any node clears it.
  *
- * <p>Invariants: each incarnation of an upstream counts once for a request, whoever reports it; at
- * most {@link #MAX_REQUESTS} requests are kept, those with more crashes for longest. Not
+ * <p>Invariants: each incarnation of an upstream counts once for a suspect, whoever reports it; at
+ * most {@link #MAX_OF_SCOPE} suspects of a kind are kept, those with more crashes for longest. Not
  * thread-safe.
  */
 final class Quarantine {
-  static final int MAX_REQUESTS = 512;
+  /** The maximum number of requests, and that of parts of prompts. */
+  static final int MAX_OF_SCOPE = 512;
+
   private static final long SECOND = 1_000_000_000L;
 
-  /** The duration of the quarantine after the third crash. */
+  /** The duration of the quarantine after the first crashes that suffice. */
   static final long QUARANTINE_NANOS = 600 * SECOND;
 
   private static final int MAX_DOUBLINGS = 3;
 
-  /** The maximum random difference between the times at which nodes try a request again. */
+  /** The maximum random difference between the times at which nodes try a suspect again. */
   private static final long MAX_SPREAD_NANOS = 60 * SECOND;
 
   /** The minimum time for which a crash counts towards the next. */
   private static final long MIN_RETENTION_NANOS = 600 * SECOND;
 
-  /** The time for which a request with at most one crash is reported to other nodes. */
+  /** The time for which a suspect with at most one crash is reported to other nodes. */
   private static final long REPORT_NANOS = 10 * SECOND;
 
-  private static final int MAX_CRASHES = 8;
-
-  private final Map<Fingerprint, Entry> entries = new HashMap<>();
+  private final Map<Fingerprint, SuspectRecord> records = new HashMap<>();
   private final SplittableRandom random;
 
-  /** The known crashes of one request. */
-  private static final class Entry {
-    private final Map<UpstreamIncarnation, Long> crashes = new LinkedHashMap<>();
-    private final long spreadNanos;
-    private int clearanceEpoch;
-    private long changedAt;
-
-    Entry(long spreadNanos) {
-      this.spreadNanos = spreadNanos;
-    }
+  /** The verdicts on all records; null if a record has changed since. */
+  private ImmutableMap<Fingerprint, CrashVerdicts.Verdict> verdicts = ImmutableMap.of();
 
-    private long lastCrashAt() {
-      return crashes.isEmpty() ? changedAt : Collections.max(crashes.values());
-    }
-
-    private long quarantineNanos() {
-      long base = Quarantine.quarantineNanos(crashes.size());
-      return base == 0 ? 0 : base + spreadNanos;
-    }
-
-    private long remainingNanos(long at) {
-      return Math.max(0, lastCrashAt() + quarantineNanos() - at);
-    }
+  Quarantine(SplittableRandom random) {
+    this.random = random;
+  }
 
-    private boolean isExpired(long at) {
-      return Quarantine.isExpired(at - lastCrashAt(), crashes.size());
-    }
+  /** Returns whether no suspect is known. */
+  boolean isEmpty() {
+    return records.isEmpty();
+  }
 
-    private boolean shouldReport(long at) {
-      return crashes.size() > 1 || at - changedAt < REPORT_NANOS;
-    }
+  /** Returns whether any suspect is or was quarantined, so that calls must be checked. */
+  boolean hasVerdicts() {
+    return !verdicts().isEmpty();
   }
 
-  Quarantine(SplittableRandom random) {
-    this.random = random;
+  private ImmutableMap<Fingerprint, CrashVerdicts.Verdict> verdicts() {
+    if (verdicts == null) {
+      verdicts = CrashVerdicts.of(records.values());
+    }
+    return verdicts;
   }
 
-  /** Returns the remaining quarantine of a request in nanoseconds; 0 if it is not quarantined. */
-  long remainingNanos(long at, RequestIdentity request) {
-    return entries.isEmpty() ? 0 : remainingNanos(at, request.fingerprint());
+  /** Returns the remaining quarantine of a suspect in nanoseconds; 0 if it is not quarantined. */
+  long remainingNanos(long at, Fingerprint id) {
+    CrashVerdicts.Verdict v = verdicts().get(id);
+    if (v == null) {
+      return 0;
+    }
+    return Math.max(
+        0, v.lastCrashAt() + quarantineNanos(v.excess()) + records.get(id).spreadNanos - at);
   }
 
-  /**
-   * Returns the remaining quarantine of the request with a fingerprint in nanoseconds; 0 if it is
-   * not quarantined.
-   */
-  long remainingNanos(long at, Fingerprint request) {
-    Entry e = entries.get(request);
-    return e == null ? 0 : e.remainingNanos(at);
+  /** Returns the suspects that are quarantined. */
+  ImmutableSet<Fingerprint> quarantined(long at) {
+    return verdicts().keySet().stream()
+        .filter(id -> remainingNanos(at, id) > 0)
+        .collect(ImmutableSet.toImmutableSet());
   }
 
-  /** Returns the number of crashes that count for a request. */
-  int crashCount(Fingerprint request) {
-    Entry e = entries.get(request);
-    return e == null ? 0 : e.crashes.size();
+  /** Returns the number of crashes that count for a suspect. */
+  int crashCount(Fingerprint id) {
+    SuspectRecord r = records.get(id);
+    return r == null ? 0 : r.crashes().size();
   }
 
   /**
-   * Records that an incarnation of an upstream crashed while it had a request; returns whether that
+   * Records that an incarnation of an upstream crashed while it had a suspect; returns whether that
    * is new.
    */
-  boolean recordCrash(long at, Fingerprint request, UpstreamIncarnation incarnation) {
-    Entry e = getOrCreate(at, request);
-    return addCrash(e, incarnation, at, at);
+  boolean recordCrash(
+      long at, CallTrait trait, UpstreamIncarnation incarnation, SuspectRecord.CrashTime time) {
+    SuspectRecord r = getOrCreate(at, trait.id(), trait.scope());
+    r.describe(trait.scope(), trait.wider());
+    verdicts = null;
+    return r.addCrash(at, incarnation, time);
   }
 
-  private static boolean addCrash(
-      Entry e, UpstreamIncarnation incarnation, long crashedAt, long now) {
-    Long known = e.crashes.get(incarnation);
-    if (known != null) {
-      e.crashes.put(incarnation, Math.min(known, crashedAt));
-      return false;
-    }
-    e.crashes.put(incarnation, crashedAt);
-    if (e.crashes.size() > MAX_CRASHES) {
-      Map.Entry<UpstreamIncarnation, Long> oldest =
-          Collections.min(e.crashes.entrySet(), Map.Entry.comparingByValue());
-      e.crashes.remove(oldest.getKey());
-    }
-    e.changedAt = now;
-    return true;
+  /** Returns whether a report is older than a clearance that is known here. */
+  boolean isOutdated(CrashSuspect report) {
+    SuspectRecord known = records.get(report.id());
+    return known != null && known.clearanceEpoch() > report.clearanceEpoch();
   }
 
-  /**
-   * Merges the report of another node.
-   *
-   * @return whether the report has put the request into quarantine
-   */
-  boolean merge(long at, SuspectRequest report) {
-    Entry known = entries.get(report.request());
-    if (known != null && known.clearanceEpoch > report.clearanceEpoch()) {
-      // A node that reports an earlier clearance epoch has not received this one, so report it
-      // again.
-      known.changedAt = at;
-      return false;
+  /** Merges the report of another node. */
+  void merge(long at, CrashSuspect report) {
+    if (isOutdated(report)) {
+      records.get(report.id()).touch(at);
+      return;
     }
-    if (known == null && isExpiredReport(report)) {
-      return false;
+    if (!records.containsKey(report.id()) && isExpiredReport(report)) {
+      return;
     }
-    boolean wasQuarantined = remainingNanos(at, report.request()) > 0;
-    Entry e = getOrCreate(at, report.request());
-    if (e.clearanceEpoch < report.clearanceEpoch()) {
-      startClearanceEpoch(at, e, report.clearanceEpoch());
+    SuspectRecord r = getOrCreate(at, report.id(), report.scope());
+    r.describe(report.scope(), report.wider());
+    if (r.clearanceEpoch() < report.clearanceEpoch()) {
+      r.startClearanceEpoch(at, report.clearanceEpoch());
     }
-    report.crashes().forEach((incarnation, age) -> addCrash(e, incarnation, at - age, at));
-    return !wasQuarantined && e.remainingNanos(at) > 0;
+    report
+        .crashes()
+        .forEach(
+            (incarnation, c) ->
+                r.addCrash(
+                    at,
+                    incarnation,
+                    new SuspectRecord.CrashTime(
+                        at - c.ageNanos(), at - c.sentAgeNanos(), c.begun())));
+    verdicts = null;
   }
 
-  private static boolean isExpiredReport(SuspectRequest report) {
-    return !report.crashes().isEmpty()
-        && isExpired(Collections.min(report.crashes().values()), report.crashes().size());
+  private static boolean isExpiredReport(CrashSuspect report) {
+    return report.crashes().values().stream().mapToLong(CrashSuspect.Crash::ageNanos).min().stream()
+        .anyMatch(lastAge -> isExpired(lastAge, report.crashes().size()));
   }
 
-  private static long quarantineNanos(int crashes) {
-    int doublings = Math.min(crashes - SuspectRequest.CRASHES_TO_QUARANTINE, MAX_DOUBLINGS);
-    return doublings < 0 ? 0 : QUARANTINE_NANOS << doublings;
+  /**
+   * Clears a suspect that another node reports, since this node knows that it is harmless. The
+   * clearance epoch is later than the one reported.
+   */
+  void refute(long at, CrashSuspect report) {
+    SuspectRecord r = getOrCreate(at, report.id(), report.scope());
+    r.startClearanceEpoch(at, Math.max(r.clearanceEpoch(), report.clearanceEpoch()) + 1);
+    verdicts = null;
+  }
+
+  private static long quarantineNanos(int excess) {
+    return QUARANTINE_NANOS << Math.min(excess, MAX_DOUBLINGS);
   }
 
   /** Returns whether crashes, the last of which is this old, no longer count. */
   private static boolean isExpired(long lastCrashAgeNanos, int crashes) {
-    return lastCrashAgeNanos
-        > 2 * (quarantineNanos(crashes) + MAX_SPREAD_NANOS) + MIN_RETENTION_NANOS;
+    int excess = crashes - CrashVerdicts.CRASHES;
+    long quarantine = excess < 0 ? 0 : quarantineNanos(excess);
+    return lastCrashAgeNanos > 2 * (quarantine + MAX_SPREAD_NANOS) + MIN_RETENTION_NANOS;
+  }
+
+  private static boolean isExpired(long at, SuspectRecord r) {
+    return isExpired(at - r.lastCrashAt(), r.crashes().size());
   }
 
-  /** Clears a request; returns whether any crash counted against it. */
-  boolean clear(long at, Fingerprint request) {
-    Entry e = entries.get(request);
-    if (e == null || e.crashes.isEmpty()) {
+  /** Clears a suspect; returns whether any crash counted against it. */
+  boolean clear(long at, Fingerprint id) {
+    SuspectRecord r = records.get(id);
+    if (r == null || r.crashes().isEmpty()) {
       return false;
     }
-    startClearanceEpoch(at, e, e.clearanceEpoch + 1);
+    r.startClearanceEpoch(at, r.clearanceEpoch() + 1);
+    verdicts = null;
     return true;
   }
 
-  /** Clears a request; computes its fingerprint only if any request is known. */
-  boolean clear(long at, RequestIdentity request) {
-    return !entries.isEmpty() && clear(at, request.fingerprint());
-  }
-
-  private static void startClearanceEpoch(long at, Entry e, int epoch) {
-    e.clearanceEpoch = epoch;
-    e.crashes.clear();
-    e.changedAt = at;
-  }
-
-  private Entry getOrCreate(long at, Fingerprint request) {
-    Entry e = entries.get(request);
-    if (e == null) {
-      evictOne(at);
-      e = new Entry(random.nextLong(MAX_SPREAD_NANOS));
-      e.changedAt = at;
-      entries.put(request, e);
+  private SuspectRecord getOrCreate(long at, Fingerprint id, SuspectScope scope) {
+    SuspectRecord r = records.get(id);
+    if (r == null) {
+      evictOne(at, scope);
+      r = new SuspectRecord(at, id, scope, random.nextLong(MAX_SPREAD_NANOS));
+      records.put(id, r);
     }
-    return e;
+    return r;
   }
 
   /**
-   * Makes space for another entry by dropping the expired ones, or else the one with the fewest and
-   * oldest crashes.
+   * Makes space for another suspect of a kind by dropping the expired ones, or else the one with
+   * the fewest and oldest crashes.
    */
-  private void evictOne(long at) {
-    entries.values().removeIf(e -> e.isExpired(at));
-    if (entries.size() < MAX_REQUESTS) {
+  private void evictOne(long at, SuspectScope scope) {
+    removeExpired(at);
+    Class<?> kind = scope.getClass();
+    if (records.values().stream().filter(r -> kind.isInstance(r.scope())).count() < MAX_OF_SCOPE) {
       return;
     }
-    entries.entrySet().stream()
+    records.values().stream()
+        .filter(r -> kind.isInstance(r.scope()))
         .min(
-            Comparator.comparingInt(
-                    (Map.Entry<Fingerprint, Entry> e) -> e.getValue().crashes.size())
-                .thenComparingLong(e -> e.getValue().lastCrashAt()))
-        .ifPresent(e -> entries.remove(e.getKey()));
+            Comparator.comparingInt((SuspectRecord r) -> r.crashes().size())
+                .thenComparingLong(SuspectRecord::lastCrashAt))
+        .ifPresent(r -> records.remove(r.id()));
+    verdicts = null;
+  }
+
+  private void removeExpired(long at) {
+    if (records.values().removeIf(r -> isExpired(at, r))) {
+      verdicts = null;
+    }
   }
 
-  /** Returns the report on a request; empty if the request is not known. */
-  Optional<SuspectRequest> find(long at, Fingerprint request) {
-    return Optional.ofNullable(entries.get(request)).map(e -> toReport(at, request, e));
+  /** Returns the report on a suspect; empty if it is not known. */
+  Optional<CrashSuspect> find(long at, Fingerprint id) {
+    return Optional.ofNullable(records.get(id)).map(r -> r.toReport(at));
   }
 
-  /** Returns the reports for other nodes, those with the most crashes first. */
-  ImmutableList<SuspectRequest> reports(long at) {
-    if (entries.isEmpty()) {
+  /**
+   * Returns the reports for other nodes, the narrowest first, so that whoever merges them in this
+   * order knows what explains the crashes of a wider suspect before.
+   */
+  ImmutableList<CrashSuspect> reports(long at) {
+    if (records.isEmpty()) {
       return ImmutableList.of();
     }
-    for (Iterator<Entry> i = entries.values().iterator(); i.hasNext(); ) {
-      if (i.next().isExpired(at)) {
-        i.remove();
-      }
-    }
-    return entries.entrySet().stream()
-        .filter(e -> e.getValue().shouldReport(at))
-        .sorted(Comparator.comparingInt(e -> -e.getValue().crashes.size()))
-        .map(e -> toReport(at, e.getKey(), e.getValue()))
+    removeExpired(at);
+    return records.values().stream()
+        .filter(r -> r.crashes().size() > 1 || at - r.changedAt() < REPORT_NANOS)
+        .sorted(
+            Comparator.comparingInt((SuspectRecord r) -> -r.scope().narrowness())
+                .thenComparingInt(r -> -r.crashes().size()))
+        .map(r -> r.toReport(at))
         .collect(ImmutableList.toImmutableList());
   }
-
-  private static SuspectRequest toReport(long at, Fingerprint request, Entry e) {
-    ImmutableMap.Builder<UpstreamIncarnation, Long> ages = ImmutableMap.builder();
-    e.crashes.forEach(
-        (incarnation, crashedAt) -> ages.put(incarnation, Math.max(0, at - crashedAt)));
-    return new SuspectRequest(request, e.clearanceEpoch, ages.buildOrThrow());
-  }
 }
