Close a share of new connections unread while the event loop is behind

A load balancer may hand one node most new connections of a zone. The listener took all of them, and what was read waited until its caller gave up.

IntakeGateTest failed without the gate: no connection was closed while the loop was busy for 300 ms at a time.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.http.relay.RelayListener;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.RelayFact;
@@ -305,6 +306,13 @@
     placementPasses.set(passes);
   }
 
+  /** Registers the number of connections that a listener closed before it read a request. */
+  void register(RelayListener listener) {
+    FunctionCounter.builder(
+            "larkkeel.relay.connections.closed.unread", listener, RelayListener::closedUnread)
+        .register(registry);
+  }
+
   /** Records the result of a request for a copy of the store's state. */
   void copy(String result) {
     registry.counter("larkkeel.relay.copies", "result", result).increment();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -134,6 +134,7 @@
                 new LimitAdmin(loop, router)));
     this.listener =
         closer.add(RelayListener.start(callerSettings(settings), worker, loop, executor, dialect));
+    meters.register(listener);
     HttpClientOptions options =
         HttpClientOptions.of(settings.store()).withTimeout(settings.storeTimeout());
     ObjectApi store = adapter.store(options, worker.worker(), scheduler);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -6,17 +6,19 @@
 
 package org.larkkeel.http.relay;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.http.HttpWorker;
@@ -33,7 +35,12 @@
 import org.larkkeel.relay.RequestIdentity;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
 
 /**
  * Accepts opaque HTTP requests of callers and submits them to the router.
@@ -63,7 +70,9 @@
   private long lastId;
   private volatile boolean closing;
   private volatile boolean refusing;
-  private Undertow server;
+  private final IntakeGate intake;
+  private HttpOpenListener connections;
+  private AcceptingChannel<StreamConnection> server;
 
   private RelayListener(
       CallerSettings settings, RelayLoop loop, RelayExecutor executor, RelayDialect dialect) {
@@ -72,6 +81,7 @@
     this.executor = executor;
     this.dialect = dialect;
     this.bodies = new BodyReader(settings);
+    this.intake = new IntakeGate(new SplittableRandom(settings.bind().hashCode()));
   }
 
   /**
@@ -90,31 +100,64 @@
       RelayExecutor executor,
       RelayDialect dialect) {
     RelayListener listener = new RelayListener(settings, loop, executor, dialect);
-    HttpHandler handler = new HttpContinueReadHandler(listener::handle);
-    InetSocketAddress bind = settings.bind();
-    listener.server =
-        Undertow.builder()
-            .setWorker(worker.worker())
-            .setByteBufferPool(worker.buffers())
-            .setSocketOption(Options.BACKLOG, BACKLOG)
-            .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setServerOption(UndertowOptions.DECODE_URL, false)
-            .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-            .setServerOption(
-                UndertowOptions.MAX_ENTITY_SIZE, DRAINED_BODY_FACTOR * settings.maxBodyBytes())
-            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.headerMillis())
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleMillis())
-            .addHttpListener(bind.getPort(), bind.getAddress().getHostAddress(), handler)
-            .build();
-    listener.server.start();
+    listener.bind(worker);
+    loop.thread().execute(() -> loop.setTurnListener(listener.intake::turned));
     return listener;
   }
 
+  private void bind(HttpWorker worker) {
+    OptionMap options =
+        OptionMap.builder()
+            .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+            .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+            .set(UndertowOptions.ALWAYS_SET_DATE, false)
+            .set(UndertowOptions.DECODE_URL, false)
+            .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+            .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+            .set(UndertowOptions.MAX_ENTITY_SIZE, DRAINED_BODY_FACTOR * settings.maxBodyBytes())
+            .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.headerMillis())
+            .set(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleMillis())
+            .getMap();
+    OptionMap socketOptions =
+        OptionMap.builder()
+            .set(Options.TCP_NODELAY, true)
+            .set(Options.REUSE_ADDRESSES, true)
+            .set(Options.BACKLOG, BACKLOG)
+            .set(Options.BALANCING_TOKENS, 1)
+            .set(Options.BALANCING_CONNECTIONS, 2)
+            .getMap();
+    connections = new HttpOpenListener(worker.buffers(), options);
+    connections.setRootHandler(new HttpContinueReadHandler(this::handle));
+    try {
+      server =
+          worker
+              .worker()
+              .createStreamConnectionServer(
+                  settings.bind(),
+                  ChannelListeners.openListenerAdapter(this::opened),
+                  socketOptions);
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot listen at " + settings.bind(), e);
+    }
+    server.resumeAccepts();
+  }
+
+  private void opened(StreamConnection connection) {
+    if (intake.admits()) {
+      connections.handleEvent(connection);
+    } else {
+      IoUtils.safeClose(connection);
+    }
+  }
+
+  /** Returns the number of connections that were closed unread since the loop was behind. */
+  public long closedUnread() {
+    return intake.closed();
+  }
+
   /** Returns the bound address. */
   public InetSocketAddress address() {
-    return (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
+    return server.getLocalAddress(InetSocketAddress.class);
   }
 
   /** From now on closes each connection after the next answer on it. */
@@ -131,7 +174,8 @@
 
   @Override
   public void close() {
-    server.stop();
+    IoUtils.safeClose(server);
+    connections.closeConnections();
   }
 
   private void handle(HttpServerExchange exchange) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayLoop.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.EarlyRefusal;
 import org.larkkeel.relay.RelayEffect;
@@ -41,6 +42,7 @@
   private final Deque<RelayEvent> queue = new ArrayDeque<>();
   private Consumer<RelayEffect> setEffectSink = e -> {};
   private Runnable afterBatch = () -> {};
+  private LongConsumer turnListener = late -> {};
   private volatile boolean closed;
   private boolean applying;
   private XnioExecutor.Key timer;
@@ -70,6 +72,19 @@
     afterBatch = action;
   }
 
+  /**
+   * Sets a listener that is told on the loop's thread, every {@link StallDetector#PERIOD}, how late
+   * the loop runs its timers. Must be called on that thread.
+   */
+  void setTurnListener(LongConsumer lateNanos) {
+    turnListener = lateNanos;
+  }
+
+  /** Returns the thread of the loop. */
+  XnioIoThread thread() {
+    return thread;
+  }
+
   /** Returns the current time of the clock that events carry, nanoseconds. */
   public long now() {
     return clock.nanoTime();
@@ -166,7 +181,7 @@
 
   private void turned() {
     long nanos = stalls.takeStallNanos();
-    stalls.turned();
+    turnListener.accept(stalls.turned());
     if (nanos > 0) {
       submit(new RelayEvent.Stalled(now(), nanos));
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/StallDetector.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/StallDetector.java
@@ -47,9 +47,16 @@
     return nanos;
   }
 
-  /** Records that the loop runs its timers; to be called every {@link #PERIOD}. */
-  void turned() {
-    lastTurnNanos = clock.getAsLong();
+  /**
+   * Records that the loop runs its timers; to be called every {@link #PERIOD}.
+   *
+   * @return how late it runs them, in nanoseconds; 0 or less if it is on time
+   */
+  long turned() {
+    long now = clock.getAsLong();
+    long late = started ? now - lastTurnNanos - PERIOD.toNanos() : 0;
+    lastTurnNanos = now;
     started = true;
+    return late;
   }
 }
