Bring parts that crash runners about in the soak, and streams that end with their connection in a test

The soak's streams name their prompts: a first part that all share, one of six documents, or one of two parts that crash each runner that begins to run them. A stream without length or chunks that ends inside an event goes on at another upstream after the last complete event; the code did so before.

--- a/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
@@ -180,7 +180,7 @@
             + id
             + "\r\nX-Deadline-Ms: 4000\r\nX-Model: m\r\n"
             + (path.startsWith("/s") && !path.startsWith("/safe") || path.startsWith("/r")
-                ? "X-Token-Usage: 1000,2000\r\nX-Prefix-Hash: 5c:1000\r\n"
+                ? "X-Token-Usage: 1000,2000\r\n" + SoakCrashes.promptOf(id) + "\r\n"
                 : "")
             + (additionalHeaders.isEmpty() ? "" : additionalHeaders + "\r\n")
             + (text.isEmpty() ? "" : "Content-Length: " + text.length() + "\r\n")
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakCrashes.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakCrashes.java
@@ -15,15 +15,23 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Sends requests that crash each runner that starts to run them, repeatedly and to any node, and
- * checks that nodes stop sending a request to runners after its third crash.
+ * Sends requests that crash each runner that starts to run them to any node, and checks that nodes
+ * stop sending them to runners: one request that is repeated after its third crash, and different
+ * ones that share a part of their prompts after the fifth.
  *
  * <p>Safe for use by several threads.
  */
 final class SoakCrashes {
   private static final String BODY = "crash-";
+  private static final String PART = "crash-part-";
   private static final int REQUESTS = 2;
+  private static final int PARTS = 2;
+
+  /** The number of parts of prompts that the requests of other callers share. */
+  private static final int DOCUMENTS = 6;
+
   private static final int MAX_CRASHES = 3;
+  private static final int MAX_CRASHES_OF_PART = 5;
 
   /** Attempts that may still reach runners after nodes had the time to learn of the third crash. */
   private static final int MAX_ATTEMPTS_AFTER = 3;
@@ -36,7 +44,7 @@
   private final Map<String, History> histories = new HashMap<>();
   private int sent;
 
-  /** The crashes of one request, and its attempts after the third. */
+  /** The crashes of one request or part, and its attempts after the last one allowed. */
   private static final class History {
     private final List<Long> crashes = new ArrayList<>();
     private int attemptsAfter;
@@ -62,9 +70,13 @@
     if (!soak.isLoaded()) {
       return;
     }
-    String body = BODY + random.nextInt(REQUESTS);
+    sent++;
+    String body =
+        random.nextBoolean()
+            ? BODY + random.nextInt(REQUESTS)
+            : PART + random.nextInt(PARTS) + "." + sent;
     int node = soak.pickNode(random);
-    String name = body + "-" + ++sent;
+    String name = body + "-" + sent;
     Thread.ofVirtual().start(() -> send(name, node, body));
     soak.after(random.nextInt(100, 500), this::sendNext);
   }
@@ -81,11 +93,24 @@
     }
   }
 
+  /** Returns what crashes runners in a request: a part of its prompt, or the whole body. */
+  private static String cause(String body) {
+    return body.startsWith(PART) ? body.substring(0, body.indexOf('.')) : body;
+  }
+
+  /** Returns the header with the parts of a request's prompt. */
+  static String promptOf(String id) {
+    String shared =
+        id.startsWith(PART) ? cause(id) : "document-" + Math.floorMod(id.hashCode(), DOCUMENTS);
+    return "X-Prefix-Hash: first:400," + shared + ":400," + id + ":200";
+  }
+
   /** Records that a request has reached a runner, for a run or a prefill. */
   synchronized void reached(String wire, String body) {
-    History h = histories.computeIfAbsent(body, b -> new History());
-    if (h.crashes.size() < MAX_CRASHES
-        || System.nanoTime() - h.crashes.get(MAX_CRASHES - 1) < KNOWN_AFTER_NANOS) {
+    History h = histories.computeIfAbsent(cause(body), b -> new History());
+    int allowed = body.startsWith(PART) ? MAX_CRASHES_OF_PART : MAX_CRASHES;
+    if (h.crashes.size() < allowed
+        || System.nanoTime() - h.crashes.get(allowed - 1) < KNOWN_AFTER_NANOS) {
       return;
     }
     ledger
@@ -101,6 +126,6 @@
 
   /** Records that a request has crashed a runner. */
   synchronized void crashed(String body) {
-    histories.computeIfAbsent(body, b -> new History()).crashes.add(System.nanoTime());
+    histories.computeIfAbsent(cause(body), b -> new History()).crashes.add(System.nanoTime());
   }
 }
--- a/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.platform;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -104,6 +105,35 @@
     }
   }
 
+  /** Tests of streams that can resume at another upstream. */
+  public static class WithResume {
+    /** The ends of streams that do not say how long they are. */
+    @DataProvider
+    static Object[][] rests() {
+      return new Object[][] {{"id: 3\nda"}, {"id: 3"}, {"i"}, {"data: piece-3\n"}};
+    }
+
+    @Test(dataProvider = "rests")
+    public void goOnAfterTheLastCompleteEvent(String rest) throws Exception {
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        RawServer.Script runner =
+            (r, out, s) -> {
+              String last = r.header("Last-Event-Id");
+              String events = last == null ? event(1) + event(2) + rest : event(3) + event(4);
+              RawServer.write(out, HEAD + "\r\n" + events);
+              s.close();
+            };
+        w.runner("i-run-1", "model", "decode", runner);
+        w.runner("i-run-2", "model", "decode", runner);
+        String answer = w.exchange("POST", "/resume/a", "X-Model: m\r\n", "x");
+        for (int i = 1; i <= 4; i++) {
+          assertEquals(answer.split("data: piece-" + i + "\n", -1).length, 2, answer);
+        }
+        assertTrue(answer.endsWith(END), answer);
+      }
+    }
+  }
+
   /**
    * Tests of HTTP/1.0 callers. For them the end of the connection is the end of the stream, so only
    * a reset shows that the stream is incomplete.
