Weigh parts of prompts that nodes of an earlier build report as requests

A node of an earlier build passes a suspect part on without its details. A node that starts in a rolling update took it for a request, of which three crashes suffice: the first part, with a crash of each upstream, would have been quarantined with its whole rule until another node told the details. The scope follows from the call that is checked now. CrashingPromptPartsTest.Exchange.weighsPartsThatAreReportedAsRequests.

The cluster test has 87 nodes, calls with two deadly parts, and all nodes killed in the midst: three crashes each.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingPromptPartsClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingPromptPartsClusterTest.java
@@ -21,6 +21,7 @@
 public class CrashingPromptPartsClusterTest {
   private static final int SMALL = 8;
   private static final int LARGE = 40;
+  private static final int VERY_LARGE = 87;
   private static final int COORDINATOR_FROM = 20;
   private static final int ENGINES = 8;
   private static final long START_MILLIS = 6_000;
@@ -36,7 +37,9 @@
   /** Returns numbers of nodes and seeds. */
   @DataProvider
   public static Object[][] clusters() {
-    return new Object[][] {{SMALL, 1}, {SMALL, 2}, {SMALL, 3}, {LARGE, 4}, {LARGE, 5}};
+    return new Object[][] {
+      {SMALL, 1}, {SMALL, 2}, {SMALL, 3}, {LARGE, 4}, {LARGE, 5}, {VERY_LARGE, 6}
+    };
   }
 
   private static SimCluster startedCluster(int nodes, long seed) {
@@ -106,6 +109,16 @@
 
   /** Several deadly parts at the same time. */
   public static class Several {
+    @Test
+    public void areNotSentTogether() {
+      SimCluster cluster = startedCluster(SMALL, 13);
+      cluster.deadlyParts.add("deadly-0");
+      cluster.deadlyParts.add("deadly-1");
+      repeat(cluster, 75, SYSTEM, "deadly-0", "deadly-1");
+      assertFewSends(cluster);
+      assertNoneQuarantined(cluster);
+    }
+
     @Test
     public void areDistinguished() {
       SimCluster cluster = startedCluster(SMALL, 8);
@@ -166,6 +179,16 @@
       assertEquals(cluster.placed - placed, 100);
     }
 
+    @Test
+    public void areNotRefusedIfAllNodesAreKilledMeanwhile() {
+      SimCluster cluster = startedCluster(SMALL, 14);
+      cluster.deadlyParts.add(DEADLY);
+      cluster.after(3_000, () -> cluster.restartNodes(700));
+      repeat(cluster, 50, SYSTEM, DEADLY);
+      assertFewSends(cluster);
+      assertNoneQuarantined(cluster);
+    }
+
     @Test
     public void areNotRefusedOnNodesThatHaveServedNothingYet() {
       SimCluster cluster = startedCluster(SMALL, 10);
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
@@ -316,6 +316,15 @@
       assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
     }
 
+    /** Nodes of an earlier build pass parts on as requests, of which three crashes suffice. */
+    @Test
+    public void weighsPartsThatAreReportedAsRequests() {
+      RelayWorld w = world();
+      CrashSuspect s = report(FIRST, 0, 0, "a", "b", "c", "d");
+      receive(w, new CrashSuspect(s.id(), SuspectScope.REQUEST, 0, s.crashes(), ImmutableSet.of()));
+      assertTrue(isSent(w, "/stream/a", FIRST, "sound"));
+    }
+
     @Test
     public void reportsAllSuspectsOfCrashTogether() {
       RelayWorld w = world();
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -267,15 +267,27 @@
   RequestId arrive(
       String path, long deadlineMillis, CallSize size, PromptKey prompt, boolean resumes) {
     return arrive(
-        path, deadlineMillis, size, prompt, resumes, "body of " + (lastCall + 1), Optional.empty());
+        path,
+        deadlineMillis,
+        size,
+        Prompt.of(prompt),
+        resumes,
+        Optional.empty(),
+        nextBody(),
+        Optional.empty());
+  }
+
+  private String nextBody() {
+    return "body of " + (lastCall + 1);
   }
 
   private RequestId arrive(
       String path,
       long deadlineMillis,
       CallSize size,
-      PromptKey prompt,
+      Prompt prompt,
       boolean resumes,
+      Optional<StreamId> resumedStream,
       String body,
       Optional<CallerKey> key) {
     RequestId id = new RequestId(++lastCall);
@@ -293,6 +305,7 @@
                 size,
                 prompt,
                 resumes,
+                resumedStream,
                 identity,
                 key)));
     return id;
@@ -300,25 +313,15 @@
 
   /** Starts a call that takes up a stream, named by the call that brought its first event. */
   RequestId resume(String path, CallSize size, String stream) {
-    RequestId id = new RequestId(++lastCall);
-    RequestIdentity identity =
-        new RequestIdentity("POST", "a.example", path, "", stream.getBytes(StandardCharsets.UTF_8));
-    apply(
-        new RelayEvent.Arrived(
-            now,
-            new RelayCall(
-                id,
-                "call-" + lastCall,
-                "a.example",
-                path,
-                10_000,
-                size,
-                Prompt.NONE,
-                true,
-                Optional.of(new StreamId(stream)),
-                identity,
-                Optional.empty())));
-    return id;
+    return arrive(
+        path,
+        10_000,
+        size,
+        Prompt.NONE,
+        true,
+        Optional.of(new StreamId(stream)),
+        stream,
+        Optional.empty());
   }
 
   /** Starts a call that carries a key. */
@@ -327,20 +330,21 @@
         path,
         0,
         size,
-        PromptKey.NONE,
+        Prompt.NONE,
         false,
-        "body of " + (lastCall + 1),
+        Optional.empty(),
+        nextBody(),
         Optional.of(CallerKey.of(key)));
   }
 
   /** Starts a call with a given body, so that several calls can be the same request. */
   RequestId arriveWithBody(String path, CallSize size, String body) {
-    return arrive(path, 14_000, size, PromptKey.NONE, false, body, Optional.empty());
+    return arriveWithPrompt(path, size, body, Prompt.NONE);
   }
 
   /** Starts a call with a body of its own whose prompt begins with the given parts. */
   RequestId arriveWithPrompt(String path, CallSize size, String... sharedParts) {
-    return arriveWithBodyAndPrompt(path, size, "body of " + (lastCall + 1), sharedParts);
+    return arriveWithBodyAndPrompt(path, size, nextBody(), sharedParts);
   }
 
   /** Starts a call with a given body whose prompt begins with the given parts. */
@@ -349,25 +353,11 @@
     ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
     Arrays.stream(sharedParts).forEach(p -> parts.add(new PromptPart(p)));
     parts.add(new PromptPart("own part of " + body));
-    RequestId id = new RequestId(++lastCall);
-    RequestIdentity identity =
-        new RequestIdentity("POST", "a.example", path, "", body.getBytes(StandardCharsets.UTF_8));
-    apply(
-        new RelayEvent.Arrived(
-            now,
-            new RelayCall(
-                id,
-                "call-" + lastCall,
-                "a.example",
-                path,
-                14_000,
-                size,
-                new Prompt(parts.build()),
-                false,
-                Optional.empty(),
-                identity,
-                Optional.empty())));
-    return id;
+    return arriveWithPrompt(path, size, body, new Prompt(parts.build()));
+  }
+
+  private RequestId arriveWithPrompt(String path, CallSize size, String body, Prompt prompt) {
+    return arrive(path, 14_000, size, prompt, false, Optional.empty(), body, Optional.empty());
   }
 
   /** Returns the purpose of a run that fetches what an upstream still holds of its prompt. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -80,7 +80,7 @@
       return 0;
     }
     for (CallTrait trait : CallTrait.of(call, service)) {
-      long remaining = quarantine.remainingNanos(at, trait.id());
+      long remaining = quarantine.remainingNanos(at, trait);
       if (remaining > 0) {
         report(
             new RelayFact.Quarantined(
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -88,6 +88,19 @@
         0, v.lastCrashAt() + quarantineNanos(v.excess()) + records.get(id).spreadNanos - at);
   }
 
+  /**
+   * Returns the remaining quarantine of what a call has, as above. A node of an earlier build
+   * reports a part of prompts as a request; the call tells what it is.
+   */
+  long remainingNanos(long at, CallTrait trait) {
+    SuspectRecord r = records.get(trait.id());
+    if (r != null && !r.scope().equals(r.scope().merge(trait.scope()))) {
+      r.describe(trait.scope(), trait.wider());
+      verdicts = null;
+    }
+    return remainingNanos(at, trait.id());
+  }
+
   /** Returns the suspects that are quarantined. */
   ImmutableSet<Fingerprint> quarantined(long at) {
     return verdicts().keySet().stream()
