Keep the traits of lost attempts instead of their calls

Attempts that wait for the proof of a crash held their calls, and with them the bodies of requests, for up to ten seconds; they hold fingerprints again.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallTrait.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallTrait.java
@@ -10,7 +10,6 @@
 import com.google.common.collect.ImmutableSet;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.relay.CrashSuspect;
-import org.larkkeel.relay.PromptPart;
 import org.larkkeel.relay.RelayCall;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.SuspectScope;
@@ -30,12 +29,10 @@
 
   /** Returns the parts of a call's prompt that other requests may share, the first one first. */
   static ImmutableList<Fingerprint> sharedParts(RelayCall call, ServiceName service) {
-    ImmutableList.Builder<Fingerprint> parts = ImmutableList.builder();
-    for (PromptPart part : call.prompt().sharedParts()) {
-      parts.add(part.fingerprint(service));
-    }
-    ImmutableList<Fingerprint> all = parts.build();
-    return all.subList(0, Math.min(all.size(), MAX_PARTS));
+    return call.prompt().sharedParts().stream()
+        .limit(MAX_PARTS)
+        .map(part -> part.fingerprint(service))
+        .collect(ImmutableList.toImmutableList());
   }
 
   /** Returns the traits of a call, the narrowest first. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
@@ -69,11 +69,10 @@
   /**
    * An attempt that may have caused the end of its upstream.
    *
-   * @param call the call
+   * @param traits what the call has that may be the cause, the narrowest first
    * @param time the time at which the attempt was sent, and that at which its connection broke
-   * @param arePartsSuspect whether a part of its prompt may be the cause
    */
-  record LostAttempt(CallState call, SuspectRecord.CrashTime time, boolean arePartsSuspect) {}
+  record LostAttempt(ImmutableList<CallTrait> traits, SuspectRecord.CrashTime time) {}
 
   /** The attempts at one incarnation that wait for a proof of its end. */
   private static final class Pending {
@@ -116,9 +115,12 @@
   }
 
   private static LostAttempt lost(long at, AttemptState a) {
-    boolean begun = a.call().attemptFirstEventAt != Long.MIN_VALUE;
+    CallState c = a.call();
+    ImmutableList<CallTrait> traits = CallTrait.of(c.call, c.service);
+    boolean begun = c.attemptFirstEventAt != Long.MIN_VALUE;
     return new LostAttempt(
-        a.call(), new SuspectRecord.CrashTime(at, a.sentAt(), begun), !arePartsHarmless(at, a));
+        arePartsHarmless(at, a) ? traits.subList(0, 1) : traits,
+        new SuspectRecord.CrashTime(at, a.sentAt(), begun));
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -181,7 +181,9 @@
 
   /** Merges the suspects that another node reports. */
   void merge(long at, ImmutableList<CrashSuspect> reports) {
-    recordRunningParts(at);
+    if (reports.stream().anyMatch(CrashGuard::chargesPart)) {
+      recordRunningParts(at);
+    }
     final ImmutableSet<Fingerprint> before = quarantine.quarantined(at);
     for (CrashSuspect s : reports) {
       if (isRefuted(at, s)) {
@@ -197,10 +199,13 @@
     }
   }
 
+  private static boolean chargesPart(CrashSuspect s) {
+    return s.scope() instanceof SuspectScope.PromptPart && !s.crashes().isEmpty();
+  }
+
   /** Returns whether this node knows that a reported part of prompts caused none of the crashes. */
   private boolean isRefuted(long at, CrashSuspect s) {
-    return s.scope() instanceof SuspectScope.PromptPart
-        && !s.crashes().isEmpty()
+    return chargesPart(s)
         && !quarantine.isOutdated(s)
         && s.crashes().keySet().stream()
             .allMatch(
@@ -226,8 +231,8 @@
     final ImmutableSet<Fingerprint> before = quarantine.quarantined(at);
     Set<Fingerprint> suspected = new LinkedHashSet<>();
     for (CrashEvidence.LostAttempt a : attempts) {
-      for (CallTrait trait : CallTrait.of(a.call().call, a.call().service)) {
-        if (!isHarmless(at, trait, upstream, a)
+      for (CallTrait trait : a.traits()) {
+        if (!isHarmless(at, trait, upstream)
             && quarantine.recordCrash(at, trait, upstream.incarnation(), a.time())) {
           suspected.add(trait.id());
         }
@@ -240,11 +245,9 @@
     }
   }
 
-  private boolean isHarmless(
-      long at, CallTrait trait, UpstreamState upstream, CrashEvidence.LostAttempt a) {
+  private boolean isHarmless(long at, CallTrait trait, UpstreamState upstream) {
     return trait.scope() instanceof SuspectScope.PromptPart
-        && (!a.arePartsSuspect()
-            || harmlessParts.contains(at, trait.id(), upstream.upstream().build()));
+        && harmlessParts.contains(at, trait.id(), upstream.upstream().build());
   }
 
   private void reportSuspected(long at, Fingerprint id, String source) {
