Count a crash for a part of prompts only if its stream had not begun

An upstream that runs a deadly part ends as it begins to generate; a stream that has begun shows the part harmless.

CrashingPromptPartsTest.Evidence.crashesOfStreamsThatHadBegunAreNotCounted failed before.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerMessageCodec.java
@@ -255,7 +255,7 @@
     for (int i = size(in); i > 0; i--) {
       UpstreamIncarnation incarnation = readIncarnation(in);
       long age = in.readI64();
-      crashes.put(incarnation, new CrashSuspect.Crash(age, age, false));
+      crashes.put(incarnation, new CrashSuspect.Crash(age, age));
     }
     return new CrashSuspect(
         id, SuspectScope.REQUEST, epoch, crashes.buildKeepingLast(), ImmutableSet.of());
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
@@ -48,7 +48,6 @@
   private static final String START = "start";
   private static final String AT = "atMillis";
   private static final String SENT = "sentMillis";
-  private static final String BEGUN = "begun";
   private static final String POSITION = "promptPosition";
   private static final String WIDER = "wider";
 
@@ -109,8 +108,7 @@
                       .put(UPSTREAM, incarnation.name().value())
                       .put(START, incarnation.incarnation().value())
                       .put(AT, wallTime(stored, c.ageNanos()))
-                      .put(SENT, wallTime(stored, c.sentAgeNanos()))
-                      .put(BEGUN, c.begun()));
+                      .put(SENT, wallTime(stored, c.sentAgeNanos())));
     }
   }
 
@@ -145,10 +143,7 @@
       JsonNode sent = end.has(SENT) ? end.path(SENT) : end.path(AT);
       ends.put(
           new UpstreamIncarnation(name, new Incarnation(integer(end.path(START)))),
-          new CrashSuspect.Crash(
-              ageNanos(wallMillis, end.path(AT)),
-              ageNanos(wallMillis, sent),
-              end.path(BEGUN).asBoolean()));
+          new CrashSuspect.Crash(ageNanos(wallMillis, end.path(AT)), ageNanos(wallMillis, sent)));
     }
     SuspectScope scope =
         item.has(POSITION)
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/SuspectDetailsCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/SuspectDetailsCodec.java
@@ -23,7 +23,7 @@
  * Encodes and decodes what a message says of its suspects beyond their crashes: for each suspect,
  * by position, its position in prompts (32 bits; -1 for a request), the number of wider suspects (8
  * bits) and their fingerprints, and for each crash, by position, the time since the suspect was
- * sent to the upstream (64 bits, nanoseconds) and whether its streams had begun (8 bits).
+ * sent to the upstream (64 bits, nanoseconds).
  *
  * <p>Stateless and thread-safe.
  */
@@ -49,13 +49,7 @@
         out.writeLong(f.high());
         out.writeLong(f.low());
       }
-      s.crashes()
-          .values()
-          .forEach(
-              c -> {
-                out.writeLong(c.sentAgeNanos());
-                out.writeBoolean(c.begun());
-              });
+      s.crashes().values().forEach(c -> out.writeLong(c.sentAgeNanos()));
     }
     return Optional.of(out.toByteArray());
   }
@@ -63,8 +57,7 @@
   private static boolean isPlain(CrashSuspect s) {
     return s.scope() instanceof SuspectScope.Request
         && s.wider().isEmpty()
-        && s.crashes().values().stream()
-            .allMatch(c -> c.sentAgeNanos() == c.ageNanos() && !c.begun());
+        && s.crashes().values().stream().allMatch(c -> c.sentAgeNanos() == c.ageNanos());
   }
 
   /**
@@ -97,9 +90,7 @@
     s.crashes()
         .forEach(
             (incarnation, c) ->
-                crashes.put(
-                    incarnation,
-                    new CrashSuspect.Crash(c.ageNanos(), in.readLong(), in.readBoolean())));
+                crashes.put(incarnation, new CrashSuspect.Crash(c.ageNanos(), in.readLong())));
     return new CrashSuspect(
         s.id(), scope, s.clearanceEpoch(), crashes.buildOrThrow(), wider.build());
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/CrashSuspect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/CrashSuspect.java
@@ -42,9 +42,8 @@
    *
    * @param ageNanos the time since the crash
    * @param sentAgeNanos the time since the suspect was last sent to that upstream
-   * @param begun whether each stream with the suspect that broke there had begun
    */
-  public record Crash(long ageNanos, long sentAgeNanos, boolean begun) {
+  public record Crash(long ageNanos, long sentAgeNanos) {
     /**
      * Validates the times.
      *
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
@@ -36,10 +36,10 @@
   private static final long MAX_SUSPECT_STREAM_NANOS = 1_000 * MILLI;
 
   /**
-   * A part of a prompt whose stream has run for longer than this did not cause a crash: what it
-   * does to an upstream shows when the upstream begins to generate.
+   * A part of a prompt whose stream has run for longer than this crashes no upstream: what it does
+   * shows when the upstream begins to generate.
    */
-  private static final long MAX_SUSPECT_PART_NANOS = 500 * MILLI;
+  private static final long HARMLESS_STREAM_NANOS = 500 * MILLI;
 
   /**
    * The maximum wait for a proof: the discovery list shows the end of an incarnation some
@@ -114,13 +114,13 @@
     }
   }
 
+  /** A stream that has begun shows that no part of its prompt ends the upstream at once. */
   private static LostAttempt lost(long at, AttemptState a) {
     CallState c = a.call();
     ImmutableList<CallTrait> traits = CallTrait.of(c.call, c.service);
     boolean begun = c.attemptFirstEventAt != Long.MIN_VALUE;
     return new LostAttempt(
-        arePartsHarmless(at, a) ? traits.subList(0, 1) : traits,
-        new SuspectRecord.CrashTime(at, a.sentAt(), begun));
+        begun ? traits.subList(0, 1) : traits, new SuspectRecord.CrashTime(at, a.sentAt()));
   }
 
   /**
@@ -128,7 +128,7 @@
    * prompt crashes upstreams.
    */
   static boolean arePartsHarmless(long at, AttemptState a) {
-    return hasStreamed(at, a, MAX_SUSPECT_PART_NANOS);
+    return hasStreamed(at, a, HARMLESS_STREAM_NANOS);
   }
 
   private static boolean hasStreamed(long at, AttemptState a, long nanos) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
@@ -23,14 +23,12 @@
 /**
  * Decides which of the suspects of crashes are to be quarantined.
  *
- * <p>A request is quarantined from its third crash on. Far more requests depend on a part of
- * prompts, so its crashes are weighed: a crash counts in full if a stream with the part had not
- * begun, because an upstream that runs the part ends as it begins to generate, and half if all had.
- * Crashes of upstreams that had the part count together if it had been sent to all of them before
- * the first one ended, as when a whole rack loses power.
+ * <p>A suspect is quarantined from its third crash on. Far more requests depend on a part of
+ * prompts, so crashes of upstreams that had the part count together if it had been sent to all of
+ * them before the first one ended, as when a whole rack loses power.
  *
  * <p>A crash has one cause, but the upstream had several requests, and their prompts several parts.
- * So the suspect with the greatest weight is quarantined first, and the crashes that it explains no
+ * So the suspect with the most crashes is quarantined first, and the crashes that it explains no
  * longer count against the others. A part has the crashes of all requests with it, so it is
  * examined after the narrower suspects that come with it. Each new crash of the true cause
  * increases its lead, so that a wrong verdict does not outlast the next one.
@@ -38,9 +36,6 @@
  * <p>Not thread-safe.
  */
 final class CrashVerdicts {
-  private static final int FULL = 2;
-  private static final int HALF = 1;
-
   /** The number of crashes from which a suspect is quarantined; two may be a coincidence. */
   static final int CRASHES = 3;
 
@@ -66,23 +61,22 @@
    * The evidence against a suspect.
    *
    * @param crashes the crashes that count, in the order of their times
-   * @param weight their weight
-   * @param unexplained the weight of those that no quarantined suspect explains
+   * @param unexplained the number of those that no quarantined suspect explains
    */
-  private record Case(SuspectRecord suspect, List<CrashTime> crashes, int weight, int unexplained) {
+  private record Case(SuspectRecord suspect, List<CrashTime> crashes, int unexplained) {
     /**
      * Returns whether the suspect is to be quarantined: the evidence suffices, and most of it has
      * no other explanation, or for the first part of prompts all that is required.
      */
     boolean isProven() {
-      int required = FULL * required(suspect.scope());
+      int required = required(suspect.scope());
       return isFirstPart(suspect.scope())
           ? unexplained >= required
-          : weight >= required && 3 * unexplained >= 2 * weight;
+          : crashes.size() >= required && 3 * unexplained >= 2 * crashes.size();
     }
 
     Verdict verdict() {
-      return new Verdict(weight / FULL - required(suspect.scope()), crashes.getLast().endedAt());
+      return new Verdict(crashes.size() - required(suspect.scope()), crashes.getLast().endedAt());
     }
   }
 
@@ -115,16 +109,7 @@
   }
 
   private Case examine(SuspectRecord s) {
-    List<CrashTime> all = counted(s, Set.of());
-    return new Case(s, all, weight(s, all), weight(s, counted(s, explained)));
-  }
-
-  private static int weight(SuspectRecord s, List<CrashTime> crashes) {
-    return switch (s.scope()) {
-      case SuspectScope.Request r -> FULL * crashes.size();
-      case SuspectScope.PromptPart p ->
-          crashes.stream().mapToInt(c -> c.begun() ? HALF : FULL).sum();
-    };
+    return new Case(s, counted(s, Set.of()), counted(s, explained).size());
   }
 
   /** Returns the crashes that count against a suspect, in the order of their times. */
@@ -145,7 +130,7 @@
   }
 
   /**
-   * Returns the case with the greatest weight among those without a narrower one; of equal ones the
+   * Returns the case with the most crashes among those without a narrower one; of equal ones the
    * widest, as a request that was repeated beside the crashes is more likely than such a part. The
    * first parts of prompts, which are beside every crash, come last.
    */
@@ -154,7 +139,7 @@
         .filter(c -> proven.stream().noneMatch(n -> n.suspect().isWithin(c.suspect())))
         .max(
             Comparator.comparing((Case c) -> !isFirstPart(c.suspect().scope()))
-                .thenComparingInt(Case::weight)
+                .thenComparingInt(c -> c.crashes().size())
                 .thenComparingInt(c -> -c.suspect().scope().narrowness())
                 .thenComparing(c -> c.suspect().id().toString()))
         .orElse(proven.getFirst());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -153,8 +153,7 @@
                 r.addCrash(
                     at,
                     incarnation,
-                    new SuspectRecord.CrashTime(
-                        at - c.ageNanos(), at - c.sentAgeNanos(), c.begun())));
+                    new SuspectRecord.CrashTime(at - c.ageNanos(), at - c.sentAgeNanos())));
     verdicts = null;
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/SuspectRecord.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/SuspectRecord.java
@@ -42,17 +42,15 @@
    *
    * @param endedAt the earliest time at which the upstream is known to have ended
    * @param sentAt the latest time at which the suspect was sent to it
-   * @param begun whether each stream with the suspect that broke there had begun
    */
-  record CrashTime(long endedAt, long sentAt, boolean begun) {
+  record CrashTime(long endedAt, long sentAt) {
     /** Returns the earlier end with the latest send before it. */
     private CrashTime merge(CrashTime other) {
       CrashTime first = endedAt <= other.endedAt ? this : other;
       CrashTime second = first == this ? other : this;
       return second.sentAt > first.endedAt
           ? first
-          : new CrashTime(
-              first.endedAt, Math.max(first.sentAt, second.sentAt), begun && other.begun);
+          : new CrashTime(first.endedAt, Math.max(first.sentAt, second.sentAt));
     }
   }
 
@@ -156,7 +154,7 @@
             ages.put(
                 incarnation,
                 new CrashSuspect.Crash(
-                    Math.max(0, at - time.endedAt), Math.max(0, at - time.sentAt), time.begun)));
+                    Math.max(0, at - time.endedAt), Math.max(0, at - time.sentAt))));
     return new CrashSuspect(
         id, scope, clearanceEpoch, ages.buildOrThrow(), ImmutableSet.copyOf(wider));
   }
