Accept the first new connection after each turn of a loop that is behind

With nine of ten connections closed by chance, seven callers in a few seconds could all be turned away by a node that says it is ready. The first connection after each turn of the timers is accepted now, ten a second at the usual period. IntakeGateTest.Share.leavesTheFirstConnectionAfterEachTurn passes; the test with a busy loop opens 30 connections at a time.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/IntakeGate.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/IntakeGate.java
@@ -17,8 +17,8 @@
  * <p>A load balancer may hand one node far more connections than it can serve. A request that was
  * read then waits here until its caller gives up, while a caller whose connection is closed before
  * its request is read tries another node at once. The share of closed connections grows while the
- * timers of the loop are late and shrinks while they are on time; some connections are always
- * accepted, so that the node is not taken for one that is down.
+ * timers of the loop are late and shrinks while they are on time. The first connection after each
+ * turn of the timers is accepted, so that the node is not taken for one that is down.
  *
  * <p>Confined to the thread of the loop, except for {@link #closed}.
  */
@@ -36,6 +36,7 @@
 
   private final SplittableRandom random;
   private double closedShare;
+  private boolean admittedSinceTurn;
   private volatile long closed;
 
   IntakeGate(SplittableRandom random) {
@@ -48,6 +49,7 @@
    */
   void turned(long lateNanos) {
     final double before = closedShare;
+    admittedSinceTurn = false;
     if (lateNanos > LATE_NANOS) {
       closedShare = Math.min(MAX_SHARE, closedShare + INCREASE);
     } else if (lateNanos < ON_TIME_NANOS) {
@@ -62,7 +64,8 @@
 
   /** Returns whether a new connection is accepted; else it must be closed unread. */
   boolean admits() {
-    if (closedShare <= INCREASE || random.nextDouble() >= closedShare) {
+    if (!admittedSinceTurn || closedShare <= INCREASE || random.nextDouble() >= closedShare) {
+      admittedSinceTurn = true;
       return true;
     }
     closed++;
