Test that stored parts of prompts keep their details

The entries of nodes hold the position, the wider suspects and the times of the sends; a suspect whose crashes another one explains is removed from them. QuarantineEntriesTest passes.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
@@ -75,6 +75,28 @@
       assertTrue(read.crashes().values().stream().allMatch(c -> c.ageNanos() == 1_500 * MILLI));
     }
 
+    @Test
+    public void keepsWhatIsKnownOfPartOfPrompts() {
+      CrashSuspect part =
+          new CrashSuspect(
+              Fingerprint.of("part"),
+              new SuspectScope.PromptPart(2),
+              4,
+              suspect("part", 3).crashes(),
+              ImmutableSet.of(Fingerprint.of("first"), Fingerprint.of("second")));
+      QuarantineEntries entries = new QuarantineEntries();
+      entries.update(part, true, NOW);
+      assertEquals(read(written(entries), NOW), ImmutableList.of(part));
+    }
+
+    @Test
+    public void isEmptyOnceAnotherSuspectExplainsTheCrashes() {
+      QuarantineEntries entries = new QuarantineEntries();
+      entries.update(suspect("a", 3), true, NOW);
+      assertTrue(entries.update(suspect("a", 4), false, NOW));
+      assertEquals(written(entries).size(), 0);
+    }
+
     @Test
     public void isEmptyBelowThreeCrashes() {
       QuarantineEntries entries = new QuarantineEntries();
