--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
@@ -166,6 +166,19 @@
       assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
     }
 
+    @Test
+    public void streamThatRanForSomeTimeClearsThePart() {
+      RelayWorld w = world();
+      crash(w, 1, FIRST, "beside");
+      crash(w, 2, FIRST, "beside");
+      send(w, FIRST, "beside");
+      w.began();
+      w.pass(300);
+      crashUpstream(w, 3);
+      crash(w, 4, FIRST, "beside");
+      assertTrue(isSent(w, "/stream/a", FIRST, "beside"));
+    }
+
     @Test
     public void partThatWasServedLongAgoIsSuspected() {
       RelayWorld w = world();
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -277,10 +277,6 @@
         Optional.empty());
   }
 
-  private String nextBody() {
-    return "body of " + (lastCall + 1);
-  }
-
   private RequestId arrive(
       String path,
       long deadlineMillis,
@@ -311,6 +307,10 @@
     return id;
   }
 
+  private String nextBody() {
+    return "body of " + (lastCall + 1);
+  }
+
   /** Starts a call that takes up a stream, named by the call that brought its first event. */
   RequestId resume(String path, CallSize size, String stream) {
     return arrive(
@@ -339,7 +339,7 @@
 
   /** Starts a call with a given body, so that several calls can be the same request. */
   RequestId arriveWithBody(String path, CallSize size, String body) {
-    return arriveWithPrompt(path, size, body, Prompt.NONE);
+    return arriveAs(path, size, body, Prompt.NONE);
   }
 
   /** Starts a call with a body of its own whose prompt begins with the given parts. */
@@ -353,10 +353,10 @@
     ImmutableList.Builder<PromptPart> parts = ImmutableList.builder();
     Arrays.stream(sharedParts).forEach(p -> parts.add(new PromptPart(p)));
     parts.add(new PromptPart("own part of " + body));
-    return arriveWithPrompt(path, size, body, new Prompt(parts.build()));
+    return arriveAs(path, size, body, new Prompt(parts.build()));
   }
 
-  private RequestId arriveWithPrompt(String path, CallSize size, String body, Prompt prompt) {
+  private RequestId arriveAs(String path, CallSize size, String body, Prompt prompt) {
     return arrive(path, 14_000, size, prompt, false, Optional.empty(), body, Optional.empty());
   }
 
