--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
@@ -39,7 +39,7 @@
    * A part of a prompt whose stream has run for longer than this crashes no upstream: what it does
    * shows when the upstream begins to generate.
    */
-  private static final long HARMLESS_STREAM_NANOS = 200 * MILLI;
+  private static final long HARMLESS_STREAM_NANOS = 100 * MILLI;
 
   /**
    * The maximum wait for a proof: the discovery list shows the end of an incarnation some
