review: a stream goes on at its own runner after that was upgraded in place

A script with four nodes: a decode runner goes dark for 1.5 s and comes back under its id with another software version.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,5 +5,5 @@
 . "$larkkeel_root/bin/include.sh"
 find_jdk
 cd "$larkkeel_root" || exit 2
-[ -x target/system/runtime/bin/java ] && [ -f target/review/TwoVersions.class ] || exit 2
-exec "$JAVA_HOME/bin/java" -Xmx200m -XX:+UseSerialGC -cp target/review TwoVersions "$here"
+[ -x target/system/runtime/bin/java ] && [ -f target/review/UpgradedInPlace.class ] || exit 2
+exec "$JAVA_HOME/bin/java" -Xmx200m -XX:+UseSerialGC -cp target/review UpgradedInPlace "$here"
--- a/review/platform/ModelRunner.java
+++ b/review/platform/ModelRunner.java
@@ -49,9 +49,12 @@
   private volatile String stage;
   private volatile boolean alive;
   private volatile boolean busy;
+
+  /** Grows with each start; work of an earlier start is not continued. */
+  private volatile int incarnation;
   private volatile Set<String> deadlyParts = Set.of();
   private volatile double failureShare;
-  private final String version;
+  private volatile String version;
   private final AtomicInteger sequence = new AtomicInteger();
   volatile int firstMillis = 100;
   volatile int events = 70;
@@ -168,6 +171,30 @@
         });
   }
 
+  /**
+   * Loses power: its connections go silent and its work is lost. It starts again under its id after
+   * a while, with another version of its software.
+   */
+  synchronized void powerOff(int millis, String nextVersion) {
+    incarnation++;
+    alive = false;
+    Thread.startVirtualThread(
+        () -> {
+          sleep(millis);
+          version = nextVersion;
+          sequence.set(0);
+          alive = true;
+          register();
+        });
+  }
+
+  /** Waits for ever if the runner has no power, or has lost it since a request came. */
+  private void awaitPower(int since) throws InterruptedException {
+    while (since != incarnation || !alive) {
+      Thread.sleep(60_000);
+    }
+  }
+
   private static void sleep(long millis) {
     try {
       Thread.sleep(millis);
@@ -177,6 +204,8 @@
   }
 
   private void answer(Kit.Message r, Socket socket, OutputStream out) throws Exception {
+    final int since = incarnation;
+    awaitPower(since);
     if (r.method().equals("GET") && r.target().equals("/health")) {
       Kit.respond(out, 200, "X-Instance-Id: " + id + "\r\n", "");
       return;
@@ -210,7 +239,7 @@
       return;
     }
     if ("prefill".equals(r.header("X-Serving-Stage"))) {
-      readPrompt(r, echo, out);
+      readPrompt(r, echo, since, out);
       return;
     }
     if (!decodes()) {
@@ -222,15 +251,17 @@
       Kit.respond(out, 503, echo + "X-Not-Run: 1\r\n", "");
       return;
     }
-    run(r, wire, echo, out);
+    run(r, wire, echo, since, out);
   }
 
-  private void readPrompt(Kit.Message r, String echo, OutputStream out) throws Exception {
+  private void readPrompt(Kit.Message r, String echo, int since, OutputStream out)
+      throws Exception {
     if (decodes()) {
       Kit.respond(out, 421, echo + "X-Not-Run: 1\r\n", "");
       return;
     }
     Thread.sleep(READ_MILLIS);
+    awaitPower(since);
     String handle = "%012x".formatted(random.nextLong() & 0xffffffffffffL);
     HANDLES.put(handle, r.header("X-Request-Id"));
     Kit.respond(
@@ -240,7 +271,9 @@
         "{\"prefill_handle\":\"%s\",\"tokens\":5200,\"version\":1}".formatted(handle));
   }
 
-  private void run(Kit.Message r, String wire, String echo, OutputStream out) throws Exception {
+  private void run(Kit.Message r, String wire, String echo, int since, OutputStream out)
+      throws Exception {
+    final String writer = version;
     observer.reached(this, r);
     boolean fails;
     synchronized (random) {
@@ -253,6 +286,7 @@
       return;
     }
     Thread.sleep(firstMillis);
+    awaitPower(since);
     if (hasDeadlyPart(r)) {
       if (alive) {
         observer.crashed(this, r);
@@ -268,9 +302,10 @@
             + "Transfer-Encoding: chunked\r\n\r\n");
     String last = r.header("Last-Event-Id");
     for (int i = last == null ? 1 : Integer.parseInt(last) + 1; i <= events; i++) {
-      String event = "id: %d\ndata: %s %s\n\n".formatted(i, version, "x".repeat(260));
+      String event = "id: %d\ndata: %s %s\n\n".formatted(i, writer, "x".repeat(260));
       Kit.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
       Thread.sleep(eventMillis);
+      awaitPower(since);
     }
     Kit.write(out, "0\r\n\r\n");
   }
--- a/review/platform/TwoVersions.java
+++ b/review/platform/TwoVersions.java
@@ -279,7 +279,7 @@
     return broken ? 1 : 0;
   }
 
-  private static String configuration() {
+  static String configuration() {
     return """
     {"version":7,"routes":[{"name":"r-x73d3zj","host":"ficu95.example","path_prefix":"/lohu930/",
     "kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"priority":1,
