--- a/review/platform/Kit.java
+++ b/review/platform/Kit.java
@@ -563,6 +563,10 @@
       }
     }
 
+    long pid() {
+      return process.pid();
+    }
+
     boolean isAlive() {
       return process.isAlive();
     }
--- a/review/platform/PoisonedParts.java
+++ b/review/platform/PoisonedParts.java
@@ -19,9 +19,10 @@
  * Requests with a part that crashes runners come beside sound ones. Checks BUDGET: at most three of
  * them reach runners once {@code stable_window_ms} have passed since the fifth crash.
  *
- * <p>Arguments: the folder of the case; the variant: {@code groups} (several at the same moment),
- * {@code first} (pairs; the deadly part is the first of the prompt) or {@code failing} (single
- * ones, while one runner fails a part of its requests).
+ * <p>Arguments: the folder of the case; the variant: {@code first} (the deadly part is the first of
+ * the prompt, and the requests come in pairs), {@code groups} (it is the second part, and eight
+ * come at the same moment) or {@code failing} (single ones, while one runner fails a part of its
+ * requests).
  */
 final class PoisonedParts {
   private static final int NODES = 4;
@@ -115,7 +116,7 @@
     Thread.sleep(8_000);
     record.line("requests with the part %s begin", DEADLY);
     switch (variant) {
-      case "groups" -> groups(5, 6, 5_000, false);
+      case "groups" -> groups(4, 8, 5_000, false);
       case "first" -> groups(11, 2, 4_000, true);
       case "failing" -> failing();
       default -> throw new IllegalArgumentException(variant);
@@ -157,7 +158,7 @@
     String own = "%08x".formatted(0x40000000 + n);
     String parts =
         isFirst
-            ? DEADLY + ":200," + own + ":5000"
+            ? DEADLY + ":200," + SHARED + ":400," + own + ":4600"
             : FIRST + ":200," + DEADLY + ":400," + own + ":4600";
     Kit.Streamed s = send(node, id, parts);
     deadlyServed.addAndGet(s.complete() ? 1 : 0);
