review: one failed answer clears a deadly part, and all requests are refused

Case 3 is now the graver one of its script: one runner fails a part of its requests while requests with a part that crashes runners come.

--- a/review/platform/PoisonedParts.java
+++ b/review/platform/PoisonedParts.java
@@ -17,12 +17,17 @@
 
 /**
  * Requests with a part that crashes runners come beside sound ones. Checks BUDGET: at most three of
- * them reach runners once {@code stable_window_ms} have passed since the fifth crash.
+ * them reach runners once {@code stable_window_ms} have passed since the fifth crash; and LOST: from
+ * twice that time on, sound requests with the same first part begin at least half as often as
+ * before. The exit status is that of LOST in the variant {@code failing}, else that of BUDGET.
  *
  * <p>Arguments: the folder of the case; the variant: {@code first} (the deadly part is the first of
  * the prompt, and the requests come in pairs), {@code groups} (it is the second part, and eight
- * come at the same moment) or {@code failing} (single ones, while one runner fails a part of its
- * requests).
+ * come at the same moment) or {@code failing} (it is the second part, and one runner fails a part of
+ * its requests when they begin to come).
+ *
+ * <p>The variable {@code TROUBLE} is 0 for no disruption, or {@code part} for the deadly part
+ * without the runner that fails.
  */
 final class PoisonedParts {
   private static final int NODES = 4;
@@ -42,11 +47,17 @@
   private final AtomicInteger soundSent = new AtomicInteger();
   private final AtomicInteger soundServed = new AtomicInteger();
   private final AtomicInteger soundBroken = new AtomicInteger();
+  private final List<Sound> sound = new CopyOnWriteArrayList<>();
+  private volatile long troubleAt = Long.MAX_VALUE;
+  private volatile long lastDeadlyAt;
   private final AtomicInteger deadlySent = new AtomicInteger();
   private final AtomicInteger deadlyServed = new AtomicInteger();
   private final List<Kit.Node> nodes = new ArrayList<>();
   private final List<ModelRunner> runners = new ArrayList<>();
 
+  /** A sound request: when it was sent, and whether its answer began. */
+  private record Sound(long sentAt, boolean begun) {}
+
   private PoisonedParts(String variant, Kit.Record record, long seed) {
     this.variant = variant;
     this.record = record;
@@ -115,6 +126,7 @@
     Thread sound = Thread.startVirtualThread(this::soundTraffic);
     Thread.sleep(8_000);
     record.line("requests with the part %s begin", DEADLY);
+    troubleAt = System.nanoTime();
     switch (variant) {
       case "groups" -> groups(4, 8, 5_000, false);
       case "first" -> groups(11, 2, 4_000, true);
@@ -137,23 +149,26 @@
     }
   }
 
-  /** Sends single requests with the deadly part while a decode runner fails some requests. */
+  /**
+   * Sends requests with the deadly part, three at a time and later single ones; a decode runner
+   * fails a part of all its requests for a while from the beginning on.
+   */
   private void failing() throws Exception {
     ModelRunner grey = runners.getLast();
-    long end = System.nanoTime() + 6_500_000_000L;
-    grey.setFailureShare(trouble ? 0.45 : 0);
-    record.line("%s fails 0.45 of its requests for 6.5 s", grey.id());
-    for (int i = 0; i < 60; i++) {
-      Thread.startVirtualThread(() -> deadly(random.nextInt(NODES), false));
-      Thread.sleep(i < 10 ? 400 : 1_000);
-      if (System.nanoTime() > end) {
-        grey.setFailureShare(0);
-      }
+    if (trouble && !"part".equals(System.getenv("TROUBLE"))) {
+      grey.setFailureShare(0.45);
+      record.line("%s fails 0.45 of its requests for 6.5 s", grey.id());
     }
+    groups(6, 8, 1_000, false);
+    Thread.sleep(500);
+    grey.setFailureShare(0);
+    record.line("no runner fails requests of its own");
+    groups(40, 1, 1_000, false);
   }
 
   private void deadly(int node, boolean isFirst) {
     int n = deadlySent.incrementAndGet();
+    lastDeadlyAt = System.nanoTime();
     String id = "deadly-%04d".formatted(n);
     String own = "%08x".formatted(0x40000000 + n);
     String parts =
@@ -183,11 +198,13 @@
             () -> {
               String id = "sound-%05d".formatted(n);
               soundSent.incrementAndGet();
+              final long sentAt = System.nanoTime();
               Kit.Streamed s =
                   send(
                       n % NODES,
                       id,
                       FIRST + ":200," + SHARED + ":400,%08x:4600".formatted(0x20000000 + n));
+              sound.add(new Sound(sentAt, s.status() == 200 && s.events() > 0));
               if (s.complete()) {
                 soundServed.incrementAndGet();
               } else if (s.status() == 200) {
@@ -260,9 +277,40 @@
       record.line("no request was served");
       return 2;
     }
-    boolean broken = reachedLate.get() > 3;
-    record.line(broken ? "BROKEN: more than three reached runners" : "held");
-    return broken ? 1 : 0;
+    boolean budget = reachedLate.get() > 3;
+    boolean lost = isLostBroken();
+    if (budget) {
+      record.line("BROKEN: BUDGET: more than three reached runners");
+    }
+    if (lost) {
+      record.line("BROKEN: LOST: sound requests begin less than half as often as before");
+    }
+    if (!budget && !lost) {
+      record.line("held");
+    }
+    return variant.equals("failing") ? lost ? 1 : 0 : budget ? 1 : 0;
+  }
+
+  /**
+   * Returns whether LOST is broken: from two stable windows after the fifth crash on, while requests
+   * with the part come, sound ones begin at their first attempt less than half as often as before.
+   */
+  private boolean isLostBroken() {
+    if (fifthCrashAt.get() == Long.MAX_VALUE) {
+      return false;
+    }
+    long from = fifthCrashAt.get() + 2 * STABLE_WINDOW_NANOS;
+    List<Sound> before = sound.stream().filter(s -> s.sentAt() < troubleAt).toList();
+    List<Sound> during =
+        sound.stream().filter(s -> s.sentAt() >= from && s.sentAt() <= lastDeadlyAt).toList();
+    long begunBefore = before.stream().filter(Sound::begun).count();
+    long begunDuring = during.stream().filter(Sound::begun).count();
+    record.line(
+        "sound_before=%d begun_before=%d sound_during=%d begun_during=%d",
+        before.size(), begunBefore, during.size(), begunDuring);
+    return before.size() >= 20
+        && during.size() >= 20
+        && (double) begunDuring / during.size() < 0.5 * begunBefore / before.size();
   }
 
   private static String configuration() {
