Log the incarnation and build of the upstream that a call is placed at

A line of a placement named the upstream only, which keeps its name over a restart. So the log could not tell apart whether a stream that had begun was sent to an upstream before its entry changed, after that, or after its build was taken for another one.

event=placed names the start and the build of the upstream, and the build that began the stream.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RequestRate;
 import org.larkkeel.relay.StreamId;
@@ -133,12 +134,16 @@
               f.change().name().toLowerCase(Locale.ROOT));
       case RelayFact.Placed f ->
           log.info(
-              "event=placed call={} attempt={} purpose={} upstream={} path={} cost={} runner_up={}"
-                  + " runner_up_cost={} send={} candidates={}",
+              "event=placed call={} attempt={} purpose={} upstream={} start={} build={}"
+                  + " stream_build={} path={} cost={} runner_up={} runner_up_cost={} send={}"
+                  + " candidates={}",
               id(f.call()),
               f.attempt(),
               f.purpose(),
-              f.upstream(),
+              f.upstream().name(),
+              f.upstream().incarnation(),
+              f.build(),
+              f.streamBuild().map(BuildName::toString).orElse(""),
               f.path(),
               round(f.cost()),
               f.runnerUp(),
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -199,6 +199,8 @@
    * @param attempt the attempt
    * @param purpose the purpose of the attempt
    * @param upstream the chosen upstream
+   * @param build the build of the upstream by its entry
+   * @param streamBuild the build that began the stream of the call; empty if it has not begun
    * @param path the path to the upstream
    * @param cost the estimated cost of the chosen upstream
    * @param runnerUp the second-best upstream; empty if there was none
@@ -210,7 +212,9 @@
       String call,
       AttemptId attempt,
       String purpose,
-      UpstreamName upstream,
+      UpstreamIncarnation upstream,
+      BuildName build,
+      Optional<BuildName> streamBuild,
       UpstreamPath path,
       double cost,
       String runnerUp,
