Compare the builds of a stream and an upstream at each choice

Cause: a call kept a set of the incarnations that it excluded, and the engines of other builds were copied into it for the engines that were listed at that moment. EventHandler.upstreamsChanged sends calls on in the middle of applying a change, and renewed the sets last. In the log of the case, event=placed of the stream follows event=upstream_changed change=restarted at once, with the start of the new incarnation and build=v2 beside stream_build=v1.

Change: what a call accepts is a condition, PendingReservation.accepts, that is asked at each choice, grant, move and wait, and compares the build in the entry as it is then. So the order of the steps of a change no longer matters; besides, the builds that serve are updated before anything is sent. The coordinator asks the same condition of a request instead of a list that was made when the request came.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -164,6 +164,12 @@
 
   /** Restarts an upstream under its name and applies the new discovery list. */
   void restart(String id, long start) {
+    restart(id, start, upstreams.get(new UpstreamName(id)).build());
+    applyDiscoveryList();
+  }
+
+  /** Restarts an upstream under its name as a build, without applying the new discovery list. */
+  void restart(String id, long start, BuildName build) {
     upstreams.computeIfPresent(
         new UpstreamName(id),
         (name, u) ->
@@ -174,9 +180,8 @@
                 u.dataCentre(),
                 u.slots(),
                 u.stage(),
-                u.build(),
+                build,
                 u.leaving()));
-    applyDiscoveryList();
   }
 
   void remove(String... ids) {
--- /dev/null
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RestartedBuildsTest.java
@@ -0,0 +1,144 @@
+/*
+ * Copyright (C) 2026 The larkkeel authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+package org.larkkeel.relay;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.larkkeel.lib.RequestId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of upstreams that start again under their names as another build. */
+public class RestartedBuildsTest {
+  private static final CallSize SIZE = new CallSize(300, 1_000, 600);
+  private static final BuildName OLD = new BuildName("v1");
+  private static final BuildName NEW = new BuildName("v2");
+  private static final int ENGINES = 4;
+
+  /** Returns a world with engines of one build, and a begun stream at each. */
+  private static RelayWorld world() {
+    RelayWorld w = new RelayWorld();
+    w.configure(1, RelayWorld.rules());
+    for (int i = 1; i <= ENGINES; i++) {
+      w.add(engine(i), RelayWorld.MODEL, Stage.DECODE, OLD);
+    }
+    w.applyDiscoveryList();
+    return w;
+  }
+
+  private static String engine(int i) {
+    return "engine-" + i;
+  }
+
+  /** Begins streams and returns the names of the engines that write them. */
+  private static ImmutableList<String> beginStreams(RelayWorld w, int count) {
+    ImmutableList.Builder<String> writers = ImmutableList.builder();
+    for (int i = 0; i < count; i++) {
+      w.arrive("/resume/a", 14_000, SIZE);
+      w.pass(20);
+      w.began();
+      writers.add(w.sent().upstream().name().value());
+    }
+    return writers.build();
+  }
+
+  /** Asserts that what was sent after the first {@code before} sends went to a build only. */
+  private static void assertSentTo(RelayWorld w, int before, int expected, BuildName build) {
+    List<RelayEffect.Send> sends = w.of(RelayEffect.Send.class);
+    assertEquals(sends.size(), before + expected);
+    sends.stream().skip(before).forEach(s -> assertEquals(s.upstream().build(), build));
+  }
+
+  /** The change of the entries that tells of the restart. */
+  public static class ChangeOfEntries {
+    /** The numbers of engines that restart. */
+    @DataProvider
+    public Object[][] restarted() {
+      return new Object[][] {{1}, {2}, {ENGINES - 1}};
+    }
+
+    /**
+     * Guards against streams that go on at their own engine after it restarted as another build.
+     */
+    @Test(dataProvider = "restarted")
+    public void sendsStreamsOnAtTheirBuildOnly(int restarted) {
+      RelayWorld w = world();
+      ImmutableList<String> writers = beginStreams(w, 3 * ENGINES);
+      w.pass(2_000);
+      final int lost = (int) writers.stream().filter(e -> isAmong(e, restarted)).count();
+      for (int i = 1; i <= restarted; i++) {
+        w.restart(engine(i), 7, NEW);
+      }
+      w.applyDiscoveryList();
+      assertSentTo(w, 3 * ENGINES, lost, OLD);
+    }
+
+    private static boolean isAmong(String engine, int first) {
+      return engine.compareTo(engine(first)) <= 0;
+    }
+
+    /** Guards against streams that go on at another build when none of their build is left. */
+    @Test
+    public void endsStreamsIfAllEnginesRestartedAsAnotherBuild() {
+      RelayWorld w = world();
+      beginStreams(w, ENGINES);
+      w.pass(2_000);
+      for (int i = 1; i <= ENGINES; i++) {
+        w.restart(engine(i), 7, NEW);
+      }
+      w.applyDiscoveryList();
+      assertSentTo(w, ENGINES, 0, OLD);
+      assertEquals(w.of(RelayEffect.Cut.class).size(), ENGINES);
+    }
+
+    /** Guards against an engine that stays excluded after it has returned to the first build. */
+    @Test
+    public void sendsStreamsToAnEngineThatReturnedToTheirBuild() {
+      RelayWorld w = world();
+      String writer = beginStreams(w, 1).getFirst();
+      for (int i = 1; i <= ENGINES; i++) {
+        if (!engine(i).equals(writer)) {
+          w.restart(engine(i), 7, NEW);
+        }
+      }
+      w.applyDiscoveryList();
+      w.pass(3_000);
+      String returned = writer.equals(engine(1)) ? engine(2) : engine(1);
+      w.restart(returned, 8, OLD);
+      w.applyDiscoveryList();
+      w.pass(3_000);
+      w.lost();
+      assertSentTo(w, 1, 1, OLD);
+      assertEquals(w.sent().upstream().name().value(), returned);
+    }
+
+    /** Guards against a waiting stream that takes memory at an engine of another build. */
+    @Test
+    public void grantsWaitingStreamsMemoryAtTheirBuildOnly() {
+      RelayWorld w = world();
+      CallSize large = new CallSize(9_000, 1_000, 1_000);
+      w.arrive("/resume/a", 14_000, large);
+      w.began();
+      String writer = w.sent().upstream().name().value();
+      for (int i = 0; i < 3 * ENGINES; i++) {
+        w.arrive("/resume/a", 14_000, large);
+      }
+      w.pass(100);
+      final int before = w.sendCount();
+      w.restart(writer, 7, NEW);
+      w.applyDiscoveryList();
+      w.pass(1_000);
+      RequestId broken = w.of(RelayEffect.Send.class).getFirst().call();
+      w.of(RelayEffect.Send.class).stream()
+          .skip(before)
+          .filter(s -> s.call().equals(broken))
+          .forEach(s -> assertEquals(s.upstream().build(), OLD));
+    }
+  }
+}
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallAdapters.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallAdapters.java
@@ -6,10 +6,8 @@
 
 package org.larkkeel.relay.internal;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.AttemptId;
@@ -78,8 +76,6 @@
     @Override
     public Optional<UpstreamState> destination(long at, AttemptState a) {
       CallState c = a.call();
-      Set<UpstreamIncarnation> excluded = new HashSet<>(c.excluded);
-      excluded.add(a.upstream().incarnation());
       CallDemand demand =
           CallDemands.move(c, core.admission.configuration(), core.retryBudget.nodes());
       return core.upstreams
@@ -88,7 +84,7 @@
               at,
               c.service,
               Stage::runsCalls,
-              excluded,
+              s -> s != a.upstream() && c.accepts(s),
               a.upstream().upstream().dataCentre(),
               demand)
           .map(Choice::best);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay.internal;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -78,7 +79,7 @@
   /** The build of upstreams that began the stream of the call; null if it is not known yet. */
   BuildName build;
 
-  /** The upstreams to which the call is not sent again, among them those of other builds. */
+  /** The upstreams to which the call is not sent again, whatever their builds. */
   final Set<UpstreamIncarnation> excluded = new HashSet<>();
 
   /** Those of {@link #excluded} that become eligible again once a path to them is found. */
@@ -195,8 +196,18 @@
   }
 
   @Override
-  public Set<UpstreamIncarnation> excluded() {
-    return excluded;
+  public boolean accepts(UpstreamState upstream) {
+    return acceptsBuild(upstream) && !excluded.contains(upstream.incarnation());
+  }
+
+  /** Returns whether an upstream is of the build that began the stream of the call, if any did. */
+  boolean acceptsBuild(UpstreamState upstream) {
+    return build == null || build.equals(upstream.upstream().build());
+  }
+
+  @Override
+  public boolean acceptsAll(Collection<UpstreamState> upstreams) {
+    return (build == null && excluded.isEmpty()) || PendingReservation.super.acceptsAll(upstreams);
   }
 
   @Override
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/DedicatedEngines.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/DedicatedEngines.java
@@ -96,7 +96,7 @@
     Optional<Choice> choice =
         upstreams
             .chooser()
-            .choose(at, call.service(), Stage::runsCalls, call.excluded(), near, demand);
+            .choose(at, call.service(), Stage::runsCalls, call::accepts, near, demand);
     return choice.isPresent() || services.isEmpty() ? choice : ownEngine(at, call, demand);
   }
 
@@ -116,7 +116,7 @@
         && !s.isFull(at)
         && s.inFlight() < demand.maxInFlight()
         && !startsSlowly(at, s)
-        && !call.excluded().contains(s.incarnation());
+        && call.accepts(s);
   }
 
   /** Returns whether an engine still takes only a share of its memory, as it is new. */
@@ -259,7 +259,7 @@
       if (demand.memoryTokens() == 0 || !contended.isContended(service)) {
         return CallsBehind.WAIT;
       }
-      if (call.excluded().isEmpty() && !hasEngine(call)) {
+      if (call.acceptsAll(upstreams.ofService(service)) && !hasEngine(call)) {
         recordUnplaced(service, demand);
       }
       if (CallDemands.mayGather(demand) && !withoutCandidates.contains(service)) {
@@ -285,7 +285,7 @@
         return;
       }
       List<Candidate<UpstreamIncarnation>> candidates = candidates(call, demand);
-      if (candidates.isEmpty() && call.excluded().isEmpty()) {
+      if (candidates.isEmpty() && call.acceptsAll(upstreams.ofService(service))) {
         withoutCandidates.add(service);
       }
       for (var change : gathered.dedicate(at, call, candidates, max, ahead)) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
@@ -82,7 +82,7 @@
     } else if (core.contended.isContended(c.service)) {
       core.prefillResults.free(c);
       waitOrRefuse(at, c);
-    } else if (draining || !core.upstreams.availability().hasUpstream(at, c.service, c.excluded)) {
+    } else if (draining || !core.upstreams.availability().hasUpstream(at, c)) {
       place(at, c, CallDemands.withoutMemoryLimit(core.reservations.demand(c, at)));
     } else {
       core.prefillResults.free(c);
@@ -99,7 +99,7 @@
       core.reservations.awaitReservation(at, c);
     } else if (draining) {
       core.openCalls.fail(at, c, ErrorKind.NOT_READY, "the node stops");
-    } else if (core.upstreams.availability().hasUpstream(at, c.service, c.excluded)) {
+    } else if (core.upstreams.availability().hasUpstream(at, c)) {
       core.reservations.awaitReservation(at, c);
     } else {
       awaitPermitOrFail(at, c);
@@ -115,7 +115,7 @@
         core.upstreams
             .chooser()
             .choose(
-                at, c.service, Stage::runsCalls, c.excluded, core.settings.dataCentre(), demand);
+                at, c.service, Stage::runsCalls, c::accepts, core.settings.dataCentre(), demand);
     if (choice.isEmpty()) {
       core.prefillResults.free(c);
       awaitPermitOrFail(at, c);
@@ -133,7 +133,7 @@
       core.paths.await(c);
       return;
     }
-    OptionalLong opensAt = core.upstreams.availability().acceptsWorkAt(at, c.service, c.excluded);
+    OptionalLong opensAt = core.upstreams.availability().acceptsWorkAt(at, c);
     if (opensAt.isPresent()) {
       core.permits.await(at, c, opensAt.getAsLong());
     } else {
@@ -152,7 +152,7 @@
   }
 
   boolean isUsable(long at, CallState c, UpstreamState s) {
-    return s.acceptsWork(at) && s.isHealthy(at) && !c.excluded.contains(s.incarnation());
+    return s.acceptsWork(at) && s.isHealthy(at) && c.accepts(s);
   }
 
   void send(long at, CallState c, Choice choice, Purpose purpose, long loadUnits) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -145,6 +145,7 @@
       ImmutableMap<UpstreamName, RelayUpstream> changed,
       ImmutableSet<UpstreamName> removed) {
     List<UpstreamState> ended = core.upstreams.update(at, changed, removed, core::report);
+    core.streamBuilds.upstreamsChanged(at);
     ended.forEach(s -> core.crashGuard.incarnationEnded(at, s.incarnation(), "restarted"));
     core.upstreams
         .missingWithoutNotice(removed)
@@ -153,7 +154,7 @@
     core.upstreams.removeMissing(at, core::report);
     core.evacuation.scheduleEvacuations(at);
     core.paths.upstreamsChanged(at);
-    core.streamBuilds.upstreamsChanged(at);
+    core.streamBuilds.failHopelessCalls(at);
     core.reservations.placePending(at);
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/MemoryReservations.java
@@ -137,7 +137,7 @@
    */
   void awaitReservation(long at, CallState c) {
     c.releaseReservation();
-    OptionalLong opensAt = upstreams.availability().acceptsWorkAt(at, c.service, c.excluded);
+    OptionalLong opensAt = upstreams.availability().acceptsWorkAt(at, c);
     if (c.runCount == 0
         && opensAt.isPresent()
         && opensAt.getAsLong() > at + ReservationTimeouts.maxWaitNanos(c, at)) {
@@ -332,7 +332,7 @@
       if (placed) {
         pass.placed(reservation);
       } else if (pass.notPlaced(reservation, demand) == DedicatedEngines.CallsBehind.WAIT
-          && reservation.excluded().isEmpty()) {
+          && reservation.acceptsAll(upstreams.ofService(reservation.service()))) {
         order.holdUp(reservation.service());
       }
     }
@@ -425,9 +425,7 @@
       HostName node,
       DataCentreName dataCentre,
       ImmutableList<ReservationRequest> requests) {
-    ImmutableList<ReservationRequest> restricted =
-        requests.stream().map(this::withoutOtherBuilds).collect(ImmutableList.toImmutableList());
-    remote.replaceRequests(at, node, dataCentre, restricted).forEach(waits::sendAnswer);
+    remote.replaceRequests(at, node, dataCentre, requests).forEach(waits::sendAnswer);
   }
 
   /** Returns the reservation requests to send to the reservation coordinator. */
@@ -450,7 +448,7 @@
         (at - c.arrivedAt) / MILLI,
         c.rule.targetMillis(),
         c.call.prompt().key(),
-        excludedWithinBuild(c),
+        excludedInRequest(c),
         c.rank,
         c.rankedWorkspace,
         overload.isActive(c.service) ? c.terms() : Optional.empty(),
@@ -462,33 +460,18 @@
   }
 
   /**
-   * Returns the excluded upstreams of a call without those of other builds than its own: the
-   * request names the build, as a report of many names may not fit a message.
+   * Returns the upstreams that the request of a call excludes: of a named build only those of that
+   * build, as a report of many names may not fit a message.
    */
-  private ImmutableSet<UpstreamIncarnation> excludedWithinBuild(CallState c) {
-    if (namedBuild(c).isEmpty()) {
+  private ImmutableSet<UpstreamIncarnation> excludedInRequest(CallState c) {
+    if (c.build == null) {
       return ImmutableSet.copyOf(c.excluded);
     }
-    ImmutableSet.Builder<UpstreamIncarnation> excluded = ImmutableSet.builder();
-    for (UpstreamState s : upstreams.ofService(c.service)) {
-      if (s.upstream().build().equals(c.build) && c.excluded.contains(s.incarnation())) {
-        excluded.add(s.incarnation());
-      }
-    }
-    return excluded.build();
-  }
-
-  /** Returns a request that excludes the upstreams of other builds than that it names. */
-  private ReservationRequest withoutOtherBuilds(ReservationRequest request) {
-    if (request.build().isEmpty()) {
-      return request;
-    }
-    BuildName build = request.build().get();
-    return request.withExcluded(
-        upstreams.ofService(request.service()).stream()
-            .filter(s -> !s.upstream().build().equals(build))
-            .map(UpstreamState::incarnation)
-            .collect(ImmutableSet.toImmutableSet()));
+    boolean namesBuild = namedBuild(c).isPresent();
+    return upstreams.ofService(c.service).stream()
+        .filter(s -> !c.accepts(s) && (!namesBuild || c.acceptsBuild(s)))
+        .map(UpstreamState::incarnation)
+        .collect(ImmutableSet.toImmutableSet());
   }
 
   /** Returns the upstreams of a service that this node would not choose now for any call. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -6,13 +6,10 @@
 
 package org.larkkeel.relay.internal;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.AttemptId;
-import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayEffect;
@@ -286,15 +283,13 @@
 
   private boolean hasOtherUpstream(long at, AttemptState a) {
     CallState c = a.call();
-    Set<UpstreamIncarnation> excluded = new HashSet<>(c.excluded);
-    excluded.add(a.upstream().incarnation());
     return core.upstreams
         .chooser()
         .choose(
             at,
             c.service,
             Stage::runsCalls,
-            excluded,
+            s -> s != a.upstream() && c.accepts(s),
             core.settings.dataCentre(),
             core.reservations.demand(c, at))
         .isPresent();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/PendingReservation.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/PendingReservation.java
@@ -6,9 +6,8 @@
 
 package org.larkkeel.relay.internal;
 
+import java.util.Collection;
 import java.util.Optional;
-import java.util.Set;
-import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.RequestTerms;
@@ -49,8 +48,17 @@
   /** Returns whether the call can still meet its target if its work begins now. */
   boolean canMeetTarget(long at);
 
-  /** Returns the excluded upstreams. */
-  Set<UpstreamIncarnation> excluded();
+  /**
+   * Returns whether the call may be sent to an upstream, as far as the call decides: it was not
+   * refused there, and the upstream is of the build that began its stream. To be asked at each
+   * choice, since the answer changes with the entries of upstreams.
+   */
+  boolean accepts(UpstreamState upstream);
+
+  /** Returns whether the call may be sent to each of some upstreams. */
+  default boolean acceptsAll(Collection<UpstreamState> upstreams) {
+    return upstreams.stream().allMatch(this::accepts);
+  }
 
   /** Returns whether the call waits for a reservation. */
   boolean isWaiting();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/PermitQueue.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/PermitQueue.java
@@ -71,7 +71,7 @@
     if (!c.awaitsPermit) {
       return;
     }
-    OptionalLong opensAt = core.upstreams.availability().acceptsWorkAt(at, c.service, c.excluded);
+    OptionalLong opensAt = core.upstreams.availability().acceptsWorkAt(at, c);
     if (opensAt.isEmpty()) {
       remove(c);
       core.dispatch.run(at, c);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/PrefillSelector.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/PrefillSelector.java
@@ -55,7 +55,7 @@
             at,
             reservation.service(),
             s -> s == Stage.PREFILL,
-            reservation.excluded(),
+            reservation::accepts,
             near,
             CallDemands.prefill(promptTokens, maxInFlight))
         .filter(choice -> !choice.best().losesHandles(at))
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteReservation.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteReservation.java
@@ -7,10 +7,8 @@
 package org.larkkeel.relay.internal;
 
 import java.util.Optional;
-import java.util.Set;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.HostName;
-import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.WorkspaceName;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.RelayEffect;
@@ -140,8 +138,14 @@
   }
 
   @Override
-  public Set<UpstreamIncarnation> excluded() {
-    return request.excluded();
+  public boolean accepts(UpstreamState upstream) {
+    return accepts(request, upstream);
+  }
+
+  /** Returns whether the call of a request may be sent to an upstream. */
+  static boolean accepts(ReservationRequest request, UpstreamState upstream) {
+    return !request.excluded().contains(upstream.incarnation())
+        && (request.build().isEmpty() || request.build().get().equals(upstream.upstream().build()));
   }
 
   @Override
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteReservations.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RemoteReservations.java
@@ -61,7 +61,7 @@
       } else if (!reservation.isAnswered()) {
         reservation.update(request);
       } else if (reservation.reservedUpstream() != null
-          && request.excluded().contains(reservation.reservedUpstream().incarnation())) {
+          && !RemoteReservation.accepts(request, reservation.reservedUpstream())) {
         reservation.release();
         reservation.update(request);
         queue.add(reservation);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -28,10 +28,11 @@
 /**
  * Keeps each stream at the build of upstreams that began it.
  *
- * <p>Once a stream has begun, all upstreams of other builds are excluded for its call, whatever the
- * reason for another attempt. For callers that take a stream up at another node, the build is
- * recorded at a few other nodes; a call waits shortly for their answer. Where only one build has
- * served for as long as a stream can last, nothing is sent and no call waits.
+ * <p>Once a stream has begun, its call accepts upstreams of its build only, whatever the reason for
+ * another attempt; {@link CallState#accepts} compares the builds at each choice. For callers that
+ * take a stream up at another node, the build is recorded at a few other nodes; a call waits
+ * shortly for their answer. Where only one build has served for as long as a stream can last,
+ * nothing is sent and no call waits.
  *
  * <p>Invariant: a call whose caller has events of a build is sent to upstreams of that build only.
  * Not thread-safe.
@@ -123,12 +124,13 @@
             recordAll(at, service);
           }
         });
+  }
+
+  /** Fails the calls that wait for memory at upstreams of their build, none of which is left. */
+  void failHopelessCalls(long at) {
     for (CallState c : core.openCalls.all()) {
-      if (c.build != null) {
-        excludeOtherBuilds(c);
-        if (c.awaitsReservation && isHopeless(at, c)) {
-          failHopeless(at, c);
-        }
+      if (c.build != null && c.awaitsReservation && isHopeless(at, c)) {
+        failHopeless(at, c);
       }
     }
   }
@@ -146,7 +148,6 @@
   void began(long at, CallState c, UpstreamState upstream) {
     if (c.build == null) {
       c.build = upstream.upstream().build();
-      excludeOtherBuilds(c);
     }
     if (c.rule.kind() != CallKind.RESUMABLE_STREAM) {
       return;
@@ -240,7 +241,6 @@
   /** Restricts a call to the only build, as another may appear while it waits. */
   private boolean restrict(CallState c, BuildName build) {
     c.build = build;
-    excludeOtherBuilds(c);
     return true;
   }
 
@@ -299,7 +299,6 @@
   private boolean resolve(
       long at, CallState c, BuildName build, RelayFact.StreamResolved.Source source) {
     c.build = build;
-    excludeOtherBuilds(c);
     report(c, source, build);
     if (isHopeless(at, c)) {
       failHopeless(at, c);
@@ -320,7 +319,7 @@
         && core.upstreams.ofService(c.service).stream()
             .noneMatch(
                 s ->
-                    s.upstream().build().equals(c.build)
+                    c.acceptsBuild(s)
                         && s.upstream().stage().runsCalls()
                         && !s.isLeaving()
                         && !s.isMissingFor(at, core.settings.missingNanos()));
@@ -332,14 +331,6 @@
         at, c, ErrorKind.NO_UPSTREAM, "no upstream of build " + c.build + " is left");
   }
 
-  private void excludeOtherBuilds(CallState c) {
-    for (UpstreamState s : core.upstreams.ofService(c.service)) {
-      if (!s.upstream().build().equals(c.build)) {
-        c.excluded.add(s.incarnation());
-      }
-    }
-  }
-
   private void report(CallState c, RelayFact.StreamResolved.Source source, BuildName build) {
     core.report(
         new RelayFact.StreamResolved(
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamAvailability.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamAvailability.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.PromptKey;
 import org.larkkeel.relay.RelayUpstream;
@@ -49,14 +48,14 @@
         .orElse(0);
   }
 
-  /** Returns whether there is an upstream that may run calls of a service, even if it is full. */
-  boolean hasUpstream(long at, ServiceName service, Set<UpstreamIncarnation> excluded) {
-    return upstreams.ofService(service).stream()
+  /** Returns whether there is an upstream that may run a call, even if it is full. */
+  boolean hasUpstream(long at, PendingReservation call) {
+    return upstreams.ofService(call.service()).stream()
         .anyMatch(
             s ->
                 s.upstream().stage().runsCalls()
                     && !s.isLeaving()
-                    && !excluded.contains(s.incarnation())
+                    && call.accepts(s)
                     && !s.isMissingFor(at, missingNanos));
   }
 
@@ -84,15 +83,15 @@
   }
 
   /**
-   * Returns the earliest time at which an upstream that may run calls of a service accepts requests
-   * again, by its notices: after its backoff, or once this node has a permit. Empty if an upstream
-   * accepts work now, or if none is left.
+   * Returns the earliest time at which an upstream that may run a call accepts requests again, by
+   * its notices: after its backoff, or once this node has a permit. Empty if an upstream accepts
+   * work now, or if none is left.
    */
-  OptionalLong acceptsWorkAt(long at, ServiceName service, Set<UpstreamIncarnation> excluded) {
+  OptionalLong acceptsWorkAt(long at, PendingReservation call) {
     List<UpstreamState> left =
-        upstreams.ofService(service).stream()
+        upstreams.ofService(call.service()).stream()
             .filter(s -> s.upstream().stage().runsCalls() && !s.isLeaving() && !s.isMissing())
-            .filter(s -> !excluded.contains(s.incarnation()))
+            .filter(call::accepts)
             .toList();
     return left.stream().noneMatch(s -> s.acceptsWork(at))
         ? left.stream().mapToLong(s -> acceptsWorkAt(at, s)).min()
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamChooser.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamChooser.java
@@ -9,13 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import org.larkkeel.balance.WorkCost;
 import org.larkkeel.balance.WorkKind;
 import org.larkkeel.lib.DataCentreName;
-import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.Stage;
@@ -103,7 +101,7 @@
    * @param at now
    * @param service the service
    * @param stage accepts the eligible stages
-   * @param excluded the excluded upstreams
+   * @param accepted accepts the upstreams to which the call may be sent
    * @param near the data centre that counts as local
    * @param demand the demand on the upstream
    */
@@ -111,7 +109,7 @@
       long at,
       ServiceName service,
       Predicate<Stage> stage,
-      Set<UpstreamIncarnation> excluded,
+      Predicate<UpstreamState> accepted,
       DataCentreName near,
       CallDemand demand) {
     final Ranking healthy = new Ranking(at, service, near, demand);
@@ -122,7 +120,7 @@
       RelayUpstream u = s.upstream();
       if (stage.test(u.stage())
           && s.acceptsWork(at)
-          && (excluded.isEmpty() || !excluded.contains(u.incarnation()))
+          && accepted.test(s)
           && !s.isMissingFor(at, missingNanos)) {
         boolean isHealthy = s.isHealthy(at);
         healthyExists |= isHealthy;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamPaths.java
@@ -411,6 +411,7 @@
                 s.reach() == Reach.UNKNOWN
                     && s.upstream().stage().runsCalls()
                     && !s.isLeavingOrMissing()
+                    && c.acceptsBuild(s)
                     && (!c.excluded.contains(s.incarnation())
                         || c.excludedForPath.contains(s.incarnation())));
   }
