Ask an upstream for its incarnation before a begun stream is sent to it

Callers could get events of two builds while an engine was back as another build and its entry, or the node's copy of the entry, was still the previous one: for a second, or for as long as the node was cut off from the store.

Change: RelayEffect.Send says whether the upstream is asked for its incarnation first. It is for calls whose stream has begun, and for no others; the upstream's report tells its start. Another incarnation ends the attempt as WRONG_UPSTREAM before the request is written, and the call goes on elsewhere. An upstream that does not tell is used, unless it failed hard within 5 s or a begun stream is silent there for 0.5 s: then it may have restarted, and is passed over.

Seen in event=incarnation_checked and larkkeel_relay_incarnation_checks.

The engines of the soak may start again as another build under their names, and tell their starts.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -150,6 +150,17 @@
               round(f.runnerUpCost()),
               f.attemptNumber(),
               f.candidates());
+      case RelayFact.IncarnationChecked f ->
+          log.info(
+              "event=incarnation_checked call={} attempt={} upstream={} start={} check={} answer={}"
+                  + " ms={}",
+              id(f.call()),
+              f.attempt(),
+              f.upstream().name(),
+              f.upstream().incarnation(),
+              f.check(),
+              f.answer(),
+              millis(f.nanos()));
       case RelayFact.AttemptFailed f ->
           log.warn(
               "event=attempt_failed call={} attempt={} upstream={} cause={} may_have_run={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -165,6 +165,10 @@
           registry
               .counter("larkkeel.relay.attempts", "purpose", f.purpose(), "path", label(f.path()))
               .increment();
+      case RelayFact.IncarnationChecked f ->
+          registry
+              .timer("larkkeel.relay.incarnation.checks", "answer", label(f.answer()))
+              .record(f.nanos(), TimeUnit.NANOSECONDS);
       case RelayFact.PromptRead f ->
           latency("larkkeel.relay.prompt", "all").record(f.nanos(), TimeUnit.NANOSECONDS);
       case RelayFact.RunMoved f ->
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
@@ -11,7 +11,6 @@
 import com.google.common.collect.ListMultimap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import io.undertow.util.Methods;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -78,10 +77,12 @@
             millis,
             OptionalLong.empty(),
             Optional.empty()));
-    headers.put(Headers.CONTENT_TYPE, JSON);
+    if (!call.body().isEmpty()) {
+      headers.put(Headers.CONTENT_TYPE, JSON);
+    }
     UpstreamRequest wire =
         new UpstreamRequest(
-            Methods.POST,
+            call.method(),
             call.path(),
             ImmutableListMultimap.copyOf(headers),
             call.body().getBytes(StandardCharsets.UTF_8),
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -115,6 +115,11 @@
     }
   }
 
+  /** Returns whether the attempt was cancelled or its outcome was submitted. */
+  boolean hasEnded() {
+    return ended;
+  }
+
   /** Aborts the attempt without submitting an outcome. */
   void cancel() {
     ended = true;
@@ -304,7 +309,7 @@
     long at = loop.now();
     boolean declined = verdict == AnswerVerdict.NOT_RUN || verdict == AnswerVerdict.WRONG_UPSTREAM;
     if (failure.exposure() != Exposure.MAY_HAVE_RUN) {
-      loop.submit(new RelayEvent.Refused(at, id, notSentCause(failure)));
+      loop.submit(new RelayEvent.Refused(at, id, IncarnationReader.refusalCause(failure)));
     } else if (declined) {
       loop.submit(new RelayEvent.Refused(at, id, RefusalCause.DECLINED));
     } else {
@@ -312,11 +317,9 @@
     }
   }
 
-  private static RefusalCause notSentCause(UpstreamFailure failure) {
-    return switch (failure.connect()) {
-      case NONE -> RefusalCause.NOT_SENT;
-      case REFUSED -> RefusalCause.CONNECT_REFUSED;
-      case TIMED_OUT -> RefusalCause.CONNECT_TIMED_OUT;
-    };
+  /** Ends the attempt, whose request was not written. */
+  void refuse(RefusalCause cause) {
+    ended = true;
+    loop.submit(new RelayEvent.Refused(loop.now(), id, cause));
   }
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.request.RecordedAnswer;
+import org.larkkeel.lib.Incarnation;
 import org.larkkeel.relay.MoveStep;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayUpstream;
@@ -87,6 +88,16 @@
    */
   ControlCall order(Stage stage, String holder, long fencing);
 
+  /** Returns the control call that asks an upstream for its incarnation. */
+  ControlCall incarnation();
+
+  /**
+   * Returns the incarnation in the answer to {@link #incarnation}; empty if there is none.
+   *
+   * @param body the body of an answer with status 200
+   */
+  Optional<Incarnation> readIncarnation(byte[] body);
+
   /** Returns the answer that reports a problem to a caller. */
   RecordedAnswer refusal(Problem problem);
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -31,8 +32,10 @@
 import org.larkkeel.http.upstream.UpstreamRequest;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.relay.IncarnationCheck;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.ProbeResult;
+import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
@@ -67,6 +70,7 @@
   private final RelayDialect dialect;
   private final UpstreamClient client;
   private final ControlSender control;
+  private final IncarnationReader incarnations;
   private final ConnectProbe probe;
   private final NoticeReader notices;
   private final XnioIoThread thread;
@@ -101,6 +105,7 @@
     this.client = client;
     this.notices = new NoticeReader(loop, dialect);
     this.control = new ControlSender(client, dialect, notices);
+    this.incarnations = new IncarnationReader(control, dialect, loop);
     this.probe = new ConnectProbe(thread);
     this.thread = thread;
     this.settings = settings;
@@ -186,6 +191,51 @@
     RelayAttempt attempt =
         new RelayAttempt(loop, dialect, notices, e, request, settings.maxAnswerBytes());
     attempts.put(e.attempt(), attempt);
+    if (e.check() == IncarnationCheck.NONE) {
+      write(e, request, attempt);
+    } else {
+      checkAndWrite(e, request, attempt);
+    }
+  }
+
+  /** Sends a request to an upstream once that has told its incarnation. */
+  private void checkAndWrite(RelayEffect.Send e, RelayRequest request, RelayAttempt attempt) {
+    final long askedAt = loop.now();
+    incarnations.read(
+        e.upstream(),
+        destination(e.upstream(), e.path()),
+        reading -> {
+          if (attempt.hasEnded()) {
+            return;
+          }
+          facts.accept(
+              new RelayFact.IncarnationChecked(
+                  request.call.wireId(),
+                  e.attempt(),
+                  e.upstream().incarnation(),
+                  e.check(),
+                  reading.answer(),
+                  loop.now() - askedAt));
+          refusal(e.check(), reading)
+              .ifPresentOrElse(attempt::refuse, () -> write(e, request, attempt));
+        });
+  }
+
+  /** Returns why a request is not sent after the answer of its upstream; empty if it is. */
+  private static Optional<RefusalCause> refusal(
+      IncarnationCheck check, IncarnationReader.Reading reading) {
+    return switch (reading.answer()) {
+      case CONFIRMED -> Optional.empty();
+      case NOT_TOLD ->
+          check == IncarnationCheck.REQUIRE
+              ? Optional.of(RefusalCause.NOT_CONFIRMED)
+              : Optional.empty();
+      case OTHER -> Optional.of(RefusalCause.WRONG_UPSTREAM);
+      case NONE -> reading.failure();
+    };
+  }
+
+  private void write(RelayEffect.Send e, RelayRequest request, RelayAttempt attempt) {
     long leftNanos = Math.max(NANOS_PER_MILLI, e.deadline() - loop.now());
     ResponseTimeout timeout =
         e.idleTimeoutNanos() > 0
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RandomHistory.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RandomHistory.java
@@ -199,14 +199,15 @@
   }
 
   /**
-   * Returns the text of an effect without the direct path of sends and probes and the empty build
-   * of upstreams, which the recorded digests do not have.
+   * Returns the text of an effect without the direct path of sends and probes, the absent check of
+   * incarnations and the empty build of upstreams, which the recorded digests do not have.
    */
   static String textWithoutDefaults(RelayEffect effect) {
     return effect
         .toString()
         .replace("path=DIRECT, ", "")
         .replace(", path=DIRECT]", "]")
+        .replace("check=NONE, ", "")
         .replace("build=, ", "");
   }
 }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RestartedBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RestartedBuildsTest.java
@@ -7,10 +7,14 @@
 package org.larkkeel.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
+import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamName;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -27,6 +31,7 @@
     w.configure(1, RelayWorld.rules());
     for (int i = 1; i <= ENGINES; i++) {
       w.add(engine(i), RelayWorld.MODEL, Stage.DECODE, OLD);
+      w.restart(engine(i), 1, OLD);
     }
     w.applyDiscoveryList();
     return w;
@@ -141,4 +146,86 @@
           .forEach(s -> assertEquals(s.upstream().build(), OLD));
     }
   }
+
+  /** What is sent between the restart and the change of the entries. */
+  public static class BeforeTheChange {
+    /** Returns a world with a stream that has broken and was sent on. */
+    private static RelayWorld sentOn() {
+      RelayWorld w = world();
+      beginStreams(w, 1);
+      w.lost();
+      assertEquals(w.sendCount(), 2);
+      return w;
+    }
+
+    /** Guards against a question to the engine for each stream. */
+    @Test
+    public void asksNothingForNewStreams() {
+      RelayWorld w = world();
+      beginStreams(w, 3);
+      w.of(RelayEffect.Send.class).forEach(s -> assertEquals(s.check(), IncarnationCheck.NONE));
+    }
+
+    /** Guards against a stream that goes on at an engine that restarted unlisted. */
+    @Test
+    public void asksTheEngineAtWhichStreamGoesOn() {
+      assertEquals(sentOn().sent().check(), IncarnationCheck.ASK);
+    }
+
+    /** Guards against a stream that is taken up at an engine that restarted unlisted. */
+    @Test
+    public void asksTheEngineAtWhichStreamIsTakenUp() {
+      RelayWorld w = world();
+      w.arrive("/resume/a", 14_000, SIZE);
+      w.began();
+      w.resume("/resume/a", SIZE, "call-1");
+      w.pass(100);
+      assertEquals(w.sendCount(), 2);
+      assertEquals(w.sent().check(), IncarnationCheck.ASK);
+    }
+
+    /** Guards against a stream that stays with an engine that is not the listed incarnation. */
+    @Test
+    public void sendsStreamElsewhereIfTheEngineHasRestarted() {
+      RelayWorld w = sentOn();
+      final UpstreamName restarted = w.sent().upstream().name();
+      w.apply(new RelayEvent.Refused(w.now(), w.sent().attempt(), RefusalCause.WRONG_UPSTREAM));
+      assertEquals(w.sendCount(), 3);
+      assertNotEquals(w.sent().upstream().name(), restarted);
+    }
+
+    /** Guards against trust in an engine that failed a moment ago and does not tell who it is. */
+    @Test
+    public void requiresAnAnswerOfAnEngineThatFailed() {
+      RelayWorld w = world();
+      ImmutableList<String> writers = beginStreams(w, 2 * ENGINES);
+      for (RelayEffect.Send s : w.of(RelayEffect.Send.class)) {
+        w.apply(new RelayEvent.Lost(w.now(), s.attempt(), FailureCause.CONNECTION_LOST));
+      }
+      List<RelayEffect.Send> sentOn =
+          w.of(RelayEffect.Send.class).stream().skip(writers.size()).toList();
+      assertEquals(sentOn.getLast().check(), IncarnationCheck.REQUIRE);
+    }
+
+    /** Guards against trust in an engine that went dark under streams and answers again. */
+    @Test
+    public void requiresAnAnswerOfAnEngineWithSilentStreams() {
+      RelayWorld w = world();
+      ImmutableList<String> writers = beginStreams(w, 2 * ENGINES);
+      assertEquals(ImmutableSet.copyOf(writers).size(), ENGINES);
+      w.pass(1_000);
+      w.lost();
+      assertEquals(w.sent().check(), IncarnationCheck.REQUIRE);
+    }
+
+    /** Guards against a stream that is given up because one engine does not tell who it is. */
+    @Test
+    public void sendsStreamElsewhereIfTheEngineDoesNotTell() {
+      RelayWorld w = sentOn();
+      final UpstreamName silent = w.sent().upstream().name();
+      w.apply(new RelayEvent.Refused(w.now(), w.sent().attempt(), RefusalCause.NOT_CONFIRMED));
+      assertEquals(w.sendCount(), 3);
+      assertNotEquals(w.sent().upstream().name(), silent);
+    }
+  }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RefusalCause.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RefusalCause.java
@@ -24,6 +24,9 @@
   /** The upstream answered that it did not run the request. */
   DECLINED,
 
-  /** The address belongs to another upstream. */
-  WRONG_UPSTREAM
+  /** The address belongs to another upstream, or to another incarnation of the upstream. */
+  WRONG_UPSTREAM,
+
+  /** The upstream did not tell its incarnation, and the request is for the listed one only. */
+  NOT_CONFIRMED
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -51,6 +51,7 @@
    * @param call the call
    * @param upstream the destination
    * @param path the path to the destination
+   * @param check whether the destination is asked for its incarnation first
    * @param purpose the purpose of the attempt
    * @param deadline the time at which the upstream may stop, in nanoseconds of the events' clock
    * @param idleTimeoutNanos the maximum pause within the answer; 0 for no limit
@@ -61,6 +62,7 @@
       RequestId call,
       RelayUpstream upstream,
       UpstreamPath path,
+      IncarnationCheck check,
       Purpose purpose,
       long deadline,
       long idleTimeoutNanos,
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -223,6 +223,25 @@
       int candidates)
       implements RelayFact {}
 
+  /**
+   * An upstream was asked for its incarnation before an attempt was sent.
+   *
+   * @param call the caller's id of the call
+   * @param attempt the attempt
+   * @param upstream the listed incarnation
+   * @param check what was asked for
+   * @param answer the answer of the upstream
+   * @param nanos the time until the answer, or until the wait for it ended
+   */
+  record IncarnationChecked(
+      String call,
+      AttemptId attempt,
+      UpstreamIncarnation upstream,
+      IncarnationCheck check,
+      IncarnationAnswer answer,
+      long nanos)
+      implements RelayFact {}
+
   /** An attempt ended without a usable answer. */
   record AttemptFailed(
       String call, AttemptId attempt, UpstreamName upstream, String cause, boolean mayHaveRun)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.larkkeel.lib.AttemptId;
+import org.larkkeel.relay.IncarnationCheck;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayFact;
@@ -26,6 +27,12 @@
 final class Attempts {
   private static final double MILLI = 1e6;
 
+  /** The time after a failure within which an upstream may have started again unlisted. */
+  private static final long DOUBT_NANOS = 5_000_000_000L;
+
+  /** The pause of a begun stream after which its upstream may have started again. */
+  private static final long SILENT_NANOS = 500_000_000L;
+
   private final UpstreamTable upstreams;
   private final Timers timers;
   private final Consumer<RelayEffect> effects;
@@ -78,6 +85,7 @@
     }
     c.attempt = a;
     c.attemptFirstEventAt = Long.MIN_VALUE;
+    c.lastEventAt = Long.MIN_VALUE;
     c.pace.reset();
     inFlight.put(id, a);
     choice.best().attemptStarted();
@@ -95,12 +103,36 @@
             c.call.id(),
             choice.best().upstream(),
             a.path(),
+            incarnationCheck(at, a),
             purpose,
             c.deadline,
             AttemptTimeouts.idleTimeoutNanos(a),
             c.workspace.map(RelayWorkspace::name)));
   }
 
+  /**
+   * Returns whether the upstream of an attempt is asked for its incarnation first. For a stream
+   * that has begun, another build must not answer in place of the listed one. An upstream that
+   * failed, or at which a begun stream is silent, may have started again.
+   */
+  private IncarnationCheck incarnationCheck(long at, AttemptState a) {
+    if (a.call().build == null || !a.upstream().incarnation().isKnown()) {
+      return IncarnationCheck.NONE;
+    }
+    boolean isInDoubt = a.upstream().hasFailedHard(at, DOUBT_NANOS) || hasSilentStream(at, a);
+    return isInDoubt ? IncarnationCheck.REQUIRE : IncarnationCheck.ASK;
+  }
+
+  private boolean hasSilentStream(long at, AttemptState sent) {
+    return inFlight.values().stream()
+        .anyMatch(
+            a ->
+                a != sent
+                    && a.upstream() == sent.upstream()
+                    && a.call().lastEventAt != Long.MIN_VALUE
+                    && at - a.call().lastEventAt > SILENT_NANOS);
+  }
+
   private static RelayFact placed(CallState c, AttemptState a, Choice choice) {
     return new RelayFact.Placed(
         c.call.wireId(),
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -93,6 +93,11 @@
    */
   long attemptFirstEventAt = Long.MIN_VALUE;
 
+  /**
+   * The time of the last event of the attempt in flight; {@link Long#MIN_VALUE} before its first.
+   */
+  long lastEventAt = Long.MIN_VALUE;
+
   /** The pace of the stream of the attempt in flight. */
   final RunPace pace = new RunPace();
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -84,6 +84,7 @@
     c.prefilledPrompt = null;
     core.streamBuilds.began(at, c, a.upstream());
     c.attemptFirstEventAt = at;
+    c.lastEventAt = at;
     if (!c.streamBegan) {
       c.streamBegan = true;
       c.streamBeganAt = at;
@@ -101,11 +102,15 @@
   /** Handles further events of a stream. */
   public void progressed(long at, AttemptId id, int events) {
     AttemptState a = find(id);
-    if (a == null || a.call().reservedUpstream == null) {
+    if (a == null) {
       return;
     }
-    core.paths.heard(at, a);
     CallState c = a.call();
+    c.lastEventAt = at;
+    if (c.reservedUpstream == null) {
+      return;
+    }
+    core.paths.heard(at, a);
     ServiceBounds bounds = core.bounds(c.service);
     c.generatedTokens += (long) events * bounds.tokensPerEvent();
     long tokens = CallDemands.memoryTokens(c);
@@ -196,6 +201,7 @@
           case NOT_SENT -> notSent(at, a, cause);
           case CONNECT_REFUSED, CONNECT_TIMED_OUT -> notConnected(at, a, cause);
           case WRONG_UPSTREAM -> replaced(at, a);
+          case NOT_CONFIRMED -> notConfirmed(a);
           case DECLINED -> {
             core.paths.heard(at, a);
             yield declined(at, a);
@@ -254,6 +260,13 @@
     return false;
   }
 
+  /** Undoes the counts of an attempt whose upstream did not tell its incarnation. */
+  private boolean notConfirmed(AttemptState a) {
+    releaseArrival(a);
+    a.call().attemptCount--;
+    return false;
+  }
+
   /** Handles a declined attempt; returns whether the call continues at the same upstream. */
   private boolean declined(long at, AttemptState a) {
     if (a.purpose() instanceof Purpose.TakeOver t && prefillLocally(at, a, t)) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -61,6 +61,7 @@
   private double failureRate;
   private long failureRateUpdatedAt;
   private int hardFailures;
+  private long failedHardAt = Long.MIN_VALUE / 2;
   private int consecutiveDeclines;
   private boolean probing;
   private long ejectedUntil = Long.MIN_VALUE;
@@ -400,6 +401,7 @@
    */
   long failedHard(long at, boolean ejectNow) {
     recordOutcome(at, 1);
+    failedHardAt = at;
     hardFailures++;
     if (!ejectNow && hardFailures < 2) {
       return 0;
@@ -412,6 +414,11 @@
     return ejectionNanos;
   }
 
+  /** Returns whether the upstream failed within some time in a way that a healthy one does not. */
+  boolean hasFailedHard(long at, long nanos) {
+    return at - failedHardAt <= nanos;
+  }
+
   /** Ends an ejection whose failures were those of the path and not of the upstream. */
   void endEjection() {
     hardFailures = 0;
--- a/platform.test/src/test/java/org/larkkeel/platform/RelayTestSetup.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayTestSetup.java
@@ -8,10 +8,12 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import org.larkkeel.config.Checked;
 import org.larkkeel.daemon.relay.RelayNode;
@@ -31,6 +33,7 @@
   RelayNode node;
   private final Closer closer = new Closer();
   private final Map<String, RawServer> runnersById = new HashMap<>();
+  private final Map<String, Long> reportedStarts = new ConcurrentHashMap<>();
   private int runnerCount;
 
   RelayTestSetup() {
@@ -111,7 +114,16 @@
 
   /** Starts a runner, and waits until the node knows it. */
   RawServer runner(String id, String service, String stage, RawServer.Script script) {
-    RawServer runner = closer.add(new RawServer(script));
+    RawServer runner =
+        closer.add(
+            new RawServer(
+                (r, out, socket) -> {
+                  if (r.target().equals(PlatformNames.REPORT)) {
+                    writeReport(id, out);
+                  } else {
+                    script.answer(r, out, socket);
+                  }
+                }));
     runnersById.put(id, runner);
     register(id, service, stage, runner.address(), "ready");
     runnerCount++;
@@ -119,6 +131,16 @@
     return runner;
   }
 
+  private void writeReport(String id, OutputStream out) throws IOException {
+    String body = "{\"born\":" + reportedStarts.getOrDefault(id, START_MILLIS) + "}";
+    RawServer.write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+  }
+
+  /** Sets the start time that a runner reports, without changing its entry. */
+  void setReportedStart(String id, long startMillis) {
+    reportedStarts.put(id, startMillis);
+  }
+
   /** Writes the entry of a runner that announces that it will leave. */
   void announceLeaving(String id, String service, String stage, RawServer runner) {
     register(id, service, stage, runner.address(), "draining");
@@ -126,6 +148,7 @@
 
   /** Writes the entry of a ready runner again, with another start time and sequence number. */
   void rewriteEntry(String id, String service, String stage, long startMillis, int sequence) {
+    setReportedStart(id, startMillis);
     ObjectNode entry = entry(service, stage, runnersById.get(id).address(), "ready");
     store.put("servers", id, entry.put("born", startMillis).put("sequence", sequence));
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -89,17 +89,20 @@
   /** Starts under a new name, and registers it. */
   synchronized void start() {
     id = "i-" + STARTS.incrementAndGet();
-    build =
-        Soak.mixesEngineBuilds() && !stage.isEmpty() ? SoakBuilds.draw(random) : SoakBuilds.NONE;
+    build = drawBuild();
     startMillis = System.currentTimeMillis();
     drainingSince = Long.MAX_VALUE;
     resetState();
     register();
   }
 
+  private String drawBuild() {
+    return Soak.mixesEngineBuilds() && isEngine() ? SoakBuilds.draw(random) : SoakBuilds.NONE;
+  }
+
   /**
-   * Restarts under the same name: its work is lost, and its connections are closed. Its entry is
-   * not changed.
+   * Restarts under the same name, maybe as another build: its work is lost, and its connections are
+   * closed. Its entry is not changed.
    *
    * @param backMillis the milliseconds by which the new start time is before the previous one,
    *     after the clock was set back; 0 if the clock is right
@@ -109,6 +112,7 @@
         backMillis > 0
             ? startMillis - backMillis
             : Math.max(startMillis + 1, System.currentTimeMillis());
+    build = drawBuild();
     resetState();
     server.closeConnections();
   }
@@ -221,6 +225,10 @@
       respond(out, "421 X", "X-Not-Run: 1\r\n", "");
       return;
     }
+    if (r.target().equals(PlatformNames.REPORT)) {
+      respond(out, "200 OK", "", "{\"born\":" + startMillis + "}");
+      return;
+    }
     OptionalInt node = ledger.nodeOf(wire);
     node.ifPresent(n -> notices.reached(n, wire));
     node.ifPresent(n -> limit.reached(n, wire));
