Do not continue streams that a restarted upstream may have written unlisted

Callers could get events of two builds if an engine was back as another build before the node's list said so: streams that began there were taken for those of the old build. When the entry changed they were cancelled as lost and went on at the old build, and the caller who took such a stream up was sent there.

Change: for upstreams that restarted as another build the router compares the start in the entry with the time at which their streams began. A stream that began less than 1 s before the start, or later, or whose last event is less than 0.3 s old, may be of either build: it runs to its end, is not continued, and its record is replaced by one without a build, here and at the nodes that keep it. The others go on at their build as before.

Seen in event=stream_writer_unknown and larkkeel_relay_streams_writer_unknown_total.

RestartedBuildsTest$BegunBeforeTheChange: without the change 4 of its 5 tests fail (a second send to v1, a cancelled stream, a record of v1).

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -161,6 +161,17 @@
               f.check(),
               f.answer(),
               millis(f.nanos()));
+      case RelayFact.WriterUnknown f ->
+          log.warn(
+              "event=stream_writer_unknown call={} attempt={} upstream={} start={} restarted_ms={}"
+                  + " begun_ms={} silent_ms={}",
+              id(f.call()),
+              f.attempt(),
+              f.upstream().name(),
+              f.upstream().incarnation(),
+              millis(f.startedNanos()),
+              millis(f.begunNanos()),
+              millis(f.silentNanos()));
       case RelayFact.AttemptFailed f ->
           log.warn(
               "event=attempt_failed call={} attempt={} upstream={} cause={} may_have_run={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.daemon.relay;
 
+import java.util.OptionalLong;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -215,7 +216,12 @@
 
   private void apply(UpstreamEntries.Difference d) {
     stages.upstreams(d.changed(), d.removed());
-    loop.submit(new RelayEvent.UpstreamsChanged(loop.now(), d.changed(), d.removed()));
+    loop.submit(
+        new RelayEvent.UpstreamsChanged(
+            loop.now(),
+            OptionalLong.of(scheduler.wallMillis()),
+            d.changed(),
+            d.removed()));
     updateUpstreamProblems();
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -165,6 +165,8 @@
           registry
               .counter("larkkeel.relay.attempts", "purpose", f.purpose(), "path", label(f.path()))
               .increment();
+      case RelayFact.WriterUnknown f ->
+          registry.counter("larkkeel.relay.streams.writer.unknown").increment();
       case RelayFact.IncarnationChecked f ->
           registry
               .timer("larkkeel.relay.incarnation.checks", "answer", label(f.answer()))
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.DataCentreName;
@@ -192,10 +193,20 @@
   }
 
   void applyDiscoveryList() {
+    applyDiscoveryList(OptionalLong.empty());
+  }
+
+  /** Applies the discovery list at a time of day, to which the starts of upstreams refer. */
+  void applyDiscoveryList(long unixMillis) {
+    applyDiscoveryList(OptionalLong.of(unixMillis));
+  }
+
+  private void applyDiscoveryList(OptionalLong unixMillis) {
     ImmutableSet<UpstreamName> removed =
         Sets.difference(listed, upstreams.keySet()).immutableCopy();
     listed = ImmutableSet.copyOf(upstreams.keySet());
-    apply(new RelayEvent.UpstreamsChanged(now, ImmutableMap.copyOf(upstreams), removed));
+    apply(
+        new RelayEvent.UpstreamsChanged(now, unixMillis, ImmutableMap.copyOf(upstreams), removed));
   }
 
   long now() {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RestartedBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RestartedBuildsTest.java
@@ -12,6 +12,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
+import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamName;
@@ -228,4 +229,89 @@
       assertNotEquals(w.sent().upstream().name(), silent);
     }
   }
+
+  /** Streams that began at the next incarnation while the entry was that of the previous one. */
+  public static class BegunBeforeTheChange {
+    private static final long START = 1_700_000_000_000L;
+
+    /** Applies entries by which the engine of the last send restarted as another build. */
+    private static void restartWriter(RelayWorld w, long agoMillis) {
+      w.restart(w.sent().upstream().name().value(), START, NEW);
+      w.applyDiscoveryList(START + agoMillis);
+    }
+
+    private static void progress(RelayWorld w) {
+      w.apply(new RelayEvent.Progressed(w.now(), w.sent().attempt(), 1));
+    }
+
+    /** Guards against a running stream that is cut off and goes on at another build. */
+    @Test
+    public void runToTheirEnd() {
+      RelayWorld w = world();
+      w.pass(3_000);
+      beginStreams(w, 1);
+      w.pass(800);
+      progress(w);
+      restartWriter(w, 2_000);
+      assertEquals(w.sendCount(), 1);
+      assertEquals(w.of(RelayEffect.Cancel.class).size(), 0);
+      w.answered(AnswerGrade.GOOD);
+      assertEquals(w.of(RelayEffect.Deliver.class).size(), 1);
+    }
+
+    /** Guards against a stream of unknown build that goes on at the build of the old entry. */
+    @Test
+    public void areNotContinued() {
+      RelayWorld w = world();
+      w.pass(3_000);
+      beginStreams(w, 1);
+      w.pass(800);
+      progress(w);
+      restartWriter(w, 2_000);
+      w.pass(100);
+      w.lost();
+      assertEquals(w.sendCount(), 1);
+      assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
+    }
+
+    /** Guards against a stream that is taken up at the build of the old entry. */
+    @Test
+    public void areNotTakenUp() {
+      RelayWorld w = world();
+      w.pass(3_000);
+      RequestId call = w.arrive("/resume/a", 14_000, SIZE);
+      w.began();
+      w.pass(100);
+      w.apply(new RelayEvent.CallerLeft(w.now(), call));
+      restartWriter(w, 500);
+      w.resume("/resume/a", SIZE, "call-1");
+      w.pass(300);
+      assertEquals(w.sendCount(), 1);
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
+    /** Guards against a record of the old build at the nodes to which it was told. */
+    @Test
+    public void areForgottenAtOtherNodes() {
+      RelayWorld w = world();
+      w.add("other", RelayWorld.MODEL, Stage.DECODE, new BuildName("v3"));
+      w.applyDiscoveryList();
+      w.pass(3_000);
+      beginStreams(w, 1);
+      w.pass(100);
+      restartWriter(w, 500);
+      assertEquals(
+          w.of(RelayEffect.RecordStream.class).getLast().stream().build(), BuildName.UNKNOWN);
+    }
+
+    /** Guards against streams of the ended incarnation that are given up. */
+    @Test
+    public void doNotIncludeThoseThatFellSilentBeforeTheStart() {
+      RelayWorld w = world();
+      beginStreams(w, 1);
+      w.pass(3_000);
+      restartWriter(w, 1_000);
+      assertSentTo(w, 1, 1, OLD);
+    }
+  }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -10,6 +10,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.larkkeel.balance.SpeedSample;
 import org.larkkeel.balance.UpstreamSpeed;
 import org.larkkeel.event.FailureCause;
@@ -92,14 +93,25 @@
    * The differences of the discovery list from its previous state.
    *
    * @param at the time at which the list was read
+   * @param unixMillis the time of day at {@code at}, if the numbers of incarnations are the Unix
+   *     milliseconds of their starts; empty if they tell no time
    * @param changed upstreams that are new or have changed, by name
    * @param removed names that are no longer on the list
    */
   record UpstreamsChanged(
       long at,
+      OptionalLong unixMillis,
       ImmutableMap<UpstreamName, RelayUpstream> changed,
       ImmutableSet<UpstreamName> removed)
-      implements RelayEvent {}
+      implements RelayEvent {
+    /** Creates differences of a list whose incarnations do not tell their starts. */
+    public UpstreamsChanged(
+        long at,
+        ImmutableMap<UpstreamName, RelayUpstream> changed,
+        ImmutableSet<UpstreamName> removed) {
+      this(at, OptionalLong.empty(), changed, removed);
+    }
+  }
 
   /**
    * This node has ordered an upstream to take another stage; the upstream gets no work until its
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -242,6 +242,25 @@
       long nanos)
       implements RelayFact {}
 
+  /**
+   * The upstream of a stream restarted as another build, and either may have written the stream.
+   *
+   * @param call the caller's id of the call
+   * @param attempt the attempt
+   * @param upstream the incarnation that was listed
+   * @param startedNanos the time since the start of the next incarnation, as far as is known
+   * @param begunNanos the time since the first event of the attempt
+   * @param silentNanos the time since its last event
+   */
+  record WriterUnknown(
+      String call,
+      AttemptId attempt,
+      UpstreamIncarnation upstream,
+      long startedNanos,
+      long begunNanos,
+      long silentNanos)
+      implements RelayFact {}
+
   /** An attempt ended without a usable answer. */
   record AttemptFailed(
       String call, AttemptId attempt, UpstreamName upstream, String cause, boolean mayHaveRun)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -62,7 +62,7 @@
       case RelayEvent.Lost e -> eventHandler.outcomes().lost(at, e.attempt(), e.cause());
       case RelayEvent.Moved e -> eventHandler.moved(at, e.attempt(), e.result());
       case RelayEvent.UpstreamsChanged e ->
-          eventHandler.upstreamsChanged(at, e.changed(), e.removed());
+          eventHandler.upstreamsChanged(at, e.unixMillis(), e.changed(), e.removed());
       case RelayEvent.Ordered e -> eventHandler.ordered(at, e.upstream(), e.maxNanos());
       case RelayEvent.OrderRefused e -> eventHandler.orderEnded(at, e.upstream());
       case RelayEvent.ConfigurationRead e -> eventHandler.configurationRead(at, e.configuration());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Attempts.java
@@ -86,6 +86,7 @@
     c.attempt = a;
     c.attemptFirstEventAt = Long.MIN_VALUE;
     c.lastEventAt = Long.MIN_VALUE;
+    c.mayBeOfNextIncarnation = false;
     c.pace.reset();
     inFlight.put(id, a);
     choice.best().attemptStarted();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -98,6 +98,12 @@
    */
   long lastEventAt = Long.MIN_VALUE;
 
+  /**
+   * True if the next incarnation of its upstream may write the stream of the attempt in flight, so
+   * that the attempt does not end with its incarnation.
+   */
+  boolean mayBeOfNextIncarnation;
+
   /** The pace of the stream of the attempt in flight. */
   final RunPace pace = new RunPace();
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EndedIncarnations.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EndedIncarnations.java
@@ -17,7 +17,8 @@
  * <p>The estimates of an upstream end with the {@link UpstreamState} of its incarnation, and state
  * that is only looked up by incarnation is no longer found. This class undoes the rest:
  * reservations, prefilled prompts, moves, grants and attempts. It sends nothing to the upstream
- * itself: a handle of the earlier incarnation may name memory of another call now.
+ * itself: a handle of the earlier incarnation may name memory of another call now. An attempt whose
+ * stream the next incarnation may write goes on, see {@link StreamBuilds#restarted}.
  *
  * <p>Invariant: everything that names an ended incarnation is void before the next call is placed.
  * Not thread-safe.
@@ -55,7 +56,9 @@
     reservations.incarnationsEnded(incarnations);
     evacuation.incarnationsEnded(at, incarnations);
     for (CallState c : calls) {
-      if (c.attempt != null && incarnations.contains(c.attempt.upstream().incarnation())) {
+      if (c.attempt != null
+          && incarnations.contains(c.attempt.upstream().incarnation())
+          && !c.mayBeOfNextIncarnation) {
         environment.attemptLost(at, c.attempt);
       }
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -11,6 +11,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.larkkeel.balance.SpeedSample;
 import org.larkkeel.balance.UpstreamSpeed;
@@ -142,10 +143,12 @@
   /** Applies changes of the discovery list. */
   public void upstreamsChanged(
       long at,
+      OptionalLong unixMillis,
       ImmutableMap<UpstreamName, RelayUpstream> changed,
       ImmutableSet<UpstreamName> removed) {
     List<UpstreamState> ended = core.upstreams.update(at, changed, removed, core::report);
     core.streamBuilds.upstreamsChanged(at);
+    core.streamBuilds.restarted(at, unixMillis, ended);
     ended.forEach(s -> core.crashGuard.incarnationEnded(at, s.incarnation(), "restarted"));
     core.upstreams
         .missingWithoutNotice(removed)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -13,13 +13,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.RequestId;
+import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.StreamBuild;
 import org.larkkeel.relay.StreamId;
@@ -46,6 +49,12 @@
   /** The maximum wait for the answers of other nodes. */
   private static final long LOOKUP_NANOS = 200 * MILLI;
 
+  /** The tolerated difference between the clocks of upstreams and of this node. */
+  private static final long CLOCK_TOLERANCE_NANOS = 1_000 * MILLI;
+
+  /** The time since its last event for which a stream is taken for running. */
+  private static final long LIVE_NANOS = 300 * MILLI;
+
   private static final int MAX_RECORDS = 50_000;
 
   private final Core core;
@@ -58,7 +67,18 @@
   /** The calls that wait to learn the builds of their streams. */
   private final Map<RequestId, CallState> waiting = new LinkedHashMap<>();
 
-  private record RecordedStream(StreamBuild stream, long at, boolean own) {}
+  /**
+   * A stream that is known here.
+   *
+   * @param stream the stream and its build
+   * @param at when it began, or was told by another node
+   * @param writer the incarnation at which it began, by its entry; empty if another node told it
+   */
+  private record RecordedStream(StreamBuild stream, long at, Optional<UpstreamIncarnation> writer) {
+    boolean isOwn() {
+      return writer.isPresent();
+    }
+  }
 
   /** The builds of a service that are listed, and those that were. */
   private static final class ServedBuilds {
@@ -135,10 +155,73 @@
     }
   }
 
+  /**
+   * Handles upstreams that restarted as another build.
+   *
+   * <p>The streams that began there shortly before the start, or after it, may be of either build:
+   * the upstream took requests before its entry told of the restart. So may one that is not silent.
+   * They run to their end, and are not continued anywhere.
+   *
+   * @param at now
+   * @param unixMillis the time of day, if incarnations are numbered by their starts
+   * @param ended the incarnations that ended
+   */
+  void restarted(long at, OptionalLong unixMillis, List<UpstreamState> ended) {
+    for (UpstreamState s : ended) {
+      core.upstreams
+          .find(s.upstream().name())
+          .map(UpstreamState::upstream)
+          .filter(next -> !next.build().equals(s.upstream().build()))
+          .ifPresent(next -> restartedAs(at, startedAt(at, unixMillis, next), s));
+    }
+  }
+
+  private static long startedAt(long at, OptionalLong unixMillis, RelayUpstream next) {
+    if (unixMillis.isEmpty() || !next.incarnation().isKnown()) {
+      return at;
+    }
+    long age = unixMillis.getAsLong() - next.incarnation().incarnation().value();
+    return at - Math.max(0, age) * MILLI;
+  }
+
+  private void restartedAs(long at, long startedAt, UpstreamState ended) {
+    for (CallState c : core.openCalls.all()) {
+      if (c.attempt != null
+          && c.attempt.upstream() == ended
+          && c.lastEventAt != Long.MIN_VALUE
+          && (c.attemptFirstEventAt + CLOCK_TOLERANCE_NANOS >= startedAt
+              || at - c.lastEventAt <= LIVE_NANOS)) {
+        c.build = BuildName.UNKNOWN;
+        c.mayBeOfNextIncarnation = true;
+        core.report(
+            new RelayFact.WriterUnknown(
+                c.call.wireId(),
+                c.attempt.id(),
+                ended.incarnation(),
+                at - startedAt,
+                at - c.attemptFirstEventAt,
+                at - c.lastEventAt));
+        streamOf(c).map(records::get).ifPresent(this::forgetBuild);
+      }
+    }
+    List.copyOf(records.values()).stream()
+        .filter(r -> r.writer().filter(ended.incarnation()::equals).isPresent())
+        .filter(r -> r.at() + CLOCK_TOLERANCE_NANOS >= startedAt)
+        .forEach(this::forgetBuild);
+  }
+
+  /** Replaces the build of a stream by none, here and at other nodes. */
+  private void forgetBuild(RecordedStream r) {
+    StreamBuild none =
+        new StreamBuild(r.stream().stream(), r.stream().service(), BuildName.UNKNOWN);
+    records.replace(none.stream(), new RecordedStream(none, r.at(), r.writer()));
+    core.emit(new RelayEffect.RecordStream(none));
+  }
+
   /** Tells other nodes of the streams that began here while there was one build. */
   private void recordAll(long at, ServiceName service) {
     for (RecordedStream r : records.values()) {
-      if (r.own() && r.stream().service().equals(service) && at - r.at() <= LIFE_NANOS) {
+      if (r.isOwn() && r.stream().service().equals(service) && at - r.at() <= LIFE_NANOS) {
         core.emit(new RelayEffect.RecordStream(r.stream()));
       }
     }
@@ -156,7 +239,7 @@
         .map(id -> new StreamBuild(id, c.service, c.build))
         .ifPresent(
             stream -> {
-              record(at, stream, true);
+              record(at, stream, Optional.of(upstream.incarnation()));
               if (hasSeveralBuilds(at, c.service)) {
                 core.emit(new RelayEffect.RecordStream(stream));
               }
@@ -182,14 +265,14 @@
   /** Records a stream of which another node told. */
   void recorded(long at, StreamBuild stream) {
     RecordedStream known = records.get(stream.stream());
-    if (known == null || !known.own()) {
-      record(at, stream, false);
+    if (known == null || !known.isOwn()) {
+      record(at, stream, Optional.empty());
     }
   }
 
-  private void record(long at, StreamBuild stream, boolean own) {
+  private void record(long at, StreamBuild stream, Optional<UpstreamIncarnation> writer) {
     records.remove(stream.stream());
-    records.put(stream.stream(), new RecordedStream(stream, at, own));
+    records.put(stream.stream(), new RecordedStream(stream, at, writer));
     Iterator<RecordedStream> oldest = records.values().iterator();
     while (oldest.hasNext()) {
       RecordedStream r = oldest.next();
