Send nothing for a call past its deadline

After a suspension the timers that came due meanwhile run in the order of their times: the end of a backoff of 3 s placed a call whose deadline of 14 s had passed as well, and only then the deadline cancelled the attempt. The reports of other nodes that the suspension had made outdated were dropped last, after they had been used.

Change: the deadline is a condition of each send, as the key and the quarantine are, and outdated reports are dropped before the timers run.

Found while looking for events that send before they are applied whole. SuspensionTest.callsPastTheirDeadlineAreNotSentWhenBackoffsEnd failed before: one send more than expected.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/SuspensionTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/SuspensionTest.java
@@ -10,6 +10,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.larkkeel.errors.ErrorKind;
 import org.testng.annotations.Test;
 
@@ -35,6 +36,28 @@
     assertEquals(w.sendCount(), sends);
   }
 
+  /** Guards against a call past its deadline that is sent as its upstreams' backoff is over. */
+  @Test
+  public void callsPastTheirDeadlineAreNotSentWhenBackoffsEnd() {
+    RelayWorld w = RelayWorld.withDefaults();
+    w.arrive("/resume/a", 14_000, SMALL);
+    w.promptRead();
+    w.began();
+    for (String engine : List.of("run-1", "run-2")) {
+      w.apply(
+          new RelayEvent.Noticed(
+              w.now(),
+              RelayWorld.incarnation(engine),
+              w.now(),
+              new UpstreamNotice(false, 3_000 * RelayWorld.MILLI, RateLimitNotice.UNKNOWN)));
+    }
+    w.lost();
+    final int sends = w.sendCount();
+    w.suspend(30_000);
+    assertEquals(w.sendCount(), sends);
+    assertEquals(w.of(RelayEffect.Cut.class).size(), 1);
+  }
+
   @Test
   public void attemptsPastTheirDeadlineAreCancelled() {
     RelayWorld w = RelayWorld.withDefaults();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Dispatch.java
@@ -15,8 +15,8 @@
 /**
  * Decides whether a call may be sent, chooses its upstream and sends it.
  *
- * <p>Invariant: a call is sent only while its caller's key is valid, its request is not
- * quarantined, and the retry budget of its service allows it. Not thread-safe.
+ * <p>Invariant: a call is sent only before its deadline, while its caller's key is valid, its
+ * request is not quarantined, and the retry budget of its service allows it. Not thread-safe.
  */
 final class Dispatch {
   private static final long MILLI = 1_000_000L;
@@ -156,6 +156,11 @@
   }
 
   void send(long at, CallState c, Choice choice, Purpose purpose, long loadUnits) {
+    if (at >= c.deadline) {
+      // After a suspension other timers may come before that of the deadline.
+      core.openCalls.failPastDeadline(at, c);
+      return;
+    }
     if (!(purpose instanceof Purpose.Continue) && !core.admission.isAllowed(c)) {
       core.openCalls.fail(at, c, ErrorKind.UNAUTHENTICATED, 0, Admission.refusalDetail(c.call));
       return;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -14,7 +14,6 @@
 import java.util.function.Consumer;
 import org.larkkeel.balance.SpeedSample;
 import org.larkkeel.balance.UpstreamSpeed;
-import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.DataCentreName;
 import org.larkkeel.lib.Fingerprint;
@@ -64,8 +63,6 @@
  * any. Not thread-safe.
  */
 public final class EventHandler {
-  private static final long MILLI = 1_000_000L;
-
   private final Core core;
 
   /** Creates a handler without a configuration. */
@@ -557,6 +554,7 @@
 
   /** Handles all timers that are due. */
   public void ticked(long at) {
+    dropUnresponsive(at);
     for (Timers.Timer due = core.timers.poll(at); due != null; due = core.timers.poll(at)) {
       switch (due) {
         case Timers.Timer.Deadline d ->
@@ -582,7 +580,6 @@
             core.upstreams.find(d.incarnation()).ifPresent(core.paths::probeDirect);
       }
     }
-    dropUnresponsive(at);
   }
 
   private void deadlineReached(long at, CallState c) {
@@ -591,7 +588,6 @@
     if (a != null) {
       core.attempts.reportFailed(a, "DEADLINE", true);
     }
-    ErrorKind kind = c.runCount > 0 ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.OVERLOADED;
-    core.openCalls.fail(at, c, kind, "no answer after " + (at - c.arrivedAt) / MILLI + " ms");
+    core.openCalls.failPastDeadline(at, c);
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/OpenCalls.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/OpenCalls.java
@@ -21,6 +21,7 @@
  */
 final class OpenCalls {
   private static final long RETRY_AFTER_MILLIS = 200;
+  private static final long MILLI = 1_000_000L;
 
   private final Core core;
   private final Map<RequestId, CallState> calls = new HashMap<>();
@@ -96,4 +97,10 @@
     core.answers.end(at, c, kind, retryAfterMillis, detail);
     core.reservations.placePending(at);
   }
+
+  /** Fails a call whose deadline has passed. */
+  void failPastDeadline(long at, CallState c) {
+    ErrorKind kind = c.runCount > 0 ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.OVERLOADED;
+    fail(at, c, kind, "no answer after " + (at - c.arrivedAt) / MILLI + " ms");
+  }
 }
