Take only a good answer as proof that a part of prompts is harmless

Cause: any complete answer cleared the request and the parts of its prompt, and made the parts harmless for 60 s on all nodes. An upstream that fails part of its requests answers 500 before it begins to generate. In the log of the case event=cleared cause=answered names the deadly part after its third crash, in the moment in which the record has a 500 for a request with it. Its further crashes were not counted: 16 engines ended.

Change: only a good answer clears. A failure and a rejection prove nothing.

CrashingPromptPartsTest: four new cases, each failed before.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
@@ -17,6 +17,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -154,6 +155,36 @@
       assertTrue(isSent(w, "/stream/a", FIRST, DEADLY));
     }
 
+    /** The grades of answers that do not show that the upstream began to generate. */
+    @DataProvider
+    public Object[][] withoutProof() {
+      return new Object[][] {{AnswerGrade.FAILED}, {AnswerGrade.REJECTED}};
+    }
+
+    /** Guards against a failing upstream whose answer clears a part that crashes upstreams. */
+    @Test(dataProvider = "withoutProof")
+    public void answerThatIsNotGoodDoesNotClearThePart(AnswerGrade grade) {
+      RelayWorld w = world();
+      crash(w, 1, FIRST, DEADLY);
+      crash(w, 2, FIRST, DEADLY);
+      send(w, FIRST, DEADLY);
+      w.answered(grade);
+      crash(w, 3, FIRST, DEADLY);
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
+    /** Guards against a failing upstream whose answer makes all crashes before it uncounted. */
+    @Test(dataProvider = "withoutProof")
+    public void answerThatIsNotGoodDoesNotMakeThePartHarmless(AnswerGrade grade) {
+      RelayWorld w = world();
+      send(w, FIRST, DEADLY);
+      w.answered(grade);
+      for (int i = 1; i <= 3; i++) {
+        crash(w, i, FIRST, DEADLY);
+      }
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
     @Test
     public void partThatWasServedBeforeIsNotSuspected() {
       RelayWorld w = world();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.ProbeResult;
@@ -101,10 +102,14 @@
   }
 
   /**
-   * Handles the complete answer of an upstream to a call, which proves that neither the request nor
-   * a part of its prompt crashed it.
+   * Handles the complete answer of an upstream to a call. A good one proves that neither the
+   * request nor a part of its prompt crashes upstreams. A failure or a rejection proves nothing:
+   * the upstream may have answered before it began to generate.
    */
-  void answered(long at, AttemptState a) {
+  void answered(long at, AttemptState a, AnswerGrade grade) {
+    if (grade != AnswerGrade.GOOD) {
+      return;
+    }
     partsServed(at, a);
     if (!quarantine.isEmpty()) {
       clear(at, CallTrait.of(a.call().call, a.call().service));
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -129,7 +129,7 @@
     }
     core.paths.heard(at, a);
     CallState c = a.call();
-    core.crashGuard.answered(at, a);
+    core.crashGuard.answered(at, a, grade);
     if (grade == AnswerGrade.GOOD && !c.streamBegan) {
       recordSuccess(at, a);
     } else if (grade == AnswerGrade.FAILED) {
