Count five crashes under a part of prompts however they fall

Cause: crashes of engines to all of which a part had been sent before the first one ended count as one event, as when a rack loses power, and three events were needed, whatever number of engines each took. So a burst counted once, and two bursts of eight requests 5 s apart were not enough.

Change: five crashes under a part that no engine has served meanwhile suffice, even as one event. While there are fewer than three events the verdict is provisional: it holds for 60 s, and up to 60 s more at each node, instead of ten minutes. A sound part that is charged with the loss of a rack, because no answer has acquitted it in the minute before, is refused for so long only.

CrashingPromptPartsTest.fiveUpstreamsThatCrashTogetherSuffice failed before.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
@@ -297,6 +297,50 @@
       assertFalse(isSent(w, "/stream/a", FIRST));
     }
 
+    private static RelayWorld crashedAtOnce(String part, int position, int upstreams) {
+      RelayWorld w = world();
+      ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> crashes =
+          ImmutableMap.builder();
+      for (int i = 0; i < upstreams; i++) {
+        crashes.put(RelayWorld.incarnation("engine-" + i), aged(100, 200));
+      }
+      receive(
+          w,
+          new CrashSuspect(
+              fingerprint(part),
+              new SuspectScope.PromptPart(position),
+              0,
+              crashes.buildOrThrow(),
+              ImmutableSet.of()));
+      return w;
+    }
+
+    /** Guards against requests at the same moment whose crashes count once each time. */
+    @Test
+    public void fiveUpstreamsThatCrashTogetherSuffice() {
+      assertTrue(isSent(crashedAtOnce(DEADLY, 1, 4), "/stream/a", FIRST, DEADLY));
+      assertFalse(isSent(crashedAtOnce(DEADLY, 1, 5), "/stream/a", FIRST, DEADLY));
+    }
+
+    /** Guards against a sound part that is refused for long after a rack has lost power. */
+    @Test
+    public void partIsSentAgainSoonAfterUpstreamsCrashedTogether() {
+      RelayWorld w = crashedAtOnce("popular", 1, 8);
+      w.skip(125_000);
+      assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
+    }
+
+    /** Guards against a sound part that is charged with the loss of a rack. */
+    @Test
+    public void partThatWasServedIsNotChargedWithUpstreamsThatCrashTogether() {
+      RelayWorld w = world();
+      send(w, FIRST, "popular");
+      w.began();
+      w.answered(AnswerGrade.GOOD);
+      receive(w, report("popular", 1, 0, "run-1", "run-2", "run-3", "run-4", "other-1"));
+      assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
+    }
+
     @Test
     public void crashesOfQuarantinedRequestAreNotThoseOfItsParts() {
       RelayWorld w = world();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
@@ -25,7 +25,10 @@
  *
  * <p>A suspect is quarantined from its third crash on. Far more requests depend on a part of
  * prompts, so crashes of upstreams that had the part count together if it had been sent to all of
- * them before the first one ended, as when a whole rack loses power.
+ * them before the first one ended, as when a whole rack loses power. Five crashes suffice however
+ * they fall, as no upstream has served the part meanwhile; if they are few events, the verdict is
+ * provisional and holds for a short time. So it is for the first part of prompts, which all
+ * requests of a rule may share, until there are eight events.
  *
  * <p>A crash has one cause, but the upstream had several requests, and their prompts several parts.
  * So the suspect with the most crashes is quarantined first, and the crashes that it explains no
@@ -39,11 +42,11 @@
   /** The number of crashes from which a suspect is quarantined; two may be a coincidence. */
   static final int CRASHES = 3;
 
-  /**
-   * The number of crashes for the first part of prompts: all requests of a rule may share it, so
-   * that a false verdict is an outage.
-   */
-  static final int CRASHES_OF_FIRST_PART = 8;
+  /** The number of crashes from which a part is quarantined, even if they are one event. */
+  private static final int CRASHES_IN_ANY_CASE = 5;
+
+  /** The number of events from which the verdict on a first part is not provisional. */
+  private static final int EVENTS_OF_FIRST_PART = 8;
 
   private final List<SuspectRecord> open = new ArrayList<>();
   private final Set<UpstreamIncarnation> explained = new HashSet<>();
@@ -52,31 +55,49 @@
   /**
    * The verdict on a suspect that is to be quarantined.
    *
-   * @param excess the number of crashes beyond those required
+   * @param excess the number of events beyond those required
+   * @param provisional whether there are too few events for a lasting verdict
    * @param lastCrashAt the time of the last crash that counts
    */
-  record Verdict(int excess, long lastCrashAt) {}
+  record Verdict(int excess, boolean provisional, long lastCrashAt) {}
 
   /**
    * The evidence against a suspect.
    *
-   * @param crashes the crashes that count, in the order of their times
-   * @param unexplained the number of those that no quarantined suspect explains
+   * @param all all crashes
+   * @param events those that count, in the order of their times
    */
-  private record Case(SuspectRecord suspect, List<CrashTime> crashes, int unexplained) {
+  private record Case(SuspectRecord suspect, Evidence all, Evidence events) {
     /**
      * Returns whether the suspect is to be quarantined: the evidence suffices, and most of it has
      * no other explanation, or for the first part of prompts all that is required.
      */
     boolean isProven() {
-      int required = required(suspect.scope());
-      return isFirstPart(suspect.scope())
-          ? unexplained >= required
-          : crashes.size() >= required && 3 * unexplained >= 2 * crashes.size();
+      return switch (suspect.scope()) {
+        case SuspectScope.Request r -> events.suffices(CRASHES);
+        case SuspectScope.PromptPart p when p.position() == 0 ->
+            events.unexplained() >= EVENTS_OF_FIRST_PART;
+        case SuspectScope.PromptPart p ->
+            events.suffices(CRASHES) || all.suffices(CRASHES_IN_ANY_CASE);
+      };
     }
 
     Verdict verdict() {
-      return new Verdict(crashes.size() - required(suspect.scope()), crashes.getLast().endedAt());
+      int excess = events.crashes().size() - required(suspect.scope());
+      return new Verdict(Math.max(0, excess), excess < 0, all.crashes().getLast().endedAt());
+    }
+  }
+
+  /**
+   * Crashes that count against a suspect.
+   *
+   * @param crashes the crashes, in the order of their times
+   * @param unexplained the number of those that no quarantined suspect explains
+   */
+  private record Evidence(List<CrashTime> crashes, int unexplained) {
+    /** Returns whether there are enough crashes, most of which have no other explanation. */
+    boolean suffices(int required) {
+      return crashes.size() >= required && 3 * unexplained >= 2 * crashes.size();
     }
   }
 
@@ -109,11 +130,16 @@
   }
 
   private Case examine(SuspectRecord s) {
-    return new Case(s, counted(s, Set.of()), counted(s, explained).size());
+    List<CrashTime> all = times(s, Set.of());
+    List<CrashTime> unexplained = times(s, explained);
+    return new Case(
+        s,
+        new Evidence(all, unexplained.size()),
+        new Evidence(events(s, all), events(s, unexplained).size()));
   }
 
-  /** Returns the crashes that count against a suspect, in the order of their times. */
-  private static List<CrashTime> counted(SuspectRecord s, Set<UpstreamIncarnation> explained) {
+  /** Returns the crashes of a suspect that are not explained, in the order of their times. */
+  private static List<CrashTime> times(SuspectRecord s, Set<UpstreamIncarnation> explained) {
     List<CrashTime> times = new ArrayList<>();
     s.crashes()
         .forEach(
@@ -123,6 +149,11 @@
               }
             });
     times.sort(Comparator.comparingLong(CrashTime::endedAt));
+    return times;
+  }
+
+  /** Returns the crashes that count as events of their own. */
+  private static List<CrashTime> events(SuspectRecord s, List<CrashTime> times) {
     return switch (s.scope()) {
       case SuspectScope.Request r -> times;
       case SuspectScope.PromptPart p -> independent(times);
@@ -139,14 +170,14 @@
         .filter(c -> proven.stream().noneMatch(n -> n.suspect().isWithin(c.suspect())))
         .max(
             Comparator.comparing((Case c) -> !isFirstPart(c.suspect().scope()))
-                .thenComparingInt(c -> c.crashes().size())
+                .thenComparingInt(c -> c.events().crashes().size())
                 .thenComparingInt(c -> -c.suspect().scope().narrowness())
                 .thenComparing(c -> c.suspect().id().toString()))
         .orElse(proven.getFirst());
   }
 
   private static int required(SuspectScope scope) {
-    return isFirstPart(scope) ? CRASHES_OF_FIRST_PART : CRASHES;
+    return isFirstPart(scope) ? EVENTS_OF_FIRST_PART : CRASHES;
   }
 
   private static boolean isFirstPart(SuspectScope scope) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -40,6 +40,9 @@
   /** The duration of the quarantine after the first crashes that suffice. */
   static final long QUARANTINE_NANOS = 600 * SECOND;
 
+  /** The quarantine on few events, such as the loss of several upstreams at once. */
+  private static final long PROVISIONAL_NANOS = 60_000_000_000L;
+
   private static final int MAX_DOUBLINGS = 3;
 
   /** The maximum random difference between the times at which nodes try a suspect again. */
@@ -84,8 +87,7 @@
     if (v == null) {
       return 0;
     }
-    return Math.max(
-        0, v.lastCrashAt() + quarantineNanos(v.excess()) + records.get(id).spreadNanos - at);
+    return Math.max(0, v.lastCrashAt() + quarantineNanos(v) + records.get(id).spreadNanos - at);
   }
 
   /**
@@ -172,6 +174,10 @@
     verdicts = null;
   }
 
+  private static long quarantineNanos(CrashVerdicts.Verdict v) {
+    return v.provisional() ? PROVISIONAL_NANOS : quarantineNanos(v.excess());
+  }
+
   private static long quarantineNanos(int excess) {
     return QUARANTINE_NANOS << Math.min(excess, MAX_DOUBLINGS);
   }
