Quarantine a first part of prompts for a short time after five crashes

Cause: eight events were required of a first part, as all requests of a rule may share it and a false verdict is an outage; requests in pairs made one event of two crashes each.

Change: five crashes without another explanation suffice, as for other parts. One good answer with the part in the minute before, at any node, refutes the charge as before.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
@@ -76,7 +76,7 @@
       return switch (suspect.scope()) {
         case SuspectScope.Request r -> events.suffices(CRASHES);
         case SuspectScope.PromptPart p when p.position() == 0 ->
-            events.unexplained() >= EVENTS_OF_FIRST_PART;
+            all.unexplained() >= CRASHES_IN_ANY_CASE;
         case SuspectScope.PromptPart p ->
             events.suffices(CRASHES) || all.suffices(CRASHES_IN_ANY_CASE);
       };
