Wait longer for what other nodes know of a stream

With the logs kept, the refusals have no answer of any peer after 133 to 283 ms, while other answers took up to 220 ms: the wait for them ended after 120 ms, and that of the call after 200.

Change: 300 and 400 ms, which is within the 900 ms that a caller waits for its first event, and a second repeat of the question after 150 ms.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
@@ -38,12 +38,13 @@
   private static final int KEEPERS = 3;
   private static final int ASKED = 5;
   private static final long REPEAT_NANOS = 40 * NANOS_PER_MILLI;
+  private static final long SECOND_REPEAT_NANOS = 150 * NANOS_PER_MILLI;
 
   /** The time that the store has to confirm the list of a node that is asked. */
   private static final long CONFIRMATION_NANOS = 30 * NANOS_PER_MILLI;
 
   /** The time after which the answers that were received decide. */
-  private static final long MAX_WAIT_NANOS = 120 * NANOS_PER_MILLI;
+  private static final long MAX_WAIT_NANOS = 300 * NANOS_PER_MILLI;
 
   /** The delay of a timer from which the event loop counts as held up. */
   private static final long MAX_LATE_NANOS = 20 * NANOS_PER_MILLI;
@@ -170,6 +171,7 @@
     questions.put(stream, q);
     send(stream, q);
     environment.after(REPEAT_NANOS, () -> send(stream, q));
+    environment.after(SECOND_REPEAT_NANOS, () -> send(stream, q));
     long until = environment.now() + MAX_WAIT_NANOS;
     environment.after(MAX_WAIT_NANOS, () -> waitEnded(stream, q, until));
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
@@ -38,7 +38,7 @@
  */
 final class ResumedStreams {
   /** The maximum wait for the answers of the store and of other nodes. */
-  private static final long MAX_WAIT_NANOS = 200_000_000L;
+  private static final long MAX_WAIT_NANOS = 400_000_000L;
 
   /** The delay of a timer from which the event loop counts as held up. */
   private static final long MAX_LATE_NANOS = 20_000_000L;
@@ -153,6 +153,9 @@
     }
     if (timeout.at() < w.until) {
       askPeers(w);
+      if (at < w.until) {
+        proceed(at, w);
+      }
     } else if (at - timeout.at() > MAX_LATE_NANOS && !w.extended) {
       w.extended = true;
       w.until = at + EXTENSION_NANOS;
@@ -175,7 +178,8 @@
 
   /** Decides a call if that is possible now; returns whether it may proceed. */
   private boolean decide(long at, Waiting w) {
-    final boolean isLast = at >= w.until;
+    final boolean isLast =
+        at >= w.until || (w.finding.isPresent() && core.listConfirmation.isOverdue(at));
     StreamLookup own = own(at, w);
     if (own instanceof StreamLookup.Known k) {
       return resolve(at, w, Source.OWN, k.build(), ListWitness.NONE);
