Log the connection and the echoed id of answers that are no success

RelayAttempt reports the head of each answer that is not a success with its connection, and answers without the call's own id are counted. No decision changes.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -299,6 +299,19 @@
       case RelayFact.CallerLeft f ->
           log.info(
               "event=caller_left call={} rule={} ms={}", id(f.call()), f.rule(), millis(f.nanos()));
+      case RelayFact.AnswerHead f ->
+          log.info(
+              "event=answer call={} attempt={} upstream={} status={} echo={} port={} request={}"
+                  + " idle_ms={} sent_ms={}",
+              id(f.call()),
+              f.attempt(),
+              f.upstream(),
+              f.status(),
+              f.echo(),
+              f.localPort(),
+              f.requestNumber(),
+              millis(f.idleNanos()),
+              millis(f.sentNanos()));
       case RelayFact.Cancelled f ->
           log.info(
               "event=attempt_cancelled call={} attempt={} progress={} ms={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.http.relay.RelayListener;
+import org.larkkeel.relay.AnswerEcho;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.RelayFact;
@@ -139,6 +140,11 @@
               .counter(
                   "larkkeel.relay.suspects.cleared", "scope", f.scope().word(), "cause", f.cause())
               .increment();
+      case RelayFact.AnswerHead f -> {
+        if (f.echo() != AnswerEcho.OWN) {
+          registry.counter("larkkeel.relay.answers.unmatched", "echo", label(f.echo())).increment();
+        }
+      }
       case RelayFact.Cancelled f ->
           registry
               .counter("larkkeel.relay.attempts.cancelled", "progress", f.progress().name())
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -16,9 +16,11 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.larkkeel.event.Exposure;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.http.request.RecordedAnswer;
+import org.larkkeel.http.upstream.ConnectionPosition;
 import org.larkkeel.http.upstream.InFlightRequest;
 import org.larkkeel.http.upstream.ResponseHandler;
 import org.larkkeel.http.upstream.UpstreamFailure;
@@ -51,6 +53,7 @@
   private final RelayRequest request;
   private final Purpose purpose;
   private final int maxAnswerBytes;
+  private final Consumer<RelayFact> facts;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final Deque<EventSplitter.StreamEvent> pendingEvents = new ArrayDeque<>();
   private final OptionalLong resumedAfter;
@@ -60,6 +63,7 @@
   private AnswerVerdict verdict = AnswerVerdict.UNUSABLE;
   private RecordedAnswer head = new RecordedAnswer(0, ImmutableList.of(), new byte[0]);
   private boolean endsWithConnection;
+  private ConnectionPosition position = ConnectionPosition.NONE;
   private boolean sent;
   private long sentAt;
   private boolean hasEvent;
@@ -74,7 +78,8 @@
       NoticeReader notices,
       RelayEffect.Send send,
       RelayRequest request,
-      int maxAnswerBytes) {
+      int maxAnswerBytes,
+      Consumer<RelayFact> facts) {
     this.loop = loop;
     this.dialect = dialect;
     this.notices = notices;
@@ -83,6 +88,7 @@
     this.request = request;
     this.purpose = send.purpose();
     this.maxAnswerBytes = maxAnswerBytes;
+    this.facts = facts;
     this.resumedAfter = request.lastEventId;
     this.placedAt = loop.now();
   }
@@ -133,9 +139,17 @@
     return new RelayFact.Cancelled(request.call.wireId(), id, progress, loop.now() - placedAt);
   }
 
+  @Override
+  public void onSending(ConnectionPosition on) {
+    position = on;
+  }
+
   @Override
   public void onHeaders(int status, HeaderMap headers) {
     verdict = dialect.verdict(request.call.wireId(), purpose, status, headers);
+    if (verdict != AnswerVerdict.GOOD) {
+      facts.accept(answerHead(status, headers));
+    }
     boolean isOwn = verdict != AnswerVerdict.UNUSABLE;
     notices.read(upstream, sentAt, status, headers::get, isOwn);
     ImmutableList.Builder<RecordedAnswer.Header> list = ImmutableList.builder();
@@ -152,6 +166,19 @@
     }
   }
 
+  private RelayFact.AnswerHead answerHead(int status, HeaderMap headers) {
+    return new RelayFact.AnswerHead(
+        request.call.wireId(),
+        id,
+        upstream.name(),
+        status,
+        dialect.echo(request.call.wireId(), headers),
+        position.localPort(),
+        position.requestNumber(),
+        position.idleNanos(),
+        loop.now() - sentAt);
+  }
+
   @Override
   public boolean onBody(ByteBuffer bytes) {
     if (ended || verdict == AnswerVerdict.UNUSABLE) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayDialect.java
@@ -15,6 +15,7 @@
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.request.RecordedAnswer;
 import org.larkkeel.lib.Incarnation;
+import org.larkkeel.relay.AnswerEcho;
 import org.larkkeel.relay.MoveStep;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayUpstream;
@@ -40,6 +41,14 @@
   /** Adds the metadata for an upstream to a copy of the caller's headers, which it modifies. */
   void prepare(ListMultimap<HttpString, String> headers, SendMetadata metadata);
 
+  /**
+   * Returns whose id an answer echoes.
+   *
+   * @param wireId the id of the request that was sent
+   * @param headers the headers of the answer
+   */
+  AnswerEcho echo(String wireId, HeaderMap headers);
+
   /**
    * Classifies an answer by its head.
    *
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -195,7 +195,7 @@
       return;
     }
     RelayAttempt attempt =
-        new RelayAttempt(loop, dialect, notices, e, request, settings.maxAnswerBytes());
+        new RelayAttempt(loop, dialect, notices, e, request, settings.maxAnswerBytes(), facts);
     attempts.put(e.attempt(), attempt);
     if (e.check() == IncarnationCheck.NONE) {
       write(e, request, attempt);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
@@ -114,9 +114,9 @@
     }
     Waiter next;
     synchronized (this) {
+      connection.idleSince(clock.getAsLong());
       next = pollWaiter();
       if (next == null) {
-        connection.idleSince(clock.getAsLong());
         idle.addFirst(connection);
       }
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
@@ -8,6 +8,7 @@
 
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -21,7 +22,7 @@
   private final ClientConnection connection;
   private final ConnectionPool pool;
   private long idleSince;
-  private boolean used;
+  private int requestCount;
 
   PooledConnection(ClientConnection connection, ConnectionPool pool) {
     this.connection = connection;
@@ -36,11 +37,17 @@
     return connection.isOpen();
   }
 
-  /** Marks the connection as used and returns whether it was used before. */
-  boolean markUsed() {
-    boolean usedBefore = used;
-    used = true;
-    return usedBefore;
+  /**
+   * Counts a request.
+   *
+   * @param now the time of the pool's clock, nanoseconds
+   * @return the place of the request on this connection
+   */
+  ConnectionPosition countRequest(long now) {
+    requestCount++;
+    InetSocketAddress local = connection.getLocalAddress(InetSocketAddress.class);
+    return new ConnectionPosition(
+        local == null ? 0 : local.getPort(), requestCount, requestCount == 1 ? 0 : now - idleSince);
   }
 
   void idleSince(long now) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseHandler.java
@@ -18,6 +18,14 @@
  * @since 0.1
  */
 public interface ResponseHandler {
+  /**
+   * Is notified that the request is about to be written. Called again if the request moves to
+   * another connection.
+   *
+   * @param position the place of the request on its connection
+   */
+  default void onSending(ConnectionPosition position) {}
+
   /**
    * Receives the status and the headers.
    *
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -138,12 +138,14 @@
       connection.release(true);
       return;
     }
-    reusesConnection = connection.markUsed();
+    ConnectionPosition position = connection.countRequest(clock.getAsLong());
+    reusesConnection = position.requestNumber() > 1;
     bytesWrittenBefore = bytesWritten(connection);
     if (!connection.isOpen()) {
       onConnectionLost(connection, "connection closed before the request was sent");
       return;
     }
+    handler.onSending(position);
     connection.connection().sendRequest(clientRequest(), new RequestCallback(connection));
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -447,6 +447,28 @@
   /** The caller closed its connection. */
   record CallerLeft(String call, String rule, long nanos) implements RelayFact {}
 
+  /**
+   * The head of an answer that is not a success, and the connection on which it was read.
+   *
+   * @param echo whose id the answer echoes
+   * @param localPort the local port of the connection
+   * @param requestNumber the number of the request on the connection, from 1
+   * @param idleNanos the time from the end of the previous request on the connection to the sending
+   *     of this one; 0 for the first
+   * @param sentNanos the time since the request was sent
+   */
+  record AnswerHead(
+      String call,
+      AttemptId attempt,
+      UpstreamName upstream,
+      int status,
+      AnswerEcho echo,
+      int localPort,
+      int requestNumber,
+      long idleNanos,
+      long sentNanos)
+      implements RelayFact {}
+
   /**
    * This node cancelled an attempt, which the upstream may be processing.
    *
