Give each control call a connection of its own

Cause: answers to reports, orders, moves and frees carry no id, and the calls shared their connections with requests and with each other. A repeated answer to a request passed for that to a control call: a start time that was not told, an order that was not given, or, for a move, the handle of another prompt. A repeated answer to a control call failed the request that was sent next on the connection.

Change: ConnectionUse.EXCLUSIVE gives a call a new connection, which is closed after the answer. The relay's control calls and the orders of larkkeeld use it; its polls and cancels, whose engines answer once by their protocol, keep the shared ones.

Evidence: RepeatedAnswerTest.ControlCalls failed before (four control calls on two connections, which requests used too).

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/ControlSender.java
@@ -91,7 +91,7 @@
         destination,
         wire,
         ResponseTimeout.total(timeoutNanos),
-        ConnectionUse.CONTROL,
+        ConnectionUse.EXCLUSIVE,
         new ResponseCollector(
             MAX_ANSWER_BYTES,
             answer -> {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -307,7 +307,7 @@
         destination(source, loop.path(source.incarnation())),
         wire,
         ResponseTimeout.total(FREE_TIMEOUT_NANOS),
-        ConnectionUse.CONTROL,
+        ConnectionUse.EXCLUSIVE,
         new ResponseCollector(
             MAX_FREE_ANSWER_BYTES,
             answer -> notices.read(source.incarnation(), sentAt, answer),
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/EngineClient.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/EngineClient.java
@@ -216,7 +216,7 @@
         address,
         request,
         ResponseTimeout.total(timeoutNanos),
-        ConnectionUse.CONTROL,
+        ConnectionUse.EXCLUSIVE,
         new ResponseCollector(client.settings().maxResponseBytes(), done, failed));
   }
 
--- a/platform.test/src/test/java/org/larkkeel/platform/RepeatedAnswerTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RepeatedAnswerTest.java
@@ -11,6 +11,9 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -92,4 +95,50 @@
       assertEquals(ran.get(), 1);
     }
   }
+
+  /** Repeated answers to control calls and to requests, beside each other. */
+  public static class ControlCalls {
+    // Guards against control calls whose answers, which carry no id, are mixed with those of
+    // requests on the same connection.
+    @Test
+    public void controlCallsShareNoConnection() throws Exception {
+      Set<Socket> requests = ConcurrentHashMap.newKeySet();
+      Set<Socket> controlCalls = ConcurrentHashMap.newKeySet();
+      AtomicInteger controlCount = new AtomicInteger();
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        w.runner(
+            "i-read",
+            "model",
+            "prefill",
+            (r, out, s) -> {
+              if (r.method().equals("DELETE")) {
+                controlCalls.add(s);
+                controlCount.incrementAndGet();
+              } else {
+                requests.add(s);
+              }
+              readPrompt(r, out);
+            });
+        w.runner(
+            "i-run",
+            "model",
+            "decode",
+            (r, out, s) -> {
+              if (r.header("X-Kv-Source") == null) {
+                stream(r, out);
+              } else {
+                RawServer.write(out, "no answer\r\n\r\n");
+                s.close();
+              }
+            });
+        for (int i = 0; i < 4; i++) {
+          w.exchange("POST", "/stream/a" + i, PROMPT, "x");
+        }
+        RelayTestSetup.await(() -> controlCount.get() >= 2);
+      }
+      assertEquals(controlCalls.size(), controlCount.get());
+      controlCalls.retainAll(requests);
+      assertTrue(controlCalls.isEmpty(), controlCalls.toString());
+    }
+  }
 }
