Close a connection that delivered the answer of another request

What callers saw: calls that may run once failed one after the other, as each got the answer to the one before.

Cause: an answer with another id is unusable, and the exchange asked the handler only for parts of the body. One without a body ended the exchange as complete, and its connection went back to the pool with the own answer still to come. ResponseHandler.onHeaders now says whether the answer is the request's; if not, the connection is reset.

Evidence: RepeatedAnswerTest.OtherCall failed before (the second call ended at its deadline). An answer that is repeated while its connection is idle loses no call, before and after: the client closes the connection.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/AbortedExchangeTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/AbortedExchangeTest.java
@@ -45,7 +45,9 @@
     private final StringBuilder body = new StringBuilder();
 
     @Override
-    public void onHeaders(int status, HeaderMap headers) {}
+    public boolean onHeaders(int status, HeaderMap headers) {
+      return true;
+    }
 
     @Override
     public synchronized boolean onBody(ByteBuffer part) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -145,7 +145,7 @@
   }
 
   @Override
-  public void onHeaders(int status, HeaderMap headers) {
+  public boolean onHeaders(int status, HeaderMap headers) {
     verdict = dialect.verdict(request.call.wireId(), purpose, status, headers);
     if (verdict != AnswerVerdict.GOOD) {
       facts.accept(answerHead(status, headers));
@@ -164,6 +164,7 @@
     if (verdict == AnswerVerdict.GOOD && stream && !(purpose instanceof Purpose.ReadPrompt)) {
       splitter = Optional.of(new EventSplitter(MAX_EVENT_BYTES));
     }
+    return isOwn;
   }
 
   private RelayFact.AnswerHead answerHead(int status, HeaderMap headers) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/DecodeResponseHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/DecodeResponseHandler.java
@@ -42,11 +42,9 @@
   }
 
   @Override
-  public void onHeaders(int status, HeaderMap headers) {
+  public boolean onHeaders(int status, HeaderMap headers) {
     streaming = status == StatusCodes.OK;
-    if (!streaming) {
-      errorResponse.onHeaders(status, headers);
-    }
+    return streaming || errorResponse.onHeaders(status, headers);
   }
 
   @Override
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseCollector.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseCollector.java
@@ -57,13 +57,14 @@
       int status, ImmutableListMultimap<HttpString, String> headers, byte[] body) {}
 
   @Override
-  public void onHeaders(int responseStatus, HeaderMap responseHeaders) {
+  public boolean onHeaders(int responseStatus, HeaderMap responseHeaders) {
     status = responseStatus;
     ImmutableListMultimap.Builder<HttpString, String> copy = ImmutableListMultimap.builder();
     for (HeaderValues values : responseHeaders) {
       copy.putAll(values.getHeaderName(), values);
     }
     headers = copy.build();
+    return true;
   }
 
   @Override
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseHandler.java
@@ -31,8 +31,10 @@
    *
    * @param status the status code
    * @param headers the headers, valid only during the call
+   * @return false if this is not the response to the request; the connection is then closed, as the
+   *     responses on it are out of step, and the response ends with {@code onFailure}
    */
-  void onHeaders(int status, HeaderMap headers);
+  boolean onHeaders(int status, HeaderMap headers);
 
   /**
    * Receives a part of the body.
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -233,7 +233,10 @@
     }
     ClientResponse response = exchange.getResponse();
     recordActivity();
-    handler.onHeaders(response.getResponseCode(), response.getResponseHeaders());
+    if (!handler.onHeaders(response.getResponseCode(), response.getResponseHeaders())) {
+      endAsUnusable();
+      return;
+    }
     StreamSourceChannel channel = exchange.getResponseChannel();
     channel.getReadSetter().set(c -> readBody(connection, c));
     readBody(connection, channel);
@@ -256,9 +259,7 @@
         recordActivity();
         part.flip();
         if (!handler.onBody(part)) {
-          endWithFailure(
-              UpstreamFailure.mayHaveRun(
-                  FailureCause.BAD_ANSWER, "the response was rejected as unusable"));
+          endAsUnusable();
         }
       }
     } catch (IOException e) {
@@ -266,6 +267,12 @@
     }
   }
 
+  private void endAsUnusable() {
+    endWithFailure(
+        UpstreamFailure.mayHaveRun(
+            FailureCause.BAD_ANSWER, "the response was rejected as unusable"));
+  }
+
   private void complete() {
     if (!ended.compareAndSet(false, true)) {
       return;
--- a/platform.test/src/test/java/org/larkkeel/platform/RepeatedAnswerTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RepeatedAnswerTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -141,4 +142,68 @@
       assertTrue(controlCalls.isEmpty(), controlCalls.toString());
     }
   }
+
+  /** Answers of another request, after which a connection is out of step. */
+  public static class OtherCall {
+    // Guards against a connection that stays in use after it delivered the answer to another
+    // request, so that each later request gets the answer to the one before.
+    @Test
+    public void connectionWithForeignAnswerIsNotUsedAgain() throws Exception {
+      AtomicInteger count = new AtomicInteger();
+      CountDownLatch foreignWasRead = new CountDownLatch(1);
+      Set<Socket> outOfStep = ConcurrentHashMap.newKeySet();
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        w.runner(
+            "i-1",
+            "app",
+            "",
+            (r, out, s) -> {
+              String own = r.header("X-Request-Id");
+              if (count.getAndIncrement() == 0) {
+                outOfStep.add(s);
+                RawServer.write(out, answer("204 X", "id-0", "X-Server-Stamp: s\r\n", ""));
+                foreignWasRead.await();
+              }
+              RawServer.write(out, answer("200 OK", own, "X-Server-Stamp: s\r\n", "to-" + own));
+            });
+        assertTrue(once(w, "id-1").startsWith("HTTP/1.1 502"));
+        String answer = once(w, "id-2");
+        foreignWasRead.countDown();
+        assertTrue(answer.endsWith("to-id-2"), answer);
+      }
+    }
+
+    // Guards against calls that are lost because an answer that was repeated while the connection
+    // was idle is read as theirs.
+    @Test
+    public void answerRepeatedOnIdleConnectionLosesNoCall() throws Exception {
+      AtomicInteger answered = new AtomicInteger();
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        w.runner(
+            "i-1",
+            "app",
+            "",
+            (r, out, s) -> {
+              String own = r.header("X-Request-Id");
+              String answer = answer("200 OK", own, "X-Server-Stamp: s\r\n", "to-" + own);
+              RawServer.write(out, answer);
+              Thread.sleep(5);
+              RawServer.write(out, answer);
+              answered.incrementAndGet();
+            });
+        for (int i = 1; i <= 3; i++) {
+          String answer = once(w, "id-" + i);
+          assertTrue(answer.endsWith("to-id-" + i), answer);
+          int count = i;
+          RelayTestSetup.await(() -> answered.get() == count);
+          Thread.sleep(50);
+        }
+      }
+    }
+
+    private static String once(RelayTestSetup w, String id) throws IOException {
+      return w.exchange(
+          "POST", "/once/a", "X-Request-Id: " + id + "\r\nX-Deadline-Ms: 1000\r\n", "x");
+    }
+  }
 }
