Count only answers that echo the id of the call

Cause: 421, "not run" and the answers to prefills also counted without an echoed id. Upstreams echo it in all their answers to requests, so an answer without one is that to a control call, or nobody's, and says nothing of the call. A call could be refused as not run because of it.

Change: such an answer is unusable, like one with another id. The stand-ins of three tests and the soak left the id out of declines and prefills and now echo it; what they check is unchanged.

--- a/platform.test/src/test/java/org/larkkeel/platform/LeavingAndBackoffTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/LeavingAndBackoffTest.java
@@ -25,7 +25,9 @@
  * request and asked for three seconds of backoff got seven more requests from the same node.
  */
 public class LeavingAndBackoffTest {
-  private static final String STAMP = "X-Request-Id: id-1\r\nX-Server-Stamp: s\r\n";
+  private static final String ECHO = "X-Request-Id: id-1\r\n";
+  private static final String STAMP = ECHO + "X-Server-Stamp: s\r\n";
+  private static final String NOT_RUN = ECHO + "X-Not-Run: 1\r\n";
   private static final String LEAVING = "Server-Leaving: 1\r\n";
   private static final String TOKENS = "X-Token-Usage: 1000,100\r\nX-Prefix-Hash: 5c:1000\r\n";
   private static final int CALLS = 30;
@@ -109,8 +111,7 @@
     @DataProvider
     public static Object[][] answers() {
       RawServer.Script success = (r, out, s) -> answer(out, "200 OK", STAMP + LEAVING, "ok");
-      RawServer.Script declined =
-          (r, out, s) -> answer(out, "503 X", "X-Not-Run: 1\r\n" + LEAVING, "");
+      RawServer.Script declined = (r, out, s) -> answer(out, "503 X", NOT_RUN + LEAVING, "");
       return new Object[][] {{"success", success}, {"declined", declined}};
     }
 
@@ -167,7 +168,7 @@
             "prefill",
             (r, out, s) -> {
               read.incrementAndGet();
-              answer(out, "200 OK", LEAVING, "{\"prefill_handle\":\"h1\"}");
+              answer(out, "200 OK", ECHO + LEAVING, "{\"prefill_handle\":\"h1\"}");
             });
         w.runner("i-2", "model", "decode", (r, out, s) -> stream(out, ""));
         for (int i = 0; i < 5; i++) {
@@ -189,7 +190,7 @@
               if (r.method().equals("DELETE")) {
                 freed.incrementAndGet();
               }
-              answer(out, "200 OK", LEAVING, "{\"prefill_handle\":\"h1\"}");
+              answer(out, "200 OK", ECHO + LEAVING, "{\"prefill_handle\":\"h1\"}");
             });
         w.runner("i-2", "model", "decode", (r, out, s) -> s.close());
         w.exchange("POST", "/stream/a", TOKENS, "x");
@@ -223,8 +224,7 @@
     private static final Pattern RETRY_AFTER = Pattern.compile("Retry-After: ([0-9.]+)");
 
     private static RawServer.Script refuseWithRetryAfter(String seconds) {
-      return (r, out, s) ->
-          answer(out, "503 X", "X-Not-Run: 1\r\nRetry-After: " + seconds + "\r\n", "");
+      return (r, out, s) -> answer(out, "503 X", NOT_RUN + "Retry-After: " + seconds + "\r\n", "");
     }
 
     @Test
--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformDialectTest.java
@@ -71,6 +71,27 @@
           new PlatformDialect().verdict("a", new Purpose.Run(), status, headers), expected);
     }
 
+    /** Returns the statuses by which a runner says that a request has not run, and a purpose. */
+    @DataProvider
+    public static Object[][] unidentified() {
+      return new Object[][] {
+        {421, new Purpose.Run()},
+        {503, new Purpose.Run()},
+        {429, new Purpose.Run()},
+        {200, new Purpose.ReadPrompt()},
+        {503, new Purpose.ReadPrompt()},
+      };
+    }
+
+    // Guards against a call that is refused as not run because of an answer that names no request.
+    @Test(dataProvider = "unidentified")
+    public void isUnusableWithoutId(int status, Purpose purpose) {
+      HeaderMap headers = new HeaderMap();
+      headers.put(PlatformNames.NOT_RUN, "1");
+      assertEquals(
+          new PlatformDialect().verdict("a", purpose, status, headers), AnswerVerdict.UNUSABLE);
+    }
+
     @Test
     public void isUnusableForAnotherRequest() {
       HeaderMap headers = new HeaderMap();
--- a/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
@@ -45,7 +45,8 @@
   }
 
   private static void notRun(OutputStream out) throws IOException {
-    RawServer.write(out, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    RawServer.write(
+        out, "HTTP/1.1 503 X\r\nX-Request-Id: id-1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
   }
 
   private static void streamHead(OutputStream out) throws IOException {
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -221,8 +221,10 @@
       return;
     }
     String wire = r.header("X-Request-Id");
+    String echo = wire == null ? "" : "X-Request-Id: " + wire + "\r\n";
+    String notRun = echo + "X-Not-Run: 1\r\n";
     if (!id.equals(r.header("X-Expect-Instance"))) {
-      respond(out, "421 X", "X-Not-Run: 1\r\n", "");
+      respond(out, "421 X", notRun, "");
       return;
     }
     if (r.target().equals(PlatformNames.REPORT)) {
@@ -241,11 +243,11 @@
     }
     if (fault == Fault.WANTS_REST) {
       node.ifPresent(n -> notices.sentBackoff(n, BACKOFF_MILLIS));
-      respond(out, "503 X", "X-Not-Run: 1\r\nRetry-After: " + BACKOFF_MILLIS / 1_000 + "\r\n", "");
+      respond(out, "503 X", notRun + "Retry-After: " + BACKOFF_MILLIS / 1_000 + "\r\n", "");
       return;
     }
     if (fault == Fault.DECLINES) {
-      respond(out, "503 X", "X-Not-Run: 1\r\n", "");
+      respond(out, "503 X", notRun, "");
       return;
     }
     if (leavingMillis() > Soak.DRAIN_MILLIS && !Soak.isDisturbed()) {
@@ -266,14 +268,14 @@
       String handle = "h" + STARTS.incrementAndGet();
       HANDLES.put(handle, new Prompt(wire, this));
       Thread.sleep(10);
-      respond(out, "200 OK", "", "{\"prefill_handle\":\"" + handle + "\"}");
+      respond(out, "200 OK", echo, "{\"prefill_handle\":\"" + handle + "\"}");
       return;
     }
     String source = r.header("X-Kv-Source");
     if (source != null) {
       Prompt prompt = HANDLES.remove(source.substring(source.indexOf('/') + 1));
       if (prompt == null) {
-        respond(out, "503 X", "X-Not-Run: 1\r\n", "");
+        respond(out, "503 X", notRun, "");
         return;
       }
       if (!prompt.request().equals(wire)) {
