Soak: check the retry budget over all nodes and lives, repeat answers

The soak checked no budget of retries, only the requests that reach engines after crashes. Its ledger now counts, by service, the arrivals at runners beyond the first of each request (without the first accepted prefill), and compares each window that ends with one against the share and the slack.

Seeds divisible by 17 fail nine in ten runs and kill all nodes again and again; those divisible by 19 send half of all answers a second time, up to 40 ms late, and decline half of the prompts that were prefilled elsewhere.

--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -46,6 +46,8 @@
   /** The prefix of the descriptions of disturbances of runners. */
   private static final String RUNNER = "runner";
 
+  private static final String APP = "app";
+  private static final String MODEL = "model";
   private static final String PLANNED_STOP = "signal-TERM";
   private static final String PAUSE = "pause";
 
@@ -82,6 +84,7 @@
     RESTORE,
     BUILD_CHANGE,
     PATH_CUT,
+    NODES_KILLED,
     IN_FORCE_ASKED
   }
 
@@ -290,11 +293,11 @@
 
   private void prepare() throws IOException {
     for (int i = 0; i < APPS; i++) {
-      runners.add(new SoakRunner(ledger, store, "app", "", nodes, random.nextLong()));
+      runners.add(new SoakRunner(ledger, store, APP, "", nodes, random.nextLong()));
     }
     for (int i = 0; i < PREFILLS + DECODES; i++) {
       String stage = i < PREFILLS ? "prefill" : "decode";
-      runners.add(new SoakRunner(ledger, store, "model", stage, nodes, random.nextLong()));
+      runners.add(new SoakRunner(ledger, store, MODEL, stage, nodes, random.nextLong()));
     }
     configure();
     for (int i = 0; i < nodes; i++) {
@@ -338,16 +341,16 @@
     config.put("version", added);
     var routes = config.putArray("routes");
     for (long v = 1; v <= added; v++) {
-      route(routes.addObject(), addedRoute(v), "safe", "app", false);
+      route(routes.addObject(), addedRoute(v), "safe", APP, false);
     }
-    route(routes.addObject(), "safe", "safe", "app", false);
-    route(routes.addObject(), "once", "unsafe", "app", false);
-    route(routes.addObject(), "stream", "streaming", "model", false);
-    route(routes.addObject(), "resume", "streaming", "model", true);
+    route(routes.addObject(), "safe", "safe", APP, false);
+    route(routes.addObject(), "once", "unsafe", APP, false);
+    route(routes.addObject(), "stream", "streaming", MODEL, false);
+    route(routes.addObject(), "resume", "streaming", MODEL, true);
     var services = config.putArray("services");
-    services.addObject().put("name", "app").put("max_connections", 100);
+    services.addObject().put("name", APP).put("max_connections", 100);
     ObjectNode engine =
-        services.addObject().put("name", "model").put("max_connections", 100).putObject("engine");
+        services.addObject().put("name", MODEL).put("max_connections", 100).putObject("engine");
     engine.put("kv_tokens", 90_000).put("stride", 10);
     store.put("config", "main", config);
   }
@@ -380,6 +383,11 @@
     }
   }
 
+  /** Returns the service of the route of a path. */
+  static String serviceOf(String path) {
+    return path.startsWith("/stream/") || path.startsWith("/resume/") ? MODEL : APP;
+  }
+
   private void route(ObjectNode r, String name, String kind, String service, boolean resume) {
     r.put("name", "r-" + name).put("host", "a.example").put("path_prefix", "/" + name + "/");
     r.put("kind", kind).put("timeout_ms", 4_000).put("target_latency_ms", 900);
@@ -397,6 +405,12 @@
         .put("metrics", at + ":8160")
         .put("peer", at + ":8161");
     settings.put("seeds", host(0) + ":8146").put("prefillShare", "0");
+    settings
+        .putObject("repeats")
+        .put("share", Double.toString(SoakRetryBudget.SHARE))
+        .put("slack", Integer.toString(SoakRetryBudget.SLACK))
+        .put("windowSeconds", Integer.toString(SoakRetryBudget.WINDOW_SECONDS))
+        .put("nodes", nodes);
     settings.put("keeperFromNodes", seed % 2 == 0 ? COORDINATOR_FROM_NODES : MAX_NODES + 1);
     settings
         .putObject("store")
@@ -476,6 +490,14 @@
     print("signal %d %s", node, name);
   }
 
+  /** Kills all nodes, one after the other with a pause between them. */
+  void killAll(long pauseMillis) {
+    for (int i = 0; i < nodes; i++) {
+      int node = i;
+      after(i * pauseMillis, () -> signal(node, "KILL", 4_000));
+    }
+  }
+
   private void pause(int node, long millis) {
     disturb(node, PAUSE, millis);
     print("signal %d STOP", node);
@@ -591,6 +613,7 @@
     Thread.sleep(2_500);
     storeProxies.forEach(p -> p.setMode(SoakProxy.Mode.PASS));
     pathCuts.healAll();
+    runners.forEach(r -> r.setFailingShare(0));
     pathCuts.check();
     if (!awaitReady(25)) {
       ledger.violation("recover", "not all nodes are ready after the faults");
@@ -611,14 +634,16 @@
     if (ledger.running().get() != 0) {
       ledger.violation("gone", ledger.running() + " runs continue without a caller");
     }
+    double budgetUse = ledger.retryBudget().check(ledger);
     List<String> broken = ledger.violations();
     broken.forEach(b -> print("broken %s", b));
     print(
-        "result=%s seed=%d faults=%d broken=%d drawn=%s outcomes=%s",
+        "result=%s seed=%d faults=%d broken=%d retries=%.2f drawn=%s outcomes=%s",
         broken.isEmpty() ? "passed" : "failed",
         seed,
         disturbances.size(),
         broken.size(),
+        budgetUse,
         eventCounts,
         new TreeMap<>(ledger.outcomes()));
     return broken.isEmpty();
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
@@ -29,9 +29,11 @@
   private final ConcurrentLinkedQueue<String> brokenRules = new ConcurrentLinkedQueue<>();
   private final Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
   private final AtomicInteger running = new AtomicInteger();
+  private final SoakRetryBudget retryBudget = new SoakRetryBudget();
 
   void sent(String id, Sent request) {
     sent.put(id, request);
+    retryBudget.requested(Soak.serviceOf(request.path()));
   }
 
   /** Records the start of a run, and checks it against the request that was sent. */
@@ -75,6 +77,10 @@
     brokenRules.add(rule + " " + detail);
   }
 
+  SoakRetryBudget retryBudget() {
+    return retryBudget;
+  }
+
   AtomicInteger running() {
     return running;
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
@@ -30,6 +30,14 @@
   /** For seeds divisible by this, the store is restored from backups. */
   private static final int RESTORE_SEEDS = 13;
 
+  /** For seeds divisible by this, most runs fail, and nodes are killed in series. */
+  private static final int STORM_SEEDS = 17;
+
+  /** For seeds divisible by this, runners send answers twice. */
+  private static final int REPEAT_SEEDS = 19;
+
+  private static final double STORM_FAILING_SHARE = 0.9;
+
   /** The writes of other clients between the backup and the outage of the store. */
   private static final int OTHER_CLIENTS_WRITES = 100;
 
@@ -69,6 +77,13 @@
     if (seed % RESTORE_SEEDS == 0) {
       restoreStore(new SplittableRandom(seed + 4));
     }
+    if (seed % STORM_SEEDS == 0) {
+      runners.forEach(r -> r.setFailingShare(STORM_FAILING_SHARE));
+      killNodes(new SplittableRandom(seed + 7));
+    }
+    if (seed % REPEAT_SEEDS == 0) {
+      runners.forEach(SoakRunner::repeatAnswers);
+    }
     if (SoakBuilds.areMixed(seed)) {
       changeBuilds(new SplittableRandom(seed + 6));
     }
@@ -113,6 +128,16 @@
     soak.after(random.nextInt(2_000, 5_000), () -> announceLimit(random));
   }
 
+  /** Kills all nodes, at the same time or one after the other, again and again. */
+  private void killNodes(SplittableRandom random) {
+    if (!soak.isLoaded()) {
+      return;
+    }
+    soak.count(Soak.Counted.NODES_KILLED);
+    soak.killAll(random.nextBoolean() ? 0 : random.nextInt(50, 400));
+    soak.after(random.nextInt(2_500, 6_000), () -> killNodes(random));
+  }
+
   /** Ends one engine after the other; each starts again with a build that is drawn anew. */
   private void changeBuilds(SplittableRandom random) {
     if (!soak.isLoaded()) {
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -11,9 +11,11 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.EnumSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -39,6 +41,8 @@
     WANTS_REST
   }
 
+  private static final Set<Fault> REJECTS_PREFILLS =
+      EnumSet.of(Fault.DECLINES, Fault.WANTS_REST, Fault.MUTE);
   private static final String ENDED = "gone";
 
   /** The node whose request the current thread answers. */
@@ -47,6 +51,7 @@
   private static final AtomicLong STARTS = new AtomicLong();
   private static final Map<String, Prompt> HANDLES = new ConcurrentHashMap<>();
   private static final int EVENT_MILLIS = 20;
+  private static final int MAX_REPEAT_MILLIS = 40;
   private static final long BACKOFF_MILLIS = 3_000;
 
   /** The time after which nodes that know of an invalid entry send its runner no new work. */
@@ -63,6 +68,8 @@
   private final SplittableRandom random;
   final SoakPaths paths;
   private volatile Fault fault = Fault.NONE;
+  private volatile double failingShare;
+  private volatile boolean repeatsAnswers;
   private volatile String id = "";
   private volatile String build = SoakBuilds.NONE;
   private volatile SoakNotices notices;
@@ -186,6 +193,19 @@
     limit.remove();
   }
 
+  /** Sets the share of the runs that fail, beside any other fault. */
+  void setFailingShare(double share) {
+    failingShare = share;
+  }
+
+  /**
+   * Sends half of all answers a second time from now on, up to 40 ms late, and declines half of the
+   * prompts that were prefilled elsewhere.
+   */
+  void repeatAnswers() {
+    repeatsAnswers = true;
+  }
+
   void setFault(Fault next) {
     fault = next;
   }
@@ -224,6 +244,9 @@
     String echo = wire == null ? "" : "X-Request-Id: " + wire + "\r\n";
     String notRun = echo + "X-Not-Run: 1\r\n";
     if (!id.equals(r.header("X-Expect-Instance"))) {
+      if (wire != null) {
+        ledger.retryBudget().arrived(service, wire);
+      }
       respond(out, "421 X", notRun, "");
       return;
     }
@@ -232,6 +255,10 @@
       return;
     }
     OptionalInt node = ledger.nodeOf(wire);
+    boolean isPrefill = "prefill".equals(r.header("X-Serving-Stage"));
+    if (!isPrefill || REJECTS_PREFILLS.contains(fault)) {
+      ledger.retryBudget().arrived(service, wire);
+    }
     node.ifPresent(n -> notices.reached(n, wire));
     node.ifPresent(n -> limit.reached(n, wire));
     answeredNode.set(node);
@@ -255,7 +282,6 @@
           "drain", wire + " came " + leavingMillis() + " ms after its runner announced leaving");
     }
     checkListed(wire);
-    boolean isPrefill = "prefill".equals(r.header("X-Serving-Stage"));
     if (fault == Fault.MUTE) {
       if (!isPrefill) {
         ledger.runStarted(
@@ -267,6 +293,7 @@
     if (isPrefill) {
       String handle = "h" + STARTS.incrementAndGet();
       HANDLES.put(handle, new Prompt(wire, this));
+      ledger.retryBudget().prefilled(service, wire);
       Thread.sleep(10);
       respond(out, "200 OK", echo, "{\"prefill_handle\":\"" + handle + "\"}");
       return;
@@ -274,7 +301,7 @@
     String source = r.header("X-Kv-Source");
     if (source != null) {
       Prompt prompt = HANDLES.remove(source.substring(source.indexOf('/') + 1));
-      if (prompt == null) {
+      if (prompt == null || (repeatsAnswers && random.nextBoolean())) {
         respond(out, "503 X", notRun, "");
         return;
       }
@@ -305,7 +332,9 @@
     }
     ledger.running().incrementAndGet();
     try {
-      if (stage.isEmpty()) {
+      if (random.nextDouble() < failingShare) {
+        respond(out, "500 X", stamp(wire), "failed");
+      } else if (stage.isEmpty()) {
         plain(wire, out);
       } else {
         String resumed = r.header("Resumes");
@@ -317,9 +346,13 @@
     }
   }
 
+  private static String stamp(String wire) {
+    return "X-Request-Id: " + wire + "\r\nX-Server-Stamp: s-" + wire + "\r\n";
+  }
+
   private void plain(String wire, OutputStream out) throws Exception {
     Thread.sleep(random.nextInt(5, 60));
-    String head = "X-Request-Id: " + wire + "\r\nX-Server-Stamp: s-" + wire + "\r\n";
+    String head = stamp(wire);
     switch (fault) {
       case FAILS -> respond(out, "500 X", head, "failed");
       case GARBLES -> RawServer.write(out, "\u0001\u0002 no answer\r\n\r\n");
@@ -368,9 +401,8 @@
   }
 
   private void respond(OutputStream out, String status, String headers, String body)
-      throws IOException {
-    RawServer.write(
-        out,
+      throws Exception {
+    String answer =
         "HTTP/1.1 "
             + status
             + "\r\n"
@@ -379,7 +411,12 @@
             + "Content-Length: "
             + body.length()
             + "\r\n\r\n"
-            + body);
+            + body;
+    RawServer.write(out, answer);
+    if (repeatsAnswers && random.nextBoolean()) {
+      Thread.sleep(random.nextInt(1, MAX_REPEAT_MILLIS));
+      RawServer.write(out, answer);
+    }
   }
 
   @Override
