Give the slack of the retry budget out once for all lives of a node

What was seen: a service got more retries in a window than its budget allows.

Cause: each life of a node began with the node's whole part of the slack. Nodes that were killed again and again within a window, or once with their part used up, had it as often.

Change: a life gets half of its node's part, and after a start only in proportion to the elapsed part of the window. The lives that follow one another within a window thus get the other half together, without any message between nodes. The share of the first attempts is counted as before.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -49,6 +49,7 @@
   public void apply(RelayEvent event, Consumer<RelayEffect> effects) {
     eventHandler.setEffectSink(effects);
     long at = event.at();
+    eventHandler.startedBy(at);
     switch (event) {
       case RelayEvent.Arrived e -> eventHandler.arrived(at, e.call());
       case RelayEvent.CallerLeft e -> eventHandler.callerLeft(at, e.call());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -75,6 +75,11 @@
     core.effects(sink);
   }
 
+  /** Records the time of an event; the first one is the start of the node. */
+  public void startedBy(long at) {
+    core.retryBudget.started(at);
+  }
+
   /** Returns the component that handles the outcomes of attempts. */
   public Outcomes outcomes() {
     return core.outcomes;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RetryBudget.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/RetryBudget.java
@@ -8,6 +8,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelaySettings;
 import org.larkkeel.relay.ServiceName;
@@ -15,13 +16,19 @@
 /**
  * The retries that this node may make at each service.
  *
- * <p>Invariant: that of {@link ServiceRetryBudget}, with the slack divided evenly among all nodes.
- * Not thread-safe.
+ * <p>Invariants: that of {@link ServiceRetryBudget}, with the slack divided evenly among all nodes.
+ * The slack that all lives of a node use in a window is at most the node's part: a life gets half
+ * of it, and after a start only in proportion to the elapsed part of a window, so that the lives
+ * that follow one another within a window get the other half together. Not thread-safe.
  */
 final class RetryBudget {
+  /** The share of the slack that one life of a node may use in a window. */
+  private static final double SHARE_OF_LIFE = 0.5;
+
   private final RelaySettings settings;
   private final Map<ServiceName, ServiceRetryBudget> budgets = new HashMap<>();
   private int nodes;
+  private OptionalLong startedAt = OptionalLong.empty();
 
   RetryBudget(RelaySettings settings) {
     this.settings = settings;
@@ -41,6 +48,13 @@
     return nodes;
   }
 
+  /** Records the start of this node; later calls have no effect. */
+  void started(long at) {
+    if (startedAt.isEmpty()) {
+      startedAt = OptionalLong.of(at);
+    }
+  }
+
   /** Counts a first attempt. */
   void recordFirst(long at, ServiceName service) {
     budget(service).recordFirst(at);
@@ -48,13 +62,13 @@
 
   /** Counts a retry if one is allowed; returns whether it is. */
   boolean tryAcquire(long at, ServiceName service) {
-    return budget(service).tryAcquire(at, slack());
+    return budget(service).tryAcquire(at, slack(at));
   }
 
   /** Returns whether a retry is allowed. */
   boolean allows(long at, ServiceName service) {
     ServiceRetryBudget budget = budget(service);
-    return budget.used(at) + 1 <= budget.allowed(at, slack());
+    return budget.used(at) + 1 <= budget.allowed(at, slack(at));
   }
 
   /**
@@ -70,7 +84,7 @@
   RelayFact spentFact(long at, CallState c) {
     ServiceRetryBudget budget = budget(c.service);
     return new RelayFact.BudgetSpent(
-        c.call.wireId(), c.service.value(), budget.used(at), budget.allowed(at, slack()));
+        c.call.wireId(), c.service.value(), budget.used(at), budget.allowed(at, slack(at)));
   }
 
   private ServiceRetryBudget budget(ServiceName service) {
@@ -78,7 +92,8 @@
         service, s -> new ServiceRetryBudget(settings.repeatShare(), settings.windowNanos()));
   }
 
-  private double slack() {
-    return settings.repeatSlack() / nodes;
+  private double slack(long at) {
+    double elapsed = (double) (at - startedAt.orElse(at)) / settings.windowNanos();
+    return SHARE_OF_LIFE * Math.min(1, elapsed) * settings.repeatSlack() / nodes;
   }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ServiceRetryBudget.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ServiceRetryBudget.java
@@ -20,8 +20,8 @@
   private static final long SECOND = 1_000_000_000L;
 
   /**
-   * The factor by which the allowed number is reduced, as the seconds of the nodes and of an
-   * outside observer begin at different times.
+   * The factor by which the share of the first attempts is reduced, as the seconds of the nodes and
+   * of an outside observer begin at different times.
    */
   private static final double SAFETY_FACTOR = 0.85;
 
@@ -69,7 +69,7 @@
 
   /** Returns the number of retries that the window may have. */
   double allowed(long at, double slack) {
-    return SAFETY_FACTOR * (retryShare * sum(firstAttempts, at) + slack);
+    return SAFETY_FACTOR * retryShare * sum(firstAttempts, at) + slack;
   }
 
   private int sum(int[] counts, long at) {
--- a/platform.test/src/test/java/org/larkkeel/platform/RelayTestSetup.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayTestSetup.java
@@ -61,6 +61,7 @@
           "listeners": {"caller": "127.0.0.1:0", "readiness": "127.0.0.1:0",
             "metrics": "127.0.0.1:0", "peer": "127.0.0.1:0"},
           "store": {"address": "%s", "timeoutMillis": 2000, "watchMillis": 1000},
+          "repeats": {"slack": "2000"},
           "stop": {"leaveMillis": 0, "graceSeconds": "%d"},
         }
         """
