Count each prefill of a call after the first as an arrival

Cause: the first prefill that an upstream accepts is no arrival against the budget. The router took back the count of every accepted prefill, so a call that prefilled again, as its engine went before it took the prompt over, counted its run as a first arrival: one retry a call that no budget knew.

Change: only the first accepted prefill of a call is taken back.

Evidence: StagedCallsTest.Budget failed before (a run after two prefills, with a budget of none).

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StagedCallsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StagedCallsTest.java
@@ -402,4 +402,30 @@
       assertTrue(w.router.loads().get(upstream) > before);
     }
   }
+
+  /** Prefills that count against the retry budget. */
+  public static class Budget {
+    // Guards against a second prefill of a call that is not counted as an arrival, so that the runs
+    // of such calls exceed the retry budget.
+    @Test
+    public void countsEachPrefillAfterTheFirst() {
+      RelayWorld w = new RelayWorld(0);
+      w.configure(1, RelayWorld.rules());
+      w.add("read-1", RelayWorld.MODEL, Stage.PREFILL);
+      w.add("run-1", RelayWorld.MODEL, Stage.DECODE);
+      w.applyDiscoveryList();
+      w.arrive("/stream/a", 14_000, LARGE);
+      assertEquals(w.sent().purpose(), new Purpose.ReadPrompt());
+      w.remove("run-1");
+      w.promptRead();
+      assertEquals(w.sendCount(), 1);
+      w.add("run-2", RelayWorld.MODEL, Stage.DECODE);
+      w.applyDiscoveryList();
+      w.pass(100);
+      assertEquals(w.sendCount(), 2);
+      assertEquals(w.sent().purpose(), new Purpose.ReadPrompt());
+      w.promptRead();
+      assertEquals(w.sendCount(), 2, "a run after two prefills is a retry");
+    }
+  }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -146,6 +146,9 @@
    */
   int arrivalCount;
 
+  /** True once an upstream has prefilled the prompt; only that prefill counts as no arrival. */
+  boolean hadPrefill;
+
   /** The number of attempts that have run or may have run. */
   int runCount;
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Outcomes.java
@@ -46,9 +46,10 @@
     core.paths.heard(at, a);
     CallState c = a.call();
     recordSuccess(at, a);
-    if (!a.retry()) {
+    if (!a.retry() && !c.hadPrefill) {
       c.arrivalCount--;
     }
+    c.hadPrefill = true;
     core.upstreams.speeds().promptPrefilled(at, a);
     RelayUpstream source = a.upstream().upstream();
     core.report(new RelayFact.PromptRead(c.call.wireId(), id, source.name(), at - a.sentAt()));
