Read a bounded amount from each connection in a turn of the loop

What callers saw: one engine that answers with bytes without end took a node from all callers, for good with a stream of small events; an endless header field ended the node (OutOfMemoryError); chunk extensions and interim answers made calls seconds late.

Cause: the loop that reads a body, and those of the HTTP library's parsers, end only when the socket is empty, on the one I/O thread that has the timers and all other connections. Bytes that give no content never reach a bound that the relay checks.

Change: InputLimit, a conduit below the parsers, reads at most 32 KiB and a buffer of a connection in a turn, and fails the connection after 64 KiB (UpstreamClientSettings.maxOverheadBytes) without content: heads, interim answers, extensions, trailers. HttpConnector installs it on connections to upstreams and peers, RelayListener on those of callers, whose heads and bodies the server bounds. A tunnel copies as much in a turn in each direction. A flood is BAD_ANSWER, and no sign that the upstream has crashed.

Evidence: EndlessAnswerTest.OtherCalls failed before for small events, events with ids, one header field and interim answers, and passes for all eleven kinds.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayListener.java
@@ -22,6 +22,7 @@
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
 import org.larkkeel.http.HttpWorker;
+import org.larkkeel.http.InputLimit;
 import org.larkkeel.http.Problem;
 import org.larkkeel.http.caller.BodyReader;
 import org.larkkeel.http.caller.CallerSettings;
@@ -144,6 +145,8 @@
 
   private void opened(StreamConnection connection) {
     if (intake.admits()) {
+      // The HTTP server bounds heads and bodies by its own options.
+      InputLimit.install(connection, Long.MAX_VALUE);
       connections.handleEvent(connection);
     } else {
       IoUtils.safeClose(connection);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
@@ -6,12 +6,10 @@
 
 package org.larkkeel.http.tunnel;
 
-import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -20,24 +18,25 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.larkkeel.http.HttpConnector;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.upstream.ConnectFailure;
 import org.larkkeel.http.upstream.Destination;
 import org.larkkeel.http.upstream.TunnelOpener;
 import org.larkkeel.http.upstream.UpstreamAddress;
+import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 
 /**
@@ -58,9 +57,6 @@
   /** For how long a peer is avoided that does not know tunnels, or does not know this node. */
   private static final Duration AVOID_UNSUITABLE = Duration.ofSeconds(5);
 
-  private static final OptionMap OPTIONS =
-      OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
-
   private final HttpWorker worker;
   private final XnioIoThread thread;
   private final InetAddress self;
@@ -156,10 +152,10 @@
   }
 
   /** The request for a tunnel to one peer; ends once. */
-  private final class PeerRequest implements ClientCallback<ClientConnection> {
+  private final class PeerRequest implements HttpConnector.Callback {
     private final Attempt attempt;
     private final InetSocketAddress peer;
-    private ClientConnection connection;
+    private HttpConnector.Opened connection;
     private boolean ended;
 
     PeerRequest(Attempt attempt, InetSocketAddress peer) {
@@ -172,20 +168,19 @@
           () -> failed(new IOException("no answer in time")),
           PEER_TIMEOUT.toMillis(),
           TimeUnit.MILLISECONDS);
-      UndertowClient.getInstance()
-          .connect(
-              this,
-              new InetSocketAddress(self, 0),
-              URI.create("http://" + new UpstreamAddress(peer).hostHeader()),
-              thread,
-              worker.buffers(),
-              OPTIONS);
+      HttpConnector.connect(
+          worker,
+          thread,
+          Optional.of(new InetSocketAddress(self, 0)),
+          new UpstreamAddress(peer).hostHeader(),
+          UpstreamClientSettings.DEFAULT.maxOverheadBytes(),
+          this);
     }
 
     @Override
-    public void completed(ClientConnection opened) {
+    public void opened(HttpConnector.Opened opened) {
       if (ended) {
-        IoUtils.safeClose(opened);
+        IoUtils.safeClose(opened.http());
         return;
       }
       connection = opened;
@@ -198,9 +193,12 @@
           .getRequestHeaders()
           .put(Headers.HOST, attempt.destination.address().hostHeader())
           .put(TunnelProtocol.UPSTREAM, attempt.destination.upstream().value());
-      opened.addCloseListener(c -> failed(new IOException("the connection was closed")));
-      opened.sendRequest(
-          request, callback(exchange -> exchange.setResponseListener(callback(this::answered))));
+      opened.http().addCloseListener(c -> failed(new IOException("the connection was closed")));
+      opened
+          .http()
+          .sendRequest(
+              request,
+              callback(exchange -> exchange.setResponseListener(callback(this::answered))));
     }
 
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> action) {
@@ -226,7 +224,7 @@
         finishAnswer(exchange);
       } else if (status == TunnelProtocol.REFUSED) {
         ended = true;
-        IoUtils.safeClose(connection);
+        close();
         attempt.result.failed(ConnectFailure.REFUSED, "refused, by node " + peer);
       } else {
         boolean unsuitable = status != StatusCodes.SERVICE_UNAVAILABLE;
@@ -257,9 +255,15 @@
       }
     }
 
+    private void close() {
+      if (connection != null) {
+        IoUtils.safeClose(connection.http());
+      }
+    }
+
     private void fail(Duration avoid) {
       ended = true;
-      IoUtils.safeClose(connection);
+      close();
       avoid(peer, avoid);
       attempt.next();
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
@@ -10,6 +10,7 @@
 import io.undertow.connector.PooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.larkkeel.http.InputLimit;
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -112,15 +113,22 @@
     }
 
     private void copy() {
+      int copied = 0;
       try {
         while (!ended && flushPending()) {
           if (sourceEnded) {
             finish();
             return;
           }
+          if (copied >= InputLimit.TURN_BYTES) {
+            // Other connections come first; the channel is still readable in the next turn.
+            source.resumeReads();
+            return;
+          }
           if (!fill()) {
             return;
           }
+          copied += pending == null ? 0 : pending.getBuffer().remaining();
         }
       } catch (IOException e) {
         release();
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
@@ -6,21 +6,17 @@
 
 package org.larkkeel.http.upstream;
 
-import io.undertow.UndertowOptions;
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.larkkeel.http.HttpConnector;
 import org.larkkeel.http.HttpWorker;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 
 /**
  * A bounded pool of connections to one destination.
@@ -30,9 +26,6 @@
  * exactly one request. Safe for use by several threads; callbacks run outside the lock.
  */
 final class ConnectionPool {
-  private static final OptionMap OPTIONS =
-      OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
-
   private final Destination destination;
   private final TunnelOpener tunnels;
   private final UpstreamClientSettings settings;
@@ -227,25 +220,24 @@
   }
 
   private void connectDirectly(Destination.Direct direct, Waiter waiter) {
-    URI uri = URI.create("http://" + direct.address().hostHeader());
-    UndertowClient.getInstance()
-        .connect(
-            new ClientCallback<ClientConnection>() {
-              @Override
-              public void completed(ClientConnection connection) {
-                onOpened(connection, waiter);
-              }
+    HttpConnector.connect(
+        worker,
+        worker.worker().getIoThread(),
+        Optional.empty(),
+        direct.address().hostHeader(),
+        settings.maxOverheadBytes(),
+        new HttpConnector.Callback() {
+          @Override
+          public void opened(HttpConnector.Opened connection) {
+            onOpened(connection, waiter);
+          }
 
-              @Override
-              public void failed(IOException e) {
-                onClosed();
-                waiter.onConnectFailed(ConnectFailure.REFUSED, String.valueOf(e.getMessage()));
-              }
-            },
-            uri,
-            worker.worker(),
-            worker.buffers(),
-            OPTIONS);
+          @Override
+          public void failed(IOException e) {
+            onClosed();
+            waiter.onConnectFailed(ConnectFailure.REFUSED, String.valueOf(e.getMessage()));
+          }
+        });
   }
 
   /** Passes the result of opening a tunnel on to a waiting request. */
@@ -257,7 +249,7 @@
     }
 
     @Override
-    public void opened(ClientConnection connection) {
+    public void opened(HttpConnector.Opened connection) {
       onOpened(connection, waiter);
     }
 
@@ -268,15 +260,17 @@
     }
   }
 
-  private void onOpened(ClientConnection connection, Waiter waiter) {
+  private void onOpened(HttpConnector.Opened connection, Waiter waiter) {
     PooledConnection pooled = new PooledConnection(connection, this);
-    connection.addCloseListener(
-        c -> {
-          synchronized (this) {
-            idle.remove(pooled);
-          }
-          onClosed();
-        });
+    connection
+        .http()
+        .addCloseListener(
+            c -> {
+              synchronized (this) {
+                idle.remove(pooled);
+              }
+              onClosed();
+            });
     waiter.onConnection(pooled);
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
@@ -9,6 +9,8 @@
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import org.larkkeel.http.HttpConnector;
+import org.larkkeel.http.InputLimit;
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -20,12 +22,14 @@
  */
 final class PooledConnection {
   private final ClientConnection connection;
+  private final InputLimit limit;
   private final ConnectionPool pool;
   private long idleSince;
   private int requestCount;
 
-  PooledConnection(ClientConnection connection, ConnectionPool pool) {
-    this.connection = connection;
+  PooledConnection(HttpConnector.Opened opened, ConnectionPool pool) {
+    this.connection = opened.http();
+    this.limit = opened.limit();
     this.pool = pool;
   }
 
@@ -33,6 +37,11 @@
     return connection;
   }
 
+  /** Returns the limit of the input, for use on the I/O thread of the connection. */
+  InputLimit limit() {
+    return limit;
+  }
+
   boolean isOpen() {
     return connection.isOpen();
   }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/TunnelOpener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/TunnelOpener.java
@@ -7,6 +7,7 @@
 package org.larkkeel.http.upstream;
 
 import io.undertow.client.ClientConnection;
+import org.larkkeel.http.HttpConnector;
 
 /**
  * Opens connections to upstreams through other nodes.
@@ -23,7 +24,7 @@
   /** Receives the result of opening a tunnel. Exactly one method is called, once. */
   interface Result {
     /** Receives a connection on which the upstream answers. */
-    void opened(ClientConnection connection);
+    void opened(HttpConnector.Opened connection);
 
     /**
      * Is notified that no tunnel was opened.
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClientSettings.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClientSettings.java
@@ -17,6 +17,8 @@
  * @param idleMillis the time after which an idle connection is closed
  * @param maxResponseBytes the maximum size of a response that is collected completely
  * @param maxEventBytes the maximum size of an event of a stream
+ * @param maxOverheadBytes the maximum number of bytes of a response before its first content, or
+ *     between two parts of its content: heads, interim responses, and what frames the body
  * @since 0.1
  */
 public record UpstreamClientSettings(
@@ -25,8 +27,29 @@
     int maxWaiting,
     long idleMillis,
     int maxResponseBytes,
-    int maxEventBytes) {
+    int maxEventBytes,
+    int maxOverheadBytes) {
+  private static final int DEFAULT_MAX_OVERHEAD_BYTES = 64 << 10;
+
   /** The default limits. */
   public static final UpstreamClientSettings DEFAULT =
       new UpstreamClientSettings(64, 4, 256, 15_000, 4 << 20, 256 << 10);
+
+  /** Creates limits with the default maximum number of bytes without content. */
+  public UpstreamClientSettings(
+      int maxConnections,
+      int reservedConnections,
+      int maxWaiting,
+      long idleMillis,
+      int maxResponseBytes,
+      int maxEventBytes) {
+    this(
+        maxConnections,
+        reservedConnections,
+        maxWaiting,
+        idleMillis,
+        maxResponseBytes,
+        maxEventBytes,
+        DEFAULT_MAX_OVERHEAD_BYTES);
+  }
 }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -149,6 +149,7 @@
       connection.release(true);
       return;
     }
+    connection.limit().contentRead();
     ConnectionPosition position = connection.countRequest(clock.getAsLong());
     reusesConnection = position.requestNumber() > 1;
     bytesWrittenBefore = bytesWritten(connection);
@@ -233,6 +234,7 @@
     }
     ClientResponse response = exchange.getResponse();
     recordActivity();
+    connection.limit().contentRead();
     if (!handler.onHeaders(response.getResponseCode(), response.getResponseHeaders())) {
       endAsUnusable();
       return;
@@ -257,6 +259,7 @@
           return;
         }
         recordActivity();
+        connection.limit().contentRead();
         part.flip();
         if (!handler.onBody(part)) {
           endAsUnusable();
@@ -294,7 +297,8 @@
       pool.acquire(this);
       return;
     }
-    fail(FailureCause.CONNECTION_LOST, detail);
+    boolean flooded = connection.limit().isExceeded();
+    fail(flooded ? FailureCause.BAD_ANSWER : FailureCause.CONNECTION_LOST, detail);
   }
 
   private void unassign() {
