Reserve memory for chunked request bodies as they arrive

What callers saw: a node refused requests with 503 while it held little, as each body without a declared length reserved the size of the largest one (twelve of them filled the 48 MiB of a relay node), and eleven chunked uploads of 4 MiB at once exhausted its heap of 96 MB.

Cause: the bound on all bodies counted what might come, not what came, and was too large for what collecting a body takes: its buffer grows by doubling, and is copied once.

Change: a chunked body reserves each part when it is read, and is refused as not run when the parts of all bodies take more than they may. A relay node holds 16 MiB of bodies.

Evidence: CallerListenerTest.BodiesWithoutLength.chunkedBodiesReserveWhatHasArrived failed before (eight small chunked bodies, with memory for three of the largest).

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -59,7 +59,7 @@
   private static final Logger log = LoggerFactory.getLogger(RelayNode.class);
   private static final int IO_THREADS = 1;
   private static final int MAX_BODY_BYTES = 4 << 20;
-  private static final long MAX_BODIES_BYTES = 48L << 20;
+  private static final long MAX_BODIES_BYTES = 16L << 20;
   private static final int MAX_PENDING_BYTES = 1 << 20;
   private static final int HEADER_MILLIS = 10_000;
   private static final int BODY_MILLIS = 20_000;
--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/caller/CallerListenerTest.java
@@ -15,7 +15,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.larkkeel.call.Call;
 import org.larkkeel.effect.Effect;
@@ -28,6 +30,7 @@
 import org.larkkeel.http.request.RecordedAnswer;
 import org.larkkeel.http.request.RequestRecord;
 import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.Closer;
 import org.larkkeel.lib.RequestId;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -295,6 +298,72 @@
     }
   }
 
+  /** The memory that is reserved for bodies without a declared length. */
+  public static class BodiesWithoutLength extends WithNode {
+    private static final int CALLERS = 8;
+
+    private RawCaller callerWithChunk(Closer closer, int bytes) throws Exception {
+      RawCaller caller = closer.add(node.call());
+      caller.raw(
+          "POST /x HTTP/1.1\r\n"
+              + WORKSPACE
+              + "Transfer-Encoding: chunked\r\n\r\n"
+              + Integer.toHexString(bytes)
+              + "\r\n"
+              + "x".repeat(bytes)
+              + "\r\n");
+      return caller;
+    }
+
+    // Guards against requests without a body that are refused because each reserves the memory of
+    // the largest body.
+    @Test
+    public void requestsWithoutBodyReserveNone() throws Exception {
+      try (Closer closer = new Closer()) {
+        for (int i = 0; i < CALLERS; i++) {
+          closer.add(node.call()).send("GET", "/x", "", "");
+          node.arrival();
+        }
+      }
+    }
+
+    // Guards against requests that are refused because a few chunked bodies reserve all memory
+    // before they arrive.
+    @Test
+    public void chunkedBodiesReserveWhatHasArrived() throws Exception {
+      try (Closer closer = new Closer()) {
+        for (int i = 0; i < CALLERS; i++) {
+          callerWithChunk(closer, 5);
+        }
+        closer.add(node.call()).send("POST", "/y", "", "body");
+        node.arrival();
+      }
+    }
+
+    // Guards against chunked bodies that together take more memory than all bodies may.
+    @Test
+    public void chunkedBodiesBeyondTheMemoryAreRefused() throws Exception {
+      CountDownLatch refused = new CountDownLatch(CALLERS - 3);
+      try (Closer closer = new Closer()) {
+        for (int i = 0; i < CALLERS; i++) {
+          RawCaller caller = callerWithChunk(closer, MAX_BODY);
+          Thread.ofVirtual().start(() -> countIfRefused(caller, refused));
+        }
+        assertTrue(refused.await(Node.TIMEOUT_SECONDS, TimeUnit.SECONDS));
+      }
+    }
+
+    private static void countIfRefused(RawCaller caller, CountDownLatch refused) {
+      try {
+        if (caller.answer().status() == 503) {
+          refused.countDown();
+        }
+      } catch (IOException e) {
+        // The test has closed the connection.
+      }
+    }
+  }
+
   /** Callers that do not read. */
   public static class StalledCallers extends WithNode {
     @Override
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/BodyReader.java
@@ -9,10 +9,13 @@
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.errors.LarkkeelException;
@@ -24,10 +27,12 @@
  * Reads request bodies within limits on size, duration and total memory.
  *
  * <p>Invariant: the memory reserved for the bodies of all requests in progress is at most {@link
- * CallerSettings#maxBodiesBytes}. A body without a declared length reserves {@link
- * CallerSettings#maxBodyBytes}. Safe for use by several threads.
+ * CallerSettings#maxBodiesBytes}. A body without a declared length reserves memory as it arrives.
+ * Safe for use by several threads.
  */
 public final class BodyReader {
+  private static final String FULL_DETAIL = "The node holds as many request bodies as it may.";
+
   private final CallerSettings settings;
   private final AtomicLong reserved = new AtomicLong();
 
@@ -55,7 +60,11 @@
       exchange.setPersistent(false);
       throw tooLarge();
     }
-    Runnable release = reserve(length < 0 ? settings.maxBodyBytes() : length);
+    Reservation reservation = new Reservation();
+    if (length > 0 && !reservation.grow(length)) {
+      throw new LarkkeelException(ErrorKind.OVERLOADED, FULL_DETAIL);
+    }
+    Runnable release = reservation::release;
     AtomicBoolean done = new AtomicBoolean();
     XnioExecutor.Key timer =
         exchange
@@ -65,35 +74,82 @@
                 settings.bodyMillis(),
                 TimeUnit.MILLISECONDS);
     Receiver receiver = exchange.getRequestReceiver();
-    receiver.setMaxBufferSize(settings.maxBodyBytes());
-    receiver.receiveFullBytes(
-        (e, bytes) -> {
+    Consumer<byte[]> complete =
+        bytes -> {
           timer.remove();
           if (done.compareAndSet(false, true)) {
             onBody.accept(new Body(bytes, release));
           }
-        },
+        };
+    Receiver.ErrorCallback failed =
         (e, failure) -> {
           timer.remove();
           if (done.compareAndSet(false, true)) {
             release.run();
             failed(exchange, wireId, failure);
           }
-        });
+        };
+    receiver.setMaxBufferSize(settings.maxBodyBytes());
+    if (length >= 0) {
+      receiver.receiveFullBytes((e, bytes) -> complete.accept(bytes), failed);
+      return;
+    }
+    ByteArrayOutputStream collected = new ByteArrayOutputStream();
+    receiver.receivePartialBytes(
+        (e, part, last) -> {
+          if (done.get()) {
+            return;
+          }
+          Optional<Problem> problem =
+              problem(wireId, collected.size() + part.length, () -> reservation.grow(part.length));
+          if (problem.isPresent()) {
+            timer.remove();
+            done.set(true);
+            release.run();
+            sendAndClose(exchange, problem.get());
+            return;
+          }
+          collected.writeBytes(part);
+          if (last) {
+            complete.accept(collected.toByteArray());
+          }
+        },
+        failed);
   }
 
-  private Runnable reserve(long bytes) {
-    if (reserved.addAndGet(bytes) > settings.maxBodiesBytes()) {
-      reserved.addAndGet(-bytes);
-      throw new LarkkeelException(
-          ErrorKind.OVERLOADED, "The node holds as many request bodies as it may.");
+  /** Returns why a body of a size cannot be read further; empty if it can. */
+  private Optional<Problem> problem(String wireId, int size, BooleanSupplier reserves) {
+    if (size > settings.maxBodyBytes()) {
+      return Optional.of(Problem.of(ErrorKind.BODY_TOO_LARGE, limitDetail(), wireId));
     }
-    AtomicBoolean released = new AtomicBoolean();
-    return () -> {
-      if (released.compareAndSet(false, true)) {
+    return reserves.getAsBoolean()
+        ? Optional.empty()
+        : Optional.of(Problem.of(ErrorKind.OVERLOADED, FULL_DETAIL, wireId));
+  }
+
+  /** The memory reserved for one body. */
+  private final class Reservation {
+    private long bytes;
+    private boolean released;
+
+    /** Reserves further memory; returns false, and reserves none, if too little is left. */
+    synchronized boolean grow(long more) {
+      if (released || reserved.addAndGet(more) > settings.maxBodiesBytes()) {
+        if (!released) {
+          reserved.addAndGet(-more);
+        }
+        return false;
+      }
+      bytes += more;
+      return true;
+    }
+
+    synchronized void release() {
+      if (!released) {
+        released = true;
         reserved.addAndGet(-bytes);
       }
-    };
+    }
   }
 
   private void timedOut(
