Train the build with streams that are taken up at another node

Streams of several builds were taken up for the first time by code that a node had to load, verify and link while the answer of another node was awaited for 0.3 s: the training run had no upstream with a build, so that the archive of classes held none of it.

Change: its upstreams name builds and starts, and each round takes up a stream that began at either node.

--- a/deploy/Training.java
+++ b/deploy/Training.java
@@ -42,6 +42,7 @@
   private static final Duration READY = Duration.ofSeconds(20);
   private static final Duration END = Duration.ofSeconds(60);
   private static final int ROUNDS = 8;
+  private static final long BORN = 1_700_000_000_000L;
   private static final String LIST_OPTION = "-XX:DumpLoadedClassList";
   private static final Pattern NAME = Pattern.compile("\"name\":\"([^\"]+)\"");
   private static final Pattern WATCH = Pattern.compile("watch=(\\d+)&wait_ms=(\\d+)");
@@ -52,6 +53,7 @@
   private final HttpClient client = HttpClient.newHttpClient();
   private long revision = 100;
   private int lastCall;
+  private String resumes = "";
 
   private record Event(String kind, String object, boolean gone) {}
 
@@ -165,12 +167,22 @@
       call(node, "POST", "/stream/b", "100,200", 0);
       call(node, "POST", "/resume/a", "3000,200", 0);
       call(node, "POST", "/resume/b", "3000,200", 2);
+      // The stream began at the other node, or the one before at this node.
+      takeUp(node, nodes.get((nodes.indexOf(node) + index) % nodes.size()));
       call(node, "POST", index % 2 == 0 ? "/resume/breaks" : "/stream/declined", "3000,200", 0);
       leave(node);
     }
     Thread.sleep(100);
   }
 
+  /** A stream that is begun at one node, and taken up at another one. */
+  private void takeUp(Node node, Node first) throws Exception {
+    call(first, "POST", "/resume/c", "3000,200", 0);
+    resumes = "training-" + lastCall;
+    call(node, "POST", "/resume/c", "3000,200", 2);
+    resumes = "";
+  }
+
   private void call(Node node, String method, String path, String tokens, int lastEvent)
       throws InterruptedException {
     HttpRequest.Builder request =
@@ -187,6 +199,9 @@
     if (lastEvent > 0) {
       request.header("Last-Event-Id", Integer.toString(lastEvent));
     }
+    if (!resumes.isEmpty()) {
+      request.header("Resumes", resumes);
+    }
     try {
       client.send(request.build(), HttpResponse.BodyHandlers.ofString());
     } catch (IOException e) {
@@ -301,6 +316,10 @@
 
   private void upstream(HttpExchange call, String path) throws IOException, InterruptedException {
     call.getRequestBody().readAllBytes();
+    if (path.equals("/larkkeel/report")) {
+      reply(call, 200, "", "{\"born\":" + BORN + "}");
+      return;
+    }
     String id = call.getRequestHeaders().getFirst("X-Request-Id");
     if (path.endsWith("declined")) {
       call.getResponseHeaders().set("X-Not-Run", "1");
@@ -372,10 +391,12 @@
         .formatted(name, name, kind, service, kind.equals("unsafe") ? 1 : 2, resume);
   }
 
-  private static String upstream(String address, String stage, String state) {
+  private String upstream(String address, String stage, String state) {
     return """
-    {"service":"%s","address":"%s","zone":"training","slots":8,"state":"%s","stage":"%s"}
+    {"service":"%s","address":"%s","zone":"training","slots":8,"state":"%s","stage":"%s","born":%d,\
+    "version":"build-%d"}
     """
-        .formatted(stage.isEmpty() ? "app" : "model", address, state, stage);
+        .formatted(
+            stage.isEmpty() ? "app" : "model", address, state, stage, BORN, revision % 2);
   }
 }
