--- a/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -26,6 +27,7 @@
   private final Map<String, Sent> sent = new ConcurrentHashMap<>();
   private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
   private final Map<String, Integer> refused = new ConcurrentHashMap<>();
+  private final Set<String> flooded = ConcurrentHashMap.newKeySet();
   private final ConcurrentLinkedQueue<String> brokenRules = new ConcurrentLinkedQueue<>();
   private final Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
   private final AtomicInteger running = new AtomicInteger();
@@ -61,6 +63,16 @@
     return s == null ? OptionalInt.empty() : OptionalInt.of(s.node());
   }
 
+  /** Records a request to which a runner answers without end. */
+  void flooded(String id) {
+    flooded.add(id);
+  }
+
+  /** Returns whether a runner answered a request without end, so that its body is not known. */
+  boolean wasFlooded(String id) {
+    return flooded.contains(id);
+  }
+
   boolean hasRun(String id) {
     return runs.containsKey(id);
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -199,6 +199,13 @@
     failingShare = share;
   }
 
+  /** Ends the faults that last throughout a run. */
+  void endLastingFaults() {
+    failingShare = 0;
+    repeatsAnswers = false;
+    endlessAnswer = Optional.empty();
+  }
+
   /** Sets the answer without end that it gives to all requests; empty for none. */
   void setEndlessAnswer(Optional<EndlessAnswer> answer) {
     endlessAnswer = answer;
@@ -293,6 +300,7 @@
         ledger.runStarted(
             wire, r.method(), r.target(), r.body(), r.header("Last-Event-Id") != null);
       }
+      ledger.flooded(wire);
       endlessAnswer.get().write(wire, out, new AtomicLong());
     }
     if (fault == Fault.MUTE) {
