--- a/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RelayPathTest.java
@@ -96,6 +96,30 @@
       assertTrue(Integer.parseInt(r.header("X-Deadline-Ms")) <= 3_000);
     }
 
+    // Guards against bodies that are read no further after the first turn of the event loop.
+    @Test
+    public void passesLargeBodies() throws Exception {
+      String body = "0123456789abcdef".repeat(40_000);
+      List<String> seen = new CopyOnWriteArrayList<>();
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        w.runner(
+            "i-1",
+            "app",
+            "",
+            (r, out, s) -> {
+              seen.add(r.body());
+              respond(out, 200, r.body());
+            });
+        assertTrue(w.exchange("POST", "/once/a", "", body).endsWith(body));
+        String chunk = Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
+        try (RawClient client = new RawClient(w.address())) {
+          client.send("POST", "/once/b", "Transfer-Encoding: chunked\r\n\r\n" + chunk, "");
+          assertTrue(client.readToEnd().endsWith(body));
+        }
+      }
+      assertEquals(seen, List.of(body, body));
+    }
+
     @Test
     public void retriesRequestThatDidNotRun() throws Exception {
       AtomicInteger ran = new AtomicInteger();
