--- a/platform.test/src/test/java/org/larkkeel/platform/EndlessAnswerTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/EndlessAnswerTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
+import org.larkkeel.lib.Closer;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -102,7 +103,9 @@
     @Test(dataProvider = "kinds")
     public void areServedBesideTheFlood(EndlessAnswer answer) throws Exception {
       AtomicLong written = new AtomicLong();
-      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+      // Closes the clients at the end, as they would go on reading.
+      try (RelayTestSetup w = new RelayTestSetup().configured();
+          Closer closer = new Closer()) {
         w.runner(
             "i-flood",
             "model",
@@ -121,7 +124,8 @@
                       + body);
             });
         for (int i = 0; i < STREAMS; i++) {
-          Thread.ofVirtual().start(() -> readStream(w));
+          RawClient client = closer.add(new RawClient(w.address()));
+          Thread.ofPlatform().daemon().start(() -> readStream(client));
         }
         RelayTestSetup.await(() -> written.get() > 0);
         for (int i = 0; i < CALLS; i++) {
@@ -135,11 +139,12 @@
       }
     }
 
-    private static void readStream(RelayTestSetup w) {
+    private static void readStream(RawClient client) {
       try {
-        w.exchange("POST", "/stream/a", "X-Deadline-Ms: 2000\r\nX-Token-Usage: 10,10\r\n", "x");
+        client.send("POST", "/stream/a", "X-Deadline-Ms: 2000\r\nX-Token-Usage: 10,10\r\n", "x");
+        client.readToEnd();
       } catch (IOException e) {
-        // The node closed the connection.
+        // The node or the test closed the connection.
       }
     }
   }
