Let the ports of stand-ins close before their connections

Cause: RawServer closed its listening socket while a thread waited for a connection, and the port goes on accepting until that thread has ended. A node that probed the crashed runner within a millisecond was told that it listens.

The stand-in joins it now, so that a runner that has crashed refuses connections, as the test means it. What the test checks is unchanged.

--- a/platform.test/src/test/java/org/larkkeel/platform/RawServer.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RawServer.java
@@ -30,6 +30,7 @@
 final class RawServer implements AutoCloseable {
   private final ServerSocket server;
   private final Script script;
+  private final Thread acceptor;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
   /** A request as received; the header names are in lower case. */
@@ -51,7 +52,7 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    Thread.ofVirtual().start(this::accept);
+    acceptor = Thread.ofVirtual().start(this::accept);
   }
 
   String address() {
@@ -132,6 +133,12 @@
   @Override
   public void close() throws IOException {
     server.close();
+    try {
+      // The port accepts connections until the thread that waits for one has ended.
+      acceptor.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     closeConnections();
   }
 }
