--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -82,7 +82,6 @@
   private static final long PREFILL_MILLIS = 95;
   private static final long FIRST_TOKEN_MILLIS = 60;
   private static final long EVENT_MILLIS = 60;
-  private static final long CRASH_MILLIS = 80;
   private static final long DOWN_MILLIS = 2_500;
   private static final long STORE_MILLIS = 20;
 
@@ -133,6 +132,9 @@
   /** The parts of prompts that crash each engine that begins to run them. */
   final Set<String> deadlyParts = new HashSet<>();
 
+  /** When requests crash the engines that run them. */
+  SimCrashTime crashTime = SimCrashTime.BEFORE_FIRST_EVENT;
+
   private final Set<UpstreamName> down = new HashSet<>();
 
   /** The entries of the nodes in the store. */
@@ -704,7 +706,11 @@
       maxRunning.merge(engine, running.get(engine), Math::max);
       runs.put(send.attempt(), engine);
       if (crashing.contains(send.call())) {
-        after(CRASH_MILLIS * NANOS_PER_MILLI, () -> crashEngine(send.attempt(), engine));
+        long crashNanos = crashTime.afterSendMillis() * NANOS_PER_MILLI;
+        crashTime
+            .firstEventMillis()
+            .ifPresent(m -> after(m * NANOS_PER_MILLI, () -> begin(send.attempt())));
+        after(crashNanos, () -> crashEngine(send.attempt(), engine));
         return;
       }
       after(FIRST_TOKEN_MILLIS * NANOS_PER_MILLI, () -> begin(send.attempt()));
@@ -757,14 +763,27 @@
           new RelayWorkspace(new WorkspaceName(name), limit, QuotaUnit.TOKENS, 0),
           ImmutableList.of(CallerKey.of(name)));
     }
-    RelayConfiguration read = configuration(revision, all.build());
+    configure(configuration(revision, all.build()));
+  }
+
+  /** Configures streams that may be resumed, in at most the given number of runs, on all nodes. */
+  void resumableStreams(long revision, int maxRuns) {
+    configure(configuration(revision, Workspaces.OPEN, CallKind.RESUMABLE_STREAM, maxRuns));
+  }
+
+  private void configure(RelayConfiguration read) {
     nodes.forEach(n -> n.submit(new RelayEvent.ConfigurationRead(nowNanos, read)));
   }
 
   private static RelayConfiguration configuration(long revision, Workspaces workspaces) {
+    return configuration(revision, workspaces, CallKind.STREAM, 1);
+  }
+
+  private static RelayConfiguration configuration(
+      long revision, Workspaces workspaces, CallKind stream, int maxRuns) {
     return new RelayConfiguration(
         revision,
-        ImmutableList.of(rule(MODEL, CallKind.STREAM, 900), rule(APP, CallKind.IDEMPOTENT, 300)),
+        ImmutableList.of(rule(MODEL, stream, maxRuns, 900), rule(APP, CallKind.IDEMPOTENT, 1, 300)),
         ImmutableMap.of(
             MODEL,
             new ServiceBounds(700, MEMORY_TOKENS, 1, false),
@@ -774,7 +793,7 @@
         workspaces);
   }
 
-  private static RelayRule rule(ServiceName service, CallKind kind, long target) {
+  private static RelayRule rule(ServiceName service, CallKind kind, int maxRuns, long target) {
     return new RelayRule(
         new RuleName(service.value()),
         "a.example",
@@ -782,7 +801,7 @@
         ImmutableList.of(new RelayRule.Share(service, 1)),
         kind,
         14_000,
-        1,
+        maxRuns,
         target,
         kind.isStream() ? 300 : 0,
         1,
