Prefer a common part to many requests as the cause of crashes

Callers saw: requests with one part in their prompts ended all engines of a service, again and again, for 25 s and more, while the part had 16 crashes on every node and was not quarantined.

Cause: the retries of one resumable call give its request three crashes of its own. A narrower suspect was always examined before a wider one with the same crashes, was quarantined and explained them, and so did each further request. Evidence was weighed by the narrowest name that fits, however many of them it took.

The strongest suspect is the one with the most unexplained crashes; it was the one with the most events, by which a request that was retried four times beside a part with nine crashes came first and was refused.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashVerdicts.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.SuspectScope;
@@ -31,10 +32,12 @@
  * requests of a rule may share, until there are eight events.
  *
  * <p>A crash has one cause, but the upstream had several requests, and their prompts several parts.
- * So the suspect with the most crashes is quarantined first, and the crashes that it explains no
- * longer count against the others. A part has the crashes of all requests with it, so it is
- * examined after the narrower suspects that come with it. Each new crash of the true cause
- * increases its lead, so that a wrong verdict does not outlast the next one.
+ * So the suspect with the most crashes that nothing else explains is quarantined first, and the
+ * crashes that it explains no longer count against the others. A part has the crashes of all
+ * requests with it, so it is examined after the narrower suspects that come with it, unless it
+ * takes several of them to explain its crashes: one part is more likely than several harmful
+ * requests that happen to share it, however often each of them was sent. Each new crash of the true
+ * cause increases its lead, so that a wrong verdict does not outlast the next one.
  *
  * <p>Not thread-safe.
  */
@@ -49,6 +52,7 @@
   private static final int EVENTS_OF_FIRST_PART = 8;
 
   private final List<SuspectRecord> open = new ArrayList<>();
+  private final Collection<SuspectRecord> all;
   private final Set<UpstreamIncarnation> explained = new HashSet<>();
   private final Map<Fingerprint, Verdict> verdicts = new HashMap<>();
 
@@ -102,6 +106,7 @@
   }
 
   private CrashVerdicts(Collection<SuspectRecord> suspects) {
+    all = suspects;
     for (SuspectRecord s : suspects) {
       if (s.crashes().size() >= CRASHES) {
         open.add(s);
@@ -130,24 +135,25 @@
   }
 
   private Case examine(SuspectRecord s) {
-    List<CrashTime> all = times(s, Set.of());
-    List<CrashTime> unexplained = times(s, explained);
+    Map<UpstreamIncarnation, CrashTime> counted = s.crashes();
+    List<CrashTime> all = times(counted, Set.of());
+    List<CrashTime> unexplained = times(counted, explained);
     return new Case(
         s,
         new Evidence(all, unexplained.size()),
         new Evidence(events(s, all), events(s, unexplained).size()));
   }
 
-  /** Returns the crashes of a suspect that are not explained, in the order of their times. */
-  private static List<CrashTime> times(SuspectRecord s, Set<UpstreamIncarnation> explained) {
+  /** Returns those of some crashes that are not explained, in the order of their times. */
+  private static List<CrashTime> times(
+      Map<UpstreamIncarnation, CrashTime> crashes, Set<UpstreamIncarnation> explained) {
     List<CrashTime> times = new ArrayList<>();
-    s.crashes()
-        .forEach(
-            (incarnation, time) -> {
-              if (!explained.contains(incarnation)) {
-                times.add(time);
-              }
-            });
+    crashes.forEach(
+        (incarnation, time) -> {
+          if (!explained.contains(incarnation)) {
+            times.add(time);
+          }
+        });
     times.sort(Comparator.comparingLong(CrashTime::endedAt));
     return times;
   }
@@ -161,21 +167,70 @@
   }
 
   /**
-   * Returns the case with the most crashes among those without a narrower one; of equal ones the
-   * widest, as a request that was repeated beside the crashes is more likely than such a part. The
-   * first parts of prompts, which are beside every crash, come last.
+   * Returns the case with the most unexplained crashes among those that no narrower or wider one
+   * precedes; of equal ones the widest, as a request that was repeated beside the crashes is more
+   * likely than such a part. The first parts of prompts, which are beside every crash, come last.
    */
-  private static Case strongest(List<Case> proven) {
+  private Case strongest(List<Case> proven) {
+    Set<Case> common =
+        proven.stream().filter(c -> isCommonCause(c.suspect())).collect(Collectors.toSet());
     return proven.stream()
-        .filter(c -> proven.stream().noneMatch(n -> n.suspect().isWithin(c.suspect())))
+        .filter(c -> proven.stream().noneMatch(o -> precedes(o, c, common)))
         .max(
             Comparator.comparing((Case c) -> !isFirstPart(c.suspect().scope()))
-                .thenComparingInt(c -> c.events().crashes().size())
+                .thenComparingInt(c -> c.all().unexplained())
+                .thenComparingInt(c -> c.events().unexplained())
                 .thenComparingInt(c -> -c.suspect().scope().narrowness())
                 .thenComparing(c -> c.suspect().id().toString()))
         .orElse(proven.getFirst());
   }
 
+  /** Returns whether a case is to be examined before another one, which has the same crashes. */
+  private static boolean precedes(Case a, Case b, Set<Case> common) {
+    return a.suspect().isWithin(b.suspect())
+        ? !outweighs(b, a, common)
+        : b.suspect().isWithin(a.suspect()) && outweighs(a, b, common);
+  }
+
+  /**
+   * Returns whether a wider suspect is more likely than a narrower one with some of its crashes.
+   */
+  private static boolean outweighs(Case wider, Case narrower, Set<Case> common) {
+    boolean isComparable =
+        !isFirstPart(wider.suspect().scope())
+            || narrower.suspect().scope() instanceof SuspectScope.Request;
+    return isComparable && common.contains(wider);
+  }
+
+  /**
+   * Returns whether several narrower suspects would be needed to explain the crashes of a part. All
+   * requests of a rule may share the first part, so more are needed there.
+   */
+  private boolean isCommonCause(SuspectRecord part) {
+    int required = isFirstPart(part.scope()) ? CRASHES_IN_ANY_CASE : CRASHES;
+    List<SuspectRecord> narrower = all.stream().filter(n -> n.wider().contains(part.id())).toList();
+    Set<UpstreamIncarnation> left = new HashSet<>(part.crashes().keySet());
+    int needed = 0;
+    while (!left.isEmpty() && needed < required) {
+      removeMost(left, narrower);
+      needed++;
+    }
+    return needed == required;
+  }
+
+  /** Removes the crashes that the best of some suspects explains, or one if none explains any. */
+  private static void removeMost(Set<UpstreamIncarnation> left, List<SuspectRecord> suspects) {
+    Set<UpstreamIncarnation> most = Set.of(left.iterator().next());
+    for (SuspectRecord s : suspects) {
+      Set<UpstreamIncarnation> common = new HashSet<>(s.crashes().keySet());
+      common.retainAll(left);
+      if (common.size() > most.size()) {
+        most = common;
+      }
+    }
+    left.removeAll(most);
+  }
+
   private static int required(SuspectScope scope) {
     return isFirstPart(scope) ? EVENTS_OF_FIRST_PART : CRASHES;
   }
