Charge parts of prompts with crashes after the first event

Callers saw: requests with one part crashed engines right after they had written the first event, or after five, and were sent on without end: 46 to 74 engines in 25 s.

Cause: only attempts without an event charged the parts of their prompts, and 0.1 s of a stream cleared them, also the stream that had ended with the engine. An event was taken for an acquittal.

Change: each crash carries the time for which the stream of the suspect had run, in the records, in the messages to peers (at the end of an extension, which earlier versions ignore) and in the stored entries. A suspect takes effect at about the same point of each stream, so only crashes after similar times count together. A stream at an upstream that has crashed clears nothing until its connection breaks.

crashesOfStreamsThatHadBegunAreNotCounted is replaced. It asserted that a part whose streams alone end ten engines, each time 100 ms after the first event, is sent on: that is the reported fault. In its place: a part that was cut at any time beside a deadly one, ten times, is sent; a part that was cut at different times with nothing else there, five times, is sent; and one that ends engines 1, 100 or 300 ms after the first event is not.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
@@ -48,6 +48,10 @@
   private static final String START = "start";
   private static final String AT = "atMillis";
   private static final String SENT = "sentMillis";
+
+  /** The duration of the stream that ended with the crash; absent before the first event. */
+  private static final String STREAMED = "streamedMillis";
+
   private static final String POSITION = "promptPosition";
   private static final String WIDER = "wider";
 
@@ -103,12 +107,17 @@
       suspect
           .crashes()
           .forEach(
-              (incarnation, c) ->
-                  ends.addObject()
-                      .put(UPSTREAM, incarnation.name().value())
-                      .put(START, incarnation.incarnation().value())
-                      .put(AT, wallTime(stored, c.ageNanos()))
-                      .put(SENT, wallTime(stored, c.sentAgeNanos())));
+              (incarnation, c) -> {
+                ObjectNode end =
+                    ends.addObject()
+                        .put(UPSTREAM, incarnation.name().value())
+                        .put(START, incarnation.incarnation().value())
+                        .put(AT, wallTime(stored, c.ageNanos()))
+                        .put(SENT, wallTime(stored, c.sentAgeNanos()));
+                if (c.streamedNanos() > 0) {
+                  end.put(STREAMED, TimeUnit.NANOSECONDS.toMillis(c.streamedNanos()));
+                }
+              });
     }
   }
 
@@ -143,7 +152,10 @@
       JsonNode sent = end.has(SENT) ? end.path(SENT) : end.path(AT);
       ends.put(
           new UpstreamIncarnation(name, new Incarnation(integer(end.path(START)))),
-          new CrashSuspect.Crash(ageNanos(wallMillis, end.path(AT)), ageNanos(wallMillis, sent)));
+          new CrashSuspect.Crash(
+              ageNanos(wallMillis, end.path(AT)),
+              ageNanos(wallMillis, sent),
+              end.has(STREAMED) ? TimeUnit.MILLISECONDS.toNanos(integer(end.path(STREAMED))) : 0));
     }
     SuspectScope scope =
         item.has(POSITION)
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/SuspectDetailsCodec.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/SuspectDetailsCodec.java
@@ -12,6 +12,7 @@
 import com.google.common.io.ByteArrayDataInput;
 import com.google.common.io.ByteArrayDataOutput;
 import com.google.common.io.ByteStreams;
+import java.io.ByteArrayInputStream;
 import java.util.List;
 import java.util.Optional;
 import org.larkkeel.lib.Fingerprint;
@@ -23,7 +24,9 @@
  * Encodes and decodes what a message says of its suspects beyond their crashes: for each suspect,
  * by position, its position in prompts (32 bits; -1 for a request), the number of wider suspects (8
  * bits) and their fingerprints, and for each crash, by position, the time since the suspect was
- * sent to the upstream (64 bits, nanoseconds).
+ * sent to the upstream (64 bits, nanoseconds). Then follows for each crash of all suspects, by
+ * position, the time for which its stream had run (64 bits, nanoseconds); nodes of earlier versions
+ * do not send it, and ignore it.
  *
  * <p>Stateless and thread-safe.
  */
@@ -51,6 +54,9 @@
       }
       s.crashes().values().forEach(c -> out.writeLong(c.sentAgeNanos()));
     }
+    for (CrashSuspect s : suspects) {
+      s.crashes().values().forEach(c -> out.writeLong(c.streamedNanos()));
+    }
     return Optional.of(out.toByteArray());
   }
 
@@ -66,15 +72,35 @@
    * @throws IllegalArgumentException if the bytes are malformed or of other suspects
    */
   static ImmutableList<CrashSuspect> apply(byte[] bytes, List<CrashSuspect> suspects) {
-    ByteArrayDataInput in = ByteStreams.newDataInput(bytes);
+    ByteArrayInputStream source = new ByteArrayInputStream(bytes);
+    ByteArrayDataInput in = ByteStreams.newDataInput(source);
     ImmutableList.Builder<CrashSuspect> complete = ImmutableList.builder();
     try {
       for (CrashSuspect s : suspects) {
         complete.add(read(in, s));
       }
+      return source.available() == 0 ? complete.build() : readStreamed(in, complete.build());
     } catch (IllegalStateException e) {
       throw new IllegalArgumentException("the details of suspects end early", e);
     }
+  }
+
+  private static ImmutableList<CrashSuspect> readStreamed(
+      ByteArrayDataInput in, List<CrashSuspect> suspects) {
+    ImmutableList.Builder<CrashSuspect> complete = ImmutableList.builder();
+    for (CrashSuspect s : suspects) {
+      ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> crashes =
+          ImmutableMap.builder();
+      s.crashes()
+          .forEach(
+              (incarnation, c) ->
+                  crashes.put(
+                      incarnation,
+                      new CrashSuspect.Crash(c.ageNanos(), c.sentAgeNanos(), in.readLong())));
+      complete.add(
+          new CrashSuspect(
+              s.id(), s.scope(), s.clearanceEpoch(), crashes.buildOrThrow(), s.wider()));
+    }
     return complete.build();
   }
 
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
@@ -253,19 +253,76 @@
       assertTrue(isSent(w, "/stream/a", FIRST, "slow"));
     }
 
-    /** Sound requests must not be refused since they ran beside those that crash upstreams. */
-    @Test
-    public void crashesOfStreamsThatHadBegunAreNotCounted() {
+    /** Returns the times from the first event to the crash. */
+    @DataProvider
+    public Object[][] afterFirstEvent() {
+      return new Object[][] {{1}, {100}, {300}};
+    }
+
+    /** Guards against a part that goes on crashing upstreams as they have written an event. */
+    @Test(dataProvider = "afterFirstEvent")
+    public void partThatCrashesUpstreamsAfterTheFirstEventIsNotSent(int millis) {
       RelayWorld w = world();
-      for (int i = 1; i <= 10; i++) {
-        send(w, FIRST, "beside");
+      for (int i = 1; i <= 3; i++) {
+        send(w, FIRST, DEADLY);
         w.began();
-        w.pass(100);
+        w.pass(millis);
         crashUpstream(w, i);
       }
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+      assertTrue(isSent(w, "/stream/a", FIRST, "sound"));
+    }
+
+    private static CrashSuspect cutStreams(String part, int... streamedMillis) {
+      ImmutableMap.Builder<UpstreamIncarnation, CrashSuspect.Crash> crashes =
+          ImmutableMap.builder();
+      for (int i = 0; i < streamedMillis.length; i++) {
+        long age = (streamedMillis.length - i) * 1_000 * RelayWorld.MILLI;
+        crashes.put(
+            RelayWorld.incarnation("engine-" + i),
+            new CrashSuspect.Crash(
+                age, age + 600 * RelayWorld.MILLI, streamedMillis[i] * RelayWorld.MILLI));
+      }
+      return new CrashSuspect(
+          fingerprint(part),
+          new SuspectScope.PromptPart(1),
+          0,
+          crashes.buildOrThrow(),
+          ImmutableSet.of());
+    }
+
+    /** Sound requests must not be refused since they ran beside those that crash upstreams. */
+    @Test
+    public void streamsThatWereCutBesideDeadlyPartAreNotCounted() {
+      RelayWorld w = world();
+      receive(
+          w,
+          cutStreams(DEADLY, 101, 99, 100, 103, 110, 100, 104, 99, 101, 120),
+          cutStreams("beside", 20, 450, 170, 300, 90, 210, 350, 130, 60, 250));
+      assertTrue(isSent(w, "/stream/a", FIRST, "beside"));
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
+    /** Guards against a sound part that is charged with crashes that nothing in prompts causes. */
+    @Test
+    public void streamsThatWereCutAtDifferentTimesAreNotCounted() {
+      RelayWorld w = world();
+      receive(w, cutStreams("beside", 60, 280, 0, 150, 480));
       assertTrue(isSent(w, "/stream/a", FIRST, "beside"));
     }
 
+    /** Guards against a part that is cleared by the stream with which an upstream has ended. */
+    @Test
+    public void streamThatEndsWithTheCrashDoesNotRefuteReports() {
+      RelayWorld w = world();
+      send(w, FIRST, DEADLY);
+      w.began();
+      w.pass(160);
+      String crashed = w.sent().upstream().name().value();
+      receive(w, report(DEADLY, 1, 0, crashed, "other-1", "other-2"));
+      assertFalse(isSent(w, "/stream/a", FIRST, DEADLY));
+    }
+
     @Test
     public void upstreamsThatCrashTogetherCountOnce() {
       RelayWorld w = world();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/CrashSuspect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/CrashSuspect.java
@@ -42,19 +42,26 @@
    *
    * @param ageNanos the time since the crash
    * @param sentAgeNanos the time since the suspect was last sent to that upstream
+   * @param streamedNanos the time for which its stream had run; 0 before the first event
    */
-  public record Crash(long ageNanos, long sentAgeNanos) {
+  public record Crash(long ageNanos, long sentAgeNanos, long streamedNanos) {
     /**
      * Validates the times.
      *
-     * @throws IllegalArgumentException if an age is negative
+     * @throws IllegalArgumentException if a time is negative
      */
     public Crash {
-      if (ageNanos < 0 || sentAgeNanos < 0) {
+      if (ageNanos < 0 || sentAgeNanos < 0 || streamedNanos < 0) {
         throw new IllegalArgumentException(
-            "a crash is " + ageNanos + " ns old, its send " + sentAgeNanos + " ns: use 0 or more");
+            "a crash is %d ns old, its send %d ns, and its stream ran for %d ns: use 0 or more"
+                .formatted(ageNanos, sentAgeNanos, streamedNanos));
       }
     }
+
+    /** Creates a crash before the first event. */
+    public Crash(long ageNanos, long sentAgeNanos) {
+      this(ageNanos, sentAgeNanos, 0);
+    }
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashEvidence.java
@@ -36,10 +36,11 @@
   private static final long MAX_SUSPECT_STREAM_NANOS = 1_000 * MILLI;
 
   /**
-   * A part of a prompt whose stream has run for longer than this crashes no upstream: what it does
-   * shows when the upstream begins to generate.
+   * An attempt whose stream has run for longer than this was not ended by a part of its prompt,
+   * which other attempts may share: what a part does shows soon after the upstream begins to
+   * generate.
    */
-  private static final long HARMLESS_STREAM_NANOS = 100 * MILLI;
+  private static final long MAX_SUSPECT_PART_STREAM_NANOS = 500 * MILLI;
 
   /**
    * The maximum wait for a proof: the discovery list shows the end of an incarnation some
@@ -114,30 +115,28 @@
     }
   }
 
-  /** A stream that has begun shows that no part of its prompt ends the upstream at once. */
   private static LostAttempt lost(long at, AttemptState a) {
     CallState c = a.call();
     ImmutableList<CallTrait> traits = CallTrait.of(c.call, c.service);
-    boolean begun = c.attemptFirstEventAt != Long.MIN_VALUE;
+    long streamed = streamedNanos(at, a);
     return new LostAttempt(
-        begun ? traits.subList(0, 1) : traits, new SuspectRecord.CrashTime(at, a.sentAt()));
+        arePartsSuspect(streamed) ? traits : traits.subList(0, 1),
+        new SuspectRecord.CrashTime(at, a.sentAt(), streamed));
   }
 
-  /**
-   * Returns whether the stream of an attempt has run for long enough to prove that no part of its
-   * prompt crashes upstreams.
-   */
-  static boolean arePartsHarmless(long at, AttemptState a) {
-    return hasStreamed(at, a, HARMLESS_STREAM_NANOS);
+  /** Returns whether a part of the prompt may have ended a stream that has run for some time. */
+  static boolean arePartsSuspect(long streamedNanos) {
+    return streamedNanos <= MAX_SUSPECT_PART_STREAM_NANOS;
   }
 
-  private static boolean hasStreamed(long at, AttemptState a, long nanos) {
+  /** Returns the time for which the stream of an attempt has run; 0 before the first event. */
+  static long streamedNanos(long at, AttemptState a) {
     long firstEventAt = a.call().attemptFirstEventAt;
-    return firstEventAt != Long.MIN_VALUE && at - firstEventAt > nanos;
+    return firstEventAt == Long.MIN_VALUE ? 0 : Math.max(0, at - firstEventAt);
   }
 
   private static boolean isSuspect(long at, AttemptState a) {
-    return !hasStreamed(at, a, MAX_SUSPECT_STREAM_NANOS) && !a.upstream().isLeaving();
+    return streamedNanos(at, a) <= MAX_SUSPECT_STREAM_NANOS && !a.upstream().isLeaving();
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -9,12 +9,14 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.AnswerGrade;
@@ -110,23 +112,25 @@
     if (grade != AnswerGrade.GOOD) {
       return;
     }
-    partsServed(at, a);
+    partsServed(at, a, HarmlessParts.COMPLETE);
     if (!quarantine.isEmpty()) {
-      clear(at, CallTrait.of(a.call().call, a.call().service));
+      clear(at, CallTrait.of(a.call().call, a.call().service), t -> quarantine.clear(at, t.id()));
     }
   }
 
-  private void partsServed(long at, AttemptState a) {
+  /** Records that a stream with the parts of an attempt's prompt has run for some time. */
+  private void partsServed(long at, AttemptState a, long streamedNanos) {
     BuildName build = a.upstream().upstream().build();
     for (Fingerprint part : CallTrait.sharedParts(a.call().call, a.call().service)) {
-      harmlessParts.served(at, part, build);
+      harmlessParts.served(at, part, build, streamedNanos);
     }
   }
 
-  private void clear(long at, List<CallTrait> harmless) {
+  /** Reports those of some traits that {@code clearance} has cleared. */
+  private void clear(long at, List<CallTrait> traits, Predicate<CallTrait> clearance) {
     Set<Fingerprint> cleared = new LinkedHashSet<>();
-    for (CallTrait trait : harmless) {
-      if (quarantine.clear(at, trait.id())) {
+    for (CallTrait trait : traits) {
+      if (clearance.test(trait)) {
         report(new RelayFact.Cleared(trait.id(), trait.scope(), "answered"));
         cleared.add(trait.id());
       }
@@ -136,11 +140,10 @@
 
   /** Handles a connection that broke while its upstream had the attempt. */
   void connectionLost(long at, AttemptState a) {
-    if (CrashEvidence.arePartsHarmless(at, a)) {
-      partsServed(at, a);
-      if (!quarantine.isEmpty()) {
-        clear(at, parts(a.call()));
-      }
+    long streamed = CrashEvidence.streamedNanos(at, a);
+    partsServed(at, a, streamed);
+    if (streamed > 0 && !quarantine.isEmpty()) {
+      clear(at, parts(a.call()), t -> quarantine.clearIfOutlived(at, t.id(), streamed));
     }
     evidence.connectionLost(at, a);
   }
@@ -175,19 +178,28 @@
     return quarantine.reports(at);
   }
 
-  /** Records the parts of prompts whose streams are running, and have been for long enough. */
-  private void recordRunningParts(long at) {
+  /**
+   * Records the parts of prompts whose streams are running. At an upstream that has crashed, a
+   * stream may be one that caused it and whose connection has not broken yet.
+   */
+  private void recordRunningParts(long at, Set<UpstreamIncarnation> crashed) {
     for (AttemptState a : calls.attempts()) {
-      if (CrashEvidence.arePartsHarmless(at, a)) {
-        partsServed(at, a);
+      long streamed = CrashEvidence.streamedNanos(at, a);
+      if (!crashed.contains(a.upstream().incarnation())
+          || !CrashEvidence.arePartsSuspect(streamed)) {
+        partsServed(at, a, streamed);
       }
     }
   }
 
   /** Merges the suspects that another node reports. */
   void merge(long at, ImmutableList<CrashSuspect> reports) {
-    if (reports.stream().anyMatch(CrashGuard::chargesPart)) {
-      recordRunningParts(at);
+    Set<UpstreamIncarnation> crashed = new HashSet<>();
+    reports.stream()
+        .filter(CrashGuard::chargesPart)
+        .forEach(s -> crashed.addAll(s.crashes().keySet()));
+    if (!crashed.isEmpty()) {
+      recordRunningParts(at, crashed);
     }
     final ImmutableSet<Fingerprint> before = quarantine.quarantined(at);
     for (CrashSuspect s : reports) {
@@ -212,13 +224,16 @@
   private boolean isRefuted(long at, CrashSuspect s) {
     return chargesPart(s)
         && !quarantine.isOutdated(s)
-        && s.crashes().keySet().stream()
-            .allMatch(
-                incarnation ->
-                    calls
-                        .build(incarnation)
-                        .filter(build -> harmlessParts.contains(at, s.id(), build))
-                        .isPresent());
+        && s.crashes().entrySet().stream()
+            .allMatch(c -> isHarmless(at, s.id(), c.getKey(), c.getValue().streamedNanos()));
+  }
+
+  private boolean isHarmless(
+      long at, Fingerprint part, UpstreamIncarnation incarnation, long crashNanos) {
+    return calls
+        .build(incarnation)
+        .filter(build -> harmlessParts.contains(at, part, build, crashNanos))
+        .isPresent();
   }
 
   /** Releases a suspect from quarantine, as ordered by an operator. */
@@ -232,12 +247,12 @@
 
   private void crashed(
       long at, UpstreamState upstream, ImmutableList<CrashEvidence.LostAttempt> attempts) {
-    recordRunningParts(at);
+    recordRunningParts(at, Set.of(upstream.incarnation()));
     final ImmutableSet<Fingerprint> before = quarantine.quarantined(at);
     Set<Fingerprint> suspected = new LinkedHashSet<>();
     for (CrashEvidence.LostAttempt a : attempts) {
       for (CallTrait trait : a.traits()) {
-        if (!isHarmless(at, trait, upstream)
+        if (!isHarmless(at, trait, upstream, a.time().streamedNanos())
             && quarantine.recordCrash(at, trait, upstream.incarnation(), a.time())) {
           suspected.add(trait.id());
         }
@@ -250,9 +265,9 @@
     }
   }
 
-  private boolean isHarmless(long at, CallTrait trait, UpstreamState upstream) {
+  private boolean isHarmless(long at, CallTrait trait, UpstreamState upstream, long crashNanos) {
     return trait.scope() instanceof SuspectScope.PromptPart
-        && harmlessParts.contains(at, trait.id(), upstream.upstream().build());
+        && harmlessParts.contains(at, trait.id(), upstream.upstream().build(), crashNanos);
   }
 
   private void reportSuspected(long at, Fingerprint id, String source) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -155,7 +155,8 @@
                 r.addCrash(
                     at,
                     incarnation,
-                    new SuspectRecord.CrashTime(at - c.ageNanos(), at - c.sentAgeNanos())));
+                    new SuspectRecord.CrashTime(
+                        at - c.ageNanos(), at - c.sentAgeNanos(), c.streamedNanos())));
     verdicts = null;
   }
 
@@ -204,6 +205,17 @@
     return true;
   }
 
+  /**
+   * Clears a part of prompts if a stream of the given duration proves it harmless; returns whether
+   * any crash counted against it.
+   */
+  boolean clearIfOutlived(long at, Fingerprint part, long streamedNanos) {
+    SuspectRecord r = records.get(part);
+    return r != null
+        && HarmlessParts.outlives(streamedNanos, r.maxStreamedNanos())
+        && clear(at, part);
+  }
+
   private SuspectRecord getOrCreate(long at, Fingerprint id, SuspectScope scope) {
     SuspectRecord r = records.get(id);
     if (r == null) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/SuspectRecord.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/SuspectRecord.java
@@ -42,15 +42,18 @@
    *
    * @param endedAt the earliest time at which the upstream is known to have ended
    * @param sentAt the latest time at which the suspect was sent to it
+   * @param streamedNanos the longest time for which a stream of the suspect had run there; 0 before
+   *     the first event
    */
-  record CrashTime(long endedAt, long sentAt) {
-    /** Returns the earlier end with the latest send before it. */
+  record CrashTime(long endedAt, long sentAt, long streamedNanos) {
+    /** Returns the earlier end with the latest send before it, and the longer stream. */
     private CrashTime merge(CrashTime other) {
       CrashTime first = endedAt <= other.endedAt ? this : other;
       CrashTime second = first == this ? other : this;
-      return second.sentAt > first.endedAt
-          ? first
-          : new CrashTime(first.endedAt, Math.max(first.sentAt, second.sentAt));
+      return new CrashTime(
+          first.endedAt,
+          second.sentAt > first.endedAt ? first.sentAt : Math.max(first.sentAt, second.sentAt),
+          Math.max(streamedNanos, other.streamedNanos));
     }
   }
 
@@ -139,6 +142,11 @@
     return isNew;
   }
 
+  /** Returns the longest time for which a stream of the suspect had run before a crash. */
+  long maxStreamedNanos() {
+    return crashes.values().stream().mapToLong(CrashTime::streamedNanos).max().orElse(0);
+  }
+
   /** Drops all crashes, as the suspect was proven harmless or released. */
   void startClearanceEpoch(long at, int epoch) {
     clearanceEpoch = epoch;
@@ -154,7 +162,9 @@
             ages.put(
                 incarnation,
                 new CrashSuspect.Crash(
-                    Math.max(0, at - time.endedAt), Math.max(0, at - time.sentAt))));
+                    Math.max(0, at - time.endedAt),
+                    Math.max(0, at - time.sentAt),
+                    time.streamedNanos)));
     return new CrashSuspect(
         id, scope, clearanceEpoch, ages.buildOrThrow(), ImmutableSet.copyOf(wider));
   }
