Store verdicts on crashing parts that reports of peers complete

Callers saw: once all nodes had been restarted, a part that was quarantined ended five to six more engines.

Cause: a node writes a quarantined suspect into its entry when it reports a crash of its own. Where the last crash that suffices came with a peer's report, no node ever wrote the verdict.

Change: a node that has detected a crash of a suspect itself reports and stores the verdict also when a peer's report completes it.

Evidence: storms whose shape is drawn (nodes, retries, bursts, time of the crash, lost messages, crashes beside, a restart of all nodes) are part of RepeatedCrashesClusterTest.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RepeatedCrashesClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RepeatedCrashesClusterTest.java
@@ -9,7 +9,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.UpstreamName;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -43,13 +46,23 @@
     cluster.advance(START_MILLIS);
     cluster.crashTime = time;
     cluster.deadlyParts.add(DEADLY);
+    deadlyRequests(cluster, burst, periodMillis, SYSTEM, DEADLY);
+    soundRequests(cluster, 250);
+    return cluster;
+  }
+
+  private static void deadlyRequests(
+      SimCluster cluster, int burst, long periodMillis, String... parts) {
     for (long at = 0; at < STORM_MILLIS; at += periodMillis) {
       for (int i = 0; i < burst; i++) {
-        cluster.after(at, () -> cluster.submitPrompt(SYSTEM, DEADLY));
+        cluster.after(at, () -> cluster.submitPrompt(parts));
       }
     }
+  }
+
+  private static void soundRequests(SimCluster cluster, int requests) {
     cluster.loadPrompts(
-        250,
+        requests,
         STORM_MILLIS,
         () -> {
           int document = cluster.random.nextInt(12);
@@ -57,7 +70,6 @@
               ? new String[] {SYSTEM, "document-" + document}
               : new String[] {SYSTEM, "new-" + cluster.random.nextInt(1_000)};
         });
-    return cluster;
   }
 
   private static void assertFewSends(SimCluster cluster) {
@@ -130,4 +142,66 @@
       assertNoneQuarantined(cluster);
     }
   }
+
+  /** Storms whose shape is drawn from their seeds. */
+  public static class Drawn {
+    /** The first seed and the number of storms; others can be drawn by hand. */
+    private static final int FIRST = Integer.getInteger("larkkeel.test.firstStorm", 1_000);
+
+    private static final int STORMS = Integer.getInteger("larkkeel.test.storms", 24);
+
+    /** Returns the seeds. */
+    @DataProvider
+    public Object[][] seeds() {
+      return IntStream.range(FIRST, FIRST + STORMS)
+          .mapToObj(seed -> new Object[] {seed})
+          .toArray(Object[][]::new);
+    }
+
+    private static SimCrashTime crashTime(SplittableRandom random) {
+      return random.nextBoolean()
+          ? SimCrashTime.before(random.nextLong(10, 600))
+          : SimCrashTime.after(random.nextLong(20, 300), random.nextLong(1, 350));
+    }
+
+    private static void crashSome(SimCluster cluster, SplittableRandom random) {
+      for (int i = 0; i < 10; i++) {
+        UpstreamName engine = new UpstreamName("engine-" + random.nextInt(ENGINES));
+        cluster.after(random.nextLong(1, STORM_MILLIS), () -> cluster.crash(engine, 1_500));
+      }
+    }
+
+    @Test(dataProvider = "seeds")
+    public void endWithFewSendsAndRefuseNoOthers(int seed) {
+      SplittableRandom random = new SplittableRandom(seed);
+      SimCluster cluster =
+          new SimCluster(random.nextInt(4, 13), ENGINES, COORDINATOR_FROM, random.nextLong());
+      cluster.resumableStreams(2, random.nextInt(1, 6));
+      cluster.advance(START_MILLIS);
+      cluster.crashTime = crashTime(random);
+      cluster.deadlyParts.add(DEADLY);
+      String[] parts =
+          switch (random.nextInt(3)) {
+            case 0 -> new String[] {SYSTEM, DEADLY};
+            case 1 -> new String[] {SYSTEM, DEADLY, "session"};
+            default -> new String[] {SYSTEM, "document-0", DEADLY};
+          };
+      boolean crashesBeside = random.nextInt(3) == 0;
+      if (crashesBeside) {
+        crashSome(cluster, random);
+      }
+      if (random.nextInt(3) == 0) {
+        cluster.setLossShare(random.nextDouble(0.3));
+      }
+      if (random.nextInt(3) == 0) {
+        cluster.after(random.nextLong(1, STORM_MILLIS / 2), () -> cluster.restartNodes(700));
+      }
+      deadlyRequests(cluster, random.nextInt(1, 6), random.nextLong(200, 1_200), parts);
+      soundRequests(cluster, random.nextInt(60, 400));
+      if (!crashesBeside) {
+        assertFewSends(cluster);
+      }
+      assertNoneQuarantined(cluster);
+    }
+  }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -211,6 +211,8 @@
     }
     Set<Fingerprint> added = Sets.difference(quarantine.quarantined(at), before);
     added.forEach(id -> reportSuspected(at, id, "peer"));
+    // The nodes that detected the crashes store the verdict, so that it outlasts all nodes.
+    sendReports(at, Sets.filter(added, quarantine::isDetectedHere));
     if (!added.isEmpty()) {
       refuseQuarantined(at);
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -110,6 +110,12 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
+  /** Returns whether this node has detected a crash of a suspect. */
+  boolean isDetectedHere(Fingerprint id) {
+    SuspectRecord r = records.get(id);
+    return r != null && r.isDetectedHere();
+  }
+
   /** Returns the number of crashes that count for a suspect. */
   int crashCount(Fingerprint id) {
     SuspectRecord r = records.get(id);
@@ -125,6 +131,7 @@
     SuspectRecord r = getOrCreate(at, trait.id(), trait.scope());
     r.describe(trait.scope(), trait.wider());
     verdicts = null;
+    r.detectedHere();
     return r.addCrash(at, incarnation, time);
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/SuspectRecord.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/SuspectRecord.java
@@ -35,6 +35,7 @@
   private final Set<Fingerprint> wider = new LinkedHashSet<>();
   private SuspectScope scope;
   private int clearanceEpoch;
+  private boolean detectedHere;
   private long changedAt;
 
   /**
@@ -127,6 +128,16 @@
     }
   }
 
+  /** Returns whether this node has detected a crash of the suspect since the last clearance. */
+  boolean isDetectedHere() {
+    return detectedHere;
+  }
+
+  /** Records that this node has detected a crash of the suspect. */
+  void detectedHere() {
+    detectedHere = true;
+  }
+
   /** Adds a crash; returns whether its incarnation is new. */
   boolean addCrash(long at, UpstreamIncarnation incarnation, CrashTime time) {
     boolean isNew = !crashes.containsKey(incarnation);
@@ -151,6 +162,7 @@
   void startClearanceEpoch(long at, int epoch) {
     clearanceEpoch = epoch;
     crashes.clear();
+    detectedHere = false;
     changedAt = at;
   }
 
