Soak: a load balancer that favours a node, and nodes with a part of a core

The reported fault came with small nodes to which the platform's balancer sent most new connections. Of what nodes have read, they must serve at least three quarters of the share before the flood.

--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -111,6 +111,7 @@
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final SoakCrashes crashes;
   private final SoakPathCuts pathCuts;
+  private final SoakFlood flood;
   private long version = 1;
   private volatile boolean loaded = true;
 
@@ -122,6 +123,7 @@
     this.random = new SplittableRandom(seed);
     this.crashes = new SoakCrashes(this, ledger, new SplittableRandom(seed + 1));
     this.pathCuts = new SoakPathCuts(this, ledger, runners, nodes, new SplittableRandom(seed + 5));
+    this.flood = new SoakFlood(this, ledger, nodes, new SplittableRandom(seed + 9));
     current = this;
   }
 
@@ -159,6 +161,28 @@
     return current.mixesBuilds();
   }
 
+  /** Returns whether a load balancer favours a node in this run. */
+  boolean isFlooded() {
+    return seed % SoakFlood.SEEDS == 0;
+  }
+
+  /** Returns the flood of one node. */
+  SoakFlood flood() {
+    return flood;
+  }
+
+  /** Holds all nodes to a part of a core from now on. */
+  void throttle(int percent) {
+    for (int i = 0; i < nodes; i++) {
+      print("throttle %d %d", i, percent);
+    }
+  }
+
+  /** Prints a line for the log of the run. */
+  void note(String line) {
+    print("%s", line);
+  }
+
   /** Returns the cuts of paths to runners. */
   SoakPathCuts pathCuts() {
     return pathCuts;
@@ -294,7 +318,7 @@
       Thread.sleep(pause);
       // A restarted node receives the changes and reports them to its peers, which would hide the
       // unresponsive connections of the others, so few nodes may restart.
-      if (!unresponsive || random.nextInt(DRAWS_PER_FAULT) == 0) {
+      if (!(unresponsive || isFlooded()) || random.nextInt(DRAWS_PER_FAULT) == 0) {
         injectFault();
       }
     }
@@ -309,7 +333,8 @@
     for (int i = 0; i < APPS; i++) {
       runners.add(new SoakRunner(ledger, store, APP, "", nodes, random.nextLong()));
     }
-    for (int i = 0; i < PREFILLS + DECODES; i++) {
+    int decodes = isFlooded() ? SoakFlood.DECODES : DECODES;
+    for (int i = 0; i < PREFILLS + decodes; i++) {
       String stage = i < PREFILLS ? "prefill" : "decode";
       runners.add(new SoakRunner(ledger, store, MODEL, stage, nodes, random.nextLong()));
     }
@@ -435,7 +460,7 @@
     return settings.toString();
   }
 
-  private boolean isReady(int node) {
+  boolean isReady(int node) {
     try (java.net.Socket s = new java.net.Socket()) {
       s.connect(new java.net.InetSocketAddress(host(node), READY_PORT), 500);
       s.setSoTimeout(1_000);
@@ -629,6 +654,9 @@
     pathCuts.healAll();
     runners.forEach(SoakRunner::endLastingFaults);
     pathCuts.check();
+    if (isFlooded()) {
+      flood.check();
+    }
     if (!awaitReady(25)) {
       ledger.violation("recover", "not all nodes are ready after the faults");
     }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
@@ -91,6 +91,9 @@
     if (seed % ENDLESS_SEEDS == 0) {
       answerWithoutEnd(new SplittableRandom(seed + 8));
     }
+    if (soak.isFlooded()) {
+      soak.flood().start();
+    }
     if (SoakBuilds.areMixed(seed)) {
       changeBuilds(new SplittableRandom(seed + 6));
     }
