Admit calls after a short stall while the state of the store is recent

Callers saw: while a load balancer sent most new connections to one small node, most of what that node had read was refused as not ready, and the balancer went on to the next one, 14 times in 20 s.

Cause: a turn of the loop that takes 0.5 s was taken for ignorance. Everything was refused, and the node was not ready, until the store had answered a request that was made after the last stall. Under load the next stall came before that answer.

Change: after a stall the state is as old as the begin of the stall, or as the last request that the store has answered since. Calls are admitted and the node is ready while that is under 1 s; a change must be in force 2 s after it was made. A node that was suspended for longer waits for the store as before, and while peers have a newer configuration no call is admitted. The tests of the earlier incident are unchanged.

StalledNodeTest has five new tests of short stalls.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StalledNodeTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StalledNodeTest.java
@@ -63,6 +63,72 @@
     }
   }
 
+  /** A node that is short of processor time, so that its loop is held up for half a second. */
+  public static class ShortStall {
+    private static final long SHORT_MILLIS = 500;
+
+    /** Guards against a node that refuses what it reads while it is favoured by a load balancer. */
+    @Test
+    public void admitsCallsWhileTheStateIsRecent() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(SHORT_MILLIS);
+      assertTrue(w.router.isReady());
+      w.arrive("/safe/a");
+      assertEquals(w.sendCount(), 1);
+    }
+
+    /** Guards against calls on rules that were changed more than a second ago. */
+    @Test
+    public void admitsNoCallOnceTheStateIsTooOld() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(SHORT_MILLIS);
+      w.pass(500);
+      assertFalse(w.router.isReady());
+      w.arrive("/safe/a");
+      assertEquals(w.sendCount(), 0);
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+    }
+
+    /** Guards against stalls each of which makes the state as recent as itself. */
+    @Test
+    public void admitsNoCallAfterSeveralInSeries() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(SHORT_MILLIS);
+      w.stall(SHORT_MILLIS);
+      w.arrive("/safe/a");
+      assertEquals(w.sendCount(), 0);
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+    }
+
+    /**
+     * Guards against a node under load that trusts no answer, as the next stall comes before it.
+     */
+    @Test
+    public void admitsCallsByTheAnswerToRecentRequest() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(SHORT_MILLIS);
+      final long first = w.of(RelayEffect.ConfirmState.class).getLast().number();
+      w.stall(SHORT_MILLIS);
+      w.apply(new RelayEvent.StateConfirmed(w.now(), first));
+      assertTrue(w.router.isReady());
+      w.arrive("/safe/a");
+      assertEquals(w.sendCount(), 1);
+      w.pass(500);
+      w.arrive("/safe/a");
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+    }
+
+    /** Guards against calls that are sent by a configuration that peers know to be outdated. */
+    @Test
+    public void admitsNoCallWhilePeersAreAhead() {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.stall(SHORT_MILLIS);
+      w.apply(new RelayEvent.ConfigurationBehind(w.now(), true));
+      w.arrive("/safe/a");
+      assertEquals(w.refusal(), ErrorKind.NOT_READY);
+    }
+  }
+
   /** Answers to the request to read the state again. */
   public static class Confirmation {
     private static RelayEffect.ConfirmState request(RelayWorld w) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Admission.java
@@ -100,7 +100,7 @@
 
   /** Admits a call; returns empty if the call was refused. */
   Optional<CallState> admit(long at, RelayCall call) {
-    if (!isReady()) {
+    if (!isStateReceived() || !confirmation.isTrusted(at)) {
       String detail = isStateReceived() ? confirmation.detail() : "no configuration yet";
       answers.refuse(call, ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS, detail);
       return Optional.empty();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -543,7 +543,7 @@
   public void stalled(long at, long nanos) {
     core.report(new RelayFact.LoopStalled(nanos));
     if (core.admission.configuration() != null) {
-      core.confirmation.stalled(at);
+      core.confirmation.stalled(at, nanos);
     }
   }
 
@@ -570,6 +570,7 @@
             core.openCalls.find(r.call()).ifPresent(c -> core.reservations.waitTimedOut(at, c));
         case Timers.Timer.EvacuationStart e -> core.evacuation.moveRuns(at, e.incarnation());
         case Timers.Timer.ConfirmationTimeout c -> core.confirmation.timedOut(at, c.number());
+        case Timers.Timer.ConfirmationOverdue c -> core.confirmation.ageReached(at);
         case Timers.Timer.StreamLookupTimeout l -> core.resumedStreams.timedOut(at, l);
         case Timers.Timer.OrderTimeout o -> orderEnded(at, o.incarnation());
         case Timers.Timer.MoveTimeout m -> core.evacuation.stopTimedOut(at, m.attempt());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -52,6 +52,9 @@
     /** The end of the maximum wait until the state of the store was read again. */
     record ConfirmationTimeout(long at, long number) implements Timer {}
 
+    /** The time at which the state of the store is too old unless it was read again. */
+    record ConfirmationOverdue(long at) implements Timer {}
+
     /** The end of the maximum wait to learn the build of a stream. */
     record StreamLookupTimeout(long at, RequestId call) implements Timer {}
 
