--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/PeerMessageCodecTest.java
@@ -137,7 +137,7 @@
                   SuspectScope.REQUEST,
                   0,
                   ImmutableMap.of(
-                      incarnation("i-1"), new CrashSuspect.Crash(12, 34),
+                      incarnation("i-1"), new CrashSuspect.Crash(12, 34, 56),
                       incarnation("i-2"), new CrashSuspect.Crash(5, 6)),
                   ImmutableSet.of(Fingerprint.of("part"), Fingerprint.of("first"))),
               new CrashSuspect(
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
@@ -39,7 +39,7 @@
       UpstreamName name = new UpstreamName("i-" + i);
       crashes.put(
           new UpstreamIncarnation(name, new Incarnation(NOW + i)),
-          new CrashSuspect.Crash(1_000 * MILLI, 1_100 * MILLI));
+          new CrashSuspect.Crash(1_000 * MILLI, 1_100 * MILLI, 160 * MILLI));
     }
     return new CrashSuspect(
         Fingerprint.of(request),
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -238,6 +238,11 @@
         .isPresent();
   }
 
+  private boolean isHarmless(long at, CallTrait trait, UpstreamState upstream, long crashNanos) {
+    return trait.scope() instanceof SuspectScope.PromptPart
+        && harmlessParts.contains(at, trait.id(), upstream.upstream().build(), crashNanos);
+  }
+
   /** Releases a suspect from quarantine, as ordered by an operator. */
   void released(long at, Fingerprint id) {
     Optional<CrashSuspect> known = quarantine.find(at, id);
@@ -267,11 +272,6 @@
     }
   }
 
-  private boolean isHarmless(long at, CallTrait trait, UpstreamState upstream, long crashNanos) {
-    return trait.scope() instanceof SuspectScope.PromptPart
-        && harmlessParts.contains(at, trait.id(), upstream.upstream().build(), crashNanos);
-  }
-
   private void reportSuspected(long at, Fingerprint id, String source) {
     quarantine
         .find(at, id)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/HarmlessParts.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/HarmlessParts.java
@@ -58,8 +58,8 @@
    * @param crashNanos the duration of the stream with the part that ended with the crash
    */
   static boolean outlives(long streamedNanos, long crashNanos) {
-    return streamedNanos
-        >= Math.min(OUTLIVES_ALL_NANOS, MAX_SPREAD * crashNanos + MIN_HARMLESS_NANOS);
+    return streamedNanos >= OUTLIVES_ALL_NANOS
+        || (streamedNanos - MIN_HARMLESS_NANOS) / MAX_SPREAD >= crashNanos;
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamTimes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamTimes.java
@@ -42,7 +42,8 @@
   }
 
   private static boolean isAlike(long shortestNanos, long nanos) {
-    return nanos >= shortestNanos && nanos <= shortestNanos * 5 / 4 + ALIKE_NANOS;
+    long difference = nanos - shortestNanos;
+    return difference >= 0 && difference <= shortestNanos / 4 + ALIKE_NANOS;
   }
 
   /** Returns whether a stream had run for long enough that something else may have ended it. */
