--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RepeatedCrashesClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RepeatedCrashesClusterTest.java
@@ -180,7 +180,7 @@
       cluster.advance(START_MILLIS);
       cluster.crashTime = crashTime(random);
       cluster.deadlyParts.add(DEADLY);
-      String[] parts =
+      final String[] parts =
           switch (random.nextInt(3)) {
             case 0 -> new String[] {SYSTEM, DEADLY};
             case 1 -> new String[] {SYSTEM, DEADLY, "session"};
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakFlood.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakFlood.java
@@ -138,7 +138,8 @@
     try (RawClient client =
         new RawClient(new InetSocketAddress(soak.host(node), Soak.CALLER_PORT))) {
       String headers =
-          "X-Request-Id: %s\r\nX-Deadline-Ms: 4000\r\nX-Model: m\r\nX-Token-Usage: 1000,60\r\n%s\r\n"
+          "X-Request-Id: %s\r\nX-Deadline-Ms: 4000\r\n"
+              .concat("X-Model: m\r\nX-Token-Usage: 1000,60\r\n%s\r\n")
               .formatted(wire, SoakCrashes.promptOf(wire));
       client.send("POST", path, headers, "b");
       return client.readToEnd();
