Tell in stream_resolved for how long a node has followed the builds

Cause: a take-up that is resolved by the only build looks the same at a node that has followed the list for minutes and at one that started a moment ago, and so do the answers of other nodes. Change: the line tells what the node knew by itself, for how long it has followed the builds of the service, and the strongest answer of another node.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.StreamLookup;
 import org.larkkeel.relay.RequestRate;
 import org.larkkeel.relay.StreamId;
 import org.slf4j.Logger;
@@ -406,13 +407,16 @@
       case RelayFact.StreamResolved f ->
           log.info(
               "event=stream_resolved call={} stream={} source={} build={} witness={} list_age_ms={}"
-                  + " answered={} ms={}",
+                  + " own={} followed_ms={} peers={} answered={} ms={}",
               id(f.call()),
               id(f.stream()),
               f.source(),
               f.build(),
               f.witness(),
               f.listAgeNanos() < 0 ? "" : millis(f.listAgeNanos()),
+              kind(f.own()),
+              f.followedNanos() < 0 ? "" : millis(f.followedNanos()),
+              f.peers().map(RelayFactLog::kind).orElse(""),
               f.answered(),
               millis(f.nanos()));
       case RelayFact.StateDoubted f -> log.warn("event=state_doubted cause={}", f.cause());
@@ -470,4 +474,13 @@
     }
     return clean.toString();
   }
+
+  private static String kind(StreamLookup lookup) {
+    return switch (lookup) {
+      case StreamLookup.Known k -> "KNOWN";
+      case StreamLookup.Sole l -> "SOLE";
+      case StreamLookup.Listed l -> "LISTED";
+      case StreamLookup.Unknown u -> "UNKNOWN";
+    };
+  }
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -634,6 +634,10 @@
    *     matter
    * @param listAgeNanos the time since this node last read the list from the store as current;
    *     negative if it never has
+   * @param own what this node knew by itself
+   * @param followedNanos the time for which this node has followed the builds of the service;
+   *     negative if it knows none
+   * @param peers the strongest answer of another node; empty if none has answered
    * @param answered the nodes that have answered, separated by commas
    * @param nanos the time until the decision
    */
@@ -644,6 +648,9 @@
       BuildName build,
       ListWitness witness,
       long listAgeNanos,
+      StreamLookup own,
+      long followedNanos,
+      Optional<StreamLookup> peers,
       String answered,
       long nanos)
       implements RelayFact {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
@@ -249,6 +249,9 @@
             build,
             witness,
             core.listConfirmation.ageNanos(at),
+            own(at, w),
+            core.streamBuilds.followedNanos(at, w.call.service),
+            w.peersResult(),
             w.finding.stream()
                 .flatMap(f -> f.answered().stream())
                 .map(HostName::value)
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -289,6 +289,12 @@
     return lookup(at, service).onlyBuild().filter(BuildName.UNKNOWN::equals).isPresent();
   }
 
+  /** Returns for how long the builds of a service are followed; negative if none is known. */
+  long followedNanos(long at, ServiceName service) {
+    ServedBuilds builds = services.get(service);
+    return builds == null ? -1 : at - builds.firstAt;
+  }
+
   /** Returns what this node knows of a stream. */
   StreamLookup lookup(long at, StreamId stream, ServiceName service) {
     RecordedStream r = records.get(stream);
