Conclude the build of a stream only from what has served for the life of a stream

Cause: a node that has just started, and finds one build in a complete list, concluded that no other build can have begun the stream. A list that is complete now tells nothing of the time before; no node was left that knew it. Absence of memory was taken for knowledge of absence. Change: that other nodes list the same build counts only if one of them has followed the list for the life of a stream. The builds that have served are kept in the store, one object a service, which a build enters before it begins streams while another one can. A node that has just started reads them when a stream is taken up; without them the call is refused as not run, NO_HISTORY in stream_resolved.

--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.bench.experiment.fleet;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
@@ -432,6 +433,12 @@
       case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspects e -> sharing.reportSuspects(e);
       case RelayEffect.OfStream e -> sharing.execute(e);
+      case RelayEffect.RecordBuilds e ->
+          submit(new RelayEvent.BuildsRecorded(now(), e.service(), e.builds()));
+      case RelayEffect.ReadBuildHistory e ->
+          submit(
+              new RelayEvent.BuildHistoryRead(
+                  now(), e.number(), Optional.empty(), ImmutableList.of()));
       case RelayEffect.ConfirmUpstreams e ->
           submit(new RelayEvent.UpstreamsConfirmed(now(), e.number()));
       case RelayEffect.ConfirmState e -> submit(new RelayEvent.StateConfirmed(now(), e.number()));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -66,6 +66,7 @@
   private final QuarantineEntries quarantine = new QuarantineEntries();
   private final UnreadableEntries problems;
   private boolean listing;
+  private boolean isNew;
 
   NodeRegistry(
       ObjectApi store,
@@ -87,7 +88,18 @@
   }
 
   void start() {
-    store.create(key, COLLECTION, spec()).whenComplete(this::created);
+    store
+        .create(key, COLLECTION, spec())
+        .whenComplete(
+            (made, failure) -> {
+              isNew |= failure == null;
+              created(made, failure);
+            });
+  }
+
+  /** Returns whether no node of this name was registered before this one. */
+  boolean isNew() {
+    return isNew;
   }
 
   /**
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -12,9 +12,9 @@
 import java.util.function.Consumer;
 import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.RelayFact;
-import org.larkkeel.relay.StreamLookup;
 import org.larkkeel.relay.RequestRate;
 import org.larkkeel.relay.StreamId;
+import org.larkkeel.relay.StreamLookup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -138,6 +138,25 @@
     HttpClientOptions options =
         HttpClientOptions.of(settings.store()).withTimeout(settings.storeTimeout());
     ObjectApi store = adapter.store(options, worker.worker(), scheduler);
+    this.registry =
+        new NodeRegistry(
+            store,
+            scheduler,
+            settings.host(),
+            settings.peer(),
+            loadExchange::addRegistered,
+            suspects -> loop.submit(new RelayEvent.SuspectsHeard(loop.now(), suspects)),
+            meters::unreadable);
+    BuildHistoryReader history = new BuildHistoryReader(store, scheduler, meters::unreadable);
+    BuildHistoryWriter historyWriter =
+        new BuildHistoryWriter(
+            store,
+            scheduler,
+            loadExchange::rank,
+            registry::isNew,
+            b -> loop.submit(new RelayEvent.BuildsRecorded(loop.now(), b.service(), b.builds())),
+            new SplittableRandom(settings.host().hashCode()));
+    executor.setBuildHistory(e -> scheduler.execute(() -> execute(e, history, historyWriter)));
     StageController stages =
         closer.add(
             new StageController(
@@ -193,19 +212,22 @@
         .filter(seed -> !seed.equals(settings.peer()))
         .forEach(loadExchange::addPeer);
     scheduler.execute(stages::start);
-    this.registry =
-        new NodeRegistry(
-            store,
-            scheduler,
-            settings.host(),
-            settings.peer(),
-            loadExchange::addRegistered,
-            suspects -> loop.submit(new RelayEvent.SuspectsHeard(loop.now(), suspects)),
-            meters::unreadable);
     scheduler.execute(() -> feed.onRestored(registry::restored));
     scheduler.execute(registry::start);
   }
 
+  private void execute(
+      RelayEffect.OfBuilds effect, BuildHistoryReader history, BuildHistoryWriter writer) {
+    switch (effect) {
+      case RelayEffect.RecordBuilds e -> writer.record(e);
+      case RelayEffect.ReadBuildHistory e ->
+          history.read(
+              (builds, streams) ->
+                  loop.submit(
+                      new RelayEvent.BuildHistoryRead(loop.now(), e.number(), builds, streams)));
+    }
+  }
+
   /** Reports suspects to the peers and stores the quarantined ones for nodes that start later. */
   private void reportSuspects(RelayEffect.ReportSuspects news) {
     loadExchange.reportSuspects(news);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
@@ -37,12 +37,16 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int KEEPERS = 3;
   private static final int ASKED = 5;
+
   private static final long REPEAT_NANOS = 40 * NANOS_PER_MILLI;
   private static final long SECOND_REPEAT_NANOS = 150 * NANOS_PER_MILLI;
 
   /** The time that the store has to confirm the list of a node that is asked. */
   private static final long CONFIRMATION_NANOS = 30 * NANOS_PER_MILLI;
 
+  /** The further time that it has to tell what served before such a node started. */
+  private static final long HISTORY_NANOS = 80 * NANOS_PER_MILLI;
+
   /** The time after which the answers that were received decide. */
   private static final long MAX_WAIT_NANOS = 300 * NANOS_PER_MILLI;
 
@@ -145,9 +149,10 @@
   /** Executes an effect of the router. */
   void execute(RelayEffect.OfStream effect) {
     switch (effect) {
-      case RelayEffect.RecordStream e ->
-          keepers(e.stream().stream(), KEEPERS)
-              .forEach(p -> sender.accept(p, new StreamMessage.Told(e.stream())));
+      case RelayEffect.RecordStream e -> {
+        keepers(e.stream().stream(), KEEPERS)
+            .forEach(p -> sender.accept(p, new StreamMessage.Told(e.stream())));
+      }
       case RelayEffect.FindStream e -> ask(e.stream(), e.service());
     }
   }
@@ -201,11 +206,21 @@
   /** Answers a peer; if the answer depends on the list, after the store had time to confirm it. */
   private void asked(PeerTable.Peer from, StreamMessage.Asked m) {
     long now = environment.now();
-    boolean dependsOnList =
-        router.streamLookup(now, m.stream(), m.service()).onlyBuild().isPresent();
-    if (dependsOnList && !router.isListFresh(now)) {
+    StreamLookup known = router.streamLookup(now, m.stream(), m.service());
+    boolean dependsOnList = known.onlyBuild().isPresent() && !router.isListFresh(now);
+    boolean lacksHistory =
+        !(known instanceof StreamLookup.Known) && router.lacksHistory(now, m.service());
+    if (dependsOnList || lacksHistory) {
       environment.submit(new RelayEvent.ListDoubted(now));
-      environment.after(CONFIRMATION_NANOS, () -> answer(from, m));
+      environment.after(CONFIRMATION_NANOS, () -> answerOrWait(from, m));
+    } else {
+      answer(from, m);
+    }
+  }
+
+  private void answerOrWait(PeerTable.Peer from, StreamMessage.Asked m) {
+    if (router.lacksHistory(environment.now(), m.service())) {
+      environment.after(HISTORY_NANOS, () -> answer(from, m));
     } else {
       answer(from, m);
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -83,6 +83,7 @@
   private Consumer<RelayEffect.ReservationAnswer> answerSender = e -> {};
   private Consumer<RelayEffect.ReportSuspects> suspectReporter = e -> {};
   private Consumer<RelayEffect.OfStream> streamSharing = e -> {};
+  private Consumer<RelayEffect.OfBuilds> buildHistory = e -> {};
   private LongConsumer stateReader = n -> {};
   private LongConsumer upstreamsReader = n -> {};
 
@@ -143,6 +144,14 @@
     upstreamsReader = upstreams;
   }
 
+  /**
+   * Sets the consumer that keeps the history of builds in the store. Must be called before the
+   * first event.
+   */
+  public void setBuildHistory(Consumer<RelayEffect.OfBuilds> history) {
+    buildHistory = history;
+  }
+
   /** Adds a request. Must be called before its arrival is submitted. */
   void add(RelayRequest request) {
     requests.put(request.call.id(), request);
@@ -173,6 +182,7 @@
       case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspects e -> suspectReporter.accept(e);
       case RelayEffect.OfStream e -> streamSharing.accept(e);
+      case RelayEffect.OfBuilds e -> buildHistory.accept(e);
       case RelayEffect.ConfirmState e -> stateReader.accept(e.number());
       case RelayEffect.ConfirmUpstreams e -> upstreamsReader.accept(e.number());
       case RelayEffect.Report e -> facts.accept(e.fact());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -7,6 +7,7 @@
 package org.larkkeel.relay;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.AttemptId;
@@ -168,6 +169,27 @@
    */
   record ConfirmUpstreams(long number) implements RelayEffect {}
 
+  /** An effect on the history of builds, which is kept in the store. */
+  sealed interface OfBuilds extends RelayEffect {}
+
+  /**
+   * Record the builds of a service in the store. Answered by {@code RelayEvent.BuildsRecorded}.
+   *
+   * @param service the service
+   * @param builds the builds that have served within the life of a stream
+   * @param complete whether this node knows that no other build has
+   * @param awaited whether a build may not begin streams before it is recorded
+   */
+  record RecordBuilds(
+      ServiceName service, ImmutableSet<BuildName> builds, boolean complete, boolean awaited)
+      implements OfBuilds {}
+
+  /**
+   * Read the history of builds, and the streams that were recorded while there were several.
+   * Answered by {@code RelayEvent.BuildHistoryRead}.
+   */
+  record ReadBuildHistory(long number) implements OfBuilds {}
+
   /** An effect that concerns the builds of streams, which a few other nodes keep. */
   sealed interface OfStream extends RelayEffect {}
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -291,6 +291,21 @@
   /** The answer to {@code RelayEffect.ConfirmUpstreams}. */
   record UpstreamsConfirmed(long at, long number) implements RelayEvent {}
 
+  /** The store has the builds of a service; it may have more. */
+  record BuildsRecorded(long at, ServiceName service, ImmutableSet<BuildName> builds)
+      implements RelayEvent {}
+
+  /**
+   * The answer to {@code RelayEffect.ReadBuildHistory}.
+   *
+   * @param number the number of the request
+   * @param history the history; empty if it could not be read
+   * @param streams the streams that are recorded; their build is unknown if any record says so
+   */
+  record BuildHistoryRead(
+      long at, long number, Optional<BuildHistory> history, ImmutableList<StreamBuild> streams)
+      implements RelayEvent {}
+
   /** Time has passed. */
   record Ticked(long at) implements RelayEvent {}
 }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -662,6 +662,9 @@
       /** Another node was asked. */
       PEER,
 
+      /** It was recorded in the store while there were several builds. */
+      STORE,
+
       /** No other build has served. */
       SOLE,
 
@@ -669,7 +672,10 @@
       UNKNOWN,
 
       /** Nobody knows it, and the only known build may not be the only one. */
-      OUTDATED
+      OUTDATED,
+
+      /** Nobody knows it, nor which builds have served before the nodes started. */
+      NO_HISTORY
     }
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRouter.java
@@ -100,6 +100,8 @@
       case RelayEvent.StreamFound e -> eventHandler.streamFound(at, e.stream(), e.finding());
       case RelayEvent.ListDoubted e -> eventHandler.listDoubted(at);
       case RelayEvent.UpstreamsConfirmed e -> eventHandler.upstreamsConfirmed(at, e.number());
+      case RelayEvent.BuildsRecorded e -> eventHandler.buildsRecorded(at, e.service(), e.builds());
+      case RelayEvent.BuildHistoryRead e -> eventHandler.buildHistoryRead(at, e);
       case RelayEvent.Ticked e -> eventHandler.ticked(at);
     }
   }
@@ -117,6 +119,11 @@
     return eventHandler.streamLookup(at, stream, service);
   }
 
+  /** Returns whether this node does not know which builds have served a service before. */
+  public boolean lacksHistory(long at, ServiceName service) {
+    return eventHandler.lacksHistory(at, service);
+  }
+
   /** Returns whether this node has read the discovery list from the store a moment ago. */
   public boolean isListFresh(long at) {
     return eventHandler.isListFresh(at);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CallState.java
@@ -158,6 +158,9 @@
   /** The time at which the stream began; 0 if it has not. */
   long streamBeganAt;
 
+  /** The builds that may begin the stream of the call; null if it is no such stream. */
+  ServedBuilds servedBuilds;
+
   CallState(RelayCall call, RelayRule rule, ServiceName service, long arrivedAt, long deadline) {
     this.call = call;
     this.rule = rule;
@@ -217,14 +220,22 @@
     return acceptsBuild(upstream) && !excluded.contains(upstream.incarnation());
   }
 
-  /** Returns whether an upstream is of the build that began the stream of the call, if any did. */
+  /**
+   * Returns whether an upstream is of the build that began the stream of the call, or of one that
+   * may begin it.
+   */
   boolean acceptsBuild(UpstreamState upstream) {
-    return build == null || build.equals(upstream.upstream().build());
+    BuildName other = upstream.upstream().build();
+    return build == null
+        ? servedBuilds == null || servedBuilds.mayBegin(other)
+        : build.equals(other);
   }
 
   @Override
   public boolean acceptsAll(Collection<UpstreamState> upstreams) {
-    return (build == null && excluded.isEmpty()) || PendingReservation.super.acceptsAll(upstreams);
+    boolean acceptsBuilds =
+        build == null && (servedBuilds == null || !servedBuilds.withholdsSome());
+    return (acceptsBuilds && excluded.isEmpty()) || PendingReservation.super.acceptsAll(upstreams);
   }
 
   @Override
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Core.java
@@ -45,6 +45,7 @@
   final OpenCalls openCalls = new OpenCalls(this);
   final StreamBuilds streamBuilds = new StreamBuilds(this);
   final ListConfirmation listConfirmation = new ListConfirmation(this::emit);
+  final BuildHistoryReads buildHistory = new BuildHistoryReads(this::emit);
   final ResumedStreams resumedStreams = new ResumedStreams(this);
   final Dispatch dispatch = new Dispatch(this);
   final Outcomes outcomes = new Outcomes(this);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -25,6 +25,8 @@
 import org.larkkeel.quota.QuotaKey;
 import org.larkkeel.quota.QuotaRequest;
 import org.larkkeel.quota.TokenLimit;
+import org.larkkeel.relay.BuildName;
+import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.MoveResult;
 import org.larkkeel.relay.NodeReport;
@@ -338,6 +340,9 @@
   private void admitted(long at, CallState c) {
     core.openCalls.add(c);
     core.timers.add(new Timers.Timer.Deadline(c.deadline, c.call.id()));
+    if (c.rule.kind() == CallKind.RESUMABLE_STREAM) {
+      c.servedBuilds = core.streamBuilds.builds(at, c.service);
+    }
     if (core.resumedStreams.admit(at, c)) {
       core.quotas.admit(at, c);
     }
@@ -353,18 +358,44 @@
     core.resumedStreams.found(at, stream, finding);
   }
 
-  /** Reads the discovery list again if it was not read a moment ago. */
+  /**
+   * Reads the discovery list again if it was not read a moment ago, and the history of builds if
+   * this node does not know it.
+   */
   public void listDoubted(long at) {
     core.listConfirmation.request(at);
+    if (core.streamBuilds.lacksHistory(at)) {
+      core.buildHistory.request(at);
+    }
+  }
+
+  /** Handles that builds of a service were recorded in the store. */
+  public void buildsRecorded(long at, ServiceName service, ImmutableSet<BuildName> builds) {
+    if (core.streamBuilds.buildsRecorded(service, builds)) {
+      core.reservations.placePending(at);
+    }
+  }
+
+  /** Handles the answer to a request to read the history of builds. */
+  public void buildHistoryRead(long at, RelayEvent.BuildHistoryRead read) {
+    if (core.buildHistory.ended(read.number(), read.history().isPresent())) {
+      core.streamBuilds.remember(at, read.history().orElseThrow(), read.streams());
+    }
+    core.resumedStreams.reconsider(at);
   }
 
   /** Handles the answer to a request to read the discovery list again. */
   public void upstreamsConfirmed(long at, long number) {
     if (core.listConfirmation.confirmed(number)) {
-      core.resumedStreams.listConfirmed(at);
+      core.resumedStreams.reconsider(at);
     }
   }
 
+  /** Returns whether this node does not know which builds have served a service before. */
+  public boolean lacksHistory(long at, ServiceName service) {
+    return core.streamBuilds.lacksHistory(at, service);
+  }
+
   /** Returns whether the discovery list was complete a moment ago. */
   public boolean isListFresh(long at) {
     return core.listConfirmation.isCompleteAt(at);
@@ -612,6 +643,12 @@
         case Timers.Timer.HoldTimeout h -> refuseHeld(h.call());
         case Timers.Timer.ConfirmationOverdue c -> core.confirmation.ageReached(at);
         case Timers.Timer.StreamLookupTimeout l -> core.resumedStreams.timedOut(at, l);
+        case Timers.Timer.BuildReview r -> core.streamBuilds.review(at, r.service());
+        case Timers.Timer.BuildRecordTimeout r -> {
+          if (core.streamBuilds.recordTimedOut(r.service())) {
+            core.reservations.placePending(at);
+          }
+        }
         case Timers.Timer.OrderTimeout o -> orderEnded(at, o.incarnation());
         case Timers.Timer.MoveTimeout m -> core.evacuation.stopTimedOut(at, m.attempt());
         case Timers.Timer.QuotaTimeout q ->
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
@@ -29,12 +29,13 @@
  *
  * <p>A node that passed the first event of a stream on, or was told of it, knows its build. Another
  * one may conclude it if only one build has served; but that no other build is listed says nothing
- * unless the list is known to be complete, see {@link ListWitness}. The store is asked first, then
- * other nodes. A call whose build is not known in time is refused as not run.
+ * unless the list is known to be complete, see {@link ListWitness}, and nothing of the time before
+ * the node followed it: that is known to older nodes and to the store. The store is asked first,
+ * then other nodes. A call whose build is not known in time is refused as not run.
  *
  * <p>Invariant: a call goes on only at a build that is known to have begun its stream, or at the
- * only build of a list that was complete after the call arrived, or shortly before. Not
- * thread-safe.
+ * only build that has served for as long as a stream can last, by a list that was complete after
+ * the call arrived, or shortly before. Not thread-safe.
  */
 final class ResumedStreams {
   /** The maximum wait for the answers of the store and of other nodes. */
@@ -107,6 +108,9 @@
       }
       case StreamLookup.Unknown u -> askPeers(w);
     }
+    if (core.streamBuilds.lacksHistory(at, c.service)) {
+      requestHistory(at, w);
+    }
     if (core.listConfirmation.isOverdue(at)) {
       askPeers(w);
     }
@@ -137,8 +141,14 @@
     }
   }
 
-  /** Handles the confirmation of the discovery list. */
-  void listConfirmed(long at) {
+  private void requestHistory(long at, Waiting w) {
+    core.buildHistory.request(at);
+    core.timers.add(
+        new Timers.Timer.StreamLookupTimeout(BuildHistoryReads.overdueAt(at), w.call.call.id()));
+  }
+
+  /** Decides the waiting calls again after the store has told something. */
+  void reconsider(long at) {
     List.copyOf(waiting.values()).forEach(w -> proceed(at, w));
   }
 
@@ -182,21 +192,19 @@
         at >= w.until || (w.finding.isPresent() && core.listConfirmation.isOverdue(at));
     StreamLookup own = own(at, w);
     if (own instanceof StreamLookup.Known k) {
-      return resolve(at, w, Source.OWN, k.build(), ListWitness.NONE);
+      Source source = core.streamBuilds.isFromStore(w.stream) ? Source.STORE : Source.OWN;
+      return resolve(at, w, source, k.build(), ListWitness.NONE);
     }
     if (w.peersResult().orElse(own) instanceof StreamLookup.Known k) {
       return resolve(at, w, Source.PEER, k.build(), ListWitness.NONE);
     }
     Optional<BuildName> build = onlyBuild(own, w.peersResult());
     if (build.isEmpty()) {
-      if (isLast || w.finding.isPresent()) {
-        refuse(at, w, Source.UNKNOWN);
-      }
+      refuseUnknown(at, w, own);
       return false;
     }
     ListWitness witness = witness(w);
-    boolean needsPeers = own instanceof StreamLookup.Listed && w.finding.isEmpty();
-    if (witness != ListWitness.NONE && (!needsPeers || isLast)) {
+    if (witness != ListWitness.NONE) {
       return resolve(at, w, Source.SOLE, build.get(), witness);
     }
     if (isLast) {
@@ -205,10 +213,34 @@
     return false;
   }
 
-  /** Returns the build that this node and those that answered know as the only one, if any. */
+  /**
+   * Refuses a call of whose stream nothing is known, once the other nodes have answered, and the
+   * store has if it may know more.
+   */
+  private void refuseUnknown(long at, Waiting w, StreamLookup own) {
+    if (w.finding.isPresent() && at < w.until && !(own instanceof StreamLookup.Sole)) {
+      requestHistory(at, w);
+      if (core.buildHistory.isPending(at)) {
+        return;
+      }
+    }
+    if (at >= w.until || w.finding.isPresent()) {
+      refuse(at, w, own instanceof StreamLookup.Unknown ? Source.UNKNOWN : Source.NO_HISTORY);
+    }
+  }
+
+  /**
+   * Returns the only build that has served, if it is known. At least one node must know what has
+   * served before: that of nodes that have just started none lists another build says nothing.
+   */
   private static Optional<BuildName> onlyBuild(StreamLookup own, Optional<StreamLookup> peers) {
     Optional<BuildName> build = own.onlyBuild();
-    return peers.isEmpty() ? build : build.filter(b -> peers.get().onlyBuild().equals(build));
+    if (peers.isEmpty()) {
+      return build.filter(b -> own instanceof StreamLookup.Sole);
+    }
+    boolean isRemembered =
+        own instanceof StreamLookup.Sole || peers.get() instanceof StreamLookup.Sole;
+    return build.filter(b -> isRemembered && peers.get().onlyBuild().equals(build));
   }
 
   private ListWitness witness(Waiting w) {
@@ -235,9 +267,11 @@
         at,
         w.call,
         ErrorKind.NO_UPSTREAM,
-        source == Source.OUTDATED
-            ? "the node may have missed other builds than that which it knows"
-            : UNKNOWN_DETAIL);
+        switch (source) {
+          case OUTDATED -> "the node may have missed other builds than that which it knows";
+          case NO_HISTORY -> "the builds that served before the nodes started are not known";
+          default -> UNKNOWN_DETAIL;
+        });
   }
 
   private void report(long at, Waiting w, Source source, BuildName build, ListWitness witness) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -6,6 +6,7 @@
 
 package org.larkkeel.relay.internal;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -17,6 +18,7 @@
 import java.util.Set;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.BuildHistory;
 import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.RelayEffect;
@@ -51,6 +53,9 @@
   /** The time since its last event for which a stream is taken for running. */
   private static final long LIVE_NANOS = 300 * MILLI;
 
+  /** The time for which a new build begins no streams unless the store has recorded it. */
+  private static final long MAX_RECORD_WAIT_NANOS = 1_000 * MILLI;
+
   private static final int MAX_RECORDS = 50_000;
 
   private final Core core;
@@ -66,56 +71,15 @@
    * @param stream the stream and its build
    * @param at when it began, or was told by another node
    * @param writer the incarnation at which it began, by its entry; empty if another node told it
+   * @param fromStore whether it was read from the store
    */
-  private record RecordedStream(StreamBuild stream, long at, Optional<UpstreamIncarnation> writer) {
+  private record RecordedStream(
+      StreamBuild stream, long at, Optional<UpstreamIncarnation> writer, boolean fromStore) {
     boolean isOwn() {
       return writer.isPresent();
     }
   }
 
-  /** The builds of a service that are listed, and those that were. */
-  private static final class ServedBuilds {
-    private long firstAt;
-    private Set<BuildName> listed = Set.of();
-    private final Map<BuildName, Long> endedAt = new HashMap<>();
-
-    ServedBuilds(long firstAt) {
-      this.firstAt = firstAt;
-    }
-
-    /** Replaces the listed builds; returns whether a second one appeared. */
-    boolean update(long at, Set<BuildName> now) {
-      final boolean wereSeveral = all(at).size() > 1;
-      for (BuildName build : listed) {
-        if (!now.contains(build)) {
-          endedAt.put(build, at);
-        }
-      }
-      listed = now;
-      return !wereSeveral && all(at).size() > 1;
-    }
-
-    /** Returns the builds that have served within the life of a stream. */
-    Set<BuildName> all(long at) {
-      endedAt.values().removeIf(ended -> at - ended > LIFE_NANOS);
-      Set<BuildName> all = new HashSet<>(listed);
-      all.addAll(endedAt.keySet());
-      return all;
-    }
-
-    /** Returns what the builds tell of a stream that is not known. */
-    StreamLookup lookup(long at) {
-      Set<BuildName> all = all(at);
-      if (all.size() != 1) {
-        return new StreamLookup.Unknown();
-      }
-      BuildName build = all.iterator().next();
-      return build.equals(BuildName.UNKNOWN) || at - firstAt > LIFE_NANOS
-          ? new StreamLookup.Sole(build)
-          : new StreamLookup.Listed(build);
-    }
-  }
-
   StreamBuilds(Core core) {
     this.core = core;
   }
@@ -128,23 +92,126 @@
    */
   void upstreamsChanged(long at, boolean afterGap) {
     if (afterGap) {
-      services.values().forEach(b -> b.firstAt = at);
+      services.forEach(
+          (service, builds) -> {
+            builds.gap(at);
+            core.timers.add(new Timers.Timer.BuildReview(reviewAt(at), service));
+          });
     }
     Map<ServiceName, Set<BuildName>> listed = new HashMap<>();
+    Map<ServiceName, Set<BuildName>> usable = new HashMap<>();
     for (UpstreamState s : core.upstreams.all()) {
-      if (s.upstream().stage().runsCalls()) {
-        listed
-            .computeIfAbsent(s.upstream().service(), n -> new HashSet<>())
-            .add(s.upstream().build());
+      if (s.upstream().stage().runsCalls() && !s.isMissing()) {
+        add(listed, s);
+        if (!s.isLeaving()) {
+          add(usable, s);
+        }
       }
     }
-    listed.keySet().forEach(n -> services.computeIfAbsent(n, x -> new ServedBuilds(at)));
-    services.forEach(
-        (service, builds) -> {
-          if (builds.update(at, listed.getOrDefault(service, Set.of()))) {
-            recordAll(at, service);
-          }
-        });
+    listed.keySet().forEach(n -> builds(at, n));
+    services.keySet().forEach(n -> update(at, n, of(listed, n), of(usable, n)));
+  }
+
+  private static void add(Map<ServiceName, Set<BuildName>> builds, UpstreamState s) {
+    builds.computeIfAbsent(s.upstream().service(), n -> new HashSet<>()).add(s.upstream().build());
+  }
+
+  private static Set<BuildName> of(Map<ServiceName, Set<BuildName>> builds, ServiceName service) {
+    return builds.getOrDefault(service, Set.of());
+  }
+
+  /** Returns the builds of a service. */
+  ServedBuilds builds(long at, ServiceName service) {
+    return services.computeIfAbsent(
+        service, n -> new ServedBuilds(at, LIFE_NANOS, core.settings.missingNanos()));
+  }
+
+  private void update(long at, ServiceName service, Set<BuildName> listed, Set<BuildName> usable) {
+    ServedBuilds builds = services.get(service);
+    ImmutableSet<BuildName> before = builds.all(at);
+    ImmutableSet<BuildName> added = builds.update(at, listed, usable);
+    ImmutableSet<BuildName> now = builds.all(at);
+    if (before.size() <= 1 && now.size() > 1) {
+      recordAll(at, service);
+    }
+    if (!added.isEmpty()) {
+      core.timers.add(new Timers.Timer.BuildRecordTimeout(at + MAX_RECORD_WAIT_NANOS, service));
+    }
+    if (!now.equals(before)) {
+      emitBuilds(at, service, builds, !added.isEmpty());
+      // Once the builds that have left can no longer be those of a stream, or this node has
+      // followed
+      // the list for as long, the store is told.
+      core.timers.add(new Timers.Timer.BuildReview(reviewAt(at), service));
+    }
+  }
+
+  private long reviewAt(long at) {
+    return at + LIFE_NANOS + core.settings.missingNanos() + 1;
+  }
+
+  private void emitBuilds(long at, ServiceName service, ServedBuilds builds, boolean awaited) {
+    ImmutableSet<BuildName> all = builds.all(at);
+    if (all.stream().anyMatch(b -> !b.equals(BuildName.UNKNOWN))) {
+      core.emit(new RelayEffect.RecordBuilds(service, all, builds.isComplete(at), awaited));
+    }
+  }
+
+  /** Tells the store which builds have served, of which some may be over by now. */
+  void review(long at, ServiceName service) {
+    emitBuilds(at, service, services.get(service), false);
+  }
+
+  /** Handles that builds were recorded in the store; returns whether more upstreams may begin. */
+  boolean buildsRecorded(ServiceName service, ImmutableSet<BuildName> recorded) {
+    ServedBuilds builds = services.get(service);
+    return builds != null && builds.recorded(recorded);
+  }
+
+  /**
+   * Handles the end of the wait for new builds to be recorded. While the store does not answer, no
+   * further build is listed, so that a build which leaves again unrecorded is next to impossible.
+   */
+  boolean recordTimedOut(ServiceName service) {
+    return services.get(service).allowUnrecorded();
+  }
+
+  /** Adds what the store tells of the time before this node followed the list. */
+  void remember(long at, BuildHistory history, List<StreamBuild> streams) {
+    history
+        .builds()
+        .forEach(
+            (service, all) -> {
+              ServedBuilds builds = builds(at, service);
+              final boolean wereSeveral = builds.all(at).size() > 1;
+              builds.remember(at, all);
+              if (!wereSeveral && builds.all(at).size() > 1) {
+                recordAll(at, service);
+              }
+              core.timers.add(new Timers.Timer.BuildReview(reviewAt(at), service));
+            });
+    for (StreamBuild s : streams) {
+      if (!records.containsKey(s.stream())) {
+        record(at, new RecordedStream(s, at, Optional.empty(), true));
+      }
+    }
+  }
+
+  /** Returns whether this node does not know which builds have served a service before. */
+  boolean lacksHistory(long at, ServiceName service) {
+    ServedBuilds builds = services.get(service);
+    return builds == null || !builds.isComplete(at);
+  }
+
+  /** Returns whether this node does not know which builds have served some service before. */
+  boolean lacksHistory(long at) {
+    return services.keySet().stream().anyMatch(s -> lacksHistory(at, s));
+  }
+
+  /** Returns whether the build of a stream is known from the store. */
+  boolean isFromStore(StreamId stream) {
+    RecordedStream r = records.get(stream);
+    return r != null && r.fromStore();
   }
 
   /** Fails the calls that wait for memory at upstreams of their build, none of which is left. */
@@ -215,7 +282,7 @@
   private void forgetBuild(RecordedStream r) {
     StreamBuild none =
         new StreamBuild(r.stream().stream(), r.stream().service(), BuildName.UNKNOWN);
-    records.replace(none.stream(), new RecordedStream(none, r.at(), r.writer()));
+    records.replace(none.stream(), new RecordedStream(none, r.at(), r.writer(), false));
     core.emit(new RelayEffect.RecordStream(none));
   }
 
@@ -240,7 +307,8 @@
         .map(id -> new StreamBuild(id, c.service, c.build))
         .ifPresent(
             stream -> {
-              record(at, stream, Optional.of(upstream.incarnation()));
+              record(
+                  at, new RecordedStream(stream, at, Optional.of(upstream.incarnation()), false));
               if (hasSeveralBuilds(at, c.service)) {
                 core.emit(new RelayEffect.RecordStream(stream));
               }
@@ -267,13 +335,13 @@
   void recorded(long at, StreamBuild stream) {
     RecordedStream known = records.get(stream.stream());
     if (known == null || !known.isOwn()) {
-      record(at, stream, Optional.empty());
+      record(at, new RecordedStream(stream, at, Optional.empty(), false));
     }
   }
 
-  private void record(long at, StreamBuild stream, Optional<UpstreamIncarnation> writer) {
-    records.remove(stream.stream());
-    records.put(stream.stream(), new RecordedStream(stream, at, writer));
+  private void record(long at, RecordedStream recorded) {
+    records.remove(recorded.stream().stream());
+    records.put(recorded.stream().stream(), recorded);
     Iterator<RecordedStream> oldest = records.values().iterator();
     while (oldest.hasNext()) {
       RecordedStream r = oldest.next();
@@ -292,7 +360,7 @@
   /** Returns for how long the builds of a service are followed; negative if none is known. */
   long followedNanos(long at, ServiceName service) {
     ServedBuilds builds = services.get(service);
-    return builds == null ? -1 : at - builds.firstAt;
+    return builds == null ? -1 : builds.followedNanos(at);
   }
 
   /** Returns what this node knows of a stream. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -12,6 +12,7 @@
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.WorkspaceName;
+import org.larkkeel.relay.ServiceName;
 
 /**
  * The pending timers. Timers of calls and attempts that have ended remain and have no effect when
@@ -61,6 +62,12 @@
     /** The end of the maximum wait to learn the build of a stream. */
     record StreamLookupTimeout(long at, RequestId call) implements Timer {}
 
+    /** The time at which the builds that have served a service are reviewed. */
+    record BuildReview(long at, ServiceName service) implements Timer {}
+
+    /** The end of the maximum wait until new builds of a service are recorded in the store. */
+    record BuildRecordTimeout(long at, ServiceName service) implements Timer {}
+
     /** The end of the maximum duration of an order. */
     record OrderTimeout(long at, UpstreamIncarnation incarnation) implements Timer {}
 
