Store the builds of streams while several builds serve

Callers saw: where two builds served when all nodes ended, none of the streams that were taken up went on, though engines of their build were there (0 of 48 with real processes on). Cause: which build began a stream was known to nodes only, and ended with the last of them.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadExchange.java
@@ -26,6 +26,7 @@
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.relay.ReservationRequest;
+import org.larkkeel.relay.StreamBuild;
 import org.larkkeel.time.BootClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -197,6 +198,11 @@
     sharing.quotas(router);
   }
 
+  /** Sets what writes the builds of streams to the store; to be called before use. */
+  void streamStorage(Consumer<StreamBuild> writer) {
+    thread.execute(() -> sharing.streamStorage(writer));
+  }
+
   /** Records or finds the build of a stream at the peers. */
   void execute(RelayEffect.OfStream effect) {
     sharing.execute(effect);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -30,6 +30,7 @@
 import org.larkkeel.relay.ReservationMode;
 import org.larkkeel.relay.ReservationRequest;
 import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.StreamBuild;
 
 /**
  * Exchanges load reports with the peers and chooses the reservation coordinator.
@@ -197,6 +198,11 @@
     suspects.report(news.suspects());
   }
 
+  /** Sets what writes the builds of streams to the store. */
+  public void streamStorage(Consumer<StreamBuild> writer) {
+    streams.storage(writer);
+  }
+
   /** Records or finds the build of a stream at other nodes. */
   public void execute(RelayEffect.OfStream effect) {
     streams.execute(effect);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
@@ -98,6 +98,11 @@
     this.coordinators = new Coordinators(self, peers.values());
   }
 
+  /** Returns the name of this node. */
+  HostName self() {
+    return self;
+  }
+
   int size() {
     return peers.size();
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -157,6 +157,8 @@
             b -> loop.submit(new RelayEvent.BuildsRecorded(loop.now(), b.service(), b.builds())),
             new SplittableRandom(settings.host().hashCode()));
     executor.setBuildHistory(e -> scheduler.execute(() -> execute(e, history, historyWriter)));
+    StreamRecordWriter streams = new StreamRecordWriter(store, scheduler, settings.host());
+    loadExchange.streamStorage(s -> scheduler.execute(() -> streams.add(s)));
     StageController stages =
         closer.add(
             new StageController(
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamMessage.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamMessage.java
@@ -24,6 +24,9 @@
   /** A build has begun a stream. */
   record Told(StreamBuild stream) implements StreamMessage {}
 
+  /** As {@link Told}, for the receiver to write to the store. */
+  record ToStore(StreamBuild stream) implements StreamMessage {}
+
   /** Asks which build began a stream. */
   record Asked(StreamId stream, ServiceName service) implements StreamMessage {}
 
@@ -41,12 +44,8 @@
     return ExtensionBytes.write(
         out -> {
           switch (message) {
-            case Told m -> {
-              out.writeByte(Codes.TOLD);
-              out.writeString(m.stream().stream().value());
-              out.writeString(m.stream().service().value());
-              out.writeString(m.stream().build().value());
-            }
+            case Told m -> write(out, Codes.TOLD, m.stream());
+            case ToStore m -> write(out, Codes.TO_STORE, m.stream());
             case Asked m -> {
               out.writeByte(Codes.ASKED);
               out.writeString(m.stream().value());
@@ -57,6 +56,13 @@
         });
   }
 
+  private static void write(TCompactProtocol out, byte code, StreamBuild s) throws TException {
+    out.writeByte(code);
+    out.writeString(s.stream().value());
+    out.writeString(s.service().value());
+    out.writeString(s.build().value());
+  }
+
   private static void write(TCompactProtocol out, Answered m) throws TException {
     out.writeByte(Codes.ANSWERED);
     out.writeString(m.stream().value());
@@ -84,16 +90,19 @@
     byte kind = in.readByte();
     StreamId stream = new StreamId(in.readString());
     return switch (kind) {
-      case Codes.TOLD ->
-          new Told(
-              new StreamBuild(
-                  stream, new ServiceName(in.readString()), new BuildName(in.readString())));
+      case Codes.TOLD -> new Told(readBuild(stream, in));
+      case Codes.TO_STORE -> new ToStore(readBuild(stream, in));
       case Codes.ASKED -> new Asked(stream, new ServiceName(in.readString()));
       case Codes.ANSWERED -> new Answered(stream, readResult(in), readCurrent(in));
       default -> throw new IllegalArgumentException(kind + " is no kind of message");
     };
   }
 
+  private static StreamBuild readBuild(StreamId stream, TCompactProtocol in) throws TException {
+    return new StreamBuild(
+        stream, new ServiceName(in.readString()), new BuildName(in.readString()));
+  }
+
   /** Reads whether the list of the node is current, which nodes of older builds do not tell. */
   private static boolean readCurrent(TCompactProtocol in) throws TException {
     return in.getTransport().getBytesRemainingInBuffer() > 0 && in.readBool();
@@ -115,6 +124,7 @@
     static final byte TOLD = 1;
     static final byte ASKED = 2;
     static final byte ANSWERED = 3;
+    static final byte TO_STORE = 4;
     static final byte UNKNOWN = 0;
     static final byte KNOWN = 1;
     static final byte SOLE = 2;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
@@ -15,12 +15,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.relay.ListWitness;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayRouter;
 import org.larkkeel.relay.ServiceName;
+import org.larkkeel.relay.StreamBuild;
 import org.larkkeel.relay.StreamFinding;
 import org.larkkeel.relay.StreamId;
 import org.larkkeel.relay.StreamLookup;
@@ -38,6 +40,9 @@
   private static final int KEEPERS = 3;
   private static final int ASKED = 5;
 
+  /** The number of nodes that write a stream to the store. */
+  private static final int WRITERS = 2;
+
   private static final long REPEAT_NANOS = 40 * NANOS_PER_MILLI;
   private static final long SECOND_REPEAT_NANOS = 150 * NANOS_PER_MILLI;
 
@@ -61,6 +66,7 @@
   private final BiConsumer<PeerTable.Peer, StreamMessage> sender;
   private final Map<StreamId, Question> questions = new HashMap<>();
   private RelayRouter router;
+  private Consumer<StreamBuild> storage = s -> {};
 
   /** A question in progress. */
   private static final class Question {
@@ -146,17 +152,43 @@
     router = keeper;
   }
 
+  /** Sets what writes streams to the store. */
+  void storage(Consumer<StreamBuild> writer) {
+    storage = writer;
+  }
+
   /** Executes an effect of the router. */
   void execute(RelayEffect.OfStream effect) {
     switch (effect) {
       case RelayEffect.RecordStream e -> {
         keepers(e.stream().stream(), KEEPERS)
             .forEach(p -> sender.accept(p, new StreamMessage.Told(e.stream())));
+        store(e.stream());
       }
       case RelayEffect.FindStream e -> ask(e.stream(), e.service());
     }
   }
 
+  /**
+   * Has a few nodes write a stream to the store. They are the same for all streams, so that many
+   * are written at once, and two, as one may be cut off from the store.
+   */
+  private void store(StreamBuild stream) {
+    List<PeerTable.Peer> first = peers.lowestRanked(WRITERS, p -> writerRank(p.name));
+    long own = writerRank(peers.self());
+    int before = (int) first.stream().filter(p -> writerRank(p.name) < own).count();
+    if (before < WRITERS) {
+      storage.accept(stream);
+    }
+    first.stream()
+        .limit(before < WRITERS ? WRITERS - 1 : WRITERS)
+        .forEach(p -> sender.accept(p, new StreamMessage.ToStore(stream)));
+  }
+
+  private static long writerRank(HostName node) {
+    return Hashing.murmur3_128().hashUnencodedChars(node.value()).asLong();
+  }
+
   private List<PeerTable.Peer> keepers(StreamId stream, int count) {
     long hash = Hashing.murmur3_128().hashUnencodedChars(stream.value()).asLong() | 1;
     return peers.lowestRanked(
@@ -194,6 +226,7 @@
     switch (message) {
       case StreamMessage.Told m ->
           environment.submit(new RelayEvent.StreamRecorded(environment.now(), m.stream()));
+      case StreamMessage.ToStore m -> storage.accept(m.stream());
       case StreamMessage.Asked m -> {
         if (router != null) {
           asked(from, m);
