Count a node as most nodes only after it has read the list of all nodes

Cause: that no other node is known was taken for the knowledge that there is none. Change: before the list of all nodes was read, no number of nodes is a majority. Measured: areNoneBeforeTheListOfAllNodesHasBeenRead fails without it; StreamSharingTest and LoadSharingTest: 38 tests pass.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
@@ -83,6 +83,7 @@
 
     Node add() {
       Node added = new Node(this, order.size());
+      added.peers.setListed();
       for (Node n : order) {
         n.meet(added);
         added.meet(n);
@@ -372,6 +373,16 @@
       assertEquals(find(network, 6).witness(), ListWitness.PEER);
     }
 
+    /** Guards against a node that has just started, and takes itself for most nodes. */
+    @Test
+    public void areNoneBeforeTheListOfAllNodesHasBeenRead() {
+      Network network = new Network(0, OLD);
+      Node alone = new Node(network, 0);
+      network.order.add(alone);
+      network.stopStore();
+      assertEquals(find(network, 0).witness(), ListWitness.NONE);
+    }
+
     /** Guards against refusals at all nodes while the store is away. */
     @Test
     public void areMostNodesWhileTheStoreIsAway() {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/LoadSharing.java
@@ -223,6 +223,7 @@
       added.add(peer);
     }
     reportSize(previousSize);
+    peers.setListed();
     environment.submit(new RelayEvent.NodesListed(environment.now()));
     announcements.announceToUnheard(added);
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/PeerTable.java
@@ -43,6 +43,7 @@
   private final Map<HostName, Peer> byName = new HashMap<>();
 
   private final Coordinators coordinators;
+  private boolean listed;
   private final PeerChangeLog changeLog = new PeerChangeLog();
   private Optional<ImmutableList<InetSocketAddress>> liveAddresses = Optional.empty();
 
@@ -143,11 +144,17 @@
   }
 
   /**
-   * Returns whether a number of nodes is more than half of all known ones, this node included.
-   * Those that are silent count until they are forgotten.
+   * Returns whether a number of nodes is more than half of all, this node included. Those that are
+   * silent count until they are forgotten. Before the list of all nodes has been read, a node that
+   * has met no other is no majority.
    */
   boolean isMajority(int nodes) {
-    return 2 * nodes > peers.size() + 1;
+    return listed && 2 * nodes > peers.size() + 1;
+  }
+
+  /** Records that the list of all nodes has been read. */
+  void setListed() {
+    listed = true;
   }
 
   /** Returns the live peers that have not reported. */
