Count an upstream that came and went unseen as a gap of the list

Cause: the events of one answer of a watch are merged. A build that was listed and left between two answers is told as the removal of an unknown name, so a node went on to know the remaining build as the only one that has served. Change: the removal of an entry that was never seen counts as a gap, after which a node asks others which builds have served, for the life of a stream. Measured: found by reading; the tests of RelayFeed pass.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFeed.java
@@ -7,9 +7,11 @@
 package org.larkkeel.daemon.relay;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -56,6 +58,9 @@
   /** How often the store had become unreachable before the last change of the upstreams. */
   private int upstreamLosses;
 
+  /** The names of the upstreams that the last change has left. */
+  private final Set<String> seenUpstreams = new HashSet<>();
+
   private Runnable restoredListener = () -> {};
   private Optional<RelayConfiguration> newestConfiguration = Optional.empty();
   private volatile FeedChanges newestVersions = FeedChanges.NONE;
@@ -218,7 +223,10 @@
   private void upstreams(CollectionChange change) {
     updateVersions();
     boolean isGap =
-        upstreams.isFailing() || upstreams.losses() != upstreamLosses || change.isRestored();
+        upstreams.isFailing()
+            || upstreams.losses() != upstreamLosses
+            || change.isRestored()
+            || removesUnseen(change);
     upstreamLosses = upstreams.losses();
     apply(entries.apply(scheduler.nanoTime(), change), isGap);
     if (change.isRestored()) {
@@ -227,6 +235,16 @@
     }
   }
 
+  /** Returns whether an entry came and went between two changes, so that it was never seen. */
+  private boolean removesUnseen(CollectionChange change) {
+    boolean isUnseen = false;
+    for (String name : change.removed()) {
+      isUnseen |= !seenUpstreams.remove(name);
+    }
+    change.changed().forEach(o -> seenUpstreams.add(o.key().name()));
+    return isUnseen;
+  }
+
   /** Activates the entries that were held back and still exist. */
   private void releaseHeldBack() {
     apply(entries.releaseHeldBack(scheduler.nanoTime()), false);
