Trust what nodes remember only if they have read the list since

Cause: the word of a node for the builds of the last 30 s counted beside the confirmed list of another node, which may have started a moment ago. One that lived on, cut off from the store, could so outvote builds that it had missed. And a node whose entry a restored store lacked took itself for new. Change: the memory of a node that has not read the list as current counts as a list only, unless most nodes agree while nobody reaches the store. A node is no longer new after a restore.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.larkkeel.daemon.VirtualTime;
 import org.larkkeel.lib.DataCentreName;
@@ -402,6 +403,31 @@
       assertEquals(find(network, 0).witness(), ListWitness.MAJORITY);
     }
 
+    /** Guards against what a node remembers that has missed what others have read since. */
+    @Test
+    public void doNotCountWhatNodeRemembersThatIsCutOffFromTheStore() {
+      Network network = new Network(3, OLD);
+      network.time.advance(Duration.ofSeconds(33));
+      network.order.getLast().reachesStore = false;
+      Node young = network.add();
+      network.order.get(1).submit(gap(network));
+      network.order.get(0).submit(gap(network));
+      young.find(STREAM);
+      network.time.advance(MAX_WAIT);
+      StreamFinding found = young.found.get(STREAM);
+      assertEquals(found.witness(), ListWitness.PEER);
+      assertEquals(found.result(), Optional.of(new StreamLookup.Listed(OLD)));
+    }
+
+    private static RelayEvent gap(Network network) {
+      return new RelayEvent.UpstreamsChanged(
+          network.time.nanoTime(),
+          OptionalLong.empty(),
+          true,
+          ImmutableMap.of(),
+          ImmutableSet.of());
+    }
+
     /** Guards against old lists that agree while another node has read of a second build. */
     @Test
     public void areOutweighedByNodeThatKnowsSeveralBuilds() {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -67,6 +67,7 @@
   private final UnreadableEntries problems;
   private boolean listing;
   private boolean isNew;
+  private boolean wasRestored;
 
   NodeRegistry(
       ObjectApi store,
@@ -92,7 +93,7 @@
         .create(key, COLLECTION, spec())
         .whenComplete(
             (made, failure) -> {
-              isNew |= failure == null;
+              isNew |= failure == null && !wasRestored;
               created(made, failure);
             });
   }
@@ -108,6 +109,8 @@
    * spread their writes.
    */
   void restored() {
+    wasRestored = true;
+    isNew = false;
     scheduler.schedule(Duration.ofMillis(random.nextLong(RESTORED_SPREAD_MILLIS)), this::start);
   }
 
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamSharing.java
@@ -78,6 +78,9 @@
     private boolean isCurrent;
     private Optional<StreamLookup> best = Optional.empty();
 
+    /** As {@link #best}, but what nodes remember that have not read the list counts as listed. */
+    private Optional<StreamLookup> bestRecent = Optional.empty();
+
     Question(ServiceName service, List<PeerTable.Peer> asked) {
       this.service = service;
       this.askedCount = asked.size();
@@ -88,7 +91,12 @@
       answered.add(from);
       answerCount++;
       isCurrent |= m.current() && m.result().onlyBuild().isPresent();
+      StreamLookup recent =
+          m.result() instanceof StreamLookup.Sole s && !m.current()
+              ? new StreamLookup.Listed(s.build())
+              : m.result();
       best = Optional.of(best.map(b -> strongest(b, m.result())).orElse(m.result()));
+      bestRecent = Optional.of(bestRecent.map(b -> strongest(b, recent)).orElse(recent));
     }
 
     /**
@@ -104,7 +112,8 @@
           || (answerCount == askedCount && peers.isMajority(peers.liveCount() + 1))) {
         witness = ListWitness.MAJORITY;
       }
-      return new StreamFinding(best, witness, answered.build());
+      return new StreamFinding(
+          witness == ListWitness.PEER ? bestRecent : best, witness, answered.build());
     }
 
     /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
@@ -198,7 +198,7 @@
     if (w.peersResult().orElse(own) instanceof StreamLookup.Known k) {
       return resolve(at, w, Source.PEER, k.build(), ListWitness.NONE);
     }
-    Optional<BuildName> build = onlyBuild(own, w.peersResult());
+    Optional<BuildName> build = onlyBuild(own, w);
     if (build.isEmpty()) {
       refuseUnknown(at, w, own);
       return false;
@@ -225,7 +225,10 @@
       }
     }
     if (at >= w.until || w.finding.isPresent()) {
-      refuse(at, w, own instanceof StreamLookup.Unknown ? Source.UNKNOWN : Source.NO_HISTORY);
+      boolean isKnownAsSeveral =
+          own instanceof StreamLookup.Unknown
+              || w.peersResult().orElse(own) instanceof StreamLookup.Unknown;
+      refuse(at, w, isKnownAsSeveral ? Source.UNKNOWN : Source.NO_HISTORY);
     }
   }
 
@@ -233,16 +236,30 @@
    * Returns the only build that has served, if it is known. At least one node must know what has
    * served before: that of nodes that have just started none lists another build says nothing.
    */
-  private static Optional<BuildName> onlyBuild(StreamLookup own, Optional<StreamLookup> peers) {
+  private Optional<BuildName> onlyBuild(StreamLookup own, Waiting w) {
     Optional<BuildName> build = own.onlyBuild();
+    Optional<StreamLookup> peers = w.peersResult();
     if (peers.isEmpty()) {
       return build.filter(b -> own instanceof StreamLookup.Sole);
     }
     boolean isRemembered =
-        own instanceof StreamLookup.Sole || peers.get() instanceof StreamLookup.Sole;
+        own instanceof StreamLookup.Sole
+            || (peers.get() instanceof StreamLookup.Sole && isRecent(w));
     return build.filter(b -> isRemembered && peers.get().onlyBuild().equals(build));
   }
 
+  /**
+   * Returns whether what other nodes remember includes all that served until now. Most nodes know
+   * that only while nobody reaches the store.
+   */
+  private boolean isRecent(Waiting w) {
+    return switch (w.finding.map(StreamFinding::witness).orElse(ListWitness.NONE)) {
+      case PEER -> true;
+      case MAJORITY -> !core.listConfirmation.isCompleteAt(w.since);
+      case STORE, NONE -> false;
+    };
+  }
+
   private ListWitness witness(Waiting w) {
     return core.listConfirmation.isCompleteAt(w.since)
         ? ListWitness.STORE
