Merge the stored builds only at nodes that do not know them, and pause after failed reads

Cause: each read of the history brought back builds that were over, at nodes that had followed the list for hours: they wrote them to the store again, so that a service stayed one of several builds. A read that failed at once was repeated without a pause while calls waited. A gap of the list did not invalidate earlier reads. Change: builds are merged only where the list was not followed for the life of a stream; after a failed read there is none for 300 ms, and the calls are refused at once; a gap makes reads count no more, and tells the store that this node's knowledge is not complete.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -481,6 +481,50 @@
       assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
     }
 
+    /** Guards against what nodes remember that have not reached the store since. */
+    @Test
+    public void areRefusedIfOnlyNodesThatAreCutOffRemember() {
+      RelayWorld w = world();
+      w.resume("/resume/a", SIZE, STREAM.value());
+      w.apply(
+          new RelayEvent.StreamFound(
+              w.now(), STREAM, finding(new StreamLookup.Sole(OLD), ListWitness.MAJORITY)));
+      w.pass(450);
+      assertEquals(w.sendCount(), 0);
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
+    /** Guards against reads of a store that fails at once, one after another without a pause. */
+    @Test
+    public void readFailingStoreRarely() {
+      RelayWorld w = world();
+      w.setStoreAnswers(false);
+      takeUp(w);
+      for (int i = 1; i <= 20; i++) {
+        w.apply(
+            new RelayEvent.BuildHistoryRead(
+                w.now(), i, Optional.empty(), ImmutableList.of()));
+        w.pass(5);
+      }
+      assertEquals(w.of(RelayEffect.ReadBuildHistory.class).size(), 1);
+      assertEquals(w.refusal(), ErrorKind.NO_UPSTREAM);
+    }
+
+    /** Guards against builds that are over and come back from the store with each read. */
+    @Test
+    public void doNotBringBuildsBackAtNodeThatRemembers() {
+      RelayWorld w = world();
+      addNew(w);
+      w.pass(31_000);
+      w.remove("old-1");
+      w.pass(33_000);
+      w.setHistory(history(OLD, NEW), begunBy(OLD));
+      w.apply(new RelayEvent.ListDoubted(w.now()));
+      assertEquals(
+          w.router.streamLookup(w.now(), new StreamId("other"), RelayWorld.MODEL),
+          new StreamLookup.Sole(NEW));
+    }
+
     /** Guards against a wait for a store that does not answer, and against a guess meanwhile. */
     @Test
     public void areRefusedIfTheStoreDoesNotAnswer() {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/BuildHistoryReads.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/BuildHistoryReads.java
@@ -19,6 +19,9 @@
   /** The age up to which a read counts as current. */
   private static final long FRESH_NANOS = 1_000_000_000L;
 
+  /** The time between a read that failed and the next one. */
+  private static final long RETRY_NANOS = 300_000_000L;
+
   /** The time within which a store that is reached answers. */
   private static final long ANSWER_NANOS = 200_000_000L;
 
@@ -27,6 +30,7 @@
   private boolean awaited;
   private long requestedAt = Long.MIN_VALUE;
   private long readAt = Long.MIN_VALUE;
+  private long failedAt = Long.MIN_VALUE;
 
   BuildHistoryReads(Consumer<RelayEffect> effects) {
     this.effects = effects;
@@ -34,25 +38,37 @@
 
   /** Requests a read, unless one is current or awaited. */
   void request(long at) {
-    if (!awaited && !isFresh(at)) {
+    if (!awaited && !isFresh(at) && !hasFailed(at)) {
       awaited = true;
       requestedAt = at;
       effects.accept(new RelayEffect.ReadBuildHistory(++lastNumber));
     }
   }
 
+  /** Handles that builds may have come and gone unseen since the last read. */
+  void gap() {
+    awaited = false;
+    readAt = Long.MIN_VALUE;
+  }
+
   /** Handles the end of a read; returns whether its result counts. */
-  boolean ended(long number, boolean succeeded) {
+  boolean ended(long at, long number, boolean succeeded) {
     if (!awaited || number != lastNumber) {
       return false;
     }
     awaited = false;
     if (succeeded) {
       readAt = requestedAt;
+    } else {
+      failedAt = at;
     }
     return succeeded;
   }
 
+  private boolean hasFailed(long at) {
+    return failedAt != Long.MIN_VALUE && at - failedAt < RETRY_NANOS;
+  }
+
   private boolean isFresh(long at) {
     return readAt != Long.MIN_VALUE && at - readAt <= FRESH_NANOS;
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -378,7 +378,7 @@
 
   /** Handles the answer to a request to read the history of builds. */
   public void buildHistoryRead(long at, RelayEvent.BuildHistoryRead read) {
-    if (core.buildHistory.ended(read.number(), read.history().isPresent())) {
+    if (core.buildHistory.ended(at, read.number(), read.history().isPresent())) {
       core.streamBuilds.remember(at, read.history().orElseThrow(), read.streams());
     }
     core.resumedStreams.reconsider(at);
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -92,9 +92,11 @@
    */
   void upstreamsChanged(long at, boolean afterGap) {
     if (afterGap) {
+      core.buildHistory.gap();
       services.forEach(
           (service, builds) -> {
             builds.gap(at);
+            emitBuilds(at, service, builds, false);
             core.timers.add(new Timers.Timer.BuildReview(reviewAt(at), service));
           });
     }
@@ -178,25 +180,27 @@
 
   /** Adds what the store tells of the time before this node followed the list. */
   void remember(long at, BuildHistory history, List<StreamBuild> streams) {
-    history
-        .builds()
-        .forEach(
-            (service, all) -> {
-              ServedBuilds builds = builds(at, service);
-              final boolean wereSeveral = builds.all(at).size() > 1;
-              builds.remember(at, all);
-              if (!wereSeveral && builds.all(at).size() > 1) {
-                recordAll(at, service);
-              }
-              core.timers.add(new Timers.Timer.BuildReview(reviewAt(at), service));
-            });
+    history.builds().forEach((service, all) -> remember(at, service, all));
     for (StreamBuild s : streams) {
-      if (!records.containsKey(s.stream())) {
+      if (!records.containsKey(s.stream()) && records.size() < MAX_RECORDS) {
         record(at, new RecordedStream(s, at, Optional.empty(), true));
       }
     }
   }
 
+  private void remember(long at, ServiceName service, Set<BuildName> served) {
+    ServedBuilds builds = builds(at, service);
+    if (builds.isComplete(at)) {
+      return;
+    }
+    final boolean wereSeveral = builds.all(at).size() > 1;
+    builds.remember(at, served);
+    if (!wereSeveral && builds.all(at).size() > 1) {
+      recordAll(at, service);
+    }
+    core.timers.add(new Timers.Timer.BuildReview(reviewAt(at), service));
+  }
+
   /** Returns whether this node does not know which builds have served a service before. */
   boolean lacksHistory(long at, ServiceName service) {
     ServedBuilds builds = services.get(service);
