Test what the store keeps of builds and streams

Cause: the writer and the reader of the history of builds, the writer of streams, and the choice of the two nodes that write had no tests of their own. StreamSharingTest asserts which nodes write a stream.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/StreamSharingTest.java
@@ -16,9 +16,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.larkkeel.daemon.VirtualTime;
 import org.larkkeel.lib.DataCentreName;
@@ -121,6 +123,7 @@
             new RelaySettings(DATA_CENTRE, 0.2, 20, 1, 1, 512, 1, 7, QuotaTolerance.NONE));
     final StreamSharing sharing;
     final Map<StreamId, StreamFinding> found = new HashMap<>();
+    final Set<StreamId> stored = new HashSet<>();
     boolean dead;
     boolean older;
     boolean isCut;
@@ -133,6 +136,7 @@
       this.peers = new PeerTable(name);
       this.sharing = new StreamSharing(peers, this, this::sendTo);
       sharing.router(router);
+      sharing.storage(s -> stored.add(s.stream()));
       list(network.builds);
     }
 
@@ -294,6 +298,58 @@
     }
   }
 
+  /** Streams that nodes write to the store. */
+  public static class Stored {
+    private static List<Node> writers(Network network) {
+      return network.order.stream().filter(n -> !n.stored.isEmpty()).toList();
+    }
+
+    /** Guards against batches of each node, and streams that no node or only one writes. */
+    @Test
+    public void areWrittenByTheSameTwoNodesWhicheverBeginsThem() {
+      Network network = new Network(9);
+      Set<StreamId> all = new HashSet<>();
+      for (int i = 0; i < STREAMS; i++) {
+        all.add(stream(i));
+        network.order.get(i % 9).record(stream(i), build(i));
+      }
+      network.time.advance(Duration.ofMillis(50));
+      assertEquals(writers(network).size(), 2);
+      writers(network).forEach(n -> assertEquals(n.stored, all));
+    }
+
+    /** Guards against streams that are written nowhere in the smallest fleets. */
+    @Test
+    public void areWrittenByAllOfTwoNodesOrOne() {
+      for (int nodes = 1; nodes <= 2; nodes++) {
+        Network network = new Network(nodes);
+        recordAll(network, network.order.getLast());
+        assertEquals(writers(network).size(), nodes);
+        writers(network).forEach(n -> assertEquals(n.stored.size(), STREAMS));
+      }
+    }
+
+    /** Guards against nodes that stumble over messages of another version. */
+    @Test
+    public void areNotTakenFromMessagesOfUnknownKind() {
+      byte[] bytes =
+          StreamMessage.toBytes(
+              new StreamMessage.ToStore(new StreamBuild(stream(1), SERVICE, OLD)));
+      bytes[0] = 99;
+      PeerMessage message =
+          PeerMessage.of(
+                  PeerMessage.Kind.STREAM,
+                  new PeerMessage.Sender(
+                      new HostName("other"),
+                      DATA_CENTRE,
+                      NodeState.STEADY,
+                      FeedChanges.NONE,
+                      ImmutableList.of()))
+              .withExtension(ExtensionId.STREAM, bytes);
+      assertEquals(StreamMessage.read(message), Optional.empty());
+    }
+  }
+
   /** Questions that are not answered. */
   public static class Unanswered {
     /** Guards against calls that wait for nodes of an older version. */
