Keep builds that are over for the whole delay, however often they are read

Cause: a build that is over is to leave the entry once that has been unchanged for 5 s, but the second read of the same version removed it, also if it came 200 ms after the first, as when the builds of the service were recorded twice. A node whose list lags could so remove what another had just added. Change: the time of the first read is kept and compared. Measured: areKeptForTheWholeDelayThoughRecordedAgain failed before and passes; 32 tests of BuildHistoryTest pass.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
@@ -303,6 +303,20 @@
       assertEquals(stored(store), complete(V2));
     }
 
+    /** Guards against a removal that a second record hastens, before a new build can be seen. */
+    @Test
+    public void areKeptForTheWholeDelayThoughRecordedAgain() {
+      SimObjectStore store = withTwo();
+      Writer node = Writer.restarted(store);
+      node.recordComplete(V2);
+      store.time.advance(Duration.ofMillis(200));
+      node.recordComplete(V2);
+      store.time.advance(REMOVAL_DELAY);
+      assertEquals(stored(store), complete(V1, V2));
+      store.time.advance(UNAWAITED.multipliedBy(2));
+      assertEquals(stored(store), complete(V2));
+    }
+
     /** Guards against the removal of a build that another node has added meanwhile. */
     @Test
     public void areKeptIfAnotherNodeAddedOne() {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
@@ -81,6 +81,9 @@
     /** The version that had builds which are over when it was read. */
     Optional<StoreVersion> outdated = Optional.empty();
 
+    /** The time since when it is known to have them. */
+    long outdatedSinceNanos;
+
     Entry(ServiceName service) {
       this.service = service;
       this.key = new ObjectKey(StreamEntry.COLLECTION, StreamEntry.Builds.nameOf(service));
@@ -180,12 +183,14 @@
             .orElse(wanted.builds());
     if (wanted.complete() && !builds.equals(wanted.builds())) {
       StoreVersion version = present.orElseThrow().resourceVersion();
-      if (entry.outdated.filter(version::equals).isPresent()) {
-        builds = wanted.builds();
-        entry.outdated = Optional.empty();
-      } else {
+      long now = scheduler.nanoTime();
+      if (entry.outdated.filter(version::equals).isEmpty()) {
         entry.outdated = Optional.of(version);
+        entry.outdatedSinceNanos = now;
         scheduler.schedule(REMOVAL_DELAY, () -> readByRank(entry));
+      } else if (now - entry.outdatedSinceNanos >= REMOVAL_DELAY.toNanos()) {
+        builds = wanted.builds();
+        entry.outdated = Optional.empty();
       }
     }
     boolean wasComplete = stored.filter(s -> s.complete() && s.era() == era).isPresent();
