Keep the streams that a node stored moments before it started again

Cause: a node that starts again within the same period of 2 s finds its object of before, took it for one of an earlier round, and overwrote it: the streams that began less than 2 s before the end of all nodes were lost if these were back within the period. Change: an object holds the number of its period; what it holds of the same period is kept. Measured: keepThoseThatAnEarlierLifeWroteMomentsBefore failed before (one of two streams found) and passes; 33 tests of BuildHistoryTest pass.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
@@ -507,6 +507,17 @@
       assertEquals(Found.in(store).streams, Set.of(stream(2, V2)));
     }
 
+    /** Guards against a node that starts again at once and overwrites what it has just recorded. */
+    @Test
+    public void keepThoseThatAnEarlierLifeWroteMomentsBefore() {
+      SimObjectStore store = new SimObjectStore();
+      writer(store).add(stream(1, V1));
+      store.time.advance(Duration.ofMillis(600));
+      writer(store).add(stream(2, V2));
+      store.time.advance(Duration.ofSeconds(1));
+      assertEquals(Found.in(store).streams, Set.of(stream(1, V1), stream(2, V2)));
+    }
+
     /** Guards against streams that are forgotten when their batch fails. */
     @Test
     public void areRepeatedOnceTheStoreIsBack() {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamRecordWriter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamRecordWriter.java
@@ -6,6 +6,8 @@
 
 package org.larkkeel.daemon.relay;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -19,6 +21,7 @@
 import org.larkkeel.store.ObjectApiException;
 import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
+import org.larkkeel.store.ParseResult;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
@@ -29,8 +32,9 @@
  * Stores the builds of streams, in batches, so that they outlast the end of all nodes.
  *
  * <p>The objects of a node form a ring: each holds the streams of a period, and is overwritten by
- * the one that comes a round later, when its streams can no longer be taken up. A step of the clock
- * may overwrite one sooner; its streams are unknown then, and are refused.
+ * the one that comes a round later, when its streams can no longer be taken up. A node that starts
+ * again within a period adds to its object. A step of the clock may overwrite one sooner; its
+ * streams are unknown then, and are refused.
  *
  * <p>Invariants: one write is in progress at a time, at most one begins per {@link #PERIOD}; at
  * most {@link #MAX_STREAMS} streams wait. Runs on the scheduler.
@@ -45,6 +49,10 @@
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
   private static final long SLOT_MILLIS = 2_000;
   private static final int SLOTS = 17;
+
+  /** The field with the number of the period, which tells an object of an earlier round. */
+  private static final String PERIOD_NUMBER = "period";
+
   private static final int MAX_STREAMS = 5_000;
 
   private final ObjectApi store;
@@ -66,6 +74,21 @@
       this.number = number;
       this.key = key;
     }
+
+    ObjectNode toJson() {
+      return StreamEntry.Streams.toJson(streams.values()).put(PERIOD_NUMBER, number);
+    }
+
+    /** Adds what this node stored of the same period before it started again. */
+    void addFrom(StoredObject present) {
+      JsonNode period = present.spec().path(PERIOD_NUMBER);
+      if (period.isIntegralNumber()
+          && period.longValue() == number
+          && StreamEntry.parse(present.spec()) instanceof ParseResult.Readable<StreamEntry> r
+          && r.value() instanceof StreamEntry.Streams earlier) {
+        earlier.streams().forEach(b -> streams.putIfAbsent(b.stream(), b));
+      }
+    }
   }
 
   StreamRecordWriter(ObjectApi store, Scheduler scheduler, HostName self) {
@@ -108,15 +131,11 @@
   private void put(Slot s, List<StreamBuild> batch) {
     if (s.version.isPresent()) {
       store
-          .update(
-              s.key,
-              StreamEntry.COLLECTION,
-              StreamEntry.Streams.toJson(s.streams.values()),
-              s.version.get())
+          .update(s.key, StreamEntry.COLLECTION, s.toJson(), s.version.get())
           .whenComplete((made, failure) -> written(s, batch, made, failure));
     } else {
       store
-          .create(s.key, StreamEntry.COLLECTION, StreamEntry.Streams.toJson(s.streams.values()))
+          .create(s.key, StreamEntry.COLLECTION, s.toJson())
           .whenComplete((made, failure) -> written(s, batch, made, failure));
     }
   }
@@ -140,6 +159,7 @@
       failed(s, batch, failure);
     } else {
       s.version = Optional.of(present.resourceVersion());
+      s.addFrom(present);
       put(s, batch);
     }
   }
