Bound the streams that wait for the store while it is away

Cause: the streams of a batch that failed were put back beside those that had come meanwhile, without a limit: 27,500 of 40,000 streams were kept after an outage of 8 s, where 5,000 may wait. Objects grow with them, to the limit of the store. Change: they are put back up to the limit; those that came later go first.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
@@ -31,6 +31,7 @@
 import org.larkkeel.relay.StreamId;
 import org.larkkeel.store.ObjectApi;
 import org.larkkeel.store.ParseResult;
+import org.larkkeel.store.StoredObject;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -518,6 +519,26 @@
       assertEquals(Found.in(store).streams, Set.of(stream(1, V1), stream(2, V2)));
     }
 
+    /** Guards against memory, and objects above the limit of the store, after a long outage. */
+    @Test
+    public void areBoundedWhileTheStoreIsAway() {
+      SimObjectStore store = new SimObjectStore();
+      StreamRecordWriter writer = writer(store);
+      store.isAway = true;
+      for (int i = 0; i < 40_000; i++) {
+        writer.add(stream(i, V1));
+        store.time.advance(Duration.ofNanos(200_000));
+      }
+      store.isAway = false;
+      store.time.advance(Duration.ofSeconds(5));
+      for (StoredObject o : store.objects.values()) {
+        int bytes = o.spec().toString().length();
+        assertTrue(bytes <= ObjectApi.MAX_OBJECT_BYTES, bytes + " bytes");
+      }
+      int kept = Found.in(store).streams.size();
+      assertTrue(kept > 0 && kept <= 5_000, kept + " streams");
+    }
+
     /** Guards against streams that are forgotten when their batch fails. */
     @Test
     public void areRepeatedOnceTheStoreIsBack() {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamRecordWriter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamRecordWriter.java
@@ -168,7 +168,11 @@
     log.debug("event=streams_not_recorded object={} cause=\"{}\"", s.key, failure.getMessage());
     s.version = Optional.empty();
     scheduled = false;
-    batch.forEach(b -> waiting.putIfAbsent(b.stream(), b));
+    for (StreamBuild b : batch) {
+      if (waiting.size() < MAX_STREAMS) {
+        waiting.putIfAbsent(b.stream(), b);
+      }
+    }
     scheduleWrite(RETRY_DELAY);
   }
 
