Soak: kill all nodes at once while builds change

No seed drew that: changes of builds came one engine at a time, kills of all nodes only with seed 17 and one build, and streams lasted under 0.9 s.

Change: with seeds that 37 divides, SoakHerdKills changes the builds of engines in pairs, kills all or many nodes up to 6 s later, and keeps streams of 2 to 4 s open. Callers take streams up at ready nodes, up to five times, with seeds that 8 divides too; there every stream of two builds is still a violation. More than two streams of two builds are a violation here, and a share of streams that go on under half of that of new ones that begin, if 12 or more count. A stream counts if two engines of its build served without a fault since the kill and the nodes asked had their store. The source of the draws (seed + 32) was selected so that seeds 37 and 74 draw both kinds of changes beside kills of all nodes.

Runners start after they were made, so that only one of a pair is listed.

--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
@@ -22,6 +23,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import org.larkkeel.http.Json;
 
 /**
@@ -38,8 +40,8 @@
   private static final long STABLE_MILLIS = 3_000;
   private static final int CALLERS = 12;
 
-  /** The callers that send at a steady rate beside spikes. */
-  private static final int CALLERS_BESIDE_SPIKES = 2;
+  /** The callers that send at a steady rate beside spikes or long streams. */
+  private static final int CALLERS_BESIDE_OTHERS = 2;
 
   private static final int PREFILLS = 1;
   private static final int DECODES = 3;
@@ -50,6 +52,9 @@
   /** The prefix of the descriptions of disturbances of runners. */
   private static final String RUNNER = "runner";
 
+  /** The prefix of the descriptions of disturbances of the store. */
+  private static final String STORE = "store";
+
   private static final String APP = "app";
   private static final String MODEL = "model";
 
@@ -99,6 +104,7 @@
     ENDLESS_ANSWER,
     SPIKE,
     FREEZE,
+    HERD_KILL,
     IN_FORCE_ASKED
   }
 
@@ -122,6 +128,7 @@
   private final SoakPathCuts pathCuts;
   private final SoakFlood flood;
   private final SoakSpikes spikes;
+  private final SoakHerdKills herdKills;
   private long version = 1;
   private volatile boolean loaded = true;
 
@@ -135,6 +142,8 @@
     this.pathCuts = new SoakPathCuts(this, ledger, runners, nodes, new SplittableRandom(seed + 5));
     this.flood = new SoakFlood(this, ledger, nodes, new SplittableRandom(seed + 9));
     this.spikes = new SoakSpikes(this, ledger, runners, new SplittableRandom(seed + 10));
+    this.herdKills =
+        new SoakHerdKills(this, ledger, runners, nodes, new SplittableRandom(seed + 32));
     current = this;
   }
 
@@ -162,9 +171,18 @@
     return source.nextInt(nodes);
   }
 
+  /** Returns a node that says it is ready; empty if none does. */
+  OptionalInt findReadyNode(SplittableRandom source) {
+    int first = pickNode(source);
+    return IntStream.range(first, first + nodes)
+        .map(i -> i % nodes)
+        .filter(this::isReady)
+        .findFirst();
+  }
+
   /** Returns whether the engines are of several builds. */
   boolean mixesBuilds() {
-    return SoakBuilds.areMixed(seed);
+    return SoakBuilds.areMixed(seed) || hasHerdKills();
   }
 
   /** Returns whether the engines of the current run are of several builds. */
@@ -182,6 +200,16 @@
     return seed % SoakSpikes.SEEDS == 0;
   }
 
+  /** Returns whether many nodes are killed at once while builds change in this run. */
+  boolean hasHerdKills() {
+    return seed % SoakHerdKills.SEEDS == 0;
+  }
+
+  /** Returns the kills of many nodes at once. */
+  SoakHerdKills herdKills() {
+    return herdKills;
+  }
+
   /** Returns the spikes of requests. */
   SoakSpikes spikes() {
     return spikes;
@@ -274,6 +302,11 @@
     return !hasDisturbance(node, System.nanoTime(), d -> !d.what().startsWith(RUNNER));
   }
 
+  /** Returns whether the store of a node was disturbed since 3 s before a time. */
+  boolean wasStoreDisturbed(int node, long since) {
+    return hasDisturbance(node, since, d -> d.what().startsWith(STORE));
+  }
+
   /** Returns whether a node, or a dependency of it, was disturbed since 3 s before a time. */
   boolean wasDisturbed(int node, long since) {
     return hasDisturbance(node, since, d -> true);
@@ -325,7 +358,7 @@
       return false;
     }
     ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
-    int callerCount = hasSpikes() ? CALLERS_BESIDE_SPIKES : CALLERS;
+    int callerCount = hasSpikes() || hasHerdKills() ? CALLERS_BESIDE_OTHERS : CALLERS;
     for (int i = 0; i < callerCount; i++) {
       callers.submit(new SoakCaller(this, ledger, "c" + i, random.nextLong()));
     }
@@ -339,8 +372,10 @@
       left -= pause;
       Thread.sleep(pause);
       // A restarted node receives the changes and reports them to its peers, which would hide the
-      // unresponsive connections of the others, so few nodes may restart.
-      if (!(unresponsive || isFlooded()) || random.nextInt(DRAWS_PER_FAULT) == 0) {
+      // unresponsive connections of the others, so few nodes may restart. Beside herd kills, faults
+      // of runners leave few streams of which it is certain that they can go on.
+      if (!(unresponsive || isFlooded() || hasHerdKills())
+          || random.nextInt(DRAWS_PER_FAULT) == 0) {
         injectFault();
       }
     }
@@ -355,11 +390,18 @@
     for (int i = 0; i < APPS; i++) {
       runners.add(new SoakRunner(ledger, store, APP, "", nodes, random.nextLong()));
     }
-    int decodes = isFlooded() ? SoakFlood.DECODES : DECODES;
-    for (int i = 0; i < PREFILLS + decodes; i++) {
-      String stage = i < PREFILLS ? "prefill" : "decode";
+    int prefills = hasHerdKills() ? SoakHerdKills.PREFILLS : PREFILLS;
+    int decodes =
+        hasHerdKills() ? SoakHerdKills.DECODES : isFlooded() ? SoakFlood.DECODES : DECODES;
+    for (int i = 0; i < prefills + decodes; i++) {
+      String stage = i < prefills ? "prefill" : "decode";
       runners.add(new SoakRunner(ledger, store, MODEL, stage, nodes, random.nextLong()));
     }
+    if (hasHerdKills()) {
+      herdKills.startRunners();
+    } else {
+      runners.forEach(SoakRunner::start);
+    }
     configure();
     for (int i = 0; i < nodes; i++) {
       int node = i;
@@ -451,7 +493,9 @@
 
   private void route(ObjectNode r, String name, String kind, String service, boolean resume) {
     r.put("name", "r-" + name).put("host", "a.example").put("path_prefix", "/" + name + "/");
-    r.put("kind", kind).put("timeout_ms", 4_000).put("target_latency_ms", 900);
+    r.put("kind", kind);
+    r.put("timeout_ms", hasHerdKills() ? SoakCaller.LONG_DEADLINE_MILLIS : 4_000)
+        .put("target_latency_ms", 900);
     r.put("service", service).put("max_attempts", resume ? 3 : 2);
     r.put("allow_resume", resume).put("gap_aim_ms", 300).put("priority", 1);
   }
@@ -559,6 +603,16 @@
     }
   }
 
+  /** Kills some nodes from one on, all at the same time. */
+  void killAtOnce(int first, int count) {
+    StringBuilder line = new StringBuilder("kill");
+    for (int i = first; i < first + count; i++) {
+      disturb(i % nodes, "signal-KILL", 4_000);
+      line.append(' ').append(i % nodes);
+    }
+    print("%s", line);
+  }
+
   private void pause(int node, long millis) {
     disturb(node, PAUSE, millis);
     print("signal %d STOP", node);
@@ -698,16 +752,19 @@
     if (ledger.running().get() != 0) {
       ledger.violation("gone", ledger.running() + " runs continue without a caller");
     }
+    // Streams may be taken up for some seconds after the load.
+    herdKills.check();
     double budgetUse = ledger.retryBudget().check(ledger);
     List<String> broken = ledger.violations();
     broken.forEach(b -> print("broken %s", b));
     print(
-        "result=%s seed=%d faults=%d broken=%d retries=%.2f drawn=%s outcomes=%s",
+        "result=%s seed=%d faults=%d broken=%d retries=%.2f herd=[%s] drawn=%s outcomes=%s",
         broken.isEmpty() ? "passed" : "failed",
         seed,
         disturbances.size(),
         broken.size(),
         budgetUse,
+        herdKills,
         eventCounts,
         new TreeMap<>(ledger.outcomes()));
     return broken.isEmpty();
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakBuilds.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakBuilds.java
@@ -22,7 +22,7 @@
   /** The build of engines in all other runs. */
   static final String NONE = "";
 
-  private static final List<String> NAMES = List.of("b1", "b2");
+  static final List<String> NAMES = List.of("b1", "b2");
   private static final String MARK = "@";
 
   private SoakBuilds() {}
@@ -36,6 +36,11 @@
     return NAMES.get(random.nextInt(NAMES.size()));
   }
 
+  /** Returns the other one of the two builds. */
+  static String other(String build) {
+    return NAMES.get(1 - NAMES.indexOf(build));
+  }
+
   /** Returns an event of a stream as a build writes it. */
   static String event(String stream, int i, String build) {
     String mark = build.isEmpty() ? "" : MARK + build;
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakCaller.java
@@ -16,8 +16,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Sends requests of all kinds to the nodes over persistent connections, and checks every answer.
@@ -26,9 +28,19 @@
  */
 final class SoakCaller implements Runnable {
   private static final int TIMEOUT_MILLIS = 8_000;
-  private static final long MAX_ANSWER_NANOS = 5_000_000_000L;
+  private static final int MAX_LATE_MILLIS = 1_000;
   private static final String QUARANTINED = "problems/quarantined";
-  private static final int MAX_RESUMES = 3;
+  private static final int MAX_RESUMES = 5;
+
+  /** The waits for a ready node before an attempt to take a stream up fails. */
+  private static final int MAX_READY_WAITS = 100;
+
+  private static final int READY_WAIT_MILLIS = 50;
+
+  private static final int DEADLINE_MILLIS = 4_000;
+
+  /** The deadline of streams that are open for seconds. */
+  static final int LONG_DEADLINE_MILLIS = 8_000;
 
   /** The size from which a caller closes its connection; no sound answer is as large. */
   private static final int MAX_BODY_BYTES = 64 << 10;
@@ -38,6 +50,12 @@
   /** An answer; incomplete if the connection ended before the end of the answer. */
   private record Answer(int status, Map<String, String> headers, String body, boolean complete) {}
 
+  /**
+   * What became of a stream that was taken up: whether it came to its end, and whether all nodes
+   * that were asked had the store, so that nothing excuses a refusal.
+   */
+  record TakeUp(boolean hasEnded, boolean isCertain) {}
+
   /** The chunks of a stream after which the caller closes its connection by itself. */
   private int chunksUntilClose = Integer.MAX_VALUE;
 
@@ -62,7 +80,12 @@
   }
 
   static int events(String id) {
-    return 3 + Math.floorMod(id.hashCode(), 40);
+    int draw = id.hashCode();
+    return SoakHerdKills.isLong(id) ? 20 + Math.floorMod(draw, 20) : 3 + Math.floorMod(draw, 40);
+  }
+
+  private static int deadlineMillis(String id) {
+    return SoakHerdKills.isLong(id) ? LONG_DEADLINE_MILLIS : DEADLINE_MILLIS;
   }
 
   @Override
@@ -88,9 +111,10 @@
   private boolean request(String kind, String id, String path, String text) {
     String method = kind.equals("safe") ? "GET" : "POST";
     boolean runsOnce = kind.equals("once") || kind.equals("stream");
+    final boolean isLong = SoakHerdKills.isLong(id);
     long startNanos = System.nanoTime();
     try {
-      if (in == null || random.nextInt(12) == 0) {
+      if (in == null || !isLong && random.nextInt(12) == 0) {
         connect(soak.pickNode(random));
       }
       ledger.sent(id, new SoakLedger.Sent(node, method, path, text, runsOnce));
@@ -98,51 +122,102 @@
           kind.equals("resume")
               && soak.mixesBuilds()
               && soak.isLoaded()
+              && !isLong
               && random.nextInt(3) == 0;
       chunksUntilClose = closes ? random.nextInt(1, 10) : Integer.MAX_VALUE;
       Answer answer = exchange(id, method, path, text);
       boolean served = check(id, kind, answer, startNanos);
       soak.pathCuts().tried(node, startNanos, served);
-      if (kind.equals("resume") && answer.status() == 200 && !answer.complete()) {
-        takeUp(id, path, text, answer.body());
+      boolean hasBegun = answer.status() == 200 && SoakBuilds.completeEvents(answer.body()) > 0;
+      soak.herdKills().answered(id, startNanos, hasBegun);
+      if (kind.equals("resume") && hasBegun && !answer.complete() && soak.mixesBuilds()) {
+        OptionalInt kill = soak.herdKills().killThatBroke(id, startNanos);
+        TakeUp outcome = takeUp(id, path, text, answer.body());
+        kill.ifPresent(
+            k -> soak.herdKills().takenUp(k, SoakBuilds.buildOf(answer.body()), outcome));
       }
       return served;
     } catch (IOException e) {
       disconnect();
       soak.connectionLost(name, node, id, startNanos, e);
       ledger.outcome(kind + "-cut");
+      soak.herdKills().answered(id, startNanos, false);
       soak.pathCuts().tried(node, startNanos, false);
       return false;
     }
   }
 
   /**
-   * Takes up a stream that broke off, at any node, where the engines are of several builds: only
+   * Takes up a stream that broke off, at ready nodes, where the engines are of several builds: only
    * the build that began it may go on with it.
+   *
+   * <p>Stops when the load ends.
    */
-  private void takeUp(String stream, String path, String text, String received) throws IOException {
+  private TakeUp takeUp(String stream, String path, String text, String received) {
     chunksUntilClose = Integer.MAX_VALUE;
-    int last = SoakBuilds.completeEvents(received);
-    if (!soak.mixesBuilds() || last == 0) {
-      return;
-    }
     String build = SoakBuilds.buildOf(received);
+    int last = SoakBuilds.completeEvents(received);
+    long pauseMillis = 0;
+    boolean isCertain = true;
     for (int i = 1; i <= MAX_RESUMES && soak.isLoaded(); i++) {
       String id = stream + "-r" + i;
-      connect(soak.pickNode(random));
-      ledger.sent(id, new SoakLedger.Sent(node, "POST", path, text, false));
-      Answer a =
-          exchange(id, "POST", path, text, "Last-Event-Id: " + last + "\r\nResumes: " + stream);
-      ledger.outcome("taken-up-" + a.status());
-      if (a.status() == 200) {
-        if (!SoakBuilds.isOfBuild(stream, last, a.body(), a.complete(), build)) {
-          ledger.violation("builds", id + " of build " + build + " got " + a);
+      final long startNanos = System.nanoTime();
+      try {
+        Thread.sleep(pauseMillis);
+        connect(awaitReadyNode());
+        isCertain &= !soak.wasStoreDisturbed(node, startNanos);
+        ledger.sent(id, new SoakLedger.Sent(node, "POST", path, text, false));
+        Answer a =
+            exchange(id, "POST", path, text, "Last-Event-Id: " + last + "\r\nResumes: " + stream);
+        ledger.outcome("taken-up-" + a.status());
+        if (a.status() == 200) {
+          checkBuild(stream, last, build, a);
+          if (a.complete()) {
+            return new TakeUp(true, isCertain);
+          }
+          last += SoakBuilds.completeEvents(a.body());
+        } else if (a.status() == 503) {
+          ledger.refused(id, a.status());
         }
-        return;
+        double retryAfter = Double.parseDouble(a.headers().getOrDefault("retry-after", "0"));
+        pauseMillis = Math.max(random.nextInt(200, 500), Math.round(retryAfter * 1_000));
+      } catch (IOException e) {
+        disconnect();
+        ledger.outcome("taken-up-cut");
+        soak.connectionLost(name, node, id, startNanos, e);
+      } catch (InterruptedException e) {
+        break;
       }
-      if (a.status() == 503) {
-        ledger.refused(id, a.status());
+    }
+    return new TakeUp(false, isCertain);
+  }
+
+  private int awaitReadyNode() throws IOException, InterruptedException {
+    for (int i = 0; i < MAX_READY_WAITS; i++) {
+      OptionalInt ready = soak.findReadyNode(random);
+      if (ready.isPresent()) {
+        return ready.getAsInt();
       }
+      Thread.sleep(READY_WAIT_MILLIS);
+    }
+    throw new IOException("no node is ready");
+  }
+
+  /** Checks that the events of a stream after one are of the build that began it. */
+  private void checkBuild(String stream, int last, String build, Answer a) {
+    if (SoakBuilds.isOfBuild(stream, last, a.body(), a.complete(), build)) {
+      return;
+    }
+    String got = a.body().replace('\n', ' ');
+    String detail =
+        "%s of build %s got after event %d at node %d: %s"
+            .formatted(stream, build, last, node, got);
+    if (!SoakHerdKills.isLong(stream)) {
+      ledger.violation("builds", detail);
+    } else if (SoakBuilds.isOfOneBuild(stream, last, a.body(), a.complete())) {
+      soak.herdKills().mixed(stream, detail);
+    } else {
+      ledger.violation("mixed", detail);
     }
   }
 
@@ -186,7 +261,9 @@
             + path
             + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: "
             + id
-            + "\r\nX-Deadline-Ms: 4000\r\nX-Model: m\r\n"
+            + "\r\nX-Deadline-Ms: "
+            + deadlineMillis(id)
+            + "\r\nX-Model: m\r\n"
             + (path.startsWith("/s") && !path.startsWith("/safe") || path.startsWith("/r")
                 ? "X-Token-Usage: 1000,2000\r\n" + SoakCrashes.promptOf(id) + "\r\n"
                 : "")
@@ -252,7 +329,8 @@
     final boolean stream = kind.equals("stream") || kind.equals("resume");
     final boolean stamped = a.headers().containsKey("x-server-stamp");
     ledger.outcome(kind + "-" + a.status() + (a.complete() ? "" : "-incomplete"));
-    if (System.nanoTime() - startNanos > MAX_ANSWER_NANOS
+    long maxMillis = deadlineMillis(id) + MAX_LATE_MILLIS;
+    if (System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(maxMillis)
         && !soak.wasRequestDisturbed(node, kind, startNanos)) {
       ledger.violation(
           "late", id + " took " + (System.nanoTime() - startNanos) / 1_000_000 + " ms");
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakPaths.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakPaths.java
@@ -32,6 +32,7 @@
   private final boolean[] cut;
   private SoakProxy.Mode mode = SoakProxy.Mode.PASS;
   private boolean down;
+  private long changedNanos = System.nanoTime();
 
   SoakPaths(InetSocketAddress runner, int nodes) {
     for (int i = 0; i < nodes; i++) {
@@ -50,7 +51,13 @@
     return proxies.get(node).address();
   }
 
+  /** Returns whether connections of all nodes have passed unharmed since a time. */
+  synchronized boolean havePassedSince(long nanos) {
+    return mode == SoakProxy.Mode.PASS && !down && changedNanos < nanos;
+  }
+
   synchronized void setMode(SoakProxy.Mode next) {
+    changedNanos = System.nanoTime();
     mode = next;
     for (int i = 0; i < proxies.size(); i++) {
       if (!cut[i]) {
@@ -61,6 +68,7 @@
 
   /** Resets all connections and refuses new ones, as when the runner has ended. */
   synchronized void down() {
+    changedNanos = System.nanoTime();
     down = true;
     for (int i = 0; i < proxies.size(); i++) {
       if (!cut[i]) {
@@ -71,6 +79,7 @@
 
   /** Accepts connections again. */
   synchronized void up() {
+    changedNanos = System.nanoTime();
     down = false;
     for (int i = 0; i < proxies.size(); i++) {
       if (!cut[i]) {
@@ -85,6 +94,7 @@
       return;
     }
     cut[node] = true;
+    changedNanos = System.nanoTime();
     SoakProxy proxy = proxies.get(node);
     switch (kind) {
       case DROPS -> proxy.hang();
@@ -100,6 +110,7 @@
       return;
     }
     cut[node] = false;
+    changedNanos = System.nanoTime();
     SoakProxy proxy = proxies.get(node);
     proxy.up();
     proxy.setMode(mode);
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRecurringFaults.java
@@ -98,6 +98,9 @@
       runners.forEach(r -> r.setFailing(FAILING_SHARE, SPIKE_FAILING_MILLIS));
       soak.spikes().start();
     }
+    if (soak.hasHerdKills()) {
+      soak.herdKills().start();
+    }
     if (soak.isFlooded()) {
       soak.flood().start();
     }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -22,8 +22,9 @@
 import org.larkkeel.http.Json;
 
 /**
- * A stand-in for a runner behind proxies: a plain service, or an engine of one stage. It restarts
- * under a new name or under its current one, always at the same address.
+ * A stand-in for a runner behind proxies: a plain service, or an engine of one stage. It is down
+ * until its first start, and restarts under a new name or under its current one, always at the same
+ * address.
  *
  * <p>Invariant: it holds no prefilled prompt from before its latest start. Safe for use by several
  * threads.
@@ -51,6 +52,7 @@
   private static final AtomicLong STARTS = new AtomicLong();
   private static final Map<String, Prompt> HANDLES = new ConcurrentHashMap<>();
   private static final int EVENT_MILLIS = 20;
+  private static final int LONG_EVENT_MILLIS = 100;
   private static final int MAX_REPEAT_MILLIS = 40;
   private static final long BACKOFF_MILLIS = 3_000;
 
@@ -72,13 +74,16 @@
   private volatile int failingMillis;
   private volatile boolean repeatsAnswers;
   private volatile Optional<EndlessAnswer> endlessAnswer = Optional.empty();
-  private volatile String id = "";
+  private volatile String id = ENDED;
   private volatile String build = SoakBuilds.NONE;
+  private volatile String fixedBuild = SoakBuilds.NONE;
   private volatile SoakNotices notices;
   private volatile SoakRateLimit limit;
   private volatile long startMillis;
   private volatile long drainingSince = Long.MAX_VALUE;
   private volatile long invalidSince = Long.MAX_VALUE;
+  private volatile long changedNanos = System.nanoTime();
+  private volatile boolean unlisted;
   private Optional<InvalidEntry> invalidShape = Optional.empty();
 
   SoakRunner(
@@ -92,7 +97,6 @@
     String[] address = server.address().split(":");
     this.paths =
         new SoakPaths(new InetSocketAddress(address[0], Integer.parseInt(address[1])), nodes);
-    start();
   }
 
   /** Starts under a new name, and registers it. */
@@ -101,12 +105,41 @@
     build = drawBuild();
     startMillis = System.currentTimeMillis();
     drainingSince = Long.MAX_VALUE;
+    unlisted = false;
     resetState();
     register();
   }
 
   private String drawBuild() {
-    return Soak.mixesEngineBuilds() && isEngine() ? SoakBuilds.draw(random) : SoakBuilds.NONE;
+    if (!Soak.mixesEngineBuilds() || !isEngine()) {
+      return SoakBuilds.NONE;
+    }
+    return fixedBuild.isEmpty() ? SoakBuilds.draw(random) : fixedBuild;
+  }
+
+  /** Sets the build of all starts from now on. */
+  void setBuild(String next) {
+    fixedBuild = next;
+  }
+
+  /** Returns whether it always starts as a build. */
+  boolean isOf(String name) {
+    return fixedBuild.equals(name);
+  }
+
+  boolean isDecode() {
+    return stage.equals("decode");
+  }
+
+  /** Returns whether it has been in the list and served without a fault since a time. */
+  synchronized boolean hasServedSince(long nanos) {
+    return isServing()
+        && changedNanos < nanos
+        && fault == Fault.NONE
+        && invalidShape.isEmpty()
+        && endlessAnswer.isEmpty()
+        && failingShare == 0
+        && paths.havePassedSince(nanos);
   }
 
   /**
@@ -127,6 +160,7 @@
   }
 
   private void resetState() {
+    changedNanos = System.nanoTime();
     notices = new SoakNotices(ledger);
     limit = new SoakRateLimit(ledger);
     HANDLES.values().removeIf(p -> p.holder() == this);
@@ -138,6 +172,12 @@
     register();
   }
 
+  /** Leaves the list without an announcement, and serves on. */
+  synchronized void leaveList() {
+    unlisted = true;
+    expire(id);
+  }
+
   /** Ends without notice; its entry stays until it expires. */
   synchronized void crash() {
     resetState();
@@ -154,10 +194,17 @@
 
   /** Removes its entry; its address later answers as the next incarnation. */
   synchronized void end() {
-    store.delete("servers", id);
+    expire(id);
     id = ENDED;
   }
 
+  /** Ends if it is still the incarnation with a name. */
+  synchronized void end(String name) {
+    if (id.equals(name)) {
+      end();
+    }
+  }
+
   /** Ends, and starts under a new name at once. */
   synchronized void replace() {
     end();
@@ -173,13 +220,14 @@
     return id;
   }
 
-  /** Returns whether it is running and has not announced that it will leave. */
+  /** Returns whether it is running, and has neither left the list nor announced that it will. */
   boolean isServing() {
-    return !id.equals(ENDED) && leavingMillis() < 0;
+    return !id.equals(ENDED) && !unlisted && leavingMillis() < 0;
   }
 
   /** Sets the invalid shape of its entry, or makes the entry valid if empty. */
   synchronized void setEntryShape(Optional<InvalidEntry> shape) {
+    changedNanos = System.nanoTime();
     invalidShape = shape;
     invalidSince = shape.isEmpty() ? Long.MAX_VALUE : System.nanoTime();
     register();
@@ -222,6 +270,7 @@
   }
 
   void setFault(Fault next) {
+    changedNanos = System.nanoTime();
     fault = next;
   }
 
@@ -234,9 +283,9 @@
     return since == Long.MAX_VALUE ? -1 : (System.nanoTime() - since) / 1_000_000;
   }
 
-  /** Writes its entry again, unless it has ended. */
+  /** Writes its entry again, unless it has ended or left the list. */
   synchronized void register() {
-    if (id.equals(ENDED)) {
+    if (id.equals(ENDED) || unlisted) {
       return;
     }
     ObjectNode entry = Json.object();
@@ -403,7 +452,7 @@
     beginStream(wire, out);
     int events = SoakCaller.events(stream);
     for (int i = from + 1; i <= events; i++) {
-      Thread.sleep(EVENT_MILLIS);
+      Thread.sleep(SoakHerdKills.isLong(stream) ? LONG_EVENT_MILLIS : EVENT_MILLIS);
       String event = SoakBuilds.event(stream, i, writer);
       if (fault == Fault.BREAKS && i > events / 2) {
         RawServer.write(out, Integer.toHexString(event.length()) + "\r\n" + event.substring(0, 4));
