Store clearances of suspects that other nodes have stored

Operators would see: a request that was released from quarantine is refused again after the end of all nodes.

Cause: a node stored a clearance only if its own entry of the store held the verdict, it had stored that in the same life, and it was the one that cleared the suspect. The entries of the other nodes kept the verdict, and nodes that start read all entries. The absence of a clearance was taken for knowledge that there was none.

Change: the router says what is to be stored (RelayEffect.StoreSuspects) apart from what is reported to other nodes. A node that clears a quarantined suspect stores the clearance; so does a node that has detected its crashes and hears of the clearance. Nodes that read an entry with an older epoch already pass over it.

EngineSim passes over the new effect, so that the digests of EvenEnginesTest are compared as they are: they are of decisions about calls, of which this is none.

The simulated nodes now take up what their entry held, as real ones do.

--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -431,6 +431,7 @@
       case RelayEffect.ReservationAnswer e -> sharing.answer(e);
       case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspects e -> sharing.reportSuspects(e);
+      case RelayEffect.StoreSuspects e -> {}
       case RelayEffect.OfStream e -> sharing.execute(e);
       case RelayEffect.ConfirmUpstreams e ->
           submit(new RelayEvent.UpstreamsConfirmed(now(), e.number()));
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingRequestsClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingRequestsClusterTest.java
@@ -9,10 +9,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.collect.MoreCollectors;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.larkkeel.errors.ErrorKind;
+import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.CrashSuspect;
+import org.larkkeel.relay.RelayEvent;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -156,4 +161,41 @@
       assertEquals(kinds, Set.of());
     }
   }
+
+  /** Ends of all nodes, after which only the store remembers. */
+  public static class EndsOfAllNodes {
+    /** Returns the nodes at which a request is released. */
+    @DataProvider
+    public static Object[][] releasingNodes() {
+      return IntStream.range(0, SMALL).mapToObj(n -> new Object[] {n}).toArray(Object[][]::new);
+    }
+
+    /** Guards against a verdict that comes back from the store after it was lifted. */
+    @Test(dataProvider = "releasingNodes")
+    public void doNotUndoRelease(int node) {
+      SimCluster cluster = startedCluster(SMALL, 11);
+      repeat(cluster, "crash", 20);
+      Fingerprint request = quarantined(cluster);
+      SimCluster.Node releasing = cluster.nodes.get(node);
+      releasing.submit(new RelayEvent.Released(cluster.nowNanos(), request));
+      cluster.advance(3_000);
+      assertEquals(quarantiningNodes(cluster, request), 0);
+      cluster.restartNodes(700);
+      cluster.advance(3_000);
+      assertEquals(quarantiningNodes(cluster, request), 0);
+    }
+
+    private static Fingerprint quarantined(SimCluster cluster) {
+      return cluster.nodes.getFirst().router.suspects(cluster.nowNanos()).stream()
+          .map(CrashSuspect::id)
+          .filter(id -> quarantiningNodes(cluster, id) == SMALL)
+          .collect(MoreCollectors.onlyElement());
+    }
+
+    private static long quarantiningNodes(SimCluster cluster, Fingerprint request) {
+      return cluster.nodes.stream()
+          .filter(n -> n.router.remainingQuarantineNanos(cluster.nowNanos(), request) > 0)
+          .count();
+    }
+  }
 }
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -423,20 +423,22 @@
     }
 
     private void readQuarantine() {
-      for (ObjectNode entry : nodeEntries.values()) {
-        if (QuarantineEntries.read(entry, nowNanos / NANOS_PER_MILLI)
+      long wallMillis = nowNanos / NANOS_PER_MILLI;
+      for (Map.Entry<InetSocketAddress, ObjectNode> entry : nodeEntries.entrySet()) {
+        if (QuarantineEntries.read(entry.getValue(), wallMillis)
             instanceof ParseResult.Readable<ImmutableList<CrashSuspect>> r) {
+          if (entry.getKey().equals(address)) {
+            r.value().forEach(s -> stored.restore(s, wallMillis));
+          }
           submit(new RelayEvent.SuspectsHeard(nowNanos, r.value()));
         }
       }
     }
 
-    private void reportSuspects(RelayEffect.ReportSuspects news) {
-      sharing.reportSuspects(news);
+    private void storeSuspects(RelayEffect.StoreSuspects news) {
       boolean changed = false;
       for (CrashSuspect s : news.suspects()) {
-        boolean quarantined = router.remainingQuarantineNanos(nowNanos, s.id()) > 0;
-        changed |= stored.update(s, quarantined, nowNanos / NANOS_PER_MILLI);
+        changed |= stored.update(s, news.lasting().contains(s.id()), nowNanos / NANOS_PER_MILLI);
       }
       if (changed) {
         after(
@@ -650,7 +652,8 @@
         }
         case RelayEffect.ReservationAnswer a -> sharing.answer(a);
         case RelayEffect.Probe p -> probe(p);
-        case RelayEffect.ReportSuspects t -> reportSuspects(t);
+        case RelayEffect.ReportSuspects t -> sharing.reportSuspects(t);
+        case RelayEffect.StoreSuspects t -> storeSuspects(t);
         case RelayEffect.OfStream s -> sharing.execute(s);
         case RelayEffect.ConfirmState c ->
             submit(new RelayEvent.StateConfirmed(nowNanos, c.number()));
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -23,6 +23,7 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Names;
 import org.larkkeel.relay.CrashSuspect;
+import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.store.Backoff;
 import org.larkkeel.store.EntryProblem;
 import org.larkkeel.store.EntryProblem.Reason;
@@ -105,16 +106,11 @@
     return spec;
   }
 
-  /**
-   * Stores what this node has found about suspects of crashes that are or were quarantined.
-   *
-   * @param news the suspects of which something new is known
-   * @param quarantined those that are quarantined
-   */
-  void storeSuspects(ImmutableList<CrashSuspect> news, ImmutableList<CrashSuspect> quarantined) {
+  /** Stores what this node has found about suspects of crashes. */
+  void storeSuspects(RelayEffect.StoreSuspects news) {
     boolean changed = false;
-    for (CrashSuspect s : news) {
-      changed |= quarantine.update(s, quarantined.contains(s), scheduler.wallMillis());
+    for (CrashSuspect s : news.suspects()) {
+      changed |= quarantine.update(s, news.lasting().contains(s.id()), scheduler.wallMillis());
     }
     if (changed) {
       store.get(key).whenComplete(this::found);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
@@ -61,14 +61,15 @@
   private record StoredSuspect(CrashSuspect suspect, long wallMillis) {}
 
   /**
-   * Updates the known state of a suspect. One that is no longer quarantined is kept only if it was
+   * Updates the known state of a suspect. One that need not last any more is kept only if it was
    * cleared, so that the clearance is known to nodes that start later.
    *
+   * @param isLasting whether the crashes or the clearance must outlast all nodes
    * @return whether the node's entry must be written
    */
-  boolean update(CrashSuspect suspect, boolean isQuarantined, long wallMillis) {
+  boolean update(CrashSuspect suspect, boolean isLasting, long wallMillis) {
     boolean wasStored = entries.remove(suspect.id()) != null;
-    if (!isQuarantined && (!wasStored || !suspect.crashes().isEmpty())) {
+    if (!isLasting && (!wasStored || !suspect.crashes().isEmpty())) {
       return wasStored;
     }
     if (entries.size() == MAX_REQUESTS) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayNode.java
@@ -6,7 +6,6 @@
 
 package org.larkkeel.daemon.relay;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -31,7 +30,6 @@
 import org.larkkeel.http.upstream.UpstreamClientSettings;
 import org.larkkeel.lib.Closer;
 import org.larkkeel.lib.UpstreamIncarnation;
-import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
@@ -118,7 +116,9 @@
         new RelayExecutor(loop, dialect, client, thread, RelayClientSettings.DEFAULT, facts);
     loop.setEffectSink(executor);
     this.loadExchange = closer.add(new LoadExchange(settings, worker.worker(), loop, facts));
-    executor.setPeerReporters(loadExchange::answer, this::reportSuspects, loadExchange::execute);
+    executor.setPeerReporters(
+        loadExchange::answer, loadExchange::reportSuspects, loadExchange::execute);
+    executor.setSuspectStore(this::storeSuspects);
     thread.execute(() -> loadExchange.suspects(() -> router.suspects(loop.now())));
     thread.execute(() -> loadExchange.quotas(router));
     loop.setAfterBatch(this::observe);
@@ -206,14 +206,8 @@
     scheduler.execute(registry::start);
   }
 
-  /** Reports suspects to the peers and stores the quarantined ones for nodes that start later. */
-  private void reportSuspects(RelayEffect.ReportSuspects news) {
-    loadExchange.reportSuspects(news);
-    ImmutableList<CrashSuspect> quarantined =
-        news.suspects().stream()
-            .filter(s -> router.remainingQuarantineNanos(loop.now(), s.id()) > 0)
-            .collect(ImmutableList.toImmutableList());
-    scheduler.execute(() -> registry.storeSuspects(news.suspects(), quarantined));
+  private void storeSuspects(RelayEffect.StoreSuspects news) {
+    scheduler.execute(() -> registry.storeSuspects(news));
   }
 
   /**
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -82,6 +82,7 @@
   private final Map<AttemptId, RelayAttempt> attempts = new HashMap<>();
   private Consumer<RelayEffect.ReservationAnswer> answerSender = e -> {};
   private Consumer<RelayEffect.ReportSuspects> suspectReporter = e -> {};
+  private Consumer<RelayEffect.StoreSuspects> suspectStore = e -> {};
   private Consumer<RelayEffect.OfStream> streamSharing = e -> {};
   private LongConsumer stateReader = n -> {};
   private LongConsumer upstreamsReader = n -> {};
@@ -131,6 +132,11 @@
     streamSharing = streams;
   }
 
+  /** Sets the consumer that stores suspects. Must be called before the first event. */
+  public void setSuspectStore(Consumer<RelayEffect.StoreSuspects> suspects) {
+    suspectStore = suspects;
+  }
+
   /**
    * Sets the consumers that read from the store again, for the number of a request. Must be called
    * before the first event.
@@ -172,6 +178,7 @@
       case RelayEffect.ReservationAnswer e -> answerSender.accept(e);
       case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspects e -> suspectReporter.accept(e);
+      case RelayEffect.StoreSuspects e -> suspectStore.accept(e);
       case RelayEffect.OfStream e -> streamSharing.accept(e);
       case RelayEffect.ConfirmState e -> stateReader.accept(e.number());
       case RelayEffect.ConfirmUpstreams e -> upstreamsReader.accept(e.number());
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/EngineSim.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/EngineSim.java
@@ -364,6 +364,9 @@
           decisions.add(effect);
         }
       }
+      case RelayEffect.StoreSuspects s -> {
+        // What is stored decides nothing about calls.
+      }
       default -> decisions.add(effect);
     }
   }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEffect.java
@@ -7,9 +7,11 @@
 package org.larkkeel.relay;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.AttemptId;
+import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
 import org.larkkeel.lib.UpstreamIncarnation;
@@ -152,6 +154,16 @@
   /** Report new information about suspects of crashes to other nodes. */
   record ReportSuspects(ImmutableList<CrashSuspect> suspects) implements RelayEffect {}
 
+  /**
+   * Store what is known of suspects of crashes, for the nodes that start after all have ended.
+   *
+   * @param suspects the suspects of which something new is known
+   * @param lasting those of them whose crashes or whose clearance must outlast all nodes; what was
+   *     stored of the others may be dropped
+   */
+  record StoreSuspects(ImmutableList<CrashSuspect> suspects, ImmutableSet<Fingerprint> lasting)
+      implements RelayEffect {}
+
   /**
    * Read the state of the store again. Answered by {@code RelayEvent.StateConfirmed}, after the
    * events of what has changed.
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -17,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.larkkeel.lib.Fingerprint;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.relay.AnswerGrade;
@@ -128,6 +129,7 @@
 
   /** Reports those of some traits that {@code clearance} has cleared. */
   private void clear(long at, List<CallTrait> traits, Predicate<CallTrait> clearance) {
+    Set<Fingerprint> lasting = lasting(traits.stream().map(CallTrait::id));
     Set<Fingerprint> cleared = new LinkedHashSet<>();
     for (CallTrait trait : traits) {
       if (clearance.test(trait)) {
@@ -136,6 +138,7 @@
       }
     }
     sendReports(at, cleared);
+    store(at, cleared, lasting);
   }
 
   /** Handles a connection that broke while its upstream had the attempt. */
@@ -202,6 +205,8 @@
       recordRunningParts(at, crashed);
     }
     final ImmutableSet<Fingerprint> before = quarantine.quarantined(at);
+    final ImmutableSet<Fingerprint> lastingHere =
+        lasting(reports.stream().map(CrashSuspect::id).filter(quarantine::isDetectedHere));
     for (CrashSuspect s : reports) {
       if (isRefuted(at, s)) {
         quarantine.refute(at, s);
@@ -211,8 +216,13 @@
     }
     Set<Fingerprint> added = Sets.difference(quarantine.quarantined(at), before);
     added.forEach(id -> reportSuspected(at, id, "peer"));
-    // The nodes that detected the crashes store the verdict, so that it outlasts all nodes.
-    sendReports(at, Sets.filter(added, quarantine::isDetectedHere));
+    Set<Fingerprint> addedHere = Sets.filter(added, quarantine::isDetectedHere);
+    sendReports(at, addedHere);
+    // The nodes that detected the crashes store the verdict and its end, so that both outlast all
+    // nodes.
+    store(at, addedHere, addedHere);
+    Set<Fingerprint> clearedHere = Sets.filter(lastingHere, id -> quarantine.crashCount(id) == 0);
+    store(at, clearedHere, clearedHere);
     if (!added.isEmpty()) {
       refuseQuarantined(at);
     }
@@ -246,9 +256,11 @@
   /** Releases a suspect from quarantine, as ordered by an operator. */
   void released(long at, Fingerprint id) {
     Optional<CrashSuspect> known = quarantine.find(at, id);
+    Set<Fingerprint> lasting = lasting(Stream.of(id));
     if (quarantine.clear(at, id)) {
       report(new RelayFact.Cleared(id, known.orElseThrow().scope(), "released"));
       sendReports(at, Set.of(id));
+      store(at, Set.of(id), lasting);
     }
   }
 
@@ -267,6 +279,7 @@
     }
     suspected.forEach(id -> reportSuspected(at, id, "self"));
     sendReports(at, suspected);
+    store(at, suspected, lasting(suspected.stream()));
     if (!before.containsAll(quarantine.quarantined(at))) {
       refuseQuarantined(at);
     }
@@ -287,15 +300,36 @@
   }
 
   private void sendReports(long at, Set<Fingerprint> ids) {
-    ImmutableList<CrashSuspect> news =
-        ids.stream()
-            .flatMap(id -> quarantine.find(at, id).stream())
-            .collect(ImmutableList.toImmutableList());
+    ImmutableList<CrashSuspect> news = find(at, ids);
     if (!news.isEmpty()) {
       effects.accept(new RelayEffect.ReportSuspects(news));
     }
   }
 
+  private ImmutableList<CrashSuspect> find(long at, Set<Fingerprint> ids) {
+    return ids.stream()
+        .flatMap(id -> quarantine.find(at, id).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns those of some suspects of which everything new must outlast all nodes. */
+  private ImmutableSet<Fingerprint> lasting(Stream<Fingerprint> ids) {
+    return ids.filter(quarantine::mustOutlast).collect(ImmutableSet.toImmutableSet());
+  }
+
+  /**
+   * Stores the suspects of which something new is known. A clearance is stored as well: nodes that
+   * start after all have ended find the crashes in the store and would not know of it.
+   */
+  private void store(long at, Set<Fingerprint> ids, Set<Fingerprint> lasting) {
+    ImmutableList<CrashSuspect> news = find(at, ids);
+    if (!news.isEmpty()) {
+      effects.accept(
+          new RelayEffect.StoreSuspects(
+              news, ImmutableSet.copyOf(Sets.intersection(ids, lasting))));
+    }
+  }
+
   /** Refuses the calls that wait and are quarantined now. */
   private void refuseQuarantined(long at) {
     for (CallState c : calls.idle()) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -116,6 +116,11 @@
     return r != null && r.isDetectedHere();
   }
 
+  /** Returns whether what is known of a suspect must outlast all nodes: there is a verdict. */
+  boolean mustOutlast(Fingerprint id) {
+    return verdicts().containsKey(id);
+  }
+
   /** Returns the number of crashes that count for a suspect. */
   int crashCount(Fingerprint id) {
     SuspectRecord r = records.get(id);
