Keep stored clearances over several lives of a node

Cause: at its start a node takes up what its entry of the store holds, but not what is older than three hours. A clearance has no crashes, so that "all crashes are old" held for it, and the next write of the entry dropped it. After a further end of all nodes a verdict in another node's entry would have held again.

Change: only suspects with crashes are too old.

Measured: QuarantineEntriesTest.keepsClearedRequestOverLives failed before (expected 1 entry, found 0).

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
@@ -115,6 +115,22 @@
       assertEquals(read(written(entries), NOW), ImmutableList.of(cleared));
     }
 
+    /** Guards against a clearance that outlasts the end of all nodes once, but not twice. */
+    @Test
+    public void keepsClearedRequestOverLives() {
+      QuarantineEntries entries = new QuarantineEntries();
+      CrashSuspect cleared =
+          new CrashSuspect(
+              Fingerprint.of("a"), SuspectScope.REQUEST, 1, ImmutableMap.of(), ImmutableSet.of());
+      entries.update(cleared, true, NOW);
+      for (int life = 0; life < 3; life++) {
+        QuarantineEntries next = new QuarantineEntries();
+        read(written(entries), NOW).forEach(s -> next.restore(s, NOW));
+        entries = next;
+      }
+      assertEquals(read(written(entries), NOW), ImmutableList.of(cleared));
+    }
+
     @Test
     public void isBounded() {
       QuarantineEntries entries = new QuarantineEntries();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
@@ -81,7 +81,9 @@
 
   /** Adds a suspect read from the node's stored entry, unless the request is known already. */
   void restore(CrashSuspect suspect, long wallMillis) {
-    boolean isOld = suspect.crashes().values().stream().allMatch(c -> c.ageNanos() > MAX_AGE_NANOS);
+    boolean isOld =
+        !suspect.crashes().isEmpty()
+            && suspect.crashes().values().stream().allMatch(c -> c.ageNanos() > MAX_AGE_NANOS);
     if (entries.size() < MAX_REQUESTS && !isOld) {
       entries.putIfAbsent(suspect.id(), new StoredSuspect(suspect, wallMillis));
     }
