List the nodes again soon until a list was read

Cause: a node lists the registered nodes, and with them the quarantined requests, after its registration, 2 s later and then every 30 s. If the first two lists failed, it knew neither for half a minute, sent quarantined requests on, and used no retry slack. A missing list was taken for an empty one.

Change: until one list was read, a failed one is repeated after a backoff of 4 s at most, one at a time. Later failures wait for the next period as before.

Measured: NodeRegistryTest.Lists.areReadAgainSoonUntilOneIsRead failed before: nothing was read within 9 s of four failures. areReadSinglyWhileTheStoreIsAway bounds the calls, and passed before as well.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
@@ -7,6 +7,7 @@
 package org.larkkeel.daemon.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
@@ -14,21 +15,30 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.larkkeel.http.Json;
 import org.larkkeel.lib.HostName;
+import org.larkkeel.relay.CrashSuspect;
 import org.larkkeel.store.EntryProblem;
 import org.larkkeel.store.EntryProblem.Reason;
 import org.larkkeel.store.ObjectApi;
+import org.larkkeel.store.ObjectApiException;
+import org.larkkeel.store.ObjectApiFailure;
 import org.larkkeel.store.ObjectKey;
 import org.larkkeel.store.ObjectPage;
 import org.larkkeel.store.Scheduler;
 import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.UnreadableObject;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -90,18 +100,147 @@
     }
   }
 
+  /** Lists of nodes that fail or have several pages. */
+  public static class Lists {
+    private static final Duration STABLE_TIME = Duration.ofSeconds(3);
+
+    private final Queue<CompletableFuture<ObjectPage>> answers = new ArrayDeque<>();
+    private final TimedActions actions = new TimedActions();
+    private final List<RegisteredNode> peers = new ArrayList<>();
+    private final List<CrashSuspect> suspects = new ArrayList<>();
+
+    private static ObjectPage page(int node, String continueToken) throws Exception {
+      String spec =
+          "{\"address\":\"10.0.0.%d:80\",\"quarantine\":[{\"request\":\"%032x\",\"epoch\":0,"
+              + "\"ends\":[{\"upstream\":\"u\",\"start\":1,\"atMillis\":2}]}]}";
+      return new ObjectPage(
+          ImmutableList.of(node("node-" + node, spec.formatted(node, node))),
+          new StoreVersion(1, 1),
+          continueToken);
+    }
+
+    private static CompletableFuture<ObjectPage> failure() {
+      return CompletableFuture.failedFuture(
+          new ObjectApiException(new ObjectApiFailure.Unavailable(), "429"));
+    }
+
+    private NodeRegistry registry() {
+      return new NodeRegistry(
+          store(answers::remove),
+          actions,
+          new HostName("self"),
+          SELF,
+          peers::addAll,
+          suspects::addAll,
+          (collection, r) -> {});
+    }
+
+    /** Clears what the test before has left. */
+    @BeforeMethod
+    public void clear() {
+      answers.clear();
+      actions.clear();
+      peers.clear();
+      suspects.clear();
+    }
+
+    /**
+     * Guards against a node that takes no list for a list of nothing: after its second failure it
+     * read the quarantined requests half a minute later.
+     */
+    @Test
+    public void areReadAgainSoonUntilOneIsRead() throws Exception {
+      for (int i = 0; i < 4; i++) {
+        answers.add(failure());
+      }
+      answers.add(CompletableFuture.completedFuture(page(1, "")));
+      for (int i = 0; i < 10; i++) {
+        answers.add(CompletableFuture.completedFuture(page(2, "")));
+      }
+      registry().start();
+      actions.advance(STABLE_TIME.multipliedBy(3));
+      assertTrue(suspects.size() >= 1, "the quarantined requests are not read");
+      assertTrue(peers.contains(registered("node-1", "10.0.0.1")), peers.toString());
+    }
+
+    /** Guards against a herd of lists in a long outage of the store. */
+    @Test
+    public void areReadSinglyWhileTheStoreIsAway() {
+      for (int i = 0; i < 1_000; i++) {
+        answers.add(failure());
+      }
+      registry().start();
+      actions.advance(Duration.ofMinutes(5));
+      int calls = 1_000 - answers.size();
+      assertTrue(calls < 300, calls + " lists in five minutes");
+    }
+  }
+
   private static RegisteredNode registered(String name, String ip) {
     return new RegisteredNode(Optional.of(new HostName(name)), new InetSocketAddress(ip, 80));
   }
 
   /** Returns a store that accepts the registration and lists one page. */
   private static ObjectApi store(ObjectPage page) {
+    return store(() -> CompletableFuture.completedFuture(page));
+  }
+
+  /** Returns a store that accepts the registration and answers lists. */
+  private static ObjectApi store(Supplier<CompletableFuture<ObjectPage>> lists) {
     return (ObjectApi)
         Proxy.newProxyInstance(
             NodeRegistryTest.class.getClassLoader(),
             new Class<?>[] {ObjectApi.class},
             (proxy, method, args) ->
-                CompletableFuture.completedFuture(method.getName().equals("list") ? page : null));
+                method.getName().equals("list")
+                    ? lists.get()
+                    : CompletableFuture.completedFuture(null));
+  }
+
+  /** A scheduler in virtual time. */
+  private static final class TimedActions implements Scheduler {
+    private record Due(long at, long order, Runnable action) {}
+
+    private final PriorityQueue<Due> queue =
+        new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private long nowNanos;
+    private long order;
+
+    void clear() {
+      queue.clear();
+    }
+
+    void advance(Duration time) {
+      long end = nowNanos + time.toNanos();
+      while (!queue.isEmpty() && queue.peek().at() <= end) {
+        Due due = queue.remove();
+        nowNanos = due.at();
+        due.action().run();
+      }
+      nowNanos = end;
+    }
+
+    @Override
+    public long nanoTime() {
+      return nowNanos;
+    }
+
+    @Override
+    public long wallMillis() {
+      return nowNanos / 1_000_000;
+    }
+
+    @Override
+    public Timer schedule(Duration delay, Runnable task) {
+      Due due = new Due(nowNanos + delay.toNanos(), order++, task);
+      queue.add(due);
+      return () -> queue.remove(due);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      schedule(Duration.ZERO, task);
+    }
   }
 
   /** Returns a scheduler that never runs its actions. */
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -64,10 +64,16 @@
   private final Consumer<ImmutableList<CrashSuspect>> suspectListener;
   private final SplittableRandom random;
   private final Backoff backoff;
+  private final Backoff listBackoff;
   private final QuarantineEntries quarantine = new QuarantineEntries();
   private final UnreadableEntries problems;
   private boolean listing;
 
+  /** Whether the list of nodes has been read in this life. */
+  private boolean listed;
+
+  private boolean listScheduled;
+
   NodeRegistry(
       ObjectApi store,
       Scheduler scheduler,
@@ -85,6 +91,7 @@
     this.suspectListener = suspectListener;
     this.random = new SplittableRandom(self.value().hashCode());
     this.backoff = new Backoff(FIRST_BACKOFF, MAX_BACKOFF, random.split());
+    this.listBackoff = new Backoff(FIRST_BACKOFF, MAX_BACKOFF, random.split());
   }
 
   void start() {
@@ -198,11 +205,29 @@
     store.list(ListQuery.of(COLLECTION)).whenComplete(this::listed);
   }
 
+  /**
+   * Schedules another list until one was read: without it, this node knows neither its peers nor
+   * what is quarantined, and must not take that for nothing.
+   */
+  private void notListed(Throwable failure) {
+    log.info("event=nodes_not_listed listed={} cause=\"{}\"", listed, failure.getMessage());
+    if (!listed && !listScheduled) {
+      listScheduled = true;
+      scheduler.schedule(
+          listBackoff.nextDelay(),
+          () -> {
+            listScheduled = false;
+            listNodes();
+          });
+    }
+  }
+
   private void listed(ObjectPage page, Throwable failure) {
     if (failure != null) {
-      log.debug("event=nodes_not_listed cause=\"{}\"", failure.getMessage());
+      notListed(failure);
       return;
     }
+    listed = true;
     ImmutableList.Builder<RegisteredNode> registered = ImmutableList.builder();
     Map<String, EntryProblem> unreadable = new TreeMap<>();
     page.unreadable().forEach(u -> unreadable.put(u.name(), u.problem()));
