Read all pages of the list of nodes

Cause: the store returns about 500 entries or 1 MB a page. The registry read the first page and took it for the whole list: nodes and quarantined requests of later pages were unknown, and the retry slack was divided among too few nodes. Entries with 64 suspects are long enough for a second page in fleets below 500 nodes.

Change: the pages are read one after the other and handled together; if one fails, the list has failed.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
@@ -174,6 +174,22 @@
       int calls = 1_000 - answers.size();
       assertTrue(calls < 300, calls + " lists in five minutes");
     }
+
+    /** Guards against a node that takes the first page of the list for all of it. */
+    @Test
+    public void areReadToTheirLastPage() throws Exception {
+      answers.add(CompletableFuture.completedFuture(page(1, "node-1")));
+      answers.add(CompletableFuture.completedFuture(page(2, "node-2")));
+      answers.add(CompletableFuture.completedFuture(page(3, "")));
+      registry().start();
+      assertEquals(
+          peers,
+          List.of(
+              registered("node-1", "10.0.0.1"),
+              registered("node-2", "10.0.0.2"),
+              registered("node-3", "10.0.0.3")));
+      assertEquals(suspects.size(), 3);
+    }
   }
 
   private static RegisteredNode registered(String name, String ip) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -10,10 +10,14 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
+import com.google.common.collect.Lists;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -202,7 +206,25 @@
   }
 
   private void listNodes() {
-    store.list(ListQuery.of(COLLECTION)).whenComplete(this::listed);
+    listPage(ListQuery.of(COLLECTION), new ArrayList<>());
+  }
+
+  private void listPage(ListQuery query, List<ObjectPage> earlier) {
+    store
+        .list(query)
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                notListed(failure);
+                return;
+              }
+              earlier.add(page);
+              if (page.isLast()) {
+                listed(earlier);
+              } else {
+                listPage(query.after(page.continueToken()), earlier);
+              }
+            });
   }
 
   /**
@@ -222,16 +244,12 @@
     }
   }
 
-  private void listed(ObjectPage page, Throwable failure) {
-    if (failure != null) {
-      notListed(failure);
-      return;
-    }
+  private void listed(List<ObjectPage> pages) {
     listed = true;
     ImmutableList.Builder<RegisteredNode> registered = ImmutableList.builder();
     Map<String, EntryProblem> unreadable = new TreeMap<>();
-    page.unreadable().forEach(u -> unreadable.put(u.name(), u.problem()));
-    for (StoredObject node : page.items()) {
+    pages.forEach(p -> p.unreadable().forEach(u -> unreadable.put(u.name(), u.problem())));
+    for (StoredObject node : Iterables.concat(Lists.transform(pages, ObjectPage::items))) {
       switch (QuarantineEntries.read(node.spec(), scheduler.wallMillis())) {
         case ParseResult.Readable<ImmutableList<CrashSuspect>> r -> notifySuspects(r.value());
         case ParseResult.Unreadable<ImmutableList<CrashSuspect>> u ->
