Store suspects of crashes from the second crash on

Cause: only quarantined suspects were stored. A request that had crashed two engines when all nodes ended began anew, and so in each life; the promise counts its crashes over all lives. A suspect that is not stored was taken for one without crashes.

Change: a node stores a suspect whose crash it has detected once two crashes are known, by itself or by merging reports, and what clears it. Suspects of a single crash are still not stored: most of them never come again. If a node's entry is full, suspects below a verdict make room first. What is stored does not decide: verdicts follow from the crashes of all entries, as before.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingRequestsClusterTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/CrashingRequestsClusterTest.java
@@ -164,6 +164,9 @@
 
   /** Ends of all nodes, after which only the store remembers. */
   public static class EndsOfAllNodes {
+    private static final int LIVES = 5;
+    private static final int CRASHES_A_LIFE = 2;
+
     /** Returns the nodes at which a request is released. */
     @DataProvider
     public static Object[][] releasingNodes() {
@@ -185,6 +188,24 @@
       assertEquals(quarantiningNodes(cluster, request), 0);
     }
 
+    /** Guards against a request that crashes two engines in each life of the nodes. */
+    @Test
+    public void keepCrashesBelowVerdict() {
+      SimCluster cluster = startedCluster(SMALL, 12);
+      for (int life = 0; life < LIVES; life++) {
+        int before = cluster.crashes.size();
+        for (int i = 0; i < 20 && cluster.crashes.size() < before + CRASHES_A_LIFE; i++) {
+          cluster.submitCrashingCall("crash");
+          cluster.load(2, 400);
+        }
+        cluster.load(4, 800);
+        cluster.restartNodes(700);
+        cluster.load(10, 4_000);
+      }
+      long sends = sendsAfterThirdCrash(cluster);
+      assertTrue(sends <= MAX_SENDS, sends + " sends, " + cluster.crashes.size() + " crashes");
+    }
+
     private static Fingerprint quarantined(SimCluster cluster) {
       return cluster.nodes.getFirst().router.suspects(cluster.nowNanos()).stream()
           .map(CrashSuspect::id)
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
@@ -131,6 +131,20 @@
       assertEquals(read(written(entries), NOW), ImmutableList.of(cleared));
     }
 
+    /** Guards against suspects of two crashes that displace what is quarantined. */
+    @Test
+    public void keepsQuarantinedRequestRatherThanThoseOfTwoCrashes() {
+      QuarantineEntries entries = new QuarantineEntries();
+      entries.update(suspect("a", 3), true, NOW);
+      for (int i = 0; i < 200; i++) {
+        entries.update(suspect("request " + i, 2), true, NOW);
+      }
+      ImmutableList<CrashSuspect> kept = read(written(entries), NOW);
+      assertEquals(kept.size(), QuarantineEntries.MAX_REQUESTS);
+      assertTrue(kept.contains(suspect("a", 3)), "the quarantined request is gone");
+      assertTrue(kept.contains(suspect("request 199", 2)), "the latest request is gone");
+    }
+
     @Test
     public void isBounded() {
       QuarantineEntries entries = new QuarantineEntries();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
@@ -39,6 +39,9 @@
   /** The age from which stored crashes are ignored; it exceeds the duration of any quarantine. */
   private static final long MAX_AGE_NANOS = TimeUnit.HOURS.toNanos(3);
 
+  /** The minimum number of crashes for a quarantine. */
+  private static final int MIN_CRASHES_OF_VERDICT = 3;
+
   /** The fingerprint of the request or part. */
   private static final String REQUEST = "request";
 
@@ -73,12 +76,22 @@
       return wasStored;
     }
     if (entries.size() == MAX_REQUESTS) {
-      entries.remove(entries.keySet().iterator().next());
+      entries.remove(leastTelling());
     }
     entries.put(suspect.id(), new StoredSuspect(suspect, wallMillis));
     return true;
   }
 
+  /** Returns the oldest suspect of too few crashes for a verdict, or else the oldest of all. */
+  private Fingerprint leastTelling() {
+    return entries.values().stream()
+        .map(StoredSuspect::suspect)
+        .filter(s -> !s.crashes().isEmpty() && s.crashes().size() < MIN_CRASHES_OF_VERDICT)
+        .findFirst()
+        .map(CrashSuspect::id)
+        .orElseGet(() -> entries.keySet().iterator().next());
+  }
+
   /** Adds a suspect read from the node's stored entry, unless the request is known already. */
   void restore(CrashSuspect suspect, long wallMillis) {
     boolean isOld =
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -216,13 +216,8 @@
     }
     Set<Fingerprint> added = Sets.difference(quarantine.quarantined(at), before);
     added.forEach(id -> reportSuspected(at, id, "peer"));
-    Set<Fingerprint> addedHere = Sets.filter(added, quarantine::isDetectedHere);
-    sendReports(at, addedHere);
-    // The nodes that detected the crashes store the verdict and its end, so that both outlast all
-    // nodes.
-    store(at, addedHere, addedHere);
-    Set<Fingerprint> clearedHere = Sets.filter(lastingHere, id -> quarantine.crashCount(id) == 0);
-    store(at, clearedHere, clearedHere);
+    sendReports(at, Sets.filter(added, quarantine::isDetectedHere));
+    storeMerged(at, reports, added, lastingHere);
     if (!added.isEmpty()) {
       refuseQuarantined(at);
     }
@@ -312,6 +307,27 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /**
+   * Stores what a merge has shown of suspects whose crashes this node has detected: that they are
+   * quarantined, that it is not the only node that has detected one, or that they are cleared.
+   * Further crashes are stored by the nodes that detect them.
+   *
+   * @param added the suspects that are quarantined since
+   * @param before the suspects with crashes detected here of which everything new was stored before
+   */
+  private void storeMerged(
+      long at,
+      ImmutableList<CrashSuspect> reports,
+      Set<Fingerprint> added,
+      Set<Fingerprint> before) {
+    Set<Fingerprint> news = new LinkedHashSet<>(Sets.filter(added, quarantine::isDetectedHere));
+    lasting(reports.stream().map(CrashSuspect::id).filter(quarantine::isDetectedHere)).stream()
+        .filter(id -> !before.contains(id))
+        .forEach(news::add);
+    before.stream().filter(id -> quarantine.crashCount(id) == 0).forEach(news::add);
+    store(at, news, news);
+  }
+
   /** Returns those of some suspects of which everything new must outlast all nodes. */
   private ImmutableSet<Fingerprint> lasting(Stream<Fingerprint> ids) {
     return ids.filter(quarantine::mustOutlast).collect(ImmutableSet.toImmutableSet());
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -35,6 +35,9 @@
   /** The maximum number of requests, and that of parts of prompts. */
   static final int MAX_OF_SCOPE = 512;
 
+  /** The number of crashes from which they are stored. */
+  private static final int LASTING_CRASHES = CrashVerdicts.CRASHES - 1;
+
   private static final long SECOND = 1_000_000_000L;
 
   /** The duration of the quarantine after the first crashes that suffice. */
@@ -116,9 +119,12 @@
     return r != null && r.isDetectedHere();
   }
 
-  /** Returns whether what is known of a suspect must outlast all nodes: there is a verdict. */
+  /**
+   * Returns whether what is known of a suspect must outlast all nodes, as the next crash may bring
+   * a verdict. Most suspects of a single crash never come again.
+   */
   boolean mustOutlast(Fingerprint id) {
-    return verdicts().containsKey(id);
+    return crashCount(id) >= LASTING_CRASHES;
   }
 
   /** Returns the number of crashes that count for a suspect. */
