Make no quota tokens of a node's time before it knows all nodes

Cause: a node divides its share of a quota by the nodes that it knows. One that has just started knows at most three from its settings until it has read the list of nodes, and took these for all: its share, its debt while alone, and what it made as its own coordinator were up to 15 times too large in a fleet of 60. Slack of retries waits for the list; quotas did not.

Change: until the list is read, a node's time is neither lent nor spent, and it has no debt. It still asks the coordinator, which divides by the nodes that it knows, so that calls are served from what other nodes lend. The price: a node that cannot read the list and reaches no coordinator serves no call of a workspace with a quota.

Not tried with processes.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaCluster.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaCluster.java
@@ -84,6 +84,12 @@
      */
     int coordinator;
 
+    /** Whether it uses its own coordinator. */
+    boolean isOwnCoordinator;
+
+    /** The number of nodes that it knows; 0 if it knows all. */
+    int knownNodes;
+
     long suspendedUntil;
     private long fallbackUntil;
     private final List<Waiting> waiting = new ArrayList<>();
@@ -193,6 +199,9 @@
      * while, once it is no longer suspended.
      */
     private Node target() {
+      if (isOwnCoordinator) {
+        return this;
+      }
       Node first = nodes.get(coordinator);
       if (now >= fallbackUntil && !first.isSuspended()) {
         fallbackUntil = 0;
@@ -205,12 +214,16 @@
         return;
       }
       QuotaGrant grant =
-          quotaCoordinator.grant(now, from.name, request, nodes.size(), w -> Optional.of(limit));
+          quotaCoordinator.grant(now, from.name, request, nodeCount(), w -> Optional.of(limit));
       if (!isLost()) {
         messages.add(() -> from.granted(grant));
       }
     }
 
+    private int nodeCount() {
+      return knownNodes > 0 ? knownNodes : nodes.size();
+    }
+
     private void granted(QuotaGrant grant) {
       if (isSuspended()) {
         return;
--- a/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaClusterTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/quota/QuotaClusterTest.java
@@ -214,6 +214,59 @@
     }
   }
 
+  /** Nodes that have just started while the demand of a workspace is many times its limit. */
+  public static class JustStarted extends QuotaClusterTest {
+    private static final int NODES = 60;
+    private static final int SEEDS = 3;
+
+    @DataProvider
+    static Object[][] lives() {
+      return withRanks(
+          new Object[][] {{SMALL, 2}, {SMALL, 4}, {SMALL, 8}, {LARGE, 2}, {LARGE, 4}, {LARGE, 8}});
+    }
+
+    /** Ends all nodes; those that start know all nodes at once. */
+    @Test(dataProvider = "lives")
+    public void keepTheLimitOverLives(TokenLimit limit, int lives, QuotaCluster.Ranks ranks) {
+      QuotaCluster cluster = cluster(NODES, limit, ranks, 300 + lives);
+      cluster.pass(2_000, 5 * limit.perSecond());
+      for (int life = 1; life < lives; life++) {
+        cluster.nodes.forEach(QuotaCluster.Node::start);
+        cluster.pass(8_000 / lives, 5 * limit.perSecond());
+      }
+      long max = cluster.mostInWindow(WINDOW);
+      assertTrue(max <= allowed(limit), max + " of " + allowed(limit));
+    }
+
+    @DataProvider
+    static Object[][] coordinators() {
+      return withRanks(new Object[][] {{SMALL, -1}, {SMALL, 0}, {LARGE, -1}, {LARGE, 0}});
+    }
+
+    /**
+     * Guards against nodes that take the few others that they know for all: a third of the nodes
+     * has just started, knows the nodes of its settings only, as the list of nodes is not read, and
+     * reaches no coordinator, or each is its own.
+     */
+    @Test(dataProvider = "coordinators")
+    public void keepTheLimitWhileTheNodesAreUnknown(
+        TokenLimit limit, int coordinator, QuotaCluster.Ranks ranks) {
+      QuotaCluster cluster = cluster(NODES, limit, ranks, 400);
+      cluster.pass(2_000, 5 * limit.perSecond());
+      for (QuotaCluster.Node n : cluster.nodes.subList(2 * NODES / 3, NODES)) {
+        n.start();
+        n.coordinator = coordinator;
+        n.isOwnCoordinator = coordinator == 0;
+        n.knownNodes = SEEDS + 1;
+        n.holder.nodes(cluster.now, n.knownNodes);
+        n.holder.nodesKnown(cluster.now, false);
+      }
+      cluster.pass(4_000, 5 * limit.perSecond());
+      long max = cluster.mostInWindow(WINDOW);
+      assertTrue(max <= allowed(limit), max + " of " + allowed(limit));
+    }
+  }
+
   /** Nodes without a coordinator. */
   public static class WithoutCoordinator extends QuotaClusterTest {
     @Test(dataProvider = "ranks")
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/WorkspacesTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/WorkspacesTest.java
@@ -306,6 +306,27 @@
       assertEquals(w.refusal(), ErrorKind.WORKSPACE_LIMIT, "there is no tolerance");
     }
 
+    /** Guards against shares of a quota that a node divides by the few nodes that it knows. */
+    @Test
+    public void getsNoTimeOfNodeThatDoesNotKnowAllNodes() {
+      RelayWorld w = world(LIMIT);
+      w.apply(new RelayEvent.NodesUnknown(w.now()));
+      w.arriveWithKey("/once/a", CallSize.NONE, KEY);
+      w.pass(100);
+      assertEquals(lentNanos(w), 0);
+      w.apply(new RelayEvent.NodesListed(w.now()));
+      w.pass(100);
+      assertTrue(lentNanos(w) > 0, "no time is lent although the nodes are known");
+    }
+
+    private static long lentNanos(RelayWorld w) {
+      QuotaRequest request = w.router.quotaRequest(w.now(), true).orElseThrow();
+      w.apply(
+          new RelayEvent.QuotaGranted(
+              w.now(), new QuotaGrant(request.epoch(), request.sequence(), ImmutableList.of())));
+      return request.lentNanos();
+    }
+
     @Test
     public void isNotRequestedWithoutLimits() {
       RelayWorld w = world(TokenLimit.NONE);
--- a/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/quota/QuotaHolder.java
@@ -60,6 +60,7 @@
   private final SplittableRandom random;
   private final Map<QuotaKey, QuotaAccount> accounts = new HashMap<>();
   private int nodes = 1;
+  private boolean nodesKnown = true;
   private long sequence;
   private Optional<QuotaRequest> openRequest = Optional.empty();
   private long sentAt;
@@ -116,6 +117,15 @@
     nodes = Math.max(1, count);
   }
 
+  /**
+   * Sets whether the list of all nodes has been read. Until then this node may know few of them, so
+   * that its share would be too large: it neither lends nor spends its time, and has no debt.
+   */
+  public void nodesKnown(long at, boolean known) {
+    spendOwnTime(at);
+    nodesKnown = known;
+  }
+
   /** Returns whether this node has not reached the coordinator for some time. */
   public boolean isAlone(long at) {
     return at - grantedAt > ALONE_NANOS;
@@ -220,7 +230,8 @@
   }
 
   private Decision decideAlone(QuotaAccount a, long tokens) {
-    double available = a.held + tolerance(a).overdraft(a.limit, nodes);
+    double overdraft = nodesKnown ? tolerance(a).overdraft(a.limit, nodes) : 0;
+    double available = a.held + overdraft;
     double missing = tokens - available;
     // Admits a larger call with a probability that keeps the mean rate of tokens the same.
     if (missing <= 0 || (a.held >= 0 && random.nextDouble() * tokens < available)) {
@@ -324,7 +335,9 @@
 
   private void spendOwnTime(long at) {
     if (isAlone(at)) {
-      ownSeconds += Math.max(0, at - accountedAt) / NANOS_PER_SECOND / nodes;
+      if (nodesKnown) {
+        ownSeconds += Math.max(0, at - accountedAt) / NANOS_PER_SECOND / nodes;
+      }
       accountedAt = at;
     }
   }
@@ -354,7 +367,7 @@
       return Optional.empty();
     }
     spendOwnTime(at);
-    final long lent = Math.max(0, at - accountedAt);
+    final long lent = nodesKnown ? Math.max(0, at - accountedAt) : 0;
     accountedAt = at;
     sentAt = at;
     openedAt = at;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -302,11 +302,13 @@
   /** Records that the number of nodes is not known until their list has been read. */
   public void nodesUnknown(long at) {
     core.retryBudget.nodesKnown(at, false);
+    core.heldQuotas.nodesKnown(at, false);
   }
 
   /** Records that the list of all nodes has been read. */
   public void nodesListed(long at) {
     core.retryBudget.nodesKnown(at, true);
+    core.heldQuotas.nodesKnown(at, true);
   }
 
   /** Handles the arrival of a call. */
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/HeldQuotas.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/HeldQuotas.java
@@ -20,6 +20,7 @@
 final class HeldQuotas {
   private final QuotaTolerance tolerance;
   private int nodes;
+  private boolean nodesKnown = true;
 
   /** Null until an event has carried the time. */
   private QuotaHolder holder;
@@ -34,6 +35,7 @@
     if (holder == null) {
       holder = new QuotaHolder(tolerance, at, at);
       holder.nodes(at, nodes);
+      holder.nodesKnown(at, nodesKnown);
     }
     return holder;
   }
@@ -56,6 +58,14 @@
     }
   }
 
+  /** Sets whether the list of all nodes has been read, as {@link QuotaHolder#nodesKnown}. */
+  void nodesKnown(long at, boolean known) {
+    nodesKnown = known;
+    if (holder != null) {
+      holder.nodesKnown(at, known);
+    }
+  }
+
   /** Ensures that tokens are held, as {@link QuotaHolder#ensureHeld}. */
   boolean ensureHeld(long at, QuotaKey key, TokenLimit limit, long tokens) {
     return holderAt(at).ensureHeld(at, key, limit, tokens);
