--- a/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
+++ b/org.larkkeel.bench/src/main/java/org/larkkeel/bench/experiment/fleet/SimNode.java
@@ -432,6 +432,7 @@
       case RelayEffect.ReservationAnswer e -> sharing.answer(e);
       case RelayEffect.Probe e -> probe(e);
       case RelayEffect.ReportSuspects e -> sharing.reportSuspects(e);
+      case RelayEffect.StoreSuspects e -> {}
       case RelayEffect.OfStream e -> sharing.execute(e);
       case RelayEffect.RecordBuilds e ->
           submit(new RelayEvent.BuildsRecorded(now(), e.service(), e.builds()));
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/QuarantineEntriesTest.java
@@ -115,6 +115,36 @@
       assertEquals(read(written(entries), NOW), ImmutableList.of(cleared));
     }
 
+    /** Guards against a clearance that outlasts the end of all nodes once, but not twice. */
+    @Test
+    public void keepsClearedRequestOverLives() {
+      QuarantineEntries entries = new QuarantineEntries();
+      CrashSuspect cleared =
+          new CrashSuspect(
+              Fingerprint.of("a"), SuspectScope.REQUEST, 1, ImmutableMap.of(), ImmutableSet.of());
+      entries.update(cleared, true, NOW);
+      for (int life = 0; life < 3; life++) {
+        QuarantineEntries next = new QuarantineEntries();
+        read(written(entries), NOW).forEach(s -> next.restore(s, NOW));
+        entries = next;
+      }
+      assertEquals(read(written(entries), NOW), ImmutableList.of(cleared));
+    }
+
+    /** Guards against suspects of two crashes that displace what is quarantined. */
+    @Test
+    public void keepsQuarantinedRequestRatherThanThoseOfTwoCrashes() {
+      QuarantineEntries entries = new QuarantineEntries();
+      entries.update(suspect("a", 3), true, NOW);
+      for (int i = 0; i < 200; i++) {
+        entries.update(suspect("request " + i, 2), true, NOW);
+      }
+      ImmutableList<CrashSuspect> kept = read(written(entries), NOW);
+      assertEquals(kept.size(), QuarantineEntries.MAX_REQUESTS);
+      assertTrue(kept.contains(suspect("a", 3)), "the quarantined request is gone");
+      assertTrue(kept.contains(suspect("request 199", 2)), "the latest request is gone");
+    }
+
     @Test
     public void isBounded() {
       QuarantineEntries entries = new QuarantineEntries();
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
@@ -55,9 +55,9 @@
   private static final Duration DELAY_PER_RANK = Duration.ofMillis(700);
 
   /** The delay per rank while calls wait for a build; the last nodes wait for the maximum. */
-  private static final Duration AWAITED_DELAY_PER_RANK = Duration.ofMillis(25);
+  private static final Duration AWAITED_DELAY_PER_RANK = Duration.ofMillis(5);
 
-  private static final Duration MAX_AWAITED_DELAY = Duration.ofMillis(600);
+  private static final Duration MAX_AWAITED_DELAY = Duration.ofMillis(400);
   private static final Duration REMOVAL_DELAY = Duration.ofSeconds(5);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final Duration MAX_BACKOFF = Duration.ofSeconds(2);
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -10,10 +10,14 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
+import com.google.common.collect.Lists;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -23,6 +27,7 @@
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.Names;
 import org.larkkeel.relay.CrashSuspect;
+import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.store.Backoff;
 import org.larkkeel.store.EntryProblem;
 import org.larkkeel.store.EntryProblem.Reason;
@@ -63,12 +68,18 @@
   private final Consumer<ImmutableList<CrashSuspect>> suspectListener;
   private final SplittableRandom random;
   private final Backoff backoff;
+  private final Backoff listBackoff;
   private final QuarantineEntries quarantine = new QuarantineEntries();
   private final UnreadableEntries problems;
   private boolean listing;
   private boolean isNew;
   private boolean wasRestored;
 
+  /** Whether the list of nodes has been read in this life. */
+  private boolean listed;
+
+  private boolean listScheduled;
+
   NodeRegistry(
       ObjectApi store,
       Scheduler scheduler,
@@ -86,6 +97,7 @@
     this.suspectListener = suspectListener;
     this.random = new SplittableRandom(self.value().hashCode());
     this.backoff = new Backoff(FIRST_BACKOFF, MAX_BACKOFF, random.split());
+    this.listBackoff = new Backoff(FIRST_BACKOFF, MAX_BACKOFF, random.split());
   }
 
   void start() {
@@ -120,16 +132,11 @@
     return spec;
   }
 
-  /**
-   * Stores what this node has found about suspects of crashes that are or were quarantined.
-   *
-   * @param news the suspects of which something new is known
-   * @param quarantined those that are quarantined
-   */
-  void storeSuspects(ImmutableList<CrashSuspect> news, ImmutableList<CrashSuspect> quarantined) {
+  /** Stores what this node has found about suspects of crashes. */
+  void storeSuspects(RelayEffect.StoreSuspects news) {
     boolean changed = false;
-    for (CrashSuspect s : news) {
-      changed |= quarantine.update(s, quarantined.contains(s), scheduler.wallMillis());
+    for (CrashSuspect s : news.suspects()) {
+      changed |= quarantine.update(s, news.lasting().contains(s.id()), scheduler.wallMillis());
     }
     if (changed) {
       store.get(key).whenComplete(this::found);
@@ -214,18 +221,50 @@
   }
 
   private void listNodes() {
-    store.list(ListQuery.of(COLLECTION)).whenComplete(this::listed);
+    listPage(ListQuery.of(COLLECTION), new ArrayList<>());
   }
 
-  private void listed(ObjectPage page, Throwable failure) {
-    if (failure != null) {
-      log.debug("event=nodes_not_listed cause=\"{}\"", failure.getMessage());
-      return;
+  private void listPage(ListQuery query, List<ObjectPage> earlier) {
+    store
+        .list(query)
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                notListed(failure);
+                return;
+              }
+              earlier.add(page);
+              if (page.isLast()) {
+                listed(earlier);
+              } else {
+                listPage(query.after(page.continueToken()), earlier);
+              }
+            });
+  }
+
+  /**
+   * Schedules another list until one was read: without it, this node knows neither its peers nor
+   * what is quarantined, and must not take that for nothing.
+   */
+  private void notListed(Throwable failure) {
+    log.info("event=nodes_not_listed listed={} cause=\"{}\"", listed, failure.getMessage());
+    if (!listed && !listScheduled) {
+      listScheduled = true;
+      scheduler.schedule(
+          listBackoff.nextDelay(),
+          () -> {
+            listScheduled = false;
+            listNodes();
+          });
     }
+  }
+
+  private void listed(List<ObjectPage> pages) {
+    listed = true;
     ImmutableList.Builder<RegisteredNode> registered = ImmutableList.builder();
     Map<String, EntryProblem> unreadable = new TreeMap<>();
-    page.unreadable().forEach(u -> unreadable.put(u.name(), u.problem()));
-    for (StoredObject node : page.items()) {
+    pages.forEach(p -> p.unreadable().forEach(u -> unreadable.put(u.name(), u.problem())));
+    for (StoredObject node : Iterables.concat(Lists.transform(pages, ObjectPage::items))) {
       switch (QuarantineEntries.read(node.spec(), scheduler.wallMillis())) {
         case ParseResult.Readable<ImmutableList<CrashSuspect>> r -> notifySuspects(r.value());
         case ParseResult.Unreadable<ImmutableList<CrashSuspect>> u ->
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/QuarantineEntries.java
@@ -39,6 +39,9 @@
   /** The age from which stored crashes are ignored; it exceeds the duration of any quarantine. */
   private static final long MAX_AGE_NANOS = TimeUnit.HOURS.toNanos(3);
 
+  /** The minimum number of crashes for a quarantine. */
+  private static final int MIN_CRASHES_OF_VERDICT = 3;
+
   /** The fingerprint of the request or part. */
   private static final String REQUEST = "request";
 
@@ -61,26 +64,39 @@
   private record StoredSuspect(CrashSuspect suspect, long wallMillis) {}
 
   /**
-   * Updates the known state of a suspect. One that is no longer quarantined is kept only if it was
+   * Updates the known state of a suspect. One that need not last any more is kept only if it was
    * cleared, so that the clearance is known to nodes that start later.
    *
+   * @param isLasting whether the crashes or the clearance must outlast all nodes
    * @return whether the node's entry must be written
    */
-  boolean update(CrashSuspect suspect, boolean isQuarantined, long wallMillis) {
+  boolean update(CrashSuspect suspect, boolean isLasting, long wallMillis) {
     boolean wasStored = entries.remove(suspect.id()) != null;
-    if (!isQuarantined && (!wasStored || !suspect.crashes().isEmpty())) {
+    if (!isLasting && (!wasStored || !suspect.crashes().isEmpty())) {
       return wasStored;
     }
     if (entries.size() == MAX_REQUESTS) {
-      entries.remove(entries.keySet().iterator().next());
+      entries.remove(leastTelling());
     }
     entries.put(suspect.id(), new StoredSuspect(suspect, wallMillis));
     return true;
   }
 
+  /** Returns the oldest suspect of too few crashes for a verdict, or else the oldest of all. */
+  private Fingerprint leastTelling() {
+    return entries.values().stream()
+        .map(StoredSuspect::suspect)
+        .filter(s -> !s.crashes().isEmpty() && s.crashes().size() < MIN_CRASHES_OF_VERDICT)
+        .findFirst()
+        .map(CrashSuspect::id)
+        .orElseGet(() -> entries.keySet().iterator().next());
+  }
+
   /** Adds a suspect read from the node's stored entry, unless the request is known already. */
   void restore(CrashSuspect suspect, long wallMillis) {
-    boolean isOld = suspect.crashes().values().stream().allMatch(c -> c.ageNanos() > MAX_AGE_NANOS);
+    boolean isOld =
+        !suspect.crashes().isEmpty()
+            && suspect.crashes().values().stream().allMatch(c -> c.ageNanos() > MAX_AGE_NANOS);
     if (entries.size() < MAX_REQUESTS && !isOld) {
       entries.putIfAbsent(suspect.id(), new StoredSuspect(suspect, wallMillis));
     }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamEntry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamEntry.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -43,8 +44,9 @@
    */
   record Builds(ServiceName service, ImmutableSet<BuildName> builds, boolean complete, long era)
       implements StreamEntry {
+    /** Returns the name of the object of a service, whose own name may not be one of objects. */
     static String nameOf(ServiceName service) {
-      return "builds-" + service.value();
+      return "builds-" + Hashing.murmur3_128().hashUnencodedChars(service.value());
     }
 
     ObjectNode toJson() {
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -501,9 +501,7 @@
       w.setStoreAnswers(false);
       takeUp(w);
       for (int i = 1; i <= 20; i++) {
-        w.apply(
-            new RelayEvent.BuildHistoryRead(
-                w.now(), i, Optional.empty(), ImmutableList.of()));
+        w.apply(new RelayEvent.BuildHistoryRead(w.now(), i, Optional.empty(), ImmutableList.of()));
         w.pass(5);
       }
       assertEquals(w.of(RelayEffect.ReadBuildHistory.class).size(), 1);
