Don't count a node as new since a restored store lacks its entry

Cause: a node that registers again after the store was restored from a copy that lacks its entry counted as new, also if it had been registered before it started. It then recorded the builds that it knew as all that have served, though it may have started a moment ago and the copy lacks the entry of the builds as well. Change: no node is new once it has seen a restore. Not covered: a node whose first start is after the restore.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
@@ -7,6 +7,8 @@
 package org.larkkeel.daemon.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
@@ -29,6 +31,7 @@
 import org.larkkeel.store.StoreVersion;
 import org.larkkeel.store.StoredObject;
 import org.larkkeel.store.UnreadableObject;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -90,6 +93,54 @@
     }
   }
 
+  /** Whether a node was never registered before. */
+  public static class NewNodes {
+    private SimObjectStore store;
+
+    /** Creates an empty store. */
+    @BeforeMethod
+    public void createStore() {
+      store = new SimObjectStore();
+    }
+
+    private NodeRegistry start() {
+      NodeRegistry started =
+          new NodeRegistry(
+              store.client(),
+              store.scheduler,
+              new HostName("self"),
+              SELF,
+              added -> {},
+              suspects -> {},
+              (collection, r) -> {});
+      started.start();
+      store.time.advance(Duration.ofSeconds(1));
+      return started;
+    }
+
+    /** Guards against a restarted node that concludes that nothing served before it. */
+    @Test
+    public void areThoseThatStartForTheFirstTime() {
+      assertTrue(start().isNew());
+      assertFalse(start().isNew());
+    }
+
+    /** Guards against nodes that count as new since a copy of the store lacks their entries. */
+    @Test
+    public void areNoneAfterRestoreOfTheStore() {
+      final NodeRegistry first = start();
+      final NodeRegistry restarted = start();
+      store.objects.clear();
+      store.restore();
+      restarted.restored();
+      store.time.advance(Duration.ofSeconds(2));
+      first.restored();
+      store.time.advance(Duration.ofSeconds(2));
+      assertFalse(restarted.isNew());
+      assertFalse(first.isNew());
+    }
+  }
+
   private static RegisteredNode registered(String name, String ip) {
     return new RegisteredNode(Optional.of(new HostName(name)), new InetSocketAddress(ip, 80));
   }
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -67,6 +67,7 @@
   private final UnreadableEntries problems;
   private boolean listing;
   private boolean isNew;
+  private boolean wasRestored;
 
   NodeRegistry(
       ObjectApi store,
@@ -92,12 +93,15 @@
         .create(key, COLLECTION, spec())
         .whenComplete(
             (made, failure) -> {
-              isNew |= failure == null;
+              isNew |= failure == null && !wasRestored;
               created(made, failure);
             });
   }
 
-  /** Returns whether no node of this name was registered before this one. */
+  /**
+   * Returns whether no node of this name was registered before this one. That a store lacks the
+   * entry of a node since it was restored tells nothing.
+   */
   boolean isNew() {
     return isNew;
   }
@@ -108,6 +112,8 @@
    * spread their writes.
    */
   void restored() {
+    wasRestored = true;
+    isNew = false;
     scheduler.schedule(Duration.ofMillis(random.nextLong(RESTORED_SPREAD_MILLIS)), this::start);
   }
 
