--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -110,7 +110,10 @@
             });
   }
 
-  /** Returns whether no node of this name was registered before this one. */
+  /**
+   * Returns whether no node of this name was registered before this one. That a store lacks the
+   * entry of a node since it was restored tells nothing.
+   */
   boolean isNew() {
     return isNew;
   }
