Mark builds as ending before they are removed from the history

Cause: a node that found a build in the entry was told that it is recorded, and changed nothing; another node, whose list lagged behind, removed the build from the same version a moment later. Change: the first few nodes mark what is over, which changes the entry, and remove it only if that is unchanged for 5 s. A node that needs a marked build takes the mark away. They compare builds and completeness, and the marks in that test.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/BuildHistoryTest.java
@@ -92,12 +92,18 @@
     }
   }
 
-  private static StreamEntry.Builds stored(SimObjectStore store) {
+  private static StreamEntry.Builds storedWithMarks(SimObjectStore store) {
     return (StreamEntry.Builds)
         ((ParseResult.Readable<StreamEntry>) StreamEntry.parse(store.objects.get(ENTRY).spec()))
             .value();
   }
 
+  /** Returns the entry without the marks of builds that may be removed later. */
+  private static StreamEntry.Builds stored(SimObjectStore store) {
+    StreamEntry.Builds b = storedWithMarks(store);
+    return new StreamEntry.Builds(b.service(), b.builds(), b.complete(), b.era());
+  }
+
   private static StreamEntry.Builds complete(BuildName... builds) {
     return new StreamEntry.Builds(SERVICE, ImmutableSet.copyOf(builds), true, 1);
   }
@@ -330,6 +336,24 @@
       assertEquals(stored(store), complete(V1, V2, V3));
     }
 
+    /**
+     * Guards against the removal of a build that another node has read of again, and begins streams
+     * at since the entry still has it, before the node that removes it has read of it.
+     */
+    @Test
+    public void areKeptIfAnotherNodeWasToldThatTheyAreRecorded() {
+      SimObjectStore store = withTwo();
+      Writer.restarted(store).recordComplete(V2);
+      store.time.advance(Duration.ofMillis(6_400));
+      Writer other = Writer.restarted(store);
+      other.record(V1, V2);
+      store.time.advance(Duration.ofMillis(50));
+      assertEquals(other.told, List.of(complete(V1, V2)));
+      assertEquals(storedWithMarks(store).ending(), ImmutableSet.of());
+      store.time.advance(Duration.ofSeconds(2));
+      assertEquals(stored(store), complete(V1, V2));
+    }
+
     /** Guards against a late removal of a build that serves again. */
     @Test
     public void areNotRemovedByWriteThatIsExecutedAfterAnother() {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
@@ -37,8 +37,8 @@
  * <p>A build is added before it begins streams: by the first node in the order of names, and by
  * each later one that still finds it missing. What is over is removed by the first few nodes only.
  * No time of another node is compared: a build is removed by a node that has not seen it listed for
- * the life of a stream, and only if the entry has not changed for {@link #REMOVAL_DELAY}, in which
- * any newly listed build would have been seen.
+ * the life of a stream, in two steps: it is marked as ending, and removed only if the entry has not
+ * changed for {@link #REMOVAL_DELAY} since, in which any newly listed build would have been seen.
  *
  * <p>Invariant: an entry that is complete and of the current era names all builds that have begun a
  * stream within its life. Runs on the scheduler.
@@ -59,6 +59,10 @@
 
   private static final Duration MAX_AWAITED_DELAY = Duration.ofMillis(400);
   private static final Duration REMOVAL_DELAY = Duration.ofSeconds(5);
+
+  /** The time from marking builds to the first read of the mark. */
+  private static final Duration MARK_DELAY = Duration.ofMillis(100);
+
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final Duration MAX_BACKOFF = Duration.ofSeconds(2);
 
@@ -78,11 +82,10 @@
     boolean busy;
     boolean again;
 
-    /** The version that had builds which are over when it was read. */
-    Optional<StoreVersion> outdated = Optional.empty();
+    /** The version in which the builds that are over were marked when it was first read. */
+    Optional<StoreVersion> marked = Optional.empty();
 
-    /** The time since when it is known to have them. */
-    long outdatedSinceNanos;
+    long markedSinceNanos;
 
     Entry(ServiceName service) {
       this.service = service;
@@ -181,22 +184,50 @@
         stored
             .map(s -> ImmutableSet.copyOf(Sets.union(s.builds(), wanted.builds())))
             .orElse(wanted.builds());
-    if (wanted.complete() && !builds.equals(wanted.builds())) {
-      StoreVersion version = present.orElseThrow().resourceVersion();
-      long now = scheduler.nanoTime();
-      if (entry.outdated.filter(version::equals).isEmpty()) {
-        entry.outdated = Optional.of(version);
-        entry.outdatedSinceNanos = now;
-        scheduler.schedule(REMOVAL_DELAY, () -> readByRank(entry));
-      } else if (now - entry.outdatedSinceNanos >= REMOVAL_DELAY.toNanos()) {
-        builds = wanted.builds();
-        entry.outdated = Optional.empty();
-      }
+    ImmutableSet<BuildName> over =
+        wanted.complete()
+            ? ImmutableSet.copyOf(Sets.difference(builds, wanted.builds()))
+            : ImmutableSet.of();
+    ImmutableSet<BuildName> ending =
+        stored
+            .map(
+                s ->
+                    ImmutableSet.copyOf(
+                        Sets.union(Sets.difference(s.ending(), wanted.builds()), over)))
+            .orElse(over);
+    if (!over.isEmpty() && isUnchanged(entry, stored, over, present)) {
+      builds = wanted.builds();
+      ending = ImmutableSet.of();
     }
     boolean wasComplete = stored.filter(s -> s.complete() && s.era() == era).isPresent();
     boolean complete =
         wasComplete || wanted.complete() || (present.isEmpty() && isNewNode.getAsBoolean());
-    return new StreamEntry.Builds(entry.service, builds, complete, era);
+    return new StreamEntry.Builds(entry.service, builds, ending, complete, era);
+  }
+
+  /**
+   * Returns whether builds that are over have been marked as ending for long enough to remove them.
+   * Marking changes the entry, and so does a node that finds such a build listed again: one that is
+   * told by the entry that its builds are recorded has read it before the mark, or removes it.
+   */
+  private boolean isUnchanged(
+      Entry entry,
+      Optional<StreamEntry.Builds> stored,
+      ImmutableSet<BuildName> over,
+      Optional<StoredObject> present) {
+    if (stored.filter(s -> s.ending().containsAll(over)).isEmpty()) {
+      scheduler.schedule(MARK_DELAY, () -> readByRank(entry));
+      return false;
+    }
+    StoreVersion version = present.orElseThrow().resourceVersion();
+    long now = scheduler.nanoTime();
+    if (entry.marked.filter(version::equals).isPresent()) {
+      return now - entry.markedSinceNanos >= REMOVAL_DELAY.toNanos();
+    }
+    entry.marked = Optional.of(version);
+    entry.markedSinceNanos = now;
+    scheduler.schedule(REMOVAL_DELAY, () -> readByRank(entry));
+    return false;
   }
 
   private void written(Entry entry, StreamEntry.Builds written, Throwable failure) {
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamEntry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamEntry.java
@@ -38,12 +38,23 @@
    *
    * @param service the service
    * @param builds the builds
+   * @param ending those of them that are about to be removed, unless a node finds them listed
    * @param complete whether no other build can have served
    * @param era the era of the store in which the entry was written; a store that was restored from
    *     a backup may lack builds that were added since
    */
-  record Builds(ServiceName service, ImmutableSet<BuildName> builds, boolean complete, long era)
+  record Builds(
+      ServiceName service,
+      ImmutableSet<BuildName> builds,
+      ImmutableSet<BuildName> ending,
+      boolean complete,
+      long era)
       implements StreamEntry {
+    /** Creates an entry of which no build is about to be removed. */
+    Builds(ServiceName service, ImmutableSet<BuildName> builds, boolean complete, long era) {
+      this(service, builds, ImmutableSet.of(), complete, era);
+    }
+
     /** Returns the name of the object of a service, whose own name may not be one of objects. */
     static String nameOf(ServiceName service) {
       return "builds-" + Hashing.murmur3_128().hashUnencodedChars(service.value());
@@ -52,12 +63,19 @@
     ObjectNode toJson() {
       ObjectNode spec = JsonNodeFactory.instance.objectNode();
       spec.put(Fields.SERVICE, service.value());
-      ArrayNode all = spec.putArray(Fields.BUILDS);
-      builds.stream().map(BuildName::value).sorted().forEach(all::add);
+      put(spec, Fields.BUILDS, builds);
+      if (!ending.isEmpty()) {
+        put(spec, Fields.ENDING, ending);
+      }
       return spec.put(Fields.COMPLETE, complete).put(Fields.ERA, era);
     }
   }
 
+  private static void put(ObjectNode spec, String field, ImmutableSet<BuildName> builds) {
+    ArrayNode all = spec.putArray(field);
+    builds.stream().map(BuildName::value).sorted().forEach(all::add);
+  }
+
   /** Streams and the builds that began them. */
   record Streams(ImmutableList<StreamBuild> streams) implements StreamEntry {
     /** Encodes streams, grouped by service and build. */
@@ -93,10 +111,6 @@
   }
 
   private static Builds builds(JsonNode spec) {
-    ImmutableSet.Builder<BuildName> builds = ImmutableSet.builder();
-    for (JsonNode b : array(spec.path(Fields.BUILDS))) {
-      builds.add(new BuildName(text(b)));
-    }
     JsonNode complete = spec.path(Fields.COMPLETE);
     JsonNode era = spec.path(Fields.ERA);
     if (!complete.isBoolean() || !era.canConvertToLong() || !era.isIntegralNumber()) {
@@ -104,7 +118,8 @@
     }
     return new Builds(
         new ServiceName(text(spec.path(Fields.SERVICE))),
-        builds.build(),
+        names(spec.path(Fields.BUILDS)),
+        spec.has(Fields.ENDING) ? names(spec.path(Fields.ENDING)) : ImmutableSet.of(),
         complete.booleanValue(),
         era.longValue());
   }
@@ -121,6 +136,14 @@
     return new Streams(streams.build());
   }
 
+  private static ImmutableSet<BuildName> names(JsonNode all) {
+    ImmutableSet.Builder<BuildName> builds = ImmutableSet.builder();
+    for (JsonNode b : array(all)) {
+      builds.add(new BuildName(text(b)));
+    }
+    return builds.build();
+  }
+
   private static JsonNode array(JsonNode node) {
     if (!node.isArray()) {
       throw new IllegalArgumentException(node + " is no array");
@@ -139,6 +162,7 @@
   final class Fields {
     static final String SERVICE = "service";
     static final String BUILDS = "builds";
+    static final String ENDING = "ending";
     static final String COMPLETE = "complete";
     static final String ERA = "era";
     static final String STREAMS = "streams";
