Review the builds of a service whenever the list has changed

Cause: a build that left long after the last one had appeared changed nothing in what had served in the last 30 s, so no review was due, and it stayed in the history for ever: after the end of all nodes every stream that was not recorded would have been refused. Change: each change of the listed builds brings a review. Measured: leaveTheHistoryAlsoIfTheyLeaveLongAfterTheOthersCame fails without it and passes; 78 tests of StreamBuildsTest and RestartedBuildsTest pass.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -652,6 +652,19 @@
       assertTrue(last(w).complete());
     }
 
+    /** Guards against a build that stays in the history as it left long after the last change. */
+    @Test
+    public void leaveTheHistoryAlsoIfTheyLeaveLongAfterTheOthersCame() {
+      RelayWorld w = world();
+      addNew(w);
+      w.pass(60_000);
+      w.remove("old-1");
+      w.pass(29_000);
+      assertEquals(last(w).builds(), ImmutableSet.of(OLD, NEW));
+      w.pass(4_000);
+      assertEquals(last(w).builds(), ImmutableSet.of(NEW));
+    }
+
     /** Guards against a node that has just started and claims to know the past. */
     @Test
     public void areCompleteOnlyIfTheListWasFollowedForTheLifeOfStream() {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
@@ -233,8 +233,8 @@
   }
 
   /**
-   * Returns the only build that has served, if it is known. At least one node must know what has
-   * served before: that of nodes that have just started none lists another build says nothing.
+   * Returns the only build that has served, if it is known. At least one node must remember what
+   * has served: nodes that have all just started list what serves now.
    */
   private Optional<BuildName> onlyBuild(StreamLookup own, Waiting w) {
     Optional<BuildName> build = own.onlyBuild();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ServedBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ServedBuilds.java
@@ -49,6 +49,11 @@
     this.missingNanos = missingNanos;
   }
 
+  /** Returns whether just these builds are listed. */
+  boolean isListed(Set<BuildName> builds) {
+    return listed.equals(builds);
+  }
+
   /** Records that builds may have come and gone unseen. */
   void gap(long at) {
     followedSince = at;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -130,6 +130,7 @@
 
   private void update(long at, ServiceName service, Set<BuildName> listed, Set<BuildName> usable) {
     ServedBuilds builds = services.get(service);
+    final boolean isOther = !builds.isListed(listed);
     ImmutableSet<BuildName> before = builds.all(at);
     ImmutableSet<BuildName> added = builds.update(at, listed, usable);
     ImmutableSet<BuildName> now = builds.all(at);
@@ -141,9 +142,10 @@
     }
     if (!now.equals(before)) {
       emitBuilds(at, service, builds, !added.isEmpty());
-      // Once the builds that have left can no longer be those of a stream, or this node has
-      // followed
-      // the list for as long, the store is told.
+    }
+    if (isOther) {
+      // By then no stream of a build that has left can go on, and this node's knowledge is
+      // complete.
       core.timers.add(new Timers.Timer.BuildReview(reviewAt(at), service));
     }
   }
