--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/BuildHistoryWriter.java
@@ -195,7 +195,7 @@
                     ImmutableSet.copyOf(
                         Sets.union(Sets.difference(s.ending(), wanted.builds()), over)))
             .orElse(over);
-    if (!over.isEmpty() && isUnchanged(entry, stored, over, present)) {
+    if (!over.isEmpty() && canRemove(entry, stored, over, present)) {
       builds = wanted.builds();
       ending = ImmutableSet.of();
     }
@@ -206,11 +206,11 @@
   }
 
   /**
-   * Returns whether builds that are over have been marked as ending for long enough to remove them.
-   * Marking changes the entry, and so does a node that finds such a build listed again: one that is
-   * told by the entry that its builds are recorded has read it before the mark, or removes it.
+   * Returns whether builds that are over can be removed: they are marked as ending, and the entry
+   * has not changed since for long enough. A node that finds such a build listed removes the mark,
+   * which changes the entry.
    */
-  private boolean isUnchanged(
+  private boolean canRemove(
       Entry entry,
       Optional<StreamEntry.Builds> stored,
       ImmutableSet<BuildName> over,
