Name the interval of writes and the ring of stored streams

Cause: one constant named a period was the pause between writes, another kind of period is what an object of the ring holds. Change: names only. Measured: compiles; the checks of style pass.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamRecordWriter.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/StreamRecordWriter.java
@@ -36,8 +36,8 @@
  * again within a period adds to its object. A step of the clock may overwrite one sooner; its
  * streams are unknown then, and are refused.
  *
- * <p>Invariants: one write is in progress at a time, at most one begins per {@link #PERIOD}; at
- * most {@link #MAX_STREAMS} streams wait. Runs on the scheduler.
+ * <p>Invariants: one write is in progress at a time, at most one begins per {@link
+ * #WRITE_INTERVAL}; at most {@link #MAX_STREAMS} streams wait. Runs on the scheduler.
  */
 final class StreamRecordWriter {
   private static final Logger log = LoggerFactory.getLogger(StreamRecordWriter.class);
@@ -45,10 +45,12 @@
   /** The time in which streams are gathered before the first write. */
   private static final Duration GATHERING_TIME = Duration.ofMillis(30);
 
-  private static final Duration PERIOD = Duration.ofMillis(250);
+  private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
-  private static final long SLOT_MILLIS = 2_000;
-  private static final int SLOTS = 17;
+  private static final long PERIOD_MILLIS = 2_000;
+
+  /** The number of objects; a round of them is longer than a stream can be taken up. */
+  private static final int RING_SIZE = 17;
 
   /** The field with the number of the period, which tells an object of an earlier round. */
   private static final String PERIOD_NUMBER = "period";
@@ -115,10 +117,10 @@
   }
 
   private void write() {
-    notBeforeNanos = scheduler.nanoTime() + PERIOD.toNanos();
-    long number = scheduler.wallMillis() / SLOT_MILLIS;
+    notBeforeNanos = scheduler.nanoTime() + WRITE_INTERVAL.toNanos();
+    long number = scheduler.wallMillis() / PERIOD_MILLIS;
     if (number != slot.number) {
-      String name = "streams-" + self.value() + "-" + Math.floorMod(number, SLOTS);
+      String name = "streams-" + self.value() + "-" + Math.floorMod(number, RING_SIZE);
       slot = new Slot(number, new ObjectKey(StreamEntry.COLLECTION, name));
     }
     final Slot written = slot;
