Queue the timers of builds apart from those of calls

Cause: UncontendedHistoryTest and UnrankedHistoryTest failed in the continuous integration (10 cases): further timers in the same queue changed the order of others that are due at the same time, and with it the effects of whole histories. Change: timers of builds are queued with those of paths, apart from those of calls.

--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Timers.java
@@ -18,13 +18,13 @@
  * The pending timers. Timers of calls and attempts that have ended remain and have no effect when
  * they are due.
  *
- * <p>Timers of paths are queued apart, so that they do not change the order of others that are due
- * at the same time. Not thread-safe.
+ * <p>Timers of paths and builds are queued apart, so that they do not change the order of others
+ * that are due at the same time. Not thread-safe.
  */
 final class Timers {
   private final PriorityQueue<Timer> queue =
       new PriorityQueue<>(Comparator.comparingLong(Timer::at));
-  private final PriorityQueue<Timer> pathQueue =
+  private final PriorityQueue<Timer> apartQueue =
       new PriorityQueue<>(Comparator.comparingLong(Timer::at));
 
   /** A timer. */
@@ -62,12 +62,6 @@
     /** The end of the maximum wait to learn the build of a stream. */
     record StreamLookupTimeout(long at, RequestId call) implements Timer {}
 
-    /** The time at which the builds that have served a service are reviewed. */
-    record BuildReview(long at, ServiceName service) implements Timer {}
-
-    /** The end of the maximum wait until new builds of a service are recorded in the store. */
-    record BuildRecordTimeout(long at, ServiceName service) implements Timer {}
-
     /** The end of the maximum duration of an order. */
     record OrderTimeout(long at, UpstreamIncarnation incarnation) implements Timer {}
 
@@ -83,6 +77,15 @@
     /** The end of a call's maximum wait for a permit. */
     record PermitTimeout(long at, RequestId call) implements Timer {}
 
+    /** A timer of the builds of upstreams. */
+    sealed interface OfBuilds extends Timer {}
+
+    /** The time at which the builds that have served a service are reviewed. */
+    record BuildReview(long at, ServiceName service) implements OfBuilds {}
+
+    /** The end of the maximum wait until new builds of a service are recorded in the store. */
+    record BuildRecordTimeout(long at, ServiceName service) implements OfBuilds {}
+
     /** A timer of the paths to upstreams. */
     sealed interface OfPath extends Timer {}
 
@@ -97,8 +100,8 @@
   }
 
   void add(Timer due) {
-    if (due instanceof Timer.OfPath) {
-      pathQueue.add(due);
+    if (due instanceof Timer.OfPath || due instanceof Timer.OfBuilds) {
+      apartQueue.add(due);
     } else {
       queue.add(due);
     }
@@ -106,7 +109,7 @@
 
   /** Removes and returns the next timer that is due by now; null if there is none. */
   Timer poll(long at) {
-    PriorityQueue<Timer> next = pathNext() < callNext() ? pathQueue : queue;
+    PriorityQueue<Timer> next = apartNext() < callNext() ? apartQueue : queue;
     Timer head = next.peek();
     return head != null && head.at() <= at ? next.poll() : null;
   }
@@ -115,8 +118,8 @@
     return due(queue);
   }
 
-  private long pathNext() {
-    return due(pathQueue);
+  private long apartNext() {
+    return due(apartQueue);
   }
 
   private static long due(PriorityQueue<Timer> timers) {
@@ -126,6 +129,6 @@
 
   /** Returns the time at which the next timer is due; {@link Long#MAX_VALUE} if there is none. */
   long next() {
-    return Math.min(callNext(), pathNext());
+    return Math.min(callNext(), apartNext());
   }
 }
