Report the path, the other end and the size of answers that end with their connection

An answer without a length or chunks that ended early was logged as answered, like any other, and one that broke off after its head left attempt_failed only, without its path. Three hypotheses on answers that end early and look complete could not be told apart.

answer_ended names the path, the address of the other end (of the upstream, or of the node that carries the tunnel), the framing, the bytes and how the answer ended; it is a warning unless the answer was taken for complete. The counter larkkeel_relay_answers_ended_total has path, framing and end. No decision changes.

--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayFactLog.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.larkkeel.relay.AnswerEnd;
 import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RequestRate;
@@ -17,6 +18,7 @@
 import org.larkkeel.relay.StreamLookup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Logs each fact as one line of key=value pairs.
@@ -313,6 +315,22 @@
               f.requestNumber(),
               millis(f.idleNanos()),
               millis(f.sentNanos()));
+      case RelayFact.AnswerEnded f -> {
+        Level level = f.end() == AnswerEnd.COMPLETE ? Level.INFO : Level.WARN;
+        log.atLevel(level)
+            .log(
+                "event=answer_ended call={} attempt={} upstream={} path={} remote={} framing={}"
+                    + " bytes={} end={} sent_ms={}",
+                id(f.call()),
+                f.attempt(),
+                f.upstream(),
+                f.path(),
+                f.remote(),
+                f.framing(),
+                f.bytes(),
+                f.end(),
+                millis(f.sentNanos()));
+      }
       case RelayFact.Cancelled f ->
           log.info(
               "event=attempt_cancelled call={} attempt={} progress={} ms={}",
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/RelayMeters.java
@@ -145,6 +145,17 @@
           registry.counter("larkkeel.relay.answers.unmatched", "echo", label(f.echo())).increment();
         }
       }
+      case RelayFact.AnswerEnded f ->
+          registry
+              .counter(
+                  "larkkeel.relay.answers.ended",
+                  "path",
+                  label(f.path()),
+                  "framing",
+                  label(f.framing()),
+                  "end",
+                  label(f.end()))
+              .increment();
       case RelayFact.Cancelled f ->
           registry
               .counter("larkkeel.relay.attempts.cancelled", "progress", f.progress().name())
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -26,6 +26,8 @@
 import org.larkkeel.http.upstream.UpstreamFailure;
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.UpstreamIncarnation;
+import org.larkkeel.relay.AnswerEnd;
+import org.larkkeel.relay.AnswerFraming;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.AttemptProgress;
 import org.larkkeel.relay.RefusalCause;
@@ -33,6 +35,7 @@
 import org.larkkeel.relay.RelayEffect.Purpose;
 import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.UpstreamPath;
 
 /**
  * One attempt at an upstream: reads the answer and submits its progress and outcome to the router.
@@ -56,6 +59,7 @@
   private final UpstreamIncarnation upstream;
   private final RelayRequest request;
   private final Purpose purpose;
+  private final UpstreamPath path;
   private final int maxAnswerBytes;
   private final Runnable onLargeBody;
   private final Consumer<RelayFact> facts;
@@ -67,7 +71,8 @@
   private Optional<InFlightRequest> inFlight = Optional.empty();
   private AnswerVerdict verdict = AnswerVerdict.UNUSABLE;
   private RecordedAnswer head = new RecordedAnswer(0, ImmutableList.of(), new byte[0]);
-  private boolean endsWithConnection;
+  private AnswerFraming framing = AnswerFraming.CONNECTION;
+  private long bodyBytes;
   private ConnectionPosition position = ConnectionPosition.NONE;
   private boolean sent;
   private long sentAt;
@@ -93,6 +98,7 @@
     this.upstream = send.upstream().incarnation();
     this.request = request;
     this.purpose = send.purpose();
+    this.path = send.path();
     this.maxAnswerBytes = maxAnswerBytes;
     this.onLargeBody = onLargeBody;
     this.facts = facts;
@@ -163,9 +169,7 @@
     RelayRequest.endToEnd(headers, false)
         .forEach((name, value) -> list.add(new RecordedAnswer.Header(name.toString(), value)));
     head = new RecordedAnswer(status, list.build(), new byte[0]);
-    String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
-    boolean chunked = coding != null && coding.toLowerCase(Locale.ROOT).contains(CHUNKED);
-    endsWithConnection = !chunked && !headers.contains(Headers.CONTENT_LENGTH);
+    framing = framing(headers);
     String type = headers.getFirst("Content-Type");
     boolean stream = type != null && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
     if (verdict == AnswerVerdict.GOOD && stream && !(purpose instanceof Purpose.ReadPrompt)) {
@@ -174,6 +178,16 @@
     return isOwn;
   }
 
+  private static AnswerFraming framing(HeaderMap headers) {
+    String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
+    if (coding != null && coding.toLowerCase(Locale.ROOT).contains(CHUNKED)) {
+      return AnswerFraming.CHUNKS;
+    }
+    return headers.contains(Headers.CONTENT_LENGTH)
+        ? AnswerFraming.LENGTH
+        : AnswerFraming.CONNECTION;
+  }
+
   private RelayFact.AnswerHead answerHead(int status, HeaderMap headers) {
     return new RelayFact.AnswerHead(
         request.call.wireId(),
@@ -192,6 +206,7 @@
     if (ended || verdict == AnswerVerdict.UNUSABLE) {
       return false;
     }
+    bodyBytes += bytes.remaining();
     if (splitter.isPresent()) {
       return onEvents(splitter.get(), bytes);
     }
@@ -297,6 +312,9 @@
     }
     ended = true;
     splitter.ifPresent(s -> remainder = s.takeRemainder());
+    if (framing == AnswerFraming.CONNECTION) {
+      reportEnd(isTruncated() ? AnswerEnd.PARTIAL_EVENT : AnswerEnd.COMPLETE);
+    }
     if (isTruncated()) {
       loop.submit(new RelayEvent.Lost(loop.now(), id, FailureCause.CONNECTION_LOST));
       return;
@@ -313,7 +331,23 @@
    * nothing else shows that the stream is truncated.
    */
   private boolean isTruncated() {
-    return endsWithConnection && splitter.isPresent() && (hasPartialEvent(remainder) || !hasEvent);
+    return framing == AnswerFraming.CONNECTION
+        && splitter.isPresent()
+        && (hasPartialEvent(remainder) || !hasEvent);
+  }
+
+  private void reportEnd(AnswerEnd end) {
+    facts.accept(
+        new RelayFact.AnswerEnded(
+            request.call.wireId(),
+            id,
+            upstream.name(),
+            path,
+            position.remote(),
+            framing,
+            bodyBytes,
+            end,
+            loop.now() - sentAt));
   }
 
   /**
@@ -363,6 +397,9 @@
     }
     ended = true;
     body = new ByteArrayOutputStream();
+    if (head.status() > 0) {
+      reportEnd(AnswerEnd.CONNECTION_LOST);
+    }
     long at = loop.now();
     boolean declined = verdict == AnswerVerdict.NOT_RUN || verdict == AnswerVerdict.WRONG_UPSTREAM;
     if (failure.exposure() != Exposure.MAY_HAVE_RUN) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/PooledConnection.java
@@ -55,8 +55,12 @@
   ConnectionPosition countRequest(long now) {
     requestCount++;
     InetSocketAddress local = connection.getLocalAddress(InetSocketAddress.class);
+    InetSocketAddress remote = connection.getPeerAddress(InetSocketAddress.class);
     return new ConnectionPosition(
-        local == null ? 0 : local.getPort(), requestCount, requestCount == 1 ? 0 : now - idleSince);
+        local == null ? 0 : local.getPort(),
+        remote == null ? "" : new UpstreamAddress(remote).hostHeader(),
+        requestCount,
+        requestCount == 1 ? 0 : now - idleSince);
   }
 
   void idleSince(long now) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayFact.java
@@ -469,6 +469,29 @@
       long sentNanos)
       implements RelayFact {}
 
+  /**
+   * An answer ended with its connection, or broke off after its head.
+   *
+   * @param path the path by which the request was sent
+   * @param remote the address and port of the other end of the connection: of the upstream, or of
+   *     the node that carries the tunnel
+   * @param framing the framing of the answer
+   * @param bytes the number of bytes of the body that were read
+   * @param end how the answer ended
+   * @param sentNanos the time since the request was sent
+   */
+  record AnswerEnded(
+      String call,
+      AttemptId attempt,
+      UpstreamName upstream,
+      UpstreamPath path,
+      String remote,
+      AnswerFraming framing,
+      long bytes,
+      AnswerEnd end,
+      long sentNanos)
+      implements RelayFact {}
+
   /**
    * This node cancelled an attempt, which the upstream may be processing.
    *
