Frame the bytes that tunnels carry, and mark the end of the upstream's bytes

Callers got streams that ended as complete before their last event, and plain answers with the length of a part of the body.

Cause: the end of a transport was taken for the end of a message. An answer without a length or chunks ends with its connection. Through a tunnel that is the connection of the node that carries it, and when the process of that node is killed, the system closes its connections in order. Splice resets a connection whose other side was reset, but no code runs in a killed process.

A node now asks for a tunnel in frames, and the peer repeats the header that says so. A frame is a length and its bytes; one without bytes says that the upstream closed its connection. Any other end of a tunnel is a failure, whatever the message in it. A peer of an earlier version sends the bytes as they are: its tunnels serve answers with a length or chunks as before, and no answer without either counts as complete. A node of an earlier version gets bytes as they are.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -7,6 +7,7 @@
 package org.larkkeel.http.tunnel;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -17,15 +18,21 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.larkkeel.event.Exposure;
 import org.larkkeel.event.FailureCause;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.ScriptedServer;
@@ -44,6 +51,7 @@
 import org.larkkeel.relay.ProbeResult;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of tunnels between two nodes, over sockets. */
@@ -285,6 +293,268 @@
     }
   }
 
+  /** Peers whose process ends while they carry an answer. */
+  public static class KilledPeers extends Fixture {
+    /** What of an answer has passed when the peer ends. */
+    private enum Part {
+      HEAD_WITHOUT_LENGTH("\r\n"),
+      BYTE_WITHOUT_LENGTH("\r\nx"),
+      EVENT_WITHOUT_LENGTH("\r\nid: 1\ndata: piece-1\n\n"),
+      MEGABYTE_WITHOUT_LENGTH("\r\n" + "x".repeat(1 << 20)),
+      LESS_THAN_LENGTH("Content-Length: 9\r\n\r\npart"),
+      CHUNK("Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+
+      final String bytes;
+
+      Part(String bytes) {
+        this.bytes = bytes;
+      }
+    }
+
+    @DataProvider
+    static Object[][] parts() {
+      return Arrays.stream(Part.values()).map(p -> new Object[] {p}).toArray(Object[][]::new);
+    }
+
+    /** Guards against truncated answers that look complete after the carrier of a tunnel ended. */
+    @Test(dataProvider = "parts")
+    public void leaveNoAnswerThatLooksComplete(Part part) throws Exception {
+      assertLost(part, false);
+    }
+
+    /** The same, on a tunnel that has carried another answer. */
+    @Test(dataProvider = "parts")
+    public void leaveNoAnswerThatLooksCompleteOnUsedTunnel(Part part) throws Exception {
+      assertLost(part, true);
+    }
+
+    private void assertLost(Part part, boolean used) throws Exception {
+      startPeer();
+      CountDownLatch written = new CountDownLatch(1);
+      CountDownLatch done = new CountDownLatch(1);
+      try (CarrierProxy proxy = new CarrierProxy(SELF, peers.removeFirst());
+          ScriptedServer server =
+              new ScriptedServer(
+                  (q, a) -> {
+                    if (q.body().equals("first")) {
+                      a.answer(200, "whole");
+                    } else {
+                      a.raw("HTTP/1.1 200 X\r\n" + part.bytes);
+                      written.countDown();
+                      done.await();
+                    }
+                  })) {
+        peers.add(proxy.address());
+        target = new UpstreamAddress(server.address());
+        if (used) {
+          assertEquals(body(exchange("first".getBytes())), "whole");
+        }
+        CompletableFuture<Object> outcome = new CompletableFuture<>();
+        send(new byte[0], outcome);
+        written.await();
+        // The node must have read all of the part, else the end is a reset.
+        Thread.sleep(200);
+        proxy.kill();
+        UpstreamFailure failure = failure(outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        done.countDown();
+        assertEquals(failure.cause(), FailureCause.CONNECTION_LOST, failure.detail());
+        assertEquals(failure.exposure(), Exposure.MAY_HAVE_RUN, failure.detail());
+      }
+    }
+  }
+
+  /** Answers that end with the connection of the upstream. */
+  public static class AnswersWithoutLength extends Fixture {
+    /** The sizes of bodies: none, one byte, one frame, several buffers, several turns. */
+    @DataProvider
+    static Object[][] sizes() {
+      return new Object[][] {{0}, {1}, {16 << 10}, {(16 << 10) + 1}, {100_000}, {4 << 20}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void passWhole(int size) throws Exception {
+      startPeer();
+      String text = "x".repeat(size);
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (q, a) -> {
+                a.raw("HTTP/1.1 200 X\r\n\r\n" + text);
+                a.socket().close();
+              })) {
+        target = new UpstreamAddress(server.address());
+        assertEquals(body(exchange(new byte[0])).length(), size);
+        assertEquals(body(exchange(new byte[0])).length(), size);
+      }
+    }
+  }
+
+  /** Tunnels between nodes of which one is of a version that knows no frames. */
+  public static class EarlierVersions extends Fixture {
+    private static final String OPEN = "HTTP/1.1 204 No Content\r\n\r\n";
+
+    private ScriptedServer earlierPeer(ScriptedServer.Script upstream) throws IOException {
+      ScriptedServer peer =
+          new ScriptedServer(
+              (q, a) -> {
+                if (q.method().equals("CONNECT")) {
+                  a.raw(OPEN);
+                } else {
+                  upstream.serve(q, a);
+                }
+              });
+      peers.add(peer.address());
+      return peer;
+    }
+
+    @Test
+    public void passAnswersWithLength() throws Exception {
+      try (ScriptedServer peer = earlierPeer((q, a) -> a.answer(200, "ok " + q.body()))) {
+        assertEquals(body(exchange("a".getBytes())), "ok a");
+        assertEquals(body(exchange("b".getBytes())), "ok b");
+        assertEquals(peer.next().method(), "CONNECT");
+      }
+    }
+
+    /** Guards against truncated answers that look complete: such a peer marks no end. */
+    @Test
+    public void loseAnswersWithoutLength() throws Exception {
+      try (ScriptedServer peer =
+          earlierPeer(
+              (q, a) -> {
+                a.raw("HTTP/1.1 200 X\r\n\r\npart");
+                a.socket().close();
+              })) {
+        UpstreamFailure failure = failure(exchange(new byte[0]));
+        assertEquals(failure.cause(), FailureCause.CONNECTION_LOST, failure.detail());
+        assertEquals(peer.next().method(), "CONNECT");
+      }
+    }
+
+    @Test
+    public void getBytesAsTheyAreIfTheyAskForNoFrames() throws Exception {
+      startPeer();
+      try (ScriptedServer server = new ScriptedServer((q, a) -> a.answer(200, "ok"));
+          Socket node = new Socket()) {
+        target = new UpstreamAddress(server.address());
+        node.bind(new InetSocketAddress(SELF, 0));
+        node.connect(peers.getFirst());
+        node.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        String connect = "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\nLarkkeel-Upstream: engine-1\r\n\r\n";
+        node.getOutputStream().write(connect.getBytes());
+        String head = readHead(node);
+        assertTrue(head.startsWith("HTTP/1.1 204"), head);
+        assertFalse(head.toLowerCase(Locale.ROOT).contains("larkkeel-frames"), head);
+        node.getOutputStream().write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
+        assertTrue(readHead(node).startsWith("HTTP/1.1 200"));
+        assertEquals(new String(node.getInputStream().readNBytes(2)), "ok");
+      }
+    }
+
+    private static String readHead(Socket socket) throws IOException {
+      StringBuilder head = new StringBuilder();
+      while (head.indexOf("\r\n\r\n") < 0) {
+        int b = socket.getInputStream().read();
+        assertTrue(b >= 0, head.toString());
+        head.append((char) b);
+      }
+      return head.toString();
+    }
+  }
+
+  /** What a peer may send in place of the frames that are expected. */
+  public static class Frames extends Fixture {
+    private static final String OPEN = "HTTP/1.1 204 No Content\r\nLarkkeel-Frames: 1\r\n\r\n";
+    private static final String END = frame("");
+
+    private static String frame(String bytes) {
+      byte[] header = ByteBuffer.allocate(4).putInt(bytes.length()).array();
+      return new String(header, StandardCharsets.ISO_8859_1) + bytes;
+    }
+
+    /** Answers each request with bytes that are written one by one or together. */
+    private ScriptedServer peer(String open, String answer, boolean byteByByte) throws IOException {
+      ScriptedServer peer =
+          new ScriptedServer(
+              (q, a) -> {
+                byte[] bytes =
+                    (q.method().equals("CONNECT") ? open : answer)
+                        .getBytes(StandardCharsets.ISO_8859_1);
+                for (int i = 0; byteByByte && i < bytes.length; i++) {
+                  a.socket().getOutputStream().write(bytes[i]);
+                  Thread.sleep(1);
+                }
+                if (!byteByByte) {
+                  a.socket().getOutputStream().write(bytes);
+                }
+                if (!q.method().equals("CONNECT")) {
+                  a.socket().close();
+                }
+              });
+      peers.add(peer.address());
+      return peer;
+    }
+
+    @DataProvider
+    static Object[][] wholeAnswers() {
+      String head = "HTTP/1.1 200 X\r\n\r\n";
+      return new Object[][] {
+        {frame(head + "whole") + END},
+        {frame(head) + frame("wh") + frame("ole") + END},
+        {frame("HTTP/1.1 20") + frame("0 X\r\n\r") + frame("\nwhole") + END},
+      };
+    }
+
+    @Test(dataProvider = "wholeAnswers")
+    public void mayBeSplitAnywhere(String answer) throws Exception {
+      for (boolean byteByByte : new boolean[] {true, false}) {
+        peers.clear();
+        try (ScriptedServer peer = peer(OPEN, answer, byteByByte)) {
+          assertEquals(body(exchange(new byte[0])), "whole");
+          assertEquals(peer.next().method(), "CONNECT");
+        }
+      }
+    }
+
+    /** Each prefix of a whole answer ends early, whichever byte is its last. */
+    @Test
+    public void areIncompleteAfterEachPrefix() throws Exception {
+      String answer = frame("HTTP/1.1 200 X\r\n\r\n") + frame("whole") + END;
+      for (int i = 1; i < answer.length(); i++) {
+        peers.clear();
+        try (ScriptedServer peer = peer(OPEN, answer.substring(0, i), false)) {
+          UpstreamFailure failure = failure(exchange(new byte[0]));
+          assertEquals(failure.cause(), FailureCause.CONNECTION_LOST, i + failure.detail());
+          assertEquals(peer.next().method(), "CONNECT");
+        }
+      }
+    }
+
+    @DataProvider
+    static Object[][] invalidFrames() {
+      return new Object[][] {
+        {"\u00ff\u00ff\u00ff\u00ff"}, {"\u0000\u0010\u0000\u0001"}, {"HTTP/1.1"}
+      };
+    }
+
+    @Test(dataProvider = "invalidFrames")
+    public void areInvalidIfNegativeOrTooLong(String bytes) throws Exception {
+      try (ScriptedServer peer = peer(OPEN, bytes + "x".repeat(100), false)) {
+        UpstreamFailure failure = failure(exchange(new byte[0]));
+        assertEquals(failure.cause(), FailureCause.CONNECTION_LOST, failure.detail());
+        assertEquals(peer.next().method(), "CONNECT");
+      }
+    }
+
+    /** An upstream that closes at once is marked in the segment of the peer's answer. */
+    @Test
+    public void mayFollowTheHeadAtOnce() throws Exception {
+      try (ScriptedServer peer = peer(OPEN + END, frame("no answer"), false)) {
+        assertEquals(failure(exchange(new byte[0])).cause(), FailureCause.CONNECTION_LOST);
+        assertEquals(peer.next().method(), "CONNECT");
+      }
+    }
+  }
+
   /** Requests for which no tunnel opens. */
   public static class Failures extends Fixture {
     /** A node that has lost its own paths must not report that an upstream has ended. */
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/HttpConnector.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/HttpConnector.java
@@ -16,6 +16,7 @@
 import java.net.URI;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
@@ -62,6 +63,7 @@
    * @param local the local address; empty for any
    * @param authority the host and the port, as in a URI
    * @param maxOverheadBytes the maximum number of bytes without content, see {@link InputLimit}
+   * @param prepare is given the connection before anything is read from it, and may set a conduit
    * @param callback receives the result
    */
   public static void connect(
@@ -70,8 +72,9 @@
       Optional<InetSocketAddress> local,
       String authority,
       long maxOverheadBytes,
+      Consumer<StreamConnection> prepare,
       Callback callback) {
-    LimitingThread limiting = new LimitingThread(thread, maxOverheadBytes);
+    LimitingThread limiting = new LimitingThread(thread, maxOverheadBytes, prepare);
     UndertowClient.getInstance()
         .connect(
             new ClientCallback<>() {
@@ -99,12 +102,14 @@
   private static final class LimitingThread extends XnioIoThread {
     private final XnioIoThread thread;
     private final long maxOverheadBytes;
+    private final Consumer<StreamConnection> prepare;
     private InputLimit limit;
 
-    LimitingThread(XnioIoThread thread, long maxOverheadBytes) {
+    LimitingThread(XnioIoThread thread, long maxOverheadBytes, Consumer<StreamConnection> prepare) {
       super(thread.getWorker(), thread.getNumber());
       this.thread = thread;
       this.maxOverheadBytes = maxOverheadBytes;
+      this.prepare = prepare;
     }
 
     @Override
@@ -137,6 +142,7 @@
     private ChannelListener<StreamConnection> limiting(
         ChannelListener<? super StreamConnection> opened) {
       return connection -> {
+        prepare.accept(connection);
         limit = InputLimit.install(connection, maxOverheadBytes);
         opened.handleEvent(connection);
       };
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
@@ -156,6 +156,7 @@
     private final Attempt attempt;
     private final InetSocketAddress peer;
     private HttpConnector.Opened connection;
+    private TunnelInput input;
     private boolean ended;
 
     PeerRequest(Attempt attempt, InetSocketAddress peer) {
@@ -174,6 +175,7 @@
           Optional.of(new InetSocketAddress(self, 0)),
           new UpstreamAddress(peer).hostHeader(),
           UpstreamClientSettings.DEFAULT.maxOverheadBytes(),
+          raw -> input = TunnelInput.install(raw),
           this);
     }
 
@@ -192,7 +194,8 @@
       request
           .getRequestHeaders()
           .put(Headers.HOST, attempt.destination.address().hostHeader())
-          .put(TunnelProtocol.UPSTREAM, attempt.destination.upstream().value());
+          .put(TunnelProtocol.UPSTREAM, attempt.destination.upstream().value())
+          .put(TunnelProtocol.FRAMES, TunnelProtocol.FRAMES_VERSION);
       opened.http().addCloseListener(c -> failed(new IOException("the connection was closed")));
       opened
           .http()
@@ -244,6 +247,7 @@
         return;
       }
       ended = true;
+      input.start(TunnelProtocol.isFramed(exchange.getResponse().getResponseHeaders()));
       attempt.result.opened(connection);
     }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
@@ -22,11 +22,14 @@
  *
  * <p>Invariants: each direction buffers at most one buffer, which is allocated only while bytes are
  * pending; a reset of one connection resets the other, so that no answer that breaks off looks
- * complete. Confined to the I/O thread.
+ * complete. As a killed process can not reset its connections, a caller that reads {@linkplain
+ * TunnelFrames frames} gets the upstream's bytes in frames, with a mark at their end. Confined to
+ * the I/O thread.
  */
 final class Splice {
   private final StreamConnection caller;
   private final StreamConnection upstream;
+  private final boolean framed;
   private final ByteBufferPool buffers;
   private final Runnable onEnd;
   private int openDirections = 2;
@@ -34,10 +37,21 @@
   private boolean awaitsUpstream;
   private boolean hasMoved;
 
+  /**
+   * Creates a copy that is not started.
+   *
+   * @param framed whether the caller reads frames
+   * @param onEnd runs once both connections were closed
+   */
   Splice(
-      StreamConnection caller, StreamConnection upstream, ByteBufferPool buffers, Runnable onEnd) {
+      StreamConnection caller,
+      StreamConnection upstream,
+      boolean framed,
+      ByteBufferPool buffers,
+      Runnable onEnd) {
     this.caller = caller;
     this.upstream = upstream;
+    this.framed = framed;
     this.buffers = buffers;
     this.onEnd = onEnd;
   }
@@ -97,6 +111,7 @@
     private final StreamSourceChannel source;
     private final StreamSinkChannel sink;
     private final boolean toUpstream;
+    private final boolean inFrames;
     private PooledByteBuffer pending;
     private boolean sourceEnded;
 
@@ -104,6 +119,7 @@
       this.source = source;
       this.sink = sink;
       this.toUpstream = toUpstream;
+      this.inFrames = framed && !toUpstream;
     }
 
     void start() {
@@ -160,6 +176,9 @@
     /** Reads into the buffer; returns false if there is nothing to read now. */
     private boolean fill() throws IOException {
       PooledByteBuffer buffer = buffers.allocate();
+      if (inFrames) {
+        TunnelFrames.begin(buffer.getBuffer());
+      }
       int n;
       try {
         n = source.read(buffer.getBuffer());
@@ -168,17 +187,27 @@
         throw e;
       }
       if (n > 0) {
-        buffer.getBuffer().flip();
+        if (inFrames) {
+          TunnelFrames.complete(buffer.getBuffer());
+        } else {
+          buffer.getBuffer().flip();
+        }
         pending = buffer;
         hasMoved = true;
         awaitsUpstream = toUpstream;
         return true;
       }
-      buffer.close();
       if (n < 0) {
         sourceEnded = true;
+        if (inFrames) {
+          TunnelFrames.markEnd(buffer.getBuffer());
+          pending = buffer;
+        } else {
+          buffer.close();
+        }
         return true;
       }
+      buffer.close();
       source.resumeReads();
       return false;
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelHandler.java
@@ -173,9 +173,14 @@
                 IoUtils.safeClose(upstream);
               }
             });
+    boolean framed = TunnelProtocol.isFramed(exchange.getRequestHeaders());
+    if (framed) {
+      exchange.getResponseHeaders().put(TunnelProtocol.FRAMES, TunnelProtocol.FRAMES_VERSION);
+    }
     exchange.acceptConnectRequest(
         (caller, e) -> {
-          tunnel.splice = new Splice(caller, upstream, worker.buffers(), () -> open.remove(tunnel));
+          tunnel.splice =
+              new Splice(caller, upstream, framed, worker.buffers(), () -> open.remove(tunnel));
           tunnel.splice.start();
         });
     end(exchange, TunnelProtocol.OPEN);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ConnectionPool.java
@@ -226,6 +226,7 @@
         Optional.empty(),
         direct.address().hostHeader(),
         settings.maxOverheadBytes(),
+        connection -> {},
         new HttpConnector.Callback() {
           @Override
           public void opened(HttpConnector.Opened connection) {
