Count an answer that ends with its connection as complete only while its upstream listens

Callers of an upstream that was killed got the part that it had written as a whole answer: a stream that ends regularly after two events, a plain answer with the length of the part, also where the call may be repeated.

The system closes the connections of a killed process in order, and an answer without a length or chunks ends with its connection.

The upstream is probed once such an answer has ended, before its end is passed on; events are forwarded as before. A connection that is refused says that the process has ended, and the answer is lost; it is confirmed through another node if there is one, as the path of this node may be broken. An upstream that is silent keeps its answer. An upstream that ends right after it has written the whole of such an answer loses it: a caller can repeat or resume a lost answer, and can not find out that it has a part.

TruncatedStreamTest$OfKilledUpstreams failed before (4 of 4: plain and stream, once and repeated or resumed) and passes; 110 tests of answers and relays of the platform pass.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -30,6 +30,7 @@
 import org.larkkeel.relay.AnswerFraming;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.AttemptProgress;
+import org.larkkeel.relay.ProbeResult;
 import org.larkkeel.relay.RefusalCause;
 import org.larkkeel.relay.RelayEffect;
 import org.larkkeel.relay.RelayEffect.Purpose;
@@ -62,6 +63,7 @@
   private final UpstreamPath path;
   private final int maxAnswerBytes;
   private final Runnable onLargeBody;
+  private final Consumer<Consumer<ProbeResult>> upstreamProbe;
   private final Consumer<RelayFact> facts;
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final Deque<EventSplitter.StreamEvent> pendingEvents = new ArrayDeque<>();
@@ -90,6 +92,7 @@
       RelayRequest request,
       int maxAnswerBytes,
       Runnable onLargeBody,
+      Consumer<Consumer<ProbeResult>> upstreamProbe,
       Consumer<RelayFact> facts) {
     this.loop = loop;
     this.dialect = dialect;
@@ -101,6 +104,7 @@
     this.path = send.path();
     this.maxAnswerBytes = maxAnswerBytes;
     this.onLargeBody = onLargeBody;
+    this.upstreamProbe = upstreamProbe;
     this.facts = facts;
     this.resumedAfter = request.lastEventId;
     this.placedAt = loop.now();
@@ -310,15 +314,38 @@
     if (ended) {
       return;
     }
-    ended = true;
     splitter.ifPresent(s -> remainder = s.takeRemainder());
-    if (framing == AnswerFraming.CONNECTION) {
-      reportEnd(isTruncated() ? AnswerEnd.PARTIAL_EVENT : AnswerEnd.COMPLETE);
+    if (framing != AnswerFraming.CONNECTION || verdict == AnswerVerdict.UNUSABLE) {
+      complete();
+    } else if (isTruncated()) {
+      loseAnswer(AnswerEnd.PARTIAL_EVENT);
+    } else {
+      // The connections of a process that was killed are closed like those of one that has written
+      // all of its answer, so only what listens afterwards tells them apart.
+      upstreamProbe.accept(this::onProbed);
     }
-    if (isTruncated()) {
-      loop.submit(new RelayEvent.Lost(loop.now(), id, FailureCause.CONNECTION_LOST));
+  }
+
+  private void onProbed(ProbeResult result) {
+    if (ended) {
       return;
     }
+    if (result == ProbeResult.REFUSES) {
+      loseAnswer(AnswerEnd.UPSTREAM_ENDED);
+    } else {
+      reportEnd(AnswerEnd.COMPLETE);
+      complete();
+    }
+  }
+
+  private void loseAnswer(AnswerEnd end) {
+    ended = true;
+    reportEnd(end);
+    loop.submit(new RelayEvent.Lost(loop.now(), id, FailureCause.CONNECTION_LOST));
+  }
+
+  private void complete() {
+    ended = true;
     if (splitter.isPresent() && !hasNewEvent) {
       body.writeBytes(remainder);
     }
@@ -331,9 +358,7 @@
    * nothing else shows that the stream is truncated.
    */
   private boolean isTruncated() {
-    return framing == AnswerFraming.CONNECTION
-        && splitter.isPresent()
-        && (hasPartialEvent(remainder) || !hasEvent);
+    return splitter.isPresent() && (hasPartialEvent(remainder) || !hasEvent);
   }
 
   private void reportEnd(AnswerEnd end) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -66,6 +66,9 @@
   /** The timeout for a tunnel, including the time for peers that offer none. */
   private static final Duration TUNNEL_PROBE_TIMEOUT = Duration.ofMillis(1_100);
 
+  /** The timeout for a tunnel that is probed while a caller waits for the end of an answer. */
+  private static final Duration END_PROBE_TIMEOUT = Duration.ofMillis(300);
+
   private static final int MAX_FREE_ANSWER_BYTES = 64 << 10;
 
   private final RelayLoop loop;
@@ -222,6 +225,7 @@
             request,
             settings.maxAnswerBytes(),
             this::limitAnswerMemory,
+            done -> probeEnd(e, done),
             facts);
     attempts.put(e.attempt(), attempt);
     if (e.check() == IncarnationCheck.NONE) {
@@ -398,6 +402,31 @@
     }
   }
 
+  /**
+   * Probes whether the upstream of an attempt still listens. A refused connection is confirmed
+   * through another node, as the path of this node may be broken; without such a node it counts.
+   */
+  private void probeEnd(RelayEffect.Send e, Consumer<ProbeResult> done) {
+    switch (destination(e.upstream(), e.path())) {
+      case Destination.Direct d -> {
+        Destination.Tunnel tunnel = new Destination.Tunnel(d.address(), e.upstream().name());
+        probe.start(
+            d.address().address(),
+            direct -> {
+              if (direct == ProbeResult.REFUSES) {
+                client.probe(
+                    tunnel,
+                    END_PROBE_TIMEOUT,
+                    other -> done.accept(other == ProbeResult.LISTENS ? other : direct));
+              } else {
+                done.accept(direct);
+              }
+            });
+      }
+      case Destination.Tunnel t -> client.probe(t, END_PROBE_TIMEOUT, done);
+    }
+  }
+
   private void startForwarding(RelayEffect.ForwardStream e) {
     RelayAttempt attempt = attempts.get(e.attempt());
     if (attempt != null) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/AnswerEnd.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/AnswerEnd.java
@@ -19,5 +19,8 @@
   PARTIAL_EVENT,
 
   /** The connection failed. */
-  CONNECTION_LOST
+  CONNECTION_LOST,
+
+  /** The connection was closed, and the upstream no longer listens: its process has ended. */
+  UPSTREAM_ENDED
 }
--- a/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
@@ -13,6 +13,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -134,6 +136,93 @@
     }
   }
 
+  /**
+   * Tests of answers that end with their connection, at upstreams that are killed while they write
+   * them. The system closes the connections of a killed process in order, like those of one that
+   * has written all of its answer.
+   */
+  public static class OfKilledUpstreams {
+    /** Starts an upstream that writes a part of its answer and ends. */
+    private static void killed(RelayTestSetup w, String id, String service, String part) {
+      AtomicReference<RawServer> self = new AtomicReference<>();
+      CountDownLatch known = new CountDownLatch(1);
+      self.set(
+          w.runner(
+              id,
+              service,
+              service.equals("model") ? "decode" : "",
+              (r, out, s) -> {
+                known.await();
+                RawServer.write(out, part);
+                Thread.sleep(100);
+                self.get().close();
+              }));
+      known.countDown();
+    }
+
+    @DataProvider
+    static Object[][] calls() {
+      String plain = HEAD.replace("text/event-stream", "text/plain") + "\r\npart";
+      return new Object[][] {
+        {"/once/a", "app", plain}, {"/stream/a", "model", HEAD + "\r\n" + event(1) + event(2)},
+      };
+    }
+
+    /** Guards against truncated answers that look complete after their upstream was killed. */
+    @Test(dataProvider = "calls")
+    public void neverLookComplete(String path, String service, String part) throws Exception {
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        killed(w, "i-run", service, part);
+        String answer = w.exchange("POST", path, "X-Model: m\r\n", "x");
+        boolean isStreaming = answer.startsWith("HTTP/1.1 200");
+        assertFalse(isStreaming && answer.endsWith(END), answer);
+        assertFalse(isStreaming && answer.contains("Content-Length"), answer);
+        assertTrue(isStreaming || answer.startsWith("HTTP/1.1 502"), answer);
+      }
+    }
+
+    @Test
+    public void areAnsweredByAnotherUpstreamIfTheCallMayBeRepeated() throws Exception {
+      String plain = HEAD.replace("text/event-stream", "text/plain");
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        killed(w, "i-run-1", "app", plain + "\r\npart");
+        w.runner(
+            "i-run-2",
+            "app",
+            "",
+            (r, out, s) -> RawServer.write(out, plain + "Content-Length: 5\r\n\r\nwhole"));
+        for (int i = 0; i < 4; i++) {
+          String answer = w.exchange("GET", "/safe/a", "", "");
+          assertTrue(answer.endsWith("\r\n\r\nwhole"), answer);
+        }
+      }
+    }
+
+    @Test
+    public void goOnAtAnotherUpstreamIfTheStreamMayResume() throws Exception {
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        killed(w, "i-run-1", "model", HEAD + "\r\n" + event(1) + event(2));
+        w.runner(
+            "i-run-2",
+            "model",
+            "decode",
+            (r, out, s) -> {
+              String last = r.header("Last-Event-Id");
+              RawServer.write(
+                  out, HEAD + "\r\n" + (last == null ? event(1) + event(2) : "") + event(3));
+              s.close();
+            });
+        for (int i = 0; i < 4; i++) {
+          String answer = w.exchange("POST", "/resume/a", "X-Model: m\r\n", "x");
+          for (int j = 1; j <= 3; j++) {
+            assertEquals(answer.split("data: piece-" + j + "\n", -1).length, 2, answer);
+          }
+          assertTrue(answer.endsWith(END), answer);
+        }
+      }
+    }
+  }
+
   /**
    * Tests of HTTP/1.0 callers. For them the end of the connection is the end of the stream, so only
    * a reset shows that the stream is incomplete.
