Let the system reset tunnels without frames when their carrier is killed

A node of an earlier version asks for a tunnel without frames, and takes the end of its connection for the end of an answer without a length. When the carrier was killed, it saw an end in order.

The carrier now sets such a connection to be reset when it is closed, and clears that once the upstream has closed its connection and all bytes were passed on. The system does so as well when the process is killed.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
@@ -23,7 +23,8 @@
  * <p>Invariants: each direction buffers at most one buffer, which is allocated only while bytes are
  * pending; a reset of one connection resets the other, so that no answer that breaks off looks
  * complete. As a killed process can not reset its connections, a caller that reads {@linkplain
- * TunnelFrames frames} gets the upstream's bytes in frames, with a mark at their end. Confined to
+ * TunnelFrames frames} gets the upstream's bytes in frames, with a mark at their end; for any other
+ * caller the system is told to reset the connection unless the copy has ended in order. Confined to
  * the I/O thread.
  */
 final class Splice {
@@ -59,6 +60,9 @@
   void start() {
     caller.getCloseSetter().set(c -> abort());
     upstream.getCloseSetter().set(c -> abort());
+    if (!framed) {
+      setResetOnClose(caller, true);
+    }
     new Direction(caller.getSourceChannel(), upstream.getSinkChannel(), true).start();
     if (!ended) {
       new Direction(upstream.getSourceChannel(), caller.getSinkChannel(), false).start();
@@ -89,12 +93,16 @@
   }
 
   private static void reset(StreamConnection connection) {
+    setResetOnClose(connection, true);
+    IoUtils.safeClose(connection);
+  }
+
+  private static void setResetOnClose(StreamConnection connection, boolean reset) {
     try {
-      connection.setOption(Options.CLOSE_ABORT, true);
+      connection.setOption(Options.CLOSE_ABORT, reset);
     } catch (IOException | IllegalArgumentException e) {
       // The connection is closed already.
     }
-    IoUtils.safeClose(connection);
   }
 
   private void directionEnded() {
@@ -214,6 +222,9 @@
 
     private void finish() throws IOException {
       source.suspendReads();
+      if (!toUpstream && !framed) {
+        setResetOnClose(caller, false);
+      }
       sink.shutdownWrites();
       if (sink.flush()) {
         sink.suspendWrites();
