Reset the connection of HTTP/1.0 callers unless their stream has ended in order

A caller that knows no chunks takes the close of its connection for the end of its stream. When the node was killed in the midst of one, the system closed the connection in order, and the stream looked complete; so it did when the node closed the connection of a caller that read too slowly.

From the begin of such a stream its connection is set to be reset when it is closed, by whomever; that is cleared right before the end is written. Streams that the node gives up were reset before.

KilledProcessTest$StreamsWithoutChunks kills the process of a node in a stream: it failed before (an end in order) and passes. A caller that reads too slowly is covered by the same option, and has no test of its own.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/KilledProcessTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/KilledProcessTest.java
@@ -124,6 +124,25 @@
     }
   }
 
+  /** Tests of nodes that write a stream to a caller that knows no chunks. */
+  public static class StreamsWithoutChunks {
+    /** Guards against truncated streams that look complete to HTTP/1.0 callers. */
+    @Test
+    public void endWithReset() throws Exception {
+      try (KilledProcess process =
+              new KilledProcess(KilledProcess.Mode.ENDLESS_STREAM, "127.0.0.1:9");
+          Socket caller = new Socket()) {
+        caller.connect(process.address());
+        caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Node.TIMEOUT_SECONDS));
+        write(caller, "GET /x HTTP/1.0\r\n\r\n");
+        InputStream in = caller.getInputStream();
+        assertTrue(readEvent(in).startsWith("HTTP/1."), "the head comes first");
+        process.kill();
+        assertThrows(IOException.class, in::read);
+      }
+    }
+  }
+
   private static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/caller/UndertowChannel.java
@@ -7,7 +7,6 @@
 package org.larkkeel.http.caller;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
@@ -35,7 +34,9 @@
  *
  * <p>Invariants: at most {@link CallerSettings#maxPendingBytes} of a stream are buffered. The
  * connection of a caller that reads too slowly is closed, so that a slow caller cannot hold up a
- * decode slot. Safe for use by several threads; the connection is used on its I/O thread only.
+ * decode slot. Where the close of the connection ends a stream, the connection is reset unless the
+ * stream has ended in order, also by the system if the process is killed. Safe for use by several
+ * threads; the connection is used on its I/O thread only.
  */
 public final class UndertowChannel implements CallerChannel {
   private static final Logger log = LoggerFactory.getLogger(UndertowChannel.class);
@@ -163,16 +164,23 @@
 
   /** Closes the connection such that the caller sees that the answer is incomplete. */
   private void abortConnection() {
-    ServerConnection connection = exchange.getConnection();
+    setResetOnClose(true);
+    IoUtils.safeClose(exchange.getConnection());
+  }
+
+  /**
+   * Sets whether a close resets the connection of a caller that knows no chunks. For such a caller
+   * an orderly close ends the answer normally; only a reset shows a failure.
+   */
+  private void setResetOnClose(boolean reset) {
+    if (exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
+      return;
+    }
     try {
-      if (!exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
-        // Without chunks an orderly close ends the answer normally; only a reset shows a failure.
-        connection.setOption(Options.CLOSE_ABORT, true);
-      }
+      exchange.getConnection().setOption(Options.CLOSE_ABORT, reset);
     } catch (IOException e) {
       log.debug("event=reset_failed cause={}", e.getMessage());
     }
-    IoUtils.safeClose(connection);
   }
 
   private synchronized boolean markEnded() {
@@ -258,6 +266,7 @@
       // Without chunks the close of the connection ends the stream; a truncated one looks complete.
       exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
     }
+    setResetOnClose(true);
     sink = exchange.getResponseChannel();
     if (sink == null) {
       throw new IOException("the response channel was already taken; the answer has ended");
@@ -276,6 +285,7 @@
       buffer = firstUnwritten();
     }
     if (isCompletelyWritten()) {
+      setResetOnClose(false);
       sink.shutdownWrites();
     }
     if (!sink.flush()) {
