Don't probe an upstream after an answer that has no body

Answers with 204 or 304, and answers to HEAD, end with their head, whether or not they name a length. They were taken for answers that end with their connection, so that the upstream was probed after each, and one that ended meanwhile lost a whole answer.

TruncatedStreamTest$OfKilledUpstreams.areWholeIfTheyHaveNoBody; 68 tests of truncated answers pass.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -9,6 +9,8 @@
 import com.google.common.collect.ImmutableList;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -173,7 +175,7 @@
     RelayRequest.endToEnd(headers, false)
         .forEach((name, value) -> list.add(new RecordedAnswer.Header(name.toString(), value)));
     head = new RecordedAnswer(status, list.build(), new byte[0]);
-    framing = framing(headers);
+    framing = framing(status, headers);
     String type = headers.getFirst("Content-Type");
     boolean stream = type != null && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
     if (verdict == AnswerVerdict.GOOD && stream && !(purpose instanceof Purpose.ReadPrompt)) {
@@ -182,7 +184,12 @@
     return isOwn;
   }
 
-  private static AnswerFraming framing(HeaderMap headers) {
+  private AnswerFraming framing(int status, HeaderMap headers) {
+    if (status == StatusCodes.NO_CONTENT
+        || status == StatusCodes.NOT_MODIFIED
+        || request.method.equals(Methods.HEAD)) {
+      return AnswerFraming.LENGTH;
+    }
     String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
     if (coding != null && coding.toLowerCase(Locale.ROOT).contains(CHUNKED)) {
       return AnswerFraming.CHUNKS;
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/AnswerFraming.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/AnswerFraming.java
@@ -12,7 +12,7 @@
  * @since 0.1
  */
 public enum AnswerFraming {
-  /** The head tells the length of the body. */
+  /** The head tells the length of the body, or that there is none. */
   LENGTH,
 
   /** The body comes in chunks, of which the last one is marked. */
--- a/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
@@ -181,6 +181,16 @@
       }
     }
 
+    @Test
+    public void areWholeIfTheyHaveNoBody() throws Exception {
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        killed(
+            w, "i-run", "app", "HTTP/1.1 204 X\r\nX-Request-Id: id-1\r\nX-Server-Stamp: s\r\n\r\n");
+        String answer = w.exchange("POST", "/once/a", "", "x");
+        assertTrue(answer.startsWith("HTTP/1.1 204"), answer);
+      }
+    }
+
     @Test
     public void areAnsweredByAnotherUpstreamIfTheCallMayBeRepeated() throws Exception {
       String plain = HEAD.replace("text/event-stream", "text/plain");
