Probe an upstream a few milliseconds after the end of its answer

The system closes the descriptors of a killed process one after the other. A node that reads the end of a connection at once may find that the listener still accepts, and take a truncated answer for a whole one.

The probe follows after 5 ms. Only answers that end with their connection wait for it, and events of streams were passed on before.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -66,6 +66,12 @@
   /** The timeout for a tunnel, including the time for peers that offer none. */
   private static final Duration TUNNEL_PROBE_TIMEOUT = Duration.ofMillis(1_100);
 
+  /**
+   * The delay of the probe after the end of an answer, as the system closes the connections and the
+   * listener of a killed process one after the other.
+   */
+  private static final long END_PROBE_DELAY_MILLIS = 5;
+
   /** The timeout for a tunnel that is probed while a caller waits for the end of an answer. */
   private static final Duration END_PROBE_TIMEOUT = Duration.ofMillis(300);
 
@@ -225,7 +231,9 @@
             request,
             settings.maxAnswerBytes(),
             this::limitAnswerMemory,
-            done -> probeEnd(e, done),
+            done ->
+                thread.executeAfter(
+                    () -> probeEnd(e, done), END_PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS),
             facts);
     attempts.put(e.attempt(), attempt);
     if (e.check() == IncarnationCheck.NONE) {
--- a/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
@@ -143,7 +143,8 @@
    */
   public static class OfKilledUpstreams {
     /** Starts an upstream that writes a part of its answer and ends. */
-    private static void killed(RelayTestSetup w, String id, String service, String part) {
+    private static void killed(
+        RelayTestSetup w, String id, String service, String part, boolean listensLonger) {
       AtomicReference<RawServer> self = new AtomicReference<>();
       CountDownLatch known = new CountDownLatch(1);
       self.set(
@@ -155,6 +156,9 @@
                 known.await();
                 RawServer.write(out, part);
                 Thread.sleep(100);
+                if (listensLonger) {
+                  s.close();
+                }
                 self.get().close();
               }));
       known.countDown();
@@ -163,16 +167,21 @@
     @DataProvider
     static Object[][] calls() {
       String plain = HEAD.replace("text/event-stream", "text/plain") + "\r\npart";
+      String stream = HEAD + "\r\n" + event(1) + event(2);
       return new Object[][] {
-        {"/once/a", "app", plain}, {"/stream/a", "model", HEAD + "\r\n" + event(1) + event(2)},
+        {"/once/a", "app", plain, false},
+        {"/once/a", "app", plain, true},
+        {"/stream/a", "model", stream, false},
+        {"/stream/a", "model", stream, true},
       };
     }
 
     /** Guards against truncated answers that look complete after their upstream was killed. */
     @Test(dataProvider = "calls")
-    public void neverLookComplete(String path, String service, String part) throws Exception {
+    public void neverLookComplete(String path, String service, String part, boolean listensLonger)
+        throws Exception {
       try (RelayTestSetup w = new RelayTestSetup().configured()) {
-        killed(w, "i-run", service, part);
+        killed(w, "i-run", service, part, listensLonger);
         String answer = w.exchange("POST", path, "X-Model: m\r\n", "x");
         boolean isStreaming = answer.startsWith("HTTP/1.1 200");
         assertFalse(isStreaming && answer.endsWith(END), answer);
@@ -183,9 +192,9 @@
 
     @Test
     public void areWholeIfTheyHaveNoBody() throws Exception {
+      String empty = "HTTP/1.1 204 X\r\nX-Request-Id: id-1\r\nX-Server-Stamp: s\r\n\r\n";
       try (RelayTestSetup w = new RelayTestSetup().configured()) {
-        killed(
-            w, "i-run", "app", "HTTP/1.1 204 X\r\nX-Request-Id: id-1\r\nX-Server-Stamp: s\r\n\r\n");
+        killed(w, "i-run", "app", empty, false);
         String answer = w.exchange("POST", "/once/a", "", "x");
         assertTrue(answer.startsWith("HTTP/1.1 204"), answer);
       }
@@ -195,7 +204,7 @@
     public void areAnsweredByAnotherUpstreamIfTheCallMayBeRepeated() throws Exception {
       String plain = HEAD.replace("text/event-stream", "text/plain");
       try (RelayTestSetup w = new RelayTestSetup().configured()) {
-        killed(w, "i-run-1", "app", plain + "\r\npart");
+        killed(w, "i-run-1", "app", plain + "\r\npart", false);
         w.runner(
             "i-run-2",
             "app",
@@ -211,7 +220,7 @@
     @Test
     public void goOnAtAnotherUpstreamIfTheStreamMayResume() throws Exception {
       try (RelayTestSetup w = new RelayTestSetup().configured()) {
-        killed(w, "i-run-1", "model", HEAD + "\r\n" + event(1) + event(2));
+        killed(w, "i-run-1", "model", HEAD + "\r\n" + event(1) + event(2), false);
         w.runner(
             "i-run-2",
             "model",
