--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayFactLogTest.java
@@ -19,9 +19,12 @@
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.overload.GatheredCapacity;
+import org.larkkeel.relay.AnswerEnd;
+import org.larkkeel.relay.AnswerFraming;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.CallSize;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.UpstreamPath;
 import org.slf4j.LoggerFactory;
 import org.testng.annotations.Test;
 
@@ -70,6 +73,27 @@
     }
   }
 
+  /** Lines of answers that ended with their connection. */
+  public static class EndedAnswer {
+    @Test
+    public void namesThePathTheOtherEndAndTheSize() {
+      assertEquals(
+          line(
+              new RelayFact.AnswerEnded(
+                  "c-1",
+                  new AttemptId(4),
+                  new UpstreamName("run-1"),
+                  UpstreamPath.TUNNEL,
+                  "10.1.0.35:7115",
+                  AnswerFraming.CONNECTION,
+                  512,
+                  AnswerEnd.CONNECTION_LOST,
+                  90_000_000)),
+          "event=answer_ended call=c-1 attempt=4 upstream=run-1 path=TUNNEL remote=10.1.0.35:7115"
+              + " framing=CONNECTION bytes=512 end=CONNECTION_LOST sent_ms=90");
+    }
+  }
+
   private static String line(RelayFact fact) {
     Logger logger = (Logger) LoggerFactory.getLogger("relay");
     ListAppender<ILoggingEvent> lines = new ListAppender<>();
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayMetersTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/RelayMetersTest.java
@@ -18,9 +18,12 @@
 import org.larkkeel.lib.AttemptId;
 import org.larkkeel.lib.UpstreamName;
 import org.larkkeel.overload.GatheredCapacity;
+import org.larkkeel.relay.AnswerEnd;
+import org.larkkeel.relay.AnswerFraming;
 import org.larkkeel.relay.AnswerGrade;
 import org.larkkeel.relay.CallRank;
 import org.larkkeel.relay.RelayFact;
+import org.larkkeel.relay.UpstreamPath;
 import org.larkkeel.store.EntryProblem;
 import org.testng.annotations.Test;
 
@@ -59,6 +62,30 @@
       assertEquals(calls(registry, "a", ErrorKind.OVERLOADED.slug()), 1.0);
     }
 
+    @Test
+    public void ofEndedAnswersAddUpByPathFramingAndEnd() {
+      PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+      new RelayMeters(registry)
+          .accept(
+              new RelayFact.AnswerEnded(
+                  "c",
+                  new AttemptId(1),
+                  UPSTREAM,
+                  UpstreamPath.DIRECT,
+                  "10.1.64.9:8080",
+                  AnswerFraming.CONNECTION,
+                  7,
+                  AnswerEnd.UPSTREAM_ENDED,
+                  8_000_000));
+      assertEquals(
+          registry
+              .get("larkkeel.relay.answers.ended")
+              .tags("path", "direct", "framing", "connection", "end", "upstream_ended")
+              .counter()
+              .count(),
+          1.0);
+    }
+
     @Test
     public void ofContinuedWaitsAddUp() {
       PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
