Keep the answer of an upstream that declines a call and ends

An answer whose head says that the call did not run, or that the upstream is another one, needs no body. Without a length it was probed like any other, and was lost if the upstream had ended: a call that may not be repeated failed with 502, though nothing had run.

Such an answer is no longer probed. TruncatedStreamTest$OfKilledUpstreams#areKeptIfTheyDeclineTheCall got 502 before, and gets the answer of another upstream now.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -322,7 +322,7 @@
       return;
     }
     splitter.ifPresent(s -> remainder = s.takeRemainder());
-    if (framing != AnswerFraming.CONNECTION || verdict == AnswerVerdict.UNUSABLE) {
+    if (framing != AnswerFraming.CONNECTION || !needsBody()) {
       complete();
     } else if (isTruncated()) {
       loseAnswer(AnswerEnd.PARTIAL_EVENT);
@@ -333,6 +333,14 @@
     }
   }
 
+  /** Returns whether the body matters; of some answers the head tells all. */
+  private boolean needsBody() {
+    return switch (verdict) {
+      case GOOD, FAILED, REJECTED -> true;
+      case NOT_RUN, WRONG_UPSTREAM, UNUSABLE -> false;
+    };
+  }
+
   private void onProbed(ProbeResult result) {
     if (ended) {
       return;
--- a/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
@@ -13,7 +13,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -200,6 +203,35 @@
       }
     }
 
+    /** Guards against calls that fail although their upstream said that it did not run them. */
+    @Test
+    public void areKeptIfTheyDeclineTheCall() throws Exception {
+      String declined = "HTTP/1.1 503 X\r\nX-Request-Id: id-1\r\nX-Not-Run: 1\r\n\r\nfull";
+      String plain = HEAD.replace("text/event-stream", "text/plain");
+      try (RelayTestSetup w = new RelayTestSetup().configured()) {
+        AtomicBoolean first = new AtomicBoolean(true);
+        List<RawServer> servers = new CopyOnWriteArrayList<>();
+        for (int i = 0; i < 2; i++) {
+          int number = i;
+          servers.add(
+              w.runner(
+                  "i-run-" + i,
+                  "app",
+                  "",
+                  (r, out, s) -> {
+                    if (first.getAndSet(false)) {
+                      RawServer.write(out, declined);
+                      servers.get(number).close();
+                    } else {
+                      RawServer.write(out, plain + "Content-Length: 5\r\n\r\nwhole");
+                    }
+                  }));
+        }
+        String answer = w.exchange("POST", "/once/a", "", "x");
+        assertTrue(answer.endsWith("\r\n\r\nwhole"), answer);
+      }
+    }
+
     @Test
     public void areAnsweredByAnotherUpstreamIfTheCallMayBeRepeated() throws Exception {
       String plain = HEAD.replace("text/event-stream", "text/plain");
