Tell the framing of an answer by the rule of the HTTP client

The client reads chunks only if the last Transfer-Encoding names no other coding, and reads other answers without a length up to the end of the connection. An answer counted as chunked if its first Transfer-Encoding contained that word, so "chunked, x" was read up to the end and never probed: a part looked complete after its upstream was killed.

TruncatedStreamTest$OfKilledUpstreams#neverLookComplete has such an answer; the caller got 200 with the length of the part before, and gets 502 now.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -190,8 +190,9 @@
         || request.method.equals(Methods.HEAD)) {
       return AnswerFraming.LENGTH;
     }
-    String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
-    if (coding != null && coding.toLowerCase(Locale.ROOT).contains(CHUNKED)) {
+    // The same rule as that of the client, which reads any other coding up to the end.
+    String coding = headers.getLast(Headers.TRANSFER_ENCODING);
+    if (CHUNKED.equalsIgnoreCase(coding)) {
       return AnswerFraming.CHUNKS;
     }
     return headers.contains(Headers.CONTENT_LENGTH)
--- a/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/TruncatedStreamTest.java
@@ -170,9 +170,11 @@
     @DataProvider
     static Object[][] calls() {
       String plain = HEAD.replace("text/event-stream", "text/plain") + "\r\npart";
+      String coded = plain.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked, x\r\n\r\n");
       String stream = HEAD + "\r\n" + event(1) + event(2);
       return new Object[][] {
         {"/once/a", "app", plain, false},
+        {"/once/a", "app", coded, false},
         {"/once/a", "app", plain, true},
         {"/stream/a", "model", stream, false},
         {"/stream/a", "model", stream, true},
