Lose an answer without events that was to continue a stream

A stream resumes at another upstream. If that answered with 200 or 204 and no event stream, the body was dropped and the caller's stream was ended regularly, before its last event. Such an answer is lost as a bad one now: the stream resumes elsewhere, or the caller sees that it is incomplete.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -406,10 +406,7 @@
   private RelayEvent outcome() {
     long at = loop.now();
     return switch (verdict) {
-      case GOOD ->
-          purpose instanceof Purpose.ReadPrompt
-              ? prefillOutcome(at)
-              : new RelayEvent.Answered(at, id, AnswerGrade.GOOD);
+      case GOOD -> goodOutcome(at);
       case FAILED -> failedOutcome(at, AnswerGrade.FAILED);
       case REJECTED -> failedOutcome(at, AnswerGrade.REJECTED);
       case NOT_RUN -> new RelayEvent.Refused(at, id, RefusalCause.DECLINED);
@@ -418,6 +415,16 @@
     };
   }
 
+  private RelayEvent goodOutcome(long at) {
+    if (purpose instanceof Purpose.ReadPrompt) {
+      return prefillOutcome(at);
+    }
+    // A stream that the caller has begun to receive goes on only with events.
+    return request.headSent && splitter.isEmpty()
+        ? new RelayEvent.Lost(at, id, FailureCause.BAD_ANSWER)
+        : new RelayEvent.Answered(at, id, AnswerGrade.GOOD);
+  }
+
   private RelayEvent prefillOutcome(long at) {
     return dialect
         .readHandle(body.toByteArray())
--- a/platform.test/src/test/java/org/larkkeel/platform/ResumedStreamTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/ResumedStreamTest.java
@@ -33,6 +33,8 @@
     return new Object[][] {
       {CHUNKED + HEAD + "\r\n" + END, true},
       {"HTTP/1.1 200 OK\r\n" + HEAD + "\r\n", false},
+      {"HTTP/1.1 200 OK\r\n" + failure, false},
+      {"HTTP/1.1 204 X\r\nX-Request-Id: id-1\r\nX-Server-Stamp: s\r\n\r\n", false},
       {"HTTP/1.1 500 X\r\n" + failure, false},
       {"HTTP/1.1 400 X\r\n" + failure, false},
     };
@@ -40,6 +42,7 @@
 
   /** Tests of callers that have received the beginning of the stream. */
   public static class Callers {
+    /** Guards against streams that end regularly although the second upstream sent no stream. */
     @Test(dataProvider = "answers", dataProviderClass = ResumedStreamTest.class)
     public void seeWhetherTheStreamIsComplete(String answer, boolean complete) throws Exception {
       try (RelayTestSetup w = new RelayTestSetup().configured()) {
