Hold the end of an answer back in the soak as long as its bytes

A path that drops packets, or holds answers back, let the end of a connection through at once, while the bytes before it waited: the proxy waited only after it had read some. No network does that.

The proxy passes the end of the runner's bytes on once bytes would pass, and resets the connection if a partition held it up, as it does with bytes.

--- a/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
@@ -202,6 +202,10 @@
         }
         out.flush();
       }
+      // The end of an answer comes after its bytes, and no sooner than they would.
+      if (answers && awaitForwarding(true, stallsAtAccept)) {
+        throw new IOException("the sender has left");
+      }
       to.shutdownOutput();
     } catch (IOException | InterruptedException e) {
       reset(from);
