Kill carriers and upstreams in the soak while answers without a marked end are open

The soak compared each complete answer with the whole one, but all answers of its runners had a length or chunks, its runners' connections were reset where they ended, and no node was killed while it was known to carry calls of others. So it could not show answers that end early and look complete.

A healed path to a runner that is down no longer accepts connections for a moment, as that moment would tell a node that the runner listens.

--- a/platform.test/src/test/java/org/larkkeel/platform/SoakPathCuts.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakPathCuts.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /**
  * Cuts the paths of some nodes to all runners, one time after the other, and checks that these
@@ -24,6 +25,9 @@
   /** The time after the begin of a cut from which callers must be served. */
   private static final long DETECTION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** The time after the begin of a cut from which calls use other nodes as carriers. */
+  private static final long CARRIERS_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final double MIN_RELATIVE_SHARE = 2.0 / 3;
   private static final int MAX_FAILED = 10;
   private static final int CALLS_PER_FAILED = 50;
@@ -73,6 +77,21 @@
     soak.after(millis + random.nextLong(500, 2_500), this::cutNext);
   }
 
+  /**
+   * Returns the nodes whose paths are whole while those of all others have been cut for some time;
+   * empty at other times.
+   */
+  synchronized List<Integer> carriers() {
+    if (periods.isEmpty()) {
+      return List.of();
+    }
+    Period last = periods.getLast();
+    long now = System.nanoTime();
+    return now < last.from() + CARRIERS_NANOS || now > last.until()
+        ? List.of()
+        : IntStream.range(0, nodes).boxed().filter(i -> !last.nodes().contains(i)).toList();
+  }
+
   private void heal(List<Integer> cut) {
     cut.forEach(node -> runners.forEach(r -> r.paths.heal(node)));
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakPaths.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakPaths.java
@@ -77,8 +77,22 @@
     }
   }
 
+  /** Refuses new connections; open ones go on until the runner closes them. */
+  synchronized void refuseNew() {
+    changedNanos = System.nanoTime();
+    down = true;
+    for (int i = 0; i < proxies.size(); i++) {
+      if (!cut[i]) {
+        proxies.get(i).refuseNew();
+      }
+    }
+  }
+
   /** Accepts connections again. */
   synchronized void up() {
+    if (!down) {
+      return;
+    }
     changedNanos = System.nanoTime();
     down = false;
     for (int i = 0; i < proxies.size(); i++) {
@@ -112,11 +126,12 @@
     cut[node] = false;
     changedNanos = System.nanoTime();
     SoakProxy proxy = proxies.get(node);
-    proxy.up();
-    proxy.setMode(mode);
     if (down) {
       proxy.down();
+    } else {
+      proxy.up();
     }
+    proxy.setMode(mode);
   }
 
   @Override
