--- a/platform.test/src/test/java/org/larkkeel/platform/EntryFuzzTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/EntryFuzzTest.java
@@ -19,11 +19,13 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.BigIntegerNode;
 import com.fasterxml.jackson.databind.node.LongNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.IOException;
 import java.io.InputStream;
+import java.math.BigInteger;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -50,7 +52,9 @@
   private static final long SEED = Long.getLong("larkkeel.fuzz.seed", 1);
   private static final String CORPUS = "/entries/";
   private static final Set<String> FIELDS =
-      Set.of("spec", "name", "service", "address", "zone", "slots", "born", "state", "stage");
+      Set.of(
+          "spec", "name", "service", "address", "zone", "slots", "born", "state", "stage",
+          "version");
   private static final List<String> REQUIRED =
       List.of("service", "address", "zone", "slots", "state");
 
@@ -69,8 +73,10 @@
   private static Gen<JsonNode> values() {
     Gen<JsonNode> texts = strings().allPossible().ofLengthBetween(0, 80).map(TextNode::valueOf);
     Gen<JsonNode> numbers = longs().between(Long.MIN_VALUE, Long.MAX_VALUE).map(LongNode::valueOf);
+    Gen<JsonNode> large =
+        integers().between(1, 900).map(n -> BigIntegerNode.valueOf(BigInteger.TEN.pow(n)));
     Gen<JsonNode> known = pick(lines("values.txt").stream().map(EntryFuzzTest::json).toList());
-    return oneOf(texts, numbers, known);
+    return oneOf(texts, numbers, large, known);
   }
 
   private static Gen<Change> changes() {
--- a/platform.test/src/test/java/org/larkkeel/platform/PlatformUpstreamsTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/PlatformUpstreamsTest.java
@@ -111,6 +111,8 @@
         {"{\"address\":\"10.0.0.1:0\"}", Reason.MALFORMED, "address"},
         {"{\"version\":{}}", Reason.WRONG_TYPE, "version"},
         {"{\"version\":\"v 1\"}", Reason.MALFORMED, "version"},
+        {"{\"version\":" + "9".repeat(65) + "}", Reason.MALFORMED, "version"},
+        {"{\"version\":-" + "9".repeat(900) + "}", Reason.MALFORMED, "version"},
         {"{\"address\":\"10.0.0.1:99999\"}", Reason.MALFORMED, "address"},
         {"{\"address\":\"host:80\"}", Reason.MALFORMED, "address"},
         {"{\"address\":7}", Reason.WRONG_TYPE, "address"},
