Write the bytes of invalid frames without Unicode escapes

Checkstyle fails on them. The bytes are the same; the 8 tests of TunnelTest$Frames pass, and checkstyle:check and spotless:check of the module.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -531,9 +531,7 @@
 
     @DataProvider
     static Object[][] invalidFrames() {
-      return new Object[][] {
-        {"\u00ff\u00ff\u00ff\u00ff"}, {"\u0000\u0010\u0000\u0001"}, {"HTTP/1.1"}
-      };
+      return new Object[][] {{"ÿÿÿÿ"}, {"\0\20\0\1"}, {"HTTP/1.1"}};
     }
 
     @Test(dataProvider = "invalidFrames")
