Let the carrier of a tunnel probe the upstream before it marks the end

An upstream was killed in the midst of an answer without a length behind a tunnel. The node that reads the answer probed it by another tunnel, and the carrier says that an upstream refuses only if it reaches another one of the service. Where there was none, a truncated answer counted as whole.

The carrier probes the upstream itself once that has closed its connection, marks the end if it listens, and resets the tunnel if it refuses; tunnels without frames are treated alike, which protects nodes of earlier versions. The node that reads opens no second tunnel.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -388,6 +388,31 @@
     }
   }
 
+  /** Upstreams whose process ends while they write an answer. */
+  public static class KilledUpstreams extends Fixture {
+    /**
+     * Guards against truncated answers that look complete if the peer reaches no other upstream.
+     */
+    @Test
+    public void leaveNoAnswerThatLooksComplete() throws Exception {
+      startPeer();
+      CompletableFuture<ScriptedServer> self = new CompletableFuture<>();
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (q, a) -> {
+                a.raw("HTTP/1.1 200 X\r\n\r\npart");
+                Thread.sleep(100);
+                a.socket().close();
+                self.get().close();
+              })) {
+        self.complete(server);
+        target = new UpstreamAddress(server.address());
+        UpstreamFailure failure = failure(exchange(new byte[0]));
+        assertEquals(failure.cause(), FailureCause.CONNECTION_LOST, failure.detail());
+      }
+    }
+  }
+
   /** Tunnels between nodes of which one is of a version that knows no frames. */
   public static class EarlierVersions extends Fixture {
     private static final String OPEN = "HTTP/1.1 204 No Content\r\n\r\n";
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -328,8 +328,6 @@
     } else if (isTruncated()) {
       loseAnswer(AnswerEnd.PARTIAL_EVENT);
     } else {
-      // The connections of a process that was killed are closed like those of one that has written
-      // all of its answer, so only what listens afterwards tells them apart.
       upstreamProbe.accept(this::onProbed);
     }
   }
@@ -445,7 +443,7 @@
     }
     ended = true;
     body = new ByteArrayOutputStream();
-    if (head.status() > 0) {
+    if (head.status() > 0 && failure.cause() == FailureCause.CONNECTION_LOST) {
       reportEnd(AnswerEnd.CONNECTION_LOST);
     }
     long at = loop.now();
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayExecutor.java
@@ -27,6 +27,7 @@
 import org.larkkeel.http.upstream.ConnectProbe;
 import org.larkkeel.http.upstream.ConnectionUse;
 import org.larkkeel.http.upstream.Destination;
+import org.larkkeel.http.upstream.EndProbe;
 import org.larkkeel.http.upstream.ResponseCollector;
 import org.larkkeel.http.upstream.ResponseTimeout;
 import org.larkkeel.http.upstream.UpstreamAddress;
@@ -66,12 +67,6 @@
   /** The timeout for a tunnel, including the time for peers that offer none. */
   private static final Duration TUNNEL_PROBE_TIMEOUT = Duration.ofMillis(1_100);
 
-  /**
-   * The delay of the probe after the end of an answer, as the system closes the connections and the
-   * listener of a killed process one after the other.
-   */
-  private static final long END_PROBE_DELAY_MILLIS = 5;
-
   /** The timeout for a tunnel that is probed while a caller waits for the end of an answer. */
   private static final Duration END_PROBE_TIMEOUT = Duration.ofMillis(300);
 
@@ -83,6 +78,7 @@
   private final ControlSender control;
   private final IncarnationReader incarnations;
   private final ConnectProbe probe;
+  private final EndProbe endProbe;
   private final NoticeReader notices;
   private final XnioIoThread thread;
   private final RelayClientSettings settings;
@@ -121,6 +117,7 @@
     this.control = new ControlSender(client, dialect, notices);
     this.incarnations = new IncarnationReader(control, dialect, loop);
     this.probe = new ConnectProbe(thread);
+    this.endProbe = new EndProbe(thread);
     this.thread = thread;
     this.settings = settings;
     this.facts = facts;
@@ -231,9 +228,7 @@
             request,
             settings.maxAnswerBytes(),
             this::limitAnswerMemory,
-            done ->
-                thread.executeAfter(
-                    () -> probeEnd(e, done), END_PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS),
+            done -> probeEnd(e, done),
             facts);
     attempts.put(e.attempt(), attempt);
     if (e.check() == IncarnationCheck.NONE) {
@@ -413,12 +408,13 @@
   /**
    * Probes whether the upstream of an attempt still listens. A refused connection is confirmed
    * through another node, as the path of this node may be broken; without such a node it counts.
+   * The node that carries a tunnel has probed before it marked the end.
    */
   private void probeEnd(RelayEffect.Send e, Consumer<ProbeResult> done) {
     switch (destination(e.upstream(), e.path())) {
       case Destination.Direct d -> {
         Destination.Tunnel tunnel = new Destination.Tunnel(d.address(), e.upstream().name());
-        probe.start(
+        endProbe.start(
             d.address().address(),
             direct -> {
               if (direct == ProbeResult.REFUSES) {
@@ -431,7 +427,7 @@
               }
             });
       }
-      case Destination.Tunnel t -> client.probe(t, END_PROBE_TIMEOUT, done);
+      case Destination.Tunnel t -> done.accept(ProbeResult.LISTENS);
     }
   }
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/Splice.java
@@ -10,7 +10,9 @@
 import io.undertow.connector.PooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.Consumer;
 import org.larkkeel.http.InputLimit;
+import org.larkkeel.relay.ProbeResult;
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -22,15 +24,17 @@
  *
  * <p>Invariants: each direction buffers at most one buffer, which is allocated only while bytes are
  * pending; a reset of one connection resets the other, so that no answer that breaks off looks
- * complete. As a killed process can not reset its connections, a caller that reads {@linkplain
- * TunnelFrames frames} gets the upstream's bytes in frames, with a mark at their end; for any other
- * caller the system is told to reset the connection unless the copy has ended in order. Confined to
- * the I/O thread.
+ * complete. The end of the upstream's bytes is passed on once the upstream was found to listen, and
+ * is a reset if it refuses connections, as its process has ended then. As a killed process can not
+ * reset its connections, a caller that reads {@linkplain TunnelFrames frames} gets the upstream's
+ * bytes in frames, with a mark at their end; for any other caller the system is told to reset the
+ * connection unless the copy has ended in order. Confined to the I/O thread.
  */
 final class Splice {
   private final StreamConnection caller;
   private final StreamConnection upstream;
   private final boolean framed;
+  private final Consumer<Consumer<ProbeResult>> endProbe;
   private final ByteBufferPool buffers;
   private final Runnable onEnd;
   private int openDirections = 2;
@@ -42,17 +46,20 @@
    * Creates a copy that is not started.
    *
    * @param framed whether the caller reads frames
+   * @param endProbe probes whether the upstream listens after it has closed its connection
    * @param onEnd runs once both connections were closed
    */
   Splice(
       StreamConnection caller,
       StreamConnection upstream,
       boolean framed,
+      Consumer<Consumer<ProbeResult>> endProbe,
       ByteBufferPool buffers,
       Runnable onEnd) {
     this.caller = caller;
     this.upstream = upstream;
     this.framed = framed;
+    this.endProbe = endProbe;
     this.buffers = buffers;
     this.onEnd = onEnd;
   }
@@ -122,6 +129,7 @@
     private final boolean inFrames;
     private PooledByteBuffer pending;
     private boolean sourceEnded;
+    private boolean endConfirmed;
 
     Direction(StreamSourceChannel source, StreamSinkChannel sink, boolean toUpstream) {
       this.source = source;
@@ -141,7 +149,9 @@
       try {
         while (!ended && flushPending()) {
           if (sourceEnded) {
-            finish();
+            if (endConfirmed) {
+              finish();
+            }
             return;
           }
           if (copied >= InputLimit.TURN_BYTES) {
@@ -205,23 +215,42 @@
         awaitsUpstream = toUpstream;
         return true;
       }
+      buffer.close();
       if (n < 0) {
-        sourceEnded = true;
-        if (inFrames) {
-          TunnelFrames.markEnd(buffer.getBuffer());
-          pending = buffer;
-        } else {
-          buffer.close();
-        }
+        endOfSource();
         return true;
       }
-      buffer.close();
       source.resumeReads();
       return false;
     }
 
-    private void finish() throws IOException {
+    private void endOfSource() {
+      sourceEnded = true;
       source.suspendReads();
+      if (toUpstream) {
+        endConfirmed = true;
+      } else {
+        endProbe.accept(this::onProbed);
+      }
+    }
+
+    private void onProbed(ProbeResult result) {
+      if (ended) {
+        return;
+      }
+      if (result == ProbeResult.REFUSES) {
+        abort();
+        return;
+      }
+      endConfirmed = true;
+      if (inFrames) {
+        pending = buffers.allocate();
+        TunnelFrames.markEnd(pending.getBuffer());
+      }
+      copy();
+    }
+
+    private void finish() throws IOException {
       if (!toUpstream && !framed) {
         setResetOnClose(caller, false);
       }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelHandler.java
@@ -24,6 +24,7 @@
 import java.util.function.Consumer;
 import org.larkkeel.http.HttpWorker;
 import org.larkkeel.http.upstream.ConnectProbe;
+import org.larkkeel.http.upstream.EndProbe;
 import org.larkkeel.http.upstream.UpstreamAddress;
 import org.larkkeel.lib.Names;
 import org.larkkeel.lib.UpstreamName;
@@ -58,6 +59,7 @@
   private final XnioIoThread thread;
   private final TunnelGate gate;
   private final ConnectProbe probe;
+  private final EndProbe endProbe;
   private final Set<OpenTunnel> open = new LinkedHashSet<>();
   private final XnioExecutor.Key period;
   private int opening;
@@ -81,6 +83,7 @@
     this.thread = worker.worker().getIoThread();
     this.gate = gate;
     this.probe = new ConnectProbe(thread);
+    this.endProbe = new EndProbe(thread);
     this.period =
         thread.executeAtInterval(this::checkIdle, CHECK_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -132,16 +135,19 @@
     connecting.addNotifier(
         (future, nothing) -> {
           timeout.remove();
-          thread.execute(() -> connected(exchange, name, future));
+          thread.execute(() -> connected(exchange, name, address, future));
         },
         null);
   }
 
   private void connected(
-      HttpServerExchange exchange, UpstreamName name, IoFuture<? extends StreamConnection> future) {
+      HttpServerExchange exchange,
+      UpstreamName name,
+      UpstreamAddress address,
+      IoFuture<? extends StreamConnection> future) {
     opening--;
     switch (future.getStatus()) {
-      case DONE -> join(exchange, future);
+      case DONE -> join(exchange, address, future);
       case FAILED -> {
         if (future.getException() instanceof ConnectException) {
           reportRefusal(exchange, name);
@@ -153,7 +159,10 @@
     }
   }
 
-  private void join(HttpServerExchange exchange, IoFuture<? extends StreamConnection> done) {
+  private void join(
+      HttpServerExchange exchange,
+      UpstreamAddress address,
+      IoFuture<? extends StreamConnection> done) {
     StreamConnection upstream;
     try {
       upstream = done.get();
@@ -180,7 +189,13 @@
     exchange.acceptConnectRequest(
         (caller, e) -> {
           tunnel.splice =
-              new Splice(caller, upstream, framed, worker.buffers(), () -> open.remove(tunnel));
+              new Splice(
+                  caller,
+                  upstream,
+                  framed,
+                  result -> endProbe.start(address.address(), result),
+                  worker.buffers(),
+                  () -> open.remove(tunnel));
           tunnel.splice.start();
         });
     end(exchange, TunnelProtocol.OPEN);
