--- a/platform.test/src/test/java/org/larkkeel/platform/UnreadableObjectsTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/UnreadableObjectsTest.java
@@ -112,6 +112,13 @@
       {"{\"metadata\":{\"name\":\"m\u0001\",\"revision\":3},\"spec\":{}}"},
       {"{\"metadata\":{\"name\":\"m\",\"revision\":3},\"spec\":{\"a\":}}"},
       {"{\"metadata\" \u0000\u0001}"},
+      {"{\"metadata\":{\"name\":\"m\",\"revision\":1e999999999},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"m\",\"revision\":" + "9".repeat(5_000) + "},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"" + "m".repeat(100_000) + "\",\"revision\":3},\"spec\":{}}"},
+      {"{\"metadata\":{\"name\":\"\\ud800\",\"revision\":3},\"spec\":{}}"},
+      {item("m", 3, OddEntry.nested(50_000, 0))},
+      {item("m", 3, OddEntry.nested(50_000, 3))},
+      {item("m", 3, "[0," + item("b", 3) + "," + OddEntry.nested(50_000, 1) + "]")},
     };
   }
 
