--- a/platform.test/src/test/java/org/larkkeel/platform/OddEntryTest.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/OddEntryTest.java
@@ -13,6 +13,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.IOException;
 import java.time.Duration;
@@ -21,6 +22,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import org.larkkeel.http.Json;
 import org.larkkeel.store.EntryProblem;
 import org.larkkeel.store.ListQuery;
 import org.larkkeel.store.ObjectPage;
@@ -90,7 +92,7 @@
       page.unreadable().forEach(u -> assertTrue(u.problem().found().length() <= 64, shown));
     }
 
-    /** Does with an object what nodes do: they read, compare and log it. */
+    /** Does with an object what nodes do: they read, compare, log and send it. */
     private static void use(StoredObject o) {
       if (PlatformUpstreams.read(o) instanceof ParseResult.Unreadable<?> u) {
         assertTrue(u.problem().found().length() <= EntryProblem.MAX_FOUND_CHARS);
@@ -101,6 +103,9 @@
       assertEquals(same.hashCode(), o.hashCode());
       assertTrue(same.equals(o));
       assertFalse(o.toString().isEmpty());
+      ObjectNode copy = Json.object();
+      copy.putObject("part").putArray("objects").addObject().set("spec", o.spec());
+      assertTrue(Json.bytes(copy).length > 0);
     }
 
     // Guards against entries whose parts count as entries, or which end the reading of the list.
