Follow a collection on if its listener fails

An exception of the listener of a collection left the handling of a list before the watch was started, without a log line: the collection was never read again. The exception is now logged and the watch goes on. The entry with a build that is too long ended the following of the list in this way.

Before: CollectionMirrorTest.Notifications.areGivenAfterOneHasFailed fails, no notification comes after the failed one. After: it passes.

--- a/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
+++ b/org.larkkeel.store.test/src/test/java/org/larkkeel/store/CollectionMirrorTest.java
@@ -271,6 +271,7 @@
       final InMemoryStore store = new InMemoryStore(time);
       final List<CollectionChange> notifications = new ArrayList<>();
       final CollectionMirror mirror;
+      boolean failing;
 
       ListeningMirror(String... names) {
         List.of(names).forEach(this::create);
@@ -284,11 +285,18 @@
                 COLLECTION,
                 process,
                 new Backoff(Duration.ofMillis(100), Duration.ofSeconds(1), new SplittableRandom(1)),
-                notifications::add);
+                this::notified);
         mirror.start();
         time.advance(Duration.ofSeconds(1));
       }
 
+      private void notified(CollectionChange change) {
+        if (failing) {
+          throw new IllegalStateException("injected");
+        }
+        notifications.add(change);
+      }
+
       void create(String name) {
         store.create(key(name), "thing", JsonNodeFactory.instance.objectNode());
       }
@@ -350,6 +358,19 @@
       assertEquals(l.nextNotifications(), List.of("[b, c]-[]"));
     }
 
+    // Guards against a failure of the listener that ends the following of the collection.
+    @Test
+    public void areGivenAfterOneHasFailed() {
+      ListeningMirror l = mirrorInPause("a");
+      l.failing = true;
+      l.create("e");
+      l.store.discardHistory();
+      assertEquals(l.nextNotifications(), List.of());
+      l.failing = false;
+      l.create("f");
+      assertEquals(l.nextNotifications(), List.of("[f]-[]"));
+    }
+
     @Test
     public void removalIsReported() {
       ListeningMirror l = new ListeningMirror("a", "b");
--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/CollectionMirror.java
@@ -419,7 +419,12 @@
           change.changed().size(),
           change.removed().size());
     }
-    listener.accept(change);
+    try {
+      listener.accept(change);
+    } catch (RuntimeException e) {
+      // A listener that fails must not end the following of the collection.
+      LOG.error("event=listener_failed collection={} version={}", collection, copyVersion, e);
+    }
   }
 
   private void retry(Throwable failure) {
