List the nodes even if the node's own entry cannot be read

A node lists its peers, and with them what is quarantined, once it is registered. If the entry under its name is one that the node cannot read, its registration fails for as long as the entry stays, and the node knew no peers. It now lists them as soon as the store has refused the registration or its answer is unreadable; the attempts to register go on.

Before: NodeRegistryTest.UnreadableOwnEntry.doesNotHideTheOthers fails, no peer is reported. After: it passes.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/NodeRegistryTest.java
@@ -12,6 +12,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -193,6 +194,48 @@
     }
   }
 
+  /** An entry under the node's own name that cannot be read. */
+  public static class UnreadableOwnEntry {
+    private static Object answer(Method method, ObjectPage page) {
+      ObjectApiFailure failure =
+          method.getName().equals("create")
+              ? new ObjectApiFailure.AlreadyExists()
+              : new ObjectApiFailure.Refused(0);
+      return method.getName().equals("list")
+          ? CompletableFuture.completedFuture(page)
+          : CompletableFuture.failedFuture(new ObjectApiException(failure, "injected"));
+    }
+
+    // Guards against a node that never learns its peers since its own entry cannot be read.
+    @Test
+    public void doesNotHideTheOthers() throws Exception {
+      ObjectPage page =
+          new ObjectPage(
+              ImmutableList.of(node("a", "{\"address\":\"10.0.0.2:80\"}")),
+              new StoreVersion(1, 1),
+              "");
+      List<RegisteredNode> peers = new ArrayList<>();
+      ObjectApi store =
+          (ObjectApi)
+              Proxy.newProxyInstance(
+                  NodeRegistryTest.class.getClassLoader(),
+                  new Class<?>[] {ObjectApi.class},
+                  (proxy, method, args) -> answer(method, page));
+      TimedActions actions = new TimedActions();
+      new NodeRegistry(
+              store,
+              actions,
+              new HostName("self"),
+              SELF,
+              peers::addAll,
+              suspects -> {},
+              (collection, r) -> {})
+          .start();
+      actions.advance(Duration.ofSeconds(1));
+      assertEquals(peers, List.of(registered("a", "10.0.0.2")));
+    }
+  }
+
   /** Whether a node was never registered before. */
   public static class NewNodes {
     private SimObjectStore store;
--- a/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
+++ b/org.larkkeel.daemon/src/main/java/org/larkkeel/daemon/relay/NodeRegistry.java
@@ -206,11 +206,21 @@
 
   private void retry(Throwable failure) {
     log.warn("event=not_registered node={} cause=\"{}\"", key.name(), failure.getMessage());
+    if (ObjectApiException.failureOf(failure)
+        .filter(ObjectApiFailure.Refused.class::isInstance)
+        .isPresent()) {
+      startListing();
+    }
     scheduler.schedule(backoff.nextDelay(), this::start);
   }
 
   private void registered() {
     backoff.reset();
+    startListing();
+  }
+
+  /** Starts to list the nodes; also if the store answers but this node's entry is unreadable. */
+  private void startListing() {
     if (!listing) {
       listing = true;
       listNodes();
