--- a/platform.test/src/test/java/org/larkkeel/platform/OddEntry.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/OddEntry.java
@@ -54,7 +54,7 @@
           "a\\u0000b",
           "\\ud800",
           "\\udc00\\ud800",
-          "\u00ff\u00fe",
+          String.valueOf((char) 0xFF) + (char) 0xFE,
           "a\u0001b",
           "../m",
           "10.0.0.1:70000",
