Read the connection of a tunnel that is not used up to its end

The close of such a connection reads until its end.

The input is given up before the connection is closed.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/PeerTunnelOpener.java
@@ -182,6 +182,7 @@
     @Override
     public void opened(HttpConnector.Opened opened) {
       if (ended) {
+        input.giveUp();
         IoUtils.safeClose(opened.http());
         return;
       }
@@ -261,6 +262,7 @@
 
     private void close() {
       if (connection != null) {
+        input.giveUp();
         IoUtils.safeClose(connection.http());
       }
     }
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelInput.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelInput.java
@@ -41,7 +41,9 @@
     /** The bytes of the upstream come as they are. */
     PLAIN,
     /** The end was marked. */
-    ENDED
+    ENDED,
+    /** The tunnel is not used; what comes is passed up until the connection is closed. */
+    UNUSED
   }
 
   private final ByteBuffer header = ByteBuffer.allocate(TunnelFrames.HEADER_BYTES);
@@ -75,6 +77,14 @@
     phase = framed ? Phase.FRAMES : Phase.PLAIN;
   }
 
+  /**
+   * Gives the tunnel up. Must be called before the connection is closed if the input was not
+   * started, as the close reads up to the end.
+   */
+  void giveUp() {
+    phase = Phase.UNUSED;
+  }
+
   @Override
   public int read(ByteBuffer dst) throws IOException {
     return switch (phase) {
@@ -83,6 +93,7 @@
       case FRAMES -> readFrames(dst);
       case PLAIN -> readExpected(dst);
       case ENDED -> -1;
+      case UNUSED -> next.read(dst);
     };
   }
 
