Include a suspension in the time of all threads once one has noticed it

The first reading of the clock after a suspension marked the movement of the time of day as seen, and then read the boot time, for which native code may have to be linked. A thread that read the clock meanwhile got a time without the suspension. The event loop then took what was known before the suspension for fresh, among others a list of upstreams that was confirmed 200 ms earlier: a stream that is taken up in that moment may go on at the only build of an old list.

The movement stays visible until the suspension is counted, and other threads wait for that.

BootClockTest$SeveralThreads: without the change the second thread gets a time 4 s too early, with it both include the 4 s. No machine was suspended to observe it.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/time/BootClockTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/time/BootClockTest.java
@@ -10,13 +10,19 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.Test;
 
 /** Tests the clock that includes suspensions. */
 public class BootClockTest {
   private static final long MILLI = 1_000_000L;
   private static final long SECOND = 1_000 * MILLI;
+  private static final Executor NEW_THREAD = task -> new Thread(task).start();
 
   /** A simulated machine with a steady clock, a time of day and a boot time. */
   private static final class Machine {
@@ -92,6 +98,40 @@
     }
   }
 
+  /** Threads that read the clock as the machine goes on. */
+  public static class SeveralThreads {
+    /** Guards against a time without the suspension while another thread reads the boot time. */
+    @Test(timeOut = 20_000)
+    public void allIncludeTheSuspension() throws Exception {
+      AtomicLong wallMillis = new AtomicLong(1_790_000_000_000L);
+      AtomicLong boot = new AtomicLong(5 * SECOND);
+      CountDownLatch reading = new CountDownLatch(1);
+      CountDownLatch mayRead = new CountDownLatch(1);
+      BootClock clock =
+          new BootClock(
+              () -> 5 * SECOND,
+              wallMillis::get,
+              () -> {
+                reading.countDown();
+                Uninterruptibles.awaitUninterruptibly(mayRead);
+                return OptionalLong.of(boot.get());
+              });
+      final long before = clock.nanoTime();
+      wallMillis.addAndGet(4_000);
+      boot.addAndGet(4 * SECOND);
+      final CompletableFuture<Long> first =
+          CompletableFuture.supplyAsync(clock::nanoTime, NEW_THREAD);
+      reading.await();
+      final CompletableFuture<Long> second =
+          CompletableFuture.supplyAsync(clock::nanoTime, NEW_THREAD);
+      Thread.sleep(100);
+      mayRead.countDown();
+      assertEquals(first.get() - before, 4 * SECOND);
+      assertEquals(second.get() - before, 4 * SECOND);
+      assertEquals(clock.suspendedNanos(), 4 * SECOND);
+    }
+  }
+
   /** Changes that the clock does not include. */
   public static class NotCounted {
     @Test
--- a/org.larkkeel/src/main/java/org/larkkeel/time/BootClock.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/time/BootClock.java
@@ -70,12 +70,22 @@
   /** Returns nanoseconds from an arbitrary origin, including suspensions. */
   public long nanoTime() {
     long now = steady.getAsLong();
-    long moved = driftFrom(now) - drift;
+    if (Math.abs(driftFrom(now) - drift) > TOLERANCE_NANOS) {
+      countMovement();
+    }
+    return now + suspended;
+  }
+
+  /**
+   * Handles a movement of the time of day. The movement stays visible to other threads until the
+   * suspension is counted; they wait for that.
+   */
+  private synchronized void countMovement() {
+    long moved = driftFrom(steady.getAsLong()) - drift;
     if (Math.abs(moved) > TOLERANCE_NANOS) {
-      drift += moved;
       updateSuspended(moved);
+      drift += moved;
     }
-    return now + suspended;
   }
 
   /** Returns whether the boot time was read. */
