Test streams that are taken up at a node that stood still while a build joined

The node stands still for 1 to 6 s, drawn, and notices it as a stall, as a suspension or not at all; then it reads callers, peers and the store in drawn orders. 400 draws a run; no call that came after the standstill goes to the build that was the only one before it.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/RelayWorld.java
@@ -309,6 +309,11 @@
     apply(new RelayEvent.Stalled(now, millis * MILLI));
   }
 
+  /** Advances the time, of which the node is not told. */
+  void standStill(long millis) {
+    now += millis * MILLI;
+  }
+
   /** Advances the time in one step. */
   void skip(long millis) {
     now += millis * MILLI;
--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -13,9 +13,15 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.HostName;
 import org.larkkeel.lib.RequestId;
@@ -397,6 +403,128 @@
     }
   }
 
+  /**
+   * Streams that callers take up at a node that stood still while another build joined. The node
+   * reads what lies in its socket buffers in any order between connections.
+   */
+  public static class TakenUpAfterTheNodeStoodStill {
+    private static final int RUNS = 400;
+
+    /** How the node notices that it stood still. */
+    private enum Standstill {
+      /** The clock runs on, and the first timer tells. */
+      STALLED,
+      /** The clock has counted the suspension, and the router is told before the next event. */
+      SUSPENDED,
+      /** Nothing has told yet. */
+      UNNOTICED
+    }
+
+    /** The messages of one connection, which are read in their order. */
+    private static final class Connections {
+      private final SplittableRandom random;
+      private final List<Deque<Runnable>> all = new ArrayList<>();
+
+      Connections(SplittableRandom random) {
+        this.random = random;
+      }
+
+      void add(Runnable... messages) {
+        all.add(new ArrayDeque<>(List.of(messages)));
+      }
+
+      /** Reads all messages; between two of them some time passes. */
+      void readAll(RelayWorld w) {
+        while (!all.isEmpty()) {
+          Deque<Runnable> next = all.get(random.nextInt(all.size()));
+          next.poll().run();
+          if (next.isEmpty()) {
+            all.remove(next);
+          }
+          if (random.nextInt(3) == 0) {
+            w.pass(5L * random.nextInt(1, 8));
+          }
+        }
+      }
+    }
+
+    private static void confirm(RelayWorld w, List<RelayEffect.ConfirmUpstreams> asked) {
+      for (RelayEffect.ConfirmUpstreams c : asked) {
+        w.apply(new RelayEvent.UpstreamsConfirmed(w.now(), c.number()));
+      }
+    }
+
+    /** Answers of peers that are in touch with the store, and know of both builds. */
+    private static StreamFinding peersAnswer(SplittableRandom random) {
+      return switch (random.nextInt(4)) {
+        case 0 -> known(NEW);
+        case 1 -> finding(new StreamLookup.Unknown(), ListWitness.MAJORITY);
+        case 2 -> finding(new StreamLookup.Unknown(), ListWitness.NONE);
+        default -> StreamFinding.NONE;
+      };
+    }
+
+    /** Guards against a list from before the standstill that decides which build began a stream. */
+    @Test
+    public void goOnAtTheBuildThatBeganThemWhateverIsReadFirst() {
+      int served = 0;
+      for (int seed = 0; seed < RUNS; seed++) {
+        served += takeUp(new SplittableRandom(seed), "seed " + seed);
+      }
+      assertTrue(served > RUNS, served + " streams go on");
+    }
+
+    /** Returns how many of the streams go on. */
+    private static int takeUp(SplittableRandom random, String message) {
+      final RelayWorld w = world();
+      w.pass(random.nextBoolean() ? 31_000 : 300);
+      w.setStoreAnswers(random.nextBoolean());
+      if (random.nextBoolean()) {
+        w.resume("/resume/a", SIZE, "earlier");
+        w.pass(5L * random.nextInt(0, 30));
+      }
+      w.setStoreAnswers(false);
+      final List<RelayEffect.ConfirmUpstreams> askedBefore =
+          w.of(RelayEffect.ConfirmUpstreams.class);
+      standStill(w, random);
+      Set<RequestId> calls = new HashSet<>();
+      Connections connections = new Connections(random);
+      connections.add(
+          () -> confirm(w, askedBefore),
+          () -> addNew(w),
+          () -> confirm(w, w.of(RelayEffect.ConfirmUpstreams.class)));
+      for (int i = 0; i < STREAMS; i++) {
+        StreamId stream = new StreamId("other-node-" + i);
+        connections.add(
+            () -> calls.add(w.resume("/resume/a", SIZE, stream.value())),
+            () -> w.apply(new RelayEvent.StreamFound(w.now(), stream, peersAnswer(random))));
+        if (random.nextInt(3) == 0) {
+          StreamBuild told = new StreamBuild(stream, RelayWorld.MODEL, NEW);
+          connections.add(() -> w.apply(new RelayEvent.StreamRecorded(w.now(), told)));
+        }
+      }
+      connections.readAll(w);
+      w.pass(600);
+      List<RelayEffect.Send> sent =
+          w.of(RelayEffect.Send.class).stream().filter(s -> calls.contains(s.call())).toList();
+      for (RelayEffect.Send s : sent) {
+        assertEquals(s.upstream().build(), NEW, message);
+      }
+      return sent.size();
+    }
+
+    private static void standStill(RelayWorld w, SplittableRandom random) {
+      long millis = random.nextLong(1_000, 6_001);
+      Standstill how = Standstill.values()[random.nextInt(Standstill.values().length)];
+      switch (how) {
+        case STALLED -> w.stall(millis);
+        case SUSPENDED -> w.suspend(millis);
+        case UNNOTICED -> w.standStill(millis);
+        default -> throw new AssertionError(how);
+      }
+    }
+  }
+
   /** Streams that callers take up after all nodes have ended. */
   public static class TakenUpAfterTheEndOfAllNodes {
     private static final StreamId STREAM = new StreamId("before");
