Read the list of upstreams again for calls that the last read does not cover

One read of the list is under way at a time, and serves the calls of 200 ms. A call that came later, while the read was unanswered, got no read of its own, and depended on peers or was refused as not run. This happens at a node that goes on after it stood still with a read under way, and while the store takes longer than 200 ms. Once the list is confirmed, it is read again if a call that waits is not covered.

StreamBuildsTest$TakenUpAfterTheNodeStoodStill.goOnThoughAnEarlierReadOfTheListIsAnsweredFirst: one of two calls goes on without the change, both with it.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -513,6 +513,21 @@
       return sent.size();
     }
 
+    /** Guards against a refusal since the only read of the list began before the standstill. */
+    @Test
+    public void goOnThoughAnEarlierReadOfTheListIsAnsweredFirst() {
+      RelayWorld w = world();
+      w.pass(31_000);
+      w.setStoreAnswers(false);
+      w.resume("/resume/a", SIZE, "earlier");
+      w.standStill(2_000);
+      w.resume("/resume/a", SIZE, "later");
+      confirm(w, w.of(RelayEffect.ConfirmUpstreams.class));
+      assertEquals(w.sendCount(), 1);
+      confirm(w, w.of(RelayEffect.ConfirmUpstreams.class));
+      assertEquals(w.sendCount(), 2);
+    }
+
     private static void standStill(RelayWorld w, SplittableRandom random) {
       long millis = random.nextLong(1_000, 6_001);
       Standstill how = Standstill.values()[random.nextInt(Standstill.values().length)];
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -389,7 +389,7 @@
   /** Handles the answer to a request to read the discovery list again. */
   public void upstreamsConfirmed(long at, long number) {
     if (core.listConfirmation.confirmed(number)) {
-      core.resumedStreams.reconsider(at);
+      core.resumedStreams.listConfirmed(at);
     }
   }
 
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/ResumedStreams.java
@@ -147,6 +147,21 @@
         new Timers.Timer.StreamLookupTimeout(BuildHistoryReads.overdueAt(at), w.call.call.id()));
   }
 
+  /**
+   * Decides the waiting calls again after the list was confirmed. Calls that arrived after the read
+   * had begun may not be covered by it: the list is read again for those.
+   */
+  void listConfirmed(long at) {
+    reconsider(at);
+    if (waiting.values().stream().anyMatch(w -> awaitsList(at, w))) {
+      core.listConfirmation.request(at);
+    }
+  }
+
+  private boolean awaitsList(long at, Waiting w) {
+    return own(at, w).onlyBuild().isPresent() && !core.listConfirmation.isCompleteAt(w.since);
+  }
+
   /** Decides the waiting calls again after the store has told something. */
   void reconsider(long at) {
     List.copyOf(waiting.values()).forEach(w -> proceed(at, w));
