--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/StreamBuildsTest.java
@@ -530,10 +530,12 @@
 
     private static void standStill(RelayWorld w, SplittableRandom random) {
       long millis = random.nextLong(1_000, 6_001);
-      switch (Standstill.values()[random.nextInt(Standstill.values().length)]) {
+      Standstill how = Standstill.values()[random.nextInt(Standstill.values().length)];
+      switch (how) {
         case STALLED -> w.stall(millis);
         case SUSPENDED -> w.suspend(millis);
         case UNNOTICED -> w.standStill(millis);
+        default -> throw new AssertionError(how);
       }
     }
   }
--- a/org.larkkeel.test/src/test/java/org/larkkeel/time/BootClockTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/time/BootClockTest.java
@@ -119,9 +119,11 @@
       final long before = clock.nanoTime();
       wallMillis.addAndGet(4_000);
       boot.addAndGet(4 * SECOND);
-      CompletableFuture<Long> first = CompletableFuture.supplyAsync(clock::nanoTime, NEW_THREAD);
+      final CompletableFuture<Long> first =
+          CompletableFuture.supplyAsync(clock::nanoTime, NEW_THREAD);
       reading.await();
-      CompletableFuture<Long> second = CompletableFuture.supplyAsync(clock::nanoTime, NEW_THREAD);
+      final CompletableFuture<Long> second =
+          CompletableFuture.supplyAsync(clock::nanoTime, NEW_THREAD);
       Thread.sleep(100);
       mayRead.countDown();
       assertEquals(first.get() - before, 4 * SECOND);
