Let a killed runner of the soak refuse connections before its connections end

A port accepts connections until the thread that waits for one has ended, so that a node could find that a runner listens although it was killed. The proxy waits for that thread, and only then the connections are closed.

--- a/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
@@ -61,6 +61,7 @@
   private static final long BIND_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
   private volatile ServerSocket listener;
+  private volatile Thread acceptor;
   private final InetSocketAddress target;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private final List<SocketChannel> fillers = new CopyOnWriteArrayList<>();
@@ -75,7 +76,7 @@
   private void listen(int port) {
     bind(port, BACKLOG);
     ServerSocket accepting = listener;
-    Thread.ofVirtual().start(() -> accept(accepting));
+    acceptor = Thread.ofVirtual().start(() -> accept(accepting));
   }
 
   /** Binds the listener; a port is still in use for a moment after its listener was closed. */
@@ -102,9 +103,15 @@
     open.forEach(SoakProxy::reset);
   }
 
-  /** Refuses new connections; open ones stay. */
+  /** Refuses new connections from now on; open ones stay. */
   void refuseNew() {
     IoUtils.safeClose(listener);
+    try {
+      // The port accepts connections until the thread that waits for one has ended.
+      acceptor.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /** Forwards nothing, and lets new connections hang, as when packets are dropped. */
