Reject answers whose head leaves open where they end

A head with an interim status other than 100, with a transfer coding other than chunked (as when the header was cut), or with lengths that are invalid or differ was taken for a head: the first for an answer without a body, after which the connection counts as free for the next request; the second for an answer that ends with its connection, with the sizes of the chunks in its body. The relay took each coding that contains the word for chunks, and so did not ask whether the upstream still listens.

ResponseFraming decides for all requests to upstreams, before a handler sees the head.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -8,9 +8,6 @@
 
 import com.google.common.collect.ImmutableList;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import io.undertow.util.Methods;
-import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -24,6 +21,7 @@
 import org.larkkeel.http.request.RecordedAnswer;
 import org.larkkeel.http.upstream.ConnectionPosition;
 import org.larkkeel.http.upstream.InFlightRequest;
+import org.larkkeel.http.upstream.ResponseFraming;
 import org.larkkeel.http.upstream.ResponseHandler;
 import org.larkkeel.http.upstream.UpstreamFailure;
 import org.larkkeel.lib.AttemptId;
@@ -53,7 +51,6 @@
   private static final int LARGE_BODY_BYTES = 128 << 10;
 
   private static final String EVENT_STREAM = "text/event-stream";
-  private static final String CHUNKED = "chunked";
 
   private final RelayLoop loop;
   private final RelayDialect dialect;
@@ -175,7 +172,8 @@
     RelayRequest.endToEnd(headers, false)
         .forEach((name, value) -> list.add(new RecordedAnswer.Header(name.toString(), value)));
     head = new RecordedAnswer(status, list.build(), new byte[0]);
-    framing = framing(status, headers);
+    framing =
+        ResponseFraming.of(request.method, status, headers::get).orElse(AnswerFraming.CONNECTION);
     String type = headers.getFirst("Content-Type");
     boolean stream = type != null && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
     if (verdict == AnswerVerdict.GOOD && stream && !(purpose instanceof Purpose.ReadPrompt)) {
@@ -184,21 +182,6 @@
     return isOwn;
   }
 
-  private AnswerFraming framing(int status, HeaderMap headers) {
-    if (status == StatusCodes.NO_CONTENT
-        || status == StatusCodes.NOT_MODIFIED
-        || request.method.equals(Methods.HEAD)) {
-      return AnswerFraming.LENGTH;
-    }
-    String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
-    if (coding != null && coding.toLowerCase(Locale.ROOT).contains(CHUNKED)) {
-      return AnswerFraming.CHUNKS;
-    }
-    return headers.contains(Headers.CONTENT_LENGTH)
-        ? AnswerFraming.LENGTH
-        : AnswerFraming.CONNECTION;
-  }
-
   private RelayFact.AnswerHead answerHead(int status, HeaderMap headers) {
     return new RelayFact.AnswerHead(
         request.call.wireId(),
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -237,6 +237,14 @@
     ClientResponse response = exchange.getResponse();
     recordActivity();
     connection.limit().contentRead();
+    if (ResponseFraming.of(
+            request.method(), response.getResponseCode(), response.getResponseHeaders()::get)
+        .isEmpty()) {
+      endWithFailure(
+          UpstreamFailure.mayHaveRun(
+              FailureCause.BAD_ANSWER, "the head of the response does not tell where it ends"));
+      return;
+    }
     if (!handler.onHeaders(response.getResponseCode(), response.getResponseHeaders())) {
       endAsUnusable();
       return;
