Lose plain answers that end with the process of their service

A plain answer of a service with neither a length nor chunks ends with its connection, and the node took each such end for the end of the answer. The system closes the connections of a process that was killed in order, so that callers got the part that it had written, with its length.

The service is probed once such an answer has ended, as by the relay: one that refuses connections has ended, and the attempt fails as lost. One that listens or is silent keeps its answer.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.larkkeel.effect.Effect;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.event.CancelOutcome;
@@ -309,6 +310,44 @@
       }
     }
 
+    @Test
+    public void passesAnswersThatEndWithTheirConnection() throws Exception {
+      try (ScriptedServer service =
+              new ScriptedServer((q, a) -> a.raw("HTTP/1.1 200 OK\r\n\r\nok").socket().close());
+          RawCaller caller = node.call()) {
+        caller.send("GET", "/orders", "", "");
+        RequestId id = node.arrival();
+        node.plain(FIRST, id, engine("s", service));
+        node.await(Event.PlainDone.class);
+        node.execute(new Effect.Complete(id, FIRST));
+        assertEquals(caller.answer().body(), "ok");
+      }
+    }
+
+    /** Guards against a part of an answer that looks complete after its service was killed. */
+    @Test
+    public void losesAnswersThatEndWithTheirService() throws Exception {
+      AtomicReference<ScriptedServer> self = new AtomicReference<>();
+      CountDownLatch known = new CountDownLatch(1);
+      try (ScriptedServer service =
+              new ScriptedServer(
+                  (q, a) -> {
+                    known.await();
+                    a.raw("HTTP/1.1 200 OK\r\n\r\npart");
+                    Thread.sleep(100);
+                    self.get().close();
+                  });
+          RawCaller caller = node.call()) {
+        self.set(service);
+        known.countDown();
+        caller.send("GET", "/orders", "", "");
+        node.plain(FIRST, node.arrival(), engine("s", service));
+        Event.AttemptFailed failed = node.await(Event.AttemptFailed.class);
+        assertEquals(failed.cause(), FailureCause.CONNECTION_LOST);
+        assertEquals(failed.exposure(), Exposure.MAY_HAVE_RUN);
+      }
+    }
+
     /**
      * A service receives no cancel call, even if the request has ended before; its connection is
      * closed.
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/request/PlainSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/PlainSender.java
@@ -11,17 +11,23 @@
 import com.google.common.collect.ImmutableSet;
 import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
+import java.util.Optional;
 import org.larkkeel.effect.Effect;
 import org.larkkeel.event.Event;
+import org.larkkeel.event.FailureCause;
 import org.larkkeel.http.HeaderNames;
 import org.larkkeel.http.HopHeaders;
 import org.larkkeel.http.request.Attempts.RunningStep;
 import org.larkkeel.http.upstream.ConnectionUse;
 import org.larkkeel.http.upstream.Refusals;
 import org.larkkeel.http.upstream.ResponseCollector;
+import org.larkkeel.http.upstream.ResponseFraming;
 import org.larkkeel.http.upstream.ResponseTimeout;
 import org.larkkeel.http.upstream.UpstreamAddress;
+import org.larkkeel.http.upstream.UpstreamFailure;
 import org.larkkeel.http.upstream.UpstreamRequest;
+import org.larkkeel.relay.AnswerFraming;
+import org.larkkeel.relay.ProbeResult;
 
 /**
  * Sends plain calls to services and collects their answers.
@@ -35,6 +41,10 @@
       ImmutableSet.of(
           StatusCodes.BAD_GATEWAY, StatusCodes.SERVICE_UNAVAILABLE, StatusCodes.GATEWAY_TIME_OUT);
 
+  private static final UpstreamFailure SERVICE_ENDED =
+      UpstreamFailure.mayHaveRun(
+          FailureCause.CONNECTION_LOST, "the service ended with its answer, which has no length");
+
   private final Attempts attempts;
 
   PlainSender(Attempts attempts) {
@@ -48,7 +58,7 @@
     ResponseCollector collector =
         new ResponseCollector(
             attempts.client().settings().maxResponseBytes(),
-            a -> answered(e, step, request, a),
+            a -> answered(e, step, request, address, a),
             f -> attempts.fail(e.attempt(), step, f, 0));
     step.setInFlight(
         attempts
@@ -65,11 +75,38 @@
       Effect.SendPlain e,
       RunningStep step,
       PlainRecord request,
+      UpstreamAddress address,
       ResponseCollector.Response answer) {
     if (UNAVAILABLE_STATUSES.contains(answer.status())) {
       attempts.fail(e.attempt(), step, Refusals.ofService(answer), 0);
-      return;
+    } else if (endsWithConnection(request.request().method(), answer)) {
+      // The connections of a process that was killed are closed in order as well.
+      attempts
+          .client()
+          .probe(
+              address,
+              result -> {
+                if (result == ProbeResult.REFUSES) {
+                  attempts.fail(e.attempt(), step, SERVICE_ENDED, 0);
+                } else {
+                  complete(e, step, request, answer);
+                }
+              });
+    } else {
+      complete(e, step, request, answer);
     }
+  }
+
+  private static boolean endsWithConnection(HttpString method, ResponseCollector.Response answer) {
+    return ResponseFraming.of(method, answer.status(), name -> answer.headers().get(name))
+        .equals(Optional.of(AnswerFraming.CONNECTION));
+  }
+
+  private void complete(
+      Effect.SendPlain e,
+      RunningStep step,
+      PlainRecord request,
+      ResponseCollector.Response answer) {
     ImmutableList.Builder<RecordedAnswer.Header> headers = ImmutableList.builder();
     answer.headers().entries().stream()
         .filter(h -> !HopHeaders.isHop(h.getKey()))
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClient.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClient.java
@@ -128,6 +128,16 @@
     probe.start(pool(destination), worker.worker().getIoThread(), timeout);
   }
 
+  /**
+   * Probes whether a process listens at an address.
+   *
+   * @param address the upstream
+   * @param done receives the result, exactly once, on an I/O thread
+   */
+  public void probe(UpstreamAddress address, Consumer<ProbeResult> done) {
+    new ConnectProbe(worker.worker().getIoThread()).start(address.address(), done);
+  }
+
   /**
    * Returns the limits of connections and sizes.
    *
