--- a/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpReply.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/HttpReply.java
@@ -7,6 +7,7 @@
 package org.larkkeel.store.internal.http;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.util.Optional;
 
@@ -22,4 +23,14 @@
   public Optional<String> header(HttpString name) {
     return Optional.ofNullable(headers.getFirst(name));
   }
+
+  /**
+   * Returns whether the body was ended by the connection only, so that a part of it may be missing.
+   */
+  public boolean endsWithConnection() {
+    return !headers.contains(Headers.CONTENT_LENGTH)
+        && !Headers.CHUNKED
+            .toString()
+            .equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING));
+  }
 }
