Write invalid frames in tests as numbers

Checkstyle rejects the Unicode escapes of the two lengths, so that the check of the module failed. The same bytes are now made from the numbers -1 and 1,048,577.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -467,8 +467,11 @@
     private static final String END = frame("");
 
     private static String frame(String bytes) {
-      byte[] header = ByteBuffer.allocate(4).putInt(bytes.length()).array();
-      return new String(header, StandardCharsets.ISO_8859_1) + bytes;
+      return length(bytes.length()) + bytes;
+    }
+
+    private static String length(int length) {
+      return new String(ByteBuffer.allocate(4).putInt(length).array(), StandardCharsets.ISO_8859_1);
     }
 
     /** Answers each request with bytes that are written one by one or together. */
@@ -531,9 +534,7 @@
 
     @DataProvider
     static Object[][] invalidFrames() {
-      return new Object[][] {
-        {"\u00ff\u00ff\u00ff\u00ff"}, {"\u0000\u0010\u0000\u0001"}, {"HTTP/1.1"}
-      };
+      return new Object[][] {{length(-1)}, {length((1 << 20) + 1)}, {"HTTP/1.1"}};
     }
 
     @Test(dataProvider = "invalidFrames")
