Keep the platform's words of the drill of killed carriers in one folder

bin/check-names failed on the stand-in of its upstreams, the configuration and the headers. They stand in drills/carriers-killed/platform/; the course of the drill is unchanged. It compiles, and was not played again.

--- a/drills/carriers-killed/CarriersKilled.java
+++ b/drills/carriers-killed/CarriersKilled.java
@@ -156,7 +156,7 @@
   // The course of the case.
 
   private void run() throws Exception {
-    store.put("config", "main", configuration());
+    store.put("config", "main", Calls.configuration(DEADLINE_MILLIS));
     store.view(
         CALLERS_NODE,
         text ->
@@ -355,32 +355,6 @@
     }
   }
 
-  private static String configuration() {
-    List<String> routes = new ArrayList<>();
-    for (Answer.Kind k : Answer.Kind.values()) {
-      routes.add(
-          ("{\"name\":\"r-%s\",\"host\":\"ficu95.example\",\"path_prefix\":\"%s\",\"kind\":\"%s\","
-                  + "\"timeout_ms\":%d,\"target_latency_ms\":2000,\"priority\":1,"
-                  + "\"service\":\"%s\",\"max_attempts\":3,\"allow_resume\":%b,"
-                  + "\"gap_aim_ms\":1000}")
-              .formatted(
-                  k.ordinal(),
-                  k.prefix(),
-                  k.route,
-                  DEADLINE_MILLIS,
-                  k.service(),
-                  k == Answer.Kind.RESUME));
-    }
-    return """
-    {"version":7,"routes":[%s],
-    "services":[{"name":"readers","max_connections":360,"protocol":"h1","tls":false},
-    {"name":"tellers","max_connections":360,"protocol":"h1","tls":false}],
-    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
-    "idle_timeout_ms":15000}}
-    """
-        .formatted(String.join(",", routes));
-  }
-
   /** A node that runs a build of its own. Not thread-safe. */
   private static final class NodeProcess {
     private static final int TICKS_A_SECOND = 100;
@@ -409,7 +383,7 @@
       command.set(0, build.resolve(command.getFirst()).toString());
       ProcessBuilder b = new ProcessBuilder(command);
       b.directory(build.toFile());
-      b.environment().put("LARKKEEL_SETTINGS", settings.toString());
+      b.environment().put(Calls.SETTINGS, settings.toString());
       b.redirectErrorStream(true);
       b.redirectOutput(ProcessBuilder.Redirect.appendTo(node.log().toFile()));
       process = b.start();
@@ -503,7 +477,7 @@
             s.getOutputStream(),
             Kit.request(
                 "POST " + answer.path(),
-                "X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n".formatted(id, DEADLINE_MILLIS),
+                Calls.headers(id, DEADLINE_MILLIS),
                 ""));
         InputStream in = new BufferedInputStream(s.getInputStream(), 65_536);
         Kit.Message head = Kit.readHead(in);
--- a/drills/carriers-killed/run.sh
+++ b/drills/carriers-killed/run.sh
@@ -17,5 +17,5 @@
 rm -rf target/drills
 mkdir -p target/drills
 "$JAVA_HOME/bin/javac" -Xlint:all -cp target/review -d target/drills \
-  drills/carriers-killed/*.java || exit 2
+  drills/carriers-killed/*.java drills/carriers-killed/platform/*.java || exit 2
 exec "$JAVA_HOME/bin/java" -Xmx400m -XX:+UseSerialGC -cp target/review:target/drills CarriersKilled
