--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/request/EffectExecutorTest.java
@@ -12,6 +12,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -348,6 +355,41 @@
       }
     }
 
+    /**
+     * Guards against a part of an answer that looks complete because its killed service was probed
+     * before the system had closed its listener.
+     */
+    @Test
+    public void probesServicesOnlySomeTimeAfterTheirConnectionsEnd() throws Exception {
+      try (ServerSocket service = new ServerSocket(0, 8, InetAddress.ofLiteral("127.0.0.1"));
+          RawCaller caller = node.call()) {
+        caller.send("GET", "/orders", "", "");
+        InetSocketAddress address = (InetSocketAddress) service.getLocalSocketAddress();
+        node.plain(FIRST, node.arrival(), node.upstream("s", address));
+        long end = answerAndClose(service.accept());
+        service.accept().close();
+        long delay = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - end);
+        assertTrue(delay >= 20, delay + " ms");
+        node.await(Event.PlainDone.class);
+      }
+    }
+
+    /** Returns the time right before the connection is closed. */
+    private static long answerAndClose(Socket connection) throws IOException {
+      try (connection) {
+        BufferedReader in =
+            new BufferedReader(
+                new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+        while (!in.readLine().isEmpty()) {
+          // Bytes that are left unread would reset the connection.
+        }
+        connection
+            .getOutputStream()
+            .write("HTTP/1.1 200 OK\r\n\r\nok".getBytes(StandardCharsets.US_ASCII));
+        return System.nanoTime();
+      }
+    }
+
     /**
      * A service receives no cancel call, even if the request has ended before; its connection is
      * closed.
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/request/PlainSender.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/request/PlainSender.java
@@ -83,7 +83,7 @@
       // The connections of a process that was killed are closed in order as well.
       attempts
           .client()
-          .probe(
+          .probeEnd(
               address,
               result -> {
                 if (result == ProbeResult.REFUSES) {
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelFrames.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/tunnel/TunnelFrames.java
@@ -12,8 +12,9 @@
  * The frames in which a tunnel carries the bytes of the upstream.
  *
  * <p>A frame is the number of its bytes, as four bytes with the most significant first, and these
- * bytes. A frame without bytes says that the upstream closed its connection in order; nothing
- * follows it. Without that frame, the end of a tunnel may be that of the node that carries it.
+ * bytes. A frame without bytes says that the upstream closed its connection in order and was not
+ * found to refuse connections afterwards; nothing follows it. Without that frame, the end of a
+ * tunnel may be that of the node that carries it.
  */
 final class TunnelFrames {
   /** The number of bytes before those that a frame carries. */
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClient.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamClient.java
@@ -129,13 +129,13 @@
   }
 
   /**
-   * Probes whether a process listens at an address.
+   * Probes whether an upstream that has just closed a connection in order still listens.
    *
    * @param address the upstream
    * @param done receives the result, exactly once, on an I/O thread
    */
-  public void probe(UpstreamAddress address, Consumer<ProbeResult> done) {
-    new ConnectProbe(worker.worker().getIoThread()).start(address.address(), done);
+  public void probeEnd(UpstreamAddress address, Consumer<ProbeResult> done) {
+    new EndProbe(worker.worker().getIoThread()).start(address.address(), done);
   }
 
   /**
