soak: let proxies listen on an address that no other run has

While a runner is down, its proxies close their listeners, and the system may give their ports on 127.0.0.1 to another run. Proxies and the trap of invalid entries now listen in the network of their run, as nodes do.

--- a/platform.test/src/test/java/org/larkkeel/platform/RawServer.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/RawServer.java
@@ -23,11 +23,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * An HTTP server on 127.0.0.1 that parses requests and lets a script write arbitrary bytes.
+ * An HTTP server on a loopback address that parses requests and lets a script write arbitrary
+ * bytes.
  *
  * <p>Safe for use by several threads.
  */
 final class RawServer implements AutoCloseable {
+  private final String host;
   private final ServerSocket server;
   private final Script script;
   private final Thread acceptor;
@@ -45,10 +47,17 @@
     void answer(Request request, OutputStream out, Socket socket) throws Exception;
   }
 
+  /** Starts a server on 127.0.0.1. */
   RawServer(Script script) {
+    this("127.0.0.1", script);
+  }
+
+  /** Starts a server on a loopback address. */
+  RawServer(String host, Script script) {
     this.script = script;
+    this.host = host;
     try {
-      server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+      server = new ServerSocket(0, 50, InetAddress.ofLiteral(host));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -56,7 +65,7 @@
   }
 
   String address() {
-    return "127.0.0.1:" + server.getLocalPort();
+    return host + ":" + server.getLocalPort();
   }
 
   private void accept() {
--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -77,6 +77,9 @@
 
   private static final int MAX_NODES = 60;
 
+  /** The last octet of the address of proxies, after those of nodes. */
+  private static final String PROXY_HOST = ".250";
+
   /** The time after which a configuration in the store must be in force on undisturbed nodes. */
   private static final long IN_FORCE_MILLIS = 2_000;
 
@@ -122,7 +125,7 @@
   private final StoreStandin store = new StoreStandin();
   private final List<SoakProxy> storeProxies = new ArrayList<>();
   private final List<SoakRunner> runners = new ArrayList<>();
-  private final SoakStrays strays = new SoakStrays(ledger, store);
+  private final SoakStrays strays;
   private final List<Disturbance> disturbances = new ArrayList<>();
   private final TreeMap<Counted, Integer> eventCounts = new TreeMap<>();
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
@@ -141,6 +144,7 @@
     this.nodes = nodes;
     this.seed = seed;
     this.random = new SplittableRandom(seed);
+    this.strays = new SoakStrays(net + PROXY_HOST, ledger, store);
     this.crashes = new SoakCrashes(this, ledger, new SplittableRandom(seed + 1));
     this.pathCuts = new SoakPathCuts(this, ledger, runners, nodes, new SplittableRandom(seed + 5));
     this.flood = new SoakFlood(this, ledger, nodes, new SplittableRandom(seed + 9));
@@ -167,6 +171,14 @@
     return net + "." + (node + 1);
   }
 
+  /**
+   * Returns the address of the proxies, which no other run has: nodes of other runs would reach a
+   * port that is used again.
+   */
+  static String proxyHost() {
+    return current.net + PROXY_HOST;
+  }
+
   boolean isLoaded() {
     return loaded;
   }
@@ -421,7 +433,9 @@
       int node = i;
       String[] address = store.addView(text -> addressesFor(node, text)).split(":");
       storeProxies.add(
-          new SoakProxy(new java.net.InetSocketAddress(address[0], Integer.parseInt(address[1]))));
+          new SoakProxy(
+              proxyHost(),
+              new java.net.InetSocketAddress(address[0], Integer.parseInt(address[1]))));
       Files.writeString(folder.resolve("node-" + i + ".json"), settings(i));
       print("start %d", i);
     }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakPaths.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakPaths.java
@@ -34,9 +34,9 @@
   private boolean down;
   private long changedNanos = System.nanoTime();
 
-  SoakPaths(InetSocketAddress runner, int nodes) {
+  SoakPaths(String host, InetSocketAddress runner, int nodes) {
     for (int i = 0; i < nodes; i++) {
-      proxies.add(new SoakProxy(runner));
+      proxies.add(new SoakProxy(host, runner));
     }
     cut = new boolean[nodes];
   }
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakProxy.java
@@ -28,7 +28,7 @@
 import org.xnio.IoUtils;
 
 /**
- * A TCP proxy to an address on 127.0.0.1 that disturbs its connections on request.
+ * A TCP proxy that disturbs its connections on request.
  *
  * <p>Safe for use by several threads.
  */
@@ -62,13 +62,22 @@
 
   private volatile ServerSocket listener;
   private volatile Thread acceptor;
+  private final String host;
   private final InetSocketAddress target;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private final List<SocketChannel> fillers = new CopyOnWriteArrayList<>();
   private final AtomicInteger stalls = new AtomicInteger();
   private volatile Mode mode = Mode.PASS;
 
-  SoakProxy(InetSocketAddress target) {
+  /**
+   * Starts a proxy.
+   *
+   * @param host the loopback address to listen on; another process must not listen there, as the
+   *     port is free while the proxy is down
+   * @param target the address to forward to
+   */
+  SoakProxy(String host, InetSocketAddress target) {
+    this.host = host;
     this.target = target;
     listen(0);
   }
@@ -84,7 +93,7 @@
     long end = System.nanoTime() + BIND_NANOS;
     while (true) {
       try {
-        listener = new ServerSocket(port, backlog, InetAddress.getByName("127.0.0.1"));
+        listener = new ServerSocket(port, backlog, InetAddress.ofLiteral(host));
         return;
       } catch (BindException e) {
         if (System.nanoTime() > end) {
@@ -141,7 +150,7 @@
   }
 
   String address() {
-    return "127.0.0.1:" + listener.getLocalPort();
+    return host + ":" + listener.getLocalPort();
   }
 
   void setMode(Mode next) {
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakRunner.java
@@ -102,7 +102,10 @@
     this.server = new RawServer(this::answer);
     String[] address = server.address().split(":");
     this.paths =
-        new SoakPaths(new InetSocketAddress(address[0], Integer.parseInt(address[1])), nodes);
+        new SoakPaths(
+            Soak.proxyHost(),
+            new InetSocketAddress(address[0], Integer.parseInt(address[1])),
+            nodes);
   }
 
   /** Starts under a new name, and registers it. */
--- a/platform.test/src/test/java/org/larkkeel/platform/SoakStrays.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakStrays.java
@@ -29,10 +29,11 @@
   private final RawServer trap;
   private int last;
 
-  SoakStrays(SoakLedger ledger, StoreStandin store) {
+  SoakStrays(String host, SoakLedger ledger, StoreStandin store) {
     this.store = store;
     this.trap =
         new RawServer(
+            host,
             (r, out, socket) -> {
               ledger.violation("stray", r.header("X-Expect-Instance") + " got " + r.target());
               throw new IOException("no runner has this address");
