--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -161,10 +161,18 @@
    * @param args the first three octets of the network, a folder, the number of nodes, the duration
    *     in seconds, the seed
    */
-  public static void main(String[] args) throws Exception {
-    Soak soak =
-        new Soak(args[0], Path.of(args[1]), Integer.parseInt(args[2]), Long.parseLong(args[4]));
-    System.exit(soak.run(Integer.parseInt(args[3])) ? 0 : 1);
+  public static void main(String[] args) {
+    boolean passed = false;
+    try {
+      Soak soak =
+          new Soak(args[0], Path.of(args[1]), Integer.parseInt(args[2]), Long.parseLong(args[4]));
+      passed = soak.run(Integer.parseInt(args[3]));
+    } catch (Exception e) {
+      e.printStackTrace();
+    } finally {
+      // Threads of the timer would keep the process alive.
+      System.exit(passed ? 0 : 1);
+    }
   }
 
   String host(int node) {
@@ -644,13 +652,13 @@
   private void pause(int node, long millis) {
     disturb(node, PAUSE, millis);
     print("signal %d STOP", node);
-    timer.schedule(() -> print("signal %d CONT", node), millis, TimeUnit.MILLISECONDS);
+    after(millis, () -> print("signal %d CONT", node));
   }
 
   void disturbFor(int node, String what, long millis, IntConsumer change) {
     disturb(node, what, millis);
     change.accept(1);
-    timer.schedule(() -> change.accept(0), millis, TimeUnit.MILLISECONDS);
+    after(millis, () -> change.accept(0));
   }
 
   private void disturbProxy(int node, String what, Consumer<SoakProxy.Mode> proxy, long millis) {
@@ -667,24 +675,22 @@
     } else if (notice) {
       runner.announceLeaving();
       print("fault runner drains");
-      timer.schedule(
+      after(
+          DRAIN_MILLIS + 1_500,
           () -> {
             disturb(-1, RUNNER + "-ends", 200);
             runner.replace();
-          },
-          DRAIN_MILLIS + 1_500,
-          TimeUnit.MILLISECONDS);
+          });
     } else {
       disturb(-1, RUNNER + "-crashes", 1_000);
       runner.paths.setMode(SoakProxy.Mode.RESET);
       runner.end();
-      timer.schedule(
+      after(
+          800,
           () -> {
             runner.paths.setMode(SoakProxy.Mode.PASS);
             runner.start();
-          },
-          800,
-          TimeUnit.MILLISECONDS);
+          });
     }
   }
 
@@ -744,8 +750,18 @@
     after(MIN_INVALID_MILLIS + millis, () -> runner.setEntryShape(Optional.empty()));
   }
 
+  /** Makes a change after a time; one that fails is a finding, as its fault stays otherwise. */
   void after(long millis, Runnable change) {
-    timer.schedule(change, millis, TimeUnit.MILLISECONDS);
+    timer.schedule(
+        () -> {
+          try {
+            change.run();
+          } catch (RuntimeException e) {
+            ledger.violation("driver", e.toString());
+          }
+        },
+        millis,
+        TimeUnit.MILLISECONDS);
   }
 
   synchronized void count(Counted kind) {
