--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRule.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayRule.java
@@ -7,12 +7,14 @@
 package org.larkkeel.relay;
 
 import com.google.common.collect.ImmutableList;
+import java.util.concurrent.TimeUnit;
 import org.larkkeel.lib.RuleName;
 
 /**
  * A routing rule for calls of one host and path prefix, with its limits.
  *
- * <p>Immutable and safe for use by several threads.
+ * <p>Durations of more than a day count as a day, so that no time computed with them overflows.
+ * Immutable and safe for use by several threads.
  *
  * @param name the name, unique in its configuration
  * @param host the host that callers name
@@ -41,6 +43,8 @@
     long gapMillis,
     int priority,
     boolean anonymous) {
+  private static final long MAX_MILLIS = TimeUnit.DAYS.toMillis(1);
+
   /**
    * A service and its weight.
    *
@@ -56,6 +60,9 @@
    *     number of runs is not positive, or if the priority is out of range
    */
   public RelayRule {
+    timeoutMillis = Math.min(timeoutMillis, MAX_MILLIS);
+    targetMillis = Math.min(targetMillis, MAX_MILLIS);
+    gapMillis = Math.min(gapMillis, MAX_MILLIS);
     if (split.isEmpty() || split.stream().anyMatch(s -> s.weight() <= 0)) {
       throw new IllegalArgumentException(
           "the rule "
