Keep a backoff that an upstream asked for before its restart was listed

Answers do not name the incarnation, and the entry follows the start by up to a second. A backoff that a restarted upstream asked for in between was booked on the incarnation that had ended, and dropped with it: the node sent on to an upstream that wanted no requests.

The backoff goes to the new incarnation if the request whose answer asked for it was sent after the start, by the time of day, and not over 1.5 s ago, as the clock of an upstream may have been set back.

LeavingAndBackoffTest$Backoff.stayInBackoffIfTheirEntryFollowsTheNotice failed before: the upstream was used.

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/LeavingAndBackoffTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/LeavingAndBackoffTest.java
@@ -191,6 +191,44 @@
       assertEquals(used(w), Set.of("app-1", "app-2"));
     }
 
+    /** An upstream that restarts at a time of day, and whose entry tells of it later. */
+    private static RelayWorld restartedBefore(long noticeMillis, long listMillis) {
+      RelayWorld w = RelayWorld.withDefaults();
+      w.pass(noticeMillis);
+      receiveBackoff(w, RelayWorld.incarnation("app-1"), 3);
+      w.pass(listMillis - noticeMillis);
+      w.restart("app-1", 1_000_000, BuildName.UNKNOWN);
+      w.applyDiscoveryList(1_000_000 + listMillis);
+      return w;
+    }
+
+    /** Guards against requests to an upstream whose backoff was booked on its previous process. */
+    @Test
+    public void stayInBackoffIfTheirEntryFollowsTheNotice() {
+      RelayWorld w = restartedBefore(600, 700);
+      assertEquals(used(w), Set.of("app-2"));
+      w.pass(2_880);
+      assertEquals(used(w), Set.of("app-2"));
+      w.pass(40);
+      assertTrue(used(w).contains("app-1"));
+    }
+
+    @Test
+    public void areUsedAgainIfTheNoticeIsOlderThanTheStart() {
+      RelayWorld w = RelayWorld.withDefaults();
+      receiveBackoff(w, RelayWorld.incarnation("app-1"), 300);
+      w.pass(20);
+      w.restart("app-1", 1_000_000, BuildName.UNKNOWN);
+      w.applyDiscoveryList(1_000_010);
+      assertEquals(used(w), Set.of("app-1", "app-2"));
+    }
+
+    /** The start that an upstream tells may be far off if its clock was set back. */
+    @Test
+    public void areUsedAgainIfTheNoticeIsOlderThanAnEntryCanBe() {
+      assertEquals(used(restartedBefore(100, 1_700)), Set.of("app-1", "app-2"));
+    }
+
     @Test
     public void doNotPrefillThePromptThatTheyDeclined() {
       RelayWorld w = RelayWorld.withDefaults();
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/RelayEvent.java
@@ -11,6 +11,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.larkkeel.balance.SpeedSample;
 import org.larkkeel.balance.UpstreamSpeed;
 import org.larkkeel.event.FailureCause;
@@ -117,6 +118,15 @@
         ImmutableSet<UpstreamName> removed) {
       this(at, OptionalLong.empty(), false, changed, removed);
     }
+
+    /** Returns when a listed incarnation started; the time of the list if that is not known. */
+    public long startedAt(UpstreamIncarnation incarnation) {
+      if (unixMillis.isEmpty() || !incarnation.isKnown()) {
+        return at;
+      }
+      long age = unixMillis.getAsLong() - incarnation.incarnation().value();
+      return at - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age));
+    }
   }
 
   /**
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/EventHandler.java
@@ -150,7 +150,8 @@
     final ImmutableSet<UpstreamName> removed = change.removed();
     List<UpstreamState> ended = core.upstreams.update(at, change.changed(), removed, core::report);
     core.streamBuilds.upstreamsChanged(at, change.afterGap());
-    core.streamBuilds.restarted(at, change.unixMillis(), ended);
+    core.upstreams.takeOverBackoffs(at, change, ended);
+    core.streamBuilds.restarted(at, change, ended);
     ended.forEach(s -> core.crashGuard.incarnationEnded(at, s.incarnation(), "restarted"));
     core.upstreams
         .missingWithoutNotice(removed)
@@ -424,7 +425,7 @@
       core.evacuation.scheduleEvacuations(at);
     }
     if (notice.backoffNanos() > 0) {
-      s.backOff(at, notice.backoffNanos());
+      s.backOff(at, sentAt, notice.backoffNanos());
       core.timers.add(new Timers.Timer.PlacementRetry(s.backoffUntil()));
       core.report(new RelayFact.BackoffRequested(s.upstream().name(), notice.backoffNanos()));
     }
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamBuilds.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.larkkeel.errors.ErrorKind;
 import org.larkkeel.lib.UpstreamIncarnation;
@@ -22,8 +21,8 @@
 import org.larkkeel.relay.BuildName;
 import org.larkkeel.relay.CallKind;
 import org.larkkeel.relay.RelayEffect;
+import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
-import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
 import org.larkkeel.relay.StreamBuild;
 import org.larkkeel.relay.StreamId;
@@ -237,27 +236,19 @@
    * They run to their end, and are not continued anywhere.
    *
    * @param at now
-   * @param unixMillis the time of day, if incarnations are numbered by their starts
+   * @param change the change that told of the restarts
    * @param ended the incarnations that ended
    */
-  void restarted(long at, OptionalLong unixMillis, List<UpstreamState> ended) {
+  void restarted(long at, RelayEvent.UpstreamsChanged change, List<UpstreamState> ended) {
     for (UpstreamState s : ended) {
       core.upstreams
           .find(s.upstream().name())
           .map(UpstreamState::upstream)
           .filter(next -> !next.build().equals(s.upstream().build()))
-          .ifPresent(next -> restartedAs(at, startedAt(at, unixMillis, next), s));
+          .ifPresent(next -> restartedAs(at, change.startedAt(next.incarnation()), s));
     }
   }
 
-  private static long startedAt(long at, OptionalLong unixMillis, RelayUpstream next) {
-    if (unixMillis.isEmpty() || !next.incarnation().isKnown()) {
-      return at;
-    }
-    long age = unixMillis.getAsLong() - next.incarnation().incarnation().value();
-    return at - Math.max(0, age) * MILLI;
-  }
-
   private void restartedAs(long at, long startedAt, UpstreamState ended) {
     for (CallState c : core.openCalls.all()) {
       if (c.attempt != null
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamState.java
@@ -49,6 +49,9 @@
    */
   private static final int MAX_FULL_DOUBLINGS = 2;
 
+  /** The maximum time from the start of an incarnation to its entry in the discovery list. */
+  private static final long MAX_ENTRY_DELAY_NANOS = 1_500_000_000L;
+
   private final UpstreamIncarnation incarnation;
   private final Environment environment;
   private RelayUpstream upstream;
@@ -71,6 +74,7 @@
   private long missingSince = Long.MAX_VALUE;
   private boolean announcedLeaving;
   private long backoffUntil = Long.MIN_VALUE;
+  private long backoffSentAt = Long.MIN_VALUE / 2;
   private final RateLimitState rateLimit = new RateLimitState();
   private final EngineSpeed speed;
   private boolean evacuating;
@@ -211,9 +215,26 @@
   /**
    * Records that the upstream wants no requests for some time; a shorter time does not end a longer
    * one.
+   *
+   * @param sentAt when the request was sent whose answer says so
    */
-  void backOff(long at, long nanos) {
+  void backOff(long at, long sentAt, long nanos) {
     backoffUntil = Math.max(backoffUntil, at + nanos);
+    backoffSentAt = sentAt;
+  }
+
+  /**
+   * Takes over a backoff that was booked on the previous incarnation and that this one asked for:
+   * answers do not name the incarnation, and its entry comes later than its first answers.
+   *
+   * @param startedAt when this incarnation started
+   */
+  void takeOverBackoff(long at, UpstreamState previous, long startedAt) {
+    long sentAt = previous.backoffSentAt;
+    if (sentAt > startedAt && at - sentAt <= MAX_ENTRY_DELAY_NANOS) {
+      backoffUntil = previous.backoffUntil;
+      backoffSentAt = sentAt;
+    }
   }
 
   Reach reach() {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamTable.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/UpstreamTable.java
@@ -23,6 +23,7 @@
 import org.larkkeel.balance.SlowStart;
 import org.larkkeel.lib.UpstreamIncarnation;
 import org.larkkeel.lib.UpstreamName;
+import org.larkkeel.relay.RelayEvent;
 import org.larkkeel.relay.RelayFact;
 import org.larkkeel.relay.RelayUpstream;
 import org.larkkeel.relay.ServiceName;
@@ -121,6 +122,14 @@
     return ended.build();
   }
 
+  /** Books the backoffs that new incarnations asked for before they were listed on these. */
+  void takeOverBackoffs(long at, RelayEvent.UpstreamsChanged change, List<UpstreamState> ended) {
+    for (UpstreamState previous : ended) {
+      UpstreamState next = byName.get(previous.upstream().name());
+      next.takeOverBackoff(at, previous, change.startedAt(next.incarnation()));
+    }
+  }
+
   /**
    * Returns the upstreams among {@code names} that are missing without having announced that they
    * leave.
