--- a/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/SoakLedger.java
@@ -24,6 +24,8 @@
   /** A request as its caller sent it, and the node that received it. */
   record Sent(int node, String method, String path, String body, boolean runsOnce) {}
 
+  private static final int MAX_DETAIL = 1_000;
+
   private final Map<String, Sent> sent = new ConcurrentHashMap<>();
   private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
   private final Map<String, Integer> refused = new ConcurrentHashMap<>();
@@ -85,8 +87,10 @@
     outcomes.computeIfAbsent(name, n -> new AtomicInteger()).incrementAndGet();
   }
 
+  /** Records a violation, on one line and without the rest of long answers. */
   void violation(String rule, String detail) {
-    brokenRules.add(rule + " " + detail);
+    String line = rule + " " + detail.replaceAll("\\R", "\\\\n");
+    brokenRules.add(line.substring(0, Math.min(line.length(), MAX_DETAIL)));
   }
 
   SoakRetryBudget retryBudget() {
