Lose answers of which the node fails to take a part

Cause: UpstreamExchange.readBody caught the failures of the connection only. If the handler threw an exception or an error, such as one of memory, the part that had been read was gone, the listener's caller logged it, and the next bytes were read as if nothing had happened. The answer then ended as complete, without that part, in each framing: a plain one with a length of what was left, a stream in chunks that ends regularly.

Change: such an exchange ends as failed and its connection is reset; the error is thrown on. The failure is created beforehand, as there may be no memory for it.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/UpstreamFaultsTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/upstream/UpstreamFaultsTest.java
@@ -10,11 +10,13 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableListMultimap;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +31,7 @@
 import org.larkkeel.http.Node;
 import org.larkkeel.http.ScriptedServer;
 import org.larkkeel.lib.AttemptId;
+import org.larkkeel.relay.AnswerFraming;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -280,6 +283,93 @@
     }
   }
 
+  /** Handlers that throw while they take a part of the body. */
+  public static class ThrowingHandlers extends WithClient {
+    private static final String PART = "x".repeat(100);
+    private static final int PARTS = 4;
+
+    /** The framing of an answer, and the part at which the handler throws. */
+    @DataProvider
+    static Object[][] parts() {
+      List<Object[]> all = new ArrayList<>();
+      for (AnswerFraming framing : AnswerFraming.values()) {
+        for (int i = 1; i <= PARTS; i++) {
+          all.add(new Object[] {framing, i});
+        }
+      }
+      return all.toArray(Object[][]::new);
+    }
+
+    private static void answer(AnswerFraming framing, ScriptedServer.Reply reply) throws Exception {
+      boolean isChunked = framing == AnswerFraming.CHUNKS;
+      reply.raw("HTTP/1.1 200 X\r\n");
+      reply.raw(
+          switch (framing) {
+            case LENGTH -> "Content-Length: " + PARTS * PART.length() + "\r\n\r\n";
+            case CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n";
+            case CONNECTION -> "\r\n";
+          });
+      for (int i = 0; i < PARTS; i++) {
+        Thread.sleep(50);
+        if (isChunked) {
+          reply.chunk(PART);
+        } else {
+          reply.raw(PART);
+        }
+      }
+      if (isChunked) {
+        reply.raw("0\r\n\r\n");
+      }
+      if (framing == AnswerFraming.CONNECTION) {
+        reply.socket().close();
+      }
+    }
+
+    /** Guards against answers that look complete and lack a part for which no memory was left. */
+    @Test(dataProvider = "parts")
+    public void loseTheAnswer(AnswerFraming framing, int part) throws Exception {
+      CompletableFuture<Object> outcome = new CompletableFuture<>();
+      ResponseCollector collector =
+          new ResponseCollector(MAX_RESPONSE_BYTES, outcome::complete, outcome::complete);
+      ResponseHandler handler =
+          new ResponseHandler() {
+            private int count;
+
+            @Override
+            public boolean onHeaders(int status, HeaderMap headers) {
+              return collector.onHeaders(status, headers);
+            }
+
+            @Override
+            public boolean onBody(ByteBuffer bytes) {
+              if (++count == part) {
+                throw new OutOfMemoryError("for the test");
+              }
+              return collector.onBody(bytes);
+            }
+
+            @Override
+            public void onEnd() {
+              collector.onEnd();
+            }
+
+            @Override
+            public void onFailure(UpstreamFailure failure) {
+              collector.onFailure(failure);
+            }
+          };
+      try (ScriptedServer server = new ScriptedServer((q, a) -> answer(framing, a))) {
+        client.send(
+            new UpstreamAddress(server.address()),
+            new UpstreamRequest(Methods.GET, "/x", ImmutableListMultimap.of(), new byte[0]),
+            ResponseTimeout.total(LONG_TIMEOUT_NANOS),
+            ConnectionUse.REQUEST,
+            handler);
+        assertFailure(outcome, FailureCause.BAD_ANSWER, Exposure.MAY_HAVE_RUN);
+      }
+    }
+  }
+
   /** Error responses and responses that cannot be used. */
   public static class BadResponses extends WithClient {
     /** Returns status and error code of a response, and the expected failure. */
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -42,6 +42,11 @@
   private static final ImmutableSet<HttpString> BODYLESS =
       ImmutableSet.of(Methods.GET, Methods.HEAD, Methods.DELETE);
 
+  /** Created beforehand, as there may be no memory left when it is needed. */
+  private static final UpstreamFailure HANDLER_FAILED =
+      UpstreamFailure.mayHaveRun(
+          FailureCause.BAD_ANSWER, "a part of the response could not be processed");
+
   private final ConnectionPool pool;
   private final HttpWorker worker;
   private final UpstreamAddress address;
@@ -277,6 +282,10 @@
       }
     } catch (IOException e) {
       onConnectionLost(connection, String.valueOf(e.getMessage()));
+    } catch (RuntimeException | Error e) {
+      // The part was read already, and the rest of the response would look complete without it.
+      endWithFailure(HANDLER_FAILED);
+      throw e;
     }
   }
 
