Cut answers in tunnels right before the mark of their end

Cause: answers were cut on used connections with an end in order at once only, and a peer never wrote the cut answer and the mark in one segment.

Change: each ending is also tried behind another answer, and CutAnswerTest$BeforeTheMark ends answers after each byte, with the mark in the same segment, in one frame or one for each byte, on new and used tunnels.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/CutAnswerTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/CutAnswerTest.java
@@ -12,11 +12,13 @@
 
 import com.google.common.collect.ImmutableListMultimap;
 import io.undertow.util.Methods;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.larkkeel.event.Exposure;
 import org.larkkeel.http.ScriptedServer;
 import org.larkkeel.http.upstream.ConnectionUse;
@@ -156,8 +158,8 @@
         for (Path path : Path.values()) {
           for (Ending ending : Ending.values()) {
             all.add(new Object[] {answer, path, ending, false});
+            all.add(new Object[] {answer, path, ending, true});
           }
-          all.add(new Object[] {answer, path, Ending.FIN, true});
         }
       }
       return all.toArray(Object[][]::new);
@@ -199,6 +201,77 @@
     }
   }
 
+  /**
+   * Answers whose end a peer marks right behind their last byte, as of an upstream that was cut and
+   * listens on.
+   */
+  public static class BeforeTheMark extends Fixture {
+    private static final String OPEN = "HTTP/1.1 204 No Content\r\nLarkkeel-Frames: 1\r\n\r\n";
+    private static final String WHOLE = "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok";
+
+    /** How a peer divides the bytes of the upstream. */
+    private enum Frames {
+      ONE,
+      ONE_FOR_EACH_BYTE
+    }
+
+    private static String frame(String bytes) {
+      byte[] length = ByteBuffer.allocate(4).putInt(bytes.length()).array();
+      return new String(length, StandardCharsets.ISO_8859_1) + bytes;
+    }
+
+    private static byte[] marked(Frames frames, String bytes) {
+      String whole =
+          switch (frames) {
+            case ONE -> bytes.isEmpty() ? "" : frame(bytes);
+            case ONE_FOR_EACH_BYTE ->
+                bytes.chars().mapToObj(b -> frame("" + (char) b)).collect(Collectors.joining());
+          };
+      return (whole + frame("")).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    @DataProvider
+    static Object[][] cuts() {
+      List<Object[]> all = new ArrayList<>();
+      for (Answer answer : Answer.values()) {
+        for (Frames frames : Frames.values()) {
+          all.add(new Object[] {answer, frames, false});
+          all.add(new Object[] {answer, frames, true});
+        }
+      }
+      return all.toArray(Object[][]::new);
+    }
+
+    /** Guards against cut answers that look complete if their end comes in the same segment. */
+    @Test(dataProvider = "cuts")
+    public void isEarly(Answer answer, Frames frames, boolean behindAnother) throws Exception {
+      try (ScriptedServer peer =
+          new ScriptedServer(
+              (q, a) -> {
+                if (q.method().equals("CONNECT")) {
+                  a.raw(OPEN);
+                } else if (q.body().equals("whole")) {
+                  a.socket().getOutputStream().write(frame(WHOLE).getBytes(StandardCharsets.UTF_8));
+                } else {
+                  int bytes = Integer.parseInt(q.body());
+                  a.socket()
+                      .getOutputStream()
+                      .write(marked(frames, answer.bytes.substring(0, bytes)));
+                  a.socket().close();
+                }
+              })) {
+        peers.add(peer.address());
+        for (int at = 0; at < answer.end(Ending.FIN); at++) {
+          if (behindAnother) {
+            outcome(Path.TUNNEL, peer, "whole");
+          }
+          assertFailed(
+              outcome(Path.TUNNEL, peer, String.valueOf(at)), "a mark after " + at + " bytes");
+        }
+      }
+    }
+  }
+
   /** Heads of which a part is missing in the middle. */
   public static class CutHeaders extends Fixture {
     @DataProvider
