Test that a tunnel that is not used leaves the I/O thread idle

Cause: no unit test showed the spin that TunnelInput.giveUp prevents.

Change: a peer refuses a tunnel, with a whole or cut body, or answers 204 with a body; the processor time of the I/O thread is then read for 500 ms.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/TunnelTest.java
@@ -15,6 +15,8 @@
 import io.undertow.Undertow;
 import io.undertow.util.Methods;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -266,6 +268,31 @@
 
   /** Peers that fail while they have tunnels. */
   public static class FailingPeers extends Fixture {
+    private static final String REFUSAL = "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\n";
+
+    /** The ends of a peer's answer that opens no tunnel. */
+    @DataProvider
+    static Object[][] refusals() {
+      return new Object[][] {
+        {REFUSAL + "full"}, {REFUSAL}, {"HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nfull"}
+      };
+    }
+
+    /** Guards against an I/O thread that spins on the input of a tunnel that was not used. */
+    @Test(dataProvider = "refusals")
+    public void leaveTheThreadIdle(String refusal) throws Exception {
+      try (ScriptedServer peer = new ScriptedServer((q, a) -> a.raw(refusal).socket().close())) {
+        peers.add(peer.address());
+        assertEquals(probe(), ProbeResult.SILENT);
+        long thread = worker.worker().getIoThread().threadId();
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long before = threads.getThreadCpuTime(thread);
+        Thread.sleep(500);
+        long used = threads.getThreadCpuTime(thread) - before;
+        assertTrue(used < TimeUnit.MILLISECONDS.toNanos(50), used + " ns of processor time");
+      }
+    }
+
     /** Requests must not be written to the idle tunnels of a peer that no longer answers. */
     @Test
     public void loseTheirIdleTunnels() throws Exception {
