Count events and parts of a body in a turn of the event loop

Cause: a turn was bounded by bytes only. 32 KiB and a buffer hold thousands of small events, or chunks of one byte, and each costs far more than its bytes.

Change: InputLimit counts 64 bytes for each event and each part of a body besides their own, and a body that may hold events is read in parts of 4 KiB. What is not read stays in the socket, so that order, end and failure of an answer are as before. EventSplitter copies an event once instead of byte by byte, and makes a string of its id only.

RelayAttempt's count of events has no test of its own.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/relay/EventSplitterTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/relay/EventSplitterTest.java
@@ -76,6 +76,31 @@
       assertEquals(events.get(1).id(), OptionalLong.empty());
     }
 
+    /** Events, and their ids; -1 if there is none. */
+    @DataProvider
+    public Object[][] ids() {
+      return new Object[][] {
+        {"id:7\n\n", 7},
+        {"data: a\r\nid:  7 \r\n\r\n", 7},
+        {"\nid: 7\rdata: id: 8\r\r", 7},
+        {"id: +7\nid: 8\n\n", 7},
+        {"id: 7x\nid: 8\n\n", -1},
+        {"id: 99999999999999999999\n\n", -1},
+        {"id:\n\n", -1},
+        {"id\n\n", -1},
+        {" id: 7\n\n", -1},
+        {"ID: 7\n\n", -1},
+        {"data: x\n\n", -1},
+      };
+    }
+
+    @Test(dataProvider = "ids")
+    public void readsFirstIdField(String event, long id) {
+      List<EventSplitter.StreamEvent> events =
+          split(new EventSplitter(1_000), event.getBytes(StandardCharsets.UTF_8));
+      assertEquals(events.getLast().id().orElse(-1), id);
+    }
+
     @Test
     public void reportsTooLargeEvent() {
       EventSplitter s = new EventSplitter(10);
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/InputLimit.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/InputLimit.java
@@ -21,11 +21,13 @@
  *
  * <p>Parsers and handlers read until the socket is empty. A peer that sends faster than that would
  * keep the I/O thread for itself, and bytes that give no content, such as endless header fields or
- * chunk extensions, would be read without end.
+ * chunk extensions, would be read without end. Items of content that are reported by {@link
+ * #itemsRead} count in addition to their bytes, as many small ones take more time than a large one.
  *
- * <p>Invariants: in a turn of the event loop at most {@link #TURN_BYTES} and a buffer are read; the
- * bytes that were read since the last content are at most {@code maxOverheadBytes} and a buffer.
- * Confined to the I/O thread of the connection.
+ * <p>Invariants: in a turn of the event loop at most {@link #TURN_BYTES} and a buffer are read,
+ * less {@link #ITEM_BYTES} for each item that was reported; the bytes that were read since the last
+ * content are at most {@code maxOverheadBytes} and a buffer. Confined to the I/O thread of the
+ * connection.
  *
  * @since 0.1
  */
@@ -33,6 +35,9 @@
   /** The bytes that one connection may read in a turn of the event loop. */
   public static final int TURN_BYTES = 32 << 10;
 
+  /** What an item of content counts in a turn besides its bytes. */
+  public static final int ITEM_BYTES = 64;
+
   private final long maxOverheadBytes;
   private long overheadBytes;
   private int turnBytes;
@@ -64,6 +69,15 @@
     overheadBytes = 0;
   }
 
+  /**
+   * Counts items of content, such as events and parts of a body, in the current turn.
+   *
+   * @param items the number of items that were read and handled
+   */
+  public void itemsRead(int items) {
+    turnBytes = (int) Math.min(TURN_BYTES, turnBytes + (long) items * ITEM_BYTES);
+  }
+
   /** Returns whether the connection failed because it sent too many bytes without content. */
   public boolean isExceeded() {
     return exceeded;
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/EventSplitter.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/EventSplitter.java
@@ -42,20 +42,31 @@
    * Reads the next complete event; returns null, and keeps the bytes, if they do not complete one.
    */
   StreamEvent next(ByteBuffer bytes) {
-    while (bytes.hasRemaining()) {
-      byte b = bytes.get();
-      buffered.write(b);
-      if (b == '\n' || b == '\r') {
-        boolean secondOfPair = b == '\n' && afterCarriageReturn;
-        afterCarriageReturn = b == '\r';
-        if (!secondOfPair && endLine(bytes)) {
-          return takeEvent();
-        }
-      } else {
+    int start = bytes.position();
+    for (int at = start; at < bytes.limit(); at++) {
+      byte b = bytes.get(at);
+      if (b != '\n' && b != '\r') {
         afterCarriageReturn = false;
         lineLength++;
+        continue;
+      }
+      boolean secondOfPair = b == '\n' && afterCarriageReturn;
+      afterCarriageReturn = b == '\r';
+      if (secondOfPair) {
+        continue;
+      }
+      boolean empty = lineLength == 0;
+      lineLength = 0;
+      if (empty) {
+        int end = at + 1;
+        if (afterCarriageReturn && end < bytes.limit() && bytes.get(end) == '\n') {
+          afterCarriageReturn = false;
+          end++;
+        }
+        return takeEvent(bytes, end - start);
       }
     }
+    buffered.writeBytes(take(bytes, bytes.remaining()));
     return null;
   }
 
@@ -66,46 +77,54 @@
     return remainder;
   }
 
-  private boolean endLine(ByteBuffer bytes) {
-    boolean empty = lineLength == 0;
-    lineLength = 0;
-    if (empty
-        && afterCarriageReturn
-        && bytes.hasRemaining()
-        && bytes.get(bytes.position()) == '\n') {
-      buffered.write(bytes.get());
-      afterCarriageReturn = false;
+  private StreamEvent takeEvent(ByteBuffer bytes, int length) {
+    byte[] event = take(bytes, length);
+    if (buffered.size() > 0) {
+      buffered.writeBytes(event);
+      event = takeRemainder();
     }
-    return empty;
+    return new StreamEvent(event, id(event));
   }
 
-  private StreamEvent takeEvent() {
-    byte[] event = buffered.toByteArray();
-    buffered.reset();
-    return new StreamEvent(event, id(event));
+  private static byte[] take(ByteBuffer bytes, int length) {
+    byte[] taken = new byte[length];
+    bytes.get(taken);
+    return taken;
   }
 
   private static OptionalLong id(byte[] event) {
-    String text = new String(event, StandardCharsets.ISO_8859_1);
     int line = 0;
-    while (line < text.length()) {
-      int end = lineEnd(text, line);
-      if (text.startsWith(ID_FIELD, line)) {
-        return number(text.substring(line + ID_FIELD.length(), end).strip());
+    while (line < event.length) {
+      int end = lineEnd(event, line);
+      if (isIdField(event, line, end)) {
+        int value = line + ID_FIELD.length();
+        return number(new String(event, value, end - value, StandardCharsets.ISO_8859_1).strip());
       }
       line = end + 1;
     }
     return OptionalLong.empty();
   }
 
-  private static int lineEnd(String text, int from) {
+  private static int lineEnd(byte[] event, int from) {
     int end = from;
-    while (end < text.length() && text.charAt(end) != '\r' && text.charAt(end) != '\n') {
+    while (end < event.length && event[end] != '\r' && event[end] != '\n') {
       end++;
     }
     return end;
   }
 
+  private static boolean isIdField(byte[] event, int line, int end) {
+    if (end - line < ID_FIELD.length()) {
+      return false;
+    }
+    for (int i = 0; i < ID_FIELD.length(); i++) {
+      if (event[line + i] != ID_FIELD.charAt(i)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static OptionalLong number(String text) {
     try {
       return OptionalLong.of(Long.parseLong(text));
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -74,6 +74,7 @@
   private RecordedAnswer head = new RecordedAnswer(0, ImmutableList.of(), new byte[0]);
   private AnswerFraming framing = AnswerFraming.CONNECTION;
   private long bodyBytes;
+  private int eventsInLastPart;
   private ConnectionPosition position = ConnectionPosition.NONE;
   private boolean sent;
   private long sentAt;
@@ -216,6 +217,11 @@
     return !ended;
   }
 
+  @Override
+  public int itemsInLastPart() {
+    return eventsInLastPart;
+  }
+
   /** Returns the size of the body that is held in memory. */
   int heldBytes() {
     return body.size();
@@ -230,7 +236,9 @@
   }
 
   private boolean onEvents(EventSplitter events, ByteBuffer bytes) {
+    eventsInLastPart = 0;
     for (EventSplitter.StreamEvent e = events.next(bytes); e != null; e = events.next(bytes)) {
+      eventsInLastPart++;
       hasEvent = true;
       if (isAlreadyForwarded(e)) {
         continue;
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseHandler.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/ResponseHandler.java
@@ -44,6 +44,14 @@
    */
   boolean onBody(ByteBuffer part);
 
+  /**
+   * Returns the number of items, such as events, that the last part of the body held. The more they
+   * are, the fewer bytes are read before other connections get their turn.
+   */
+  default int itemsInLastPart() {
+    return 0;
+  }
+
   /** Is notified that the response is complete. */
   void onEnd();
 
--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -42,6 +42,9 @@
   private static final ImmutableSet<HttpString> BODYLESS =
       ImmutableSet.of(Methods.GET, Methods.HEAD, Methods.DELETE);
 
+  /** The maximum size of a part of a body that may hold items, as they are counted afterwards. */
+  private static final int ITEMS_PART_BYTES = 4 << 10;
+
   private final ConnectionPool pool;
   private final HttpWorker worker;
   private final UpstreamAddress address;
@@ -61,6 +64,7 @@
   private boolean requestWritten;
   private boolean reusesConnection;
   private boolean retried;
+  private boolean mayHoldItems = true;
   private long bytesWrittenBefore;
 
   UpstreamExchange(
@@ -259,6 +263,9 @@
       ByteBuffer part = pooled.getBuffer();
       while (!ended.get()) {
         part.clear();
+        if (mayHoldItems) {
+          part.limit(Math.min(part.capacity(), ITEMS_PART_BYTES));
+        }
         int n = channel.read(part);
         if (n == 0) {
           channel.resumeReads();
@@ -274,6 +281,9 @@
         if (!handler.onBody(part)) {
           endAsUnusable();
         }
+        int items = handler.itemsInLastPart();
+        mayHoldItems = items > 0;
+        connection.limit().itemsRead(1 + items);
       }
     } catch (IOException e) {
       onConnectionLost(connection, String.valueOf(e.getMessage()));
