--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/upstream/UpstreamExchange.java
@@ -47,6 +47,9 @@
       UpstreamFailure.mayHaveRun(
           FailureCause.BAD_ANSWER, "a part of the response could not be processed");
 
+  /** The maximum size of a part of a body that may hold items, as they are counted afterwards. */
+  private static final int ITEMS_PART_BYTES = 4 << 10;
+
   private final ConnectionPool pool;
   private final HttpWorker worker;
   private final UpstreamAddress address;
@@ -66,6 +69,7 @@
   private boolean requestWritten;
   private boolean reusesConnection;
   private boolean retried;
+  private boolean mayHoldItems = true;
   private long bytesWrittenBefore;
 
   UpstreamExchange(
@@ -264,6 +268,9 @@
       ByteBuffer part = pooled.getBuffer();
       while (!ended.get()) {
         part.clear();
+        if (mayHoldItems) {
+          part.limit(Math.min(part.capacity(), ITEMS_PART_BYTES));
+        }
         int n = channel.read(part);
         if (n == 0) {
           channel.resumeReads();
@@ -279,6 +286,9 @@
         if (!handler.onBody(part)) {
           endAsUnusable();
         }
+        int items = handler.itemsInLastPart();
+        mayHoldItems = items > 0;
+        connection.limit().itemsRead(1 + items);
       }
     } catch (IOException e) {
       onConnectionLost(connection, String.valueOf(e.getMessage()));
