Record the last forwarded event after it was forwarded

An error between the two, such as one of memory, left events that the caller had not got before the last one that was recorded, and the attempt that resumed the stream skipped them. Found by reading; it has no test of its own, as nothing in a test makes the write to the caller throw.

--- a/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
+++ b/org.larkkeel.http/src/main/java/org/larkkeel/http/relay/RelayAttempt.java
@@ -272,22 +272,21 @@
   }
 
   private void forwardPending() {
-    if (!forwarding) {
+    if (!forwarding || pendingEvents.isEmpty()) {
       return;
     }
-    int events = 0;
     ByteArrayOutputStream joined = new ByteArrayOutputStream();
-    for (EventSplitter.StreamEvent e = pendingEvents.poll(); e != null; e = pendingEvents.poll()) {
+    pendingEvents.forEach(e -> joined.writeBytes(e.bytes()));
+    request.channel.stream(joined.toByteArray());
+    // Not before: another attempt skips the events up to the last one that was forwarded.
+    for (EventSplitter.StreamEvent e : pendingEvents) {
       if (e.id().isPresent()) {
         request.lastEventId = e.id();
       }
-      joined.writeBytes(e.bytes());
-      events++;
-    }
-    if (events > 0) {
-      request.channel.stream(joined.toByteArray());
-      loop.submit(new RelayEvent.Progressed(loop.now(), id, events));
     }
+    int events = pendingEvents.size();
+    pendingEvents.clear();
+    loop.submit(new RelayEvent.Progressed(loop.now(), id, events));
   }
 
   /** Delivers the complete answer to the caller, or the remainder and end of the stream. */
