Weigh the crashes known here before a report of a part is refuted

One node had only had a request there that had just begun, and reported the part's crash after 0 ms. Five peers refuted it by their streams of 314 ms, which had ended with crashes of the same part, and the clearance dropped all five crashes on all nodes. The part needed five more.

Change: a report is refuted by a stream that outlives the crashes that count together of all that are reported and known here, not of the report alone. Of equal numbers of crashes, those after longer streams count together; which ones did depended on the order in which they were heard.

Measured: the new test of CrashingPromptPartsTest$Exchange failed before (clearance epoch 1 instead of 0).

--- a/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
+++ b/org.larkkeel.test/src/test/java/org/larkkeel/relay/CrashingPromptPartsTest.java
@@ -484,6 +484,46 @@
       assertTrue(isSent(w, "/stream/a", FIRST, "popular"));
     }
 
+    /** Lets an upstream crash under a stream with a part; returns another upstream. */
+    private static String cutStreamHere(RelayWorld w, String part, int streamedMillis) {
+      send(w, FIRST, part);
+      w.began();
+      w.pass(streamedMillis);
+      String crashed = w.sent().upstream().name().value();
+      crashUpstream(w, 1);
+      return crashed.equals("run-1") ? "run-2" : "run-1";
+    }
+
+    private static CrashSuspect known(RelayWorld w, String part) {
+      return w.router.suspects(w.now()).stream()
+          .filter(s -> s.id().equals(fingerprint(part)))
+          .findFirst()
+          .orElseThrow();
+    }
+
+    /**
+     * Guards against a part whose crashes were forgotten on all nodes, since a peer had sent a
+     * request with it just before that of another node crashed the upstream.
+     */
+    @Test
+    public void streamThatWasCutByCrashDoesNotRefuteReportOfRequestThatHadJustBegun() {
+      RelayWorld w = world();
+      String other = cutStreamHere(w, DEADLY, 314);
+      receive(w, report(DEADLY, 1, 0, other));
+      assertEquals(known(w, DEADLY).clearanceEpoch(), 0);
+      assertEquals(known(w, DEADLY).crashes().size(), 2);
+    }
+
+    /** Sound requests must not be refused since one of their streams was cut, too. */
+    @Test
+    public void streamThatWasCutByCrashRefutesReportOfMoreCrashesBeforeTheFirstEvent() {
+      RelayWorld w = world();
+      String other = cutStreamHere(w, "popular", 314);
+      receive(w, report("popular", 1, 0, other, "run-3"));
+      assertEquals(known(w, "popular").clearanceEpoch(), 1);
+      assertTrue(known(w, "popular").crashes().isEmpty());
+    }
+
     /** Nodes of an earlier build pass parts on as requests, of which three crashes suffice. */
     @Test
     public void weighsPartsThatAreReportedAsRequests() {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/CrashGuard.java
@@ -227,12 +227,21 @@
     return s.scope() instanceof SuspectScope.PromptPart && !s.crashes().isEmpty();
   }
 
-  /** Returns whether this node knows that a reported part of prompts caused none of the crashes. */
+  /**
+   * Returns whether this node knows that a reported part of prompts caused none of the crashes. A
+   * reporter may only have had requests that began shortly before another node's request with the
+   * part crashed the upstream, so the crashes that are known here are considered as well.
+   */
   private boolean isRefuted(long at, CrashSuspect s) {
-    return chargesPart(s)
-        && !quarantine.isOutdated(s)
-        && StreamTimes.alike(s.crashes(), CrashSuspect.Crash::streamedNanos).entrySet().stream()
-            .allMatch(c -> isHarmless(at, s.id(), c.getKey(), c.getValue().streamedNanos()));
+    if (!chargesPart(s) || quarantine.isOutdated(s)) {
+      return false;
+    }
+    long crashNanos = quarantine.maxStreamedNanos(s);
+    return StreamTimes.alike(s.crashes(), CrashSuspect.Crash::streamedNanos).entrySet().stream()
+        .allMatch(
+            c ->
+                isHarmless(
+                    at, s.id(), c.getKey(), Math.max(crashNanos, c.getValue().streamedNanos())));
   }
 
   private boolean isHarmless(
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/Quarantine.java
@@ -11,6 +11,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -152,6 +153,25 @@
     return known != null && known.clearanceEpoch() > report.clearanceEpoch();
   }
 
+  /**
+   * Returns the longest time for which a stream of a reported suspect had run before the crashes
+   * that may have the same cause, among those that are reported or known here.
+   */
+  long maxStreamedNanos(CrashSuspect report) {
+    Map<UpstreamIncarnation, Long> streamed = new LinkedHashMap<>();
+    SuspectRecord known = records.get(report.id());
+    if (known != null && known.clearanceEpoch() == report.clearanceEpoch()) {
+      known.crashes().forEach((incarnation, c) -> streamed.put(incarnation, c.streamedNanos()));
+    }
+    report
+        .crashes()
+        .forEach((incarnation, c) -> streamed.merge(incarnation, c.streamedNanos(), Math::max));
+    return StreamTimes.alike(streamed, Long::longValue).values().stream()
+        .mapToLong(Long::longValue)
+        .max()
+        .orElse(0);
+  }
+
   /** Merges the report of another node. */
   void merge(long at, CrashSuspect report) {
     if (isOutdated(report)) {
--- a/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamTimes.java
+++ b/org.larkkeel/src/main/java/org/larkkeel/relay/internal/StreamTimes.java
@@ -27,15 +27,19 @@
   /**
    * Returns the largest number of crashes before which the streams had run for about the same time.
    * What crashes upstreams takes effect at the same point of each stream, while the streams that
-   * are cut beside it had begun at any time.
+   * are cut beside it had begun at any time. Of equal numbers, those after longer streams are
+   * returned, since a request may have begun shortly before another one with the same part crashed
+   * the upstream.
    */
   static <K, V> Map<K, V> alike(Map<K, V> crashes, ToLongFunction<V> streamedNanos) {
     Map<K, V> most = Map.of();
+    long mostFrom = 0;
     for (V shortest : crashes.values()) {
       long from = streamedNanos.applyAsLong(shortest);
       Map<K, V> some = Maps.filterValues(crashes, c -> isAlike(from, streamedNanos.applyAsLong(c)));
-      if (some.size() > most.size()) {
+      if (some.size() > most.size() || (some.size() == most.size() && from > mostFrom)) {
         most = some;
+        mostFrom = from;
       }
     }
     return most;
