Move the scanner of list elements to the store's module

ElementScanner finds the bounds of elements of a list of JSON and lay in platform/, which only translates. It moves to the store's HTTP clients beside the codec of objects, and is given the names of the three fields that it looks for instead of reading them from PlatformNames. No change of behaviour.

--- a/platform/src/main/java/org/larkkeel/platform/ElementScanner.java
+++ b/org.larkkeel.store/src/main/java/org/larkkeel/store/internal/http/ElementScanner.java
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-package org.larkkeel.platform;
+package org.larkkeel.store.internal.http;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -25,7 +25,7 @@
  * <p>Invariants: only tokens are read, so the nesting of a value costs no stack and its numbers are
  * not converted; a search reads no part of the list more than once. Confined to one thread.
  */
-final class ElementScanner {
+public final class ElementScanner {
   private static final JsonFactory TOKENS =
       JsonFactory.builder()
           .streamReadConstraints(
@@ -43,6 +43,16 @@
 
   private final char[] text;
   private final int end;
+  private final FieldNames names;
+
+  /**
+   * The names of the fields by which elements are recognized.
+   *
+   * @param object the field of an event that holds its object
+   * @param metadata the field of an object that holds its metadata
+   * @param name the field of the metadata that holds the name of the object
+   */
+  public record FieldNames(String object, String metadata, String name) {}
 
   /**
    * An element that is complete.
@@ -50,7 +60,7 @@
    * @param end the offset after the element
    * @param name the name of its object; empty if it has none, or one with another syntax
    */
-  record Outline(int end, String name) {}
+  public record Outline(int end, String name) {}
 
   /** An object that was begun at an offset. */
   private static final class Begun {
@@ -67,17 +77,19 @@
    *
    * @param text the answer, one character for each byte
    * @param end the offset at which the list ends
+   * @param names the names of the fields
    */
-  ElementScanner(String text, int end) {
+  public ElementScanner(String text, int end, FieldNames names) {
     this.text = text.toCharArray();
     this.end = end;
+    this.names = names;
   }
 
   /**
    * Returns the outline of the value at an offset; empty if its tokens are malformed or neither a
    * comma nor the end of the list follows.
    */
-  Optional<Outline> outlineAt(int at) {
+  public Optional<Outline> outlineAt(int at) {
     String name = "";
     try (JsonParser parser = TOKENS.createParser(text, at, end - at)) {
       JsonToken token = parser.nextToken();
@@ -102,24 +114,24 @@
     return Optional.empty();
   }
 
-  private static boolean isObjectName(JsonStreamContext context) {
-    if (!PlatformNames.NAME.equals(context.getCurrentName())) {
+  private boolean isObjectName(JsonStreamContext context) {
+    if (!names.name().equals(context.getCurrentName())) {
       return false;
     }
     JsonStreamContext object = context.getParent();
-    if (!PlatformNames.METADATA.equals(object.getCurrentName())) {
+    if (!names.metadata().equals(object.getCurrentName())) {
       return false;
     }
     JsonStreamContext event = object.getParent();
     return event.inRoot()
-        || (PlatformNames.OBJECT.equals(event.getCurrentName()) && event.getParent().inRoot());
+        || (names.object().equals(event.getCurrentName()) && event.getParent().inRoot());
   }
 
   /**
    * Returns the offset of the next element after a comma behind an offset; past the end of the list
    * if there is none.
    */
-  int nextElementAfter(int at) {
+  public int nextElementAfter(int at) {
     int from = at;
     while (from < end) {
       int comma = indexOfComma(from);
@@ -163,8 +175,8 @@
           open.push(new Begun(at + (int) parser.currentTokenLocation().getCharOffset()));
         } else if (t == JsonToken.FIELD_NAME) {
           open.peek().isElement |=
-              parser.currentName().equals(PlatformNames.METADATA)
-                  || parser.currentName().equals(PlatformNames.OBJECT);
+              parser.currentName().equals(names.metadata())
+                  || parser.currentName().equals(names.object());
         } else if (t == JsonToken.END_OBJECT) {
           Begun ended = open.pop();
           if (ended.isElement && isAfterComma(ended.start) && isBoundary(reached)) {
