Split TunnelTest by subject

TunnelTest keeps the tunnels, TunnelFramesTest has frames and earlier versions, KilledCarrierTest peers and upstreams that end, and answers without a length; TunnelFixture is shared, also by CutAnswerTest.

--- a/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/CutAnswerTest.java
+++ b/org.larkkeel.http.test/src/test/java/org/larkkeel/http/tunnel/CutAnswerTest.java
@@ -82,7 +82,7 @@
   }
 
   /** Sends requests whose body says after how many bytes the answer ends. */
-  public abstract static class Fixture extends TunnelTest.Fixture {
+  public abstract static class Fixture extends TunnelFixture {
     CompletableFuture<Object> request(Path path, ScriptedServer server, String body) {
       CompletableFuture<Object> outcome = new CompletableFuture<>();
       UpstreamAddress address = new UpstreamAddress(server.address());
