--- a/platform.test/src/test/java/org/larkkeel/platform/Soak.java
+++ b/platform.test/src/test/java/org/larkkeel/platform/Soak.java
@@ -12,7 +12,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -20,7 +19,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
@@ -46,8 +44,6 @@
   private static final int PREFILLS = 1;
   private static final int DECODES = 3;
   private static final int APPS = 2;
-  private static final int MAX_ENTRY_DELAY_MILLIS = 1_000;
-  private static final long MIN_INVALID_MILLIS = 1_500;
 
   /** The prefix of the descriptions of disturbances of runners. */
   static final String RUNNER = "runner";
@@ -61,11 +57,8 @@
   /** The prefix of the descriptions of engines that answer without end. */
   static final String ENGINES_FLOOD = RUNNER + "-engines-flood";
 
-  /** The modes of proxies that are drawn are those before this index, except the first. */
-  private static final int DRAWN_MODES = SoakProxy.Mode.FROZEN.ordinal();
-
   private static final String PLANNED_STOP = "signal-TERM";
-  private static final String PAUSE = "pause";
+  static final String PAUSE = "pause";
 
   /** The time from the crash of a runner to its restart; its entry expires after the next one. */
   private static final long DOWN_MILLIS = 1_500;
@@ -125,10 +118,10 @@
   private final StoreStandin store = new StoreStandin();
   private final List<SoakProxy> storeProxies = new ArrayList<>();
   private final List<SoakRunner> runners = new ArrayList<>();
-  private final SoakStrays strays;
   private final List<Disturbance> disturbances = new ArrayList<>();
   private final TreeMap<Counted, Integer> eventCounts = new TreeMap<>();
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
+  private final SoakFaults faults;
   private final SoakCrashes crashes;
   private final SoakPathCuts pathCuts;
   private final SoakFlood flood;
@@ -144,7 +137,8 @@
     this.nodes = nodes;
     this.seed = seed;
     this.random = new SplittableRandom(seed);
-    this.strays = new SoakStrays(net + PROXY_HOST, ledger, store);
+    SoakStrays strays = new SoakStrays(net + PROXY_HOST, ledger, store);
+    this.faults = new SoakFaults(this, store, storeProxies, runners, strays, nodes, random);
     this.crashes = new SoakCrashes(this, ledger, new SplittableRandom(seed + 1));
     this.pathCuts = new SoakPathCuts(this, ledger, runners, nodes, new SplittableRandom(seed + 5));
     this.flood = new SoakFlood(this, ledger, nodes, new SplittableRandom(seed + 9));
@@ -261,6 +255,11 @@
     }
   }
 
+  /** Returns the latest version of the configuration. */
+  synchronized long configurationVersion() {
+    return version - 1;
+  }
+
   /** Prints a line for the log of the run. */
   void note(String line) {
     print("%s", line);
@@ -380,7 +379,8 @@
     print("fault node=%d %s for_ms=%d", node, what, millis);
   }
 
-  private static synchronized void print(String format, Object... args) {
+  /** Prints a line, which the script executes or puts into the log of the run. */
+  static synchronized void print(String format, Object... args) {
     System.out.println(format.formatted(args));
     System.out.flush();
   }
@@ -410,7 +410,7 @@
       // of runners leave few streams of which it is certain that they can go on.
       if (!(unresponsive || isFlooded() || hasHerdKills())
           || random.nextInt(DRAWS_PER_FAULT) == 0) {
-        injectFault();
+        faults.inject();
       }
     }
     Thread.sleep(1_000);
@@ -589,41 +589,6 @@
     return true;
   }
 
-  // Faults are drawn one after the other. They may overlap, also at the same target.
-
-  private void injectFault() {
-    int node = random.nextInt(nodes);
-    long millis = random.nextLong(200, 2_500);
-    SoakRunner runner = runners.get(random.nextInt(runners.size()));
-    switch (random.nextInt(23)) {
-      case 0, 1 -> signal(node, "KILL", 4_000);
-      case 2, 3 -> signal(node, "TERM", 8_000);
-      case 4, 5 -> pause(node, millis);
-      case 6 -> signal(node, "HUP", 0);
-      case 7 -> disturbFor(-1, "store-503", millis, on -> store.refuseWith(on > 0 ? 503 : 0));
-      case 8 -> disturbFor(-1, "store-429", millis, on -> store.refuseWith(on > 0 ? 429 : 0));
-      case 9 -> disturbFor(-1, "store-loses", millis, on -> store.loseWriteAnswers(on > 0));
-      case 10 -> disturbProxy(node, "store", storeProxies.get(node)::setMode, millis);
-      case 11, 12 -> disturbProxy(-1, RUNNER, runner.paths::setMode, millis);
-      case 13 -> {
-        SoakRunner.Fault f = SoakRunner.Fault.values()[random.nextInt(1, 7)];
-        disturbFor(
-            -1,
-            RUNNER + "-" + f,
-            millis,
-            on -> runner.setFault(on > 0 ? f : SoakRunner.Fault.NONE));
-      }
-      case 14 -> replace(runner);
-      case 15 -> {
-        configure();
-        print("fault config version=%d", version - 1);
-      }
-      case 16, 17, 18 -> restart(runner);
-      case 19, 20 -> addStray(millis);
-      default -> makeEntryInvalid(runner, millis);
-    }
-  }
-
   void signal(int node, String name, long disturbedMillis) {
     if (disturbedMillis > 0) {
       disturb(node, "signal-" + name, disturbedMillis);
@@ -649,107 +614,12 @@
     print("%s", line);
   }
 
-  private void pause(int node, long millis) {
-    disturb(node, PAUSE, millis);
-    print("signal %d STOP", node);
-    after(millis, () -> print("signal %d CONT", node));
-  }
-
   void disturbFor(int node, String what, long millis, IntConsumer change) {
     disturb(node, what, millis);
     change.accept(1);
     after(millis, () -> change.accept(0));
   }
 
-  private void disturbProxy(int node, String what, Consumer<SoakProxy.Mode> proxy, long millis) {
-    SoakProxy.Mode mode = SoakProxy.Mode.values()[random.nextInt(1, DRAWN_MODES)];
-    disturbFor(
-        node, what + "-" + mode, millis, on -> proxy.accept(on > 0 ? mode : SoakProxy.Mode.PASS));
-  }
-
-  /** Lets a runner leave, with or without notice; another one takes its address. */
-  private void replace(SoakRunner runner) {
-    boolean notice = random.nextBoolean();
-    if (!runner.isServing()) {
-      count(Counted.NOT_UP);
-    } else if (notice) {
-      runner.announceLeaving();
-      print("fault runner drains");
-      after(
-          DRAIN_MILLIS + 1_500,
-          () -> {
-            disturb(-1, RUNNER + "-ends", 200);
-            runner.replace();
-          });
-    } else {
-      disturb(-1, RUNNER + "-crashes", 1_000);
-      runner.paths.setMode(SoakProxy.Mode.RESET);
-      runner.end();
-      after(
-          800,
-          () -> {
-            runner.paths.setMode(SoakProxy.Mode.PASS);
-            runner.start();
-          });
-    }
-  }
-
-  /**
-   * Restarts a runner under the same name. Its start time may be before the previous one, as if its
-   * clock was set back, and it may answer before its entry changes.
-   */
-  private void restart(SoakRunner runner) {
-    long backMillis = random.nextBoolean() ? 0 : random.nextLong(1, 3_600_000);
-    int downMillis = random.nextBoolean() ? 0 : random.nextInt(1, 800);
-    int entryDelayMillis = random.nextBoolean() ? 0 : random.nextInt(1, MAX_ENTRY_DELAY_MILLIS);
-    count(Counted.RESTART);
-    if (backMillis > 0) {
-      count(Counted.RESTART_CLOCK_BACK);
-    }
-    if (downMillis < entryDelayMillis) {
-      count(Counted.RESTART_BEFORE_ENTRY);
-    }
-    if (!runner.isServing()) {
-      count(Counted.NOT_UP);
-      return;
-    }
-    disturb(
-        -1,
-        RUNNER + "-restarts back_ms=" + backMillis + " entry_late_ms=" + entryDelayMillis,
-        downMillis + 200);
-    if (downMillis > 0) {
-      runner.paths.setMode(SoakProxy.Mode.RESET);
-      after(downMillis, () -> runner.paths.setMode(SoakProxy.Mode.PASS));
-    }
-    runner.restart(backMillis);
-    after(entryDelayMillis, runner::register);
-  }
-
-  /** Adds an invalid entry under a name of no runner, for a time or until the end. */
-  private void addStray(long millis) {
-    InvalidEntry shape = InvalidEntry.draw(random);
-    boolean stays = random.nextBoolean();
-    String name = strays.add(shape, random);
-    count(Counted.BAD_ENTRY);
-    print("fault bad-entry name=%s %s for_ms=%s", name, shape, stays ? "ever" : millis);
-    if (!stays) {
-      after(millis, () -> strays.remove(name));
-    }
-  }
-
-  /** Makes the entry of a running runner invalid, and later valid again. */
-  private void makeEntryInvalid(SoakRunner runner, long millis) {
-    InvalidEntry shape = InvalidEntry.draw(random);
-    count(Counted.TURNS_BAD);
-    if (!runner.isServing()) {
-      count(Counted.NOT_UP);
-      return;
-    }
-    print("fault turns-bad name=%s %s for_ms=%d", runner.id(), shape, MIN_INVALID_MILLIS + millis);
-    runner.setEntryShape(Optional.of(shape));
-    after(MIN_INVALID_MILLIS + millis, () -> runner.setEntryShape(Optional.empty()));
-  }
-
   /** Makes a change after a time; one that fails is a finding, as its fault stays otherwise. */
   void after(long millis, Runnable change) {
     timer.schedule(
