Test answers in a cluster whose carriers and upstreams are killed

Cause: that a part of an answer is not taken for the whole when a node that carries it, or its upstream, is killed was tested with sockets and processes only. Nothing drew many nodes with the real reducer.

KilledCarriersClusterTest draws 40 clusters of 4 to 40 nodes in which carriers, upstreams, both, or carriers and upstreams that listen again within the probe's delay, are killed. Nodes that lost their paths refuse new connections; paths that drop packets are not drawn, since SimPaths has no idle timeout.

No edit of the reducer itself was tried.

--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimCluster.java
@@ -109,6 +109,7 @@
       new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
   private ImmutableMap<UpstreamName, RelayUpstream> upstreams;
   private final int coordinatorFrom;
+  private final double repeatShare;
   private long nowNanos = 1_000_000 * NANOS_PER_MILLI;
   private long order;
   private int restarts;
@@ -136,7 +137,11 @@
   /** When requests crash the engines that run them. */
   SimCrashTime crashTime = SimCrashTime.BEFORE_FIRST_EVENT;
 
-  private final Set<UpstreamName> down = new HashSet<>();
+  /** The upstreams at whose address no process listens. */
+  final Set<UpstreamName> down = new HashSet<>();
+
+  /** The model of answers that end with their connection, if any. */
+  Optional<SimTunnels> tunnels = Optional.empty();
 
   /** The entries of the nodes in the store. */
   private final Map<InetSocketAddress, ObjectNode> nodeEntries = new HashMap<>();
@@ -144,6 +149,12 @@
   private record Due(long at, long order, Runnable action) {}
 
   SimCluster(int nodeCount, int engineCount, int coordinatorFrom, long seed) {
+    this(nodeCount, engineCount, coordinatorFrom, seed, 0.2);
+  }
+
+  /** Creates a cluster whose nodes may repeat the given share of calls. */
+  SimCluster(int nodeCount, int engineCount, int coordinatorFrom, long seed, double repeatShare) {
+    this.repeatShare = repeatShare;
     this.random = new SplittableRandom(seed);
     this.coordinatorFrom = coordinatorFrom;
     ImmutableMap.Builder<UpstreamName, RelayUpstream> all = ImmutableMap.builder();
@@ -281,6 +292,19 @@
     selected.forEach(n -> n.paths.lose(cut, millis));
   }
 
+  /** Kills a node; a new one with the same name starts after a time. */
+  void restartNode(Node node, long downMillis) {
+    int index = nodes.indexOf(node);
+    node.kill();
+    after(
+        downMillis,
+        () -> {
+          restarts++;
+          nodes.set(index, new Node(index));
+          nodes.get(index).start();
+        });
+  }
+
   /** Kills all nodes; new ones with the same names, which read the store, start after a time. */
   void restartNodes(long downMillis) {
     nodes.forEach(Node::kill);
@@ -400,7 +424,7 @@
           new RelayRouter(
               new RelaySettings(
                   DATA_CENTRE,
-                  0.2,
+                  repeatShare,
                   100,
                   10_000 * NANOS_PER_MILLI,
                   1,
@@ -515,6 +539,15 @@
       call("/model/a", 14_000, new CallSize(PROMPT_TOKENS, 100, 70), uniqueText());
     }
 
+    /** Returns the id of the next call. */
+    RequestId nextCall() {
+      return new RequestId(lastCall + 1);
+    }
+
+    void submitCallTo(String path) {
+      call(path, 14_000, CallSize.NONE, uniqueText());
+    }
+
     void submitCallFor(String workspace) {
       CallSize size = new CallSize(PROMPT_TOKENS, 100, 70);
       String body = uniqueText();
@@ -642,6 +675,7 @@
     }
 
     private void handleEffect(RelayEffect effect) {
+      tunnels.ifPresent(t -> t.observe(this, effect));
       switch (effect) {
         case RelayEffect.Send s -> handleSend(s);
         case RelayEffect.Refuse r -> refuse(r);
@@ -700,6 +734,10 @@
                         nowNanos, send.attempt(), RefusalCause.CONNECT_REFUSED)));
         return;
       }
+      if (tunnels.isPresent()) {
+        tunnels.get().run(this, send);
+        return;
+      }
       if (crashing.contains(send.call())) {
         crashingSends.add(nowNanos);
       }
@@ -785,7 +823,7 @@
     configure(configuration(revision, Workspaces.OPEN, CallKind.RESUMABLE_STREAM, maxRuns));
   }
 
-  private void configure(RelayConfiguration read) {
+  void configure(RelayConfiguration read) {
     nodes.forEach(n -> n.submit(new RelayEvent.ConfigurationRead(nowNanos, read)));
   }
 
--- a/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimPaths.java
+++ b/org.larkkeel.daemon.test/src/test/java/org/larkkeel/daemon/relay/SimPaths.java
@@ -57,7 +57,7 @@
     }
   }
 
-  private boolean isLost() {
+  boolean isLost() {
     return cluster.nowNanos() < lostUntilNanos;
   }
 
