--- a/review/second/platform/StoppedWhileRead.java
+++ b/review/second/platform/StoppedWhileRead.java
@@ -21,10 +21,10 @@
  * <p>Usage: {@code java StoppedWhileRead RECORD}. With TROUBLE=0 no signal is sent.
  */
 final class StoppedWhileRead {
-  private static final int ANSWER_BYTES = Integer.getInteger("bytes", 1_000_000);
-  private static final int CALLERS = Integer.getInteger("callers", 8);
+  private static final int ANSWER_BYTES = Integer.getInteger("bytes", 2_000_000);
+  private static final int CALLERS = Integer.getInteger("callers", 6);
   private static final int PART_BYTES = 8_192;
-  private static final int READ_PAUSE_MILLIS = Integer.getInteger("pause", 55);
+  private static final int READ_PAUSE_MILLIS = Integer.getInteger("pause", 22);
   private static final int DEADLINE_MILLIS = 14_000;
 
   private final Rig rig;
