--- a/review/second/platform/Rig.java
+++ b/review/second/platform/Rig.java
@@ -27,7 +27,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 /**
  * What the cases of this review share: stand-ins of the platform's store and of runners, the nodes
@@ -502,6 +502,7 @@
   public void close() {
     endProcesses();
     record.flush();
+    deleteFolder();
     for (ServerSocket s : servers) {
       try {
         s.close();
@@ -511,6 +512,17 @@
     }
   }
 
+  private void deleteFolder() {
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+      Files.delete(folder);
+    } catch (IOException e) {
+      // It stays in the folder for temporary files.
+    }
+  }
+
   static boolean trouble() {
     return !"0".equals(System.getenv("TROUBLE"));
   }
